--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,21 @@
+// Package peer carries calls between daemons over net/rpc, with a deadline on
+// every call and a bounded number of connections per peer.
+package peer
+
+import "context"
+
+// Caller sends calls to other daemons by peer address (IP:PORT).
+type Caller interface {
+	// Call runs "Service.Method" at the peer and waits for the reply, no longer
+	// than ctx allows. A call that may have reached the peer is not repeated.
+	Call(ctx context.Context, address, method string, args, reply any) error
+	// Notify sends "Service.Method" one way: it returns at once, and errors are
+	// only counted.
+	Notify(address, method string, args any)
+}
+
+// Registrar takes receivers for the server side (see net/rpc for the method
+// shapes).
+type Registrar interface {
+	Register(name string, receiver any) error
+}
