Decode INI strictly and parse the operators' configuration

The library reads INI leniently: it merges sections given twice, keeps the last of two keys, strips quotes, joins continuation lines and drops what follows a '#' in a value, and it tells no lines. Its options alone cannot turn all of that off. A scan of the lines finds what it would hide, the library gives the values, and a decoder whose questions are the schema tells every unknown, missing or refused key of a text at once.

--- /dev/null
+++ b/core/config/group.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"tarragonhollow.example/tarragonhollow/inifile"
+)
+
+// Defaults and bounds of a target group.
+const (
+	// DefaultEngineSlots is how many requests an engine runs at once.
+	DefaultEngineSlots = 8
+	// DefaultServiceSlots is how many requests a service target runs at once.
+	DefaultServiceSlots = 64
+
+	maxSlots = 4096
+)
+
+const addressesAllowed = "IP:PORT@ZONE, IP:PORT@ZONE, ..."
+
+// parseGroups reads the [target-group NAME] sections.
+func parseGroups(c *Config, sections []*inifile.Section) {
+	servedBy := map[string]string{}
+	usedBy := map[string]string{}
+	for _, s := range sections {
+		g := parseGroup(s)
+		c.Groups[s.Label] = g
+		checkModelOnce(s, g, servedBy)
+		checkAddressesOnce(s, g, usedBy)
+	}
+}
+
+// parseGroup reads one section.
+func parseGroup(s *inifile.Section) *TargetGroup {
+	s.Require("kind", "engine, service")
+	g := &TargetGroup{Name: s.Label}
+	g.Kind = Kind(s.Enum("kind", string(KindEngine), string(KindEngine), string(KindService)))
+	g.Model = s.Ident("model", "")
+	// Targets are taken not to check orders unless the operators say so: then
+	// the old holder's time must have run out before a new order is sent.
+	g.ChecksOrders = s.Bool("checks_orders", false)
+	g.Slots = s.Int("slots", defaultSlots(g.Kind), 1, maxSlots)
+	if s.Require("addresses", addressesAllowed) {
+		g.Targets = parseTargets(s)
+	}
+	if !s.Has("kind") {
+		return g
+	}
+	if g.Kind == KindEngine {
+		s.Require("model", "the name of the model that the engines serve")
+	} else {
+		refuseGiven(s, "model", "means nothing for a service")
+		refuseGiven(s, "checks_orders", "means nothing for a service")
+	}
+	return g
+}
+
+func defaultSlots(k Kind) int {
+	if k == KindService {
+		return DefaultServiceSlots
+	}
+	return DefaultEngineSlots
+}
+
+// parseTargets reads the addresses key.
+func parseTargets(s *inifile.Section) []Target {
+	var targets []Target
+	for _, part := range inifile.SplitList(s.Text("addresses", "")) {
+		address, zone, found := strings.Cut(part, "@")
+		if !found || !inifile.ValidAddress(address) || !inifile.ValidName(zone) {
+			s.Fail("addresses", fmt.Sprintf("%q is not a target", part), addressesAllowed)
+			continue
+		}
+		targets = append(targets, Target{Address: address, Zone: zone})
+	}
+	return targets
+}
+
+// checkModelOnce refuses a second group for a model: GroupForModel could not
+// tell which of them a request should go to.
+func checkModelOnce(s *inifile.Section, g *TargetGroup, servedBy map[string]string) {
+	if g.Model == "" {
+		return
+	}
+	if other, ok := servedBy[g.Model]; ok {
+		s.Failf("model", "[%s] serves this model already", other)
+		return
+	}
+	servedBy[g.Model] = s.Name
+}
+
+// checkAddressesOnce refuses an address given twice: its slots would be
+// counted twice and it would get two stewards.
+func checkAddressesOnce(s *inifile.Section, g *TargetGroup, usedBy map[string]string) {
+	for _, t := range g.Targets {
+		if other, ok := usedBy[t.Address]; ok {
+			s.Failf("addresses", "%s is given twice, first in [%s]", t.Address, other)
+			continue
+		}
+		usedBy[t.Address] = s.Name
+	}
+}
+
+// parseModels reads the [model NAME] sections.
+func parseModels(c *Config, sections []*inifile.Section) {
+	for _, s := range sections {
+		s.Require("version", "the weight version to load")
+		c.Models[s.Label] = &Model{Name: s.Label, Version: s.Ident("version", "")}
+		if c.GroupForModel(s.Label) == nil {
+			s.Failf("", "unknown model: no target group has model = %s", s.Label)
+		}
+	}
+}
--- /dev/null
+++ b/core/config/profile.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/inifile"
+)
+
+// Defaults and bounds of a profile.
+const (
+	// DefaultOnlineDeadline bounds an online request of a profile without a deadline.
+	DefaultOnlineDeadline = 30 * time.Second
+	// DefaultBatchDeadline bounds one attempt at a batch item of a profile without a deadline.
+	DefaultBatchDeadline = 10 * time.Minute
+	// DefaultRetries is the number of attempts after the first.
+	DefaultRetries = 2
+	// DefaultBatchWeight leans neither to the online tail nor to throughput.
+	DefaultBatchWeight = 0.5
+
+	minDeadline = 10 * time.Millisecond
+	maxDeadline = 24 * time.Hour
+	minDue      = time.Second
+	maxDue      = 14 * 24 * time.Hour
+	maxRetries  = 10
+	maxInFlight = 1_000_000
+	maxRate     = 1_000_000
+	maxBetween  = time.Hour
+	minBound    = time.Millisecond
+)
+
+// parseProfile reads a [profile NAME] section.
+func parseProfile(s *inifile.Section) *Profile {
+	s.Require("urgency", "online, batch")
+	p := &Profile{Name: s.Label}
+	p.Urgency = Urgency(s.Enum("urgency", string(Online), string(Online), string(Batch)))
+	// A profile that does not say so is not repeatable: running a request
+	// twice by a forgotten key is worse than not retrying it.
+	p.Repeatable = s.Bool("repeatable", false)
+	p.Deadline = s.Duration("deadline", defaultDeadline(p.Urgency), minDeadline, maxDeadline)
+	p.Due = s.Duration("due", 0, minDue, maxDue)
+	p.Retries = s.Int("retries", DefaultRetries, 0, maxRetries)
+	p.MaxInFlightPerCaller = s.Int("max_in_flight_per_caller", 0, 0, maxInFlight)
+	p.RatePerCaller = s.Float("rate_per_caller", 0, 0, maxRate)
+	p.BatchWeight = s.Float("batch_weight", defaultBatchWeight(p.Urgency), 0, 1)
+	p.SLO = parseSLO(s)
+	checkUrgency(s, p)
+	checkSLO(s, p)
+	return p
+}
+
+func defaultDeadline(u Urgency) time.Duration {
+	if u == Batch {
+		return DefaultBatchDeadline
+	}
+	return DefaultOnlineDeadline
+}
+
+func defaultBatchWeight(u Urgency) float64 {
+	if u == Batch {
+		return DefaultBatchWeight
+	}
+	return 0
+}
+
+// parseSLO reads the slo_ keys of a profile.
+func parseSLO(s *inifile.Section) SLO {
+	return SLO{
+		Availability:  s.Share("slo_availability", 0),
+		FirstToken:    s.Duration("slo_first_token", 0, minBound, maxDeadline),
+		BetweenTokens: s.Duration("slo_between_tokens", 0, minBound, maxBetween),
+		LatencyShare:  s.Share("slo_latency_share", 0),
+		DueShare:      s.Share("slo_due_share", 0),
+	}
+}
+
+// checkUrgency refuses the keys that mean nothing for the profile's urgency,
+// so that no operator believes in a promise that is not kept.
+func checkUrgency(s *inifile.Section, p *Profile) {
+	if p.Urgency == Online {
+		for _, key := range []string{"due", "batch_weight", "slo_due_share"} {
+			refuseGiven(s, key, "means nothing for an online profile")
+		}
+		return
+	}
+	for _, key := range []string{"slo_first_token", "slo_between_tokens", "slo_latency_share"} {
+		refuseGiven(s, key, "means nothing for a batch profile")
+	}
+	if s.Require("due", "duration from "+inifile.FormatDuration(minDue)+" to "+inifile.FormatDuration(maxDue)) &&
+		p.Due != 0 && p.Deadline > p.Due && s.Has("deadline") {
+		s.Fail("deadline", "longer than due", "at most "+inifile.FormatDuration(p.Due))
+	}
+	if p.Due != 0 && p.Deadline > p.Due {
+		p.Deadline = p.Due
+	}
+}
+
+// checkSLO refuses a latency share without a bound and a bound without a share:
+// either alone sets no objective.
+func checkSLO(s *inifile.Section, p *Profile) {
+	if p.Urgency == Batch {
+		return
+	}
+	bounded := s.Has("slo_first_token") || s.Has("slo_between_tokens")
+	if bounded {
+		s.Require("slo_latency_share", "a share above 0 and below 1, like 0.99")
+	} else {
+		refuseGiven(s, "slo_latency_share", "needs slo_first_token or slo_between_tokens")
+	}
+}
+
+// refuseGiven tells a fault if the key is given.
+func refuseGiven(s *inifile.Section, key, reason string) {
+	if s.Has(key) {
+		s.Fail(key, reason, "")
+	}
+}
--- /dev/null
+++ b/inifile/values.go
@@ -0,0 +1,198 @@
+package inifile
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Text returns a text that may not be empty when given.
+func (s *Section) Text(key, fallback string) string {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	if e.value == "" {
+		s.Fail(key, "empty value", "a text")
+	}
+	return e.value
+}
+
+// Ident returns a name of letters, digits, '_', '.' and '-'.
+func (s *Section) Ident(key, fallback string) string {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	if !validName(e.value, ".-") {
+		s.Fail(key, "bad name", "letters, digits, '_', '.' and '-'")
+	}
+	return e.value
+}
+
+// Enum returns one of the allowed words.
+func (s *Section) Enum(key, fallback string, allowed ...string) string {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	if !slices.Contains(allowed, e.value) {
+		s.Fail(key, "unknown value", strings.Join(allowed, ", "))
+		return fallback
+	}
+	return e.value
+}
+
+// Bool returns true or false; no other spellings are read.
+func (s *Section) Bool(key string, fallback bool) bool {
+	return s.Enum(key, strconv.FormatBool(fallback), "true", "false") == "true"
+}
+
+// Int returns a whole number in [low, high].
+func (s *Section) Int(key string, fallback, low, high int) int {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.Atoi(e.value)
+	return check(s, key, n, err, fallback, low, high, "whole number", strconv.Itoa)
+}
+
+// Float returns a number in [low, high].
+func (s *Section) Float(key string, fallback, low, high float64) float64 {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	x, err := strconv.ParseFloat(e.value, 64)
+	if math.IsNaN(x) {
+		err = strconv.ErrSyntax
+	}
+	return check(s, key, x, err, fallback, low, high, "number", formatFloat)
+}
+
+// Share returns a share strictly between 0 and 1; 0 stands for "not given".
+func (s *Section) Share(key string, fallback float64) float64 {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	x, err := strconv.ParseFloat(e.value, 64)
+	const allowed = "a share above 0 and below 1, like 0.99"
+	switch {
+	case err != nil || math.IsNaN(x):
+		s.Fail(key, "not a share", allowed)
+	case x <= 0 || x >= 1:
+		s.Fail(key, "out of range", allowed)
+	default:
+		return x
+	}
+	return fallback
+}
+
+// Duration returns a duration in [low, high], written like 250ms, 10s or 1h30m.
+func (s *Section) Duration(key string, fallback, low, high time.Duration) time.Duration {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	d, err := time.ParseDuration(e.value)
+	return check(s, key, d, err, fallback, low, high, "duration", FormatDuration)
+}
+
+// Size returns a size in bytes in [low, high], written like 512, 64KiB or 1GiB.
+func (s *Section) Size(key string, fallback, low, high int64) int64 {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	n, err := ParseSize(e.value)
+	return check(s, key, n, err, fallback, low, high, "size", FormatSize)
+}
+
+// Address returns an IP:PORT. The wildcard port 0 is refused unless anyPort.
+func (s *Section) Address(key, fallback string, anyPort bool) string {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	if !validAddress(e.value, anyPort) {
+		s.Fail(key, "not an address", "IP:PORT, like 127.0.0.1:8080")
+	}
+	return e.value
+}
+
+// Addresses returns a list of IP:PORT parted by commas.
+func (s *Section) Addresses(key string) []string {
+	e, ok := s.lookup(key)
+	if !ok || e.value == "" {
+		return nil
+	}
+	list := SplitList(e.value)
+	for _, address := range list {
+		if !validAddress(address, false) {
+			s.Fail(key, fmt.Sprintf("%q is not an address", address), "IP:PORT, IP:PORT, ...")
+		}
+	}
+	return list
+}
+
+// URL returns an http URL with a host given as IP:PORT and no path, without a
+// trailing slash.
+func (s *Section) URL(key, fallback string) string {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	trimmed := strings.TrimSuffix(e.value, "/")
+	u, err := url.Parse(trimmed)
+	if err != nil || u.Scheme != "http" || u.Path != "" || u.RawQuery != "" || u.Fragment != "" ||
+		u.User != nil || !validAddress(u.Host, false) {
+		s.Fail(key, "not a URL", "http://IP:PORT")
+	}
+	return trimmed
+}
+
+// SplitList splits a list at its commas and trims the parts.
+func SplitList(text string) []string {
+	parts := strings.Split(text, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
+
+// ValidName tells whether text is a name of letters, digits, '_', '.' and '-'.
+func ValidName(text string) bool { return validName(text, ".-") }
+
+// ValidAddress tells whether text is IP:PORT with a port above 0.
+func ValidAddress(text string) bool { return validAddress(text, false) }
+
+func validAddress(text string, anyPort bool) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && (anyPort || address.Port() != 0)
+}
+
+// check tells a value that was not understood or is out of [low, high] and
+// returns the fallback in its place.
+func check[T int | int64 | float64 | time.Duration](
+	s *Section, key string, value T, err error, fallback, low, high T, kind string, format func(T) string,
+) T {
+	allowed := fmt.Sprintf("%s from %s to %s", kind, format(low), format(high))
+	switch {
+	case err != nil:
+		s.Fail(key, "not a "+kind, allowed)
+	case value < low || value > high:
+		s.Fail(key, "out of range", allowed)
+	default:
+		return value
+	}
+	return fallback
+}
+
+func formatFloat(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
