Add peer calls over net/rpc with deadlines and bounded connections

net/rpc's own client has no deadline, blocks on a full socket and cannot tell a call that was never written from one that may have been delivered. A codec of our own marks the moment of writing, so Unreachable is said only of calls that were never written.

--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"errors"
+	"net/rpc"
+	"sync/atomic"
+)
+
+// sendState is how far a call has come on its way out.
+type sendState = int32
+
+const (
+	waiting sendState = iota
+	// started calls may have left bytes on the wire.
+	started
+	// withdrawn calls are never written.
+	withdrawn
+)
+
+// errWithdrawn ends a call whose caller left before it was written.
+var errWithdrawn = errors.New("withdrawn before sending")
+
+// envelope carries a call's arguments to the client codec, which alone knows
+// when the first byte is about to leave. The caller that runs out of time and
+// the codec race for the state by compare-and-swap, so "certainly not
+// delivered" is said only of a call that the codec will never write.
+type envelope struct {
+	args  any
+	state atomic.Int32
+}
+
+func (e *envelope) start() bool    { return e.state.CompareAndSwap(waiting, started) }
+func (e *envelope) withdraw() bool { return e.state.CompareAndSwap(waiting, withdrawn) }
+func (e *envelope) sent() bool     { return e.state.Load() == started }
+
+// clientCodec is the gob codec of net/rpc with two additions: a call
+// withdrawn while it waited for the connection's turn is not written, and every
+// call records whether its writing has begun.
+type clientCodec struct {
+	conn *meteredConn
+	buf  *bufio.Writer
+	enc  *gob.Encoder
+	dec  *gob.Decoder
+}
+
+func newClientCodec(conn *meteredConn) *clientCodec {
+	buf := bufio.NewWriter(conn)
+	return &clientCodec{conn: conn, buf: buf, enc: gob.NewEncoder(buf), dec: gob.NewDecoder(bufio.NewReader(conn))}
+}
+
+// WriteRequest implements rpc.ClientCodec.
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	env := body.(*envelope)
+	if !env.start() {
+		return errWithdrawn
+	}
+	err := encodePair(c.enc, c.buf, r, env.args)
+	if err != nil {
+		// A header without its body would leave the peer's decoder waiting in the
+		// middle of a message, which shows as every later call timing out. The
+		// stream cannot be mended, so the connection ends here.
+		_ = c.conn.Close()
+	}
+	return err
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.dec.Decode(r) }
+
+// ReadResponseBody implements rpc.ClientCodec; a nil body discards the value.
+func (c *clientCodec) ReadResponseBody(body any) error { return c.dec.Decode(body) }
+
+// Close implements rpc.ClientCodec.
+func (c *clientCodec) Close() error { return c.conn.Close() }
+
+// serverCodec is the gob codec of net/rpc on a metered connection.
+type serverCodec struct {
+	conn *meteredConn
+	buf  *bufio.Writer
+	enc  *gob.Encoder
+	dec  *gob.Decoder
+}
+
+func newServerCodec(conn *meteredConn) *serverCodec {
+	buf := bufio.NewWriter(conn)
+	return &serverCodec{conn: conn, buf: buf, enc: gob.NewEncoder(buf), dec: gob.NewDecoder(bufio.NewReader(conn))}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.dec.Decode(r) }
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestBody(body any) error { return c.dec.Decode(body) }
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	err := encodePair(c.enc, c.buf, r, body)
+	if err != nil {
+		// As in WriteRequest: a reply cut in the middle spoils the stream.
+		_ = c.conn.Close()
+	}
+	return err
+}
+
+// Close implements rpc.ServerCodec.
+func (c *serverCodec) Close() error { return c.conn.Close() }
+
+func encodePair(enc *gob.Encoder, buf *bufio.Writer, header, body any) error {
+	if err := enc.Encode(header); err != nil {
+		return err
+	}
+	if err := enc.Encode(body); err != nil {
+		return err
+	}
+	return buf.Flush()
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,166 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/peer"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
+
+// Echo is the service under test.
+type Echo struct{ block chan struct{} }
+
+func (e *Echo) Say(in string, out *string) error { *out = in; return nil }
+func (e *Echo) Fail(string, *string) error       { return errors.New("no such order") }
+func (e *Echo) Hang(in string, out *string) error {
+	<-e.block
+	*out = in
+	return nil
+}
+
+func serve(service *Echo) (*peer.Server, string) {
+	s := peer.NewServer(peer.ServerOptions{})
+	Expect(s.Register("Echo", service)).To(Succeed())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(ln) }()
+	DeferCleanup(s.Close)
+	return s, ln.Addr().String()
+}
+
+func newClient(o peer.ClientOptions) *peer.Client {
+	c := peer.NewClient(o)
+	DeferCleanup(c.Close)
+	return c
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	DeferCleanup(cancel)
+	return ctx
+}
+
+// stallingListener accepts and reads, but never answers until Heal.
+func stallingListener() (address string, dials func() int) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	var mu sync.Mutex
+	count := 0
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			count++
+			mu.Unlock()
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	}()
+	return ln.Addr().String(), func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return count
+	}
+}
+
+var _ = Describe("Client", func() {
+	It("returns replies, and the peer's own errors as RemoteError", func() {
+		_, address := serve(&Echo{})
+		c := newClient(peer.ClientOptions{LocalIP: "127.0.0.1"})
+		var reply string
+		Expect(c.Call(within(5*time.Second), address, "Echo.Say", "tray 7", &reply)).To(Succeed())
+		Expect(reply).To(Equal("tray 7"))
+		err := c.Call(within(5*time.Second), address, "Echo.Fail", "", &reply)
+		Expect(peer.IsRemoteError(err)).To(BeTrue())
+		Expect(err.Error()).To(ContainSubstring("no such order"))
+		Expect(peer.IsRemoteError(c.Call(within(5*time.Second), address, "Echo.Nothing", "", &reply))).To(BeTrue())
+	})
+
+	// A guest's request is held by a daemon that froze. The entry host's calls to
+	// it time out while its socket stays open; calls to other daemons, and later
+	// ones to the same daemon, must not wait for it.
+	It("drops a stalled connection and keeps other peers untouched", func() {
+		stalled, dials := stallingListener()
+		_, good := serve(&Echo{})
+		c := newClient(peer.ClientOptions{})
+		var reply string
+		for range 3 {
+			err := c.Call(within(50*time.Millisecond), stalled, "Echo.Say", "a", &reply)
+			Expect(peer.IsNoReply(err)).To(BeTrue(), "%v", err)
+			Expect(c.Call(within(5*time.Second), good, "Echo.Say", "b", &reply)).To(Succeed())
+		}
+		Expect(dials()).To(Equal(1))
+		Expect(peer.IsNoReply(c.Call(within(50*time.Millisecond), stalled, "Echo.Say", "a", &reply))).To(BeTrue())
+		Eventually(dials).Should(Equal(2))
+	})
+
+	// A peer restarts between two calls. The old connection is broken, which is
+	// known before the second call is written, so the caller must not see it.
+	It("dials again after the peer closed the connection", func() {
+		s, address := serve(&Echo{})
+		c := newClient(peer.ClientOptions{})
+		var reply string
+		Expect(c.Call(within(5*time.Second), address, "Echo.Say", "1", &reply)).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		Eventually(func() bool {
+			return peer.IsUnreachable(c.Call(within(5*time.Second), address, "Echo.Say", "2", &reply))
+		}, "5s").Should(BeTrue())
+		ln, err := net.Listen("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		again := peer.NewServer(peer.ServerOptions{})
+		Expect(again.Register("Echo", &Echo{})).To(Succeed())
+		go func() { _ = again.Serve(ln) }()
+		DeferCleanup(again.Close)
+		Eventually(func() error {
+			return c.Call(within(5*time.Second), address, "Echo.Say", "3", &reply)
+		}, "5s").Should(Succeed())
+		Expect(reply).To(Equal("3"))
+	})
+
+	// A peer answers nothing while callers keep asking and leaving. Each left
+	// call still occupies memory here; beyond the bound new ones are refused as
+	// certainly not delivered.
+	It("bounds the calls that a silent peer holds", func() {
+		e := &Echo{block: make(chan struct{})}
+		_, address := serve(e)
+		c := newClient(peer.ClientOptions{MaxPending: 2})
+		var reply string
+		Expect(c.Call(within(5*time.Second), address, "Echo.Say", "warm", &reply)).To(Succeed())
+		for range 2 {
+			Expect(peer.IsNoReply(c.Call(within(30*time.Millisecond), address, "Echo.Hang", "x", &reply))).To(BeTrue())
+		}
+		Expect(peer.IsUnreachable(c.Call(within(5*time.Second), address, "Echo.Say", "y", &reply))).To(BeTrue())
+		Expect(reply).To(Equal("warm"))
+		close(e.block)
+		Eventually(func() error {
+			return c.Call(within(5*time.Second), address, "Echo.Say", "z", &reply)
+		}, "5s").Should(Succeed())
+	})
+
+	It("says unreachable, at once, for a port nobody listens on", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := ln.Addr().String()
+		Expect(ln.Close()).To(Succeed())
+		c := newClient(peer.ClientOptions{})
+		c.Notify(address, "Echo.Say", "one way")
+		var reply string
+		Expect(peer.IsUnreachable(c.Call(within(5*time.Second), address, "Echo.Say", "a", &reply))).To(BeTrue())
+	})
+})
