--- /dev/null
+++ b/core/retry/suspects.go
@@ -0,0 +1,273 @@
+package retry
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MergeWindow is the time within which two tellings of a crash of the same
+	// target are the same crash, seen by two entry hosts.
+	MergeWindow = 2 * time.Second
+	// CrashMemory is how long a crash counts.
+	CrashMemory = time.Hour
+	// MaxCrashes and MaxRunning bound the memory: crashes kept, and requests
+	// named per crash.
+	MaxCrashes = 1024
+	MaxRunning = 256
+)
+
+// Crash is one target's crash as one or more entry hosts saw it.
+type Crash struct {
+	// Target is the crashed target's address.
+	Target string
+	// AtMs is when it was seen first, Unix milliseconds.
+	AtMs int64
+	// Running names the requests, by fingerprint, known to have run there.
+	Running []string
+	// Cleared names those of them that completed elsewhere since; they are no
+	// longer in Running.
+	Cleared []string
+	// Total estimates how many requests ran there fleet-wide; at least
+	// len(Running).
+	Total int
+}
+
+// Verdict is what may be done with a request.
+type Verdict int
+
+const (
+	// Clear requests run anywhere.
+	Clear Verdict = iota
+	// Isolated requests are suspects: they run where nothing else does, so that
+	// the next crash, or its absence, tells about them alone.
+	Isolated
+	// Condemned requests are refused.
+	Condemned
+)
+
+// Suspects tracks which requests ran on targets as they crashed. All verdicts
+// follow from the crashes in memory, so daemons that exchange crashes reach the
+// same verdicts, and a later telling of the same crash can clear an innocent
+// whom an incomplete one made look guilty.
+type Suspects struct {
+	limit     int
+	crashes   []Crash
+	condemned map[string]bool
+}
+
+// NewSuspects returns a tracker that condemns after limit crashes.
+func NewSuspects(limit int) *Suspects {
+	return &Suspects{limit: max(1, limit), condemned: map[string]bool{}}
+}
+
+// SetLimit changes the limit.
+func (s *Suspects) SetLimit(limit int) {
+	s.limit = max(1, limit)
+	s.judge()
+}
+
+// Crashed takes one telling of a crash and tells whether anything was new.
+func (s *Suspects) Crashed(c Crash) bool {
+	c = c.bounded()
+	if len(c.Running)+len(c.Cleared) == 0 {
+		return false
+	}
+	i := slices.IndexFunc(s.crashes, func(k Crash) bool { return sameCrash(k, c) })
+	changed := true
+	if i < 0 {
+		s.crashes = append(s.crashes, c)
+	} else {
+		changed = merge(&s.crashes[i], c)
+	}
+	if len(s.crashes) > MaxCrashes {
+		s.crashes = s.crashes[1:]
+	}
+	s.judge()
+	return changed
+}
+
+// bounded returns a copy that keeps to the memory's bounds.
+func (c Crash) bounded() Crash {
+	c.Running = slices.Clone(c.Running[:min(len(c.Running), MaxRunning)])
+	c.Cleared = slices.Clone(c.Cleared[:min(len(c.Cleared), MaxRunning)])
+	c.Total = max(c.Total, len(c.Running))
+	return c
+}
+
+func sameCrash(a, b Crash) bool {
+	apart := a.AtMs - b.AtMs
+	return a.Target == b.Target && max(apart, -apart) <= MergeWindow.Milliseconds()
+}
+
+// merge adds what the second telling knows more. Once cleared is cleared, in
+// whichever order the tellings come.
+func merge(into *Crash, c Crash) bool {
+	changed := false
+	for _, f := range c.Cleared {
+		changed = into.clear(f) || changed
+	}
+	for _, f := range c.Running {
+		known := slices.Contains(into.Running, f) || slices.Contains(into.Cleared, f)
+		if !known && len(into.Running) < MaxRunning {
+			into.Running = append(into.Running, f)
+			changed = true
+		}
+	}
+	total := max(into.Total, c.Total-len(into.Cleared), len(into.Running))
+	changed = changed || total != into.Total
+	into.Total = total
+	return changed
+}
+
+// clear moves a request from Running to Cleared and tells whether it was not
+// there before.
+func (c *Crash) clear(fingerprint string) bool {
+	if slices.Contains(c.Cleared, fingerprint) || len(c.Cleared) >= MaxRunning {
+		return false
+	}
+	c.Cleared = append(c.Cleared, fingerprint)
+	if at := slices.Index(c.Running, fingerprint); at >= 0 {
+		c.Running = slices.Delete(c.Running, at, at+1)
+		c.Total = max(c.Total-1, len(c.Running))
+	}
+	return true
+}
+
+// Completed clears a request: it ran to its end somewhere, so it is not the one
+// that crashes every target that runs it. It returns the crashes that changed.
+func (s *Suspects) Completed(fingerprint string) []Crash {
+	var changed []Crash
+	for i := range s.crashes {
+		c := &s.crashes[i]
+		if slices.Contains(c.Running, fingerprint) && c.clear(fingerprint) {
+			changed = append(changed, c.bounded())
+		}
+	}
+	if len(changed) > 0 {
+		s.judge()
+	}
+	return changed
+}
+
+// Verdict returns what may be done with the request.
+func (s *Suspects) Verdict(fingerprint string) Verdict {
+	if s.condemned[fingerprint] {
+		return Condemned
+	}
+	for _, c := range s.crashes {
+		if slices.Contains(c.Running, fingerprint) && !s.explained(c, fingerprint) {
+			return Isolated
+		}
+	}
+	return Clear
+}
+
+// Expire forgets crashes older than CrashMemory.
+func (s *Suspects) Expire(nowMs int64) {
+	before := len(s.crashes)
+	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool {
+		return nowMs-c.AtMs > CrashMemory.Milliseconds()
+	})
+	if len(s.crashes) != before {
+		s.judge()
+	}
+}
+
+// Crashes returns a copy of what is known, for a daemon that has just started.
+func (s *Suspects) Crashes() []Crash {
+	out := make([]Crash, len(s.crashes))
+	for i, c := range s.crashes {
+		out[i] = c.bounded()
+	}
+	return out
+}
+
+// judge works out who is condemned. A request that stays condemned explains
+// its crashes, so that those who only shared them are not counted against them.
+func (s *Suspects) judge() {
+	var names []string
+	for _, c := range s.crashes {
+		for _, f := range c.Running {
+			if !slices.Contains(names, f) {
+				names = append(names, f)
+			}
+		}
+	}
+	previous := s.condemned
+	s.condemned = map[string]bool{}
+	slices.SortFunc(names, func(a, b string) int { return compareGuilt(previous, a, b) })
+	for _, f := range names {
+		if s.guilty(f) {
+			s.condemned[f] = true
+		}
+	}
+}
+
+// compareGuilt orders those condemned before first, so that a verdict stands
+// as long as its own evidence does.
+func compareGuilt(condemned map[string]bool, a, b string) int {
+	switch {
+	case condemned[a] == condemned[b]:
+		return 0
+	case condemned[a]:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// guilty weighs the crashes at different targets (one bad target that crashes
+// over and over counts once) that no condemned request explains. The request
+// is condemned if its shares of the blame, 1/Total each, add up to the limit,
+// or if it took part in limit crashes and is the only one that can have taken
+// part in all of them.
+func (s *Suspects) guilty(fingerprint string) bool {
+	blame, count := 0.0, 0
+	targets := map[string]bool{}
+	var common []string
+	known := false
+	for _, c := range s.crashes {
+		if !slices.Contains(c.Running, fingerprint) || s.explained(c, fingerprint) {
+			continue
+		}
+		if !targets[c.Target] {
+			targets[c.Target] = true
+			count++
+			blame += 1 / float64(c.Total)
+		}
+		if c.Total > len(c.Running) {
+			continue
+		}
+		common = intersect(common, c.Running, known)
+		known = true
+	}
+	if blame >= float64(s.limit) {
+		return true
+	}
+	return count >= s.limit && known && len(common) == 1
+}
+
+// intersect narrows the common set by a crash whose requests are all known.
+func intersect(common, running []string, known bool) []string {
+	if !known {
+		return running
+	}
+	var both []string
+	for _, f := range common {
+		if slices.Contains(running, f) {
+			both = append(both, f)
+		}
+	}
+	return both
+}
+
+// explained tells whether another request is condemned that ran there too.
+func (s *Suspects) explained(c Crash, fingerprint string) bool {
+	for _, f := range c.Running {
+		if f != fingerprint && s.condemned[f] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/routing/admit.go
@@ -0,0 +1,74 @@
+package routing
+
+import (
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+// speedWeight is the weight of a new measurement in the running averages.
+const speedWeight = 0.1
+
+// speed holds running averages of the group's finished requests.
+type speed struct {
+	total time.Duration
+	known bool
+}
+
+// Measured takes the total time of a finished request.
+func (t *Table) Measured(total time.Duration) {
+	if !t.speed.known {
+		t.speed = speed{total: total, known: true}
+		return
+	}
+	change := speedWeight * float64(total-t.speed.total)
+	t.speed.total += time.Duration(change)
+}
+
+// Wait estimates how long a request would queue in front of the least loaded
+// target: with load at or above its slots, one leaves every total/slots. It is
+// 0 while any target has a free slot or nothing is known, so a wrong average
+// can never lock the group out: requests end, slots get free.
+func (t *Table) Wait(now time.Time) time.Duration {
+	if !t.speed.known {
+		return 0
+	}
+	shortest, found := time.Duration(0), false
+	for _, e := range t.tier(now, Request{}, false) {
+		w := t.queue(now, e)
+		if !found || w < shortest {
+			shortest, found = w, true
+		}
+	}
+	return shortest
+}
+
+func (t *Table) queue(now time.Time, e *entry) time.Duration {
+	slots := t.slots
+	if e.heard.fresh(now) && e.heard.word.Slots > 0 {
+		slots = e.heard.word.Slots
+	}
+	if slots <= 0 {
+		return 0
+	}
+	ahead := e.load(now) - float64(slots) + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(slots) * float64(t.speed.total))
+}
+
+// Admit refuses a request that could not start before its deadline: a truthful
+// early no is worth more to the caller than a late one, and keeps the queue at
+// the engines short for those that can still make it.
+func (t *Table) Admit(now, deadline time.Time) *outcome.Refusal {
+	wait := t.Wait(now)
+	left := deadline.Sub(now)
+	if wait <= left {
+		return nil
+	}
+	refusal := outcome.Refuse(outcome.Overloaded,
+		"the targets of %s are busy for about %s, the deadline is in %s",
+		t.group, wait.Round(time.Millisecond), left.Round(time.Millisecond))
+	return refusal.After(max(1, (wait - left).Milliseconds()))
+}
