Add engine and service stand-ins

The engine batches continuously with no priorities, caches prefixes, crashes on a marked prompt and answers with tokens that follow from the prompt alone, so a checker outside can tell doubled, missing and foreign ones. The service numbers its executions and counts them by idempotency key.

--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+// Actions of orders.
+const (
+	ActionLoadModel   = "load_model"
+	ActionLoadAdapter = "load_adapter"
+	ActionSetRole     = "set_role"
+)
+
+// served is what the engine has loaded.
+type served struct {
+	model        string
+	version      string
+	role         string
+	adapters     []string
+	loadingUntil time.Time
+}
+
+func (v *served) serves(model string) bool {
+	if v.model == "" || v.model == model {
+		return true
+	}
+	for _, a := range v.adapters {
+		if a == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o target.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&o); err != nil {
+		writeError(w, http.StatusUnprocessableEntity, "invalid_json", err.Error())
+		return
+	}
+	s.mu.Lock()
+	status, code, message := s.obey(o, time.Now())
+	s.mu.Unlock()
+	if status != http.StatusOK {
+		writeError(w, status, code, message)
+		return
+	}
+	writeJSON(w, status, o)
+}
+
+// obey carries the order out. A fencing number below the highest seen comes
+// from a holder that was paused and has been replaced: an engine that checks
+// refuses it, one that does not check only counts it.
+func (s *Server) obey(o target.Order, now time.Time) (int, string, string) {
+	if o.Fence < s.stats.HighestFence {
+		s.stats.StaleOrders++
+		if s.opts.ChecksOrders {
+			return http.StatusConflict, "stale_fence", fmt.Sprintf("fence %d is below %d", o.Fence, s.stats.HighestFence)
+		}
+	}
+	switch {
+	case o.Action == ActionLoadModel && o.Model != "":
+		s.served = served{model: o.Model, version: o.Version, role: s.served.role}
+		s.served.loadingUntil = now.Add(s.scaled(s.opts.LoadMs))
+		s.cache.clear(s.opts)
+	case o.Action == ActionLoadAdapter && o.Model != "":
+		s.served.adapters = append(s.served.adapters, o.Model)
+	case o.Action == ActionSetRole && o.Role != "":
+		s.served.role = o.Role
+	default:
+		return http.StatusUnprocessableEntity, "unprocessable", "unknown action or missing field"
+	}
+	s.stats.HighestFence = max(s.stats.HighestFence, o.Fence)
+	return http.StatusOK, "", ""
+}
--- /dev/null
+++ b/standin/engine/serve.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// relistenPause is the pause between attempts to listen again after a crash.
+const relistenPause = 20 * time.Millisecond
+
+// Serve serves the handler on ln until Close. Unlike the handler alone, it also
+// closes the listener and all idle connections for the time of a crash, as the
+// death of a process does: new connections are refused, not hung up on.
+func (s *Server) Serve(ln net.Listener) error {
+	address := ln.Addr().String()
+	for {
+		err := s.serveOnce(ln)
+		if s.closed() {
+			return nil
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		if ln = s.relisten(address); ln == nil {
+			return nil
+		}
+	}
+}
+
+// serveOnce serves until the engine crashes or is closed.
+func (s *Server) serveOnce(ln net.Listener) error {
+	hs := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Minute}
+	s.mu.Lock()
+	life := s.life
+	s.mu.Unlock()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-life:
+		case <-s.done:
+		case <-ended:
+		}
+		_ = hs.Close()
+	}()
+	return hs.Serve(ln)
+}
+
+// relisten waits until the crashed engine is back and opens its address again;
+// nil after Close.
+func (s *Server) relisten(address string) net.Listener {
+	s.mu.Lock()
+	wait := time.Until(s.downUntil)
+	s.mu.Unlock()
+	for s.pause(wait) {
+		if ln, err := net.Listen("tcp", address); err == nil {
+			return ln
+		}
+		wait = relistenPause
+	}
+	return nil
+}
+
+func (s *Server) closed() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/target/wire.go
@@ -0,0 +1,8 @@
+package target
+
+// GenerateBody is the body of POST /v1/chat/completions at an engine.
+type GenerateBody struct {
+	GenerateRequest
+	// Stream asks for server-sent events in place of one JSON answer.
+	Stream bool `json:"stream"`
+}
