Add the platform's HTTP clients and stand-ins

Cause: the log, the host list and the weight store belong to the users' platform; tests and trials need services of the same faces, and the daemons clients that say truly what is known of a failed append. Change: clients whose errors tell a refused append from one of unknown outcome; stand-ins for the three services with faults steered over HTTP; a TCP proxy that delays, cuts, stalls one way and drops answers.

--- /dev/null
+++ b/standin/faultproxy/proxy.go
@@ -0,0 +1,244 @@
+// Package faultproxy is a small TCP proxy for tests and trials that delays,
+// cuts, stalls one way, and drops an answer after its request went through. It
+// is used in process by its methods or steered over HTTP.
+package faultproxy
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// dialTimeout bounds the connection to the target.
+const dialTimeout = 2 * time.Second
+
+// Options configures a Proxy.
+type Options struct {
+	// Listen is IP:PORT for clients; port 0 takes a free one. Empty is
+	// 127.0.0.1:0.
+	Listen string
+	// Target is the IP:PORT that connections are forwarded to.
+	Target string
+	// Log gets one line per connection; nil logs nothing.
+	Log *zap.Logger
+}
+
+// Proxy forwards TCP connections and injects faults.
+type Proxy struct {
+	opts   Options
+	faults *faultState
+	addr   string
+	wg     sync.WaitGroup
+
+	// steer serializes SetFaults and Close, which open and close the listener.
+	steer sync.Mutex
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
+	stats    Stats
+	closed   bool
+}
+
+// Stats is the body of GET /control/stats.
+type Stats struct {
+	// Connections were forwarded since the start.
+	Connections int64 `json:"connections"`
+	// Open is how many connections are open now.
+	Open int `json:"open"`
+	// BytesUp and BytesDown were delivered.
+	BytesUp   int64 `json:"bytes_up"`
+	BytesDown int64 `json:"bytes_down"`
+	// DroppedAnswers counts connections cut by DropAnswers.
+	DroppedAnswers int64 `json:"dropped_answers"`
+}
+
+// New starts a proxy without faults.
+func New(opts Options) (*Proxy, error) {
+	if opts.Listen == "" {
+		opts.Listen = "127.0.0.1:0"
+	}
+	if opts.Log == nil {
+		opts.Log = zap.NewNop()
+	}
+	if _, err := netip.ParseAddrPort(opts.Target); err != nil {
+		return nil, fmt.Errorf("faultproxy: target %q: want IP:PORT", opts.Target)
+	}
+	p := &Proxy{opts: opts, faults: newFaultState(), addr: opts.Listen, conns: map[*conn]struct{}{}}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Addr returns the address that clients connect to.
+func (p *Proxy) Addr() string { return p.addr }
+
+// Faults returns the faults in force.
+func (p *Proxy) Faults() Faults {
+	faults, _ := p.faults.get()
+	return faults
+}
+
+// Stats returns the counts so far.
+func (p *Proxy) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats := p.stats
+	stats.Open = len(p.conns)
+	return stats
+}
+
+// SetFaults replaces the faults in force. A cut has closed all connections
+// when it returns.
+func (p *Proxy) SetFaults(faults Faults) error {
+	if err := faults.validate(); err != nil {
+		return err
+	}
+	p.steer.Lock()
+	defer p.steer.Unlock()
+	if faults.Cut == CutRefuse {
+		p.stopListening()
+	}
+	p.faults.set(faults)
+	if faults.Cut != CutNone {
+		p.CutConnections()
+	}
+	if faults.Cut == CutRefuse {
+		return nil
+	}
+	return p.listen()
+}
+
+// Clear ends all faults.
+func (p *Proxy) Clear() error { return p.SetFaults(Faults{}) }
+
+// CutConnections resets the open connections once and lets new ones through.
+func (p *Proxy) CutConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.abort()
+	}
+}
+
+// Close stops listening, resets all connections and waits for their ends.
+func (p *Proxy) Close() {
+	p.steer.Lock()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.stopListening()
+	p.CutConnections()
+	p.steer.Unlock()
+	p.wg.Wait()
+}
+
+// listen opens the listener unless it is open; the second time on the port of
+// the first. The steer lock is held, but by New.
+func (p *Proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errors.New("faultproxy: closed")
+	}
+	if p.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return fmt.Errorf("faultproxy: %w", err)
+	}
+	p.listener = listener
+	p.addr = listener.Addr().String()
+	p.wg.Add(1)
+	go p.acceptLoop(listener)
+	return nil
+}
+
+func (p *Proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		p.listener.Close()
+		p.listener = nil
+	}
+}
+
+func (p *Proxy) acceptLoop(listener net.Listener) {
+	defer p.wg.Done()
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		p.wg.Add(1)
+		go p.serve(client)
+	}
+}
+
+// serve forwards one client's connection until either side ends it.
+func (p *Proxy) serve(client net.Conn) {
+	defer p.wg.Done()
+	if p.Faults().Cut != CutNone {
+		reset(client)
+		return
+	}
+	target, err := net.DialTimeout("tcp", p.opts.Target, dialTimeout)
+	if err != nil {
+		p.opts.Log.Info("target_unreachable", zap.String("target", p.opts.Target), zap.Error(err))
+		reset(client)
+		return
+	}
+	c := newConn(p, client, target)
+	if !p.register(c) {
+		c.abort()
+	}
+	c.run()
+	p.unregister(c)
+}
+
+// register admits the connection unless a cut or Close came during the dial:
+// those go over the registered connections only, and would miss it.
+func (p *Proxy) register(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+	p.stats.Connections++
+	return !p.closed && p.Faults().Cut == CutNone
+}
+
+func (p *Proxy) unregister(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *Proxy) delivered(d direction, size int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d == up {
+		p.stats.BytesUp += int64(size)
+		return
+	}
+	p.stats.BytesDown += int64(size)
+}
+
+func (p *Proxy) dropped() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.DroppedAnswers++
+}
+
+// reset closes the connection so that its peer sees a reset, not an orderly end.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
--- /dev/null
+++ b/standin/hostlist/server.go
@@ -0,0 +1,211 @@
+// Package hostlist stands in for the platform's host list in tests and trials:
+// a list that is changed over HTTP and shows each change only after a lag.
+package hostlist
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/standin/control"
+)
+
+// Options configures a Server.
+type Options struct {
+	// Lag passes before a change shows in GET /v1/hosts.
+	Lag time.Duration
+	// Hosts are listed from the start, as version 1.
+	Hosts []platform.Host
+	// Now gives the time; the default is time.Now.
+	Now func() time.Time
+}
+
+// Faults is the body of PUT /control/faults.
+type Faults struct {
+	// Outage answers GET /v1/hosts with 503.
+	Outage bool `json:"outage"`
+	// LagMs replaces the lag, also for changes already made; null keeps it.
+	LagMs *int64 `json:"lag_ms,omitempty"`
+}
+
+// change is the list as it became at a time.
+type change struct {
+	at   time.Time
+	view platform.HostView
+}
+
+// Server is the host list.
+type Server struct {
+	now  func() time.Time
+	echo *echo.Echo
+
+	mu      sync.Mutex
+	lag     time.Duration
+	outage  bool
+	history []change
+}
+
+// New returns a server that shows Options.Hosts at once.
+func New(opts Options) (*Server, error) {
+	if opts.Lag < 0 {
+		return nil, errors.New("hostlist: lag must not be negative")
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	s := &Server{now: opts.Now, lag: opts.Lag, echo: control.NewEcho()}
+	for _, host := range opts.Hosts {
+		if err := validate(host); err != nil {
+			return nil, err
+		}
+	}
+	// The zero time is older than any lag.
+	s.history = []change{{view: platform.HostView{Version: 1, Hosts: sorted(opts.Hosts)}}}
+	s.routes()
+	return s, nil
+}
+
+func (s *Server) routes() {
+	s.echo.GET("/v1/hosts", s.get)
+	s.echo.GET("/control/hosts", s.getTrue)
+	s.echo.PUT("/control/hosts/:name", s.put)
+	s.echo.DELETE("/control/hosts/:name", s.remove)
+	s.echo.PUT("/control/faults", s.putFaults)
+}
+
+// Handler returns the HTTP face.
+func (s *Server) Handler() http.Handler { return s.echo }
+
+// Close does nothing; the server has no duties of its own.
+func (s *Server) Close() {}
+
+// Put adds or replaces a host.
+func (s *Server) Put(host platform.Host) error {
+	if err := validate(host); err != nil {
+		return err
+	}
+	s.change(func(hosts []platform.Host) []platform.Host {
+		return append(without(hosts, host.Name), host)
+	})
+	return nil
+}
+
+// Remove takes a host off the list and tells whether it was there.
+func (s *Server) Remove(name string) bool {
+	found := false
+	s.change(func(hosts []platform.Host) []platform.Host {
+		rest := without(hosts, name)
+		found = len(rest) < len(hosts)
+		return rest
+	})
+	return found
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(faults Faults) error {
+	if faults.LagMs != nil && *faults.LagMs < 0 {
+		return errors.New("lag_ms must not be negative")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = faults.Outage
+	if faults.LagMs != nil {
+		s.lag = time.Duration(*faults.LagMs) * time.Millisecond
+	}
+	return nil
+}
+
+// change records a new version if edit returns another list.
+func (s *Server) change(edit func([]platform.Host) []platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.history[len(s.history)-1].view
+	hosts := sorted(edit(last.Hosts))
+	if slices.Equal(hosts, last.Hosts) {
+		return
+	}
+	next := platform.HostView{Version: last.Version + 1, Hosts: hosts}
+	s.history = append(s.history, change{at: s.now(), view: next})
+}
+
+// visible returns the newest version that is at least as old as the lag. Older
+// ones stay, because SetFaults may lengthen the lag.
+func (s *Server) visible() (view platform.HostView, outage bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := s.now().Add(-s.lag)
+	later := sort.Search(len(s.history), func(i int) bool { return s.history[i].at.After(until) })
+	return s.history[max(later-1, 0)].view, s.outage
+}
+
+func (s *Server) get(c echo.Context) error {
+	view, outage := s.visible()
+	if outage {
+		return control.Refuse(c, http.StatusServiceUnavailable, "the host list is out of service")
+	}
+	return c.JSON(http.StatusOK, view)
+}
+
+func (s *Server) getTrue(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.JSON(http.StatusOK, s.history[len(s.history)-1].view)
+}
+
+func (s *Server) put(c echo.Context) error {
+	var host platform.Host
+	if err := control.Decode(c, &host); err != nil {
+		return err
+	}
+	if host.Name == "" {
+		host.Name = c.Param("name")
+	}
+	if host.Name != c.Param("name") {
+		return control.Refuse(c, http.StatusBadRequest, "the body names another host")
+	}
+	if err := s.Put(host); err != nil {
+		return control.Refuse(c, http.StatusBadRequest, err.Error())
+	}
+	return s.getTrue(c)
+}
+
+func (s *Server) remove(c echo.Context) error {
+	if !s.Remove(c.Param("name")) {
+		return control.Refuse(c, http.StatusNotFound, "no such host")
+	}
+	return s.getTrue(c)
+}
+
+func (s *Server) putFaults(c echo.Context) error {
+	var faults Faults
+	if err := control.Decode(c, &faults); err != nil {
+		return err
+	}
+	if err := s.SetFaults(faults); err != nil {
+		return control.Refuse(c, http.StatusBadRequest, err.Error())
+	}
+	return c.JSON(http.StatusOK, faults)
+}
+
+func sorted(hosts []platform.Host) []platform.Host {
+	list := append([]platform.Host{}, hosts...)
+	slices.SortFunc(list, func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+func without(hosts []platform.Host, name string) []platform.Host {
+	rest := make([]platform.Host, 0, len(hosts)+1)
+	for _, host := range hosts {
+		if host.Name != name {
+			rest = append(rest, host)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/standin/logsvc/streams.go
@@ -0,0 +1,217 @@
+package logsvc
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/platform/wire"
+	"tarragonhollow.example/tarragonhollow/standin/control"
+)
+
+const (
+	// defaultReadBytes is the page size if a reader names none.
+	defaultReadBytes = 1 << 20
+	// maxReadBytes bounds the page size.
+	maxReadBytes = 16 << 20
+	// maxWaitMs bounds a long poll.
+	maxWaitMs = 60_000
+	// maxStreamName bounds a stream's name.
+	maxStreamName = 200
+)
+
+// gate fails the calls that an outage or a denial hits.
+func (s *Server) gate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.failed(c) {
+			if c.Request().Method == http.MethodPost {
+				s.counters.rejected(false)
+			}
+			return s.fail(c)
+		}
+		s.expire()
+		return next(c)
+	}
+}
+
+func (s *Server) failure(c echo.Context) Failure {
+	return s.faults.failure(c.Request().Header.Get(wire.ClientHeader), c.Request().RemoteAddr)
+}
+
+func (s *Server) failed(c echo.Context) bool { return s.failure(c) != FailNone }
+
+func (s *Server) fail(c echo.Context) error {
+	if s.failure(c) == FailCut {
+		control.Cut()
+	}
+	return control.Refuse(c, http.StatusServiceUnavailable, "the log is out of service")
+}
+
+func (s *Server) append(c echo.Context) error {
+	name, err := streamName(c)
+	if err != nil {
+		return err
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, int64(s.opts.MaxRecordBytes)))
+	if err != nil {
+		s.counters.rejected(false)
+		return s.refuseBody(c, err)
+	}
+	if wait := s.reserve(); wait > 0 {
+		s.counters.rejected(true)
+		return control.TooMany(c, wait)
+	}
+	faults, _ := s.faults.get()
+	time.Sleep(faults.appendDelay())
+	now := s.nowMs()
+	offset := s.store.Append(name, now, data)
+	lost := s.faults.loseAnswer()
+	s.counters.appended(now, len(data), lost)
+	if lost {
+		control.Cut()
+	}
+	return c.JSON(http.StatusOK, wire.Appended{Offset: offset})
+}
+
+func (s *Server) refuseBody(c echo.Context, err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return control.Refuse(c, http.StatusRequestEntityTooLarge,
+			"a record has at most "+strconv.Itoa(s.opts.MaxRecordBytes)+" bytes")
+	}
+	return control.Refuse(c, http.StatusBadRequest, err.Error())
+}
+
+// reserve takes one append from the rate, or tells after which time there
+// will be room.
+func (s *Server) reserve() time.Duration {
+	now := s.opts.Now()
+	reservation := s.limiter.ReserveN(now, 1)
+	wait := reservation.DelayFrom(now)
+	if wait > 0 {
+		reservation.CancelAt(now)
+	}
+	return wait
+}
+
+// readQuery is the query of a read.
+type readQuery struct {
+	from     int64
+	maxBytes int
+	wait     time.Duration
+}
+
+func (s *Server) read(c echo.Context) error {
+	name, err := streamName(c)
+	if err != nil {
+		return err
+	}
+	query, err := parseRead(c)
+	if err != nil {
+		return err
+	}
+	s.delayRead()
+	deadline := time.NewTimer(query.wait)
+	defer deadline.Stop()
+	for {
+		_, faultsChanged := s.faults.get()
+		if s.failed(c) {
+			return s.fail(c)
+		}
+		s.expire()
+		page, changed := s.store.Read(name, query.from, query.maxBytes)
+		if len(page.Records) > 0 || query.wait == 0 {
+			return s.answerPage(c, page)
+		}
+		select {
+		case <-changed:
+		case <-faultsChanged:
+		case <-deadline.C:
+			return s.answerPage(c, page)
+		case <-s.closing:
+			return s.answerPage(c, page)
+		case <-c.Request().Context().Done():
+			return c.Request().Context().Err()
+		}
+	}
+}
+
+func (s *Server) delayRead() {
+	faults, _ := s.faults.get()
+	time.Sleep(faults.readDelay())
+}
+
+func (s *Server) answerPage(c echo.Context, page platform.Page) error {
+	answer := wire.Page{First: page.First, Next: page.Next, Records: make([]wire.Record, 0, len(page.Records))}
+	size := 0
+	for _, record := range page.Records {
+		size += len(record.Data)
+		answer.Records = append(answer.Records, wire.Record(record))
+	}
+	s.counters.read(size)
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) bounds(c echo.Context) error {
+	name, err := streamName(c)
+	if err != nil {
+		return err
+	}
+	s.delayRead()
+	first, next := s.store.Bounds(name)
+	return c.JSON(http.StatusOK, wire.Bounds{First: first, Next: next})
+}
+
+func (s *Server) list(c echo.Context) error {
+	s.delayRead()
+	answer := wire.Streams{Streams: []wire.Stream{}}
+	for _, name := range s.store.Names() {
+		first, next := s.store.Bounds(name)
+		answer.Streams = append(answer.Streams, wire.Stream{Name: name, Bounds: wire.Bounds{First: first, Next: next}})
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func streamName(c echo.Context) (string, error) {
+	name, err := url.PathUnescape(c.Param("stream"))
+	if err != nil || name == "" || len(name) > maxStreamName {
+		return "", echo.NewHTTPError(http.StatusBadRequest, "a stream's name has 1 to 200 bytes")
+	}
+	return name, nil
+}
+
+func parseRead(c echo.Context) (readQuery, error) {
+	from, err := queryInt(c, "from", 0, 1<<62)
+	if err != nil {
+		return readQuery{}, err
+	}
+	maxBytes, err := queryInt(c, "max_bytes", defaultReadBytes, maxReadBytes)
+	if err != nil {
+		return readQuery{}, err
+	}
+	waitMs, err := queryInt(c, "wait_ms", 0, maxWaitMs)
+	if err != nil {
+		return readQuery{}, err
+	}
+	return readQuery{from: from, maxBytes: int(maxBytes), wait: time.Duration(waitMs) * time.Millisecond}, nil
+}
+
+// queryInt returns the named number, at most limit, or the fallback if the
+// query has none.
+func queryInt(c echo.Context, name string, fallback, limit int64) (int64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return fallback, nil
+	}
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || value < 0 {
+		return 0, echo.NewHTTPError(http.StatusBadRequest, name+" must be a number from 0")
+	}
+	return min(value, limit), nil
+}
--- /dev/null
+++ b/standin/weights/server.go
@@ -0,0 +1,129 @@
+// Package weights stands in for the platform's weight store in tests and
+// trials: it describes model versions and answers at a limited rate.
+package weights
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
+
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/standin/control"
+)
+
+// The defaults keep a fleet that starts all at once waiting, as a real store would.
+const (
+	// DefaultRequestsPerSecond bounds the answers a second.
+	DefaultRequestsPerSecond = 5
+	// DefaultBurst is how many requests may come at once.
+	DefaultBurst = 5
+)
+
+// Options configures a Server; zero values take the defaults.
+type Options struct {
+	// RequestsPerSecond bounds the answers a second.
+	RequestsPerSecond float64
+	// Burst is how many requests may come at once.
+	Burst int
+	// Weights are held from the start.
+	Weights []platform.Weights
+	// Now gives the time; the default is time.Now.
+	Now func() time.Time
+}
+
+// version names one entry of the store.
+type version struct{ model, version string }
+
+// Server is the weight store.
+type Server struct {
+	now     func() time.Time
+	limiter *rate.Limiter
+	echo    *echo.Echo
+
+	mu   sync.Mutex
+	held map[version]platform.Weights
+}
+
+// New returns a server that holds Options.Weights.
+func New(opts Options) (*Server, error) {
+	if opts.RequestsPerSecond < 0 || opts.Burst < 0 {
+		return nil, errors.New("weights: limits must not be negative")
+	}
+	if opts.RequestsPerSecond == 0 {
+		opts.RequestsPerSecond = DefaultRequestsPerSecond
+	}
+	if opts.Burst == 0 {
+		opts.Burst = DefaultBurst
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	s := &Server{
+		now:     opts.Now,
+		limiter: rate.NewLimiter(rate.Limit(opts.RequestsPerSecond), opts.Burst),
+		echo:    control.NewEcho(),
+		held:    map[version]platform.Weights{},
+	}
+	for _, weights := range opts.Weights {
+		if err := s.Put(weights); err != nil {
+			return nil, err
+		}
+	}
+	s.echo.GET("/v1/models/:model/versions/:version", s.get)
+	s.echo.PUT("/control/models/:model/versions/:version", s.put)
+	return s, nil
+}
+
+// Handler returns the HTTP face.
+func (s *Server) Handler() http.Handler { return s.echo }
+
+// Close does nothing; the server has no duties of its own.
+func (s *Server) Close() {}
+
+// Put adds or replaces a version of a model.
+func (s *Server) Put(weights platform.Weights) error {
+	if weights.Model == "" || weights.Version == "" || weights.Bytes <= 0 {
+		return errors.New("weights need a model, a version and a size")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[version{weights.Model, weights.Version}] = weights
+	return nil
+}
+
+func (s *Server) get(c echo.Context) error {
+	now := s.now()
+	reservation := s.limiter.ReserveN(now, 1)
+	if wait := reservation.DelayFrom(now); wait > 0 {
+		reservation.CancelAt(now)
+		return control.TooMany(c, wait)
+	}
+	s.mu.Lock()
+	weights, ok := s.held[version{c.Param("model"), c.Param("version")}]
+	s.mu.Unlock()
+	if !ok {
+		return control.Refuse(c, http.StatusNotFound, "no such model version")
+	}
+	return c.JSON(http.StatusOK, weights)
+}
+
+// size is the body of a PUT.
+type size struct {
+	Bytes int64 `json:"bytes"`
+}
+
+func (s *Server) put(c echo.Context) error {
+	var body size
+	if err := control.Decode(c, &body); err != nil {
+		return err
+	}
+	weights := platform.Weights{Model: c.Param("model"), Version: c.Param("version"), Bytes: body.Bytes}
+	if err := s.Put(weights); err != nil {
+		return control.Refuse(c, http.StatusBadRequest, err.Error())
+	}
+	return c.JSON(http.StatusOK, weights)
+}
