Add the HTTP face and the parser of job lines

Callers and operators had an interface on paper only. The api package serves the contract over echo on top of the Backend seam: chat whole and streamed, services, kept answers, jobs pulled line by line, results page by page, and the guarded /admin paths. Every refusal has one shape and one table of statuses; an error after the backend was called is told as may_have_run unless the backend knows better.

--- /dev/null
+++ b/api/api_test.go
@@ -0,0 +1,409 @@
+package api_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+func TestAPI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "api")
+}
+
+// backend is a fake at the seam: a spec sets the methods that it needs, and a
+// call of any other panics.
+type backend struct {
+	api.Backend
+	cfg     *config.Config
+	chat    func(context.Context, api.ChatCall, func(target.Token) error) (api.ChatResult, error)
+	service func(api.ServiceCall) (target.ServiceResponse, error)
+	putJob  func(api.JobUpload) (ledger.JobStatus, bool, error)
+	results func(ledger.ResultsRequest) (ledger.ResultsReply, error)
+	publish func(text string, base uint64) (api.ConfigInfo, error)
+	kept    map[string]ledger.KeptRequest
+}
+
+func (b *backend) Config() *config.Config { return b.cfg }
+func (b *backend) Ready() error           { return nil }
+func (b *backend) Chat(ctx context.Context, c api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+	return b.chat(ctx, c, sink)
+}
+func (b *backend) Service(_ context.Context, c api.ServiceCall) (target.ServiceResponse, error) {
+	return b.service(c)
+}
+func (b *backend) PutJob(_ context.Context, up api.JobUpload) (ledger.JobStatus, bool, error) {
+	return b.putJob(up)
+}
+func (b *backend) Results(_ context.Context, r ledger.ResultsRequest) (ledger.ResultsReply, error) {
+	return b.results(r)
+}
+func (b *backend) PublishConfig(_ context.Context, text string, base uint64, _ string) (api.ConfigInfo, error) {
+	return b.publish(text, base)
+}
+func (b *backend) Request(_ context.Context, key string) (ledger.KeptRequest, error) {
+	kept, ok := b.kept[key]
+	if !ok {
+		return kept, outcome.Refuse(outcome.NotFound, "no such key")
+	}
+	return kept, nil
+}
+func (b *backend) WriteMetrics(w io.Writer) { _, _ = io.WriteString(w, "up 1\n") }
+
+// settings is a configuration with small bounds.
+func settings() *config.Config {
+	return &config.Config{
+		Version: 3,
+		Profiles: map[string]*config.Profile{
+			"desk":  {Name: "desk", Urgency: config.Online, Repeatable: true, Deadline: 10 * time.Second},
+			"order": {Name: "order", Urgency: config.Online, Deadline: 10 * time.Second},
+			"night": {Name: "night", Urgency: config.Batch, Repeatable: true},
+		},
+		Limits: config.Limits{BodyBytes: 4096, JobBytes: 8192, LineBytes: 512, ItemsPerJob: 20, InFlightPerCaller: 2},
+	}
+}
+
+// daemon is a server on a real socket.
+type daemon struct {
+	*backend
+	server *api.Server
+	addr   string
+	lines  *observer.ObservedLogs
+}
+
+// start serves until the spec's end.
+func start(change func(*api.Options)) *daemon {
+	core, lines := observer.New(zap.InfoLevel)
+	d := &daemon{backend: &backend{cfg: settings()}, lines: lines}
+	opts := api.Options{Backend: d.backend, Logger: zap.New(core), AdminToken: "secret"}
+	if change != nil {
+		change(&opts)
+	}
+	var err error
+	d.server, err = api.New(opts)
+	Expect(err).NotTo(HaveOccurred())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	d.addr = l.Addr().String()
+	done := make(chan error, 1)
+	go func() { done <- d.server.Serve(l) }()
+	DeferCleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		Expect(d.server.Shutdown(ctx)).To(Succeed())
+		Expect(<-done).To(Succeed())
+	})
+	return d
+}
+
+// send makes a request; headers are NAME, VALUE pairs.
+func (d *daemon) send(method, path, body string, headers ...string) *http.Response {
+	req, err := http.NewRequest(method, "http://"+d.addr+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(resp.Body.Close)
+	return resp
+}
+
+// dial opens a raw connection and writes text.
+func (d *daemon) dial(text string) net.Conn {
+	conn, err := net.Dial("tcp", d.addr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, text)
+	Expect(err).NotTo(HaveOccurred())
+	return conn
+}
+
+// refusal reads the answer of a refused request.
+type refusal struct {
+	Error struct {
+		Code, Message, Run string
+		RetryAfterMs       *int64 `json:"retry_after_ms"`
+		Winner             string
+		Version            uint64
+	}
+}
+
+func read(resp *http.Response) (r refusal) {
+	text, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(json.Unmarshal(text, &r)).To(Succeed(), string(text))
+	Expect(r.Error.RetryAfterMs).NotTo(BeNil(), string(text))
+	return r
+}
+
+const hello = `{"model":"m","stream":%t,"top_p":0.5,"messages":[{"role":"user","content":[{"type":"text","text":"he"},{"type":"text","text":"llo"}]}]}`
+
+func job(lines int) string {
+	var b strings.Builder
+	for i := range lines {
+		fmt.Fprintf(&b, `{"custom_id":"sheet-%d","url":"/v1/chat/completions","body":{"n":%d}}`+"\n", i, i)
+	}
+	return b.String()
+}
+
+// drainJob pulls all items as a backend does.
+func drainJob(up api.JobUpload) (ledger.JobStatus, bool, error) {
+	n := 0
+	for {
+		if _, err := up.Next(); errors.Is(err, io.EOF) {
+			return ledger.JobStatus{Items: n, State: ledger.JobAccepted}, true, nil
+		} else if err != nil {
+			return ledger.JobStatus{}, false, err
+		}
+		n++
+	}
+}
+
+var _ = Describe("callers", func() {
+	It("answers a chat in the OpenAI shape, whole and as a stream", func() {
+		d := start(nil)
+		var got api.ChatCall
+		d.chat = func(_ context.Context, c api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+			got = c
+			for i, text := range []string{"a\"\n", "ß\x01"} {
+				if sink != nil {
+					Expect(sink(target.Token{Index: i, Text: text})).To(Succeed())
+				}
+			}
+			return api.ChatResult{Text: "a\"\nß\x01", Finish: target.Finish{Reason: "stop"}}, nil
+		}
+		resp := d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, false), "Tarragon-Profile", "order",
+			"Idempotency-Key", "k/1", "Tarragon-Caller", "room", "Tarragon-Deadline-Ms", "700")
+		var whole struct {
+			Object  string
+			Choices []struct {
+				Message      target.Message
+				FinishReason string `json:"finish_reason"`
+			}
+		}
+		Expect(json.NewDecoder(resp.Body).Decode(&whole)).To(Succeed())
+		Expect(whole.Object).To(Equal("chat.completion"))
+		Expect(whole.Choices[0].Message).To(Equal(target.Message{Role: "assistant", Content: "a\"\nß\x01"}))
+		Expect(whole.Choices[0].FinishReason).To(Equal("stop"))
+		Expect(got.Key).To(Equal("room/k/1"))
+		Expect(time.Until(got.Deadline)).To(BeNumerically("<", time.Second))
+		Expect(got.Request.Messages).To(Equal([]target.Message{{Role: "user", Content: "hello"}}))
+		Expect(got.Request.Extra).To(HaveKey("top_p"))
+		Expect(got.Request.Extra).To(HaveLen(1))
+
+		resp = d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, true), "Tarragon-Profile", "desk",
+			"Tarragon-Deadline-Ms", "999999", "Authorization", "Bearer t")
+		Expect(resp.Header.Get("Content-Type")).To(Equal("text/event-stream"))
+		text, _ := io.ReadAll(resp.Body)
+		var content string
+		events := strings.Split(strings.TrimSuffix(string(text), "\n\n"), "\n\n")
+		for _, e := range events[:len(events)-1] {
+			var chunk struct {
+				Object  string
+				Choices []struct{ Delta struct{ Content string } }
+			}
+			Expect(json.Unmarshal([]byte(strings.TrimPrefix(e, "data: ")), &chunk)).To(Succeed(), e)
+			Expect(chunk.Object).To(Equal("chat.completion.chunk"))
+			content += chunk.Choices[0].Delta.Content
+		}
+		Expect(content).To(Equal("a\"\nß\x01"))
+		Expect(events[len(events)-2]).To(ContainSubstring(`"finish_reason":"stop"`))
+		Expect(events[len(events)-1]).To(Equal("data: [DONE]"))
+		Expect(time.Until(got.Deadline)).To(BeNumerically("<", 11*time.Second), "a header lengthened the deadline")
+		Expect(got.Caller).To(HavePrefix("bearer-"))
+		Expect(got.Key).To(BeEmpty())
+	})
+
+	DescribeTable("refuses with status, shape and a true run state",
+		func(method, path, body string, status int, code, run string, headers ...string) {
+			d := start(nil)
+			d.chat = func(context.Context, api.ChatCall, func(target.Token) error) (api.ChatResult, error) {
+				return api.ChatResult{}, outcome.Refuse(outcome.OutcomeUnknown, "cut").WithRun(outcome.MayHaveRun).After(1001)
+			}
+			d.service = func(api.ServiceCall) (target.ServiceResponse, error) { panic("fault") }
+			d.putJob = drainJob
+			resp := d.send(method, path, body, headers...)
+			r := read(resp)
+			Expect(resp.StatusCode).To(Equal(status), r.Error.Message)
+			Expect(r.Error.Code).To(Equal(code))
+			Expect(r.Error.Run).To(Equal(run))
+			Expect(resp.Header.Get("Retry-After") != "").To(Equal(*r.Error.RetryAfterMs > 0))
+			if code == "outcome_unknown" {
+				Expect(resp.Header.Get("Retry-After")).To(Equal("2"))
+			}
+		},
+		Entry("no path", "GET", "/v2", "", 404, "not_found", "not_run"),
+		Entry("no method", "PUT", "/v1/chat/completions", "", 405, "method_not_allowed", "not_run"),
+		Entry("no profile", "POST", "/v1/chat/completions", "{}", 400, "bad_request", "not_run"),
+		Entry("unknown profile", "POST", "/v1/chat/completions", "{}", 400, "unknown_profile", "not_run", "Tarragon-Profile", "x"),
+		Entry("no key", "POST", "/v1/chat/completions", "{}", 400, "idempotency_key_required", "not_run", "Tarragon-Profile", "order"),
+		Entry("long key", "POST", "/v1/chat/completions", "{}", 400, "bad_request", "not_run", "Tarragon-Profile", "order", "Idempotency-Key", strings.Repeat("k", 257)),
+		Entry("bad deadline", "POST", "/v1/chat/completions", "{}", 400, "bad_request", "not_run", "Tarragon-Profile", "desk", "Tarragon-Deadline-Ms", "-1"),
+		Entry("slash in the caller", "POST", "/v1/chat/completions", "{}", 400, "bad_request", "not_run", "Tarragon-Profile", "desk", "Tarragon-Caller", "a/b"),
+		Entry("bad body", "POST", "/v1/chat/completions", `{"model":"m","messages":[{"role":"u","content":3}]}`, 400, "bad_request", "not_run", "Tarragon-Profile", "desk"),
+		Entry("large body", "POST", "/v1/chat/completions", strings.Repeat("x", 4097), 413, "too_large", "not_run", "Tarragon-Profile", "desk"),
+		Entry("backend's word", "POST", "/v1/chat/completions", fmt.Sprintf(hello, true), 502, "outcome_unknown", "may_have_run", "Tarragon-Profile", "desk"),
+		Entry("panic in the backend", "GET", "/v1/services/tickets/1", "", 500, "internal", "may_have_run", "Tarragon-Profile", "desk"),
+		Entry("unknown key", "GET", "/v1/requests/k", "", 404, "not_found", "not_run"),
+		Entry("job name", "PUT", "/v1/jobs/a%20b", job(1), 400, "bad_request", "not_run", "Tarragon-Profile", "night"),
+		Entry("online profile for a job", "PUT", "/v1/jobs/j", job(1), 400, "bad_request", "not_run", "Tarragon-Profile", "desk"),
+		Entry("empty job", "PUT", "/v1/jobs/j", "\n\n", 400, "bad_request", "not_run", "Tarragon-Profile", "night"),
+		Entry("same custom_id", "PUT", "/v1/jobs/j", job(2)+job(1), 400, "bad_request", "not_run", "Tarragon-Profile", "night"),
+		Entry("bad line", "PUT", "/v1/jobs/j", job(2)+"{}\n", 400, "bad_request", "not_run", "Tarragon-Profile", "night"),
+		Entry("long line", "PUT", "/v1/jobs/j", job(2)+strings.Repeat("x", 600), 413, "too_large", "not_run", "Tarragon-Profile", "night"),
+		Entry("many items", "PUT", "/v1/jobs/j", job(21), 413, "too_large", "not_run", "Tarragon-Profile", "night"),
+		Entry("large job", "PUT", "/v1/jobs/j", job(20)+strings.Repeat("\n", 8192), 413, "too_large", "not_run", "Tarragon-Profile", "night"),
+		Entry("no token", "GET", "/admin/status", "", 401, "unauthorized", "not_run"),
+		Entry("wrong token", "POST", "/admin/drain", "", 401, "unauthorized", "not_run", "Authorization", "Bearer secreT"),
+		Entry("no If-Match", "PUT", "/admin/config", "x", 400, "bad_request", "not_run", "Authorization", "Bearer secret"),
+	)
+
+	It("passes a service's call and answer on without the connection's own headers", func() {
+		d := start(nil)
+		var got api.ServiceCall
+		d.service = func(c api.ServiceCall) (target.ServiceResponse, error) {
+			got = c
+			return target.ServiceResponse{Status: 418, Header: http.Header{"X-A": {"1"}, "Connection": {"X-B"}, "X-B": {"2"}}, Body: []byte("tea")}, nil
+		}
+		resp := d.send("POST", "/v1/services/tickets/a%2Fb?x=1&x=2", "body", "Tarragon-Profile", "desk", "Te", "trailers", "X-Note", "n")
+		text, _ := io.ReadAll(resp.Body)
+		Expect(string(text)).To(Equal("tea"))
+		Expect(resp.StatusCode).To(Equal(418))
+		Expect(resp.Header).To(HaveKey("X-A"))
+		Expect(resp.Header).NotTo(HaveKey("X-B"))
+		Expect(got.Service).To(Equal("tickets"))
+		Expect(got.Request.Path).To(Equal("/a%2Fb?x=1&x=2"))
+		Expect(got.Request.Header).To(HaveKey("X-Note"))
+		Expect(got.Request.Header).NotTo(HaveKey("Te"))
+	})
+
+	It("tells a kept answer under its caller's key", func() {
+		d := start(nil)
+		d.kept = map[string]ledger.KeptRequest{"room/k/1": {
+			State:  ledger.RequestCompleted,
+			Answer: &ledger.Answer{Status: 200, ContentType: "application/json", Body: []byte(`{"n":1}`)},
+		}}
+		resp := d.send("GET", "/v1/requests/k%2F1", "", "Tarragon-Caller", "room")
+		text, _ := io.ReadAll(resp.Body)
+		Expect(text).To(MatchJSON(`{"key":"k/1","state":"completed","response":{"status":200,"content_type":"application/json","body":{"n":1}}}`))
+	})
+
+	It("writes one line per request without the key itself", func() {
+		d := start(nil)
+		read(d.send("GET", "/v1/requests/guest-17", "", "Tarragon-Caller", "room"))
+		Eventually(d.lines.Len).Should(Equal(1))
+		line := d.lines.All()[0].ContextMap()
+		Expect(line).To(HaveKeyWithValue("caller", "room"))
+		Expect(line).To(HaveKeyWithValue("code", "not_found"))
+		Expect(line).To(HaveKeyWithValue("status", BeEquivalentTo(404)))
+		Expect(line["key"]).To(And(Not(BeEmpty()), Not(ContainSubstring("guest-17"))))
+	})
+})
+
+var _ = Describe("jobs", func() {
+	It("tells 202 for a new job, 200 for the same, and the same fingerprint for both", func() {
+		d := start(nil)
+		sums := map[string]bool{}
+		d.putJob = func(up api.JobUpload) (ledger.JobStatus, bool, error) {
+			status, _, err := drainJob(up)
+			known := sums[up.Sum()]
+			sums[up.Sum()] = true
+			return status, !known, err
+		}
+		Expect(d.send("PUT", "/v1/jobs/j", job(20), "Tarragon-Profile", "night").StatusCode).To(Equal(202))
+		Expect(d.send("PUT", "/v1/jobs/j", job(20), "Tarragon-Profile", "night").StatusCode).To(Equal(200))
+		Expect(d.send("PUT", "/v1/jobs/j", job(19), "Tarragon-Profile", "night").StatusCode).To(Equal(202))
+		Expect(sums).To(HaveLen(2))
+	})
+
+	// A kitchen's client loses its network in the middle of a job. What came so
+	// far is whole lines, so a server that takes the end of the connection for
+	// the end of the body would accept half the prep sheets as the whole job.
+	It("accepts nothing of a half-sent body", func() {
+		d := start(nil)
+		ended := make(chan error, 1)
+		d.putJob = func(up api.JobUpload) (ledger.JobStatus, bool, error) {
+			status, created, err := drainJob(up)
+			ended <- err
+			return status, created, err
+		}
+		conn := d.dial("PUT /v1/jobs/j HTTP/1.1\r\nHost: x\r\nTarragon-Profile: night\r\nContent-Length: 4000\r\n\r\n" + job(3))
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		var err error
+		Eventually(ended).Should(Receive(&err))
+		Expect(err).To(MatchError(ContainSubstring("ended early")))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(resp).Error.Run).To(Equal("not_run"))
+	})
+
+	It("streams results page by page and cuts the connection when a page is lost", func() {
+		d := start(nil)
+		lose := false
+		d.results = func(r ledger.ResultsRequest) (ledger.ResultsReply, error) {
+			if r.From == 2 && lose {
+				return ledger.ResultsReply{}, outcome.Refuse(outcome.NoOwner, "moving")
+			}
+			id := fmt.Sprint("sheet-", r.From)
+			result := ledger.ItemResult{CustomID: id, State: ledger.ItemFailed, Attempts: 2, Refusal: outcome.Refuse(outcome.Unprocessable, "no")}
+			return ledger.ResultsReply{Results: []ledger.ItemResult{result}, Next: r.From + 1, Items: 3}, nil
+		}
+		text, err := io.ReadAll(d.send("GET", "/v1/jobs/j/results", "").Body)
+		Expect(err).NotTo(HaveOccurred())
+		lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+		Expect(lines).To(HaveLen(3))
+		Expect(lines[2]).To(MatchJSON(`{"custom_id":"sheet-2","state":"failed","attempts":2,"error":{"code":"unprocessable","message":"no","run":"not_run","retry_after_ms":0}}`))
+		lose = true
+		text, err = io.ReadAll(d.send("GET", "/v1/jobs/j/results", "").Body)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(string(text)).To(ContainSubstring(`"code":"no_owner"`))
+	})
+})
+
+var _ = Describe("operators", func() {
+	It("tells the winner of a race, and 202 until all hosts have applied", func() {
+		d := start(nil)
+		d.publish = func(_ string, base uint64) (api.ConfigInfo, error) {
+			if base != 3 {
+				return api.ConfigInfo{}, &api.ConfigConflict{Winner: "minh", Version: 9}
+			}
+			return api.ConfigInfo{Version: 4, Applied: map[string]uint64{"h1": 4, "h2": 3}}, nil
+		}
+		resp := d.send("PUT", "/admin/config", "x", "Authorization", "Bearer secret", "If-Match", "8")
+		Expect(resp.StatusCode).To(Equal(409))
+		r := read(resp)
+		Expect(r.Error.Code).To(Equal("version_conflict"))
+		Expect(r.Error.Winner).To(Equal("minh"))
+		Expect(r.Error.Version).To(BeEquivalentTo(9))
+		resp = d.send("PUT", "/admin/config", "x", "Authorization", "Bearer secret", "If-Match", `"3"`)
+		Expect(resp.StatusCode).To(Equal(202))
+		text, _ := io.ReadAll(resp.Body)
+		Expect(text).To(MatchJSON(`{"version":4,"applied":{"h1":4,"h2":3}}`))
+	})
+
+	It("disables /admin without a token in the settings", func() {
+		d := start(func(o *api.Options) { o.AdminToken = "" })
+		resp := d.send("GET", "/admin/status", "", "Authorization", "Bearer ")
+		Expect(resp.StatusCode).To(Equal(403))
+	})
+})
--- /dev/null
+++ b/api/body.go
@@ -0,0 +1,166 @@
+package api
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+// bodyReader reads a request's body with a bound on its size and on how long
+// the caller may take.
+//
+// Failure guarded against: a caller that sends a byte now and then holds a
+// connection and a part of a body for hours. Only the time that a read waits is
+// counted, so that a backend that pulls slowly (backpressure on a job) does not
+// cut an honest caller.
+type bodyReader struct {
+	body io.Reader
+	ctl  *http.ResponseController
+	// left is how many bytes may still come.
+	left int64
+	// allowance is how much waiting is left; each byte earns some more.
+	allowance time.Duration
+	perByte   time.Duration
+	stall     time.Duration
+	// until ends the reading whatever the rate, if not zero.
+	until time.Time
+}
+
+// noDeadline leaves a body to its rate alone.
+var noDeadline time.Time
+
+// newBodyReader bounds c's body to limit bytes. A stated length over the limit
+// is refused before a byte is read.
+func (s *Server) newBodyReader(c echo.Context, limit int64, until time.Time) (*bodyReader, error) {
+	req := c.Request()
+	if req.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	return &bodyReader{
+		body:      req.Body,
+		ctl:       http.NewResponseController(c.Response().Writer),
+		left:      limit,
+		allowance: s.opts.BodyStall,
+		perByte:   time.Second / time.Duration(s.opts.MinBodyRate),
+		stall:     s.opts.BodyStall,
+		until:     until,
+	}, nil
+}
+
+// tooLarge is the refusal of a body over limit bytes.
+func tooLarge(limit int64) *outcome.Refusal {
+	return outcome.Refuse(outcome.TooLarge, "the body is over the limit of %d bytes", limit)
+}
+
+// Read implements io.Reader; every error but io.EOF is a *outcome.Refusal.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return 0, outcome.Refuse(outcome.TooLarge, "the body is over the limit")
+	}
+	// One byte more than allowed tells "over the limit" from "exactly at it".
+	if int64(len(p)) > b.left+1 {
+		p = p[:b.left+1]
+	}
+	began := time.Now()
+	_ = b.ctl.SetReadDeadline(b.deadline(began))
+	n, err := b.body.Read(p)
+	b.left -= int64(n)
+	b.allowance += time.Duration(n)*b.perByte - time.Since(began)
+	if b.left < 0 {
+		return 0, outcome.Refuse(outcome.TooLarge, "the body is over the limit")
+	}
+	return n, b.translate(err)
+}
+
+// deadline is when the next read must have made progress.
+func (b *bodyReader) deadline(now time.Time) time.Time {
+	deadline := now.Add(min(b.allowance, b.stall))
+	if !b.until.IsZero() && b.until.Before(deadline) {
+		return b.until
+	}
+	return deadline
+}
+
+// translate turns a read's error into a refusal, and lifts the read deadline
+// at the end: it would otherwise expire while the request runs and cancel it.
+func (b *bodyReader) translate(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF):
+		_ = b.ctl.SetReadDeadline(time.Time{})
+		return io.EOF
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.Refuse(outcome.BadRequest, "the body came too slowly")
+	default:
+		return outcome.Refuse(outcome.BadRequest, "the body ended early")
+	}
+}
+
+// bodyMemory bounds the bodies held in memory together.
+type bodyMemory struct {
+	used atomic.Int64
+	most int64
+}
+
+// take reserves n bytes.
+func (m *bodyMemory) take(n int64) bool {
+	if m.used.Add(n) > m.most {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// free gives n bytes back.
+func (m *bodyMemory) free(n int64) { m.used.Add(-n) }
+
+const (
+	// bodyStep is how much memory a body reserves ahead of its bytes, so that
+	// a stated length alone holds nothing.
+	bodyStep = 32 << 10
+	// busyRetryMs is when a caller may come back after a full daemon.
+	busyRetryMs = 1000
+)
+
+// readBody reads a whole online body. release must be called when the body is
+// no longer used; it is never nil.
+func (s *Server) readBody(c echo.Context, limit int64, until time.Time) (body []byte, release func(), err error) {
+	var held int64
+	release = func() { s.bodies.free(held) }
+	reader, err := s.newBodyReader(c, limit, until)
+	if err != nil {
+		return nil, release, err
+	}
+	if n := c.Request().ContentLength; n >= 0 && n < bodyStep {
+		body = make([]byte, 0, n+1)
+	}
+	for {
+		if int64(cap(body)) > held {
+			grow := int64(cap(body)) - held
+			if !s.bodies.take(grow) {
+				return nil, release, outcome.Refuse(outcome.Overloaded, "too many bodies are held in memory").After(busyRetryMs)
+			}
+			held += grow
+		}
+		if len(body) == cap(body) {
+			body = append(body, make([]byte, max(bodyStep, cap(body)))...)[:len(body)]
+			continue
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, release, nil
+		}
+		if err != nil {
+			return nil, release, err
+		}
+	}
+}
