--- a/inifile/decoder.go
+++ b/inifile/decoder.go
@@ -109,6 +109,9 @@
 // problem keeps a fault.
 func (d *Decoder) problem(p *Problem) {
 	p.File = d.file.name
+	if source, ok := d.file.sections[p.Section]; ok && source.keys[p.Key].origin != "" {
+		p.File = source.keys[p.Key].origin
+	}
 	d.problems = append(d.problems, p)
 }
 
--- a/inifile/file.go
+++ b/inifile/file.go
@@ -31,10 +31,11 @@
 	keys  map[string]entry
 }
 
-// entry is one value as written.
+// entry is one value as written; origin is set for an override.
 type entry struct {
-	value string
-	line  int
+	value  string
+	line   int
+	origin string
 }
 
 // libraryOptions turns off everything in the library that would give a value
@@ -78,13 +79,14 @@
 	}
 }
 
-// Set overrides a value, as a command-line flag does, before the file is decoded.
-func (f *File) Set(sectionName, key, value string) {
+// Set overrides a value, as a command-line flag does, before the file is
+// decoded. origin stands for the file in messages about it.
+func (f *File) Set(origin, sectionName, key, value string) {
 	s := f.open(sectionName, 0)
 	if _, ok := s.keys[key]; !ok {
 		s.order = append(s.order, key)
 	}
-	s.keys[key] = entry{value: value}
+	s.keys[key] = entry{value: value, origin: origin}
 }
 
 // Names returns the names of the sections in their order.
--- a/inifile/values.go
+++ b/inifile/values.go
@@ -23,6 +23,20 @@
 	return e.value
 }
 
+// Secret returns a text of at least least bytes without spaces; messages about
+// it leave the value out, since they end in logs and tickets.
+func (s *Section) Secret(key, fallback string, least int) string {
+	e, ok := s.lookup(key)
+	if !ok {
+		return fallback
+	}
+	if len(e.value) < least || strings.ContainsAny(e.value, " \t") {
+		s.decoder.problem(&Problem{Line: e.line, Section: s.Name, Key: key, Reason: "unfit secret",
+			Allowed: fmt.Sprintf("at least %d characters without spaces", least)})
+	}
+	return e.value
+}
+
 // Ident returns a name of letters, digits, '_', '.' and '-'.
 func (s *Section) Ident(key, fallback string) string {
 	e, ok := s.lookup(key)
--- /dev/null
+++ b/settings/encode.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/inifile"
+)
+
+// Encode writes the settings as the INI text that Parse reads back to the same
+// values. It holds the token.
+func (s *Settings) Encode() string {
+	var w writer
+	copied := *s
+	copied.walk(&w)
+	return strings.TrimPrefix(w.String(), "\n")
+}
+
+// writer is the visitor that writes every key. Empty values are left out: they
+// are the defaults of the keys that may be empty.
+type writer struct {
+	strings.Builder
+}
+
+func (w *writer) set(key, value string) {
+	if value != "" {
+		fmt.Fprintf(w, "%s = %s\n", key, value)
+	}
+}
+
+func (w *writer) section(name string) { fmt.Fprintf(w, "\n[%s]\n", name) }
+
+func (w *writer) name(key string, field *string) { w.set(key, *field) }
+
+func (w *writer) address(key string, field *string) { w.set(key, *field) }
+
+func (w *writer) addresses(key string, field *[]string) { w.set(key, strings.Join(*field, ", ")) }
+
+func (w *writer) url(key string, field *string, _ bool) { w.set(key, *field) }
+
+func (w *writer) secret(key string, field *string, _ int) { w.set(key, *field) }
+
+func (w *writer) word(key string, field *string, _ ...string) { w.set(key, *field) }
+
+func (w *writer) number(key string, field *int, _, _ int) { w.set(key, strconv.Itoa(*field)) }
+
+func (w *writer) duration(key string, field *time.Duration, _, _ time.Duration) {
+	w.set(key, inifile.FormatDuration(*field))
+}
+
+func (w *writer) size(key string, field *int64, _, _ int64) { w.set(key, inifile.FormatSize(*field)) }
--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,25 @@
+package settings_test
+
+import (
+	"testing"
+
+	"tarragonhollow.example/tarragonhollow/settings"
+)
+
+// FuzzParse checks that no text crashes the reader and that what it accepts
+// reads back from its own encoding as the same values.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{least, least + "[log]\nlevel = `x\n", "[host]\nname", "\ufeff[\x00]", "[DEFAULT]\na=%(b)s\n", least + "[peers]\nseeds=,\n"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := settings.Parse("fuzz.ini", text, nil)
+		if err != nil {
+			return
+		}
+		again, err := settings.Parse("again.ini", s.Encode(), nil)
+		if err != nil || again.Encode() != s.Encode() {
+			t.Fatalf("%v\n%s\n%s", err, s.Encode(), text)
+		}
+	})
+}
--- /dev/null
+++ b/settings/schema.go
@@ -0,0 +1,89 @@
+package settings
+
+import "time"
+
+// Bounds of the values.
+const (
+	minTokenBytes = 8
+	kib           = int64(1) << 10
+	mib           = int64(1) << 20
+	gib           = int64(1) << 30
+)
+
+// visitor is shown every key with its field. The one walk below serves the
+// reader, the writer and the check of the documentation, so that the three
+// cannot disagree.
+type visitor interface {
+	section(name string)
+	name(key string, field *string)
+	address(key string, field *string)
+	addresses(key string, field *[]string)
+	url(key string, field *string, required bool)
+	secret(key string, field *string, least int)
+	word(key string, field *string, allowed ...string)
+	number(key string, field *int, low, high int)
+	duration(key string, field *time.Duration, low, high time.Duration)
+	size(key string, field *int64, low, high int64)
+}
+
+// walk shows v every key of s.
+func (s *Settings) walk(v visitor) {
+	s.Host.walk(v)
+	s.Platform.walk(v)
+	s.Peers.walk(v)
+	s.Ledger.walk(v)
+	v.section("batch")
+	v.word("policy", &s.Batch.Policy, PolicyGiveWay, PolicyNaive, PolicyReserve)
+	v.section("admin")
+	v.secret("token", &s.Admin.Token, minTokenBytes)
+	v.section("log")
+	v.word("level", &s.Log.Level, "debug", "info", "warn", "error")
+	v.section("drain")
+	v.duration("grace", &s.Drain.Grace, 0, 5*time.Minute)
+	v.duration("timeout", &s.Drain.Timeout, time.Second, 24*time.Hour)
+	s.HTTP.walk(v)
+}
+
+func (h *Host) walk(v visitor) {
+	v.section("host")
+	v.name("name", &h.Name)
+	v.name("zone", &h.Zone)
+	v.address("http_address", &h.HTTPAddress)
+	v.address("peer_address", &h.PeerAddress)
+}
+
+func (p *Platform) walk(v visitor) {
+	v.section("platform")
+	v.url("log_url", &p.LogURL, true)
+	v.url("hosts_url", &p.HostsURL, true)
+	v.url("weights_url", &p.WeightsURL, false)
+	v.duration("retention", &p.Retention, time.Minute, 90*24*time.Hour)
+}
+
+func (p *Peers) walk(v visitor) {
+	v.section("peers")
+	v.addresses("seeds", &p.Seeds)
+	v.duration("probe_every", &p.ProbeEvery, 10*time.Millisecond, time.Minute)
+	v.duration("suspect_after", &p.SuspectAfter, 50*time.Millisecond, 10*time.Minute)
+}
+
+func (l *Ledger) walk(v visitor) {
+	v.section("ledger")
+	v.number("shards", &l.Shards, 1, 1024)
+	v.duration("append_pace", &l.AppendPace, time.Millisecond, 10*time.Second)
+	v.number("append_budget", &l.AppendBudget, 1, 100_000)
+	v.duration("lease", &l.Lease, 100*time.Millisecond, 10*time.Minute)
+}
+
+func (h *HTTP) walk(v visitor) {
+	v.section("http")
+	v.size("max_header_bytes", &h.MaxHeaderBytes, 4*kib, mib)
+	v.duration("read_header_timeout", &h.ReadHeaderTimeout, 100*time.Millisecond, time.Minute)
+	v.duration("idle_timeout", &h.IdleTimeout, time.Second, time.Hour)
+	v.duration("write_stall", &h.WriteStall, 100*time.Millisecond, 10*time.Minute)
+	v.duration("body_stall", &h.BodyStall, 100*time.Millisecond, 10*time.Minute)
+	v.number("max_connections", &h.MaxConnections, 16, 1_000_000)
+	v.number("max_in_flight", &h.MaxInFlight, 1, 1_000_000)
+	v.number("max_uploads", &h.MaxUploads, 1, 1024)
+	v.size("max_body_memory", &h.MaxBodyMemory, mib, 64*gib)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,82 @@
+package settings_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const least = `[host]
+name = entry-1
+zone = son-tra
+http_address = 127.0.0.1:8080
+peer_address = 127.0.0.1:0
+[platform]
+log_url = http://127.0.0.1:7001/
+hosts_url = http://127.0.0.1:7002
+`
+
+// problem returns the text of the only problem.
+func problem(text string, overrides ...string) string {
+	_, err := settings.Parse("host.ini", text, overrides)
+	return settings.Problems(err).Error()
+}
+
+var _ = Describe("Settings", func() {
+	It("keep the defaults, and the last override wins", func() {
+		s, err := settings.Parse("host.ini", least, []string{"ledger.lease=8s", "peers.seeds=127.0.0.1:1,127.0.0.1:2", "ledger.lease=9s"})
+		Expect(err).NotTo(HaveOccurred())
+		want := settings.Default()
+		want.Host = settings.Host{Name: "entry-1", Zone: "son-tra", HTTPAddress: "127.0.0.1:8080", PeerAddress: "127.0.0.1:0"}
+		want.Platform.LogURL, want.Platform.HostsURL = "http://127.0.0.1:7001", "http://127.0.0.1:7002"
+		want.Peers.Seeds = []string{"127.0.0.1:1", "127.0.0.1:2"}
+		want.Ledger.Lease = 9 * time.Second
+		Expect(*s).To(Equal(want))
+		again, err := settings.Parse("again.ini", s.Encode(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(s))
+	})
+
+	DescribeTable("are refused with file, section, key, value and what is allowed", func(added string, overrides []string, want string) {
+		Expect(problem(least+added, overrides...)).To(Equal(want))
+	},
+		Entry("policy", "[batch]\npolicy = greedy", nil,
+			`host.ini:10: [batch] policy = "greedy": unknown value; allowed: give-way, naive, reserve`),
+		Entry("an override", "", []string{"drain.timeout=1"},
+			`--set drain.timeout=1: [drain] timeout = "1": not a duration; allowed: duration from 1s to 24h`),
+		Entry("an unknown override", "", []string{"log.colour=red"},
+			`--set log.colour=red: [log] colour = "red": unknown key; allowed: level`),
+		Entry("a token is not shown", "[admin]\ntoken = x y", nil,
+			"host.ini:10: [admin] token: unfit secret; allowed: at least 8 characters without spaces"),
+		Entry("an address nobody can call", "", []string{"host.peer_address=0.0.0.0:1"},
+			`--set host.peer_address=0.0.0.0:1: [host] peer_address = "0.0.0.0:1": the unspecified address cannot be told to peers; `+
+				`allowed: the host's own IP:PORT`),
+		Entry("more appends than the budget", "[ledger]\nappend_budget = 100", nil,
+			`host.ini:10: [ledger] append_budget = "100": 32 shards at one append each 100ms need 320 a second`),
+		Entry("a lease within the pace", "[ledger]\nlease = 150ms", nil,
+			`host.ini:10: [ledger] lease = "150ms": shorter than two append paces; allowed: at least 200ms`),
+	)
+
+	It("name every missing key at once", func() {
+		Expect(problem("[host]\nname = a\nzone = z\npeer_address = 127.0.0.1:1\n")).To(Equal(
+			"host.ini: [platform] log_url: missing key; allowed: http://IP:PORT\n" +
+				"host.ini: [platform] hosts_url: missing key; allowed: http://IP:PORT\n" +
+				"host.ini:1: [host] http_address: missing key; allowed: IP:PORT, like 127.0.0.1:8080"))
+	})
+
+	It("tell an unreadable file and a malformed override apart", func() {
+		_, err := settings.Load("no-such.ini", nil)
+		Expect(err).To(MatchError(ContainSubstring("no-such.ini")))
+		_, err = settings.Parse("host.ini", least, []string{"log=debug"})
+		Expect(err).To(MatchError(ContainSubstring(`--set "log=debug"; allowed: section.key=value`)))
+	})
+})
