Add the membership state machine

Word of a death counts only as a suspicion until the own probes missed too: a daemon with a link cut one way must not make others bury the healthy. A pause of the own process voids all evidence gathered asleep.

--- /dev/null
+++ b/core/membership/membership_test.go
@@ -0,0 +1,205 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragonhollow.example/tarragonhollow/core/membership"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261202")
+	os.Exit(m.Run())
+}
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+// A fleet loses up to a tenth of its messages while hosts die and come back. No
+// view may lose a host that runs throughout, and once it is quiet all views must
+// hold exactly the running hosts.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 16).Draw(t, "hosts"))
+		f.run(20)
+		lossPercent := rapid.IntRange(0, 10).Draw(t, "loss percent")
+		dice := rapid.Uint64().Draw(t, "dice")
+		f.loses = func(a, b string) bool {
+			dice = dice*6364136223846793005 + 1442695040888963407
+			return int(dice>>33%100) < lossPercent
+		}
+		touched := map[string]bool{}
+		for step := range rapid.IntRange(1, 6).Draw(t, "steps") {
+			host := rapid.SampledFrom(f.hosts).Draw(t, "host")
+			touched[host] = true
+			f.down[host] = !f.down[host]
+			if !f.down[host] {
+				f.start(host, uint64(step+2))
+			}
+			for range rapid.IntRange(1, 12).Draw(t, "ticks") {
+				f.run(1)
+				mustHold(t, f, touched)
+			}
+		}
+		f.loses = func(string, string) bool { return false }
+		f.run(60)
+		if err := f.agreed(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func mustHold(t *rapid.T, f *fleet, touched map[string]bool) {
+	for _, observer := range f.hosts {
+		if touched[observer] {
+			continue
+		}
+		seen := f.states(observer)
+		for _, host := range f.hosts {
+			if _, ok := seen[host]; !ok && !touched[host] {
+				t.Fatalf("%s: %s lost %s, which runs", f.now, observer, host)
+			}
+		}
+	}
+}
+
+var _ = Describe("Machine", func() {
+	// A host is lost. Within nine probe intervals (2.7 s) every other daemon must
+	// hold it dead, whatever the fleet's size.
+	DescribeTable("finds a dead host", func(n int) {
+		f := newFleet(n)
+		f.run(40)
+		Expect(f.agreed()).To(Succeed())
+		f.down["host-01"] = true
+		ticks := 0
+		for ; f.agreed() != nil && ticks < 100; ticks++ {
+			f.run(1)
+		}
+		Expect(ticks).To(BeNumerically("<=", 9))
+	}, Entry("of 3", 3), Entry("of 12", 12), Entry("of 48", 48))
+
+	// A process is stopped for long and wakes. The others buried it; it must not
+	// bury them from timers that ran out asleep, must learn of its own burial, and
+	// must be back in all views as the same incarnation.
+	It("brings a frozen daemon back by refutation", func() {
+		f := newFleet(5)
+		f.run(20)
+		f.down["host-03"] = true
+		f.run(20)
+		Expect(f.agreed()).To(Succeed())
+		f.down["host-03"] = false
+		frozen := f.nodes["host-03"]
+		for range 20 {
+			f.run(1)
+			Expect(f.states("host-03")).To(HaveLen(5))
+		}
+		Expect(f.agreed()).To(Succeed())
+		Expect(frozen.DeclaredDead()).To(BeNumerically(">=", 1))
+		Expect(frozen.Self().Incarnation).To(Equal(uint64(1)))
+	})
+
+	// The link between two zones is cut for one pair of hosts only, or one host can
+	// send but hears nothing. Neither may make the others bury a healthy host.
+	It("keeps the healthy through a cut pair and a deaf host", func() {
+		f := newFleet(6)
+		f.run(20)
+		f.loses = func(a, b string) bool {
+			pair := (a == "host-00" && b == "host-01") || (a == "host-01" && b == "host-00")
+			return pair || b == "host-05"
+		}
+		for range 40 {
+			f.run(1)
+			for _, observer := range f.hosts[:5] {
+				Expect(f.states(observer)).To(HaveKey("host-00"))
+				Expect(f.states(observer)).To(HaveKey("host-01"))
+				Expect(f.states(observer)).To(HaveKey("host-04"))
+			}
+		}
+		Expect(f.states("host-00")).NotTo(HaveKey("host-05"))
+	})
+
+	// The whole fleet splits and each half buries the other. When the link is
+	// back nobody is probed as a member any more, so the dead must be tried now
+	// and then.
+	It("heals a split", func() {
+		f := newFleet(6)
+		f.run(20)
+		f.loses = func(a, b string) bool { return (a < "host-03") != (b < "host-03") }
+		f.run(20)
+		Expect(f.states("host-00")).To(HaveLen(3))
+		f.loses = func(string, string) bool { return false }
+		f.run(40)
+		Expect(f.agreed()).To(Succeed())
+	})
+
+	It("spreads facts, and the host list's word about targets to a daemon whose list is old", func() {
+		f := newFleet(6)
+		f.run(20)
+		f.nodes["host-02"].SetFacts(func(m *membership.Member) {
+			m.Shards = []membership.ShardHold{{Shard: 7, Term: 3}}
+			m.ConfigVersion = 9
+		})
+		old := membership.HostList{Version: 4, Targets: []membership.ListedTarget{{Address: "t:1"}}}
+		f.nodes["host-05"].SetHostList(f.now, old)
+		list := membership.HostList{Version: 5, Targets: []membership.ListedTarget{{Address: "t:1", Leaving: true}}}
+		f.nodes["host-01"].SetHostList(f.now, list)
+		f.run(12)
+		view := f.nodes["host-05"].Snapshot()
+		holder, ok := view.Holder(7)
+		Expect(ok).To(BeTrue())
+		Expect(holder.Host).To(Equal("host-02"))
+		Expect(holder.ConfigVersion).To(Equal(uint64(9)))
+		Expect(view.TargetLeaving("t:1")).To(BeTrue())
+		list.Version, list.Targets[0].Leaving = 6, false
+		f.nodes["host-03"].SetHostList(f.now, list)
+		f.run(12)
+		Expect(f.nodes["host-05"].Snapshot().TargetLeaving("t:1")).To(BeFalse())
+	})
+
+	It("takes the restarted incarnation for another one", func() {
+		f := newFleet(4)
+		f.run(20)
+		f.start("host-02", 2)
+		f.run(20)
+		Expect(f.agreed()).To(Succeed())
+		view := f.nodes["host-00"].Snapshot()
+		Expect(view.LiveID(membership.IncarnationID("host-02", 2))).To(BeTrue())
+		Expect(view.LiveID(membership.IncarnationID("host-02", 1))).To(BeFalse())
+	})
+
+	It("marks a host that the list calls leaving", func() {
+		f := newFleet(3)
+		f.run(20)
+		leaving := membership.HostList{Version: 1, Daemons: []membership.ListedDaemon{{Host: "host-01", Leaving: true}}}
+		f.nodes["host-01"].SetHostList(f.now, leaving)
+		f.run(10)
+		Expect(f.states("host-00")).To(HaveKeyWithValue("host-01", membership.Leaving))
+		Expect(f.nodes["host-00"].Snapshot().Successors("k")).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("Rank", func() {
+	It("moves only what the lost host came first for, and agrees with Successors", func() {
+		f := newFleet(5)
+		f.run(20)
+		view := f.nodes["host-00"].Snapshot()
+		for i := range 200 {
+			key := fmt.Sprint("key-", i)
+			all := membership.Rank(key, f.hosts)
+			rest := membership.Rank(key, f.hosts[1:])
+			if all[0] != "host-00" {
+				Expect(rest[0]).To(Equal(all[0]))
+			}
+			Expect(view.Successors(key)[0].Host).To(Equal(all[0]))
+		}
+	})
+})
--- /dev/null
+++ b/core/membership/rank.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank returns hosts in rendezvous order for the key, best first. All daemons
+// that know the same hosts get the same order, and the loss of a host moves
+// only what that host came first for. The input is left as it is.
+func Rank(key string, hosts []string) []string {
+	keyHash := xxhash.Sum64String(key)
+	ranked := make([]scored, len(hosts))
+	for i, host := range hosts {
+		ranked[i] = scored{score: score(keyHash, xxhash.Sum64String(host)), index: i}
+	}
+	sortScored(ranked, func(i int) string { return hosts[i] })
+	out := make([]string, len(hosts))
+	for i, r := range ranked {
+		out[i] = hosts[r.index]
+	}
+	return out
+}
+
+// scored is one host's place in the making.
+type scored struct {
+	score uint64
+	index int
+}
+
+// score mixes two hashes by the finalizer of splitmix64, so that a host's hash
+// is computed once for all keys.
+func score(keyHash, hostHash uint64) uint64 { return mix(keyHash ^ mix(hostHash)) }
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func sortScored(s []scored, host func(i int) string) {
+	slices.SortFunc(s, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(host(a.index), host(b.index))
+	})
+}
