Add HTTP clients of engines and services

Go's transport sends a request again by itself when a reused connection dies before the first response byte and the request carries an Idempotency-Key header or is a GET: a service that executes and then cuts would run a non-repeatable call twice. A spec shows that the naive client doubles the order (2 executions) and this one does not (1).

Reached is false only when no connection was handed to the request, or the target said that it has not run it; an unexplained 503 of a service is not taken for that. Online, batch and control calls have pools of their own.

--- /dev/null
+++ b/target/engineclient_test.go
@@ -0,0 +1,170 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/standin/engine"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+var _ = Describe("EngineClient", func() {
+	ctx := context.Background()
+	asking := func(id, text string) target.GenerateRequest {
+		return target.GenerateRequest{StreamID: id, Model: "ordering", Messages: prompt(text)}
+	}
+
+	// A batch item is cancelled for an online burst and goes on at another
+	// engine. The reader of its result must find each token once: not the last
+	// one before the cancel again, nor the first one after it missing.
+	It("joins a cancelled stream and its resumption into the expected answer", func() {
+		first, firstAddress := startEngine(fastEngine())
+		_, secondAddress := startEngine(fastEngine())
+		c := engineClient()
+		req := asking("s1", "prep sheet for floor 3")
+		seen := 0
+		part := generate(ctx, c, firstAddress, req, func() {
+			if seen++; seen == 5 {
+				Expect(c.Cancel(ctx, firstAddress, "s1")).To(Succeed())
+			}
+		})
+		Expect(part.err).To(MatchError(target.ErrStreamCancelled))
+		Expect(first.Records()[0].Ended).To(Equal(engine.EndedCancelled))
+
+		req.ResumeTokens = part.tokens
+		rest := generate(ctx, c, secondAddress, req, nil)
+		Expect(rest.err).NotTo(HaveOccurred())
+		Expect(append(part.tokens, rest.tokens...)).To(Equal(engine.ExpectedTokens("ordering", req.Messages, 0)))
+	})
+
+	// One guest's request kills the engine. All who had a request there see
+	// their connection cut; each must be told that it may have run, and callers
+	// that come while it is away that theirs did not.
+	It("tells a crash from a refused connection", func() {
+		s, address := startEngine(fastEngine())
+		c := engineClient()
+		running := make(chan struct{}, 1000)
+		victim := make(chan result, 1)
+		go func() {
+			victim <- generate(ctx, c, address, asking("v", "two coffees"), func() { running <- struct{}{} })
+		}()
+		Eventually(running, bound).Should(Receive())
+		killer := generate(ctx, c, address, asking("k", "CRASH-TARGET"), nil)
+		for _, err := range []error{killer.err, (<-victim).err} {
+			f := target.FailureOf(err)
+			Expect(f).NotTo(BeNil())
+			Expect([]bool{f.Reached, f.Crashed, f.Busy, f.Rejected}).To(Equal([]bool{true, true, false, false}))
+		}
+		Eventually(func() bool { return target.FailureOf(c.Health(ctx, address)).Reached }, bound).Should(BeFalse())
+		Eventually(func() error { return c.Health(ctx, address) }, bound).Should(Succeed())
+		Expect(s.Stats().Crashes).To(Equal(1))
+		Expect(generate(ctx, c, address, asking("v2", "two coffees"), nil).tokens).
+			To(Equal(engine.ExpectedTokens("ordering", prompt("two coffees"), 0)))
+	})
+
+	It("classifies refusals by what the engine did with the request", func() {
+		o := fastEngine()
+		o.Model = "ordering"
+		s, address := startEngine(o)
+		c := engineClient()
+		f := target.FailureOf(generate(ctx, c, address, asking("i", "IMPOSSIBLE-ITEM"), nil).err)
+		Expect([]any{f.Rejected, f.Reached, f.Busy, f.Status}).To(Equal([]any{true, true, false, 422}))
+
+		other := target.GenerateRequest{Model: "drawing", Messages: prompt("x")}
+		f = target.FailureOf(generate(ctx, c, address, other, nil).err)
+		Expect([]any{f.Rejected, f.Reached, f.Busy, f.Status}).To(Equal([]any{false, false, true, 409}))
+
+		control(address, `{"leaving":true}`)
+		f = target.FailureOf(generate(ctx, c, address, asking("l", "hello"), nil).err)
+		Expect([]any{f.Rejected, f.Reached, f.Busy, f.Status}).To(Equal([]any{false, false, true, 503}))
+		Expect(s.Stats().ReceivedLeaving).To(Equal(1))
+	})
+
+	// A frozen engine takes the request and stays silent until the deadline. It
+	// must not be counted as crashed, or the request would become a suspect.
+	It("reports a frozen engine as reached, neither crashed nor refusing", func() {
+		_, address := startEngine(fastEngine())
+		control(address, `{"frozen":true}`)
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		err := generate(short, engineClient(), address, asking("f", "hello"), nil).err
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Expect([]bool{target.FailureOf(err).Reached, target.FailureOf(err).Crashed}).To(Equal([]bool{true, false}))
+	})
+
+	// All connections for batch are busy and a guest asks: the guest's request
+	// must find a connection of its own.
+	It("keeps online connections apart from batch ones", func() {
+		_, address := startEngine(fastEngine())
+		opts := target.DefaultClientOptions()
+		opts.BatchConnections = 1
+		c := target.NewEngineClient(opts)
+		batch, stop := context.WithCancel(target.WithUrgency(ctx, target.UrgencyBatch))
+		control(address, `{"slow_ms":200}`)
+		started, ended := make(chan struct{}, 1000), make(chan result, 2)
+		go func() { ended <- generate(batch, c, address, asking("b1", "long"), func() { started <- struct{}{} }) }()
+		Eventually(started, bound).Should(Receive())
+		go func() { ended <- generate(batch, c, address, asking("b2", "long"), nil) }()
+		online := asking("o", "hello")
+		online.MaxTokens = 1
+		Expect(generate(ctx, c, address, online, nil).err).NotTo(HaveOccurred())
+		stop()
+		reached := map[bool]int{}
+		for range 2 {
+			reached[target.FailureOf((<-ended).err).Reached]++
+		}
+		Expect(reached).To(Equal(map[bool]int{true: 1, false: 1}), "the second never left the pool's queue")
+	})
+
+	It("cancels the stream when the sink fails, and returns the sink's error", func() {
+		s, address := startEngine(fastEngine())
+		full := errors.New("sink is full")
+		_, err := engineClient().Generate(ctx, address, asking("s", "hello"), func(target.Token) error { return full })
+		Expect(err).To(BeIdenticalTo(full))
+		Eventually(func() string { return s.Records()[0].Ended }, bound).Should(Equal(engine.EndedCancelled))
+	})
+
+	// Two holders of the same duty give orders; the old one was paused. An
+	// engine that checks must refuse it, and one that does not obeys it.
+	DescribeTable("a stale order", func(checks bool, rejected bool) {
+		o := fastEngine()
+		o.ChecksOrders = checks
+		s, address := startEngine(o)
+		c := engineClient()
+		Expect(c.Order(ctx, address, target.Order{Fence: 7, Action: engine.ActionSetRole, Role: "new"})).To(Succeed())
+		err := c.Order(ctx, address, target.Order{Fence: 6, Action: engine.ActionSetRole, Role: "old"})
+		if rejected {
+			Expect(target.FailureOf(err).Rejected).To(BeTrue())
+			Expect(target.FailureOf(err).Status).To(Equal(http.StatusConflict))
+			Expect(s.Stats().Role).To(Equal("new"))
+			return
+		}
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Stats().Role).To(Equal("old"))
+	},
+		Entry("is refused by an engine that checks", true, true),
+		Entry("is obeyed by an engine that does not", false, false),
+	)
+
+	DescribeTable("a broken stream", func(lines string, crashed bool) {
+		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprint(w, lines)
+		}), func() {})
+		f := target.FailureOf(generate(ctx, engineClient(), address, asking("s", "hello"), nil).err)
+		Expect(f).NotTo(BeNil())
+		Expect([]bool{f.Reached, f.Crashed, f.Rejected}).To(Equal([]bool{true, crashed, false}))
+	},
+		Entry("without a finish is a crash", "data: {\"index\":0,\"text\":\"a\"}\n\n", true),
+		Entry("with only the end mark is a crash", "data: [DONE]\n\n", true),
+		Entry("with a doubled token", "data: {\"index\":0,\"text\":\"a\"}\n\ndata: {\"index\":0,\"text\":\"a\"}\n\n", false),
+		Entry("with a missing token", "data: {\"index\":1,\"text\":\"a\"}\n\n", false),
+		Entry("with a line that is no JSON", "data: {\"index\":\n\n", false),
+		Entry("with an unknown finish", "data: {\"finish\":{\"reason\":\"?\"}}\n\n", false),
+	)
+})
--- /dev/null
+++ b/target/serviceclient.go
@@ -0,0 +1,72 @@
+package target
+
+import (
+	"context"
+	"net/http"
+)
+
+// ServiceClient implements Service over HTTP. The urgency of the context picks
+// the connection pool.
+type ServiceClient struct{ *pools }
+
+var _ Service = (*ServiceClient)(nil)
+
+// NewServiceClient returns a client of all services.
+func NewServiceClient(o ClientOptions) *ServiceClient { return &ServiceClient{newPools(o)} }
+
+// hopHeaders belong to one connection and are not passed on; so does the length,
+// which follows from the body.
+var hopHeaders = []string{
+	"Connection", "Content-Length", "Host", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// Call implements Service with exactly one attempt. A status of 400 or above
+// returns the service's whole answer together with a *Failure, so that it can
+// be passed on. A 503 counts as Busy only with HeaderRun on it: other programs
+// in front of a service answer 503 also for calls that it has executed.
+func (c *ServiceClient) Call(ctx context.Context, address string, req ServiceRequest) (ServiceResponse, error) {
+	resp, err := send(ctx, c.byUrgency(ctx), call{
+		method: req.Method, address: address, path: req.Path, header: endToEnd(req.Header), body: req.Body,
+	})
+	if err != nil {
+		return ServiceResponse{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := readAll(ctx, address, resp.Body, c.opts.MaxAnswerBytes)
+	if err != nil {
+		return ServiceResponse{}, err
+	}
+	answer := ServiceResponse{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}
+	if resp.StatusCode < http.StatusBadRequest {
+		return answer, nil
+	}
+	refused := resp.StatusCode == http.StatusTooManyRequests || saysNotRun(resp)
+	return answer, statusFailure(address, resp.StatusCode, refused, body)
+}
+
+// Health returns nil when the service answers GET /health with 2xx.
+func (c *ServiceClient) Health(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
+	defer cancel()
+	resp, err := send(ctx, c.control, call{method: http.MethodGet, address: address, path: "/health"})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if !isSuccess(resp.StatusCode) {
+		return refusalOf(address, resp, engineRefused(resp))
+	}
+	return nil
+}
--- /dev/null
+++ b/target/serviceclient_test.go
@@ -0,0 +1,109 @@
+package target_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+var _ = Describe("ServiceClient", func() {
+	ctx := target.WithKey(context.Background(), "order-1")
+	client := func() *target.ServiceClient {
+		c := target.NewServiceClient(target.DefaultClientOptions())
+		DeferCleanup(c.Close)
+		return c
+	}
+	warm := target.ServiceRequest{Method: http.MethodGet, Path: "/menu?day=1"}
+
+	// A guest's tray is ordered, the kitchen's service executes the order and
+	// its connection breaks before the answer. The connection had been used
+	// before, so Go's transport would send the order again by itself, and the
+	// guest would be billed for two.
+	DescribeTable("a call that is executed and then cut on a reused connection", func(method string, body []byte) {
+		s, address := startService()
+		c := client()
+		_, err := c.Call(context.Background(), address, warm)
+		Expect(err).NotTo(HaveOccurred())
+		control(address, `{"answer_lost":1}`)
+		_, err = c.Call(ctx, address, target.ServiceRequest{Method: method, Path: "/orders", Body: body})
+		Expect(s.Record().Executions).To(Equal(map[string]int{"order-1": 1}))
+		f := target.FailureOf(err)
+		Expect([]bool{f.Reached, f.Crashed}).To(Equal([]bool{true, true}))
+	},
+		Entry("POST", http.MethodPost, []byte(`{"tray":1}`)),
+		Entry("POST without a body", http.MethodPost, nil),
+		Entry("GET", http.MethodGet, nil),
+	)
+
+	// The same story with http.Client: this is what the guard is for, and shows
+	// that the specs above can fail.
+	It("would be doubled by the naive client", func() {
+		s, address := startService()
+		naive := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		DeferCleanup(naive.CloseIdleConnections)
+		resp, err := naive.Get("http://" + address + "/menu")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(io.ReadAll(resp.Body)).NotTo(BeEmpty(), "read to its end, so that the connection is used again")
+		control(address, `{"answer_lost":1}`)
+		r, err := http.NewRequest(http.MethodPost, "http://"+address+"/orders", strings.NewReader(`{"tray":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		r.Header.Set(target.HeaderKey, "order-1")
+		resp, err = naive.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(s.Record().Executions).To(Equal(map[string]int{"order-1": 2}))
+	})
+
+	DescribeTable("an error status", func(status int, executions int, reached, busy, rejected bool) {
+		s, address := startService()
+		control(address, `{"error_status":`+strconv.Itoa(status)+`}`)
+		resp, err := client().Call(ctx, address, target.ServiceRequest{Method: http.MethodPost, Path: "/orders"})
+		f := target.FailureOf(err)
+		Expect([]bool{f.Reached, f.Busy, f.Rejected, f.Crashed}).To(Equal([]bool{reached, busy, rejected, false}))
+		Expect(resp.Status).To(Equal(status))
+		Expect(s.Record().Executions["order-1"]).To(Equal(executions))
+	},
+		Entry("429 has not run", 429, 0, false, true, false),
+		Entry("503 with the service's word has not run", 503, 0, false, true, false),
+		Entry("500 may have run", 500, 1, true, false, false),
+		Entry("409 is the service's own refusal", 409, 1, true, false, true),
+	)
+
+	// A program in front of the service answers 503 after the service executed
+	// the order: without the service's word "not run" must not be said.
+	It("does not take an unexplained 503 for not run", func() {
+		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}), func() {})
+		_, err := client().Call(ctx, address, warm)
+		Expect([]bool{target.FailureOf(err).Reached, target.FailureOf(err).Busy}).To(Equal([]bool{true, false}))
+	})
+
+	It("does not follow a redirect with a second call", func() {
+		calls := 0
+		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+		}), func() {})
+		resp, err := client().Call(ctx, address, target.ServiceRequest{Method: http.MethodPost, Path: "/orders"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]int{resp.Status, calls}).To(Equal([]int{http.StatusTemporaryRedirect, 1}))
+	})
+
+	It("reports an answer that breaks off as a crash, never as an answer", func() {
+		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("half"))
+		}), func() {})
+		resp, err := client().Call(ctx, address, warm)
+		Expect([]bool{target.FailureOf(err).Reached, target.FailureOf(err).Crashed}).To(Equal([]bool{true, true}))
+		Expect(resp.Body).To(BeEmpty())
+	})
+})
