Run membership over peer calls

A probe loop carries out what the state machine orders, each probe bounded by its own deadline; a host list loop polls with jitter and keeps the last list on failure; readers get an immutable picture through one atomic pointer.

--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -124,8 +124,8 @@
 // process has been replaced and can't refute that.
 func (m *Machine) Superseded() bool { return m.superseded }
 
-// SetFacts changes the facts this daemon tells about itself. The name, the
-// addresses' owner, the versions and the state stay as they are.
+// SetFacts changes the facts this daemon tells about itself. Name, incarnation,
+// facts version and state stay as they are.
 func (m *Machine) SetFacts(change func(*Member)) {
 	next := m.self
 	next.Shards = slices.Clone(m.self.Shards)
--- /dev/null
+++ b/daemon/members/members.go
@@ -0,0 +1,185 @@
+// Package members runs the membership state machine: it probes the other
+// daemons, polls the host list, and keeps a picture of the fleet that hot paths
+// read without a lock.
+package members
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+)
+
+// serviceName is the net/rpc name of the probe service.
+const serviceName = "Members"
+
+// Members implements membership.View.
+type Members struct {
+	opt   Options
+	meter *meter
+
+	mu      sync.Mutex
+	machine *membership.Machine
+	// declaredDead is the count last logged.
+	declaredDead uint64
+	superseded   bool
+
+	view    atomic.Pointer[membership.Snapshot]
+	changed chan struct{} // capacity 1: a change not yet told
+	probes  sync.WaitGroup
+
+	hooksMu sync.Mutex
+	hooks   []func()
+}
+
+var _ membership.View = (*Members)(nil)
+
+// New returns Members that know only this daemon, and registers the service
+// "Members". Run starts them.
+func New(o Options) (*Members, error) {
+	o, err := o.validated()
+	if err != nil {
+		return nil, err
+	}
+	m := &Members{opt: o, changed: make(chan struct{}, 1)}
+	m.machine = membership.New(membership.Options{
+		Self: membership.Member{
+			Host: o.Host, Zone: o.Zone, PeerAddress: o.PeerAddress, HTTPAddress: o.HTTPAddress, Incarnation: o.Incarnation,
+		},
+		Seeds:        o.Seeds,
+		ProbeEvery:   o.ProbeEvery,
+		SuspectAfter: o.SuspectAfter,
+		ForgetAfter:  o.ForgetAfter,
+		Seed:         o.Incarnation,
+	})
+	m.view.Store(m.machine.Snapshot())
+	m.meter = newMeter(o.Metrics, m)
+	if err := o.Registrar.Register(serviceName, &Service{m: m}); err != nil {
+		return nil, badOptions.Wrap(err, "the service can't be registered")
+	}
+	return m, nil
+}
+
+// Run starts the duties.
+func (m *Members) Run(g *duty.Group) {
+	g.Go(m.probeLoop)
+	g.Go(m.changeLoop)
+	if m.opt.HostList != nil {
+		g.Go(m.hostListLoop)
+	}
+}
+
+// Self implements membership.View.
+func (m *Members) Self() membership.Member { return m.view.Load().Self() }
+
+// Members implements membership.View.
+func (m *Members) Members() []membership.Member { return m.view.Load().Members() }
+
+// Holder implements membership.View.
+func (m *Members) Holder(shard int) (membership.Member, bool) { return m.view.Load().Holder(shard) }
+
+// LiveID implements membership.View.
+func (m *Members) LiveID(id string) bool { return m.view.Load().LiveID(id) }
+
+// Successors implements membership.View.
+func (m *Members) Successors(key string) []membership.Member { return m.view.Load().Successors(key) }
+
+// TargetLeaving implements membership.View.
+func (m *Members) TargetLeaving(address string) bool { return m.view.Load().TargetLeaving(address) }
+
+// Snapshot returns the picture of now, for several reads that must agree.
+func (m *Members) Snapshot() *membership.Snapshot { return m.view.Load() }
+
+// SetFacts changes the facts that this daemon tells about itself; an unchanged
+// entry costs nothing. The function must not call Members.
+func (m *Members) SetFacts(change func(*membership.Member)) {
+	m.with(func(machine *membership.Machine) { machine.SetFacts(change) })
+}
+
+// HostListVersion returns the version of the last host list read, 0 if none.
+func (m *Members) HostListVersion() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.HostListVersion()
+}
+
+// DeclaredDead counts how often this daemon learnt that others held it dead.
+// When it rises, what this daemon owned may have been taken over meanwhile.
+func (m *Members) DeclaredDead() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.DeclaredDead()
+}
+
+// Superseded tells whether a later incarnation of this host runs.
+func (m *Members) Superseded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Superseded()
+}
+
+// OnChange adds a function that the change duty calls after the view changed.
+// Changes that come fast are told once. The function must not block.
+func (m *Members) OnChange(hook func()) {
+	m.hooksMu.Lock()
+	defer m.hooksMu.Unlock()
+	m.hooks = append(m.hooks, hook)
+}
+
+// Leave makes this daemon known as leaving and returns when some members have
+// heard it, or at the end of ctx; they spread it on.
+func (m *Members) Leave(ctx context.Context) {
+	var requests []membership.Probe
+	m.with(func(machine *membership.Machine) {
+		machine.Leave()
+		for _, member := range machine.Snapshot().Successors(m.opt.Host) {
+			if member.Host == m.opt.Host || len(requests) == leaveFanout {
+				continue
+			}
+			requests = append(requests, membership.Probe{Address: member.PeerAddress, Request: machine.RequestTo(member.Host)})
+		}
+	})
+	var told sync.WaitGroup
+	for _, p := range requests {
+		told.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, m.opt.ProbeEvery)
+			defer cancel()
+			var reply membership.ProbeReply
+			_ = m.opt.Peer.Call(ctx, p.Address, serviceName+".Probe", &p.Request, &reply)
+		})
+	}
+	told.Wait()
+}
+
+// with runs f on the machine under the lock and publishes what changed.
+func (m *Members) with(f func(*membership.Machine)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.machine)
+	m.reportAbsence()
+	if m.machine.Version() == m.view.Load().Version() {
+		return
+	}
+	m.view.Store(m.machine.Snapshot())
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// reportAbsence logs when this daemon learns that it was held dead or has been
+// replaced; the lock is held.
+func (m *Members) reportAbsence() {
+	if n := m.machine.DeclaredDead(); n != m.declaredDead {
+		m.declaredDead = n
+		m.opt.Logger.Warn("member_was_declared_dead", zap.String("host", m.opt.Host), zap.Uint64("times", n))
+	}
+	if m.machine.Superseded() && !m.superseded {
+		m.superseded = true
+		m.opt.Logger.Error("member_superseded_by_later_incarnation", zap.String("host", m.opt.Host))
+	}
+}
--- /dev/null
+++ b/daemon/members/members_test.go
@@ -0,0 +1,190 @@
+package members_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/members"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/platform"
+)
+
+func TestMembers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "members")
+}
+
+// list is a host list that tests change.
+type list struct {
+	mu   sync.Mutex
+	view platform.HostView
+	err  error
+}
+
+func (l *list) Hosts(context.Context) (platform.HostView, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view, l.err
+}
+
+func (l *list) set(change func(*list)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+// node is one daemon's membership on a real socket.
+type node struct {
+	*members.Members
+	address string
+	set     *metrics.Set
+	stop    func()
+}
+
+func startNode(i int, hosts platform.HostList, every time.Duration, seeds ...string) (*node, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &node{address: ln.Addr().String(), set: metrics.NewSet()}
+	server := peer.NewServer(peer.ServerOptions{Metrics: n.set})
+	client := peer.NewClient(peer.ClientOptions{Metrics: n.set})
+	n.Members, err = members.New(members.Options{
+		Host: fmt.Sprintf("host-%02d", i), Zone: "son-tra", PeerAddress: n.address, HTTPAddress: "127.0.0.1:1",
+		Incarnation: uint64(time.Now().UnixNano()), HostList: hosts, HostListEvery: 20 * time.Millisecond,
+		Seeds: seeds, Peer: client, Registrar: server, ProbeEvery: every, Metrics: n.set,
+	})
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = server.Serve(ln) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	group := duty.NewGroup(ctx)
+	n.Run(group)
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = server.Close()
+		_ = client.Close()
+		group.Wait()
+	})
+	return n, nil
+}
+
+func startFleet(n int, hosts platform.HostList) []*node {
+	var fleet []*node
+	seed := ""
+	for i := range n {
+		node, err := startNode(i, hosts, 50*time.Millisecond, seed)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(node.stop)
+		fleet = append(fleet, node)
+		seed = fleet[0].address
+	}
+	for _, node := range fleet {
+		Eventually(func() int { return len(node.Members.Members()) }, "20s").Should(Equal(n))
+	}
+	return fleet
+}
+
+var _ = Describe("Members", func() {
+	It("spreads facts and a leaving daemon's word, and tells of changes", func() {
+		fleet := startFleet(4, nil)
+		told := make(chan struct{}, 100)
+		fleet[3].OnChange(func() {
+			select {
+			case told <- struct{}{}:
+			default:
+			}
+		})
+		fleet[0].SetFacts(func(m *membership.Member) { m.Shards = []membership.ShardHold{{Shard: 1, Term: 2}} })
+		Eventually(func() bool { _, ok := fleet[3].Holder(1); return ok }, "10s").Should(BeTrue())
+		Eventually(told, "10s").Should(Receive())
+		fleet[0].Leave(context.Background())
+		Eventually(func() membership.State { holder, _ := fleet[3].Holder(1); return holder.State }, "10s").
+			Should(Equal(membership.Leaving))
+	})
+
+	// A daemon's process dies. Its peers' probes fail, direct and through others,
+	// and every view drops it; a successor for its shards is then looked for.
+	It("drops a daemon that died", func() {
+		fleet := startFleet(4, nil)
+		id := fleet[2].Self().ID()
+		Expect(fleet[0].LiveID(id)).To(BeTrue())
+		fleet[2].stop()
+		for _, i := range []int{0, 1, 3} {
+			Eventually(func() bool { return fleet[i].LiveID(id) }, "20s").Should(BeFalse())
+			Expect(fleet[i].Members.Members()).To(HaveLen(3))
+		}
+	})
+
+	// The host list can't be read by a daemon while a target begins to leave. It
+	// must hear of it from the others, and keep the last list it read.
+	It("learns of a leaving target through a daemon that can read the list", func() {
+		view := platform.HostView{Version: 1, Hosts: []platform.Host{
+			{Name: "t", Role: platform.RoleTarget, Address: "10.0.0.1:80", State: platform.HostLive}}}
+		good, bad := &list{view: view}, &list{view: view}
+		a, err := startNode(0, good, 50*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(a.stop)
+		b, err := startNode(1, bad, 50*time.Millisecond, a.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(b.stop)
+		Eventually(b.HostListVersion, "10s").Should(Equal(int64(1)))
+		bad.set(func(l *list) { l.err = context.DeadlineExceeded })
+		good.set(func(l *list) {
+			l.view = platform.HostView{Version: 2, Hosts: []platform.Host{
+				{Name: "t", Role: platform.RoleTarget, Address: "10.0.0.1:80", State: platform.HostLeaving}}}
+		})
+		Eventually(func() bool { return b.TargetLeaving("10.0.0.1:80") }, "10s").Should(BeTrue())
+		Expect(b.HostListVersion()).To(Equal(int64(1)))
+	})
+})
+
+// BenchmarkTraffic reports what membership costs one daemon at the default
+// probe interval, in fleets of two sizes: go test -bench Traffic -benchtime 1x.
+func BenchmarkTraffic(b *testing.B) {
+	for _, size := range []int{12, 48} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			const settle, window = 6 * time.Second, 8 * time.Second
+			var fleet []*node
+			seed := ""
+			for i := range size {
+				n, err := startNode(i, nil, membership.DefaultProbeEvery, seed)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer n.stop()
+				fleet = append(fleet, n)
+				seed = fleet[0].address
+			}
+			time.Sleep(settle)
+			bytes, messages := traffic(fleet)
+			time.Sleep(window)
+			bytesAfter, messagesAfter := traffic(fleet)
+			per := float64(size) * window.Seconds()
+			b.ReportMetric((bytesAfter-bytes)/per, "sent-bytes/s/daemon")
+			b.ReportMetric((messagesAfter-messages)/per, "messages/s/daemon")
+			b.ReportMetric(float64(len(fleet[size-1].Members.Members())), "members-seen")
+		})
+	}
+}
+
+func traffic(fleet []*node) (bytes, messages float64) {
+	for _, n := range fleet {
+		bytes += float64(n.set.GetOrCreateCounter("tarragonhollow_peer_client_sent_bytes_total").Get())
+		bytes += float64(n.set.GetOrCreateCounter("tarragonhollow_peer_server_sent_bytes_total").Get())
+		messages += float64(n.set.GetOrCreateCounter("tarragonhollow_members_messages_sent_total").Get())
+		messages += float64(n.set.GetOrCreateCounter("tarragonhollow_members_messages_received_total").Get())
+	}
+	return bytes, messages
+}
