--- /dev/null
+++ b/standin/deployment/shape.go
@@ -0,0 +1,127 @@
+// Package deployment runs the stand-ins of a whole deployment in one process,
+// on free loopback ports: the platform's log, host list and weight store, the
+// model engines and the plain services, each behind a listener of its own. It
+// serves the try command, the load tool and tests.
+package deployment
+
+import (
+	"fmt"
+	"strings"
+
+	"tarragonhollow.example/tarragonhollow/standin/engine"
+	"tarragonhollow.example/tarragonhollow/standin/service"
+)
+
+// Names of the deployments that the first users run.
+const (
+	DaNang   = "da-nang"
+	Isarwerk = "isarwerk"
+)
+
+// Shape is what a deployment consists of.
+type Shape struct {
+	// Name is the deployment's name.
+	Name string
+	// Zones are its availability zones.
+	Zones []string
+	// Model is what the engines serve; Engines is their number.
+	Model   string
+	Engines int
+	// Service names the plain service; Services is the number of its targets.
+	Service  string
+	Services int
+	// ChatProfile is repeatable and online, ActionProfile non-repeatable and
+	// online, BatchProfile repeatable and batch.
+	ChatProfile, ActionProfile, BatchProfile string
+	// ActionPath is the path of the service's non-repeatable call.
+	ActionPath string
+	// Due is the batch profile's due time, as written in the configuration.
+	Due string
+	// BatchWeight trades the online tail (0) against batch throughput (1).
+	BatchWeight float64
+	// EngineOptions and ServiceOptions are the stand-ins' options.
+	EngineOptions  engine.Options
+	ServiceOptions service.Options
+}
+
+// Names lists the known deployments.
+func Names() []string { return []string{DaNang, Isarwerk} }
+
+// ShapeOf returns the shape of a known deployment.
+func ShapeOf(name string) (Shape, error) {
+	switch name {
+	case DaNang:
+		return daNang(), nil
+	case Isarwerk:
+		return isarwerk(), nil
+	}
+	return Shape{}, fmt.Errorf("unknown deployment %q; allowed: %s", name, strings.Join(Names(), ", "))
+}
+
+func daNang() Shape {
+	s := Shape{
+		Name:          DaNang,
+		Zones:         []string{"hai-chau", "son-tra", "ngu-hanh", "lien-chieu"},
+		Model:         "ordering",
+		Engines:       10,
+		Service:       "kitchen-tickets",
+		Services:      4,
+		ChatProfile:   "room-chat",
+		ActionProfile: "place-order",
+		BatchProfile:  "prep-sheets",
+		ActionPath:    "/orders",
+		Due:           "6h",
+		BatchWeight:   0,
+	}
+	return s.withStandins()
+}
+
+func isarwerk() Shape {
+	s := Shape{
+		Name:          Isarwerk,
+		Zones:         []string{"garching-a", "garching-b", "freising-1", "muc-ost"},
+		Model:         "drawing-reader",
+		Engines:       20,
+		Service:       "register-lookup",
+		Services:      4,
+		ChatProfile:   "sheet-lookup",
+		ActionProfile: "stamp-revision",
+		BatchProfile:  "bundle-index",
+		ActionPath:    "/revisions",
+		Due:           "8h",
+		BatchWeight:   0.6,
+	}
+	return s.withStandins()
+}
+
+func (s Shape) withStandins() Shape {
+	s.EngineOptions = engine.DefaultOptions()
+	s.EngineOptions.Model = s.Model
+	s.EngineOptions.Version = "1"
+	s.ServiceOptions = service.DefaultOptions()
+	s.ServiceOptions.Name = s.Service
+	return s
+}
+
+// ConfigText returns the operators' configuration for the given targets; both
+// address lists are dealt over the zones in turn.
+func (s Shape) ConfigText(engines, services []string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[profile %s]\nurgency = online\nrepeatable = true\ndeadline = 30s\nretries = 2\nslo_availability = 0.995\nslo_first_token = 850ms\nslo_between_tokens = 51ms\nslo_latency_share = 0.95\n\n", s.ChatProfile)
+	fmt.Fprintf(&b, "[profile %s]\nurgency = online\nrepeatable = false\ndeadline = 10s\nretries = 2\nslo_availability = 0.995\n\n", s.ActionProfile)
+	fmt.Fprintf(&b, "[profile %s]\nurgency = batch\nrepeatable = true\ndeadline = 60s\nretries = 3\ndue = %s\nbatch_weight = %g\nslo_due_share = 0.99\n\n", s.BatchProfile, s.Due, s.BatchWeight)
+	fmt.Fprintf(&b, "[target-group %s]\nkind = engine\nmodel = %s\nslots = %d\naddresses = %s\n\n", s.Model, s.Model, s.EngineOptions.Slots, s.addressList(engines))
+	fmt.Fprintf(&b, "[target-group %s]\nkind = service\nslots = 32\naddresses = %s\n", s.Service, s.addressList(services))
+	return b.String()
+}
+
+func (s Shape) addressList(addresses []string) string {
+	list := make([]string, len(addresses))
+	for i, address := range addresses {
+		list[i] = address + "@" + s.Zone(i)
+	}
+	return strings.Join(list, ", ")
+}
+
+// Zone returns the availability zone of the i-th host, dealt in turn.
+func (s Shape) Zone(i int) string { return s.Zones[i%len(s.Zones)] }
