Add the command line

Commands that change something end with a code of their own when the answer was lost after the request went out: a script must not take a cancelled job for a running one, and only a failed dial proves that nothing was sent. Control characters in what callers sent are not written to an operator's terminal. serve and try are injected and refused until they are set.

--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,162 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/cli"
+	"tarragonhollow.example/tarragonhollow/settings"
+)
+
+func TestCLI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cli")
+}
+
+// result is what a run of the command line left.
+type result struct {
+	code     int
+	out, err string
+}
+
+func run(programs cli.Programs, args ...string) result {
+	var out, errs bytes.Buffer
+	code := cli.ExecuteOn(context.Background(), programs, args, cli.Streams{In: strings.NewReader("stdin line\n"), Out: &out, Err: &errs})
+	return result{code, out.String(), errs.String()}
+}
+
+// daemon answers every request with one status and body and keeps the request.
+func daemon(status int, body string) (url string, seen *http.Request, sent *bytes.Buffer) {
+	seen, sent = &http.Request{}, &bytes.Buffer{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		*seen = *r.Clone(context.Background())
+		_, _ = io.Copy(sent, r.Body)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	DeferCleanup(server.Close)
+	return server.URL, seen, sent
+}
+
+func file(name, text string) string {
+	path := filepath.Join(GinkgoT().TempDir(), name)
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+const (
+	goodConfig = "[profile p]\nurgency = online\n"
+	goodHost   = "[host]\nname = a\nzone = z\nhttp_address = 127.0.0.1:1\npeer_address = 127.0.0.1:2\n" +
+		"[platform]\nlog_url = http://127.0.0.1:3\nhosts_url = http://127.0.0.1:4\n"
+)
+
+var _ = Describe("The command line", func() {
+	DescribeTable("ends wrong usage with 2 before anything is sent", func(want string, args ...string) {
+		r := run(cli.Programs{}, args...)
+		Expect(r.code).To(Equal(cli.ExitUsage), r.err)
+		Expect(r.err).To(ContainSubstring(want))
+	},
+		Entry("no command", "a command is required"),
+		Entry("unknown command", `unknown command "sevre"`, "sevre"),
+		Entry("unknown flag", "unknown flag", "status", "--jsn"),
+		Entry("no settings", `required flag(s) "settings"`, "serve"),
+		Entry("no base", `required flag(s) "base"`, "config", "publish", "x"),
+		Entry("deployment", `--deployment = "munich"; allowed: da-nang, isarwerk`, "try", "--deployment", "munich"),
+		Entry("daemon", `--daemon = "localhost:1"; allowed: http://IP:PORT`, "status", "--daemon", "localhost:1"),
+		Entry("level", `invalid argument "loud"`, "log-level", "loud"),
+	)
+
+	It("checks files without a server", func() {
+		Expect(run(cli.Programs{}, "settings", "check", file("host.ini", goodHost)).code).To(Equal(cli.ExitOK))
+		bad := file("host.ini", goodHost+"[log]\nlevel = loud\n")
+		Expect(run(cli.Programs{}, "settings", "check", bad)).To(Equal(result{cli.ExitUsage, "",
+			bad + ":10: [log] level = \"loud\": unknown value; allowed: debug, info, warn, error\n"}))
+		bad = file("config.ini", goodConfig+"retries = 99")
+		for _, args := range [][]string{{"config", "check", bad}, {"config", "publish", bad, "--base", "1"}} {
+			Expect(run(cli.Programs{}, args...)).To(Equal(result{cli.ExitUsage, "",
+				bad + ":3: [profile p] retries = \"99\": out of range; allowed: whole number from 0 to 10\n"}))
+		}
+	})
+
+	It("hands the settings to serve and tells its failure", func() {
+		var got *settings.Settings
+		serve := func(_ context.Context, s *settings.Settings) error { got = s; return errors.New("port is taken") }
+		r := run(cli.Programs{Serve: serve}, "serve", "--settings", file("host.ini", goodHost), "--set", "log.level=debug")
+		Expect(r).To(Equal(result{cli.ExitFailed, "", "port is taken\n"}))
+		Expect(got.Log.Level).To(Equal("debug"))
+		Expect(run(cli.Programs{}, "try").code).To(Equal(cli.ExitFailed))
+	})
+
+	It("publishes from a base version and names where it is in force", func() {
+		url, seen, sent := daemon(202, `{"version":8,"applied":{"a":8,"b":7}}`)
+		r := run(cli.Programs{}, "config", "publish", file("c.ini", goodConfig), "--base", "7", "--daemon", url, "--token", "t", "--caller", "thu")
+		Expect(r).To(Equal(result{0, "accepted as version 8, in force on 1 of 2 hosts; not yet on b (7)\n", ""}))
+		Expect(seen.Method + seen.URL.Path + seen.Header.Get("If-Match")).To(Equal("PUT/admin/config7"))
+		Expect(seen.Header.Get("Authorization") + seen.Header.Get("Tarragon-Caller")).To(Equal("Bearer tthu"))
+		Expect(sent.String()).To(Equal(goodConfig))
+	})
+
+	DescribeTable("names the winner of a race and ends with 4", func(body string) {
+		url, _, _ := daemon(409, body)
+		r := run(cli.Programs{}, "config", "publish", file("c.ini", goodConfig), "--base", "7", "--daemon", url)
+		Expect(r).To(Equal(result{cli.ExitConflict, "",
+			"refused: version_conflict: it changed\n  run:    not_run\n  winner: minh, version 9\n"}))
+	},
+		Entry("beside the error", `{"error":{"code":"version_conflict","message":"it changed","run":"not_run"},"winner":"minh","version":9}`),
+		Entry("in the error", `{"error":{"code":"version_conflict","message":"it changed","run":"not_run","winner":"minh","version":9}}`),
+	)
+
+	It("tells a refusal with run state and retry time, and passes its JSON on", func() {
+		body := `{"error":{"code":"log_unavailable","message":"the log is \u001b[31mout","run":"not_run","retry_after_ms":1500}}`
+		url, _, _ := daemon(503, body)
+		want := "refused: log_unavailable: the log is \ufffd[31mout\n  run:    not_run\n  retry:  after 1.5s\n"
+		Expect(run(cli.Programs{}, "job", "cancel", "n", "--daemon", url)).To(Equal(result{cli.ExitFailed, "", want}))
+		Expect(run(cli.Programs{}, "status", "--json", "--daemon", url)).To(Equal(result{cli.ExitFailed, body, want}))
+	})
+
+	// What a user sees: "job cancel" ends with an error although the job is
+	// cancelled, and a script that takes the error for "nothing happened" goes on
+	// as if it still ran. The request reached the daemon, the connection broke
+	// before the answer; only a failed dial proves that nothing was sent.
+	It("parts a daemon that was not reached from an answer that was lost", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		Expect(run(cli.Programs{}, "job", "cancel", "n", "--daemon", server.URL).code).To(Equal(cli.ExitUnknown))
+		Expect(run(cli.Programs{}, "job", "status", "n", "--daemon", server.URL).code).To(Equal(cli.ExitUnreachable))
+		server.Close()
+		Expect(run(cli.Programs{}, "job", "cancel", "n", "--daemon", server.URL).code).To(Equal(cli.ExitUnreachable))
+	})
+
+	It("submits a job from the standard input and shows its counts", func() {
+		url, seen, sent := daemon(200, `{"job":"n","profile":"p","state":"accepted","counts":{"items":3,"completed":2,"waiting":1},"due_ms":1000,"forecast_ms":61000}`)
+		r := run(cli.Programs{}, "job", "submit", "n", "-", "--profile", "p", "--daemon", url)
+		Expect(r.code).To(Equal(0), r.err)
+		Expect(r.out).To(MatchRegexp(`^the same job was already accepted\njob +n\nprofile +p\nstate +accepted\nitems +3\n +completed +2\n`))
+		Expect(r.out).To(ContainSubstring("LATE by 1m"))
+		Expect(seen.Method + seen.URL.Path + seen.Header.Get("Tarragon-Profile")).To(Equal("PUT/v1/jobs/np"))
+		Expect(sent.String()).To(Equal("stdin line\n"))
+	})
+
+	It("prints a document in its own order, as a page, or untouched", func() {
+		body := `{"profile":"p","lag_ms":1500,"hosts":{"b":{"shards":[1,2]},"a":{"shards":[],"used_bytes":2048}},"note":"<b>"}`
+		url, _, _ := daemon(200, body)
+		Expect(run(cli.Programs{}, "status", "--daemon", url).out).To(Equal(
+			"profile  p\nlag      1.5s\nnote     <b>\n\nhosts:\nNAME  SHARDS  USED\nb     1, 2    -\na             2KiB\n"))
+		Expect(run(cli.Programs{}, "report", "burn", "--json", "--daemon", url).out).To(Equal(body))
+		path := filepath.Join(GinkgoT().TempDir(), "burn.html")
+		Expect(run(cli.Programs{}, "report", "burn", "--html", path, "--daemon", url).code).To(Equal(0))
+		page, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(And(ContainSubstring("<th>SHARDS</th>"), ContainSubstring("&lt;b&gt;")))
+	})
+})
--- /dev/null
+++ b/cli/html.go
@@ -0,0 +1,42 @@
+package cli
+
+import (
+	"bytes"
+	"html/template"
+	"time"
+)
+
+// page is a report as one file without scripts or links, so that it can be
+// kept with an incident and opened anywhere.
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>{{.Title}}</title>
+<style>
+body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem; color: #222; }
+table { border-collapse: collapse; margin-bottom: 1.5rem; }
+td, th { border-bottom: 1px solid #ccc; padding: .25rem .75rem; text-align: left; }
+</style>
+</head>
+<body>
+<h1>{{.Title}}</h1>
+<p>As of {{.At}}</p>
+{{range .Blocks}}{{if .Title}}<h2>{{.Title}}</h2>{{end}}
+<table>
+{{$header := .Header}}{{range $i, $row := .Rows}}<tr>{{range $row}}{{if and $header (eq $i 0)}}<th>{{.}}</th>{{else}}<td>{{.}}</td>{{end}}{{end}}</tr>
+{{end}}</table>
+{{end}}</body>
+</html>
+`))
+
+// htmlPage renders a document as an HTML file; the template escapes all values.
+func (a *app) htmlPage(title string, n node) ([]byte, error) {
+	var out bytes.Buffer
+	err := page.Execute(&out, struct {
+		Title  string
+		At     string
+		Blocks []block
+	}{title, a.now().Format(time.RFC1123), a.blocks("", n)})
+	return out.Bytes(), err
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,127 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"tarragonhollow.example/tarragonhollow/logging"
+)
+
+// statusCommand returns `status`.
+func (a *app) statusCommand() *cobra.Command {
+	return a.addClientFlags(&cobra.Command{
+		Use:   "status",
+		Short: "Show the daemon's view of the fleet",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return a.show(cmd, "/admin/status") },
+	})
+}
+
+// show prints a JSON document for a person, or untouched.
+func (a *app) show(cmd *cobra.Command, path string) error {
+	body, _, err := a.fetch(cmd, call{method: http.MethodGet, path: path})
+	if err != nil {
+		return err
+	}
+	var doc document
+	if done, err := a.passOrParse(body, &doc); done || err != nil {
+		return err
+	}
+	a.render(doc.root)
+	return nil
+}
+
+// reportCommand returns `report burn`.
+func (a *app) reportCommand() *cobra.Command {
+	var path string
+	burn := &cobra.Command{
+		Use:   "burn [--json] [--html FILE]",
+		Short: "Show how fast each objective's error budget is being used up",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return a.show(cmd, "/admin/burn")
+			}
+			return a.burnPage(cmd, path)
+		},
+	}
+	burn.Flags().StringVar(&path, "html", "", "write the report as one HTML file instead")
+	return a.addClientFlags(group("report", "Reports", burn))
+}
+
+// burnPage writes the burn report as an HTML file.
+func (a *app) burnPage(cmd *cobra.Command, path string) error {
+	body, _, err := a.fetch(cmd, call{method: http.MethodGet, path: "/admin/burn"})
+	if err != nil {
+		return err
+	}
+	var doc document
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return exitWith(ExitFailed, fmt.Errorf("the daemon's answer is not readable: %w", err))
+	}
+	page, err := a.htmlPage("Service-level burn", doc.root)
+	if err != nil {
+		return failed(err)
+	}
+	if err := os.WriteFile(path, page, reportMode); err != nil {
+		return failed(err)
+	}
+	if a.flags.json {
+		_, err = a.Out.Write(body)
+		return failed(err)
+	}
+	fmt.Fprintf(a.Out, "wrote %s\n", path)
+	return nil
+}
+
+// reportMode is the mode of a written report.
+const reportMode = 0o644
+
+// logLevelCommand returns `log-level`.
+func (a *app) logLevelCommand() *cobra.Command {
+	return a.addClientFlags(&cobra.Command{
+		Use:       "log-level debug|info|warn|error",
+		Short:     "Change the level of the daemon's log",
+		ValidArgs: logging.Levels,
+		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			body, err := json.Marshal(map[string]string{"level": args[0]})
+			if err != nil {
+				return failed(err)
+			}
+			return a.act(cmd, call{method: http.MethodPut, path: "/admin/log-level", body: bytes.NewReader(body),
+				header: map[string]string{"Content-Type": "application/json"}, mutates: true}, "log level is "+args[0])
+		},
+	})
+}
+
+// drainCommand returns `drain`.
+func (a *app) drainCommand() *cobra.Command {
+	return a.addClientFlags(&cobra.Command{
+		Use:   "drain",
+		Short: "Begin a graceful stop of the daemon",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.act(cmd, call{method: http.MethodPost, path: "/admin/drain", mutates: true}, "the daemon is draining")
+		},
+	})
+}
+
+// act sends a change and says in a person's words that it is done.
+func (a *app) act(cmd *cobra.Command, c call, said string) error {
+	body, _, err := a.fetch(cmd, c)
+	if err != nil {
+		return err
+	}
+	if a.flags.json {
+		_, err = a.Out.Write(body)
+		return failed(err)
+	}
+	fmt.Fprintln(a.Out, said)
+	return nil
+}
--- a/inifile/values.go
+++ b/inifile/values.go
@@ -163,13 +163,22 @@
 	if !ok {
 		return fallback
 	}
-	trimmed := strings.TrimSuffix(e.value, "/")
-	u, err := url.Parse(trimmed)
-	if err != nil || u.Scheme != "http" || u.Path != "" || u.RawQuery != "" || u.Fragment != "" ||
-		u.User != nil || !validAddress(u.Host, false) {
+	base, valid := CleanURL(e.value)
+	if !valid {
 		s.Fail(key, "not a URL", "http://IP:PORT")
 	}
-	return trimmed
+	return base
+}
+
+// CleanURL returns a base URL http://IP:PORT without a trailing slash and
+// whether text is one.
+func CleanURL(text string) (string, bool) {
+	trimmed := strings.TrimSuffix(text, "/")
+	u, err := url.Parse(trimmed)
+	if err != nil || u.Scheme != "http" || !validAddress(u.Host, false) {
+		return trimmed, false
+	}
+	return trimmed, trimmed == "http://"+u.Host
 }
 
 // SplitList splits a list at its commas and trims the parts.
