Prove the target stand-ins and state their contract

Calls enter the engine's record under the lock that queues them, so that the record's order is the queue's. Frozen stand-ins count the calls they hold, on which specs wait instead of on the clock.

--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -26,7 +26,7 @@
 func (s *Server) handleGenerate(w http.ResponseWriter, r *http.Request) {
 	var req target.GenerateBody
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req)
-	record := s.received(r, req.GenerateRequest)
+	record := newRecord(r, req.GenerateRequest)
 	if err != nil {
 		s.reject(w, record, "invalid_json", err.Error())
 		return
@@ -46,7 +46,7 @@
 	s.deliver(r, q, life, out)
 }
 
-func (s *Server) received(r *http.Request, req target.GenerateRequest) *Record {
+func newRecord(r *http.Request, req target.GenerateRequest) *Record {
 	record := &Record{
 		StreamID:    req.StreamID,
 		Key:         r.Header.Get(target.HeaderKey),
@@ -57,13 +57,16 @@
 		Resumed:     len(req.ResumeTokens),
 	}
 	record.WrongResume = !resumes(ExpectedTokens(req.Model, req.Messages, req.MaxTokens), req.ResumeTokens)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	return record
+}
+
+// note adds a call to the record. It is called under the lock that also puts
+// the call into the queue, so that the record's order is the queue's.
+func (s *Server) note(record *Record) {
 	s.records = append(s.records, record)
 	if s.control.Leaving {
 		s.stats.ReceivedLeaving++
 	}
-	return record
 }
 
 func resumes(answer, tokens []string) bool {
@@ -72,6 +75,7 @@
 
 func (s *Server) reject(w http.ResponseWriter, record *Record, code, message string) {
 	s.mu.Lock()
+	s.note(record)
 	record.end(EndedRejected, time.Now())
 	s.mu.Unlock()
 	writeError(w, http.StatusUnprocessableEntity, code, message)
@@ -110,6 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.note(q.record)
 	if f := s.refuse(q.req.Model, now); f != nil {
 		q.record.end(EndedRefused, now)
 		return nil, f
--- a/standin/engine/record.go
+++ b/standin/engine/record.go
@@ -61,9 +61,11 @@
 	FirstTokenMs    int64          `json:"first_token_ms"`
 	LastTokenMs     int64          `json:"last_token_ms"`
 	// ReceivedLeaving counts generate calls that came while the engine was leaving.
-	ReceivedLeaving int    `json:"received_leaving"`
-	CacheBlocks     int    `json:"cache_blocks"`
-	HighestFence    uint64 `json:"highest_fence"`
+	ReceivedLeaving int `json:"received_leaving"`
+	// Held counts the calls that a frozen engine holds.
+	Held         int    `json:"held"`
+	CacheBlocks  int    `json:"cache_blocks"`
+	HighestFence uint64 `json:"highest_fence"`
 	// StaleOrders counts orders below the highest fencing number, refused or not.
 	StaleOrders int    `json:"stale_orders"`
 	Model       string `json:"model"`
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -89,18 +89,31 @@
 			panic(http.ErrAbortHandler)
 		}
 		if thaw != nil {
-			select {
-			case <-thaw:
-			case <-life:
-				panic(http.ErrAbortHandler)
-			case <-s.done:
-				panic(http.ErrAbortHandler)
-			}
+			s.hold(thaw, life)
 		}
 		next(w, r)
 	}
 }
 
+// hold returns at the thaw; a crash before it cuts the connection.
+func (s *Server) hold(thaw, life <-chan struct{}) {
+	s.countHeld(1)
+	defer s.countHeld(-1)
+	select {
+	case <-thaw:
+	case <-life:
+		panic(http.ErrAbortHandler)
+	case <-s.done:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) countHeld(n int) {
+	s.mu.Lock()
+	s.stats.Held += n
+	s.mu.Unlock()
+}
+
 func (s *Server) scaled(ms float64) time.Duration {
 	return time.Duration(ms / s.opts.TimeScale * float64(time.Millisecond))
 }
--- a/standin/service/call.go
+++ b/standin/service/call.go
@@ -35,6 +35,8 @@
 	// Executions counts executed calls with each idempotency key; calls without
 	// a key are not in it.
 	Executions map[string]int `json:"executions_by_key"`
+	// Held counts the calls that a frozen service holds, not executed yet.
+	Held int `json:"held"`
 }
 
 // Echo is the answer of an executed call.
@@ -135,7 +137,7 @@
 func (s *Server) Record() RecordReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	report := RecordReport{Calls: append([]Call{}, s.calls...), Executions: map[string]int{}}
+	report := RecordReport{Calls: append([]Call{}, s.calls...), Executions: map[string]int{}, Held: s.held}
 	for key, n := range s.byKey {
 		report.Executions[key] = n
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -58,6 +58,7 @@
 	byKey      map[string]int
 	control    Control
 	thaw       chan struct{}
+	held       int
 }
 
 // New validates the options and returns a service.
@@ -101,16 +102,29 @@
 			panic(http.ErrAbortHandler)
 		}
 		if thaw != nil {
-			select {
-			case <-thaw:
-			case <-s.done:
-				panic(http.ErrAbortHandler)
-			}
+			s.hold(thaw)
 		}
 		next(w, r)
 	}
 }
 
+// hold returns at the thaw; Close before it cuts the connection.
+func (s *Server) hold(thaw <-chan struct{}) {
+	s.countHeld(1)
+	defer s.countHeld(-1)
+	select {
+	case <-thaw:
+	case <-s.done:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) countHeld(n int) {
+	s.mu.Lock()
+	s.held += n
+	s.mu.Unlock()
+}
+
 func (s *Server) scaled(ms float64) time.Duration {
 	return time.Duration(ms / s.opts.TimeScale * float64(time.Millisecond))
 }
--- a/target/engineclient_test.go
+++ b/target/engineclient_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,6 +13,9 @@
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
+// slow makes steps so long that a spec steps in before a stream ends.
+const slow = `{"slow_ms":1500}`
+
 var _ = Describe("EngineClient", func() {
 	ctx := context.Background()
 	asking := func(id, text string) target.GenerateRequest {
@@ -26,6 +28,7 @@
 	It("joins a cancelled stream and its resumption into the expected answer", func() {
 		first, firstAddress := startEngine(fastEngine())
 		_, secondAddress := startEngine(fastEngine())
+		control(firstAddress, slow)
 		c := engineClient()
 		req := asking("s1", "prep sheet for floor 3")
 		seen := 0
@@ -47,7 +50,10 @@
 	// their connection cut; each must be told that it may have run, and callers
 	// that come while it is away that theirs did not.
 	It("tells a crash from a refused connection", func() {
-		s, address := startEngine(fastEngine())
+		o := fastEngine()
+		o.RestartMs = 10_000
+		s, address := startEngine(o)
+		control(address, slow)
 		c := engineClient()
 		running := make(chan struct{}, 1000)
 		victim := make(chan result, 1)
@@ -61,8 +67,10 @@
 			Expect(f).NotTo(BeNil())
 			Expect([]bool{f.Reached, f.Crashed, f.Busy, f.Rejected}).To(Equal([]bool{true, true, false, false}))
 		}
-		Eventually(func() bool { return target.FailureOf(c.Health(ctx, address)).Reached }, bound).Should(BeFalse())
+		Eventually(func() *target.Failure { return target.FailureOf(c.Health(ctx, address)) }, bound).
+			Should(HaveField("Reached", false))
 		Eventually(func() error { return c.Health(ctx, address) }, bound).Should(Succeed())
+		control(address, `{"slow_ms":0}`)
 		Expect(s.Stats().Crashes).To(Equal(1))
 		Expect(generate(ctx, c, address, asking("v2", "two coffees"), nil).tokens).
 			To(Equal(engine.ExpectedTokens("ordering", prompt("two coffees"), 0)))
@@ -89,12 +97,16 @@
 	// A frozen engine takes the request and stays silent until the deadline. It
 	// must not be counted as crashed, or the request would become a suspect.
 	It("reports a frozen engine as reached, neither crashed nor refusing", func() {
-		_, address := startEngine(fastEngine())
+		s, address := startEngine(fastEngine())
 		control(address, `{"frozen":true}`)
-		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
-		defer cancel()
-		err := generate(short, engineClient(), address, asking("f", "hello"), nil).err
-		Expect(err).To(MatchError(context.DeadlineExceeded))
+		waiting, giveUp := context.WithCancel(ctx)
+		ended := make(chan result, 1)
+		c := engineClient()
+		go func() { ended <- generate(waiting, c, address, asking("f", "hello"), nil) }()
+		Eventually(func() int { return s.Stats().Held }, bound).Should(Equal(1))
+		giveUp()
+		err := (<-ended).err
+		Expect(err).To(MatchError(context.Canceled))
 		Expect([]bool{target.FailureOf(err).Reached, target.FailureOf(err).Crashed}).To(Equal([]bool{true, false}))
 	})
 
@@ -106,7 +118,7 @@
 		opts.BatchConnections = 1
 		c := target.NewEngineClient(opts)
 		batch, stop := context.WithCancel(target.WithUrgency(ctx, target.UrgencyBatch))
-		control(address, `{"slow_ms":200}`)
+		control(address, slow)
 		started, ended := make(chan struct{}, 1000), make(chan result, 2)
 		go func() { ended <- generate(batch, c, address, asking("b1", "long"), func() { started <- struct{}{} }) }()
 		Eventually(started, bound).Should(Receive())
@@ -124,6 +136,7 @@
 
 	It("cancels the stream when the sink fails, and returns the sink's error", func() {
 		s, address := startEngine(fastEngine())
+		control(address, slow)
 		full := errors.New("sink is full")
 		_, err := engineClient().Generate(ctx, address, asking("s", "hello"), func(target.Token) error { return full })
 		Expect(err).To(BeIdenticalTo(full))
