Add the batch stewards and their admission policies

Cause: engines have no notion of priority and admit requests as they arrive, so batch work must be held back in front of them and give way when online requests begin.

Ruled out: waiting in the online path for any word of the steward; cancelling calls of plain services or work that is not repeatable, which cannot go on elsewhere; trusting load reports alone, which lag.

Change: core/admission holds the pure decision for one target under three policies (first come first served, static reserve, give-way). daemon/steward pulls leased items from shard owners, runs them, gives way on signals, resumes after the last token, reports ends, revokes cancelled jobs and drains.

--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,229 @@
+package admission
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "4711"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// word is one online signal as the naive model keeps it.
+type word struct {
+	at     time.Time
+	entry  string
+	online int
+}
+
+// model is the naive version: it keeps every signal ever sent and counts the
+// online requests by a scan.
+type model struct {
+	words   []word
+	running map[StreamID]Stream
+}
+
+func (m *model) online(now time.Time) int {
+	last := map[string]word{}
+	for _, w := range m.words {
+		last[w.entry] = w
+	}
+	n := 0
+	for _, w := range last {
+		if now.Sub(w.at) <= SignalExpiry {
+			n += w.online
+		}
+	}
+	return n
+}
+
+// A planner's CAD plugin hangs because batch fills the slots that online work
+// needs. Whatever the order of signals, admissions, ends and pauses, the
+// admitted streams must fit beside the online requests that the naive count
+// shows, weight 0 must leave none beside online, and a suspect must be alone.
+func TestGiveWayAgainstNaiveCount(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.UnixMilli(1_000_000)
+		slots := rapid.IntRange(1, 8).Draw(rt, "slots")
+		policy := DefaultGiveWay()
+		target := NewTarget(policy, slots, now)
+		m := &model{running: map[StreamID]Stream{}}
+		var seq uint64
+		var next StreamID
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0:
+				seq++
+				w := word{now, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "entry"), rapid.IntRange(0, 3).Draw(rt, "online")}
+				m.words = append(m.words, w)
+				target.Signal(now, w.entry, seq, w.online, seq)
+			case 1:
+				now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(rt, "pause")) * time.Millisecond)
+			case 2:
+				for id := range m.running {
+					target.Ended(now, id)
+					delete(m.running, id)
+					break
+				}
+			case 3:
+				for id := range m.running {
+					target.Progress(id, 1)
+				}
+			}
+			weight := rapid.SampledFrom([]float64{0, 0, 0.5, 1}).Draw(rt, "weight")
+			q := Queue{Waiting: rapid.IntRange(0, 9).Draw(rt, "waiting"), Weight: weight}
+			q.Suspect = q.Waiting > 0 && rapid.IntRange(0, 5).Draw(rt, "suspect") == 0
+			a := target.Step(now, q)
+			checkStep(rt, m, a, q, now, slots, policy.headroom(slots))
+			for _, id := range a.Cancel {
+				target.Ended(now, id)
+				delete(m.running, id)
+			}
+			for range a.Admit {
+				next++
+				s := Stream{ID: next, Base: weight, Suspect: q.Suspect}
+				m.running[next] = s
+				target.Admitted(now, s)
+			}
+		}
+	})
+}
+
+func checkStep(rt *rapid.T, m *model, a Action, q Queue, now time.Time, slots, headroom int) {
+	online := m.online(now)
+	kept := map[StreamID]Stream{}
+	for id, s := range m.running {
+		kept[id] = s
+	}
+	for _, id := range a.Cancel {
+		if _, ok := kept[id]; !ok {
+			rt.Fatalf("cancelled stream %d does not run", id)
+		}
+		delete(kept, id)
+	}
+	if a.Admit > 0 && len(kept)+a.Admit > slots-online-headroom {
+		rt.Fatalf("admits %d beside %d batch and %d online of %d slots", a.Admit, len(kept), online, slots)
+	}
+	for _, s := range kept {
+		if online > 0 && s.Base == 0 {
+			rt.Fatalf("a stream of weight 0 runs on beside %d online", online)
+		}
+		if s.Suspect && a.Admit > 0 {
+			rt.Fatalf("admits beside a suspect")
+		}
+	}
+	if online > 0 && len(kept) > max(slots-online-headroom, 0) {
+		rt.Fatalf("keeps %d beside %d online of %d slots", len(kept), online, slots)
+	}
+	if online > 0 && q.Weight == 0 && a.Admit > 0 {
+		rt.Fatalf("admits weight 0 beside online")
+	}
+	if q.Suspect && a.Admit > 0 && (a.Admit != 1 || len(m.running)+online > 0) {
+		rt.Fatalf("suspect admitted with %d batch and %d online", len(m.running), online)
+	}
+}
+
+// Protection alone is easy: admit nothing. An idle target must also be filled
+// up to its headroom, by every policy, a short while after online work ended.
+func TestIdleTargetIsFilled(t *testing.T) {
+	for _, p := range []Policy{FCFS{}, StaticReserve{Free: 1}, DefaultGiveWay()} {
+		g := NewWithT(t)
+		now := time.UnixMilli(1_000_000)
+		target := NewTarget(p, 8, now)
+		target.SetEntries([]string{"a"})
+		target.Signal(now, "a", 1, 2, 2)
+		target.Signal(now.Add(time.Second), "a", 2, 0, 2)
+		now = now.Add(time.Second)
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			for range target.Step(now, Queue{Waiting: 20}).Admit {
+				target.Admitted(now, Stream{ID: StreamID(target.Running() + 1)})
+			}
+		}
+		want := 7
+		if p == (FCFS{}) {
+			want = 8
+		}
+		g.Expect(target.Running()).To(Equal(want), p.Name())
+	}
+}
+
+// Each rule of the design note once, with figures small enough to check by hand.
+func TestGiveWayRules(t *testing.T) {
+	g := NewWithT(t)
+	now := time.UnixMilli(1_000_000)
+	start := func(weight float64, streams int) *Target {
+		target := NewTarget(DefaultGiveWay(), 9, now)
+		for i := range streams {
+			target.Admitted(now, Stream{ID: StreamID(i + 1), Base: weight, Tokens: i})
+		}
+		return target
+	}
+	late := now.Add(time.Hour)
+
+	half := start(0.5, 8)
+	half.Signal(now, "a", 1, 4, 4)
+	g.Expect(half.Step(now, Queue{}).Cancel).To(ConsistOf(StreamID(1), StreamID(2), StreamID(3), StreamID(4), StreamID(5), StreamID(6)),
+		"weight 0.5 keeps two of four spare slots, the streams with most tokens")
+
+	prefill := start(1, 1)
+	prefill.Signal(now, "a", 1, 1, 1)
+	g.Expect(prefill.Step(now, Queue{Waiting: 5, Weight: 1}).Why).To(Equal(ReasonPrefill))
+	prefill.Progress(1, 1)
+	g.Expect(prefill.Step(now, Queue{Waiting: 5, Weight: 1}).Admit).To(Equal(1), "one prefill at a time")
+
+	silent := start(0, 0)
+	silent.SetEntries([]string{"a"})
+	silent.Signal(now, "a", 1, 1, 1)
+	g.Expect(silent.Step(now.Add(SignalExpiry), Queue{Waiting: 20}).Why).To(Equal(ReasonOnline))
+	g.Expect(silent.Step(now.Add(SignalExpiry+time.Millisecond), Queue{Waiting: 20}).Why).To(Equal(ReasonCoolDown), "the count has just expired")
+	g.Expect(silent.Step(late.Add(time.Minute), Queue{Waiting: 20})).To(Equal(Action{Admit: 4, Why: ReasonSilent}), "half of eight")
+	silent.SetEntries(nil)
+	g.Expect(silent.Step(late.Add(time.Minute), Queue{Waiting: 20}).Admit).To(Equal(8), "a dead host is not expected to speak")
+
+	unheard := start(0, 2)
+	unheard.Load(now.Add(time.Second), 5, 1)
+	g.Expect(unheard.Online(now.Add(time.Second))).To(Equal(4), "the report shows four more than our two")
+	g.Expect(unheard.Step(now.Add(time.Second), Queue{}).Cancel).To(HaveLen(2))
+
+	pinned := NewTarget(DefaultGiveWay(), 4, now)
+	pinned.Admitted(now, Stream{ID: 1, Pinned: true})
+	pinned.Signal(now, "a", 1, 4, 4)
+	g.Expect(pinned.Step(now, Queue{}).Cancel).To(BeEmpty())
+
+	brief := start(0, 0)
+	brief.Signal(late, "a", 1, 0, 7)
+	brief.Signal(late.Add(time.Second), "a", 2, 0, 8)
+	g.Expect(brief.Step(late.Add(time.Second), Queue{Waiting: 1}).Why).To(Equal(ReasonCoolDown), "a request came and went between two signals")
+}
+
+func TestForecastAndUrgency(t *testing.T) {
+	g := NewWithT(t)
+	now := time.UnixMilli(1_000_000)
+	var r Rate
+	r.Observe(now, 0)
+	for i := range 600 {
+		r.Observe(now.Add(time.Duration(i+1)*100*time.Millisecond), 1)
+	}
+	now = now.Add(time.Minute)
+	g.Expect(r.PerSecond(now)).To(BeNumerically("~", 10, 0.5))
+	finish, known := ForecastFinish(now, 600, 10)
+	g.Expect(known).To(BeTrue())
+	g.Expect(finish).To(Equal(now.Add(time.Minute)))
+	_, known = ForecastFinish(now, 1, 0)
+	g.Expect(known).To(BeFalse())
+	due := now.Add(2 * UrgentWindow)
+	g.Expect(EffectiveWeight(0, now, due, time.Time{})).To(BeZero())
+	g.Expect(EffectiveWeight(0, now, due, now.Add(UrgentWindow*3/2))).To(BeNumerically("~", UrgentWeight/2, 1e-9), "the forecast eats half of the window")
+	g.Expect(EffectiveWeight(0, now, due, due.Add(time.Hour))).To(Equal(UrgentWeight))
+	g.Expect(EffectiveWeight(0.9, now, now, now)).To(Equal(0.9))
+}
--- /dev/null
+++ b/daemon/steward/item.go
@@ -0,0 +1,153 @@
+package steward
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/jobline"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+// itemKey names an item whatever its attempt.
+type itemKey struct {
+	job   string
+	index int
+}
+
+// heldItem is an item leased to this steward, from its pull until its end is
+// delivered or it is handed back. Guarded by Steward.mu, except that progress
+// belongs to the run while there is one.
+type heldItem struct {
+	ref     ledger.ItemRef
+	item    ledger.Item
+	profile string
+	group   string
+	owner   string
+	due     time.Time
+	weight  float64
+	// pinned items are never cancelled to make room, as their run cannot go on
+	// elsewhere: calls of plain services, and work that is not repeatable.
+	pinned  bool
+	suspect bool
+	// startUntil is when the lease no longer allows a start, on our own
+	// monotonic clock; renewable tells whether a later pull may move it.
+	startUntil time.Time
+	renewable  bool
+
+	progress []string
+	segment  int
+	tries    int
+	queuedAt time.Time
+	// prefer is the target with the item's prefix in its cache, until preferUntil.
+	prefer      *targetState
+	preferUntil time.Time
+	run         *run
+	// stopped items belong to a cancelled job: their end is only handed back.
+	stopped bool
+	// ended items wait for their end to be delivered; handedBack ones ended
+	// without a result.
+	ended      bool
+	handedBack bool
+}
+
+func (it *heldItem) key() itemKey { return itemKey{it.ref.Job, it.ref.Index} }
+
+// name is the idempotency key towards targets and the stem of stream ids.
+func (it *heldItem) name() string { return it.ref.Job + "/" + it.item.CustomID }
+
+// streamID differs for every start, so that the late cancel of one stream
+// cannot hit its successor.
+func (it *heldItem) streamID() string {
+	return it.name() + "/" + strconv.Itoa(it.ref.Attempt) + "." + strconv.Itoa(it.segment)
+}
+
+// isChat tells whether the item goes to an engine.
+func (it *heldItem) isChat() bool { return it.item.URL == jobline.ChatURL }
+
+// generateRequest decodes the item's body in the OpenAI shape.
+func (it *heldItem) generateRequest() (target.GenerateRequest, error) {
+	req := target.GenerateRequest{StreamID: it.streamID()}
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(it.item.Body, &fields); err != nil {
+		return req, ItemError.Wrap(err, "body")
+	}
+	known := map[string]any{"model": &req.Model, "messages": &req.Messages, "max_tokens": &req.MaxTokens}
+	for name, value := range known {
+		raw, ok := fields[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, value); err != nil {
+			return req, ItemError.Wrap(err, "field %s", name)
+		}
+		delete(fields, name)
+	}
+	delete(fields, "stream")
+	req.Extra = fields
+	req.ResumeTokens = append([]string(nil), it.progress...)
+	return req, nil
+}
+
+// serviceRequest turns /v1/services/{service}/{path} into the service's call.
+func (it *heldItem) serviceRequest() (target.ServiceRequest, error) {
+	rest, ok := strings.CutPrefix(it.item.URL, jobline.ServicePrefix)
+	if !ok {
+		return target.ServiceRequest{}, ItemError.New("no target serves %s", it.item.URL)
+	}
+	_, path, _ := strings.Cut(rest, "/")
+	return target.ServiceRequest{
+		Method: http.MethodPost,
+		Path:   "/" + path,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   it.item.Body,
+	}, nil
+}
+
+// chatCompletion is the OpenAI shape of a whole answer.
+type chatCompletion struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   chatUsage    `json:"usage"`
+}
+
+type chatChoice struct {
+	Index        int            `json:"index"`
+	Message      target.Message `json:"message"`
+	FinishReason string         `json:"finish_reason"`
+}
+
+type chatUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// chatAnswer builds the kept answer from all tokens, those of cancelled
+// segments included.
+func (it *heldItem) chatAnswer(model string, f target.Finish) (*ledger.Answer, error) {
+	completed := len(it.progress)
+	body, err := json.Marshal(chatCompletion{
+		ID:     "chatcmpl-" + it.name(),
+		Object: "chat.completion",
+		Model:  model,
+		Choices: []chatChoice{{
+			Message:      target.Message{Role: "assistant", Content: strings.Join(it.progress, "")},
+			FinishReason: f.Reason,
+		}},
+		Usage: chatUsage{
+			PromptTokens:     f.Usage.PromptTokens,
+			CompletionTokens: completed,
+			TotalTokens:      f.Usage.PromptTokens + completed,
+		},
+	})
+	if err != nil {
+		return nil, ItemError.Wrap(err, "encoding the answer")
+	}
+	return &ledger.Answer{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
+}
--- /dev/null
+++ b/daemon/steward/load.go
@@ -0,0 +1,44 @@
+package steward
+
+import (
+	"context"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+)
+
+// loadLoop fetches the load reports of the own engines, one call in flight for
+// each, so that a target that hangs delays no other's report.
+func (s *Steward) loadLoop(ctx context.Context) {
+	every(ctx, loadEvery, func(context.Context) {
+		for _, t := range s.ownTargets() {
+			if t.kind == config.KindEngine && t.beginLoad() {
+				s.group.Go(func(ctx context.Context) { s.fetchLoad(ctx, t) })
+			}
+		}
+	})
+}
+
+func (t *targetState) beginLoad() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.loading {
+		return false
+	}
+	t.loading = true
+	return true
+}
+
+func (s *Steward) fetchLoad(ctx context.Context, t *targetState) {
+	bounded, release := context.WithTimeout(ctx, loadTimeout)
+	defer release()
+	report, err := s.opts.Engine.Load(bounded, t.address)
+	now := s.opts.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loading = false
+	if err != nil {
+		return
+	}
+	t.report, t.reportAt = report, now
+	t.core.Load(now, report.Running, report.Waiting)
+}
--- /dev/null
+++ b/daemon/steward/meter.go
@@ -0,0 +1,67 @@
+package steward
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meter holds the steward's metrics. Figures of single targets are gauges that
+// read the state when they are scraped.
+type meter struct {
+	set     *metrics.Set
+	cancels *metrics.Counter
+	resumes *metrics.Counter
+	dropped *metrics.Counter
+	giveWay *metrics.Histogram
+}
+
+func newMeter(set *metrics.Set, s *Steward) *meter {
+	m := &meter{
+		set:     set,
+		cancels: set.NewCounter(`tarragonhollow_steward_give_way_cancels_total`),
+		resumes: set.NewCounter(`tarragonhollow_steward_resumes_total`),
+		dropped: set.NewCounter(`tarragonhollow_steward_ends_dropped_total`),
+		giveWay: set.NewHistogram(`tarragonhollow_steward_give_way_seconds`),
+	}
+	set.NewGauge(`tarragonhollow_steward_items_held`, func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(len(s.held))
+	})
+	set.NewGauge(`tarragonhollow_steward_targets`, func() float64 { return float64(len(s.ownTargets())) })
+	return m
+}
+
+// ended counts the end of an item by its result.
+func (m *meter) ended(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tarragonhollow_steward_items_ended_total{result=%q}`, result)).Inc()
+}
+
+// addTarget publishes the gauges of a target that became this daemon's.
+func (m *meter) addTarget(t *targetState) {
+	read := func(get func() float64) func() float64 {
+		return func() float64 {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			return get()
+		}
+	}
+	m.removeTarget(t)
+	m.set.NewGauge(inFlightName(t), read(func() float64 { return float64(t.core.Running()) }))
+	m.set.NewGauge(shareName(t), read(t.core.Share))
+}
+
+// removeTarget withdraws them.
+func (m *meter) removeTarget(t *targetState) {
+	m.set.UnregisterMetric(inFlightName(t))
+	m.set.UnregisterMetric(shareName(t))
+}
+
+func inFlightName(t *targetState) string {
+	return fmt.Sprintf(`tarragonhollow_steward_batch_in_flight{target=%q}`, t.address)
+}
+
+func shareName(t *targetState) string {
+	return fmt.Sprintf(`tarragonhollow_steward_batch_share{target=%q}`, t.address)
+}
--- /dev/null
+++ b/daemon/steward/pull.go
@@ -0,0 +1,258 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+)
+
+// pullCall is one pull in flight.
+type pullCall struct {
+	owner  string
+	group  string
+	max    int
+	sentAt time.Time
+	named  []*heldItem
+}
+
+// reserveFor is how long a pull in flight counts as capacity taken; beyond it
+// the owner is slow and others are asked, at the price of some items too many.
+const reserveFor = 300 * time.Millisecond
+
+// pullLoop fetches items while own targets have room for them, and names held
+// items to their owners so that their leases are renewed.
+func (s *Steward) pullLoop(ctx context.Context) {
+	every(ctx, pullEvery, func(context.Context) { s.pullRound() })
+}
+
+func (s *Steward) pullRound() {
+	now := s.opts.Now()
+	owners := s.liveOwners()
+	groups := s.ownGroups()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.syncOwnersLocked(owners)
+	if !s.draining {
+		for group := range groups {
+			s.pullGroupLocked(now, group)
+		}
+	}
+	s.renewLocked(now)
+}
+
+// liveOwners returns the peer addresses of the members that hold shards.
+func (s *Steward) liveOwners() map[string]bool {
+	owners := make(map[string]bool)
+	for _, m := range s.opts.View.Members() {
+		if len(m.Shards) > 0 {
+			owners[m.PeerAddress] = true
+		}
+	}
+	return owners
+}
+
+func (s *Steward) ownGroups() map[string]bool {
+	groups := make(map[string]bool)
+	for _, t := range s.ownTargets() {
+		groups[t.group] = true
+	}
+	return groups
+}
+
+// pullGroupLocked sends pulls until the group's room is asked for.
+func (s *Steward) pullGroupLocked(now time.Time, group string) {
+	for {
+		want := s.wantLocked(now, group)
+		if want <= 0 {
+			return
+		}
+		owner := s.nextOwnerLocked(now, group)
+		if owner == nil {
+			return
+		}
+		s.sendPullLocked(now, owner, group, want)
+	}
+}
+
+// wantLocked is how many more items the group's open targets have room for. As
+// many again are held ready as may run, so that a slot that falls free does not
+// wait for a pull; a target that online work has closed counts for nothing.
+func (s *Steward) wantLocked(now time.Time, group string) int {
+	weight := s.heaviestBatchWeight()
+	want := 0
+	for _, t := range s.ownTargets() {
+		if t.group != group {
+			continue
+		}
+		t.mu.Lock()
+		if room := t.core.Room(now, weight); room > 0 {
+			want += max(2*room-t.core.Running(), 0)
+		}
+		t.mu.Unlock()
+	}
+	want -= len(s.queued[group])
+	for p := range s.pulls {
+		if p.group == group && now.Sub(p.sentAt) < reserveFor {
+			want -= p.max
+		}
+	}
+	return min(want, maxUndelivered-len(s.held))
+}
+
+func (s *Steward) heaviestBatchWeight() float64 {
+	weight := 0.0
+	if c := s.opts.Config(); c != nil {
+		for _, p := range c.Profiles {
+			if p.Urgency == config.Batch {
+				weight = max(weight, p.BatchWeight)
+			}
+		}
+	}
+	return weight
+}
+
+// sendPullLocked starts one pull; its reply is dealt with in pull.
+func (s *Steward) sendPullLocked(now time.Time, o *ownerState, group string, want int) {
+	p := &pullCall{owner: o.address, group: group, max: want, sentAt: now}
+	if o.renewalDue(now) {
+		p.named = s.namedLocked(o.address)
+	}
+	req := ledger.PullRequest{Steward: s.selfID(), Group: group, Max: want, MaxBytes: pullMaxBytes}
+	for _, it := range p.named {
+		req.Running = append(req.Running, it.ref)
+	}
+	o.inFlight = true
+	s.pulls[p] = true
+	s.group.Go(func(ctx context.Context) { s.pull(ctx, p, req) })
+}
+
+func (s *Steward) pull(ctx context.Context, p *pullCall, req ledger.PullRequest) {
+	bounded, release := context.WithTimeout(ctx, pullTimeout)
+	defer release()
+	reply, err := s.opts.Ledger.Pull(bounded, p.owner, req)
+	now := s.opts.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pulls, p)
+	o := s.owners[p.owner]
+	if o != nil {
+		o.answered(now, p, reply, err)
+	}
+	if err != nil {
+		s.log.Debug("pull_failed", zap.String("owner", p.owner), zap.String("group", p.group), zap.Error(err))
+		return
+	}
+	s.takeReplyLocked(now, p, req, reply)
+}
+
+func (s *Steward) takeReplyLocked(now time.Time, p *pullCall, req ledger.PullRequest, reply ledger.PullReply) {
+	lease := time.Duration(reply.LeaseMs) * time.Millisecond
+	s.maxLease = max(s.maxLease, lease)
+	until := p.sentAt.Add(lease - leaseMargin)
+	s.renewedLocked(p.named, req.Running, reply.Cancelled, until)
+	for _, ref := range reply.Cancelled {
+		if it := s.held[itemKey{ref.Job, ref.Index}]; it != nil {
+			s.stopItemLocked(it)
+		}
+	}
+	for _, leased := range reply.Items {
+		s.takeItemLocked(now, p, leased, until)
+	}
+	if len(reply.Items) > 0 {
+		s.pokes.Offer(s.anyTarget(p.group))
+	}
+}
+
+// renewedLocked moves the leases of the items that the pull named. An owner
+// that was replaced and does not know it yet renews what is no longer its own;
+// for a repeatable item that costs a second run at worst. Items that are not
+// repeatable start only within the lease that brought them, which the owner had
+// read back from the log before it answered.
+func (s *Steward) renewedLocked(named []*heldItem, refs []ledger.ItemRef, cancelled []ledger.ItemRef, until time.Time) {
+	gone := make(map[ledger.ItemRef]bool, len(cancelled))
+	for _, ref := range cancelled {
+		gone[ref] = true
+	}
+	for i, it := range named {
+		if it.renewable && !gone[refs[i]] && until.After(it.startUntil) {
+			it.startUntil = until
+		}
+	}
+}
+
+// takeItemLocked queues a leased item. If it still runs here, it was leased to us
+// again because its renewal went astray: the run goes on under the new attempt.
+// If its end waits to be delivered, running it again would be wasted. An item
+// that was handed back may return before the call that took it over does.
+func (s *Steward) takeItemLocked(now time.Time, p *pullCall, leased ledger.LeasedItem, until time.Time) {
+	key := itemKey{leased.Ref.Job, leased.Ref.Index}
+	if have := s.held[key]; have != nil && !have.handedBack {
+		if have.ended {
+			s.ends.Offer(endedItem{item: have, end: ledger.ItemEnd{Ref: leased.Ref}})
+			return
+		}
+		have.ref, have.owner, have.startUntil = leased.Ref, p.owner, until
+		return
+	}
+	profile := s.profile(leased.Profile)
+	it := &heldItem{
+		ref:        leased.Ref,
+		item:       leased.Item,
+		profile:    leased.Profile,
+		group:      p.group,
+		owner:      p.owner,
+		due:        time.UnixMilli(leased.DueMs),
+		weight:     profile.BatchWeight,
+		suspect:    leased.Suspect,
+		startUntil: until,
+		renewable:  profile.Repeatable,
+		progress:   append([]string(nil), leased.Progress...),
+		queuedAt:   now,
+	}
+	it.pinned = !profile.Repeatable || !it.isChat()
+	s.held[key] = it
+	if _, revoked := s.revoked[it.ref.Job]; revoked || s.draining {
+		s.handBackLocked(it)
+		return
+	}
+	s.queued[p.group] = append(s.queued[p.group], it)
+}
+
+// stopItemLocked makes sure that the item of a cancelled job does not start
+// here, and stops it if it runs.
+func (s *Steward) stopItemLocked(it *heldItem) {
+	it.stopped = true
+	if it.run != nil {
+		it.run.stop(errRevoked)
+		return
+	}
+	if it.ended {
+		return
+	}
+	s.unqueueLocked(it)
+	s.meter.ended("cancelled")
+	s.endLocked(it, ledger.ItemEnd{Ref: it.ref})
+}
+
+func (s *Steward) unqueueLocked(it *heldItem) {
+	queue := s.queued[it.group]
+	for i, other := range queue {
+		if other == it {
+			s.queued[it.group] = append(queue[:i], queue[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Steward) anyTarget(group string) *targetState {
+	for _, t := range s.ownTargets() {
+		if t.group == group {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/steward/report.go
@@ -0,0 +1,111 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+)
+
+// reportsInFlight bounds the reports that run at once.
+const reportsInFlight = 4
+
+// reportLoop groups the ends of items and delivers them. What an owner does not
+// take over comes back into the ring after reportRetry, for as long as it takes:
+// the log may be out for hours.
+func (s *Steward) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	slots := make(chan struct{}, reportsInFlight)
+	var fresh, tried []endedItem
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.ends.C():
+			if e.tried {
+				tried = append(tried, e)
+			} else {
+				fresh = append(fresh, e)
+			}
+		case <-ticker.C:
+			fresh = s.sendEnds(slots, fresh)
+			tried = s.sendEnds(slots, tried)
+		}
+	}
+}
+
+// sendEnds starts reports while there is a slot and returns what is left.
+func (s *Steward) sendEnds(slots chan struct{}, ends []endedItem) []endedItem {
+	for len(ends) > 0 {
+		select {
+		case slots <- struct{}{}:
+		default:
+			return ends
+		}
+		n := min(len(ends), reportMax)
+		batch := append([]endedItem(nil), ends[:n]...)
+		ends = ends[n:]
+		s.group.Go(func(ctx context.Context) {
+			defer func() { <-slots }()
+			s.deliver(ctx, batch)
+		})
+	}
+	return nil
+}
+
+func (s *Steward) deliver(ctx context.Context, batch []endedItem) {
+	req := ledger.FinishItemsRequest{Steward: s.selfID()}
+	for _, e := range batch {
+		req.Ends = append(req.Ends, e.end)
+	}
+	bounded, release := context.WithTimeout(ctx, reportTimeout)
+	undelivered, err := s.opts.Ledger.FinishItems(bounded, req)
+	release()
+	again := s.delivered(batch, undelivered, err)
+	if len(again) == 0 {
+		return
+	}
+	s.log.Debug("ends_undelivered", zap.Int("ends", len(again)), zap.Error(err))
+	s.group.Go(func(ctx context.Context) { s.retryEnds(ctx, again) })
+}
+
+// delivered forgets the items whose ends were taken over and returns the rest.
+func (s *Steward) delivered(batch []endedItem, undelivered []ledger.ItemEnd, err error) []endedItem {
+	left := make(map[ledger.ItemRef]bool, len(undelivered))
+	for _, end := range undelivered {
+		left[end.Ref] = true
+	}
+	var again []endedItem
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range batch {
+		if left[e.end.Ref] || (err != nil && len(undelivered) == 0) {
+			e.tried = true
+			again = append(again, e)
+			continue
+		}
+		s.forgetLocked(e.item)
+	}
+	return again
+}
+
+func (s *Steward) retryEnds(ctx context.Context, again []endedItem) {
+	timer := time.NewTimer(reportRetry)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range again {
+		if !s.ends.Offer(e) {
+			s.forgetLocked(e.item)
+			s.meter.dropped.Inc()
+		}
+	}
+}
--- /dev/null
+++ b/daemon/steward/steward_test.go
@@ -0,0 +1,269 @@
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/target"
+	"tarragonhollow.example/tarragonhollow/target/faketarget"
+)
+
+const patience = 10 * time.Second
+
+func content(body string) string {
+	var c chatCompletion
+	Expect(json.Unmarshal([]byte(body), &c)).To(Succeed())
+	return c.Choices[0].Message.Content
+}
+
+var _ = Describe("a burst of online requests", func() {
+	// A guest orders while prep sheets are drafted on the same engine. The sheets'
+	// streams must end at once and none may start while the guest is served; later
+	// each sheet goes on after its last token instead of from the start.
+	It("cancels batch, admits none, and resumes after the last token", func() {
+		b := newBench(3, engineA)
+		gate := make(chan struct{})
+		b.engine.OnGenerate = gated(gate)
+		b.ledger.add("c/j", "night", "x", "y")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(2))
+		for range 5 {
+			gate <- struct{}{}
+		}
+		b.online(1)
+		Eventually(func() int { return b.endedAs("cancelled") }, patience).Should(Equal(2))
+		Eventually(b.engine.Cancels, patience).Should(HaveLen(2))
+		Eventually(func() int { return b.Status().Groups[0].Queued }, patience).Should(Equal(2))
+		b.skew.Add(int64(time.Second))
+		b.decideAll()
+		Expect(b.engine.Calls()).To(HaveLen(2), "nothing starts beside the guest")
+		Expect(b.Status().Targets[0].HeldBack).To(Equal("online_running"))
+
+		b.online(0)
+		close(gate)
+		Eventually(b.ledger.answered, patience).Should(HaveLen(2))
+		Expect(content(b.ledger.answered()["x"])).To(Equal("x0 x1 x2 x3 x4 x5 "))
+		Expect(content(b.ledger.answered()["y"])).To(Equal("y0 y1 y2 y3 y4 y5 "))
+		sent := 0
+		for _, c := range b.engine.Calls() {
+			sent += c.Sent
+			Expect(c.Urgency).To(Equal(target.UrgencyBatch))
+			Expect(c.Request.Extra).To(HaveKey("seed"))
+		}
+		Expect(sent).To(Equal(12), "no token is generated twice")
+		Expect(b.ledger.ended()).To(HaveLen(2), "resumed here, without a word to the owner")
+	})
+
+	// The burst lasts for minutes. The item must not sit here under a lease that
+	// is renewed for ever: it goes back with its tokens, for a steward with room.
+	It("hands a cancelled item back with its tokens when the burst lasts", func() {
+		b := newBench(3, engineA)
+		gate := make(chan struct{})
+		b.engine.OnGenerate = gated(gate)
+		b.ledger.add("c/j", "night", "x")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(1))
+		gate <- struct{}{}
+		gate <- struct{}{}
+		b.online(1)
+		Eventually(func() int { return b.Status().Groups[0].Queued }, patience).Should(Equal(1))
+		for range holdBound / time.Second {
+			b.skew.Add(int64(time.Second))
+			b.online(1)
+		}
+		Eventually(b.ledger.ended, patience).Should(HaveLen(1))
+		Expect(len(b.ledger.ended()[0].Progress)).To(BeNumerically(">=", 1))
+		Expect(b.ledger.ended()[0].Answer).To(BeNil())
+	})
+})
+
+var _ = Describe("a cancelled job", func() {
+	// Kitchen staff cancel a job; the reply says that it has stopped. One sheet is
+	// running, one waits here, and a third is on its way in the answer to a pull
+	// from before the cancel. None may run after the reply.
+	It("is acknowledged only when none of its items will start", func() {
+		b := newBench(3, engineA)
+		gate := make(chan struct{})
+		b.engine.OnGenerate = gated(gate)
+		b.ledger.add("c/j", "night", "x", "y", "z")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(2))
+		Eventually(func() int { return b.Status().Held }, patience).Should(Equal(3))
+		late := make(chan struct{})
+		b.ledger.set(func() { b.ledger.gate = late })
+		b.ledger.add("c/j", "night", "late")
+		Eventually(b.ledger.leases, patience).Should(Equal(4))
+
+		var reply RevokeReply
+		Expect((&rpcService{b.Steward}).Revoke(&RevokeRequest{Job: "c/j"}, &reply)).To(Succeed())
+		Expect(reply).To(Equal(RevokeReply{Queued: 1, Running: 2}))
+		Expect(b.endedAs("cancelled")).To(Equal(2), "ended before the acknowledgement")
+
+		b.ledger.set(func() { b.ledger.gate = nil })
+		b.ledger.set(func() { b.ledger.leaseMs = 0 })
+		close(late)
+		close(gate)
+		Eventually(b.ledger.ended, patience).Should(ContainElement(HaveField("Ref", ledger.ItemRef{Job: "c/j", Index: 3, Attempt: 1})))
+		b.decideAll()
+		Expect(b.engine.Calls()).To(HaveLen(2))
+		Expect(b.ledger.answered()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a lapsed lease", func() {
+	// The daemon is cut off from the owner with one sheet running and one waiting
+	// here. The lease lapses, and the owner may lease the waiting one to another
+	// steward. When the running one ends, a start would run the other twice.
+	It("starts nothing, and what runs is reported when the owner is back", func() {
+		b := newBench(2, engineA)
+		gate := make(chan struct{})
+		b.engine.OnGenerate = gated(gate)
+		b.ledger.add("c/j", "night", "x", "y")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(1))
+		Eventually(func() int { return b.Status().Held }, patience).Should(Equal(2))
+		b.ledger.set(func() { b.ledger.away = true })
+		b.skew.Add(int64(60 * time.Second))
+		close(gate)
+		Eventually(func() int { return b.endedAs("finished") }, patience).Should(Equal(1))
+		b.decideAll()
+		Expect(b.engine.Calls()).To(HaveLen(1))
+
+		b.ledger.set(func() { b.ledger.away = false })
+		Eventually(b.ledger.answered, patience).Should(HaveLen(2))
+		Expect(b.engine.Calls()).To(HaveLen(2))
+		Expect(b.engine.Calls()[1].Request.StreamID).To(HavePrefix("c/j/y/2."), "only the second lease started it")
+	})
+})
+
+var _ = Describe("an item that crashes its target", func() {
+	// One drawing kills every engine that reads it. The sheets beside it on the
+	// engine must still finish, and only a crash while nothing else was there may
+	// count against the drawing.
+	It("runs alone the second time and stalls no other", func() {
+		b := newBench(4, engineA, engineB)
+		answer := gated(nil)
+		b.engine.OnGenerate = func(address string, req target.GenerateRequest) faketarget.Generation {
+			g := answer(address, req)
+			if req.Messages[0].Content == "poison" {
+				g.Err = &target.Failure{Reached: true, Crashed: true, Detail: "connection broke"}
+			}
+			return g
+		}
+		b.ledger.add("c/j", "night", "a", "b", "poison", "c", "d", "e", "f", "g")
+		b.start()
+		Eventually(b.ledger.answered, patience).Should(HaveLen(7))
+		alone := func() []ledger.ItemEnd {
+			var ends []ledger.ItemEnd
+			for _, e := range b.ledger.ended() {
+				if e.Crashed && e.Alone {
+					ends = append(ends, e)
+				}
+			}
+			return ends
+		}
+		Eventually(alone, patience).Should(HaveLen(1))
+		Expect(alone()[0].Ref.Index).To(Equal(2))
+		Expect(alone()[0].Refusal.Run).To(Equal(outcome.MayHaveRun))
+	})
+})
+
+var _ = Describe("a target that leaves, or changes its steward", func() {
+	// The host list says that an engine leaves, and its machine is switched off
+	// soon after. Work sent there from now on would be lost half way.
+	It("gets no new item, and what runs moves on after a bound", func() {
+		b := newBench(2, engineA, engineB)
+		gate := make(chan struct{})
+		b.engine.OnGenerate = gated(gate)
+		b.ledger.add("c/j", "night", "x", "y", "z")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(2))
+		b.view.set(func() { b.view.leaving[engineA] = true })
+		b.assign()
+		b.skew.Add(int64(leaveBound))
+		Eventually(func() int { return b.endedAs("cancelled") }, patience).Should(Equal(1))
+		close(gate)
+		Eventually(b.ledger.answered, patience).Should(HaveLen(3))
+		onA := 0
+		for _, c := range b.engine.Calls() {
+			if c.Address == engineA {
+				onA++
+			}
+		}
+		Expect(onA).To(Equal(1), "only the start from before")
+	})
+
+	// Another daemon becomes steward of the engine, and entry hosts now signal to
+	// it alone. Streams of ours would no longer hear of a burst.
+	It("stops its streams after the grace and hands them back", func() {
+		b := newBench(2, engineA)
+		b.engine.OnGenerate = gated(make(chan struct{}))
+		b.ledger.add("c/j", "night", "x")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(1))
+		b.view.set(func() { b.view.lost = true })
+		b.assign()
+		b.skew.Add(int64(lostGrace))
+		Eventually(func() int { return b.endedAs("cancelled") }, patience).Should(Equal(1))
+		b.skew.Add(int64(holdBound))
+		Eventually(b.ledger.ended, patience).Should(HaveLen(1))
+		Expect(b.engine.Calls()).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("work that must not be repeated", func() {
+	// A stamp is being set by a batch item as the daemon goes down. Handing it
+	// back as unfinished would let the owner lease it again: two stamps.
+	It("is not cancelled for online work and ends as may_have_run when stopped", func() {
+		b := newBench(2, engineA)
+		b.engine.OnGenerate = gated(make(chan struct{}))
+		b.ledger.add("c/j", "once", "x")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(1))
+		b.online(1)
+		b.decideAll()
+		Expect(b.endedAs("cancelled")).To(BeZero())
+		Expect(b.Status().Targets[0].Running).To(Equal(1))
+
+		b.mu.Lock()
+		for _, it := range b.held {
+			it.run.stop(errHandBack)
+		}
+		b.mu.Unlock()
+		Eventually(b.ledger.ended, patience).Should(HaveLen(1))
+		Expect(b.ledger.ended()[0].Refusal).To(HaveField("Run", outcome.MayHaveRun))
+	})
+})
+
+var _ = Describe("a drain", func() {
+	// A host is replaced while it runs batch. The items' tokens so far must reach
+	// the owner before the process ends, though the owner is away for a while.
+	It("hands everything back with its progress before it returns", func() {
+		b := newBench(2, engineA)
+		gate := make(chan struct{})
+		b.engine.OnGenerate = gated(gate)
+		b.ledger.add("c/j", "night", "x", "y")
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, patience).Should(Equal(1))
+		gate <- struct{}{}
+		gate <- struct{}{}
+		b.ledger.set(func() { b.ledger.away = true })
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		drained := make(chan error, 1)
+		go func() { drained <- b.Drain(ctx) }()
+		Eventually(func() int { return b.endedAs("cancelled") }, patience).Should(Equal(1))
+		Expect(drained).NotTo(Receive())
+		b.ledger.set(func() { b.ledger.away = false })
+		Eventually(drained, patience).Should(Receive(Not(HaveOccurred())))
+		Expect(b.ledger.ended()).To(HaveLen(2))
+		Expect(b.ledger.ended()).To(ContainElement(HaveField("Progress", Not(BeEmpty()))))
+		Expect(b.engine.Calls()).To(HaveLen(1))
+	})
+})
