--- a/standin/control/control.go
+++ b/standin/control/control.go
@@ -5,8 +5,10 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -32,12 +34,12 @@
 	if c.Response().Committed {
 		return
 	}
-	status := http.StatusInternalServerError
+	status, message := http.StatusInternalServerError, err.Error()
 	var httpError *echo.HTTPError
 	if errors.As(err, &httpError) {
-		status = httpError.Code
+		status, message = httpError.Code, fmt.Sprint(httpError.Message)
 	}
-	_ = Refuse(c, status, err.Error())
+	_ = Refuse(c, status, message)
 }
 
 // Refuse answers with the status and a wire.Error.
@@ -68,6 +70,20 @@
 	return nil
 }
 
+// Param returns a path parameter by its own text. The router matches the raw
+// path where a client escaped more than it had to, such as a slash in a name,
+// and hands out parameters as they stand in the path that it matched.
+func Param(c echo.Context, name string) string {
+	value := c.Param(name)
+	if c.Request().URL.RawPath == "" {
+		return value
+	}
+	if plain, err := url.PathUnescape(value); err == nil {
+		return plain
+	}
+	return value
+}
+
 // Cut closes the request's connection without an answer. It does not return.
 func Cut() {
 	panic(http.ErrAbortHandler)
--- /dev/null
+++ b/standin/faultproxy/faultproxy_test.go
@@ -0,0 +1,185 @@
+package faultproxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
+)
+
+func TestFaultproxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "faultproxy")
+}
+
+// echoTarget answers each line with itself and counts the lines it got.
+type echoTarget struct {
+	listener net.Listener
+	lines    atomic.Int64
+}
+
+func startEcho() *echoTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	e := &echoTarget{listener: listener}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	DeferCleanup(listener.Close)
+	return e
+}
+
+func (e *echoTarget) serve(c net.Conn) {
+	defer c.Close()
+	lines := bufio.NewReader(c)
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return
+		}
+		e.lines.Add(1)
+		if _, err := io.WriteString(c, line); err != nil {
+			return
+		}
+	}
+}
+
+// client is a connection whose incoming lines arrive on a channel, which is
+// closed when the connection ends.
+type client struct {
+	net.Conn
+	lines chan string
+}
+
+func dial(address string) *client {
+	c, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { c.Close() })
+	cl := &client{c, make(chan string, 100)}
+	go func() {
+		defer close(cl.lines)
+		scanner := bufio.NewScanner(c)
+		for scanner.Scan() {
+			cl.lines <- scanner.Text()
+		}
+	}()
+	return cl
+}
+
+func (c *client) send(line string) {
+	_, err := io.WriteString(c, line+"\n")
+	Expect(err).NotTo(HaveOccurred())
+}
+
+var _ = Describe("The fault proxy", func() {
+	var (
+		target *echoTarget
+		proxy  *faultproxy.Proxy
+	)
+
+	held := func() int { return proxy.Stats().Held }
+
+	BeforeEach(func() {
+		target = startEcho()
+		var err error
+		proxy, err = faultproxy.New(faultproxy.Options{Target: target.listener.Addr().String()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+	})
+
+	// A network lets one direction through and loses the other. Requests reach
+	// the target and are executed, answers don't come back, and no side sees an
+	// error: the connection just falls silent.
+	It("stalls the answers alone and delivers them in order at the end", func() {
+		c := dial(proxy.Addr())
+		c.send("a")
+		Eventually(c.lines).Should(Receive(Equal("a")))
+		Expect(proxy.SetFaults(faultproxy.Faults{Stall: faultproxy.StallDown})).To(Succeed())
+		c.send("b")
+		c.send("c")
+		Eventually(target.lines.Load).Should(Equal(int64(3)))
+		Eventually(held).Should(Equal(1))
+		Expect(c.lines).NotTo(Receive())
+		Expect(proxy.Clear()).To(Succeed())
+		Eventually(c.lines).Should(Receive(Equal("b")))
+		Eventually(c.lines).Should(Receive(Equal("c")))
+	})
+
+	It("stalls the requests alone", func() {
+		c := dial(proxy.Addr())
+		c.send("a")
+		Eventually(c.lines).Should(Receive(Equal("a")))
+		Expect(proxy.SetFaults(faultproxy.Faults{Stall: faultproxy.StallUp})).To(Succeed())
+		c.send("b")
+		Eventually(held).Should(Equal(1))
+		Expect(proxy.Stats().BytesUp).To(Equal(int64(2)))
+		Expect(target.lines.Load()).To(Equal(int64(1)))
+		Expect(proxy.Clear()).To(Succeed())
+		Eventually(c.lines).Should(Receive(Equal("b")))
+	})
+
+	// The target has done the request when its answer vanishes with the
+	// connection: the caller cannot tell this from a request never received.
+	It("drops an answer after the request went through", func() {
+		Expect(proxy.SetFaults(faultproxy.Faults{DropAnswers: 1, DropAnswersTo: "POST"})).To(Succeed())
+		c := dial(proxy.Addr())
+		c.send("GET")
+		Eventually(c.lines).Should(Receive(Equal("GET")))
+		c.send("POST")
+		Eventually(c.lines).Should(BeClosed())
+		Expect(target.lines.Load()).To(Equal(int64(2)))
+		Expect(proxy.Stats().DroppedAnswers).To(Equal(int64(1)))
+
+		again := dial(proxy.Addr())
+		again.send("POST")
+		Eventually(again.lines).Should(Receive(Equal("POST")))
+	})
+
+	It("refuses connections while cut and takes them again on the same port", func() {
+		c := dial(proxy.Addr())
+		c.send("a")
+		Eventually(c.lines).Should(Receive(Equal("a")))
+		Expect(proxy.SetFaults(faultproxy.Faults{Cut: faultproxy.CutRefuse})).To(Succeed())
+		Eventually(c.lines).Should(BeClosed())
+		_, err := net.Dial("tcp", proxy.Addr())
+		Expect(err).To(MatchError(ContainSubstring("refused")))
+		Expect(proxy.Clear()).To(Succeed())
+		c = dial(proxy.Addr())
+		c.send("b")
+		Eventually(c.lines).Should(Receive(Equal("b")))
+	})
+
+	It("is steered over HTTP, strictly", func() {
+		control := httptest.NewServer(proxy.Control())
+		DeferCleanup(control.Close)
+		put := func(body string) int {
+			req, err := http.NewRequest("PUT", control.URL+"/control/faults", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+			return resp.StatusCode
+		}
+		Expect(put(`{"cut":"reset"}`)).To(Equal(200))
+		c := dial(proxy.Addr())
+		Eventually(c.lines).Should(BeClosed())
+		Expect(put(`{"stall":"sideways"}`)).To(Equal(400))
+		Expect(put(`{"stal":"up"}`)).To(Equal(400))
+		Expect(proxy.Faults()).To(Equal(faultproxy.Faults{Cut: faultproxy.CutReset}))
+	})
+})
--- a/standin/faultproxy/faults.go
+++ b/standin/faultproxy/faults.go
@@ -95,6 +95,7 @@
 	mu      sync.Mutex
 	faults  Faults
 	changed chan struct{}
+	held    int
 }
 
 func newFaultState() *faultState { return &faultState{changed: make(chan struct{})} }
@@ -131,10 +132,31 @@
 		if !faults.stalls(d) {
 			return true
 		}
-		select {
-		case <-changed:
-		case <-done:
+		if !s.awaitChange(changed, done) {
 			return false
 		}
 	}
 }
+
+func (s *faultState) awaitChange(changed, done <-chan struct{}) bool {
+	s.countHeld(1)
+	defer s.countHeld(-1)
+	select {
+	case <-changed:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+func (s *faultState) countHeld(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held += change
+}
+
+func (s *faultState) heldNow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -51,6 +51,8 @@
 	Connections int64 `json:"connections"`
 	// Open is how many connections are open now.
 	Open int `json:"open"`
+	// Held is how many directions of connections hold bytes in a stall now.
+	Held int `json:"held"`
 	// BytesUp and BytesDown were delivered.
 	BytesUp   int64 `json:"bytes_up"`
 	BytesDown int64 `json:"bytes_down"`
@@ -91,6 +93,7 @@
 	defer p.mu.Unlock()
 	stats := p.stats
 	stats.Open = len(p.conns)
+	stats.Held = p.faults.heldNow()
 	return stats
 }
 
--- a/standin/hostlist/server.go
+++ b/standin/hostlist/server.go
@@ -165,9 +165,9 @@
 		return err
 	}
 	if host.Name == "" {
-		host.Name = c.Param("name")
+		host.Name = control.Param(c, "name")
 	}
-	if host.Name != c.Param("name") {
+	if host.Name != control.Param(c, "name") {
 		return control.Refuse(c, http.StatusBadRequest, "the body names another host")
 	}
 	if err := s.Put(host); err != nil {
@@ -177,7 +177,7 @@
 }
 
 func (s *Server) remove(c echo.Context) error {
-	if !s.Remove(c.Param("name")) {
+	if !s.Remove(control.Param(c, "name")) {
 		return control.Refuse(c, http.StatusNotFound, "no such host")
 	}
 	return s.getTrue(c)
--- a/standin/logsvc/stats.go
+++ b/standin/logsvc/stats.go
@@ -18,6 +18,8 @@
 	Reads int64 `json:"reads"`
 	// ReadBytes is the data of those reads.
 	ReadBytes int64 `json:"read_bytes"`
+	// WaitingReads is how many long polls wait now.
+	WaitingReads int `json:"waiting_reads"`
 	// AppendsLastSecond counts appends within the second before the question.
 	AppendsLastSecond int `json:"appends_last_second"`
 	// PeakAppendsPerSecond is the highest count of appends within any second.
@@ -63,6 +65,13 @@
 	c.stats.ReadBytes += int64(size)
 }
 
+// waiting counts a long poll that begins (1) or ends (-1) to wait.
+func (c *counters) waiting(change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stats.WaitingReads += change
+}
+
 func (c *counters) snapshot(nowMs int64) Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/standin/logsvc/streams.go
+++ b/standin/logsvc/streams.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -129,19 +128,29 @@
 		if len(page.Records) > 0 || query.wait == 0 {
 			return s.answerPage(c, page)
 		}
-		select {
-		case <-changed:
-		case <-faultsChanged:
-		case <-deadline.C:
+		if !s.await(c, deadline.C, changed, faultsChanged) {
 			return s.answerPage(c, page)
-		case <-s.closing:
-			return s.answerPage(c, page)
-		case <-c.Request().Context().Done():
-			return c.Request().Context().Err()
 		}
 	}
 }
 
+// await returns true when a waiting read has to look again, and false when its
+// time is up, its caller has gone or the server is closing.
+func (s *Server) await(c echo.Context, deadline <-chan time.Time, changed, faultsChanged <-chan struct{}) bool {
+	s.counters.waiting(1)
+	defer s.counters.waiting(-1)
+	select {
+	case <-changed:
+		return true
+	case <-faultsChanged:
+		return true
+	case <-deadline:
+	case <-s.closing:
+	case <-c.Request().Context().Done():
+	}
+	return false
+}
+
 func (s *Server) delayRead() {
 	faults, _ := s.faults.get()
 	time.Sleep(faults.readDelay())
@@ -179,8 +188,8 @@
 }
 
 func streamName(c echo.Context) (string, error) {
-	name, err := url.PathUnescape(c.Param("stream"))
-	if err != nil || name == "" || len(name) > maxStreamName {
+	name := control.Param(c, "stream")
+	if name == "" || len(name) > maxStreamName {
 		return "", echo.NewHTTPError(http.StatusBadRequest, "a stream's name has 1 to 200 bytes")
 	}
 	return name, nil
--- a/standin/weights/server.go
+++ b/standin/weights/server.go
@@ -103,7 +103,7 @@
 		return control.TooMany(c, wait)
 	}
 	s.mu.Lock()
-	weights, ok := s.held[version{c.Param("model"), c.Param("version")}]
+	weights, ok := s.held[version{control.Param(c, "model"), control.Param(c, "version")}]
 	s.mu.Unlock()
 	if !ok {
 		return control.Refuse(c, http.StatusNotFound, "no such model version")
@@ -121,7 +121,7 @@
 	if err := control.Decode(c, &body); err != nil {
 		return err
 	}
-	weights := platform.Weights{Model: c.Param("model"), Version: c.Param("version"), Bytes: body.Bytes}
+	weights := platform.Weights{Model: control.Param(c, "model"), Version: control.Param(c, "version"), Bytes: body.Bytes}
 	if err := s.Put(weights); err != nil {
 		return control.Refuse(c, http.StatusBadRequest, err.Error())
 	}
