--- /dev/null
+++ b/core/limits/limits_test.go
@@ -0,0 +1,165 @@
+package limits
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	os.Exit(m.Run())
+}
+
+var (
+	epoch = time.Unix(1_000_000, 0)
+	key   = Key{Profile: "orders", Caller: "hotel"}
+)
+
+// fleet is n daemons and one arbiter; the naive model is the plain count.
+type fleet struct {
+	locals  []*Local
+	arbiter *Arbiter
+	running []int
+	heard   []time.Time
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{arbiter: NewArbiter(), running: make([]int, n), heard: make([]time.Time, n)}
+	for range n {
+		f.locals = append(f.locals, NewLocal())
+	}
+	return f
+}
+
+// ask sends daemon i's asks; lost drops the answer on its way back.
+func (f *fleet) ask(now time.Time, i int, lost bool) {
+	for _, a := range f.locals[i].Asks(now) {
+		g := f.arbiter.Ask(now, fmt.Sprint(i), a)
+		f.heard[i] = now
+		if !lost {
+			f.locals[i].Granted(now, g)
+		}
+	}
+}
+
+func (f *fleet) total() int {
+	n := 0
+	for _, r := range f.running {
+		n += r
+	}
+	return n
+}
+
+// A caller spreads its requests over all daemons, at any moments, while asks
+// and their answers get lost. The count of all must stay in the stated bound:
+// L plus each daemon's base, as long as the arbiter hears of each daemon within
+// GrantLife.
+func TestInFlightStaysInTheStatedBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "daemons")
+		limit := Limit{InFlight: rapid.IntRange(1, 30).Draw(t, "limit")}
+		f := newFleet(n)
+		now := epoch
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, n-1).Draw(t, "daemon")
+			switch rapid.SampledFrom([]string{"acquire", "acquire", "acquire", "release", "ask", "lose"}).Draw(t, "op") {
+			case "acquire":
+				if f.locals[i].Acquire(now, key, limit, n, true) == Admitted {
+					f.running[i]++
+				}
+			case "release":
+				if f.running[i] > 0 {
+					f.running[i]--
+					f.locals[i].Release(now, key)
+				}
+			case "ask":
+				f.ask(now, i, false)
+			case "lose":
+				f.ask(now, i, true)
+			}
+			f.hearAll(now, rapid.Bool().Draw(t, "answer lost"))
+			if bound := limit.InFlight + n*max(1, limit.InFlight/(2*n)); f.total() > bound {
+				t.Fatalf("%d run, the bound is %d: %v", f.total(), bound, f.running)
+			}
+		}
+	})
+}
+
+// hearAll lets the daemons ask that are close to being forgotten.
+func (f *fleet) hearAll(now time.Time, lost bool) {
+	for i := range f.locals {
+		if now.Sub(f.heard[i]) > GrantLife-500*time.Millisecond {
+			f.ask(now, i, lost)
+		}
+	}
+}
+
+// A caller that is at its limit at one daemon and then moves to another must
+// get its whole limit there soon, though never more than it in all.
+func TestSharesFollowTheDemand(t *testing.T) {
+	f := newFleet(2)
+	limit := Limit{InFlight: 10}
+	f.ask(epoch, 0, false)
+	admitted := f.flood(epoch, 0, limit)
+	f.ask(epoch, 0, false)
+	admitted += f.flood(epoch, 0, limit)
+	if admitted != 10 {
+		t.Fatalf("%d admitted at the only daemon with demand, want 10", admitted)
+	}
+	now := epoch.Add(IdleAfter * 3)
+	for range 10 {
+		f.locals[0].Release(epoch, key)
+	}
+	f.ask(now, 0, false)
+	f.flood(now, 1, limit)
+	f.ask(now, 1, false)
+	f.flood(now, 1, limit)
+	if got := f.locals[1].keys[key].inFlight; got != 10 {
+		t.Fatalf("%d run at the daemon with all the demand, want 10", got)
+	}
+}
+
+func (f *fleet) flood(now time.Time, i int, limit Limit) int {
+	admitted := 0
+	for range 50 {
+		if f.locals[i].Acquire(now, key, limit, len(f.locals), true) == Admitted {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// A rate holds over the fleet: with all daemons flooded for a while no more
+// than rate x time passes, plus each bucket's start and burst.
+func TestRateStaysInTheStatedBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(t, "daemons")
+		limit := Limit{Rate: float64(rapid.IntRange(1, 40).Draw(t, "rate"))}
+		f := newFleet(n)
+		now, admitted := epoch, 0
+		for step := range 100 {
+			now = now.Add(50 * time.Millisecond)
+			i := rapid.IntRange(0, n-1).Draw(t, "daemon")
+			if f.locals[i].Acquire(now, key, limit, n, false) == Admitted {
+				admitted++
+				f.locals[i].Release(now, key)
+			}
+			if step%4 == 0 {
+				for j := range n {
+					f.ask(now, j, false)
+				}
+			}
+		}
+		bound := limit.Rate*(5+BurstSeconds) + float64(n) + limit.Rate/2
+		if float64(admitted) > bound {
+			t.Fatalf("%d admitted, the bound is %.1f", admitted, bound)
+		}
+	})
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,208 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
+
+func tableOf(n int) *Table {
+	zones := []string{"hai-chau", "son-tra", "ngu-hanh"}
+	targets := make([]Target, n)
+	for i := range targets {
+		targets[i] = Target{Address: address(i), Zone: zones[i%len(zones)]}
+	}
+	return NewTable("g", targets, 8)
+}
+
+// A caller must never be sent to a target that leaves, and not to one that was
+// tried already, that is out or that is on its slow return while another is
+// left. The naive model keeps its own word of each target's condition.
+func TestPickKeepsAwayFromUnusableTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "targets")
+		table := tableOf(n)
+		now := epoch
+		leaving, until := map[string]bool{}, map[string]time.Time{}
+		returning := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			a := address(rapid.IntRange(0, n-1).Draw(t, "target"))
+			switch rapid.SampledFrom([]string{"leave", "stay", "fail", "succeed", "pick", "pick"}).Draw(t, "op") {
+			case "leave":
+				table.SetLeaving(a, true)
+				leaving[a] = true
+			case "stay":
+				table.SetLeaving(a, false)
+				leaving[a] = false
+			case "fail":
+				table.Start(now, a, false)
+				table.End(now, a, false, HardFailed)
+				until[a], returning[a] = table.Hold(a), true
+			case "succeed":
+				table.Start(now, a, false)
+				table.End(now, a, false, Succeeded)
+			case "pick":
+				exclude := map[string]bool{address(rapid.IntRange(0, n-1).Draw(t, "tried")): true}
+				checkPick(t, table, now, exclude, leaving, until, returning)
+			}
+		}
+	})
+}
+
+func checkPick(t *rapid.T, table *Table, now time.Time, exclude, leaving map[string]bool, until map[string]time.Time, returning map[string]bool) {
+	staying, good := 0, 0
+	for i := range table.Len() {
+		a := address(i)
+		if leaving[a] {
+			continue
+		}
+		staying++
+		if !exclude[a] && !now.Before(until[a]) {
+			good++
+		}
+	}
+	affinity := rapid.SampledFrom([]string{"", "opening"}).Draw(t, "affinity")
+	choice, ok := table.Pick(now, Request{Zone: "son-tra", Exclude: exclude, Affinity: affinity, SeedValue: rapid.Uint64().Draw(t, "seed")})
+	if ok != (staying > 0) {
+		t.Fatalf("%d targets stay, picked: %v", staying, ok)
+	}
+	if leaving[choice.Address] {
+		t.Fatalf("picked leaving %s", choice.Address)
+	}
+	if good > 0 && (exclude[choice.Address] || now.Before(until[choice.Address])) {
+		t.Fatalf("picked %s though %d better targets were left", choice.Address, good)
+	}
+	if good > 0 && choice.Reason == ByLastResort {
+		t.Fatalf("last resort with %d good targets", good)
+	}
+}
+
+// Whatever prompts come, affinity must not build a queue at one target: the
+// naive model is the true load of a fleet in which all requests are ours.
+func TestAffinityKeepsToTheLoadBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 10).Draw(t, "targets")
+		table := tableOf(n)
+		truth := map[string]int{}
+		total := 0
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			r := Request{
+				Affinity:  rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "prompt"),
+				SeedValue: rapid.Uint64().Draw(t, "seed"),
+			}
+			choice, _ := table.Pick(epoch, r)
+			total++
+			truth[choice.Address]++
+			table.Start(epoch, choice.Address, false)
+			bound := LoadFactor*float64(total)/float64(n) + LoadSlack
+			if choice.Reason == ByPrefix && float64(truth[choice.Address]) > bound {
+				t.Fatalf("%s has %d of %d, the bound is %.2f", choice.Address, truth[choice.Address], total, bound)
+			}
+		}
+	})
+}
+
+// Against the naive model that always takes the least loaded target with
+// perfect knowledge, the choice of two may be worse by a few requests only.
+func TestChoiceOfTwoStaysNearLeastLoaded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const targets, requests = 10, 400
+		table := tableOf(targets)
+		random := splitmix(rapid.Uint64().Draw(t, "seed"))
+		worst := 0
+		for range requests {
+			choice, _ := table.Pick(epoch, Request{SeedValue: random.next()})
+			table.Start(epoch, choice.Address, false)
+			worst = max(worst, table.Own(choice.Address))
+		}
+		if least := requests / targets; worst > least+4 {
+			t.Fatalf("highest load %d, least loaded gives %d", worst, least)
+		}
+	})
+}
+
+// A load report is old when it comes. Ours since then must be added, or all
+// entry hosts run to the target that looked empty a moment ago.
+func TestLoadCorrectsTheReportsLag(t *testing.T) {
+	table := tableOf(2)
+	a := address(0)
+	table.Start(epoch.Add(time.Millisecond), a, false)
+	table.Start(epoch.Add(900*time.Millisecond), a, false)
+	table.End(epoch.Add(950*time.Millisecond), a, false, Succeeded)
+	now := epoch.Add(time.Second)
+	table.Hear(now, a, Word{Reported: 5, ReportAge: 500 * time.Millisecond, OnlineTotal: 2, BatchRunning: 1})
+	if got := table.entries[a].load(now); got != 4+1-1+BatchLoad {
+		t.Fatalf("load %v: want 4 reported online, 1 started and 1 ended since, and a batch item", got)
+	}
+	if got := table.entries[a].load(now.Add(WordLife + time.Millisecond)); got != 1 {
+		t.Fatalf("load %v by an old word: want the own request alone", got)
+	}
+}
+
+// A dead target comes back slowly: a trial first, then twice as many.
+func TestReturnRampsUp(t *testing.T) {
+	table := tableOf(1)
+	a := address(0)
+	table.Start(epoch, a, false)
+	if state, changed := table.End(epoch, a, false, HardFailed); state != Removed || !changed {
+		t.Fatalf("state %v changed %v", state, changed)
+	}
+	now := epoch.Add(FirstHold)
+	e := table.entries[a]
+	for _, allowance := range []int{1, 2, 4, 8} {
+		for range allowance {
+			if !e.open(now) {
+				t.Fatalf("closed below the allowance of %d", allowance)
+			}
+			table.Start(now, a, false)
+		}
+		if e.open(now) {
+			t.Fatalf("open above the allowance of %d", allowance)
+		}
+		for i := range allowance {
+			o := Neutral
+			if i == 0 {
+				o = Succeeded
+			}
+			table.End(now, a, false, o)
+		}
+	}
+	if e.health.state(now) != Healthy {
+		t.Fatalf("state %v after the ramp", e.health.state(now))
+	}
+}
+
+// A request whose deadline lies before the end of the queue is refused with a
+// time to come back; while any slot is free nobody is refused.
+func TestAdmitRefusesByTheQueue(t *testing.T) {
+	table := tableOf(1)
+	table.Measured(4 * time.Second)
+	deadline := epoch.Add(time.Second)
+	for i := range 8 {
+		if r := table.Admit(epoch, deadline); r != nil {
+			t.Fatalf("refused with %d of 8 slots used: %v", i, r)
+		}
+		table.Start(epoch, address(0), false)
+	}
+	table.Start(epoch, address(0), false)
+	table.Start(epoch, address(0), false)
+	r := table.Admit(epoch, deadline)
+	if r == nil || r.RetryAfterMs != 500 {
+		t.Fatalf("refusal %+v: 3 of 8 in 4 s are 1.5 s, 0.5 s past the deadline", r)
+	}
+}
--- /dev/null
+++ b/daemon/online/chat.go
@@ -0,0 +1,229 @@
+package online
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+const (
+	contentJSON = "application/json"
+	roleUser    = "user"
+)
+
+// Chat runs a chat completion. sink, if not nil, gets every token before Chat
+// returns; of a kept answer it gets the whole text as one token.
+func (o *Online) Chat(ctx context.Context, call api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+	began := o.opt.Clock()
+	result, refusal := o.chat(ctx, call, sink)
+	o.meters.ended(call.Call, o.opt.Clock().Sub(began), refusal)
+	if refusal != nil {
+		return api.ChatResult{}, refusal
+	}
+	return result, nil
+}
+
+func (o *Online) chat(ctx context.Context, call api.ChatCall, sink func(target.Token) error) (api.ChatResult, *outcome.Refusal) {
+	c := o.opt.Config()
+	if c == nil {
+		return api.ChatResult{}, outcome.Refuse(outcome.NotReady, "no configuration yet")
+	}
+	described := c.GroupForModel(call.Request.Model)
+	if described == nil {
+		return api.ChatResult{}, outcome.Refuse(outcome.UnknownTarget, "no target group serves model %q", call.Request.Model)
+	}
+	ctx, release, refusal := o.enter(ctx, call.Call, c)
+	if refusal != nil {
+		return api.ChatResult{}, refusal
+	}
+	defer release()
+	s := o.newStream(call, o.groupOf(c, described), sink)
+	if call.Key == "" {
+		refusal := o.attemptAll(ctx, s.run, s.try)
+		return s.result(), refusal
+	}
+	return o.chatKeyed(ctx, call, s)
+}
+
+// chatKeyed runs a chat under its idempotency key.
+func (o *Online) chatKeyed(ctx context.Context, call api.ChatCall, s *stream) (api.ChatResult, *outcome.Refusal) {
+	answer, replayed, refusal := o.keyed(ctx, s.run, func(ctx context.Context) (*ledger.Answer, *outcome.Refusal) {
+		if refusal := o.attemptAll(ctx, s.run, s.try); refusal != nil {
+			return nil, refusal
+		}
+		return encodeChat(s.result())
+	})
+	if refusal != nil {
+		return api.ChatResult{}, refusal
+	}
+	result, refusal := decodeChat(answer)
+	if refusal != nil {
+		return result, refusal
+	}
+	result.Replayed = replayed
+	if replayed && s.sink != nil && len(s.texts) == 0 {
+		if err := s.sink(target.Token{Index: 0, Text: result.Text}); err != nil {
+			return result, outcome.Refuse(outcome.Cancelled, "the caller left").WithRun(outcome.Ran)
+		}
+	}
+	return result, nil
+}
+
+// keptChat is the canonical form of a chat's kept answer.
+type keptChat struct {
+	Text   string        `json:"text"`
+	Finish target.Finish `json:"finish"`
+}
+
+func encodeChat(r api.ChatResult) (*ledger.Answer, *outcome.Refusal) {
+	body, err := json.Marshal(keptChat{Text: r.Text, Finish: r.Finish})
+	if err != nil {
+		return nil, outcome.Refuse(outcome.Internal, "answer cannot be kept: %v", err).WithRun(outcome.Ran)
+	}
+	return &ledger.Answer{Status: http.StatusOK, ContentType: contentJSON, Body: body}, nil
+}
+
+func decodeChat(a *ledger.Answer) (api.ChatResult, *outcome.Refusal) {
+	var kept keptChat
+	if err := json.Unmarshal(a.Body, &kept); err != nil {
+		return api.ChatResult{}, outcome.Refuse(outcome.Conflict, "the key's kept answer is not a chat's").
+			WithRun(outcome.Ran)
+	}
+	return api.ChatResult{Text: kept.Text, Finish: kept.Finish}, nil
+}
+
+// stream collects one chat's tokens over all attempts.
+type stream struct {
+	online  *Online
+	run     *run
+	request target.GenerateRequest
+	id      string
+	sink    func(target.Token) error
+	// texts are the tokens delivered so far, in order without gap: what the
+	// next attempt resumes after.
+	texts  []string
+	finish target.Finish
+	lastAt time.Time
+}
+
+func (o *Online) newStream(call api.ChatCall, g *group, sink func(target.Token) error) *stream {
+	r := o.newRun(call.Call, g)
+	r.pick.Prefixes = target.PrefixHashes(call.Request.Messages)
+	r.pick.Affinity = opening(call.Request.Messages)
+	r.tokens = promptTokens(call.Request.Messages)
+	return &stream{
+		online: o, run: r, request: call.Request, id: uuid.NewString(), sink: sink,
+		texts: call.Request.ResumeTokens[:len(call.Request.ResumeTokens):len(call.Request.ResumeTokens)],
+	}
+}
+
+// opening names a conversation: all messages up to the caller's first one. It
+// stays the same in each later turn, and differs between conversations under
+// one system prompt.
+func opening(messages []target.Message) string {
+	d := xxhash.New()
+	for _, m := range messages {
+		_, _ = d.WriteString(m.Role + "\x00" + m.Content + "\x01")
+		if m.Role == roleUser {
+			break
+		}
+	}
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+func promptTokens(messages []target.Message) int {
+	n := 0
+	for _, m := range messages {
+		n += len(m.Content)
+	}
+	return n / target.TokenBytes
+}
+
+func (s *stream) result() api.ChatResult {
+	finish := s.finish
+	finish.Usage.CompletionTokens = len(s.texts)
+	return api.ChatResult{Text: strings.Join(s.texts, ""), Finish: finish}
+}
+
+// try generates at one target, going on after the tokens already delivered.
+func (s *stream) try(ctx context.Context, address string, last bool) error {
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := s.online.stallLimit(s.run, last)
+	watch := watchStall(limit, cancel)
+	defer watch.stop()
+	request := s.request
+	request.StreamID = s.id + "." + strconv.Itoa(s.run.attempts)
+	request.ResumeTokens = append([]string(nil), s.texts...)
+	if s.run.attempts > 1 && len(s.texts) > 0 {
+		s.online.meters.resumes.Inc()
+	}
+	finish, err := s.online.opt.Engine.Generate(targetContext(attempt, s.run.call), address, request, func(t target.Token) error {
+		watch.alive()
+		return s.take(t)
+	})
+	if err != nil {
+		return stallError(attempt, ctx, err)
+	}
+	s.finish = finish
+	return nil
+}
+
+// take delivers a token exactly once. A target that repeats tokens it was told
+// to resume after, or that leaves a gap, must not reach the caller's text: the
+// first are dropped, a gap ends the attempt.
+func (s *stream) take(t target.Token) error {
+	if t.Index < len(s.texts) {
+		return nil
+	}
+	if t.Index > len(s.texts) {
+		return &target.Failure{Reached: true, Detail: "target left a gap in the stream"}
+	}
+	s.observe()
+	s.texts = append(s.texts, t.Text)
+	if s.sink == nil {
+		return nil
+	}
+	if err := s.sink(t); err != nil {
+		if s.keepGoing() {
+			s.sink = nil
+			return nil
+		}
+		return errSink
+	}
+	return nil
+}
+
+// keepGoing tells that the work goes on although its caller left: a
+// non-repeatable request that stops half way would have an unknown outcome.
+func (s *stream) keepGoing() bool { return !s.run.call.Profile.Repeatable }
+
+func (s *stream) observe() {
+	now := s.online.opt.Clock()
+	m := s.online.meters.profile(s.run.call.Profile.Name)
+	if s.lastAt.IsZero() {
+		m.firstToken.Update(now.Sub(s.run.started).Seconds())
+	} else {
+		m.betweenTokens.Update(now.Sub(s.lastAt).Seconds())
+	}
+	s.lastAt = now
+}
+
+func targetContext(ctx context.Context, call api.Call) context.Context {
+	ctx = target.WithUrgency(ctx, target.UrgencyOnline)
+	if call.Key == "" {
+		return ctx
+	}
+	return target.WithKey(ctx, scopedKey(call))
+}
--- /dev/null
+++ b/daemon/online/group.go
@@ -0,0 +1,193 @@
+package online
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/retry"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/daemon/signal"
+)
+
+// group is one target group as the online path sees it. Its lock is held for
+// decisions only, never across a call.
+type group struct {
+	name    string
+	kind    config.Kind
+	metrics *metrics.Set
+	logger  *zap.Logger
+	clock   func() time.Time
+
+	mu      sync.Mutex
+	table   *routing.Table
+	budget  *retry.Budget
+	running map[string]map[*run]bool
+	gauges  map[string]bool
+}
+
+func newGroup(o *Online, described *config.TargetGroup) *group {
+	return &group{
+		name: described.Name, kind: described.Kind,
+		metrics: o.opt.Metrics, logger: o.opt.Logger, clock: o.opt.Clock,
+		table:   routing.NewTable(described.Name, nil, described.Slots),
+		budget:  retry.NewBudget(0, o.opt.Clock()),
+		running: map[string]map[*run]bool{},
+		gauges:  map[string]bool{},
+	}
+}
+
+func (g *group) update(described *config.TargetGroup, retryShare float64) {
+	targets := make([]routing.Target, 0, len(described.Targets))
+	for _, t := range described.Targets {
+		targets = append(targets, routing.Target{Address: t.Address, Zone: t.Zone})
+		g.gauge(t.Address)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.SetTargets(targets, described.Slots)
+	g.budget.SetShare(retryShare)
+}
+
+// gauge registers the target's in-flight figure once. It reads through the
+// group, so a target that left shows 0.
+func (g *group) gauge(address string) {
+	if g.gauges[address] {
+		return
+	}
+	g.gauges[address] = true
+	name := `tarragonhollow_online_target_in_flight{group="` + g.name + `",target="` + address + `"}`
+	g.metrics.GetOrCreateGauge(name, func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.table.Own(address))
+	})
+}
+
+func (g *group) markLeaving(leaving func(address string) bool) {
+	g.mu.Lock()
+	loads := g.table.Loads(g.clock())
+	g.mu.Unlock()
+	marks := make(map[string]bool, len(loads))
+	for _, l := range loads {
+		marks[l.Address] = leaving(l.Address)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for address, mark := range marks {
+		g.table.SetLeaving(address, mark)
+	}
+}
+
+func (g *group) hear(now time.Time, w signal.Word) {
+	word := routing.Word{
+		OnlineTotal: w.OnlineTotal, BatchRunning: w.BatchRunning,
+		Reported:  w.Report.Running + w.Report.Waiting,
+		ReportAge: time.Duration(w.ReportAgeMs) * time.Millisecond,
+		Slots:     w.Report.Slots,
+	}
+	if w.Report.AtMs == 0 {
+		word.ReportAge = -1
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Hear(now, w.Address, word)
+}
+
+func (g *group) loads(now time.Time) []TargetLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []TargetLoad
+	for _, l := range g.table.Loads(now) {
+		out = append(out, TargetLoad{
+			Address: l.Address, Zone: l.Zone, InFlight: l.Own, Estimate: l.Estimate, State: l.State,
+		})
+	}
+	return out
+}
+
+// admit refuses a request that could not start in time.
+func (g *group) admit(now, deadline time.Time) *outcome.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.First()
+	return g.table.Admit(now, deadline)
+}
+
+// begin picks a target for the run's next attempt and counts it there at once,
+// so that two requests never choose by the same stale figure.
+func (g *group) begin(now time.Time, r *run) (routing.Choice, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	choice, ok := g.table.Pick(now, r.pick)
+	if !ok {
+		return choice, false
+	}
+	g.table.Start(now, choice.Address, r.pick.Alone)
+	if g.running[choice.Address] == nil {
+		g.running[choice.Address] = map[*run]bool{}
+	}
+	g.running[choice.Address][r] = true
+	return choice, true
+}
+
+// end takes the end of an attempt. For a crash it returns who ran there.
+func (g *group) end(now time.Time, address string, r *run, o routing.Outcome, crashed bool) *retry.Crash {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var crash *retry.Crash
+	if crashed {
+		crash = g.crash(now, address)
+	}
+	delete(g.running[address], r)
+	state, changed := g.table.End(now, address, r.pick.Alone, o)
+	if changed {
+		g.logState(now, address, state, r)
+	}
+	return crash
+}
+
+// crash lists the own requests on the target and estimates all of them.
+func (g *group) crash(now time.Time, address string) *retry.Crash {
+	c := &retry.Crash{Target: address, AtMs: now.UnixMilli(), Total: g.table.Concurrent(now, address)}
+	for r := range g.running[address] {
+		c.Running = append(c.Running, r.call.Fingerprint)
+	}
+	return c
+}
+
+func (g *group) logState(now time.Time, address string, state routing.State, r *run) {
+	fields := []zap.Field{
+		zap.String("group", g.name), zap.String("target", address),
+		zap.String("state", state.String()), zap.String("request_id", r.call.RequestID),
+	}
+	if state != routing.Removed {
+		g.logger.Info("target returned", fields...)
+		return
+	}
+	hold := g.table.Hold(address).Sub(now)
+	g.logger.Warn("target taken out", append(fields,
+		zap.Int64("hold_ms", hold.Milliseconds()), zap.String("cause", r.lastDetail),
+		zap.Int("own_in_flight", g.table.Own(address)))...)
+}
+
+// decide rules on a failed attempt.
+func (g *group) decide(s retry.Situation) retry.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return retry.Decide(s, g.budget)
+}
+
+// finished notes a whole answer: its time, and the prefixes the target now holds.
+func (g *group) finished(address string, total time.Duration, prefixes []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Measured(total)
+	for _, p := range prefixes {
+		g.table.Hint(address, p, true)
+	}
+}
--- /dev/null
+++ b/daemon/online/online_test.go
@@ -0,0 +1,296 @@
+package online_test
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/target"
+	"tarragonhollow.example/tarragonhollow/target/faketarget"
+)
+
+var _ = Describe("a stream whose target dies", func() {
+	// A guest reads the assistant's answer word by word. The target dies after
+	// three tokens; the next one gives up after two more. The guest must see one
+	// whole text: no word twice, none missing.
+	It("goes on elsewhere without a doubled or missing token", func() {
+		b := newBench("a:1", "b:1", "c:1")
+		whole := []string{"one ", "two ", "three ", "four ", "five ", "six "}
+		dieAt := []int{3, 5}
+		var attempt atomic.Int32
+		b.engine.OnGenerate = func(string, target.GenerateRequest) faketarget.Generation {
+			i := int(attempt.Add(1)) - 1
+			if i < len(dieAt) {
+				return faketarget.Generation{Tokens: whole[:dieAt[i]], Err: &target.Failure{Reached: true, Crashed: i == 0, Detail: "broke"}}
+			}
+			return faketarget.Generation{Tokens: whole}
+		}
+		b.start()
+		var seen []string
+		result, err := b.online.Chat(context.Background(), chatOf(menu, "", "hello"), func(t target.Token) error {
+			Expect(t.Index).To(Equal(len(seen)))
+			seen = append(seen, t.Text)
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen).To(Equal(whole))
+		Expect(result.Text).To(Equal("one two three four five six "))
+		calls := b.engine.Calls()
+		Expect(calls).To(HaveLen(3))
+		Expect(calls[1].Request.ResumeTokens).To(Equal(whole[:3]))
+		Expect(calls[2].Request.ResumeTokens).To(Equal(whole[:5]))
+		Expect(calls[1].Address).NotTo(Equal(calls[0].Address))
+		Expect(b.signals.open).To(BeZero())
+	})
+
+	// The tablet is switched off in the middle of an answer. The target must not
+	// go on generating for nobody.
+	It("is cancelled at the target when the caller stops reading", func() {
+		b := newBench("a:1", "b:1")
+		b.start()
+		_, err := b.online.Chat(context.Background(), chatOf(menu, "", "hello"), func(target.Token) error {
+			return errors.New("connection closed")
+		})
+		Expect(refusalOf(err).Code).To(Equal(outcome.Cancelled))
+		Expect(refusalOf(err).Run).To(Equal(outcome.MayHaveRun))
+		Expect(b.engine.Calls()).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("a request that may not be repeated", func() {
+	// A guest orders breakfast. The kitchen takes the ticket, its answer is
+	// lost. The order must not be sent again, here or on a resend, and the guest
+	// must not be told that it was not run.
+	It("is never sent twice when the answer is lost", func() {
+		b := newBench("a:1", "b:1")
+		b.service.OnCall = func(context.Context, string, target.ServiceRequest) (target.ServiceResponse, error) {
+			return target.ServiceResponse{}, &target.Failure{Reached: true, Crashed: true, Detail: "answer lost"}
+		}
+		b.start()
+		for range 2 {
+			_, err := b.online.Service(context.Background(), serviceOf(order, "k1", "breakfast"))
+			Expect(refusalOf(err).Code).To(Equal(outcome.OutcomeUnknown))
+			Expect(refusalOf(err).Run).To(Equal(outcome.MayHaveRun))
+		}
+		Expect(b.service.Calls()).To(HaveLen(1))
+	})
+
+	// One kitchen host refuses connections. The order certainly did not get
+	// there, so another host may take it.
+	It("goes to another target only while none was reached", func() {
+		b := newBench("a:1", "b:1")
+		b.service.OnCall = func(_ context.Context, address string, r target.ServiceRequest) (target.ServiceResponse, error) {
+			if address == "a:1" {
+				return target.ServiceResponse{}, &target.Failure{Detail: "connection refused"}
+			}
+			return target.ServiceResponse{Status: 200, Body: r.Body}, nil
+		}
+		b.start()
+		for i := range 8 {
+			answer, err := b.online.Service(context.Background(), serviceOf(order, strconv.Itoa(i), "tea"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(answer.Body)).To(Equal("tea"))
+		}
+	})
+
+	// The platform's log is out. An order can't be promised once only, so it is
+	// refused, truly not run; a question to the menu needs no log.
+	It("is refused, not run, while the log is out; a repeatable one runs", func() {
+		b := newBench("a:1", "b:1")
+		b.ledger.setDown(true)
+		b.start()
+		_, err := b.online.Service(context.Background(), serviceOf(order, "k1", "breakfast"))
+		Expect(refusalOf(err).Run).To(Equal(outcome.NotRun))
+		Expect(refusalOf(err).RetryAfterMs).To(BeNumerically(">", 0))
+		Expect(b.service.Calls()).To(BeEmpty())
+		_, err = b.online.Chat(context.Background(), chatOf(menu, "k2", "hello"), nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("is refused without a key", func() {
+		b := newBench("a:1")
+		b.start()
+		_, err := b.online.Service(context.Background(), serviceOf(order, "", "breakfast"))
+		Expect(refusalOf(err).Code).To(Equal(outcome.KeyRequired))
+		Expect(b.service.Calls()).To(BeEmpty())
+	})
+
+	// The guest's tablet drops its connection while the kitchen works on the
+	// order. The order goes on and its outcome is kept for the resend.
+	It("runs to its end when the caller leaves", func() {
+		b := newBench("a:1")
+		begun, goOn := make(chan struct{}), make(chan struct{})
+		b.service.OnCall = func(ctx context.Context, _ string, r target.ServiceRequest) (target.ServiceResponse, error) {
+			close(begun)
+			select {
+			case <-goOn:
+				return target.ServiceResponse{Status: 200, Body: r.Body}, nil
+			case <-ctx.Done():
+				return target.ServiceResponse{}, &target.Failure{Reached: true, Err: ctx.Err(), Detail: "cut"}
+			}
+		}
+		b.start()
+		ctx, leave := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.online.Service(ctx, serviceOf(order, "k1", "breakfast"))
+			done <- err
+		}()
+		<-begun
+		leave()
+		close(goOn)
+		Expect(<-done).NotTo(HaveOccurred())
+		answer, err := b.online.Service(context.Background(), serviceOf(order, "k1", "breakfast"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer.Body)).To(Equal("breakfast"))
+		Expect(b.service.Calls()).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("a keyed chat", func() {
+	It("replays the kept answer without running again", func() {
+		b := newBench("a:1")
+		b.start()
+		first, err := b.online.Chat(context.Background(), chatOf(order, "k1", "hello"), nil)
+		Expect(err).NotTo(HaveOccurred())
+		var text string
+		again, err := b.online.Chat(context.Background(), chatOf(order, "k1", "hello"), func(t target.Token) error {
+			text += t.Text
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Replayed).To(BeTrue())
+		Expect(again.Text).To(Equal(first.Text))
+		Expect(text).To(Equal(first.Text))
+		Expect(b.engine.Calls()).To(HaveLen(1))
+	})
+
+	// The log goes out while an order runs. The guest gets the answer at once;
+	// it becomes durable when the log is back, and Drain waits for that.
+	It("keeps its answer when the log comes back", func() {
+		b := newBench("a:1")
+		gate := make(chan struct{})
+		b.engine.OnGenerate = func(string, target.GenerateRequest) faketarget.Generation {
+			b.ledger.setDown(true)
+			return faketarget.Generation{Tokens: []string{"ok"}, Gate: gate}
+		}
+		b.start()
+		close(gate)
+		_, err := b.online.Chat(context.Background(), chatOf(order, "k1", "hello"), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.online.Status().Unkept).To(Equal(1))
+		b.ledger.setDown(false)
+		b.online.Drain(context.Background())
+		end, ok := b.ledger.end("hotel/k1")
+		Expect(ok).To(BeTrue())
+		Expect(string(end.Answer.Body)).To(ContainSubstring(`"text":"ok"`))
+	})
+})
+
+var _ = Describe("failing targets", func() {
+	// Nothing listens on any target. "not run" is true and must be said; after
+	// one target was reached it must not be said any more.
+	It("gives not_run only if no target was reached", func() {
+		b := newBench("a:1", "b:1", "c:1", "d:1")
+		var n atomic.Int32
+		reachedAt := int32(0)
+		b.engine.OnGenerate = func(string, target.GenerateRequest) faketarget.Generation {
+			return faketarget.Generation{Err: &target.Failure{Reached: n.Add(1) == reachedAt, Detail: "down"}}
+		}
+		b.start()
+		_, err := b.online.Chat(context.Background(), chatOf(menu, "", "x"), nil)
+		Expect(refusalOf(err).Run).To(Equal(outcome.NotRun))
+		Expect(b.engine.Calls()).To(HaveLen(menu.Retries + 1))
+		n.Store(0)
+		reachedAt = 2
+		_, err = b.online.Chat(context.Background(), chatOf(menu, "", "y"), nil)
+		Expect(refusalOf(err).Run).To(Equal(outcome.MayHaveRun))
+	})
+
+	// One drawing crashes every engine that reads it, and its caller sends it
+	// again and again. Two engines are lost to it, not the fleet.
+	It("lets a crashing request take two targets and no more", func() {
+		b := newBench("a:1", "b:1", "c:1", "d:1", "e:1")
+		b.engine.OnGenerate = func(_ string, r target.GenerateRequest) faketarget.Generation {
+			if r.Messages[0].Content == "crasher" {
+				return faketarget.Generation{Err: &target.Failure{Reached: true, Crashed: true, Detail: "broke"}}
+			}
+			return faketarget.Generation{Tokens: []string{"fine"}}
+		}
+		b.start()
+		for range 5 {
+			_, err := b.online.Chat(context.Background(), chatOf(menu, "", "crasher"), nil)
+			Expect(refusalOf(err).Code).To(Equal(outcome.Condemned))
+			Expect(refusalOf(err).Run).To(Equal(outcome.MayHaveRun))
+		}
+		Expect(b.engine.Calls()).To(HaveLen(2))
+		_, err := b.online.Chat(context.Background(), chatOf(menu, "", "innocent"), nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// A third of the targets answer every request with an error while many
+	// callers ask. Retries must stay within their share of the requests.
+	It("keeps a retry storm within the group's share", func() {
+		b := newBench("a:1", "b:1", "c:1", "d:1", "e:1", "f:1")
+		failing := map[string]bool{"a:1": true, "b:1": true}
+		b.engine.OnGenerate = func(address string, _ target.GenerateRequest) faketarget.Generation {
+			if failing[address] {
+				return faketarget.Generation{Err: &target.Failure{Reached: true, Status: 500, Detail: "500"}}
+			}
+			return faketarget.Generation{Tokens: []string{"fine"}}
+		}
+		b.start()
+		const requests, callers = 3000, 30
+		var failed atomic.Int32
+		var all sync.WaitGroup
+		for c := range callers {
+			all.Go(func() {
+				for i := range requests / callers {
+					if _, err := b.online.Chat(context.Background(), chatOf(menu, "", strconv.Itoa(c)+"/"+strconv.Itoa(i)), nil); err != nil {
+						failed.Add(1)
+					}
+				}
+			})
+		}
+		all.Wait()
+		retries := len(b.engine.Calls()) - requests
+		GinkgoWriter.Printf("requests %d, retries %d, failed %d\n", requests, retries, failed.Load())
+		Expect(retries).To(BeNumerically("<=", 20+requests/10+5))
+		Expect(failed.Load()).To(BeNumerically("<", requests/100))
+	})
+})
+
+var _ = Describe("admission", func() {
+	It("holds a caller's limit and frees it again", func() {
+		b := newBench("a:1")
+		gate := make(chan struct{})
+		b.engine.OnGenerate = func(string, target.GenerateRequest) faketarget.Generation {
+			return faketarget.Generation{Tokens: []string{"x"}, Gate: gate}
+		}
+		b.start()
+		limited := &config.Profile{Name: "limited", Repeatable: true, MaxInFlightPerCaller: 2}
+		done := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := b.online.Chat(context.Background(), chatOf(limited, "", "x"), nil)
+				done <- err
+			}()
+		}
+		Eventually(b.engine.Calls).Should(HaveLen(2))
+		_, err := b.online.Chat(context.Background(), chatOf(limited, "", "x"), nil)
+		Expect(refusalOf(err).Code).To(Equal(outcome.CallerLimit))
+		Expect(refusalOf(err).Run).To(Equal(outcome.NotRun))
+		close(gate)
+		Expect(<-done).NotTo(HaveOccurred())
+		Expect(<-done).NotTo(HaveOccurred())
+		_, err = b.online.Chat(context.Background(), chatOf(limited, "", "x"), nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- /dev/null
+++ b/daemon/online/run.go
@@ -0,0 +1,198 @@
+package online
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/retry"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+// noTargetRetryMs is told to callers when the group has no target to try.
+const noTargetRetryMs = 1000
+
+var (
+	// errStalled ends an attempt that stayed silent for too long.
+	errStalled = errors.New("target stayed silent for too long")
+	// errSink marks that the caller's side of a stream broke.
+	errSink = errors.New("caller stopped reading")
+)
+
+// run is one request on its way through attempts.
+type run struct {
+	call     api.Call
+	group    *group
+	pick     routing.Request
+	tokens   int
+	attempts int
+	// reached tells whether any attempt may have reached a target. It only ever
+	// turns true: every run state told to a caller rests on it.
+	reached    bool
+	lastDetail string
+	started    time.Time
+}
+
+// attempt sends the request to one target. last tells that no retry is left,
+// so that a slow target is better than none.
+type attempt func(ctx context.Context, address string, last bool) error
+
+func (o *Online) newRun(call api.Call, g *group) *run {
+	return &run{
+		call: call, group: g, started: o.opt.Clock(),
+		pick: routing.Request{Zone: o.opt.Zone, Exclude: map[string]bool{}, SeedValue: rand.Uint64()},
+	}
+}
+
+// attemptAll makes attempts until one succeeds or the rules give up.
+func (o *Online) attemptAll(ctx context.Context, r *run, try attempt) *outcome.Refusal {
+	if refusal := r.group.admit(o.opt.Clock(), r.call.Deadline); refusal != nil {
+		return refusal
+	}
+	for {
+		if refusal := o.mayRun(ctx, r); refusal != nil {
+			return refusal
+		}
+		choice, ok := r.group.begin(o.opt.Clock(), r)
+		if !ok {
+			return outcome.Refuse(outcome.NoTarget, "no target of %s is left", r.group.name).
+				WithRun(retry.RunState(r.reached)).After(noTargetRetryMs)
+		}
+		err := o.attemptOnce(ctx, r, choice, try)
+		if err == nil {
+			return nil
+		}
+		if refusal := o.afterFailure(ctx, r, choice.Address, err); refusal != nil {
+			return refusal
+		}
+	}
+}
+
+// mayRun refuses condemned requests and notes whether a suspect must run alone.
+func (o *Online) mayRun(ctx context.Context, r *run) *outcome.Refusal {
+	if ctx.Err() != nil {
+		return o.stopped(ctx, r)
+	}
+	verdict := o.opt.Suspects.Verdict(r.call.Fingerprint)
+	if verdict == retry.Condemned {
+		return condemnedRefusal()
+	}
+	r.pick.Alone = verdict == retry.Isolated
+	return nil
+}
+
+// condemnedRefusal says may_have_run: targets did get this content, or it would
+// not be condemned.
+func condemnedRefusal() *outcome.Refusal {
+	return outcome.Refuse(outcome.Condemned, "this request crashed the targets that ran it").
+		WithRun(outcome.MayHaveRun)
+}
+
+// attemptOnce makes one attempt with all the accounts kept.
+func (o *Online) attemptOnce(ctx context.Context, r *run, choice routing.Choice, try attempt) error {
+	r.attempts++
+	o.meters.attempt(choice.Reason)
+	o.opt.Signals.Begin(choice.Address, r.tokens)
+	began := o.opt.Clock()
+	err := try(ctx, choice.Address, r.attempts > r.call.Profile.Retries)
+	now := o.opt.Clock()
+	o.opt.Signals.End(choice.Address, r.tokens)
+	failure := target.FailureOf(err)
+	crashed := failure != nil && failure.Crashed && ctx.Err() == nil && !errors.Is(err, errSink)
+	if err != nil {
+		r.lastDetail = err.Error()
+		r.reached = r.reached || failure == nil || failure.Reached
+	}
+	crash := r.group.end(now, choice.Address, r, judge(ctx, err, failure), crashed)
+	if crash != nil {
+		o.opt.Suspects.Crashed(*crash)
+	}
+	if err == nil {
+		r.reached = true
+		r.group.finished(choice.Address, now.Sub(began), r.pick.Prefixes)
+		o.opt.Suspects.Completed(r.call.Fingerprint)
+	}
+	return err
+}
+
+// judge says what an attempt's end tells about the target.
+func judge(ctx context.Context, err error, f *target.Failure) routing.Outcome {
+	switch {
+	case err == nil:
+		return routing.Succeeded
+	case errors.Is(err, errSink), ctx.Err() != nil:
+		return routing.Neutral
+	case f == nil:
+		return routing.SoftFailed
+	case f.Rejected:
+		return routing.Succeeded
+	case f.Busy:
+		return routing.Neutral
+	case f.Crashed, !f.Reached:
+		return routing.HardFailed
+	default:
+		return routing.SoftFailed
+	}
+}
+
+// afterFailure returns the final refusal, or nil after the wait for a retry.
+func (o *Online) afterFailure(ctx context.Context, r *run, address string, err error) *outcome.Refusal {
+	if ctx.Err() != nil || errors.Is(err, errSink) {
+		return o.stopped(ctx, r)
+	}
+	r.pick.Exclude[address] = true
+	failure := target.FailureOf(err)
+	if failure == nil {
+		failure = &target.Failure{Reached: true, Detail: err.Error()}
+	}
+	decision := r.group.decide(retry.Situation{
+		Failure: retry.Failure{
+			Reached: failure.Reached, Rejected: failure.Rejected, Busy: failure.Busy, Detail: failure.Detail,
+		},
+		Repeatable: r.call.Profile.Repeatable, ReachedBefore: r.reached,
+		Attempts: r.attempts, Retries: r.call.Profile.Retries,
+		Now: o.opt.Clock(), Deadline: r.call.Deadline, Random: rand.Float64(),
+	})
+	if decision.Refusal != nil {
+		return decision.Refusal
+	}
+	o.meters.retries.Inc()
+	o.opt.Logger.Debug("attempt failed",
+		zap.String("request_id", r.call.RequestID), zap.String("target", address),
+		zap.Int("attempt", r.attempts), zap.String("cause", failure.Detail),
+		zap.Int64("backoff_ms", decision.Backoff.Milliseconds()))
+	r.pick.SeedValue = rand.Uint64()
+	pause(ctx, decision.Backoff)
+	return nil
+}
+
+// stopped is the final word when the caller's time or interest ran out.
+func (o *Online) stopped(ctx context.Context, r *run) *outcome.Refusal {
+	run := retry.RunState(r.reached)
+	unknown := r.reached && !r.call.Profile.Repeatable
+	switch {
+	case unknown:
+		return outcome.Refuse(outcome.OutcomeUnknown, "no answer came in time").WithRun(run)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), !o.opt.Clock().Before(r.call.Deadline):
+		return outcome.Refuse(outcome.DeadlineExceeded, "the deadline passed").WithRun(run)
+	default:
+		return outcome.Refuse(outcome.Cancelled, "the caller left").WithRun(run)
+	}
+}
+
+// stallLimit is how long an attempt may stay silent; 0 is without bound. A
+// target that hangs (a lost host, a cut cable) shows as silence only. The last
+// attempt and those that may not be repeated wait to the deadline.
+func (o *Online) stallLimit(r *run, last bool) time.Duration {
+	if last || !r.call.Profile.Repeatable {
+		return 0
+	}
+	third := r.call.Deadline.Sub(o.opt.Clock()) / 3
+	return min(max(third, o.opt.StallMin), o.opt.StallMax)
+}
--- /dev/null
+++ b/daemon/online/shares.go
@@ -0,0 +1,202 @@
+package online
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/core/limits"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+const (
+	// LimitsService is the net/rpc name of the arbiters of caller limits.
+	LimitsService = "Limits"
+	askMethod     = LimitsService + ".Ask"
+
+	// askEvery is how often shares are renewed.
+	askEvery = 200 * time.Millisecond
+	// askTimeout bounds one ask, and so the wait of a request for its answer.
+	askTimeout = 100 * time.Millisecond
+	// expireArbiter is how often the arbiter forgets silent daemons.
+	expireArbiter = 5 * time.Second
+)
+
+// LimitAsk carries a daemon's grouped asks to one arbiter.
+type LimitAsk struct {
+	// Daemon is the asking incarnation's id.
+	Daemon string
+	Asks   []limits.Ask
+}
+
+// LimitGrants answers a LimitAsk.
+type LimitGrants struct {
+	Grants []limits.Grant
+}
+
+// shares is this daemon's side of the fleet-wide caller limits, and the arbiter
+// of those that fall to it.
+type shares struct {
+	opt     Options
+	wake    chan struct{}
+	mu      sync.Mutex
+	local   *limits.Local
+	arbiter *limits.Arbiter
+	// round is closed when the next round of asks is answered.
+	round chan struct{}
+}
+
+func newShares(o Options) (*shares, error) {
+	s := &shares{
+		opt: o, wake: make(chan struct{}, 1), round: make(chan struct{}),
+		local: limits.NewLocal(), arbiter: limits.NewArbiter(),
+	}
+	return s, o.Registrar.Register(LimitsService, &limitsService{s})
+}
+
+// limitsService is the net/rpc face of the arbiter.
+type limitsService struct {
+	shares *shares
+}
+
+// Ask answers with the asking daemon's shares.
+func (l *limitsService) Ask(a *LimitAsk, reply *LimitGrants) error {
+	reply.Grants = l.shares.grant(a)
+	return nil
+}
+
+func (s *shares) grant(a *LimitAsk) []limits.Grant {
+	now := s.opt.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	grants := make([]limits.Grant, 0, len(a.Asks))
+	for _, ask := range a.Asks {
+		grants = append(grants, s.arbiter.Ask(now, a.Daemon, ask))
+	}
+	return grants
+}
+
+// acquire admits a call under its profile's caller limits. Profiles without
+// such limits cost nothing here.
+func (s *shares) acquire(ctx context.Context, call api.Call) (func(), *outcome.Refusal) {
+	limit := limits.Limit{InFlight: call.Profile.MaxInFlightPerCaller, Rate: call.Profile.RatePerCaller}
+	if limit.None() {
+		return func() {}, nil
+	}
+	key := limits.Key{Profile: call.Profile.Name, Caller: call.Caller}
+	verdict := s.try(key, limit, false)
+	if verdict == limits.AskFirst {
+		s.awaitRound(ctx)
+		verdict = s.try(key, limit, true)
+	}
+	if verdict != limits.Admitted {
+		return nil, outcome.Refuse(outcome.CallerLimit, "the caller is over its limit in profile %s", key.Profile).
+			After(limits.RetryAfterMs)
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.local.Release(s.opt.Clock(), key)
+	}, nil
+}
+
+func (s *shares) try(key limits.Key, limit limits.Limit, last bool) limits.Verdict {
+	daemons := len(s.opt.View.Members())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.local.Acquire(s.opt.Clock(), key, limit, daemons, last)
+}
+
+// awaitRound waits for the next answered round of asks. All requests that need
+// one share it, so a burst costs one message and not one each.
+func (s *shares) awaitRound(ctx context.Context) {
+	s.mu.Lock()
+	round := s.round
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case <-round:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *shares) loop(ctx context.Context) {
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	expire := time.NewTicker(expireArbiter)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-expire.C:
+			s.mu.Lock()
+			s.arbiter.Expire(s.opt.Clock())
+			s.mu.Unlock()
+		case <-tick.C:
+			s.askAll(ctx)
+		case <-s.wake:
+			s.askAll(ctx)
+		}
+	}
+}
+
+// askAll sends one grouped ask to each arbiter and ends the round.
+func (s *shares) askAll(ctx context.Context) {
+	sentAt := s.opt.Clock()
+	s.mu.Lock()
+	asks := s.local.Asks(sentAt)
+	round := s.round
+	s.round = make(chan struct{})
+	s.mu.Unlock()
+	var all sync.WaitGroup
+	for address, group := range s.byArbiter(asks) {
+		all.Go(func() { s.ask(ctx, sentAt, address, group) })
+	}
+	all.Wait()
+	close(round)
+}
+
+// byArbiter groups the asks by the peer address of their arbiter: the first
+// usable daemon in rendezvous order of the caller and profile.
+func (s *shares) byArbiter(asks []limits.Ask) map[string]*LimitAsk {
+	self := s.opt.View.Self().ID()
+	groups := map[string]*LimitAsk{}
+	for _, ask := range asks {
+		order := s.opt.View.Successors("limits/" + ask.Key.Profile + "/" + ask.Key.Caller)
+		if len(order) == 0 {
+			continue
+		}
+		address := order[0].PeerAddress
+		if groups[address] == nil {
+			groups[address] = &LimitAsk{Daemon: self}
+		}
+		groups[address].Asks = append(groups[address].Asks, ask)
+	}
+	return groups
+}
+
+func (s *shares) ask(ctx context.Context, sentAt time.Time, address string, a *LimitAsk) {
+	var reply LimitGrants
+	if address == s.opt.View.Self().PeerAddress {
+		reply.Grants = s.grant(a)
+	} else {
+		call, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		if s.opt.Peer.Call(call, address, askMethod, a, &reply) != nil {
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range reply.Grants {
+		s.local.Granted(sentAt, g)
+	}
+}
--- /dev/null
+++ b/daemon/online/suite_test.go
@@ -0,0 +1,208 @@
+package online_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/retry"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/online"
+	"tarragonhollow.example/tarragonhollow/daemon/signal"
+	"tarragonhollow.example/tarragonhollow/target"
+	"tarragonhollow.example/tarragonhollow/target/faketarget"
+)
+
+func TestOnline(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "online")
+}
+
+// view is a fleet of one daemon.
+type view struct{ membership.View }
+
+func (view) Self() membership.Member                 { return membership.Member{Host: "d1", Incarnation: 1} }
+func (v view) Members() []membership.Member          { return []membership.Member{v.Self()} }
+func (view) TargetLeaving(string) bool               { return false }
+func (v view) Successors(string) []membership.Member { return v.Members() }
+
+type registrar struct{}
+
+func (registrar) Register(string, any) error { return nil }
+
+type caller struct{}
+
+func (caller) Call(context.Context, string, string, any, any) error { return context.Canceled }
+func (caller) Notify(string, string, any)                           {}
+
+type signals struct {
+	mu   sync.Mutex
+	open int
+}
+
+func (s *signals) Begin(string, int)           { s.mu.Lock(); s.open++; s.mu.Unlock() }
+func (s *signals) End(string, int)             { s.mu.Lock(); s.open--; s.mu.Unlock() }
+func (s *signals) OnWords(func([]signal.Word)) {}
+
+// tracker is a Suspects without peers.
+type tracker struct {
+	mu   sync.Mutex
+	core *retry.Suspects
+}
+
+func (t *tracker) Verdict(f string) retry.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Verdict(f)
+}
+
+func (t *tracker) Crashed(c retry.Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Crashed(c)
+}
+
+func (t *tracker) Completed(f string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Completed(f)
+}
+
+// fakeLedger grants each key once and keeps its end; down makes it unreachable.
+type fakeLedger struct {
+	ledger.Client
+	mu    sync.Mutex
+	down  bool
+	kept  map[string]ledger.FinishRequest
+	begun map[string]string
+}
+
+func (l *fakeLedger) Begin(_ context.Context, r ledger.BeginRequest) (ledger.BeginReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return ledger.BeginReply{}, outcome.Refuse(outcome.LogUnavailable, "the log is out").After(700)
+	}
+	if end, ok := l.kept[r.Key]; ok {
+		return ledger.BeginReply{Verdict: ledger.Settled, Answer: end.Answer, Refusal: end.Refusal}, nil
+	}
+	if nonce, ok := l.begun[r.Key]; ok && nonce != r.Nonce {
+		return ledger.BeginReply{Verdict: ledger.StillRunning}, nil
+	}
+	l.begun[r.Key] = r.Nonce
+	return ledger.BeginReply{Verdict: ledger.Granted, Attempt: 1}, nil
+}
+
+func (l *fakeLedger) Finish(_ context.Context, r ledger.FinishRequest) (ledger.FinishReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return ledger.FinishReply{}, outcome.Refuse(outcome.LogUnavailable, "the log is out")
+	}
+	delete(l.begun, r.Key)
+	if r.Refusal == nil || r.Refusal.Run != outcome.NotRun {
+		l.kept[r.Key] = r
+	}
+	return ledger.FinishReply{Durable: true, Answer: r.Answer, Refusal: r.Refusal}, nil
+}
+
+func (l *fakeLedger) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *fakeLedger) end(key string) (ledger.FinishRequest, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end, ok := l.kept[key]
+	return end, ok
+}
+
+// bench is one daemon's online path over fakes.
+type bench struct {
+	engine  faketarget.Engine
+	service faketarget.Service
+	ledger  *fakeLedger
+	signals *signals
+	config  *config.Config
+	online  *online.Online
+	stop    context.CancelFunc
+	duties  *duty.Group
+}
+
+func newBench(targets ...string) *bench {
+	b := &bench{
+		ledger:  &fakeLedger{kept: map[string]ledger.FinishRequest{}, begun: map[string]string{}},
+		signals: &signals{},
+	}
+	var list []config.Target
+	for _, t := range targets {
+		list = append(list, config.Target{Address: t, Zone: "hai-chau"})
+	}
+	b.config = &config.Config{
+		Version: 1,
+		Groups: map[string]*config.TargetGroup{
+			"menu":    {Name: "menu", Kind: config.KindEngine, Model: "menu", Targets: list, Slots: 64},
+			"kitchen": {Name: "kitchen", Kind: config.KindService, Targets: list, Slots: 64},
+		},
+		Limits: config.Limits{RetryShare: 0.1, CrashLimit: 2},
+	}
+	return b
+}
+
+func (b *bench) start() {
+	var err error
+	b.online, err = online.New(online.Options{
+		View: view{}, Config: func() *config.Config { return b.config }, Ledger: b.ledger,
+		Engine: &b.engine, Service: &b.service, Peer: caller{}, Registrar: registrar{},
+		Signals: b.signals, Suspects: &tracker{core: retry.NewSuspects(2)},
+		Host: "d1", Zone: "hai-chau",
+		BeginPatience: 20 * time.Millisecond, OrderPatience: 100 * time.Millisecond,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	var ctx context.Context
+	ctx, b.stop = context.WithCancel(context.Background())
+	b.duties = duty.NewGroup(ctx)
+	b.online.Run(b.duties)
+	DeferCleanup(func() { b.stop(); b.duties.Wait() })
+}
+
+var (
+	menu  = &config.Profile{Name: "menu", Urgency: config.Online, Repeatable: true, Retries: 3}
+	order = &config.Profile{Name: "order", Urgency: config.Online, Retries: 3}
+)
+
+func callOf(p *config.Profile, key, content string) api.Call {
+	return api.Call{
+		RequestID: "r-" + content, Caller: "hotel", Profile: p, Key: key,
+		Deadline: time.Now().Add(20 * time.Second), Fingerprint: content,
+	}
+}
+
+func chatOf(p *config.Profile, key, content string) api.ChatCall {
+	return api.ChatCall{Call: callOf(p, key, content), Request: target.GenerateRequest{
+		Model: "menu", Messages: []target.Message{{Role: "user", Content: content}}, MaxTokens: 8,
+	}}
+}
+
+func serviceOf(p *config.Profile, key, content string) api.ServiceCall {
+	return api.ServiceCall{Call: callOf(p, key, content), Service: "kitchen", Request: target.ServiceRequest{
+		Method: "POST", Path: "/tickets", Body: []byte(content),
+	}}
+}
+
+func refusalOf(err error) *outcome.Refusal {
+	var r *outcome.Refusal
+	ExpectWithOffset(1, err).To(BeAssignableToTypeOf(r))
+	return err.(*outcome.Refusal)
+}
