--- a/inifile/decoder.go
+++ b/inifile/decoder.go
@@ -142,7 +142,8 @@
 	return false
 }
 
-// Fail tells a fault of a key's value: what is wrong and what is allowed.
+// Fail tells a fault of a key's value: what is wrong and what is allowed. The
+// key "" stands for the section itself.
 func (s *Section) Fail(key, reason, allowed string) {
 	e, ok := s.lookup(key)
 	s.decoder.problem(&Problem{Line: s.line(key), Section: s.Name, Key: key, Value: e.value, HasValue: ok,
@@ -156,7 +157,7 @@
 
 // lookup notes the question and returns the value as written.
 func (s *Section) lookup(key string) (entry, bool) {
-	if !slices.Contains(s.asked, key) {
+	if key != "" && !slices.Contains(s.asked, key) {
 		s.asked = append(s.asked, key)
 	}
 	if s.source == nil {
--- a/settings/load.go
+++ b/settings/load.go
@@ -64,9 +64,9 @@
 	place, value, found := strings.Cut(override, "=")
 	section, key, dotted := strings.Cut(place, ".")
 	if !found || !dotted || section == "" || key == "" {
-		return ErrOverride.New("--set %q; allowed: section.key=value", override)
+		return ErrOverride.New("--set %q; allowed: section.key=value", place)
 	}
-	file.Set("--set "+override, section, key, value)
+	file.Set("--set", section, key, value)
 	return nil
 }
 
