Add the callers' client library

The try command, the load tool and the tests all speak to daemons as callers do; one client serves them.

--- /dev/null
+++ b/caller/jobs.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+// Line is one line of a job.
+type Line struct {
+	CustomID string `json:"custom_id"`
+	URL      string `json:"url"`
+	Body     any    `json:"body"`
+}
+
+// EncodeLines returns a job's body.
+func EncodeLines(lines []Line) ([]byte, error) {
+	var body bytes.Buffer
+	enc := json.NewEncoder(&body)
+	for _, line := range lines {
+		if err := enc.Encode(line); err != nil {
+			return nil, err
+		}
+	}
+	return body.Bytes(), nil
+}
+
+// Job is a job's status. Times are Unix milliseconds, 0 is "not yet".
+type Job struct {
+	Job        string `json:"job"`
+	Profile    string `json:"profile"`
+	State      string `json:"state"`
+	Items      int    `json:"items"`
+	Waiting    int    `json:"waiting"`
+	Running    int    `json:"running"`
+	Completed  int    `json:"completed"`
+	Failed     int    `json:"failed"`
+	Cancelled  int    `json:"cancelled"`
+	AcceptedMs int64  `json:"accepted_ms"`
+	DueMs      int64  `json:"due_ms"`
+	EndedMs    int64  `json:"ended_ms"`
+	ForecastMs int64  `json:"forecast_ms"`
+}
+
+// Ended tells whether no item will run any more.
+func (j Job) Ended() bool { return j.State == "ended" || j.State == "cancelled" }
+
+// Result is one line of a job's results.
+type Result struct {
+	CustomID string `json:"custom_id"`
+	State    string `json:"state"`
+	Attempts int    `json:"attempts"`
+	Response *struct {
+		Status int             `json:"status"`
+		Body   json.RawMessage `json:"body"`
+	} `json:"response"`
+	Error *struct {
+		Code    outcome.Code     `json:"code"`
+		Message string           `json:"message"`
+		Run     outcome.RunState `json:"run"`
+	} `json:"error"`
+}
+
+// PutJob submits a job; created is false when the same job was there already.
+func (c *Client) PutJob(ctx context.Context, o Options, name string, body []byte) (created bool, err error) {
+	status, _, err := c.do(ctx, http.MethodPut, "/v1/jobs/"+name, bytes.NewReader(body), o, nil)
+	return status == http.StatusAccepted, err
+}
+
+// Job returns a job's status.
+func (c *Client) Job(ctx context.Context, o Options, name string) (Job, error) {
+	return c.job(ctx, http.MethodGet, o, name)
+}
+
+// CancelJob cancels a job; it returns once no new item will start anywhere.
+func (c *Client) CancelJob(ctx context.Context, o Options, name string) (Job, error) {
+	return c.job(ctx, http.MethodDelete, o, name)
+}
+
+func (c *Client) job(ctx context.Context, method string, o Options, name string) (Job, error) {
+	var job Job
+	_, text, err := c.do(ctx, method, "/v1/jobs/"+name, nil, o, nil)
+	if err != nil {
+		return job, err
+	}
+	return job, json.Unmarshal(text, &job)
+}
+
+// Results returns a job's results so far.
+func (c *Client) Results(ctx context.Context, o Options, name string) ([]Result, error) {
+	_, text, err := c.do(ctx, http.MethodGet, "/v1/jobs/"+name+"/results", nil, o, nil)
+	if err != nil {
+		return nil, err
+	}
+	var results []Result
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	lines.Buffer(nil, maxAnswerBytes)
+	for lines.Scan() {
+		var result Result
+		if err := json.Unmarshal(lines.Bytes(), &result); err != nil {
+			return nil, err
+		}
+		results = append(results, result)
+	}
+	return results, lines.Err()
+}
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/caller"
 )
 
 // Arm is one way of running the fleet that an experiment compares.
@@ -117,7 +119,7 @@
 		return 0, err
 	}
 	if arm.Batch {
-		if err := client.CancelJob(ctx, round, job); err != nil {
+		if _, err := client.Daemon(round).CancelJob(ctx, caller.Options{}, job); err != nil {
 			return 0, err
 		}
 	}
@@ -128,8 +130,8 @@
 	if !arm.Batch {
 		return 0, nil
 	}
-	counts, err := client.Job(ctx, 0, job)
-	return counts.Completed, err
+	status, err := client.Daemon(0).Job(ctx, caller.Options{}, job)
+	return status.Completed, err
 }
 
 // sendOnline sends the round's arrivals open-loop: no request waits for an
