Make routing hints cheap and ask stewards about idle targets

Targets used only by other entry hosts looked empty, so their stewards are now asked as well, at a fixed rate per steward. A target that lets a deadline pass in silence counts as failing, else requests without a stall bound would never take it out.

--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// WordLife is how long a steward's word counts. Words come back with every
@@ -74,9 +77,6 @@
 
 // since counts the moments after t.
 func (h *history) since(t time.Time) int {
-	n := 0
-	for i := len(h.at) - 1; i >= 0 && h.at[i].After(t); i-- {
-		n++
-	}
-	return n
+	first := sort.Search(len(h.at), func(i int) bool { return h.at[i].After(t) })
+	return len(h.at) - first
 }
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -195,25 +195,28 @@
 	return Choice{}, false
 }
 
-// hinted returns the least loaded target, within the bound, that is known to
-// hold the longest prefix of at least HintShare of the prompt.
+// hinted returns the target, within the bound, that is known to hold the longest
+// prefix of at least HintShare of the prompt; of several the least loaded one.
 func hinted(now time.Time, usable []*entry, prefixes []string, limit float64) *entry {
 	shortest := int(HintShare * float64(len(prefixes)))
-	for i := len(prefixes) - 1; i >= shortest; i-- {
-		var best *entry
-		for _, e := range usable {
-			if !e.prefixes.has(prefixes[i]) || e.load(now)+1 > limit {
-				continue
-			}
-			if best == nil || e.load(now) < best.load(now) {
-				best = e
-			}
+	keys := make([]uint64, 0, len(prefixes)-shortest)
+	for _, prefix := range prefixes[shortest:] {
+		keys = append(keys, hashString(prefix))
+	}
+	var best *entry
+	longest, lightest := 0, 0.0
+	for _, e := range usable {
+		held := e.prefixes.longest(keys)
+		if held == 0 || held < longest {
+			continue
 		}
-		if best != nil {
-			return best
+		load := e.load(now)
+		if load+1 > limit || held == longest && load >= lightest {
+			continue
 		}
+		best, longest, lightest = e, held, load
 	}
-	return nil
+	return best
 }
 
 // byLoad is the choice of two, made in the own zone and over all zones; the
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -154,6 +154,34 @@
 	}
 }
 
+// A conversation's next turn should find the target that cached the earlier
+// ones, unless that is overloaded; a short common prefix decides nothing.
+func TestHintFindsTheCachedPrompt(t *testing.T) {
+	table := tableOf(4)
+	prompt := []string{"p1", "p2", "p3", "p4"}
+	for i := range 4 {
+		table.Hint(address(i), "p1", true)
+	}
+	for _, p := range prompt[:3] {
+		table.Hint(address(2), p, true)
+	}
+	r := Request{Prefixes: prompt}
+	if choice, _ := table.Pick(epoch, r); choice != (Choice{address(2), ByHint}) {
+		t.Fatalf("picked %+v", choice)
+	}
+	for range 10 {
+		table.Start(epoch, address(2), false)
+	}
+	if choice, _ := table.Pick(epoch, r); choice.Address == address(2) {
+		t.Fatalf("picked %+v though it is overloaded", choice)
+	}
+	table.Hint(address(2), "p3", false)
+	table.Hint(address(2), "p2", false)
+	if choice, _ := table.Pick(epoch, r); choice.Reason == ByHint {
+		t.Fatalf("picked %+v by a prefix that all hold", choice)
+	}
+}
+
 // A dead target comes back slowly: a trial first, then twice as many.
 func TestReturnRampsUp(t *testing.T) {
 	table := tableOf(1)
--- a/daemon/online/chat.go
+++ b/daemon/online/chat.go
@@ -171,6 +171,7 @@
 	}
 	finish, err := s.online.opt.Engine.Generate(targetContext(attempt, s.run.call), address, request, func(t target.Token) error {
 		watch.alive()
+		s.run.answered = true
 		return s.take(t)
 	})
 	if err != nil {
--- a/daemon/online/online.go
+++ b/daemon/online/online.go
@@ -58,6 +58,7 @@
 func (o *Online) Run(g *duty.Group) {
 	g.Go(o.refreshLoop)
 	g.Go(o.probeLoop)
+	g.Go(o.eventsLoop)
 	g.Go(o.finish.finishLoop)
 	g.Go(o.gate.shareLoop)
 }
@@ -131,6 +132,17 @@
 		kept[name] = g
 	}
 	o.groups = kept
+	o.opt.Signals.Watch(addressesOf(c))
+}
+
+func addressesOf(c *config.Config) []string {
+	var addresses []string
+	for _, g := range c.Groups {
+		for _, t := range g.Targets {
+			addresses = append(addresses, t.Address)
+		}
+	}
+	return addresses
 }
 
 // groupOf returns the group that the configuration in force names, following a
--- a/daemon/online/options.go
+++ b/daemon/online/options.go
@@ -50,6 +50,7 @@
 type Signals interface {
 	Begin(address string, promptTokens int)
 	End(address string, promptTokens int)
+	Watch(addresses []string)
 	OnWords(func([]signal.Word))
 }
 
--- a/daemon/online/run.go
+++ b/daemon/online/run.go
@@ -36,7 +36,9 @@
 	// turns true: every run state told to a caller rests on it.
 	reached    bool
 	lastDetail string
-	started    time.Time
+	// answered tells that the current attempt has given something back.
+	answered bool
+	started  time.Time
 }
 
 // attempt sends the request to one target. last tells that no retry is left,
@@ -97,6 +99,7 @@
 // attemptOnce makes one attempt with all the accounts kept.
 func (o *Online) attemptOnce(ctx context.Context, r *run, choice routing.Choice, try attempt) error {
 	r.attempts++
+	r.answered = false
 	o.meters.attempt(choice.Reason)
 	o.opt.Signals.Begin(choice.Address, r.tokens)
 	began := o.opt.Clock()
@@ -109,7 +112,11 @@
 		r.lastDetail = err.Error()
 		r.reached = r.reached || failure == nil || failure.Reached
 	}
-	crash := r.group.end(now, choice.Address, r, judge(ctx, err, failure), crashed)
+	verdict := judge(ctx, err, failure)
+	if o.silent(ctx, r, now.Sub(began), err) {
+		verdict = routing.SoftFailed
+	}
+	crash := r.group.end(now, choice.Address, r, verdict, crashed)
 	if crash != nil {
 		o.opt.Suspects.Crashed(*crash)
 	}
@@ -121,6 +128,15 @@
 	return err
 }
 
+// silent tells that the deadline passed over a target that gave nothing back.
+// Without this a target that hangs would never be taken out by requests that
+// may not be repeated: they have no stall bound. Deadlines shorter than that
+// bound tell of the caller, not of the target.
+func (o *Online) silent(ctx context.Context, r *run, took time.Duration, err error) bool {
+	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	return err != nil && expired && !r.answered && took >= o.opt.StallMin
+}
+
 // judge says what an attempt's end tells about the target.
 func judge(ctx context.Context, err error, f *target.Failure) routing.Outcome {
 	switch {
--- a/daemon/online/suite_test.go
+++ b/daemon/online/suite_test.go
@@ -51,6 +51,7 @@
 
 func (s *signals) Begin(string, int)           { s.mu.Lock(); s.open++; s.mu.Unlock() }
 func (s *signals) End(string, int)             { s.mu.Lock(); s.open--; s.mu.Unlock() }
+func (s *signals) Watch([]string)              {}
 func (s *signals) OnWords(func([]signal.Word)) {}
 
 // tracker is a Suspects without peers.
--- a/daemon/signal/sender.go
+++ b/daemon/signal/sender.go
@@ -24,6 +24,11 @@
 	// zeroRepeats is how often a count that fell to zero is still refreshed: the
 	// one message that says "none" may be lost as well.
 	zeroRepeats = 3
+	// watchPerDaemon scales the period at which idle targets are asked about, so
+	// that a steward hears at most 200 such signals a second from the fleet.
+	watchPerDaemon = 5 * time.Millisecond
+	// watchSlack absorbs the refresh ticker's jitter.
+	watchSlack = 50 * time.Millisecond
 )
 
 var (
@@ -52,17 +57,23 @@
 	opt          Options
 	sent, failed *metrics.Counter
 	wake         chan struct{}
-	mu           sync.Mutex
-	loads        map[string]*load
-	seq          uint64
-	local        Receiver
-	onWords      func([]Word)
-	busy         map[string]bool
+	// deliveries are on their way, at most one per steward.
+	deliveries sync.WaitGroup
+	mu         sync.Mutex
+	loads      map[string]*load
+	seq        uint64
+	local      Receiver
+	onWords    func([]Word)
+	busy       map[string]bool
 }
 
 type load struct {
 	TargetLoad
 	dirty bool
+	// watched targets are asked about also while nothing of ours runs there.
+	watched bool
+	// saidAt is when the count was said last.
+	saidAt time.Time
 	// repeats counts the refreshes left after the count fell to zero.
 	repeats int
 }
@@ -99,14 +110,39 @@
 // it must return at once.
 func (s *Sender) OnWords(f func([]Word)) { s.onWords = f }
 
-// Begin counts a request that is about to be sent to the target.
-func (s *Sender) Begin(address string, promptTokens int) {
+// Watch names the targets that may be picked. Their stewards are asked for a
+// word now and then also while nothing of ours runs there: without it a target
+// that only other entry hosts use would look empty.
+func (s *Sender) Watch(addresses []string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.loads {
+		l.watched = false
+	}
+	for _, address := range addresses {
+		s.load(address).watched = true
+	}
+	for address, l := range s.loads {
+		if !l.watched && !l.dirty && l.Online == 0 && l.repeats == 0 {
+			delete(s.loads, address)
+		}
+	}
+}
+
+// load returns the target's counts. The lock is held.
+func (s *Sender) load(address string) *load {
 	l := s.loads[address]
 	if l == nil {
 		l = &load{TargetLoad: TargetLoad{Address: address}}
 		s.loads[address] = l
 	}
+	return l
+}
+
+// Begin counts a request that is about to be sent to the target.
+func (s *Sender) Begin(address string, promptTokens int) {
+	s.mu.Lock()
+	l := s.load(address)
 	l.Online++
 	l.Started++
 	l.PromptTokens += promptTokens
@@ -139,6 +175,7 @@
 func (s *Sender) Run(g *duty.Group) { g.Go(s.sendLoop) }
 
 func (s *Sender) sendLoop(ctx context.Context) {
+	defer s.deliveries.Wait()
 	refresh := time.NewTicker(s.opt.RefreshEvery)
 	defer refresh.Stop()
 	for {
@@ -177,7 +214,7 @@
 			s.deliverLocal(signal)
 			continue
 		}
-		go s.deliver(ctx, steward, signal)
+		s.deliveries.Go(func() { s.deliver(ctx, steward, signal) })
 	}
 }
 
@@ -191,8 +228,11 @@
 	defer s.mu.Unlock()
 	due := map[destination]Signal{}
 	s.seq++
+	now := time.Now()
+	watch := max(s.opt.RefreshEvery, time.Duration(len(s.opt.View.Members()))*watchPerDaemon)
 	for address, l := range s.loads {
-		if !l.due(refresh) {
+		idle := refresh && l.watched && now.Sub(l.saidAt) >= watch-watchSlack
+		if !l.due(refresh) && !idle {
 			continue
 		}
 		member, ok := StewardOf(s.opt.View, address)
@@ -204,7 +244,7 @@
 		signal.Entry, signal.Seq = self, s.seq
 		signal.Targets = append(signal.Targets, l.TargetLoad)
 		due[to] = signal
-		l.dirty = false
+		l.dirty, l.saidAt = false, now
 	}
 	for to := range due {
 		s.busy[to.id] = to.id != self
@@ -258,7 +298,7 @@
 	delete(s.busy, steward)
 	again := false
 	for _, t := range signal.Targets {
-		l := s.loads[t.Address]
+		l := s.load(t.Address)
 		again = again || l.dirty
 		if err != nil {
 			l.repeats = zeroRepeats
--- a/daemon/suspects/suspects.go
+++ b/daemon/suspects/suspects.go
@@ -29,8 +29,10 @@
 	tellEvery = 200 * time.Millisecond
 	// callTimeout bounds one call of a peer.
 	callTimeout = time.Second
-	// pullEvery is the wait between tries to learn from a peer after the start.
-	pullEvery = 500 * time.Millisecond
+	// pullEvery is the wait between tries to learn from a peer after the start;
+	// repullEvery is the wait afterwards, which heals what was told in vain.
+	pullEvery   = 500 * time.Millisecond
+	repullEvery = 30 * time.Second
 	// expireEvery is how often old crashes are forgotten.
 	expireEvery = time.Minute
 	// maxPending bounds the crashes that wait to be told.
@@ -228,9 +230,10 @@
 }
 
 // pullLoop learns from one random peer what happened before this daemon
-// started, then ends.
+// started, and now and then what it was told in vain.
 func (t *Tracker) pullLoop(ctx context.Context) {
-	for pause(ctx, pullEvery) {
+	wait := pullEvery
+	for pause(ctx, wait) {
 		self := t.opt.View.Self()
 		others := t.opt.View.Members()
 		others = others[:without(others, self.Host)]
@@ -241,7 +244,7 @@
 		var reply Message
 		if t.call(ctx, from.PeerAddress, allMethod, &Message{From: self.ID()}, &reply) {
 			t.learn(reply.Crashes)
-			return
+			wait = repullEvery
 		}
 	}
 }
