Show service-level burn as a table of objectives and windows

The report was shown like any document before, which nested the windows in one cell. An objective that alerts is marked in the page; reasons follow by target group.

--- /dev/null
+++ b/cli/burn.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"tarragonhollow.example/tarragonhollow/core/burn"
+)
+
+// reportMode is the mode of a written report.
+const reportMode = 0o644
+
+// reportCommand returns `report burn`.
+func (a *app) reportCommand() *cobra.Command {
+	var path string
+	report := &cobra.Command{
+		Use:   "burn [--json] [--html FILE]",
+		Short: "Show how fast each objective's error budget is being used up",
+		Long: "Show how fast each objective's error budget is being used up. A burn of 1 would spend\n" +
+			"the budget just in time. Alerts: fast (5m and 1h at 14.4 or more), slow (30m and 6h at\n" +
+			"6 or more).\n\n" + exitHelp,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return a.reportBurn(cmd, path) },
+	}
+	report.Flags().StringVar(&path, "html", "", "also write the report as one HTML file")
+	return a.addClientFlags(group("report", "Reports", report))
+}
+
+// reportBurn fetches the report, writes the page if asked for, and prints it.
+func (a *app) reportBurn(cmd *cobra.Command, path string) error {
+	body, _, err := a.fetch(cmd, call{method: http.MethodGet, path: "/admin/burn"})
+	if err != nil {
+		return err
+	}
+	var r burn.Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return exitWith(ExitFailed, fmt.Errorf("the daemon's answer is not readable: %w", err))
+	}
+	if path != "" {
+		page, err := htmlPage("Service-level burn", a.when(r.AtMs), burnBlocks(r))
+		if err != nil {
+			return failed(err)
+		}
+		if err := os.WriteFile(path, page, reportMode); err != nil {
+			return failed(err)
+		}
+	}
+	if a.flags.json {
+		_, err := a.Out.Write(body)
+		return failed(err)
+	}
+	fmt.Fprintf(a.Out, "as of %s\n\n", a.when(r.AtMs))
+	a.printBlocks(burnBlocks(r))
+	return nil
+}
+
+// burnBlocks lays out a report: one row for each objective, and the reasons of
+// those that lost part of their budget.
+func burnBlocks(r burn.Report) []block {
+	overview := block{Title: "burn", Header: true, Rows: [][]string{burnHeader(r)}, Marked: map[int]bool{}}
+	reasons := block{Title: "reasons in the last 6h", Header: true,
+		Rows: [][]string{{"PROFILE", "OBJECTIVE", "TARGET GROUP", "REASON", "COUNT"}}}
+	for _, p := range r.Profiles {
+		for _, o := range p.Objectives {
+			overview.Marked[len(overview.Rows)] = o.Alerting
+			overview.Rows = append(overview.Rows, burnRow(p.Profile, o))
+			for _, top := range o.TopReasons {
+				reasons.Rows = append(reasons.Rows,
+					[]string{p.Profile, o.Objective, top.Group, top.Reason, strconv.FormatUint(top.Count, 10)})
+			}
+		}
+	}
+	switch {
+	case len(overview.Rows) == 1:
+		return []block{{Rows: [][]string{{"no profile has an objective"}}}}
+	case len(reasons.Rows) == 1:
+		return []block{overview}
+	default:
+		return []block{overview, reasons}
+	}
+}
+
+// burnHeader names the columns; the windows are the report's own, the same for
+// every objective.
+func burnHeader(r burn.Report) []string {
+	header := []string{"PROFILE", "OBJECTIVE", "SHARE"}
+	if len(r.Profiles) > 0 && len(r.Profiles[0].Objectives) > 0 {
+		for _, w := range r.Profiles[0].Objectives[0].Windows {
+			header = append(header, strings.ToUpper(w.Window))
+		}
+	}
+	return append(header, "BUDGET LEFT", "ALERT")
+}
+
+// burnRow lays out one objective.
+func burnRow(profile string, o burn.ObjectiveReport) []string {
+	row := []string{profile, o.Objective, percent(o.Share)}
+	for _, w := range o.Windows {
+		row = append(row, fmt.Sprintf("%.2f (%d/%d)", w.Burn, w.Bad, w.Total))
+	}
+	alert := "-"
+	if o.Alerting {
+		alert = strings.ToUpper(string(o.Alert))
+	}
+	return append(row, percent(o.BudgetLeft), alert)
+}
+
+// percent writes a share as a percentage with up to four significant digits.
+func percent(share float64) string {
+	const hundred = 100
+	return strconv.FormatFloat(share*hundred, 'g', 4, 64) + "%"
+}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"tarragonhollow.example/tarragonhollow/cli"
+	"tarragonhollow.example/tarragonhollow/core/burn"
 	"tarragonhollow.example/tarragonhollow/settings"
 )
 
@@ -147,16 +149,33 @@
 		Expect(sent.String()).To(Equal("stdin line\n"))
 	})
 
-	It("prints a document in its own order, as a page, or untouched", func() {
+	It("prints a document in its own order, or untouched", func() {
 		body := `{"profile":"p","lag_ms":1500,"hosts":{"b":{"shards":[1,2]},"a":{"shards":[],"used_bytes":2048}},"note":"<b>"}`
 		url, _, _ := daemon(200, body)
 		Expect(run(cli.Programs{}, "status", "--daemon", url).out).To(Equal(
 			"profile  p\nlag      1.5s\nnote     <b>\n\nhosts:\nNAME  SHARDS  USED\nb     1, 2    -\na             2KiB\n"))
-		Expect(run(cli.Programs{}, "report", "burn", "--json", "--daemon", url).out).To(Equal(body))
+		Expect(run(cli.Programs{}, "status", "--json", "--daemon", url).out).To(Equal(body))
+	})
+
+	It("reports burn as a table, as a page, or untouched", func() {
+		report := burn.Report{AtMs: 1, Profiles: []burn.ProfileReport{{Profile: "p", Objectives: []burn.ObjectiveReport{{
+			Objective: "availability", Share: 0.995, BudgetLeft: -0.25, Alerting: true, Alert: burn.FastAlert,
+			Windows:    []burn.WindowBurn{{Window: "5m", Burn: 20, Total: 100, Bad: 10}},
+			TopReasons: []burn.TopReason{{Group: "<g>", Reason: "no_target", Count: 10}},
+		}}}}}
+		body, err := json.Marshal(report)
+		Expect(err).NotTo(HaveOccurred())
+		url, _, _ := daemon(200, string(body))
 		path := filepath.Join(GinkgoT().TempDir(), "burn.html")
-		Expect(run(cli.Programs{}, "report", "burn", "--html", path, "--daemon", url).code).To(Equal(0))
+		Expect(run(cli.Programs{}, "report", "burn", "--html", path, "--daemon", url).out).To(ContainSubstring(
+			"burn:\nPROFILE  OBJECTIVE     SHARE  5M              BUDGET LEFT  ALERT\n" +
+				"p        availability  99.5%  20.00 (10/100)  -25%         FAST\n\n" +
+				"reasons in the last 6h:\nPROFILE  OBJECTIVE     TARGET GROUP  REASON     COUNT\n" +
+				"p        availability  <g>           no_target  10\n"))
 		page, err := os.ReadFile(path)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(page)).To(And(ContainSubstring("<th>SHARDS</th>"), ContainSubstring("&lt;b&gt;")))
+		Expect(string(page)).To(And(ContainSubstring(`<tr class="marked"><td>p</td>`), ContainSubstring("<th>REASON</th>"),
+			ContainSubstring("&lt;g&gt;"), Not(ContainSubstring("<g>"))))
+		Expect(run(cli.Programs{}, "report", "burn", "--json", "--daemon", url).out).To(Equal(string(body)))
 	})
 })
--- a/cli/html.go
+++ b/cli/html.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"html/template"
-	"time"
 )
 
 // page is a report as one file without scripts or links, so that it can be
@@ -16,6 +15,7 @@
 <style>
 body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem; color: #222; }
 table { border-collapse: collapse; margin-bottom: 1.5rem; }
+tr.marked { background: #fde2e0; }
 td, th { border-bottom: 1px solid #ccc; padding: .25rem .75rem; text-align: left; }
 </style>
 </head>
@@ -24,19 +24,19 @@
 <p>As of {{.At}}</p>
 {{range .Blocks}}{{if .Title}}<h2>{{.Title}}</h2>{{end}}
 <table>
-{{$header := .Header}}{{range $i, $row := .Rows}}<tr>{{range $row}}{{if and $header (eq $i 0)}}<th>{{.}}</th>{{else}}<td>{{.}}</td>{{end}}{{end}}</tr>
+{{$header := .Header}}{{$marked := .Marked}}{{range $i, $row := .Rows}}<tr{{if index $marked $i}} class="marked"{{end}}>{{range $row}}{{if and $header (eq $i 0)}}<th>{{.}}</th>{{else}}<td>{{.}}</td>{{end}}{{end}}</tr>
 {{end}}</table>
 {{end}}</body>
 </html>
 `))
 
-// htmlPage renders a document as an HTML file; the template escapes all values.
-func (a *app) htmlPage(title string, n node) ([]byte, error) {
+// htmlPage renders blocks as an HTML file; the template escapes all values.
+func htmlPage(title, at string, blocks []block) ([]byte, error) {
 	var out bytes.Buffer
 	err := page.Execute(&out, struct {
 		Title  string
 		At     string
 		Blocks []block
-	}{title, a.now().Format(time.RFC1123), a.blocks("", n)})
+	}{title, at, blocks})
 	return out.Bytes(), err
 }
--- a/cli/render.go
+++ b/cli/render.go
@@ -16,9 +16,12 @@
 
 // block is one part of a rendered document: aligned rows under a title.
 type block struct {
-	Title  string
-	Rows   [][]string
+	Title string
+	Rows  [][]string
+	// Header tells that the first row holds the columns' names.
 	Header bool
+	// Marked names the rows that a page highlights.
+	Marked map[int]bool
 }
 
 // blocks splits a document into tables: the scalars of an object first, then
@@ -50,9 +53,9 @@
 	return n.kind == array && slices.ContainsFunc(n.values, func(v node) bool { return v.kind == object })
 }
 
-// render prints a document for a person.
-func (a *app) render(n node) {
-	for i, b := range a.blocks("", n) {
+// printBlocks prints blocks for a person.
+func (a *app) printBlocks(blocks []block) {
+	for i, b := range blocks {
 		if i > 0 {
 			fmt.Fprintln(a.Out)
 		}
--- a/cli/status.go
+++ b/cli/status.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 
 	"github.com/spf13/cobra"
 
@@ -32,56 +31,10 @@
 	if done, err := a.passOrParse(body, &doc); done || err != nil {
 		return err
 	}
-	a.render(doc.root)
+	a.printBlocks(a.blocks("", doc.root))
 	return nil
 }
 
-// reportCommand returns `report burn`.
-func (a *app) reportCommand() *cobra.Command {
-	var path string
-	burn := &cobra.Command{
-		Use:   "burn [--json] [--html FILE]",
-		Short: "Show how fast each objective's error budget is being used up",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if path == "" {
-				return a.show(cmd, "/admin/burn")
-			}
-			return a.burnPage(cmd, path)
-		},
-	}
-	burn.Flags().StringVar(&path, "html", "", "write the report as one HTML file instead")
-	return a.addClientFlags(group("report", "Reports", burn))
-}
-
-// burnPage writes the burn report as an HTML file.
-func (a *app) burnPage(cmd *cobra.Command, path string) error {
-	body, _, err := a.fetch(cmd, call{method: http.MethodGet, path: "/admin/burn"})
-	if err != nil {
-		return err
-	}
-	var doc document
-	if err := json.Unmarshal(body, &doc); err != nil {
-		return exitWith(ExitFailed, fmt.Errorf("the daemon's answer is not readable: %w", err))
-	}
-	page, err := a.htmlPage("Service-level burn", doc.root)
-	if err != nil {
-		return failed(err)
-	}
-	if err := os.WriteFile(path, page, reportMode); err != nil {
-		return failed(err)
-	}
-	if a.flags.json {
-		_, err = a.Out.Write(body)
-		return failed(err)
-	}
-	fmt.Fprintf(a.Out, "wrote %s\n", path)
-	return nil
-}
-
-// reportMode is the mode of a written report.
-const reportMode = 0o644
-
 // logLevelCommand returns `log-level`.
 func (a *app) logLevelCommand() *cobra.Command {
 	return a.addClientFlags(&cobra.Command{
