Add the ledger: fold, shard owner and the daemon's shards

Cause: accepted requests, jobs and results must outlive every host, with the platform's log as the only thing that lasts.

Change: core/ledger folds a shard's stream into state and decides, as the shard's owner, what to append and what to answer; core/shard says where names live and who tries a claim when; daemon/shards claims, appends, reads back and routes calls to the owner.

Ruled out: anchoring a late reader at a record's base offset, because records between the reader's start and that base would have to be judged without knowing the term. Instead each record names an offset at which a record certainly counted and from which all live state is complete.

--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -84,6 +84,10 @@
 	// Refusal is set otherwise. With Run == not_run the key becomes free again;
 	// with may_have_run a non-repeatable request stays unknown.
 	Refusal *outcome.Refusal
+	// Begin is what the run was granted on. The ledger's client fills it in, so
+	// that an owner whose predecessor died before the start was on the log can
+	// still keep the end.
+	Begin BeginRequest
 }
 
 // FinishReply answers a FinishRequest.
--- /dev/null
+++ b/daemon/shards/claim.go
@@ -0,0 +1,171 @@
+package shards
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/core/shard"
+)
+
+const (
+	// doubtSteps is how many claim steps longer a shard counts as held when its
+	// holder is merely leaving (it is about to name its successor) or has not
+	// reached the log lately (it may be a blip).
+	doubtSteps = 4
+	// moveEvery bounds how often a shard is released for balance.
+	moveEvery = 2 * time.Second
+	// settleTime is how long a fresh holder is given to tell that it holds the
+	// shard, before a claim is weighed against it.
+	settleTime = 5 * time.Second
+)
+
+// claimLoop claims shards that have no usable holder and gives up shards that
+// others should hold.
+func (s *Shards) claimLoop(ctx context.Context) {
+	every(ctx, tickEvery, func() {
+		if s.draining.Load() || s.opt.Clock().Sub(s.started) < s.opt.ColdStart {
+			return
+		}
+		held := len(s.Holds())
+		for _, sl := range s.slots {
+			if s.considerClaim(ctx, sl, held) {
+				held++
+			}
+		}
+		s.rebalance(held)
+	})
+}
+
+// unheldCause tells why the shard needs a claim, "" if it has a usable holder.
+func (s *Shards) unheldCause(id int) (cause string, doubt bool) {
+	holder, ok := s.opt.View.Holder(id)
+	switch {
+	case !ok:
+		return "no live holder", false
+	case holder.State == membership.Leaving:
+		return "holder " + holder.Host + " is leaving", true
+	case !holder.LogOK:
+		return "holder " + holder.Host + " does not reach the log", true
+	}
+	return "", false
+}
+
+// considerClaim starts a hold duty when it is this daemon's turn.
+func (s *Shards) considerClaim(ctx context.Context, sl *slot, held int) bool {
+	cause, doubt := s.unheldCause(sl.id)
+	now := s.opt.Clock()
+	successors := s.opt.View.Successors(shard.Key(sl.id))
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	if sl.busy || (cause == "" && !sl.named) {
+		sl.unheld = time.Time{}
+		return false
+	}
+	if sl.unheld.IsZero() {
+		sl.unheld = now
+	}
+	sl.cause = cause
+	wait, ok := s.claimAfter(sl, successors, held)
+	if doubt && !sl.named {
+		wait += doubtSteps * s.opt.ClaimStep
+	}
+	if !ok || now.Sub(sl.unheld) < wait || !s.logOK.Load() {
+		return false
+	}
+	sl.busy, sl.named = true, false
+	s.group.Go(func(ctx context.Context) { s.hold(ctx, sl) })
+	return true
+}
+
+func (s *Shards) claimAfter(sl *slot, successors []membership.Member, held int) (time.Duration, bool) {
+	f := shard.Facts{
+		Shard: sl.id, Self: s.opt.View.Self().ID(), Shards: len(s.slots), Held: held,
+		Named: sl.named, StepMs: s.opt.ClaimStep.Milliseconds(),
+	}
+	for _, m := range successors {
+		f.Successors = append(f.Successors, m.ID())
+	}
+	ms, ok := shard.ClaimAfter(f)
+	return time.Duration(ms) * time.Millisecond, ok
+}
+
+// rebalance releases one shard at a time while this daemon holds more than its
+// fair part and another has room, as after a cold start or when hosts come back.
+func (s *Shards) rebalance(held int) {
+	now := s.opt.Clock()
+	if now.Sub(s.lastMove) < moveEvery || !s.logOK.Load() {
+		return
+	}
+	self := s.opt.View.Self().ID()
+	for _, sl := range s.slots {
+		var ranked []shard.Load
+		for _, m := range s.opt.View.Successors(shard.Key(sl.id)) {
+			ranked = append(ranked, shard.Load{ID: m.ID(), Shards: len(m.Shards)})
+		}
+		to, ok := shard.Rebalance(self, held, len(s.slots), ranked)
+		if !ok {
+			return
+		}
+		if s.release(sl, to) {
+			s.lastMove = now
+			return
+		}
+	}
+}
+
+// release has the owner give the shard up to the successor.
+func (s *Shards) release(sl *slot, to string) bool {
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	if !sl.holding() {
+		return false
+	}
+	s.opt.Logger.Info("shard_release", zap.Int("shard", sl.id), zap.String("successor", to))
+	sl.owner.Release(s.nowMs(), to)
+	sl.poke()
+	return true
+}
+
+// tellSuccessor asks the named successor to claim now instead of at its turn.
+func (s *Shards) tellSuccessor(sl *slot, successor string) {
+	for _, m := range s.opt.View.Members() {
+		if m.ID() == successor {
+			s.opt.Peer.Notify(m.PeerAddress, methodTakeOver, TakeOverRequest{Shard: sl.id})
+			return
+		}
+	}
+}
+
+// Drain hands all shards over and returns when none is held. Claims end at once.
+func (s *Shards) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	for _, sl := range s.slots {
+		if to := s.bestSuccessor(sl.id); to != "" {
+			s.release(sl, to)
+		}
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for len(s.Holds()) > 0 {
+		select {
+		case <-ctx.Done():
+			return DrainTimeout.New("%d shards are still held", len(s.Holds()))
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// bestSuccessor is the best ranked other member, "" if there is none.
+func (s *Shards) bestSuccessor(id int) string {
+	self := s.opt.View.Self().ID()
+	for _, m := range s.opt.View.Successors(shard.Key(id)) {
+		if m.ID() != self {
+			return m.ID()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/daemon/shards/hold.go
@@ -0,0 +1,232 @@
+package shards
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/platform"
+)
+
+const (
+	// readBytes bounds one page of a stream.
+	readBytes = 4 << 20
+	// pollWait is how long a read waits for the next record; pollWaitDown while
+	// the log is being tried again after a failure.
+	pollWait     = 2 * time.Second
+	pollWaitDown = 200 * time.Millisecond
+	// callTimeout bounds an append or a look at a stream's bounds.
+	callTimeout = 3 * time.Second
+	// pauseAfterError is the wait before the log is asked again.
+	pauseAfterError = 200 * time.Millisecond
+)
+
+// hold replays the shard's stream, claims the shard and serves as its owner
+// until another daemon has it.
+func (s *Shards) hold(ctx context.Context, sl *slot) {
+	defer s.ended(sl)
+	began := s.opt.Clock()
+	st, err := s.replay(ctx, sl)
+	if err != nil {
+		s.noteLog(false)
+		s.opt.Logger.Warn("shard_replay_failed", zap.Int("shard", sl.id), zap.Error(err))
+		return
+	}
+	took := s.opt.Clock().Sub(began)
+	if s.freshlyHeld(st) {
+		return
+	}
+	s.meter.replay.Update(took.Seconds())
+	owner := ledger.NewOwner(s.ownerConfig(sl.id), st, s.nowMs())
+	sl.mu.Lock()
+	sl.owner = owner
+	_, before := st.Term()
+	s.opt.Logger.Info("shard_claim", zap.Int("shard", sl.id), zap.Uint64("term", owner.Term()),
+		zap.String("cause", sl.cause), zap.String("previous", before),
+		zap.Duration("unheld", s.opt.Clock().Sub(sl.unheld)),
+		zap.Duration("replay", took), zap.Int64("next", st.Next()))
+	sl.mu.Unlock()
+
+	inner, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	s.group.Go(func(context.Context) {
+		defer close(done)
+		s.appendLoop(inner, sl, owner)
+	})
+	s.readLoop(inner, sl, owner)
+	stop()
+	<-done
+}
+
+// ended closes a hold: waiting calls are sent to the next owner, and a released
+// shard's successor is told.
+func (s *Shards) ended(sl *slot) {
+	sl.mu.Lock()
+	owner := sl.owner
+	sl.owner, sl.busy, sl.unheld = nil, false, time.Time{}
+	for id, ch := range sl.calls {
+		delete(sl.calls, id)
+		ch <- ledger.Reply{Call: id, Lost: true}
+	}
+	if owner != nil {
+		sl.figures.Add(owner.Figures())
+	}
+	sl.mu.Unlock()
+	if owner == nil {
+		return
+	}
+	term, holder := owner.State().Term()
+	successor := owner.State().Successor()
+	s.opt.Logger.Info("shard_lost", zap.Int("shard", sl.id), zap.Uint64("term", owner.Term()),
+		zap.Uint64("current_term", term), zap.String("holder", holder),
+		zap.String("successor", successor))
+	if holder == "" && successor != "" {
+		s.tellSuccessor(sl, successor)
+	}
+}
+
+// freshlyHeld tells whether the stream shows a live holder that claimed or wrote
+// so recently that its word about it may not have spread yet.
+func (s *Shards) freshlyHeld(st *ledger.State) bool {
+	_, holder := st.Term()
+	if holder == "" || holder == s.opt.View.Self().ID() {
+		return false
+	}
+	for _, m := range s.opt.View.Members() {
+		if m.ID() == holder {
+			fresh := s.nowMs()-st.LastAtMs() < settleTime.Milliseconds()
+			return fresh && m.LogOK && m.State == membership.Live
+		}
+	}
+	return false
+}
+
+// replay folds the stream from the last Low on up to its present end.
+func (s *Shards) replay(ctx context.Context, sl *slot) (*ledger.State, error) {
+	first, next, err := s.bounds(ctx, sl)
+	if err != nil {
+		return nil, err
+	}
+	tail, err := s.tail(ctx, sl, first, next)
+	if err != nil {
+		return nil, err
+	}
+	start, anchored := ledger.Start(first, next, tail)
+	st := ledger.NewState(sl.id, start, anchored)
+	for st.Next() < next {
+		page, err := s.opt.Log.Read(ctx, sl.stream, st.Next(), readBytes, 0)
+		if err != nil {
+			return nil, errReplay.Wrap(err, "read %s from %d", sl.stream, st.Next())
+		}
+		if len(page.Records) == 0 {
+			return nil, errReplay.New("%s ends at %d, not %d", sl.stream, st.Next(), next)
+		}
+		for _, r := range page.Records {
+			rec, _ := ledger.DecodeRecord(sl.id, r.Data)
+			if _, err := st.Apply(r.Offset, len(r.Data), rec); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return st, nil
+}
+
+func (s *Shards) bounds(ctx context.Context, sl *slot) (first, next int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	first, next, err = s.opt.Log.Bounds(ctx, sl.stream)
+	if err != nil {
+		return 0, 0, errReplay.Wrap(err, "bounds of %s", sl.stream)
+	}
+	return first, next, nil
+}
+
+// tail reads the stream's last record, nil if there is none.
+func (s *Shards) tail(ctx context.Context, sl *slot, first, next int64) (*ledger.Record, error) {
+	if next == first {
+		return nil, nil
+	}
+	page, err := s.opt.Log.Read(ctx, sl.stream, next-1, 1, 0)
+	if err != nil {
+		return nil, errReplay.Wrap(err, "read the end of %s", sl.stream)
+	}
+	if len(page.Records) == 0 {
+		return nil, nil
+	}
+	rec, _ := ledger.DecodeRecord(sl.id, page.Records[0].Data)
+	return rec, nil
+}
+
+// readLoop folds what appears on the stream until the shard is lost.
+func (s *Shards) readLoop(ctx context.Context, sl *slot, owner *ledger.Owner) {
+	for ctx.Err() == nil {
+		from, wait := s.readFrom(sl, owner)
+		page, err := s.opt.Log.Read(ctx, sl.stream, from, readBytes, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.readFailed(sl, owner, err)
+			pause(ctx, pauseAfterError)
+			continue
+		}
+		s.noteLog(true)
+		if !s.fold(sl, owner, page) {
+			return
+		}
+	}
+}
+
+func (s *Shards) readFrom(sl *slot, owner *ledger.Owner) (int64, time.Duration) {
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	wait := pollWait
+	if !owner.LogOK() {
+		wait = pollWaitDown
+	}
+	return owner.State().Next(), wait
+}
+
+func (s *Shards) readFailed(sl *slot, owner *ledger.Owner, err error) {
+	if platform.IsUnavailable(err) {
+		s.noteLog(false)
+	}
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	owner.ReadFailed(s.nowMs())
+	s.deliver(sl)
+}
+
+// fold steps a page in; false ends the hold: the shard is lost, or records that
+// were still needed have expired and the stream has to be replayed.
+func (s *Shards) fold(sl *slot, owner *ledger.Owner, page platform.Page) bool {
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	owner.ReadOK(s.nowMs())
+	held := owner.Holding()
+	for _, r := range page.Records {
+		if err := owner.Read(s.nowMs(), r.Offset, r.Data); err != nil {
+			s.opt.Logger.Error("shard_gap", zap.Int("shard", sl.id), zap.Error(err))
+			return false
+		}
+	}
+	if owner.Holding() && !held {
+		s.opt.Logger.Info("shard_held", zap.Int("shard", sl.id), zap.Uint64("term", owner.Term()),
+			zap.Int("jobs", len(owner.Jobs())))
+	}
+	s.deliver(sl)
+	sl.poke()
+	return !owner.Lost()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/daemon/shards/options.go
@@ -0,0 +1,124 @@
+// Package shards runs the ledger: it claims shards, appends what their owners
+// decide, reads it back, and answers calls of this and other daemons. What is
+// decided, is decided in core/ledger; this package moves it.
+package shards
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/platform"
+)
+
+// Errors is the namespace of this layer.
+var Errors = errorx.NewNamespace("shards")
+
+var (
+	// BadOptions: the options can't work.
+	BadOptions = Errors.NewType("bad_options")
+	// DrainTimeout: shards were still held when the time for handing over ended.
+	DrainTimeout = Errors.NewType("drain_timeout", errorx.Timeout())
+	errReplay    = Errors.NewType("replay")
+)
+
+const (
+	// DefaultShards is the number of shards; it is fixed for the life of a log.
+	DefaultShards = 32
+	// DefaultAppendPace is the time between two appends of batch changes on a shard.
+	DefaultAppendPace = 100 * time.Millisecond
+	// DefaultUrgentPace is the time before an urgent one.
+	DefaultUrgentPace = 10 * time.Millisecond
+	// DefaultAppendBudget is the whole fleet's appends a second.
+	DefaultAppendBudget = 400
+	// DefaultLease is how long a steward holds an item without renewing it.
+	DefaultLease = 4 * time.Second
+	// DefaultRetention is how long the log is taken to keep records.
+	DefaultRetention = 24 * time.Hour
+	// DefaultClaimStep is the time between the claims of successive ranks.
+	DefaultClaimStep = 300 * time.Millisecond
+	// DefaultColdStart is how long a daemon gets to know the others before it
+	// claims anything.
+	DefaultColdStart = 1500 * time.Millisecond
+	// DefaultRetryFor is how long a call looks for a shard's owner.
+	DefaultRetryFor = 5 * time.Second
+)
+
+// Options configures a Shards; zero values take the defaults above. Log, View,
+// Peer, Registrar and Config are required.
+type Options struct {
+	Log       platform.Log
+	View      membership.View
+	Peer      peer.Caller
+	Registrar peer.Registrar
+	// Config returns the configuration in force; nil or version 0 is "none yet".
+	Config func() *config.Config
+	// GroupOf names the target group that serves an item; !ok is "none". The
+	// default follows from Config: the service in the URL or the body's model.
+	GroupOf func(ledger.Item) (group string, ok bool)
+
+	Shards     int
+	AppendPace time.Duration
+	UrgentPace time.Duration
+	// AppendBudget is the fleet's appends a second; each daemon takes an equal
+	// part of it.
+	AppendBudget float64
+	Lease        time.Duration
+	Retention    time.Duration
+	ClaimStep    time.Duration
+	ColdStart    time.Duration
+	RetryFor     time.Duration
+
+	Logger  *zap.Logger
+	Metrics *metrics.Set
+	// Clock returns the wall clock.
+	Clock func() time.Time
+}
+
+func (o *Options) validate() error {
+	switch {
+	case o.Log == nil, o.View == nil, o.Peer == nil, o.Registrar == nil, o.Config == nil:
+		return BadOptions.New("Log, View, Peer, Registrar and Config are required")
+	case o.Shards < 0 || o.AppendPace < 0 || o.UrgentPace < 0 || o.AppendBudget < 0:
+		return BadOptions.New("Shards, AppendPace, UrgentPace and AppendBudget must not be negative")
+	}
+	o.setDefaults()
+	return nil
+}
+
+func (o *Options) setDefaults() {
+	defaultTo(&o.Shards, DefaultShards)
+	defaultTo(&o.AppendPace, DefaultAppendPace)
+	defaultTo(&o.UrgentPace, DefaultUrgentPace)
+	defaultTo(&o.AppendBudget, DefaultAppendBudget)
+	defaultTo(&o.Lease, DefaultLease)
+	defaultTo(&o.Retention, DefaultRetention)
+	defaultTo(&o.ClaimStep, DefaultClaimStep)
+	defaultTo(&o.ColdStart, DefaultColdStart)
+	defaultTo(&o.RetryFor, DefaultRetryFor)
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.GroupOf == nil {
+		o.GroupOf = groupByConfig(o.Config)
+	}
+}
+
+func defaultTo[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/daemon/shards/shards_test.go
@@ -0,0 +1,424 @@
+package shards
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"net/rpc"
+	"reflect"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/shard"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/platform/fakelog"
+)
+
+func TestShards(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "daemon/shards")
+}
+
+const testShards = 4
+
+// fleet is a handful of Shards over one fake log, joined in process.
+type fleet struct {
+	mu    sync.Mutex
+	log   *fakelog.Log
+	nodes map[string]*node
+	next  uint64
+}
+
+type node struct {
+	fleet  *fleet
+	self   membership.Member
+	client *fakelog.Client
+	shards *Shards
+	stop   func()
+	rpc    map[string]any
+	// revoked lists the jobs that this node's steward was told to drop.
+	revoked []string
+}
+
+func newFleet(hosts ...string) *fleet {
+	f := &fleet{log: fakelog.New(fakelog.Options{}), nodes: map[string]*node{}}
+	for _, h := range hosts {
+		f.start(h)
+	}
+	DeferCleanup(f.stop)
+	return f
+}
+
+func (f *fleet) start(host string) *node {
+	f.next++
+	n := &node{fleet: f, client: f.log.NewClient(), rpc: map[string]any{}, self: membership.Member{
+		Host: host, PeerAddress: host, Incarnation: f.next, LogOK: true, Ready: true,
+	}}
+	_ = n.Register("Steward", &stewardFake{n})
+	s, err := New(Options{
+		Log: n.client, View: n, Peer: n, Registrar: n, Shards: testShards,
+		Config:     func() *config.Config { return nil },
+		GroupOf:    func(it ledger.Item) (string, bool) { return "g", !strings.Contains(it.URL, "nowhere") },
+		AppendPace: 5 * time.Millisecond, UrgentPace: time.Millisecond, AppendBudget: 1e6,
+		Lease: 300 * time.Millisecond, ClaimStep: 50 * time.Millisecond, ColdStart: 20 * time.Millisecond,
+		RetryFor: 20 * time.Second,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	n.shards = s
+	ctx, cancel := context.WithCancel(context.Background())
+	g := duty.NewGroup(ctx)
+	f.mu.Lock()
+	f.nodes[host] = n
+	f.mu.Unlock()
+	s.Run(g)
+	n.stop = func() { cancel(); g.Wait() }
+	return n
+}
+
+// kill ends a node as abruptly as a process can: nothing is handed over.
+func (f *fleet) kill(n *node) {
+	f.mu.Lock()
+	delete(f.nodes, n.self.Host)
+	f.mu.Unlock()
+	n.stop()
+}
+
+func (f *fleet) stop() {
+	f.mu.Lock()
+	nodes := f.nodes
+	f.nodes = map[string]*node{}
+	f.mu.Unlock()
+	for _, n := range nodes {
+		n.stop()
+	}
+}
+
+func (f *fleet) ownerOf(name string) *node {
+	var owner *node
+	Eventually(func() *node {
+		owner = f.holder(shard.Of(name, testShards))
+		return owner
+	}).WithTimeout(10 * time.Second).ShouldNot(BeNil())
+	return owner
+}
+
+func (f *fleet) holder(id int) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		for _, h := range n.shards.Holds() {
+			if h.Shard == id {
+				return n
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) other(n *node) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.nodes {
+		if m != n {
+			return m
+		}
+	}
+	return nil
+}
+
+// The node is its own view, registrar and caller.
+
+func (n *node) Self() membership.Member { return n.self }
+
+func (n *node) Members() []membership.Member {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	var out []membership.Member
+	for _, m := range n.fleet.nodes {
+		self := m.self
+		if m.shards != nil {
+			self.Shards, self.LogOK = m.shards.Holds(), m.shards.LogOK()
+		}
+		out = append(out, self)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out
+}
+
+func (n *node) Holder(id int) (best membership.Member, found bool) {
+	var term uint64
+	for _, m := range n.Members() {
+		for _, h := range m.Shards {
+			if h.Shard == id && h.Term > term {
+				best, term, found = m, h.Term, true
+			}
+		}
+	}
+	return best, found
+}
+
+func (n *node) LiveID(id string) bool {
+	for _, m := range n.Members() {
+		if m.ID() == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *node) Successors(key string) []membership.Member {
+	all := n.Members()
+	turn := len(key) % max(1, len(all))
+	return append(all[turn:], all[:turn]...)
+}
+
+func (n *node) TargetLeaving(string) bool { return false }
+
+func (n *node) Register(name string, receiver any) error {
+	if err := rpc.NewServer().RegisterName(name, receiver); err != nil {
+		return err
+	}
+	n.rpc[name] = receiver
+	return nil
+}
+
+// Call runs the method in process, on copies as the wire would make them.
+func (n *node) Call(_ context.Context, address, method string, args, reply any) error {
+	n.fleet.mu.Lock()
+	to, live := n.fleet.nodes[address]
+	_, self := n.fleet.nodes[n.self.Host]
+	n.fleet.mu.Unlock()
+	if !live || !self {
+		return peer.Unreachable.New("%s is down", address)
+	}
+	service, name, _ := strings.Cut(method, ".")
+	m := reflect.ValueOf(to.rpc[service]).MethodByName(name)
+	arg := reflect.New(m.Type().In(0))
+	answer := reflect.New(m.Type().In(1).Elem())
+	if err := viaGob(args, arg.Interface()); err != nil {
+		return err
+	}
+	if out := m.Call([]reflect.Value{arg.Elem(), answer}); !out[0].IsNil() {
+		return out[0].Interface().(error)
+	}
+	return viaGob(answer.Interface(), reply)
+}
+
+// viaGob copies a message as the connection would.
+func viaGob(from, to any) error {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(from); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&buf).Decode(to)
+}
+
+func (n *node) Notify(address, method string, args any) {
+	go func() { _ = n.Call(context.Background(), address, method, args, &Nothing{}) }()
+}
+
+type stewardFake struct{ n *node }
+
+// RevokeArgs and RevokeWords have the fields of the steward's messages.
+type RevokeArgs struct{ Job string }
+
+type RevokeWords struct{ Queued, Running int }
+
+func (f *stewardFake) Revoke(req RevokeArgs, _ *RevokeWords) error {
+	f.n.fleet.mu.Lock()
+	defer f.n.fleet.mu.Unlock()
+	f.n.revoked = append(f.n.revoked, req.Job)
+	return nil
+}
+
+func begin(n *node, key, nonce string, repeatable bool) (ledger.BeginReply, error) {
+	return n.shards.Begin(context.Background(), ledger.BeginRequest{
+		Key: key, Nonce: nonce, Entry: n.self.ID(), Fingerprint: "fp", Profile: "p",
+		Repeatable: repeatable, WaitMs: 100,
+	})
+}
+
+func submit(n *node, job, upload string, items int) (ledger.JobCommitReply, error) {
+	ctx := context.Background()
+	open := ledger.JobOpenRequest{Job: job, Profile: "night", Upload: upload, DueMs: 1, Repeatable: true, MaxAttempts: 2}
+	if err := n.shards.OpenJob(ctx, open); err != nil {
+		return ledger.JobCommitReply{}, err
+	}
+	chunk := ledger.JobChunkRequest{Job: job, Upload: upload}
+	for i := 0; i < items; i++ {
+		chunk.Items = append(chunk.Items, ledger.Item{CustomID: fmt.Sprint(i), URL: "/v1/services/x/y", Body: []byte("{}")})
+	}
+	if err := n.shards.AddItems(ctx, chunk); err != nil {
+		return ledger.JobCommitReply{}, err
+	}
+	return n.shards.CommitJob(ctx, ledger.JobCommitRequest{
+		Job: job, Upload: upload, Chunks: 1, Items: items, Fingerprint: "fp",
+	})
+}
+
+func pull(n, owner *node, max int, running []ledger.ItemRef) ledger.PullReply {
+	reply, err := n.shards.Pull(context.Background(), owner.self.PeerAddress, ledger.PullRequest{
+		Steward: n.self.ID(), Group: "g", Max: max, MaxBytes: 1 << 20, Running: running,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return reply
+}
+
+func finish(n *node, items []ledger.LeasedItem) []ledger.ItemEnd {
+	req := ledger.FinishItemsRequest{Steward: n.self.ID()}
+	for _, it := range items {
+		req.Ends = append(req.Ends, ledger.ItemEnd{Ref: it.Ref, Answer: &ledger.Answer{Status: 200, Body: []byte(it.Item.CustomID)}})
+	}
+	left, err := n.shards.FinishItems(context.Background(), req)
+	Expect(err).NotTo(HaveOccurred())
+	return left
+}
+
+var _ = Describe("Shards", func() {
+	// A guest's order is placed through one daemon; the daemon that owns its
+	// key dies, and the tablet sends the order again through a third. It must
+	// get the kept answer and not run again.
+	It("keeps an order's answer through the death of its owner", func() {
+		f := newFleet("a", "b", "c")
+		owner := f.ownerOf("c/k")
+		entry := f.other(owner)
+		r, err := begin(entry, "c/k", "n1", false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Verdict).To(Equal(ledger.Granted))
+		fin, err := entry.shards.Finish(context.Background(), ledger.FinishRequest{
+			Key: "c/k", Nonce: "n1", Attempt: r.Attempt, Answer: &ledger.Answer{Status: 200, Body: []byte("tray")},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fin.Durable).To(BeTrue())
+		f.kill(owner)
+		again, err := begin(f.other(owner), "c/k", "n2", false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Verdict).To(Equal(ledger.Settled))
+		Expect(string(again.Answer.Body)).To(Equal("tray"))
+	})
+
+	// A night's job is half done when its owner dies. Its successor must hand
+	// out the rest, and every item must have exactly one result.
+	It("finishes a job after the death of its owner", func() {
+		f := newFleet("a", "b", "c")
+		owner := f.ownerOf("c/job")
+		steward := f.other(owner)
+		reply, err := submit(steward, "c/job", "u1", 40)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Created).To(BeTrue())
+		Expect(finish(steward, pull(steward, owner, 20, nil).Items)).To(BeEmpty())
+		lost := pull(steward, owner, 5, nil).Items
+		Expect(lost).To(HaveLen(5))
+		f.kill(owner)
+		next := f.ownerOf("c/job")
+		Expect(next).NotTo(BeIdenticalTo(owner))
+		Eventually(func() ledger.JobState {
+			Expect(finish(steward, pull(steward, f.ownerOf("c/job"), 7, nil).Items)).To(BeEmpty())
+			st, err := steward.shards.Job(context.Background(), "c/job")
+			Expect(err).NotTo(HaveOccurred())
+			return st.State
+		}).WithTimeout(20 * time.Second).Should(Equal(ledger.JobEnded))
+		page, err := steward.shards.Results(context.Background(), ledger.ResultsRequest{Job: "c/job"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results).To(HaveLen(40))
+		for i, r := range page.Results {
+			Expect(string(r.Answer.Body)).To(Equal(fmt.Sprint(i)))
+		}
+	})
+
+	// A client's network stalls and it sends the same bundle three times, to
+	// two daemons at once. It must become one job.
+	It("takes a job sent several times at once as one", func() {
+		f := newFleet("a", "b")
+		f.ownerOf("c/job")
+		replies := make([]ledger.JobCommitReply, 3)
+		errs := make([]error, 3)
+		fanOut(3, func(i int) {
+			n := f.nodes["a"]
+			if i%2 == 1 {
+				n = f.nodes["b"]
+			}
+			replies[i], errs[i] = submit(n, "c/job", fmt.Sprint("u", i), 10)
+		})
+		created := 0
+		for i := range replies {
+			Expect(errs[i]).NotTo(HaveOccurred())
+			Expect(replies[i].Status.Items).To(Equal(10))
+			if replies[i].Created {
+				created++
+			}
+		}
+		Expect(created).To(Equal(1))
+	})
+
+	// The platform's log goes out. An order must be refused as not run, a
+	// repeatable request must run, and its answer must be kept once the log is
+	// back.
+	It("refuses orders and goes on with repeatable work while the log is out", func() {
+		f := newFleet("a", "b")
+		f.ownerOf("c/k")
+		f.log.SetOutage(true)
+		_, err := begin(f.nodes["a"], "c/order", "n1", false)
+		refusal, ok := err.(*outcome.Refusal)
+		Expect(ok).To(BeTrue(), "%v", err)
+		Expect(refusal.Run).To(Equal(outcome.NotRun))
+		Expect(refusal.RetryAfterMs).To(BeNumerically(">", 0))
+		r, err := begin(f.nodes["a"], "c/k", "n2", true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Verdict).To(Equal(ledger.Granted))
+		end := ledger.FinishRequest{Key: "c/k", Nonce: "n2", Attempt: 1, Answer: &ledger.Answer{Status: 200, Body: []byte("x")}}
+		fin, err := f.nodes["a"].shards.Finish(context.Background(), end)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fin.Durable).To(BeFalse())
+		f.log.SetOutage(false)
+		Eventually(func() bool {
+			fin, err := f.nodes["a"].shards.Finish(context.Background(), end)
+			return err == nil && fin.Durable
+		}).WithTimeout(10 * time.Second).Should(BeTrue())
+	})
+
+	// A cancel races the stewards. It returns only when each of them has
+	// dropped the job; afterwards nothing of it is handed out.
+	It("cancels a job at every steward before it answers", func() {
+		f := newFleet("a", "b")
+		owner := f.ownerOf("c/job")
+		_, err := submit(owner, "c/job", "u1", 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pull(f.nodes["b"], owner, 3, nil).Items).To(HaveLen(3))
+		st, err := f.nodes["a"].shards.CancelJob(context.Background(), "c/job")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.Cancelled).To(Equal(10))
+		f.mu.Lock()
+		Expect(f.nodes["a"].revoked).To(ContainElement("c/job"))
+		Expect(f.nodes["b"].revoked).To(ContainElement("c/job"))
+		f.mu.Unlock()
+		Expect(pull(f.nodes["b"], owner, 3, nil).Items).To(BeEmpty())
+	})
+
+	// A daemon is stopped on purpose: all its shards go to others, and calls
+	// made meanwhile find the new owners.
+	It("hands its shards over when it drains", func() {
+		f := newFleet("a", "b")
+		for id := 0; id < testShards; id++ {
+			Eventually(func() *node { return f.holder(id) }).WithTimeout(10 * time.Second).ShouldNot(BeNil())
+		}
+		a, b := f.nodes["a"], f.nodes["b"]
+		Expect(a.shards.Drain(context.Background())).To(Succeed())
+		Eventually(func() int { return len(b.shards.Holds()) }).WithTimeout(10 * time.Second).Should(Equal(testShards))
+		r, err := begin(a, "c/k", "n", false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Verdict).To(Equal(ledger.Granted))
+	})
+})
