State what the ledger's lease bounds

The settings' page called it the shard owner's, but a shard is held by its term alone; the lease is a steward's on a batch item, so its least value has to leave room for the steward's margin, and it may differ between daemons while the number of shards may not.

--- a/settings/load.go
+++ b/settings/load.go
@@ -93,8 +93,9 @@
 	}
 }
 
-// AppendsPerSecond returns how many appends a second the whole fleet makes at
-// most: one owner for each shard, paced.
+// AppendsPerSecond returns how many paced appends a second the whole fleet
+// makes at most: one owner for each shard. Urgent appends come on top, within
+// the budget.
 func (l Ledger) AppendsPerSecond() int {
 	perSecond := int64(l.Shards) * int64(time.Second)
 	pace := int64(l.AppendPace)
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -72,7 +72,7 @@
 	v.number("shards", &l.Shards, 1, 1024)
 	v.duration("append_pace", &l.AppendPace, time.Millisecond, 10*time.Second)
 	v.number("append_budget", &l.AppendBudget, 1, 100_000)
-	v.duration("lease", &l.Lease, 100*time.Millisecond, 10*time.Minute)
+	v.duration("lease", &l.Lease, 500*time.Millisecond, 10*time.Minute)
 }
 
 func (h *HTTP) walk(v visitor) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,17 +69,19 @@
 	SuspectAfter time.Duration
 }
 
-// Ledger is the [ledger] section. Shards and Lease must be the same on every
-// daemon of a fleet.
+// Ledger is the [ledger] section. Shards must be the same on every daemon and
+// stay the same for the life of the log: keys and jobs hash to them.
 type Ledger struct {
 	// Shards is the number of shards that keys and jobs hash to.
 	Shards int
-	// AppendPace is the least time between two appends to one shard's stream.
+	// AppendPace is the time between two appends of batch changes to one
+	// shard's stream; urgent ones do not wait for it.
 	AppendPace time.Duration
-	// AppendBudget is the number of appends a second of the whole fleet.
+	// AppendBudget is the number of appends a second of the whole fleet; each
+	// daemon takes an equal part.
 	AppendBudget int
-	// Lease is how long an owner may grant work after the last record that it
-	// read back in its term, and how long a successor waits before it claims.
+	// Lease is how long a steward holds a batch item without renewing it; after
+	// it the item may be started elsewhere.
 	Lease time.Duration
 }
 
@@ -155,7 +157,7 @@
 			Shards:       32,
 			AppendPace:   100 * time.Millisecond,
 			AppendBudget: 400,
-			Lease:        5 * time.Second,
+			Lease:        4 * time.Second,
 		},
 		Batch: Batch{Policy: PolicyGiveWay},
 		Log:   Log{Level: "info"},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -64,8 +64,8 @@
 				`allowed: the host's own IP:PORT`),
 		Entry("more appends than the budget", "[ledger]\nappend_budget = 100", nil,
 			`host.ini:10: [ledger] append_budget = "100": 32 shards at one append each 100ms need 320 a second`),
-		Entry("a lease within the pace", "[ledger]\nlease = 150ms", nil,
-			`host.ini:10: [ledger] lease = "150ms": shorter than two append paces; allowed: at least 200ms`),
+		Entry("a lease within the pace", "[ledger]\nlease = 500ms\nappend_pace = 400ms", nil,
+			`host.ini:10: [ledger] lease = "500ms": shorter than two append paces; allowed: at least 800ms`),
 	)
 
 	It("name every missing key at once", func() {
