--- a/api/body.go
+++ b/api/body.go
@@ -23,6 +23,8 @@
 type bodyReader struct {
 	body io.Reader
 	ctl  *http.ResponseController
+	// state learns when the body is whole.
+	state *requestState
 	// left is how many bytes may still come.
 	left int64
 	// allowance is how much waiting is left; each byte earns some more.
@@ -45,6 +47,7 @@
 	}
 	return &bodyReader{
 		body:      req.Body,
+		state:     stateOf(c),
 		ctl:       http.NewResponseController(c.Response().Writer),
 		left:      limit,
 		allowance: s.opts.BodyStall,
@@ -88,14 +91,14 @@
 	return deadline
 }
 
-// translate turns a read's error into a refusal, and lifts the read deadline
-// at the end: it would otherwise expire while the request runs and cancel it.
+// translate turns a read's error into a refusal. The read deadline needs no
+// lifting at the end: net/http clears it as it begins to watch the connection.
 func (b *bodyReader) translate(err error) error {
 	switch {
 	case err == nil:
 		return nil
 	case errors.Is(err, io.EOF):
-		_ = b.ctl.SetReadDeadline(time.Time{})
+		b.state.bodyRead = true
 		return io.EOF
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return outcome.Refuse(outcome.BadRequest, "the body came too slowly")
--- a/api/call.go
+++ b/api/call.go
@@ -122,6 +122,14 @@
 	return cfg, nil
 }
 
+// limits returns the bounds in force, none while there is no configuration.
+func (s *Server) limits() config.Limits {
+	if cfg := s.opts.Backend.Config(); cfg != nil {
+		return cfg.Limits
+	}
+	return config.Limits{}
+}
+
 // newCall reads the headers that every caller request shares. The fingerprint
 // is added once the body is read.
 func (s *Server) newCall(c echo.Context, cfg *config.Config) (Call, error) {
--- a/api/conns.go
+++ b/api/conns.go
@@ -42,12 +42,10 @@
 	return l
 }
 
-// Accept waits for room first, so that what is over the bound stays in the
-// kernel's backlog.
+// Accept makes room only for a connection that is really there: making it
+// ahead would evict an idle connection for nobody. While it waits for a
+// request to end it holds the one connection, so at most max+1 are open.
 func (l *limitListener) Accept() (net.Conn, error) {
-	if err := l.waitRoom(); err != nil {
-		return nil, err
-	}
 	inner, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -55,28 +53,25 @@
 	conn := &stallConn{Conn: inner, stall: l.stall, owner: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.makeRoomLocked() {
+		_ = inner.Close()
+		return nil, net.ErrClosed
+	}
 	l.open[conn] = l.idle.PushBack(conn)
 	l.metrics.connections.Store(int64(len(l.open)))
 	return conn, nil
 }
 
-// waitRoom returns once a connection may be accepted. One place is kept free
-// by evicting here, not after Accept: what Accept returned counts already.
-func (l *limitListener) waitRoom() error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// makeRoomLocked returns false once the listener is closed.
+func (l *limitListener) makeRoomLocked() bool {
 	for !l.shut && len(l.open) >= l.max {
-		front := l.idle.Front()
-		if front == nil {
-			l.room.Wait()
+		if front := l.idle.Front(); front != nil {
+			l.evictLocked(front)
 			continue
 		}
-		l.evictLocked(front)
-	}
-	if l.shut {
-		return net.ErrClosed
+		l.room.Wait()
 	}
-	return nil
+	return !l.shut
 }
 
 // evictLocked closes an idle connection.
--- /dev/null
+++ b/api/faults_test.go
@@ -0,0 +1,219 @@
+package api_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+// rawChat is a chat request as bytes.
+func rawChat(body string) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTarragon-Profile: desk\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// held makes the backend's chats wait until release is closed.
+func held(d *daemon) (running chan string, release chan struct{}) {
+	running, release = make(chan string, 16), make(chan struct{})
+	d.chat = func(ctx context.Context, c api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+		if sink != nil {
+			Expect(sink(target.Token{Text: "first"})).To(Succeed())
+		}
+		running <- c.Caller
+		select {
+		case <-release:
+		case <-ctx.Done():
+			return api.ChatResult{}, ctx.Err()
+		}
+		if sink != nil {
+			Expect(sink(target.Token{Index: 1, Text: "last"})).To(Succeed())
+		}
+		return api.ChatResult{Text: "firstlast", Finish: target.Finish{Reason: "stop"}}, nil
+	}
+	return running, release
+}
+
+var _ = Describe("slow and stuck callers", func() {
+	// A room tablet stops reading its stream and keeps the connection. The
+	// socket's buffers fill, the write blocks, and the target's slot is held
+	// for nobody, until no slot is left for the other rooms.
+	It("cuts a caller that stops reading, and cancels its stream", func() {
+		d := start(func(o *api.Options) { o.WriteStall = 100 * time.Millisecond })
+		ended := make(chan int, 1)
+		d.chat = func(ctx context.Context, _ api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+			text := strings.Repeat("x", 4096)
+			for n := 0; ; n++ {
+				if err := sink(target.Token{Index: n, Text: text}); err != nil {
+					<-ctx.Done()
+					ended <- n * len(text)
+					return api.ChatResult{}, err
+				}
+			}
+		}
+		d.dial(rawChat(fmt.Sprintf(hello, true)))
+		var sent int
+		Eventually(ended, "20s").Should(Receive(&sent))
+		const socketBuffers = 32 << 20
+		Expect(sent).To(BeNumerically("<", socketBuffers), "tokens were queued in this process")
+	})
+
+	It("refuses a body that stops coming, and serves others meanwhile", func() {
+		d := start(func(o *api.Options) { o.BodyStall = 100 * time.Millisecond })
+		conn := d.dial("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTarragon-Profile: desk\r\nContent-Length: 90\r\n\r\n{\"mo")
+		Expect(d.send("GET", "/healthz", "").StatusCode).To(Equal(200))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(400))
+		r := read(resp)
+		Expect(r.Error.Message).To(ContainSubstring("too slowly"))
+		Expect(r.Error.Run).To(Equal("not_run"))
+	})
+
+	// The deadline for a body's bytes stays on the socket after the last byte.
+	// It would expire while the model still works and take the request for one
+	// whose caller went away.
+	It("lets a request run longer than its body may stall", func() {
+		const stall = 20 * time.Millisecond
+		d := start(func(o *api.Options) { o.BodyStall = stall })
+		d.chat = func(ctx context.Context, _ api.ChatCall, _ func(target.Token) error) (api.ChatResult, error) {
+			select {
+			case <-ctx.Done():
+				return api.ChatResult{}, ctx.Err()
+			case <-time.After(10 * stall):
+				return api.ChatResult{Text: "ok"}, nil
+			}
+		}
+		Expect(d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, false), "Tarragon-Profile", "desk").StatusCode).To(Equal(200))
+	})
+
+	// A leaking pool holds every connection that the daemon takes, without a
+	// request on any. The next caller waits until they time out.
+	It("makes room by closing idle connections, never one with a request", func() {
+		d := start(func(o *api.Options) { o.MaxConnections = 3 })
+		running, release := held(d)
+		busy := d.dial(rawChat(fmt.Sprintf(hello, false)))
+		Eventually(running).Should(Receive())
+		idle := []net.Conn{d.dial(""), d.dial(""), d.dial("")}
+		Expect(d.send("GET", "/healthz", "").StatusCode).To(Equal(200))
+		_ = idle[0].SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err := idle[0].Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF), "the longest idle connection was kept")
+		close(release)
+		resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+	})
+
+	It("bounds one caller's requests and leaves the others alone", func() {
+		d := start(nil)
+		running, release := held(d)
+		defer close(release)
+		for range 2 {
+			d.dial(strings.Replace(rawChat(fmt.Sprintf(hello, false)), "Host: x", "Host: x\r\nTarragon-Caller: loud", 1))
+			Eventually(running).Should(Receive(Equal("loud")))
+		}
+		resp := d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, false), "Tarragon-Profile", "desk", "Tarragon-Caller", "loud")
+		Expect(resp.StatusCode).To(Equal(429))
+		Expect(read(resp).Error.Code).To(Equal("caller_limit"))
+		d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, true), "Tarragon-Profile", "desk", "Tarragon-Caller", "calm")
+		Eventually(running).Should(Receive(Equal("calm")))
+	})
+})
+
+var _ = Describe("streams that end early", func() {
+	// The target dies in the middle of an answer. A stream that just ended, or
+	// ended with [DONE], would read as the whole answer.
+	It("sends an error event and no [DONE]", func() {
+		d := start(nil)
+		d.chat = func(_ context.Context, _ api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+			Expect(sink(target.Token{Text: "one egg"})).To(Succeed())
+			return api.ChatResult{}, outcome.Refuse(outcome.TargetFailed, "crashed").WithRun(outcome.Ran)
+		}
+		resp := d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, true), "Tarragon-Profile", "desk")
+		text, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(HaveSuffix(`data: {"error":{"code":"target_failed","message":"crashed","run":"ran","retry_after_ms":0}}` + "\n\n"))
+		Expect(string(text)).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	// A daemon is replaced while a guest reads the answer. The stop must let
+	// the stream end whole, and turn the balancer and kept connections away.
+	It("interrupts no stream at a stop", func() {
+		d := start(nil)
+		running, release := held(d)
+		resp := d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, true), "Tarragon-Profile", "desk")
+		Eventually(running).Should(Receive())
+		d.server.StartDrain()
+		ready := d.send("GET", "/readyz", "")
+		Expect(ready.StatusCode).To(Equal(503))
+		Expect(ready.Close).To(BeTrue(), "no Connection: close")
+		Expect(read(ready).Error.Code).To(Equal("draining"))
+		stopped := make(chan error, 1)
+		go func() { stopped <- d.server.Shutdown(context.Background()) }()
+		Eventually(func() error {
+			conn, err := net.Dial("tcp", d.addr)
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err
+		}, "10s").Should(HaveOccurred())
+		Expect(stopped).NotTo(Receive())
+		close(release)
+		text, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(HaveSuffix("data: [DONE]\n\n"))
+		Eventually(stopped, "10s").Should(Receive(BeNil()))
+	})
+})
+
+// BenchmarkToken measures one streamed token from the backend's sink through a
+// loopback connection; run with -benchmem.
+func BenchmarkToken(b *testing.B) {
+	fake := &backend{cfg: settings()}
+	fake.chat = func(_ context.Context, _ api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+		b.ResetTimer()
+		defer b.StopTimer()
+		for i := range b.N {
+			if err := sink(target.Token{Index: i, Text: " breakfast"}); err != nil {
+				return api.ChatResult{}, err
+			}
+		}
+		return api.ChatResult{Finish: target.Finish{Reason: "stop"}}, nil
+	}
+	fake.cfg.Profiles["desk"].Deadline = time.Hour
+	s, err := api.New(api.Options{Backend: fake, Logger: zap.NewNop()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	_, err = io.WriteString(conn, strings.Replace(rawChat(fmt.Sprintf(hello, true)), "Host: x", "Host: x\r\nConnection: close", 1))
+	if err != nil {
+		b.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, conn); err != nil || n < int64(b.N) {
+		b.Fatalf("the stream broke off after %d bytes: %v", n, err)
+	}
+}
--- a/api/observe.go
+++ b/api/observe.go
@@ -30,8 +30,10 @@
 	key     string
 	// called is set before the backend is asked to run something.
 	called bool
-	code   outcome.Code
-	run    outcome.RunState
+	// bodyRead is set once the whole body is read.
+	bodyRead bool
+	code     outcome.Code
+	run      outcome.RunState
 }
 
 // stateKey is where echo's context keeps the state.
@@ -71,6 +73,23 @@
 	}
 }
 
+// boundHeaders refuses headers over the bound in the contract's shape.
+func (s *Server) boundHeaders(next echo.HandlerFunc) echo.HandlerFunc {
+	const separators = len(": \r\n")
+	return func(c echo.Context) error {
+		size := len(c.Request().RequestURI)
+		for name, values := range c.Request().Header {
+			for _, v := range values {
+				size += len(name) + len(v) + separators
+			}
+		}
+		if size > s.opts.MaxHeaderBytes {
+			return outcome.Refuse(outcome.TooLarge, "the headers have %d bytes, at most %d are allowed", size, s.opts.MaxHeaderBytes)
+		}
+		return next(c)
+	}
+}
+
 // recoverPanic turns a panic into an answer. Once the backend was called the
 // answer says may_have_run, since nobody knows how far it came.
 func (s *Server) recoverPanic(next echo.HandlerFunc) echo.HandlerFunc {
--- a/api/refusal.go
+++ b/api/refusal.go
@@ -41,6 +41,9 @@
 	codeDisabled:             http.StatusForbidden,
 }
 
+// discardBytes is how much of a refused body is read to keep its connection.
+const discardBytes = 64 << 10
+
 // Codes that only the HTTP face knows.
 const (
 	codeMethod   outcome.Code = "method_not_allowed"
@@ -143,6 +146,11 @@
 	if fields.Code == outcome.Unauthorized {
 		header.Set(echo.HeaderWWWAuthenticate, "Bearer")
 	}
+	if n := c.Request().ContentLength; (n < 0 || n > discardBytes) && !stateOf(c).bodyRead {
+		// net/http would read on before it answers; the caller would go on
+		// sending a body that is refused already.
+		header.Set(echo.HeaderConnection, "close")
+	}
 	if err := c.JSON(Status(fields.Code), errorBody{Error: fields}); err != nil {
 		s.metrics.writeErrors.Inc()
 	}
--- a/api/results.go
+++ b/api/results.go
@@ -42,6 +42,12 @@
 	if err != nil {
 		return err
 	}
+	// A reader holds a page in memory, so readers are bounded like requests.
+	leave, err := s.enter(stateOf(c).caller, s.limits())
+	if err != nil {
+		return err
+	}
+	defer leave()
 	page, err := s.page(c, full, from)
 	if err != nil {
 		return err
--- a/api/server.go
+++ b/api/server.go
@@ -14,6 +14,10 @@
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
 
+// headerSlack is how far headers may go over MaxHeaderBytes and still get a
+// refusal in our shape; beyond it net/http answers 431 by itself.
+const headerSlack = 4
+
 // Server is the HTTP face of one daemon.
 type Server struct {
 	opts     Options
@@ -41,11 +45,11 @@
 	}
 	s.metrics = newHTTPMetrics(opts.Metrics, s)
 	s.echo.HTTPErrorHandler = s.handleError
-	s.echo.Use(s.observe, s.recoverPanic)
+	s.echo.Use(s.observe, s.recoverPanic, s.boundHeaders)
 	s.routes()
 	s.http = &http.Server{
 		Handler:           s.echo,
-		MaxHeaderBytes:    opts.MaxHeaderBytes,
+		MaxHeaderBytes:    headerSlack * opts.MaxHeaderBytes,
 		ReadHeaderTimeout: opts.ReadHeaderTimeout,
 		IdleTimeout:       opts.IdleTimeout,
 		ConnState:         s.track,
