Tell slow targets from hanging ones and true run states on resends

A stall bound alone would take whole groups out under overload, when silence is what a queue looks like: an attempt is now given up early only if its target answers nobody, and never when no retry could be had. A resend of an order that ran here is no longer called not run while the log is out. An older configuration held by a request can't replace a newer one.

--- a/core/limits/types.go
+++ b/core/limits/types.go
@@ -14,7 +14,10 @@
 //
 // So at most L + n*max(1, L/2n) requests are in flight, plus those still running
 // that a daemon had admitted before it was cut off from the arbiter for longer
-// than GrantLife. For rates each daemon's bucket adds BurstSeconds of its share
+// than GrantLife. While daemons disagree on who is the arbiter (for a moment after
+// one came or went) each of the two shares out L. The other way round, a caller
+// may be refused below its limit for about two ask periods as its demand moves
+// from one daemon to another. For rates each daemon's bucket adds BurstSeconds of its share
 // and one request, once.
 package limits
 
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -38,15 +38,20 @@
 
 // Take spends one retry if there is one.
 func (b *Budget) Take(now time.Time) bool {
-	if now.After(b.at) {
-		b.add(FloorPerSecond * now.Sub(b.at).Seconds())
-		b.at = now
-	}
-	if b.tokens < 1 {
+	if !b.Left(now) {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
+// Left tells whether a retry could be had now.
+func (b *Budget) Left(now time.Time) bool {
+	if now.After(b.at) {
+		b.add(FloorPerSecond * now.Sub(b.at).Seconds())
+		b.at = now
+	}
+	return b.tokens >= 1
+}
+
 func (b *Budget) add(tokens float64) { b.tokens = min(MaxTokens, b.tokens+tokens) }
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -13,8 +14,8 @@
 	CrashMemory = time.Hour
 	// MaxCrashes and MaxRunning bound the memory: crashes kept, and requests
 	// named per crash.
-	MaxCrashes = 1024
-	MaxRunning = 256
+	MaxCrashes = 256
+	MaxRunning = 128
 )
 
 // Crash is one target's crash as one or more entry hosts saw it.
@@ -185,31 +186,38 @@
 
 // judge works out who is condemned. A request that stays condemned explains
 // its crashes, so that those who only shared them are not counted against them.
+// Only requests that took part in limit crashes can be guilty; that leaves few
+// to weigh even when the memory is full.
 func (s *Suspects) judge() {
-	var names []string
-	for _, c := range s.crashes {
+	part := map[string][]int{}
+	for i, c := range s.crashes {
 		for _, f := range c.Running {
-			if !slices.Contains(names, f) {
-				names = append(names, f)
-			}
+			part[f] = append(part[f], i)
+		}
+	}
+	var names []string
+	for f, crashes := range part {
+		if len(crashes) >= s.limit {
+			names = append(names, f)
 		}
 	}
 	previous := s.condemned
 	s.condemned = map[string]bool{}
 	slices.SortFunc(names, func(a, b string) int { return compareGuilt(previous, a, b) })
 	for _, f := range names {
-		if s.guilty(f) {
+		if s.guilty(f, part[f]) {
 			s.condemned[f] = true
 		}
 	}
 }
 
 // compareGuilt orders those condemned before first, so that a verdict stands
-// as long as its own evidence does.
+// as long as its own evidence does; the rest by name, so that all daemons weigh
+// in the same order.
 func compareGuilt(condemned map[string]bool, a, b string) int {
 	switch {
 	case condemned[a] == condemned[b]:
-		return 0
+		return strings.Compare(a, b)
 	case condemned[a]:
 		return -1
 	default:
@@ -222,13 +230,14 @@
 // is condemned if its shares of the blame, 1/Total each, add up to the limit,
 // or if it took part in limit crashes and is the only one that can have taken
 // part in all of them.
-func (s *Suspects) guilty(fingerprint string) bool {
+func (s *Suspects) guilty(fingerprint string, crashes []int) bool {
 	blame, count := 0.0, 0
 	targets := map[string]bool{}
 	var common []string
 	known := false
-	for _, c := range s.crashes {
-		if !slices.Contains(c.Running, fingerprint) || s.explained(c, fingerprint) {
+	for _, i := range crashes {
+		c := s.crashes[i]
+		if s.explained(c, fingerprint) {
 			continue
 		}
 		if !targets[c.Target] {
--- a/daemon/online/chat.go
+++ b/daemon/online/chat.go
@@ -43,12 +43,16 @@
 	if described == nil {
 		return api.ChatResult{}, outcome.Refuse(outcome.UnknownTarget, "no target group serves model %q", call.Request.Model)
 	}
+	g := o.groupOf(c, described)
+	if g == nil {
+		return api.ChatResult{}, outcome.Refuse(outcome.UnknownTarget, "model %q is not served any more", call.Request.Model)
+	}
 	ctx, release, refusal := o.enter(ctx, call.Call, c)
 	if refusal != nil {
 		return api.ChatResult{}, refusal
 	}
 	defer release()
-	s := o.newStream(call, o.groupOf(c, described), sink)
+	s := o.newStream(call, g, sink)
 	if call.Key == "" {
 		refusal := o.attemptAll(ctx, s.run, s.try)
 		return s.result(), refusal
@@ -160,8 +164,7 @@
 func (s *stream) try(ctx context.Context, address string, last bool) error {
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := s.online.stallLimit(s.run, last)
-	watch := watchStall(limit, cancel)
+	watch := s.online.watchStall(s.run, address, last, cancel)
 	defer watch.stop()
 	request := s.request
 	request.StreamID = s.id + "." + strconv.Itoa(s.run.attempts)
@@ -171,7 +174,7 @@
 	}
 	finish, err := s.online.opt.Engine.Generate(targetContext(attempt, s.run.call), address, request, func(t target.Token) error {
 		watch.alive()
-		s.run.answered = true
+		s.run.answer(address)
 		return s.take(t)
 	})
 	if err != nil {
--- a/daemon/online/group.go
+++ b/daemon/online/group.go
@@ -28,6 +28,8 @@
 	budget  *retry.Budget
 	running map[string]map[*run]bool
 	gauges  map[string]bool
+	// signs holds when each target last began or ended an answer.
+	signs map[string]time.Time
 }
 
 func newGroup(o *Online, described *config.TargetGroup) *group {
@@ -38,6 +40,7 @@
 		budget:  retry.NewBudget(0, o.opt.Clock()),
 		running: map[string]map[*run]bool{},
 		gauges:  map[string]bool{},
+		signs:   map[string]time.Time{},
 	}
 }
 
@@ -114,8 +117,11 @@
 func (g *group) admit(now, deadline time.Time) *outcome.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget.First()
-	return g.table.Admit(now, deadline)
+	refusal := g.table.Admit(now, deadline)
+	if refusal == nil {
+		g.budget.First()
+	}
+	return refusal
 }
 
 // begin picks a target for the run's next attempt and counts it there at once,
@@ -182,11 +188,32 @@
 	return retry.Decide(s, g.budget)
 }
 
+// progress notes that a target gives answers.
+func (g *group) progress(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.signs[address] = g.clock()
+}
+
+func (g *group) progressedSince(address string, since time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.signs[address].After(since)
+}
+
+// canRetry tells whether the budget would allow a retry now.
+func (g *group) canRetry() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Left(g.clock())
+}
+
 // finished notes a whole answer: its time, and the prefixes the target now holds.
 func (g *group) finished(address string, total time.Duration, prefixes []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.Measured(total)
+	g.signs[address] = g.clock()
 	for _, p := range prefixes {
 		g.table.Hint(address, p, true)
 	}
--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -43,7 +43,7 @@
 	reply, refusal := o.begin(ctx, begin)
 	switch {
 	case refusal != nil && (!r.call.Profile.Repeatable || !unreachable(refusal)):
-		return nil, false, refusal
+		return nil, false, o.ownRuns(begin.Key, refusal)
 	case refusal != nil:
 		o.meters.ungranted.Inc()
 		answer, refusal = work(ctx)
@@ -55,6 +55,7 @@
 		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.call.Deadline)
 		defer cancel()
 		ctx = detached
+		o.granted.Add(begin.Key, struct{}{})
 	}
 	answer, refusal = work(ctx)
 	return o.finishRun(r, begin, reply.Attempt, answer, refusal)
@@ -67,6 +68,17 @@
 	}
 }
 
+// ownRuns corrects a refusal that says not_run of this arrival when an earlier
+// one of the same key was granted here: to the caller both are one request, and
+// it may have run. Arrivals at other daemons are known to the ledger only, so
+// the message speaks of this arrival.
+func (o *Online) ownRuns(key string, refusal *outcome.Refusal) *outcome.Refusal {
+	if refusal.Run == outcome.NotRun && o.granted.Contains(key) {
+		return refusal.WithRun(outcome.MayHaveRun)
+	}
+	return refusal
+}
+
 // unreachable tells whether the ledger could not be asked, as opposed to having
 // said no.
 func unreachable(r *outcome.Refusal) bool {
@@ -112,7 +124,13 @@
 	until := giveUp.Add(time.Duration(req.WaitMs) * time.Millisecond)
 	call, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	return o.opt.Ledger.Begin(call, req)
+	reply, err := o.opt.Ledger.Begin(call, req)
+	if err != nil && call.Err() != nil && ctx.Err() == nil {
+		// The patience ended, not the request's time.
+		return reply, outcome.Refuse(outcome.NoOwner, "this arrival was not run: the key's owner did not answer").
+			After(beginRetryMs)
+	}
+	return reply, err
 }
 
 // holdFor is the time the owner may hold the call, in milliseconds.
@@ -132,10 +150,13 @@
 		return nil
 	}
 	var r *outcome.Refusal
-	if errors.As(err, &r) {
-		return r
+	if !errors.As(err, &r) {
+		r = outcome.Refuse(outcome.NoOwner, "this arrival was not run: the key's owner did not answer: %v", err)
+	}
+	if unreachable(r) && r.RetryAfterMs == 0 {
+		return r.After(beginRetryMs)
 	}
-	return outcome.Refuse(outcome.NoOwner, "the key's owner did not answer: %v", err).After(beginRetryMs)
+	return r
 }
 
 // beginTimedOut is told when the deadline passed before a grant. This arrival
@@ -145,7 +166,7 @@
 		return outcome.Refuse(outcome.DeadlineExceeded, "another arrival of this key still runs").
 			WithRun(outcome.MayHaveRun).After(beginRetryMs)
 	}
-	return outcome.Refuse(outcome.DeadlineExceeded, "the key's owner did not answer in time").After(beginRetryMs)
+	return outcome.Refuse(outcome.DeadlineExceeded, "this arrival was not run: the key's owner did not answer in time").After(beginRetryMs)
 }
 
 // finishRun reports the end of a granted run and returns the answer that
--- a/daemon/online/online.go
+++ b/daemon/online/online.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"tarragonhollow.example/tarragonhollow/core/config"
-	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/signal"
 )
@@ -17,6 +17,8 @@
 	// refreshEvery is how often leaving marks are read from the membership: a
 	// leaving target must get no new work after a few seconds.
 	refreshEvery = 100 * time.Millisecond
+	// grantedKeys bounds the memory of keys that ran here.
+	grantedKeys = 16384
 	// drainPoll is how often Drain looks whether anything still runs.
 	drainPoll = 10 * time.Millisecond
 	// drainRetryMs is told to callers that come while the daemon drains: the
@@ -31,6 +33,8 @@
 	finish   *finisher
 	meters   *meters
 	draining atomic.Bool
+	// granted remembers the keys of non-repeatable requests that ran here.
+	granted *lru.Cache[string, struct{}]
 
 	mu     sync.RWMutex
 	config *config.Config
@@ -43,7 +47,12 @@
 	if err != nil {
 		return nil, err
 	}
-	on := &Online{opt: o, groups: map[string]*group{}, meters: newMeters(o.Metrics)}
+	on := &Online{
+		opt: o, groups: map[string]*group{}, meters: newMeters(o.Metrics),
+	}
+	if on.granted, err = lru.New[string, struct{}](grantedKeys); err != nil {
+		return nil, err
+	}
 	on.finish = newFinisher(o)
 	on.gate, err = newGate(o)
 	if err != nil {
@@ -109,15 +118,16 @@
 	}
 }
 
-// apply makes the groups follow a configuration. Groups that stay keep what
+// apply makes the groups follow a configuration, never an older one: a request
+// may still hold the version before. Groups that stay keep what
 // they know; requests that run in a removed one end there.
 func (o *Online) apply(c *config.Config) {
-	if c == nil {
+	if c == nil || o.current(c) {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.config == c {
+	if o.config != nil && c.Version <= o.config.Version {
 		return
 	}
 	o.config = c
@@ -135,6 +145,13 @@
 	o.opt.Signals.Watch(addressesOf(c))
 }
 
+// current tells whether the configuration, or a newer one, is in force.
+func (o *Online) current(c *config.Config) bool {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.config != nil && c.Version <= o.config.Version
+}
+
 func addressesOf(c *config.Config) []string {
 	var addresses []string
 	for _, g := range c.Groups {
@@ -145,15 +162,9 @@
 	return addresses
 }
 
-// groupOf returns the group that the configuration in force names, following a
-// newer configuration at once.
+// groupOf returns the described group, following a newer configuration at once;
+// nil if the one in force has dropped it.
 func (o *Online) groupOf(c *config.Config, described *config.TargetGroup) *group {
-	o.mu.RLock()
-	g, current := o.groups[described.Name], o.config
-	o.mu.RUnlock()
-	if current == c && g != nil {
-		return g
-	}
 	o.apply(c)
 	o.mu.RLock()
 	defer o.mu.RUnlock()
@@ -199,15 +210,3 @@
 	}
 	return s
 }
-
-// asRefusal turns any error into what a caller can be told.
-func asRefusal(err error) *outcome.Refusal {
-	if err == nil {
-		return nil
-	}
-	var r *outcome.Refusal
-	if errors.As(err, &r) {
-		return r
-	}
-	return outcome.Refuse(outcome.Internal, "%v", err).WithRun(outcome.MayHaveRun)
-}
--- a/daemon/online/online_test.go
+++ b/daemon/online/online_test.go
@@ -116,6 +116,22 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// The order ran and its answer was lost, then the log goes out and the tablet
+	// sends it again. To the guest both are one order: "not run" would be false.
+	It("is not called not run on a resend during an outage", func() {
+		b := newBench("a:1")
+		b.service.OnCall = func(context.Context, string, target.ServiceRequest) (target.ServiceResponse, error) {
+			return target.ServiceResponse{}, &target.Failure{Reached: true, Detail: "answer lost"}
+		}
+		b.start()
+		for _, down := range []bool{false, true} {
+			b.ledger.setDown(down)
+			_, err := b.online.Service(context.Background(), serviceOf(order, "k1", "breakfast"))
+			Expect(refusalOf(err).Run).To(Equal(outcome.MayHaveRun))
+		}
+		Expect(b.service.Calls()).To(HaveLen(1))
+	})
+
 	It("is refused without a key", func() {
 		b := newBench("a:1")
 		b.start()
@@ -216,6 +232,29 @@
 		Expect(refusalOf(err).Run).To(Equal(outcome.MayHaveRun))
 	})
 
+	// One engine's host is lost without a word: its connections just hang. No
+	// guest may wait for it to the end, and it must be taken out.
+	It("goes on elsewhere when a target hangs", func() {
+		b := newBench("a:1", "b:1", "c:1")
+		hang := make(chan struct{})
+		b.engine.OnGenerate = func(address string, _ target.GenerateRequest) faketarget.Generation {
+			if address == "a:1" {
+				return faketarget.Generation{Tokens: []string{"never"}, Gate: hang}
+			}
+			return faketarget.Generation{Tokens: []string{"fine"}}
+		}
+		b.start()
+		for i := range 60 {
+			result, err := b.online.Chat(context.Background(), chatOf(menu, "", strconv.Itoa(i)), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Text).To(Equal("fine"))
+			if b.online.Status().Groups["menu"][0].State == "removed" {
+				return
+			}
+		}
+		Fail("the hanging target was never taken out")
+	})
+
 	// One drawing crashes every engine that reads it, and its caller sends it
 	// again and again. Two engines are lost to it, not the fleet.
 	It("lets a crashing request take two targets and no more", func() {
--- a/daemon/online/run.go
+++ b/daemon/online/run.go
@@ -21,6 +21,9 @@
 var (
 	// errStalled ends an attempt that stayed silent for too long.
 	errStalled = errors.New("target stayed silent for too long")
+	// errSlow ends one that stayed silent at a target that answers others: the
+	// target is alive, and only this request goes elsewhere.
+	errSlow = errors.New("target is too slow with this request")
 	// errSink marks that the caller's side of a stream broke.
 	errSink = errors.New("caller stopped reading")
 )
@@ -137,12 +140,21 @@
 	return err != nil && expired && !r.answered && took >= o.opt.StallMin
 }
 
+// answer notes that the attempt's target has given something back.
+func (r *run) answer(address string) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	r.group.progress(address)
+}
+
 // judge says what an attempt's end tells about the target.
 func judge(ctx context.Context, err error, f *target.Failure) routing.Outcome {
 	switch {
 	case err == nil:
 		return routing.Succeeded
-	case errors.Is(err, errSink), ctx.Err() != nil:
+	case errors.Is(err, errSink), errors.Is(err, errSlow), ctx.Err() != nil:
 		return routing.Neutral
 	case f == nil:
 		return routing.SoftFailed
@@ -201,14 +213,3 @@
 		return outcome.Refuse(outcome.Cancelled, "the caller left").WithRun(run)
 	}
 }
-
-// stallLimit is how long an attempt may stay silent; 0 is without bound. A
-// target that hangs (a lost host, a cut cable) shows as silence only. The last
-// attempt and those that may not be repeated wait to the deadline.
-func (o *Online) stallLimit(r *run, last bool) time.Duration {
-	if last || !r.call.Profile.Repeatable {
-		return 0
-	}
-	third := r.call.Deadline.Sub(o.opt.Clock()) / 3
-	return min(max(third, o.opt.StallMin), o.opt.StallMax)
-}
--- a/daemon/online/service.go
+++ b/daemon/online/service.go
@@ -36,12 +36,16 @@
 	if described == nil || described.Kind != config.KindService {
 		return target.ServiceResponse{}, outcome.Refuse(outcome.UnknownTarget, "no service %q", call.Service)
 	}
+	g := o.groupOf(c, described)
+	if g == nil {
+		return target.ServiceResponse{}, outcome.Refuse(outcome.UnknownTarget, "service %q is gone", call.Service)
+	}
 	ctx, release, refusal := o.enter(ctx, call.Call, c)
 	if refusal != nil {
 		return target.ServiceResponse{}, refusal
 	}
 	defer release()
-	r := o.newRun(call.Call, o.groupOf(c, described))
+	r := o.newRun(call.Call, g)
 	var response target.ServiceResponse
 	try := func(ctx context.Context, address string, last bool) error {
 		var err error
@@ -58,9 +62,12 @@
 func (o *Online) callService(ctx context.Context, r *run, address string, request target.ServiceRequest, last bool) (target.ServiceResponse, error) {
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := watchStall(o.stallLimit(r, last), cancel)
+	watch := o.watchStall(r, address, last, cancel)
 	defer watch.stop()
 	response, err := o.opt.Service.Call(targetContext(attempt, r.call), address, request)
+	if err == nil {
+		r.answer(address)
+	}
 	if f := target.FailureOf(err); f != nil && f.Rejected && response.Status != 0 {
 		// The service ruled on the content: its answer is the caller's answer.
 		return response, nil
--- a/daemon/online/suite_test.go
+++ b/daemon/online/suite_test.go
@@ -168,6 +168,7 @@
 		Engine: &b.engine, Service: &b.service, Peer: caller{}, Registrar: registrar{},
 		Signals: b.signals, Suspects: &tracker{core: retry.NewSuspects(2)},
 		Host: "d1", Zone: "hai-chau",
+		StallMin: 50 * time.Millisecond, StallMax: 50 * time.Millisecond,
 		BeginPatience: 20 * time.Millisecond, OrderPatience: 100 * time.Millisecond,
 	})
 	Expect(err).NotTo(HaveOccurred())
