Keep slow bodies from crowding out running requests

A request counted against the daemon's bound from its headers on, so callers with slow bodies could have had everybody else refused as overloaded, and 16 slow uploads would have shut jobs out. Now a request counts for its caller at once but for the daemon only when its body is whole, and uploads reserve the memory of their custom_id hashes as items come, out of the bound that online bodies share.

Ruled out: a time limit on uploads, which would cut honest large jobs.

--- a/api/call.go
+++ b/api/call.go
@@ -228,14 +228,22 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// enter counts the request against the caller's and the daemon's bounds.
+// enter counts the request against its caller's bound, until leave.
 func (s *Server) enter(caller string, limits config.Limits) (leave func(), err error) {
-	total := s.opts.MaxInFlight
+	if refusal := s.inFlight.enter(caller, limits.InFlightPerCaller); refusal != nil {
+		return nil, refusal
+	}
+	return func() { s.inFlight.leave(caller) }, nil
+}
+
+// run counts the request against the daemon's bound, until done.
+func (s *Server) run(limits config.Limits) (done func(), err error) {
+	most := s.opts.MaxInFlight
 	if limits.InFlight > 0 {
-		total = min(total, limits.InFlight)
+		most = min(most, limits.InFlight)
 	}
-	if refusal := s.inFlight.enter(caller, total, limits.InFlightPerCaller); refusal != nil {
+	if refusal := s.inFlight.run(most); refusal != nil {
 		return nil, refusal
 	}
-	return func() { s.inFlight.leave(caller) }, nil
+	return s.inFlight.done, nil
 }
--- a/api/chat.go
+++ b/api/chat.go
@@ -31,6 +31,11 @@
 	if err != nil {
 		return err
 	}
+	done, err := s.run(cfg.Limits)
+	if err != nil {
+		return err
+	}
+	defer done()
 	req, stream, err := ParseChat(body)
 	if err != nil {
 		return err
--- a/api/faults_test.go
+++ b/api/faults_test.go
@@ -29,8 +29,11 @@
 func held(d *daemon) (running chan string, release chan struct{}) {
 	running, release = make(chan string, 16), make(chan struct{})
 	d.chat = func(ctx context.Context, c api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
-		if sink != nil {
-			Expect(sink(target.Token{Text: "first"})).To(Succeed())
+		if sink == nil {
+			sink = func(target.Token) error { return nil }
+		}
+		if err := sink(target.Token{Text: "first"}); err != nil {
+			return api.ChatResult{}, err
 		}
 		running <- c.Caller
 		select {
@@ -38,8 +41,8 @@
 		case <-ctx.Done():
 			return api.ChatResult{}, ctx.Err()
 		}
-		if sink != nil {
-			Expect(sink(target.Token{Index: 1, Text: "last"})).To(Succeed())
+		if err := sink(target.Token{Index: 1, Text: "last"}); err != nil {
+			return api.ChatResult{}, err
 		}
 		return api.ChatResult{Text: "firstlast", Finish: target.Finish{Reason: "stop"}}, nil
 	}
@@ -117,6 +120,22 @@
 		Expect(resp.StatusCode).To(Equal(200))
 	})
 
+	// A site office on a bad line sends its bodies slowly. If they counted as
+	// work, a few of them would have the daemon refuse everybody as overloaded.
+	It("does not count slow bodies as running requests", func() {
+		d := start(func(o *api.Options) { o.MaxInFlight = 1 })
+		running, release := held(d)
+		slow := d.dial("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTarragon-Profile: desk\r\nTarragon-Caller: slow\r\nExpect: 100-continue\r\nContent-Length: 90\r\n\r\n")
+		line, err := bufio.NewReader(slow).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(ContainSubstring("100"), "its body is not being read")
+		d.dial(rawChat(fmt.Sprintf(hello, true)))
+		Eventually(running).Should(Receive())
+		resp := d.send("POST", "/v1/chat/completions", fmt.Sprintf(hello, false), "Tarragon-Profile", "desk")
+		Expect(read(resp).Error.Code).To(Equal("overloaded"))
+		close(release)
+	})
+
 	It("bounds one caller's requests and leaves the others alone", func() {
 		d := start(nil)
 		running, release := held(d)
--- a/api/options.go
+++ b/api/options.go
@@ -34,9 +34,10 @@
 	DefaultMaxConnections = 8192
 	// DefaultMaxInFlight bounds requests that run at once.
 	DefaultMaxInFlight = 4096
-	// DefaultMaxUploads bounds job uploads at once: each keeps one 64-bit hash an item.
-	DefaultMaxUploads = 16
-	// DefaultMaxBodyMemory bounds the online bodies held in memory together.
+	// DefaultMaxUploads bounds job uploads at once. Slow ones hold a place for
+	// long, so it is well above what one host takes in at full speed.
+	DefaultMaxUploads = 256
+	// DefaultMaxBodyMemory bounds what bodies hold in memory together.
 	DefaultMaxBodyMemory = 256 << 20
 )
 
@@ -66,7 +67,8 @@
 	MaxInFlight int
 	// MaxUploads bounds job uploads at once.
 	MaxUploads int
-	// MaxBodyMemory bounds the online bodies held in memory, in bytes.
+	// MaxBodyMemory bounds, in bytes, the online bodies and the custom_id hashes
+	// of uploads held in memory together.
 	MaxBodyMemory int64
 	// DrainGrace is how long Shutdown goes on accepting after it went unready,
 	// so that balancers notice first.
--- a/api/results.go
+++ b/api/results.go
@@ -48,6 +48,11 @@
 		return err
 	}
 	defer leave()
+	done, err := s.run(s.limits())
+	if err != nil {
+		return err
+	}
+	defer done()
 	page, err := s.page(c, full, from)
 	if err != nil {
 		return err
--- a/api/service.go
+++ b/api/service.go
@@ -42,6 +42,11 @@
 	if err != nil {
 		return err
 	}
+	done, err := s.run(cfg.Limits)
+	if err != nil {
+		return err
+	}
+	defer done()
 	req := c.Request()
 	name, path, err := servicePath(req)
 	if err != nil {
--- a/api/suite_test.go
+++ b/api/suite_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +26,14 @@
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func TestAPI(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "api")
--- a/api/upload.go
+++ b/api/upload.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"errors"
 	"hash"
-	"hash/maphash"
 	"io"
 	"net/http"
 	"strconv"
@@ -46,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	defer up.ids.release()
 	status, created, err := s.opts.Backend.PutJob(c.Request().Context(), JobUpload{Call: call, Job: full, Next: up.next, Sum: up.sum})
 	return s.answerUpload(c, name, up, status, created, err)
 }
@@ -91,7 +91,7 @@
 	mostItems int
 	number    int
 	items     int
-	ids       idSet
+	ids       *idSet
 	hash      hash.Hash
 	failed    *outcome.Refusal
 	ended     bool
@@ -107,7 +107,7 @@
 		lines:     bufio.NewReaderSize(reader, bodyStep),
 		lineBytes: orDefault(limits.LineBytes, defaultLineBytes),
 		mostItems: orDefault(limits.ItemsPerJob, defaultItemsPerJob),
-		ids:       newIDSet(),
+		ids:       newIDSet(&s.bodies),
 		hash:      sha256.New(),
 	}
 	u.add([]byte(profile))
@@ -191,7 +191,11 @@
 	if u.items == u.mostItems {
 		return ledger.Item{}, outcome.Refuse(outcome.TooLarge, "the job is over the limit of %d items", u.mostItems)
 	}
-	if !u.ids.add(line.CustomID) {
+	isNew, err := u.ids.add(line.CustomID)
+	if err != nil {
+		return ledger.Item{}, err
+	}
+	if !isNew {
 		return ledger.Item{}, outcome.Refuse(outcome.BadRequest, "line %d: custom_id %.64q was used before", u.number, line.CustomID)
 	}
 	u.items++
@@ -210,26 +214,3 @@
 
 // sum is JobUpload.Sum.
 func (u *upload) sum() string { return hex.EncodeToString(u.hash.Sum(nil)) }
-
-// idSet tells whether a custom_id was seen, in 8 bytes and the map's overhead
-// an id. It keeps 64-bit hashes with a seed of its own. A collision refuses an
-// honest job with a true "not run"; for a job of n items its odds are about
-// n²/2^65: 1 in 440 million for 290,000 items, and another seed on a resend. A
-// true duplicate is always found.
-type idSet struct {
-	seed maphash.Seed
-	seen map[uint64]struct{}
-}
-
-// newIDSet returns an empty set.
-func newIDSet() idSet { return idSet{seed: maphash.MakeSeed(), seen: make(map[uint64]struct{})} }
-
-// add tells whether id is new.
-func (s idSet) add(id string) bool {
-	h := maphash.String(s.seed, id)
-	if _, ok := s.seen[h]; ok {
-		return false
-	}
-	s.seen[h] = struct{}{}
-	return true
-}
