Bound the memory of load reports and the suspects' turn

Cause: samples of running streams were merged into one that kept the largest count ever under a high rate of signals, so a load report that showed unheard online requests was explained away. A suspect's turn could stay with a target that had gone to another steward. A repeatable service call stopped by a drain counted as a failed attempt.

Change: samples are merged within 50 ms only; a report may look back as far as its own stated lag, within bounds; a lost target loses the turn; only work that is not repeatable ends as may_have_run when stopped.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -16,9 +16,11 @@
 	SignalExpiry = 2 * time.Second
 	// ReportValid is how long a load report is used after its arrival.
 	ReportValid = 2 * time.Second
-	// ReportLag is how far a report may lie behind its arrival: streams that
-	// ran within it may be counted in the report.
-	ReportLag = time.Second
+	// ReportLag is how far a report may lie behind its arrival, beyond the lag
+	// that it states itself: streams that ran within it may be counted in the
+	// report. ReportLagMax bounds the sum, whatever the target's clock says.
+	ReportLag    = time.Second
+	ReportLagMax = 5 * time.Second
 	// FailureBackoffMin and FailureBackoffMax bound the pause after failures in a row.
 	FailureBackoffMin = 100 * time.Millisecond
 	FailureBackoffMax = 5 * time.Second
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -191,10 +191,19 @@
 	g.Expect(silent.Step(late.Add(time.Minute), Queue{Waiting: 20}).Admit).To(Equal(8), "a dead host is not expected to speak")
 
 	unheard := start(0, 2)
-	unheard.Load(now.Add(time.Second), 5, 1)
+	unheard.Load(now.Add(time.Second), 0, 5, 1)
 	g.Expect(unheard.Online(now.Add(time.Second))).To(Equal(4), "the report shows four more than our two")
 	g.Expect(unheard.Step(now.Add(time.Second), Queue{}).Cancel).To(HaveLen(2))
 
+	lagging := start(0, 8)
+	for i := range 8 {
+		lagging.Ended(now.Add(time.Second), StreamID(i+1))
+	}
+	lagging.Load(now.Add(2500*time.Millisecond), time.Second, 8, 0)
+	g.Expect(lagging.Online(now.Add(2500*time.Millisecond))).To(BeZero(), "the report still shows our own eight")
+	lagging.Load(now.Add(4*time.Second), time.Second, 8, 0)
+	g.Expect(lagging.Online(now.Add(4*time.Second))).To(Equal(8), "they are gone for too long to be ours")
+
 	pinned := NewTarget(DefaultGiveWay(), 4, now)
 	pinned.Admitted(now, Stream{ID: 1, Pinned: true})
 	pinned.Signal(now, "a", 1, 4, 4)
--- a/core/admission/signals.go
+++ b/core/admission/signals.go
@@ -77,53 +77,65 @@
 	return false
 }
 
-// report is the last load report; at is its arrival.
+// report is the last load report; at is its arrival, window how far back it
+// may look.
 type report struct {
 	at      time.Time
+	window  time.Duration
 	running int
 	waiting int
 }
 
+// peakGrain is the time over which counts are merged into one sample; with the
+// bounded window it bounds the memory whatever the rate of signals.
+const peakGrain = 50 * time.Millisecond
+
 // peaks remembers how many streams ran lately, to judge a lagging report.
 type peaks struct {
 	samples []peakSample
 }
 
+// peakSample covers a grain from at on: its largest counts, and the last ones,
+// which hold until the next sample.
 type peakSample struct {
-	at     time.Time
-	batch  int
-	online int
+	at         time.Time
+	maxBatch   int
+	maxOnline  int
+	lastBatch  int
+	lastOnline int
 }
 
-// maxPeakSamples bounds the memory; beyond it the oldest two are merged into
-// their maximum, which errs towards explaining more of a report.
-const maxPeakSamples = 256
-
 func (p *peaks) add(now time.Time, batch, online int) {
-	cut := now.Add(-ReportLag - ReportValid)
+	cut := now.Add(-ReportLagMax - ReportValid)
 	for len(p.samples) > 1 && p.samples[1].at.Before(cut) {
 		p.samples = p.samples[1:]
 	}
-	if len(p.samples) >= maxPeakSamples {
-		p.samples[1].batch = max(p.samples[0].batch, p.samples[1].batch)
-		p.samples[1].online = max(p.samples[0].online, p.samples[1].online)
-		p.samples = p.samples[1:]
+	if n := len(p.samples); n > 0 && now.Sub(p.samples[n-1].at) < peakGrain {
+		s := &p.samples[n-1]
+		s.maxBatch, s.maxOnline = max(s.maxBatch, batch), max(s.maxOnline, online)
+		s.lastBatch, s.lastOnline = batch, online
+		return
 	}
-	p.samples = append(p.samples, peakSample{at: now, batch: batch, online: online})
+	p.samples = append(p.samples, peakSample{
+		at: now, maxBatch: batch, maxOnline: online, lastBatch: batch, lastOnline: online,
+	})
 }
 
-// within returns the largest counts between from and to; the sample in force at
-// from counts. Without any sample the present counts are returned.
+// within returns the largest counts between from and to. Without any sample the
+// present counts are returned.
 func (p *peaks) within(from, to time.Time, batch, online int) (int, int) {
 	if len(p.samples) == 0 {
 		return batch, online
 	}
 	maxBatch, maxOnline := 0, 0
 	for i, s := range p.samples {
-		inForceAtFrom := !s.at.After(from) && (i+1 == len(p.samples) || p.samples[i+1].at.After(from))
-		if inForceAtFrom || (s.at.After(from) && !s.at.After(to)) {
-			maxBatch = max(maxBatch, s.batch)
-			maxOnline = max(maxOnline, s.online)
+		switch {
+		case s.at.After(to) || (i+1 < len(p.samples) && !p.samples[i+1].at.After(from)):
+		case from.Sub(s.at) >= peakGrain:
+			// The sample began before the window; what held at its end counts.
+			maxBatch, maxOnline = max(maxBatch, s.lastBatch), max(maxOnline, s.lastOnline)
+		default:
+			maxBatch, maxOnline = max(maxBatch, s.maxBatch), max(maxOnline, s.maxOnline)
 		}
 	}
 	return maxBatch, maxOnline
--- a/core/admission/target.go
+++ b/core/admission/target.go
@@ -50,6 +50,7 @@
 // one is ignored. It tells whether online requests began.
 func (t *Target) Signal(now time.Time, entry string, seq uint64, online int, started uint64) bool {
 	before := t.entries.total(now)
+	t.peaks.add(now, len(t.running), before)
 	began := t.entries.set(entry, entryCount{seq: seq, online: max(online, 0), started: started, heard: now})
 	after := t.entries.total(now)
 	t.peaks.add(now, len(t.running), after)
@@ -61,9 +62,12 @@
 	return began || after > before
 }
 
-// Load takes a lagging load report that arrived at now.
-func (t *Target) Load(now time.Time, running, waiting int) {
-	t.report = report{at: now, running: running, waiting: waiting}
+// Load takes a load report that arrived at now and says that it is lag old. The
+// target's clock may be off, so the lag only widens the window of our own
+// streams that explain the report, within bounds.
+func (t *Target) Load(now time.Time, lag time.Duration, running, waiting int) {
+	window := min(ReportLag+max(lag, 0), ReportLagMax)
+	t.report = report{at: now, window: window, running: running, waiting: waiting}
 }
 
 // Admitted tells that a stream was started.
@@ -84,6 +88,7 @@
 func (t *Target) Ended(now time.Time, id StreamID) {
 	t.peaks.add(now, len(t.running), t.entries.total(now))
 	delete(t.running, id)
+	t.peaks.add(now, len(t.running), t.entries.total(now))
 }
 
 // Failed tells that the target refused, crashed or could not be reached: it is
@@ -129,7 +134,7 @@
 	if t.report.at.IsZero() || now.Sub(t.report.at) > ReportValid {
 		return 0
 	}
-	batch, online := t.peaks.within(t.report.at.Add(-ReportLag), t.report.at, len(t.running), t.entries.total(now))
+	batch, online := t.peaks.within(t.report.at.Add(-t.report.window), t.report.at, len(t.running), t.entries.total(now))
 	return max(t.report.running+t.report.waiting-batch-online, 0)
 }
 
--- a/daemon/steward/assign.go
+++ b/daemon/steward/assign.go
@@ -101,6 +101,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lostAt = time.Time{}
+	if t.report.Slots > 0 {
+		slots = min(slots, t.report.Slots) // the engine's own word, if it is lower
+	}
 	t.core.SetSlots(slots)
 	t.core.SetLeaving(leaving)
 	t.core.SetEntries(live)
--- a/daemon/steward/decide.go
+++ b/daemon/steward/decide.go
@@ -44,7 +44,7 @@
 	t.why = action.Why
 	cancelled := t.cancelLocked(action.Cancel)
 	t.mu.Unlock()
-	s.meter.cancels.Add(cancelled)
+	s.meter.gaveWay(t, cancelled)
 	for range action.Admit {
 		if !s.startNextLocked(now, t, queue.Suspect) {
 			return
@@ -100,6 +100,9 @@
 	free := t.core.Online(now) == 0 && t.lostAt.IsZero() && t.leavingAt.IsZero()
 	t.mu.Unlock()
 	chosen := s.suspects[t.group]
+	if chosen != nil && s.ownTargets()[chosen.address] != chosen {
+		chosen = nil // it went to another steward while it had the turn
+	}
 	if chosen == t && !free {
 		delete(s.suspects, t.group)
 		return false
--- a/daemon/steward/item.go
+++ b/daemon/steward/item.go
@@ -33,10 +33,11 @@
 	// elsewhere: calls of plain services, and work that is not repeatable.
 	pinned  bool
 	suspect bool
+	// repeatable is the profile's word.
+	repeatable bool
 	// startUntil is when the lease no longer allows a start, on our own
-	// monotonic clock; renewable tells whether a later pull may move it.
+	// monotonic clock.
 	startUntil time.Time
-	renewable  bool
 
 	progress []string
 	segment  int
--- a/daemon/steward/meter.go
+++ b/daemon/steward/meter.go
@@ -10,8 +10,6 @@
 // read the state when they are scraped.
 type meter struct {
 	set     *metrics.Set
-	cancels *metrics.Counter
-	resumes *metrics.Counter
 	dropped *metrics.Counter
 	giveWay *metrics.Histogram
 }
@@ -19,8 +17,6 @@
 func newMeter(set *metrics.Set, s *Steward) *meter {
 	m := &meter{
 		set:     set,
-		cancels: set.NewCounter(`tarragonhollow_steward_give_way_cancels_total`),
-		resumes: set.NewCounter(`tarragonhollow_steward_resumes_total`),
 		dropped: set.NewCounter(`tarragonhollow_steward_ends_dropped_total`),
 		giveWay: set.NewHistogram(`tarragonhollow_steward_give_way_seconds`),
 	}
@@ -33,6 +29,18 @@
 	return m
 }
 
+// gaveWay counts the streams cancelled for online work.
+func (m *meter) gaveWay(t *targetState, n int) {
+	if n > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`tarragonhollow_steward_give_way_cancels_total{target=%q}`, t.address)).Add(n)
+	}
+}
+
+// resumed counts the start of an item that goes on after its last token.
+func (m *meter) resumed(t *targetState) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tarragonhollow_steward_resumes_total{target=%q}`, t.address)).Inc()
+}
+
 // ended counts the end of an item by its result.
 func (m *meter) ended(result string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tarragonhollow_steward_items_ended_total{result=%q}`, result)).Inc()
--- a/daemon/steward/pull.go
+++ b/daemon/steward/pull.go
@@ -178,7 +178,7 @@
 		gone[ref] = true
 	}
 	for i, it := range named {
-		if it.renewable && !gone[refs[i]] && until.After(it.startUntil) {
+		if it.repeatable && !gone[refs[i]] && until.After(it.startUntil) {
 			it.startUntil = until
 		}
 	}
@@ -209,7 +209,7 @@
 		weight:     profile.BatchWeight,
 		suspect:    leased.Suspect,
 		startUntil: until,
-		renewable:  profile.Repeatable,
+		repeatable: profile.Repeatable,
 		progress:   append([]string(nil), leased.Progress...),
 		queuedAt:   now,
 	}
--- a/daemon/steward/run.go
+++ b/daemon/steward/run.go
@@ -99,7 +99,7 @@
 	s.nextStream++
 	it.segment++
 	if len(it.progress) > 0 {
-		s.meter.resumes.Inc()
+		s.meter.resumed(t)
 	}
 	r := &run{id: s.nextStream, item: it, target: t, streamID: it.streamID(), done: make(chan struct{})}
 	ctx, cancel := context.WithCancelCause(context.Background())
--- a/daemon/steward/settle.go
+++ b/daemon/steward/settle.go
@@ -70,12 +70,12 @@
 // stoppedHereLocked deals with a run that ended because we stopped it, or that
 // somebody cancelled at the engine; its tokens are kept and no attempt is lost.
 //
-// A pinned item that a target received is never handed back as if it had not
-// run: its owner would lease it again, and work that must not be repeated would
-// run twice. It ends as may_have_run instead.
+// An item that is not repeatable and that a target received is never handed back
+// as if it had not run: its owner would lease it again, and it would run twice.
+// It ends as may_have_run instead.
 func (s *Steward) stoppedHereLocked(now time.Time, it *heldItem, r *run, err, cause error) bool {
 	f := target.FailureOf(err)
-	if it.pinned && (f == nil || f.Reached) {
+	if !it.repeatable && (f == nil || f.Reached) {
 		return false
 	}
 	switch {
@@ -106,7 +106,8 @@
 	end := ledger.ItemEnd{Ref: it.ref, Refusal: refusalFor(err, f)}
 	switch {
 	case f == nil:
-		// The body cannot be decoded, or the engine broke the token order.
+		// A body that cannot be decoded never will be; an engine that broke the
+		// token order may do better next time.
 		end.Final = errorx.IsOfType(err, ItemError)
 	case f.Rejected:
 		end.Final = true
