Tell peers an advertised address and cut single clients in the fault proxy

Cutting daemons from each other in a test needs a proxy in front of each peer listener, and a proxy that can tell the daemons apart. Neither was possible: a daemon told others its listener's address, and a fault met every connection of a proxy.

[host] peer_advertise is the address told to other daemons in place of peer_address; it serves hosts behind address translation as well. Port 0 is refused, as nobody could call it. The faults of the proxy take only_from, a list of client IPs; connections of others pass untouched and stay open. A closed port refuses everyone, so cut=refuse with only_from is refused instead of being taken for a reset.

Ruled out: a proxy per pair of daemons, which needs a different address of the same daemon for each peer.

--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -24,6 +24,10 @@
 func (r *rows) name(key string, _ *string)        { r.row(key, "required", "letters, digits, `_`, `.`, `-`") }
 func (r *rows) address(key string, _ *string)     { r.row(key, "required", "`IP:PORT`") }
 func (r *rows) addresses(key string, _ *[]string) { r.row(key, "", "`IP:PORT, IP:PORT, ...`") }
+func (r *rows) optionalAddress(key string, _ *string) {
+	r.row(key, "", "`IP:PORT`")
+}
+
 func (r *rows) secret(key string, _ *string, least int) {
 	r.row(key, "", fmt.Sprintf("at least %d characters", least))
 }
--- a/settings/encode.go
+++ b/settings/encode.go
@@ -36,6 +36,8 @@
 
 func (w *writer) address(key string, field *string) { w.set(key, *field) }
 
+func (w *writer) optionalAddress(key string, field *string) { w.set(key, *field) }
+
 func (w *writer) addresses(key string, field *[]string) { w.set(key, strings.Join(*field, ", ")) }
 
 func (w *writer) url(key string, field *string, _ bool) { w.set(key, *field) }
--- a/settings/load.go
+++ b/settings/load.go
@@ -75,6 +75,7 @@
 	host := d.Section("host")
 	checkReachable(host, "http_address", s.Host.HTTPAddress)
 	checkReachable(host, "peer_address", s.Host.PeerAddress)
+	checkReachable(host, "peer_advertise", s.Host.PeerAdvertise)
 	if s.Host.HTTPAddress == s.Host.PeerAddress && !strings.HasSuffix(s.Host.PeerAddress, ":0") && s.Host.PeerAddress != "" {
 		host.Fail("peer_address", "the same as http_address", "another port")
 	}
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -25,6 +25,10 @@
 	*field = r.current.Address(key, *field, true)
 }
 
+func (r *reader) optionalAddress(key string, field *string) {
+	*field = r.current.Address(key, *field, false)
+}
+
 func (r *reader) addresses(key string, field *[]string) {
 	if r.current.Has(key) {
 		*field = r.current.Addresses(key)
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -17,6 +17,7 @@
 	section(name string)
 	name(key string, field *string)
 	address(key string, field *string)
+	optionalAddress(key string, field *string)
 	addresses(key string, field *[]string)
 	url(key string, field *string, required bool)
 	secret(key string, field *string, least int)
@@ -50,6 +51,7 @@
 	v.name("zone", &h.Zone)
 	v.address("http_address", &h.HTTPAddress)
 	v.address("peer_address", &h.PeerAddress)
+	v.optionalAddress("peer_advertise", &h.PeerAdvertise)
 }
 
 func (p *Platform) walk(v visitor) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,8 +40,12 @@
 	// takes a free one.
 	HTTPAddress string
 	// PeerAddress is the IP:PORT that serves other daemons; port 0 takes a
-	// free one.
+	// free one. Calls to other daemons are made from its IP.
 	PeerAddress string
+	// PeerAdvertise is the IP:PORT told to other daemons in place of
+	// PeerAddress, for a host behind address translation or a proxy; "" is
+	// PeerAddress itself.
+	PeerAdvertise string
 }
 
 // Platform is the [platform] section.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -33,10 +33,10 @@
 
 var _ = Describe("Settings", func() {
 	It("keep the defaults, and the last override wins", func() {
-		s, err := settings.Parse("host.ini", least, []string{"ledger.lease=8s", "peers.seeds=127.0.0.1:1,127.0.0.1:2", "ledger.lease=9s"})
+		s, err := settings.Parse("host.ini", least, []string{"host.peer_advertise=10.0.0.1:9", "ledger.lease=8s", "peers.seeds=127.0.0.1:1,127.0.0.1:2", "ledger.lease=9s"})
 		Expect(err).NotTo(HaveOccurred())
 		want := settings.Default()
-		want.Host = settings.Host{Name: "entry-1", Zone: "son-tra", HTTPAddress: "127.0.0.1:8080", PeerAddress: "127.0.0.1:0"}
+		want.Host = settings.Host{Name: "entry-1", Zone: "son-tra", HTTPAddress: "127.0.0.1:8080", PeerAddress: "127.0.0.1:0", PeerAdvertise: "10.0.0.1:9"}
 		want.Platform.LogURL, want.Platform.HostsURL = "http://127.0.0.1:7001", "http://127.0.0.1:7002"
 		want.Peers.Seeds = []string{"127.0.0.1:1", "127.0.0.1:2"}
 		want.Ledger.Lease = 9 * time.Second
@@ -62,6 +62,11 @@
 		Entry("an address nobody can call", "", []string{"host.peer_address=0.0.0.0:1"},
 			`--set: [host] peer_address = "0.0.0.0:1": the unspecified address cannot be told to peers; `+
 				`allowed: the host's own IP:PORT`),
+		Entry("an advertised address nobody can call", "", []string{"host.peer_advertise=0.0.0.0:1"},
+			`--set: [host] peer_advertise = "0.0.0.0:1": the unspecified address cannot be told to peers; `+
+				`allowed: the host's own IP:PORT`),
+		Entry("an advertised port that is not known yet", "", []string{"host.peer_advertise=10.0.0.1:0"},
+			`--set: [host] peer_advertise = "10.0.0.1:0": not an address; allowed: IP:PORT, like 127.0.0.1:8080`),
 		Entry("more appends than the budget", "[ledger]\nappend_budget = 100", nil,
 			`host.ini:10: [ledger] append_budget = "100": 32 shards at one append each 100ms need 320 a second`),
 		Entry("a lease within the pace", "[ledger]\nlease = 500ms\nappend_pace = 400ms", nil,
--- a/standin/faultproxy/conn.go
+++ b/standin/faultproxy/conn.go
@@ -28,8 +28,10 @@
 	proxy  *Proxy
 	client net.Conn
 	target net.Conn
-	done   chan struct{}
-	once   sync.Once
+	// from is the client's IP.
+	from string
+	done chan struct{}
+	once sync.Once
 
 	mu sync.Mutex
 	// request is the first chunk since the last answer; nil once answered.
@@ -37,7 +39,7 @@
 }
 
 func newConn(p *Proxy, client, target net.Conn) *conn {
-	return &conn{proxy: p, client: client, target: target, done: make(chan struct{})}
+	return &conn{proxy: p, client: client, target: target, from: clientIP(client), done: make(chan struct{})}
 }
 
 // abort resets both sides and ends all loops.
@@ -87,7 +89,7 @@
 			}
 			faults, _ := c.proxy.faults.get()
 			select {
-			case chunks <- chunk{data: data, due: time.Now().Add(faults.delay(d))}:
+			case chunks <- chunk{data: data, due: time.Now().Add(faults.on(c.from).delay(d))}:
 			case <-c.done:
 				return
 			}
@@ -118,14 +120,14 @@
 	if request == nil {
 		return false
 	}
-	return c.proxy.faults.takeDrop(func(text string) bool { return bytes.Contains(request, []byte(text)) })
+	return c.proxy.faults.takeDrop(c.from, func(text string) bool { return bytes.Contains(request, []byte(text)) })
 }
 
 // writeLoop delivers the chunks in order, each when it is due and its
 // direction flows, and passes an orderly end on.
 func (c *conn) writeLoop(to net.Conn, d direction, chunks <-chan chunk) {
 	for next := range chunks {
-		if !c.sleepUntil(next.due) || !c.proxy.faults.awaitFlow(d, c.done) {
+		if !c.sleepUntil(next.due) || !c.proxy.faults.awaitFlow(c.from, d, c.done) {
 			return
 		}
 		if _, err := to.Write(next.data); err != nil {
@@ -134,7 +136,7 @@
 		}
 		c.proxy.delivered(d, len(next.data))
 	}
-	if !c.proxy.faults.awaitFlow(d, c.done) {
+	if !c.proxy.faults.awaitFlow(c.from, d, c.done) {
 		return
 	}
 	if tcp, ok := to.(*net.TCPConn); ok {
--- a/standin/faultproxy/faultproxy_test.go
+++ b/standin/faultproxy/faultproxy_test.go
@@ -66,8 +66,11 @@
 	lines chan string
 }
 
-func dial(address string) *client {
-	c, err := net.Dial("tcp", address)
+func dial(address string) *client { return dialFrom("127.0.0.1", address) }
+
+func dialFrom(ip, address string) *client {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	c, err := dialer.Dial("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { c.Close() })
 	cl := &client{c, make(chan string, 100)}
@@ -164,6 +167,39 @@
 		Eventually(c.lines).Should(Receive(Equal("b")))
 	})
 
+	// A network is cut between two hosts of three: the third keeps its open
+	// connection, may make new ones, and notices nothing.
+	It("meets the connections of the named clients alone", func() {
+		cut, passing := dialFrom("127.0.0.2", proxy.Addr()), dialFrom("127.0.0.3", proxy.Addr())
+		for _, c := range []*client{cut, passing} {
+			c.send("a")
+			Eventually(c.lines).Should(Receive(Equal("a")))
+		}
+		only := []string{"127.0.0.2"}
+		Expect(proxy.SetFaults(faultproxy.Faults{Stall: faultproxy.StallBoth, OnlyFrom: only})).To(Succeed())
+		cut.send("held")
+		Eventually(held).Should(Equal(1))
+		passing.send("b")
+		Eventually(passing.lines).Should(Receive(Equal("b")))
+		Expect(cut.lines).NotTo(Receive())
+
+		Expect(proxy.SetFaults(faultproxy.Faults{Cut: faultproxy.CutReset, OnlyFrom: only})).To(Succeed())
+		Eventually(cut.lines).Should(BeClosed())
+		Eventually(dialFrom("127.0.0.2", proxy.Addr()).lines).Should(BeClosed())
+		for _, c := range []*client{passing, dialFrom("127.0.0.3", proxy.Addr())} {
+			c.send("c")
+			Eventually(c.lines).Should(Receive(Equal("c")))
+		}
+
+		Expect(proxy.SetFaults(faultproxy.Faults{DropAnswers: 1, OnlyFrom: only})).To(Succeed())
+		passing.send("d")
+		Eventually(passing.lines).Should(Receive(Equal("d")))
+		dropped := dialFrom("127.0.0.2", proxy.Addr())
+		dropped.send("e")
+		Eventually(dropped.lines).Should(BeClosed())
+		Expect(proxy.Stats().DroppedAnswers).To(Equal(int64(1)))
+	})
+
 	It("is steered over HTTP, strictly", func() {
 		control := httptest.NewServer(proxy.Control())
 		DeferCleanup(control.Close)
@@ -180,6 +216,10 @@
 		Eventually(c.lines).Should(BeClosed())
 		Expect(put(`{"stall":"sideways"}`)).To(Equal(400))
 		Expect(put(`{"stal":"up"}`)).To(Equal(400))
+		Expect(put(`{"cut":"refuse","only_from":["127.0.0.2"]}`)).To(Equal(400))
+		Expect(put(`{"cut":"reset","only_from":["127.0.0.02"]}`)).To(Equal(400))
 		Expect(proxy.Faults()).To(Equal(faultproxy.Faults{Cut: faultproxy.CutReset}))
+		Expect(put(`{"cut":"reset","only_from":["127.0.0.2"]}`)).To(Equal(200))
+		Expect(proxy.Faults().OnlyFrom).To(Equal([]string{"127.0.0.2"}))
 	})
 })
--- a/standin/faultproxy/faults.go
+++ b/standin/faultproxy/faults.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -52,6 +54,9 @@
 	// DropAnswersTo restricts DropAnswers to requests whose first chunk
 	// contains the text, such as "POST ", past long polls on the same proxy.
 	DropAnswersTo string `json:"drop_answers_to,omitempty"`
+	// OnlyFrom restricts all of the above to connections from these client
+	// IPs; those of others pass untouched. Empty is every client.
+	OnlyFrom []string `json:"only_from,omitempty"`
 }
 
 func (f Faults) validate() error {
@@ -68,9 +73,30 @@
 	if f.DelayUpMs < 0 || f.DelayDownMs < 0 || f.DropAnswers < 0 {
 		return errors.New("delays and counts must not be negative")
 	}
+	return f.validateClients()
+}
+
+func (f Faults) validateClients() error {
+	for _, text := range f.OnlyFrom {
+		if ip, err := netip.ParseAddr(text); err != nil || ip.String() != text {
+			return fmt.Errorf("only_from %q: want an IP in its usual form", text)
+		}
+	}
+	// A closed port refuses every client, also those that must pass.
+	if f.Cut == CutRefuse && len(f.OnlyFrom) > 0 {
+		return errors.New("cut \"refuse\" closes the port for all: use \"reset\" with only_from")
+	}
 	return nil
 }
 
+// on returns the faults that a client's connections meet.
+func (f Faults) on(client string) Faults {
+	if len(f.OnlyFrom) > 0 && !slices.Contains(f.OnlyFrom, client) {
+		return Faults{}
+	}
+	return f
+}
+
 // direction is one of the two ways of a connection.
 type direction Stall
 
@@ -110,26 +136,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
+	s.faults.OnlyFrom = slices.Clone(faults.OnlyFrom)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// takeDrop uses up one dropped answer if the request matches.
-func (s *faultState) takeDrop(matches func(text string) bool) bool {
+// takeDrop uses up one dropped answer if the client's request matches.
+func (s *faultState) takeDrop(client string, matches func(text string) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.DropAnswers == 0 || !matches(s.faults.DropAnswersTo) {
+	if s.faults.on(client).DropAnswers == 0 || !matches(s.faults.DropAnswersTo) {
 		return false
 	}
 	s.faults.DropAnswers--
 	return true
 }
 
-// awaitFlow returns when the direction is not stalled, or false when done ends.
-func (s *faultState) awaitFlow(d direction, done <-chan struct{}) bool {
+// awaitFlow returns when the client's direction is not stalled, or false when
+// done ends.
+func (s *faultState) awaitFlow(client string, d direction, done <-chan struct{}) bool {
 	for {
 		faults, changed := s.get()
-		if !faults.stalls(d) {
+		if !faults.on(client).stalls(d) {
 			return true
 		}
 		if !s.awaitChange(changed, done) {
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -97,8 +97,8 @@
 	return stats
 }
 
-// SetFaults replaces the faults in force. A cut has closed all connections
-// when it returns.
+// SetFaults replaces the faults in force. A cut has closed the connections
+// that it meets when it returns.
 func (p *Proxy) SetFaults(faults Faults) error {
 	if err := faults.validate(); err != nil {
 		return err
@@ -109,9 +109,7 @@
 		p.stopListening()
 	}
 	p.faults.set(faults)
-	if faults.Cut != CutNone {
-		p.CutConnections()
-	}
+	p.abortConns(func(c *conn) bool { return faults.on(c.from).Cut != CutNone })
 	if faults.Cut == CutRefuse {
 		return nil
 	}
@@ -122,11 +120,15 @@
 func (p *Proxy) Clear() error { return p.SetFaults(Faults{}) }
 
 // CutConnections resets the open connections once and lets new ones through.
-func (p *Proxy) CutConnections() {
+func (p *Proxy) CutConnections() { p.abortConns(func(*conn) bool { return true }) }
+
+func (p *Proxy) abortConns(which func(*conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		c.abort()
+		if which(c) {
+			c.abort()
+		}
 	}
 }
 
@@ -188,7 +190,7 @@
 // serve forwards one client's connection until either side ends it.
 func (p *Proxy) serve(client net.Conn) {
 	defer p.wg.Done()
-	if p.Faults().Cut != CutNone {
+	if p.cuts(clientIP(client)) {
 		reset(client)
 		return
 	}
@@ -213,9 +215,12 @@
 	defer p.mu.Unlock()
 	p.conns[c] = struct{}{}
 	p.stats.Connections++
-	return !p.closed && p.Faults().Cut == CutNone
+	return !p.closed && !p.cuts(c.from)
 }
 
+// cuts tells whether connections from the client are cut now.
+func (p *Proxy) cuts(client string) bool { return p.Faults().on(client).Cut != CutNone }
+
 func (p *Proxy) unregister(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -238,6 +243,15 @@
 	p.stats.DroppedAnswers++
 }
 
+// clientIP returns the IP that a connection comes from.
+func clientIP(c net.Conn) string {
+	address, err := netip.ParseAddrPort(c.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return address.Addr().Unmap().String()
+}
+
 // reset closes the connection so that its peer sees a reset, not an orderly end.
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
