--- /dev/null
+++ b/daemon/configsync/options.go
@@ -0,0 +1,91 @@
+package configsync
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/platform"
+)
+
+// Namespace holds the errors of this layer.
+var Namespace = errorx.NewNamespace("configsync")
+
+// badOptions says that Options can't be used.
+var badOptions = Namespace.NewType("bad_options")
+
+// notApplied says that some host has not applied a version in time.
+var notApplied = Namespace.NewType("not_applied", errorx.Timeout())
+
+// Defaults of Options.
+const (
+	DefaultRetention = 24 * time.Hour
+	DefaultPollWait  = 5 * time.Second
+	DefaultPeerEvery = 250 * time.Millisecond
+)
+
+// Options configure a Sync.
+type Options struct {
+	// Log is the platform's log.
+	Log platform.Log
+	// View is the membership; the ConfigVersion of its members is what OnApplied
+	// told there.
+	View membership.View
+	// Peer fetches from other daemons; Registrar takes the service "Config".
+	Peer      peer.Caller
+	Registrar peer.Registrar
+	// Parse validates a text; it is config.Parse but in tests.
+	Parse func(text string) (*config.Config, error)
+	// OnApplied is told each version that comes into force here, in order. It must
+	// neither block nor call the Sync. May be nil.
+	OnApplied func(version uint64)
+	// Retention is how long the log keeps records; default 24 h.
+	Retention time.Duration
+	// PollWait bounds one long poll of the stream; default 5 s.
+	PollWait time.Duration
+	// PeerEvery is how often the members' versions are compared; default 250 ms.
+	PeerEvery time.Duration
+	// Clock gives the time; default time.Now.
+	Clock func() time.Time
+	// Logger and Metrics may be nil.
+	Logger  *zap.Logger
+	Metrics *metrics.Set
+}
+
+func (o Options) validated() (Options, error) {
+	switch {
+	case o.Log == nil || o.View == nil:
+		return o, badOptions.New("no log or no view")
+	case o.Peer == nil || o.Registrar == nil:
+		return o, badOptions.New("no peer client or registrar")
+	case o.Parse == nil:
+		return o, badOptions.New("no parser")
+	}
+	if o.Retention <= 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.PollWait <= 0 {
+		o.PollWait = DefaultPollWait
+	}
+	if o.PeerEvery <= 0 {
+		o.PeerEvery = DefaultPeerEvery
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.OnApplied == nil {
+		o.OnApplied = func(uint64) {}
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o, nil
+}
