Put the daemon together and serve the whole path

One daemon is built from its parts (membership, configuration, shards, online path, steward, HTTP face); serve runs it by its settings and try runs four of them with a whole deployment of stand-ins in one process, kills one and counts from the targets' records.

Before: no path.

--- a/caller/jobs.go
+++ b/caller/jobs.go
@@ -34,16 +34,21 @@
 	Job        string `json:"job"`
 	Profile    string `json:"profile"`
 	State      string `json:"state"`
-	Items      int    `json:"items"`
-	Waiting    int    `json:"waiting"`
-	Running    int    `json:"running"`
-	Completed  int    `json:"completed"`
-	Failed     int    `json:"failed"`
-	Cancelled  int    `json:"cancelled"`
-	AcceptedMs int64  `json:"accepted_ms"`
-	DueMs      int64  `json:"due_ms"`
-	EndedMs    int64  `json:"ended_ms"`
-	ForecastMs int64  `json:"forecast_ms"`
+	Counts     `json:"counts"`
+	AcceptedMs int64 `json:"accepted_ms"`
+	DueMs      int64 `json:"due_ms"`
+	EndedMs    int64 `json:"ended_ms"`
+	ForecastMs int64 `json:"forecast_ms"`
+}
+
+// Counts are a job's items by state.
+type Counts struct {
+	Items     int `json:"items"`
+	Waiting   int `json:"waiting"`
+	Running   int `json:"running"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+	Cancelled int `json:"cancelled"`
 }
 
 // Ended tells whether no item will run any more.
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -31,6 +31,8 @@
 type TryOptions struct {
 	// Deployment is da-nang or isarwerk.
 	Deployment string
+	// Stay keeps the fleet running without load until the context is done.
+	Stay bool
 	// Out takes the progress and the last line, Err the logs.
 	Out io.Writer
 	Err io.Writer
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -42,8 +42,9 @@
 // tryCommand returns `try`.
 func (a *app) tryCommand() *cobra.Command {
 	deployment := deployments[0]
+	stay := false
 	cmd := &cobra.Command{
-		Use:   "try [--deployment da-nang|isarwerk]",
+		Use:   "try [--deployment da-nang|isarwerk] [--stay]",
 		Short: "Run a small fleet in this process, kill a daemon and count what was lost or doubled",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -53,10 +54,12 @@
 			if a.programs.Try == nil {
 				return exitWith(ExitFailed, fmt.Errorf("try: no demonstration is linked into this program"))
 			}
-			return failed(a.programs.Try(cmd.Context(), TryOptions{Deployment: deployment, Out: a.Out, Err: a.Err}))
+			options := TryOptions{Deployment: deployment, Stay: stay, Out: a.Out, Err: a.Err}
+			return failed(a.programs.Try(cmd.Context(), options))
 		},
 	}
 	cmd.Flags().StringVar(&deployment, "deployment", deployment, "da-nang or isarwerk")
+	cmd.Flags().BoolVar(&stay, "stay", false, "send nothing; keep the fleet running until Ctrl-C")
 	return cmd
 }
 
--- a/cmd/tarragonhollow/main.go
+++ b/cmd/tarragonhollow/main.go
@@ -5,10 +5,11 @@
 	"os"
 
 	"tarragonhollow.example/tarragonhollow/cli"
+	"tarragonhollow.example/tarragonhollow/daemon"
+	"tarragonhollow.example/tarragonhollow/try"
 )
 
 func main() {
-	// Serve and Try are refused with an error until they are set here:
-	// Serve: daemon.Run, Try: try.Run.
-	os.Exit(cli.Execute(cli.Programs{}, os.Args[1:]))
+	programs := cli.Programs{Serve: daemon.Serve, Try: try.Run}
+	os.Exit(cli.Execute(programs, os.Args[1:]))
 }
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,200 @@
+// Package daemon puts one daemon together: the membership, the configuration,
+// the shards, the online path, the stewards and the HTTP face, each a package
+// of its own below this one. A program embeds it by New and Run.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/daemon/configsync"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/members"
+	"tarragonhollow.example/tarragonhollow/daemon/online"
+	"tarragonhollow.example/tarragonhollow/daemon/shards"
+	"tarragonhollow.example/tarragonhollow/daemon/signal"
+	"tarragonhollow.example/tarragonhollow/daemon/steward"
+	"tarragonhollow.example/tarragonhollow/daemon/suspects"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/settings"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+// Options is what a daemon needs besides its settings.
+type Options struct {
+	// Logger gets one line per event.
+	Logger *zap.Logger
+	// Level changes the logger's level at run time.
+	Level zap.AtomicLevel
+}
+
+// Daemon is one daemon of the fleet.
+type Daemon struct {
+	settings *settings.Settings
+	logger   *zap.Logger
+	level    zap.AtomicLevel
+	metrics  *metrics.Set
+	started  time.Time
+
+	httpListener net.Listener
+	peerListener net.Listener
+	peerServer   *peer.Server
+	peerClient   *peer.Client
+	log          *platform.HTTPLog
+	hosts        *platform.HTTPHostList
+	engine       *target.EngineClient
+	service      *target.ServiceClient
+
+	members  *members.Members
+	config   *configsync.Sync
+	shards   *shards.Shards
+	signals  *signal.Sender
+	suspects *suspects.Tracker
+	online   *online.Online
+	steward  *steward.Steward
+	api      *api.Server
+
+	// stop ends the duties; drain asks Run to stop gracefully.
+	stop  context.CancelFunc
+	drain chan struct{}
+	// killed is closed by Kill.
+	killed chan struct{}
+}
+
+// New opens the listeners and puts the parts together; nothing runs before Run.
+func New(s *settings.Settings, o Options) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		logger:   o.Logger.With(zap.String("host", s.Host.Name)),
+		level:    o.Level,
+		metrics:  metrics.NewSet(),
+		started:  time.Now(),
+		drain:    make(chan struct{}, 1),
+		killed:   make(chan struct{}),
+	}
+	if err := d.build(); err != nil {
+		d.closeAll()
+		return nil, err
+	}
+	return d, nil
+}
+
+// build makes the parts from the outside in: sockets and clients first, then
+// what uses them.
+func (d *Daemon) build() error {
+	steps := []func() error{
+		d.listen,
+		d.buildClients,
+		d.buildMembers,
+		d.buildConfig,
+		d.buildShards,
+		d.buildOnline,
+		d.buildSteward,
+		d.buildAPI,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// HTTPAddress returns the IP:PORT that serves callers and operators.
+func (d *Daemon) HTTPAddress() string { return d.httpListener.Addr().String() }
+
+// PeerAddress returns the IP:PORT that serves other daemons.
+func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
+
+// Run runs the daemon until ctx is done or an operator drains it, then stops
+// gracefully: no request is interrupted, and shards and stewardship are handed
+// over. It returns nil after a complete stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	dutyCtx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	defer stop()
+	group := duty.NewGroup(dutyCtx)
+	d.startDuties(group)
+	serving := d.serve(group)
+	d.logger.Info("started",
+		zap.String("zone", d.settings.Host.Zone),
+		zap.String("http_address", d.HTTPAddress()),
+		zap.String("peer_address", d.PeerAddress()))
+
+	select {
+	case <-ctx.Done():
+	case <-d.drain:
+	case <-d.killed:
+		return errKilled
+	case err := <-serving:
+		return errors.Join(errListener.Wrap(err, "the HTTP listener failed"), d.finish(group))
+	}
+	d.stopGracefully()
+	return d.finish(group)
+}
+
+// startDuties starts every part's duties.
+func (d *Daemon) startDuties(group *duty.Group) {
+	d.members.Run(group)
+	d.config.Run(group)
+	d.shards.Run(group)
+	d.signals.Run(group)
+	d.suspects.Run(group)
+	d.online.Run(group)
+	d.steward.Run(group)
+	group.Go(d.factsLoop)
+}
+
+// serve starts both listeners; the channel tells a failure of the HTTP one.
+func (d *Daemon) serve(group *duty.Group) <-chan error {
+	failed := make(chan error, 1)
+	group.Go(func(context.Context) { _ = d.peerServer.Serve(d.peerListener) })
+	group.Go(func(context.Context) {
+		if err := d.api.Serve(d.httpListener); err != nil {
+			failed <- err
+		}
+	})
+	return failed
+}
+
+// finish ends the duties and closes what is open.
+func (d *Daemon) finish(group *duty.Group) error {
+	d.stop()
+	d.closeAll()
+	group.Wait()
+	d.logger.Info("stopped", zap.Float64("seconds_up", time.Since(d.started).Seconds()))
+	return nil
+}
+
+// Kill ends the daemon abruptly, as a lost host would: nothing is handed over
+// and every connection is cut. It serves the try command and tests.
+func (d *Daemon) Kill() {
+	close(d.killed)
+	d.stop()
+	d.closeAll()
+}
+
+// closeAll closes listeners and connections; it may be called twice.
+func (d *Daemon) closeAll() {
+	if d.api != nil {
+		d.api.Abort()
+	}
+	for _, listener := range []net.Listener{d.httpListener, d.peerListener} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if d.peerServer != nil {
+		_ = d.peerServer.Close()
+	}
+	if d.peerClient != nil {
+		_ = d.peerClient.Close()
+	}
+}
--- /dev/null
+++ b/daemon/stop.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// leaveWait bounds the telling of the other daemons that this one leaves.
+const leaveWait = time.Second
+
+// stopGracefully interrupts no request. The order matters: first callers and
+// the other daemons learn that this one leaves, while it still works; then
+// batch goes back to the owners; then the running requests end; and only then
+// are the shards handed over, because ending requests still writes to them.
+func (d *Daemon) stopGracefully() {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Timeout)
+	defer cancel()
+	d.logger.Info("draining", zap.Int("in_flight", d.online.InFlight()))
+	d.api.StartDrain()
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveWait)
+	d.members.Leave(leaveCtx)
+	cancelLeave()
+	if err := d.steward.Drain(ctx); err != nil {
+		d.logger.Warn("batch_not_handed_back", zap.Error(err))
+	}
+	if err := d.api.Shutdown(ctx); err != nil {
+		d.logger.Warn("requests_cut", zap.Error(err))
+	}
+	d.online.Drain(ctx)
+	if err := d.shards.Drain(ctx); err != nil {
+		d.logger.Warn("shards_not_handed_over", zap.Error(err))
+	}
+	d.logger.Info("drained", zap.Float64("seconds", time.Since(begin).Seconds()))
+}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -80,7 +80,7 @@
 		if err != nil {
 			return err
 		}
-		address, err := d.serve(server.Handler())
+		address, err := d.serveEngine(server)
 		if err != nil {
 			return err
 		}
@@ -140,6 +140,18 @@
 	return listener.Addr().String(), nil
 }
 
+// serveEngine serves an engine on a free loopback port. Its own Serve really
+// closes the listener while a crash lasts, so that callers see a refused
+// connection, as from a host whose process died.
+func (d *Deployment) serveEngine(server *engine.Server) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
 // ConfigText returns the operators' configuration for the running targets.
 func (d *Deployment) ConfigText() string {
 	return d.Shape.ConfigText(d.EngineAddresses, d.ServiceAddresses)
--- a/standin/standinset/run.go
+++ b/standin/standinset/run.go
@@ -62,6 +62,12 @@
 	Close()
 }
 
+// selfServing stand-ins close their listener themselves: an engine that crashes
+// refuses connections, as a dead process does.
+type selfServing interface {
+	Serve(net.Listener) error
+}
+
 func (s *Settings) newServer(kind Kind) (server, error) {
 	switch kind {
 	case KindLog:
@@ -94,9 +100,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	duties := duty.NewGroup(ctx)
 	var failure error
+	run := web.Serve
+	if own, ok := s.(selfServing); ok {
+		run = own.Serve
+	}
 	duties.Go(func(context.Context) {
 		defer cancel()
-		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := run(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failure = err
 		}
 	})
--- /dev/null
+++ b/try/fleet.go
@@ -0,0 +1,157 @@
+package try
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/caller"
+	"tarragonhollow.example/tarragonhollow/daemon"
+	"tarragonhollow.example/tarragonhollow/logging"
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/settings"
+	"tarragonhollow.example/tarragonhollow/standin/deployment"
+)
+
+// adminToken guards the daemons' operators' paths for the run's length.
+const adminToken = "try-operator-token"
+
+// fleet is the running deployment.
+type fleet struct {
+	shape   deployment.Shape
+	stand   *deployment.Deployment
+	daemons []*member
+}
+
+// member is one daemon and the way to reach it.
+type member struct {
+	daemon *daemon.Daemon
+	client *caller.Client
+	cancel context.CancelFunc
+	done   chan struct{}
+	killed bool
+}
+
+// startFleet starts the stand-ins and one daemon in each availability zone.
+func startFleet(shape deployment.Shape, logs io.Writer) (*fleet, error) {
+	stand, err := deployment.Start(shape, deployment.Options{})
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{shape: shape, stand: stand}
+	for i, zone := range shape.Zones {
+		if err := f.startDaemon(fmt.Sprintf("entry-%d", i+1), zone, logs); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) startDaemon(name, zone string, logs io.Writer) error {
+	s := settings.Default()
+	s.Host = settings.Host{Name: name, Zone: zone, HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0"}
+	s.Platform.LogURL = f.stand.LogURL
+	s.Platform.HostsURL = f.stand.HostsURL
+	s.Platform.WeightsURL = f.stand.WeightsURL
+	s.Admin.Token = adminToken
+	s.Drain.Grace = time.Millisecond
+	s.Drain.Timeout = 5 * time.Second
+	logger, level := logging.New(logs, "warn")
+	d, err := daemon.New(&s, daemon.Options{Logger: logger, Level: level})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{
+		daemon: d,
+		client: &caller.Client{HTTP: caller.Pooled(), Base: "http://" + d.HTTPAddress(), Token: adminToken},
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	go func() {
+		defer close(m.done)
+		_ = d.Run(ctx)
+	}()
+	f.daemons = append(f.daemons, m)
+	return f.stand.Hosts.Put(platform.Host{
+		Name:    name,
+		Role:    platform.RoleDaemon,
+		Address: d.PeerAddress(),
+		Zone:    zone,
+		State:   platform.HostLive,
+	})
+}
+
+// publish publishes the deployment's configuration and waits until every
+// daemon serves by it.
+func (f *fleet) publish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	text := f.stand.ConfigText()
+	err := retry(ctx, func() error {
+		_, err := f.daemons[0].client.PublishConfig(ctx, text, 0)
+		if refused := caller.IsRefused(err); refused != nil && refused.Winner != "" {
+			return nil
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	for _, m := range f.daemons {
+		if err := retry(ctx, func() error { return m.client.Ready(ctx) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// kill ends the daemon as a lost host would, and the platform notices.
+func (f *fleet) kill(i int) {
+	m := f.daemons[i]
+	m.killed = true
+	m.daemon.Kill()
+	<-m.done
+	f.stand.Hosts.Remove(fmt.Sprintf("entry-%d", i+1))
+}
+
+// live returns the clients of the daemons that were not killed.
+func (f *fleet) live() []*caller.Client {
+	var out []*caller.Client
+	for _, m := range f.daemons {
+		if !m.killed {
+			out = append(out, m.client)
+		}
+	}
+	return out
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.daemons {
+		m.cancel()
+	}
+	for _, m := range f.daemons {
+		<-m.done
+	}
+	f.stand.Close()
+}
+
+// retryEvery is the pause between tries at something that takes its time.
+const retryEvery = 50 * time.Millisecond
+
+// retry calls f until it succeeds or ctx ends; it returns f's last error then.
+func retry(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(retryEvery):
+		}
+	}
+}
