Keep a connection whose callers only cancel

Cause: three calls that ended without a reply dropped the connection, cancelled ones included, and the other calls on it ended as possibly delivered. Now only calls that ran out of time count, and the peer must have been silent for half a second.

--- a/peer/client.go
+++ b/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"reflect"
 	"strings"
@@ -193,7 +194,9 @@
 		}
 		return err
 	case <-ctx.Done():
-		l.timedOut(conn, began)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			l.timedOut(conn, began)
+		}
 		l.remote.holdUntil(done)
 		if env.withdraw() {
 			return Unreachable.Wrap(ctx.Err(), "%s at %s was not sent", method, l.remote.address)
--- a/peer/lane.go
+++ b/peer/lane.go
@@ -19,8 +19,11 @@
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
 	// maxStalls is how many calls in a row may time out, with nothing heard from
-	// the peer meanwhile, before their connection is dropped.
-	maxStalls = 3
+	// the peer meanwhile, before their connection is dropped; and stallSilence is
+	// for how long it must have been silent, so that a few calls of very short
+	// deadlines don't end the longer ones on the same connection.
+	maxStalls    = 3
+	stallSilence = 500 * time.Millisecond
 )
 
 // remote is one peer: a bound on its pending calls and two lanes.
@@ -91,6 +94,8 @@
 	backoff time.Duration
 	retryAt time.Time
 	stalls  int
+	// silentSince is when the first of the stalled calls began.
+	silentSince time.Time
 }
 
 // clientConn is one live connection.
@@ -168,28 +173,33 @@
 // timedOut counts a call that began at began and got no reply. It guards
 // against a connection that stalled (a frozen peer, a one-way cut), which shows
 // as calls that all time out while the socket stays open: after maxStalls of
-// them with not one byte heard, the connection is dropped and the next call
-// dials. A peer that is only slow in one method keeps answering others, which
-// resets the count, so its connection stays.
+// them with not one byte heard for stallSilence, the connection is dropped and
+// the next call dials. A peer that is only slow in one method keeps answering
+// others, which resets the count, so its connection stays.
 func (l *lane) timedOut(conn *clientConn, began time.Time) {
+	if !l.stalled(conn, began) {
+		return
+	}
+	l.remote.client.opt.Logger.Warn("peer_connection_stalled", zap.String("peer", l.remote.address))
+	l.remote.client.meter.stalled.Inc()
+	l.drop(conn)
+}
+
+func (l *lane) stalled(conn *clientConn, began time.Time) bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.conn != conn {
-		l.mu.Unlock()
-		return
+		return false
 	}
 	if conn.wire.lastReadNs.Load() >= began.UnixNano() {
 		l.stalls = 0
-		l.mu.Unlock()
-		return
+		return false
 	}
-	l.stalls++
-	stalled := l.stalls >= maxStalls
-	l.mu.Unlock()
-	if stalled {
-		l.remote.client.opt.Logger.Warn("peer_connection_stalled", zap.String("peer", l.remote.address))
-		l.remote.client.meter.stalled.Inc()
-		l.drop(conn)
+	if l.stalls == 0 || conn.wire.lastReadNs.Load() >= l.silentSince.UnixNano() {
+		l.stalls, l.silentSince = 0, began
 	}
+	l.stalls++
+	return l.stalls >= maxStalls && time.Since(l.silentSince) >= stallSilence
 }
 
 // drop closes the connection if it is still conn; nil means any.
