Give model orders through one issuer at a time

The configuration names a version for each model, but nothing told the engines to load it. Two daemons that both think they hold the model's shard could send engines back and forth, and some engines ignore fencing numbers.

Ruled out: the shard's term as the fence, because an engine that is moved to another model would compare terms of two shards; and the ledger's read-back as a lease, because an idle shard appends nothing to read back.

Conclusion: for targets that ignore the number, the window that is left is a pause between the last look at the clock and the arrival; it is logged.

--- /dev/null
+++ b/daemon/orders/send.go
@@ -0,0 +1,98 @@
+package orders
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/orders"
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+// actionLoadModel is the order's action in the targets' contract.
+const actionLoadModel = "load_model"
+
+// send gives one order within the tenure.
+//
+// Failure guarded against: a daemon decides, is paused, and wakes when another
+// one gives the orders: the target would go back to an old version. The last
+// look at the clock stands right before the call, and the call's own deadline
+// is the tenure's end; see LogLeadership for the window that remains.
+func (s *Orders) send(ctx context.Context, a assignment, t Tenure, order orders.Order) orders.Outcome {
+	fence, ok := s.fence(a.shard, t)
+	left := t.Until.Sub(s.opt.Clock())
+	if !ok || left <= 0 || !s.opt.Leadership.Held(a.shard) {
+		s.meter.notSent.Inc()
+		return orders.Refused
+	}
+	call, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	err := s.opt.Engine.Order(call, order.Address, target.Order{
+		Fence: fence, Action: actionLoadModel, Model: a.model.Name, Version: a.model.Version,
+	})
+	out := outcomeOf(err)
+	s.logOrder(a, t, order, fence, out, err)
+	if !s.opt.Clock().Before(t.Until) {
+		s.meter.outlived.Inc()
+		s.opt.Logger.Warn("order_outlived_tenure", zap.String("model", a.model.Name),
+			zap.String("target", order.Address), zap.Uint64("fence", fence))
+	}
+	if f := target.FailureOf(err); f != nil && f.Status == http.StatusConflict {
+		s.markStale(a.shard)
+	}
+	return out
+}
+
+func (s *Orders) logOrder(a assignment, t Tenure, order orders.Order, fence uint64, out orders.Outcome, err error) {
+	fields := []zap.Field{
+		zap.String("cause", order.Cause), zap.String("model", a.model.Name),
+		zap.String("version", a.model.Version), zap.String("group", a.group.Name),
+		zap.String("target", order.Address), zap.Uint64("fence", fence),
+		zap.Int("shard", a.shard), zap.Uint64("term", t.Term),
+	}
+	if out == orders.Accepted {
+		s.meter.accepted.Inc()
+		s.opt.Logger.Info("order_sent", fields...)
+		return
+	}
+	s.meter.failed.Inc()
+	s.opt.Logger.Warn("order_failed", append(fields, zap.Bool("may_load", out == orders.Lost), zap.Error(err))...)
+}
+
+// outcomeOf tells what is known of an order from its error. Only an answer that
+// says so, or no connection at all, proves that the target does not load.
+func outcomeOf(err error) orders.Outcome {
+	if err == nil {
+		return orders.Accepted
+	}
+	f := target.FailureOf(err)
+	if f != nil && (!f.Reached || f.Rejected || f.Busy) {
+		return orders.Refused
+	}
+	return orders.Lost
+}
+
+// askStore asks the weight store for the wanted version, once while it is held.
+func (s *Orders) askStore(ctx context.Context, a assignment, r *rollout) {
+	if !r.planner.NeedsStore(s.nowMs()) {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := s.opt.Weights.Weights(call, a.model.Name, a.model.Version)
+	answer := orders.StoreBusy
+	switch {
+	case err == nil:
+		answer = orders.StoreHas
+	case platform.IsNotFound(err):
+		answer = orders.StoreMissing
+	}
+	retry, _ := platform.IsLimited(err)
+	r.planner.StoreSaid(s.nowMs(), answer, retry.Milliseconds())
+	if err != nil {
+		s.opt.Logger.Warn("weights_not_ready", zap.String("model", a.model.Name),
+			zap.String("version", a.model.Version), zap.Bool("missing", answer == orders.StoreMissing), zap.Error(err))
+	}
+}
