Raise batch weight by the job's forecast and look while closed

Cause: a target that online work never leaves pulled nothing, so the due times of what waits were unknown and nothing could raise the weight of items that come due. One forecast over all backlog would have raised it for jobs that are in time.

Ruled out: one forecast for the whole backlog, which calls a small urgent job late because of a large one behind it.

Change: the steward asks owners what waits without taking anything, and follows the forecasts of the jobs it has had items of; status shows each job's forecast and whether it will be late.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -38,6 +38,8 @@
 	Weight float64
 	// Base is the profile's batch weight.
 	Base float64
+	// Forecast is when the stream's job is expected to finish; zero if unknown.
+	Forecast time.Time
 	// Tokens counts the tokens delivered so far; 0 means that the prompt is
 	// still being processed.
 	Tokens int
@@ -58,7 +60,7 @@
 	NextDue time.Time
 	// Weight is its profile's batch weight.
 	Weight float64
-	// Forecast is when the backlog is expected to be finished; zero if unknown.
+	// Forecast is when its job is expected to finish; zero if unknown.
 	Forecast time.Time
 	// Suspect tells that the next item must run alone on this target.
 	Suspect bool
--- a/core/admission/target.go
+++ b/core/admission/target.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// SetForecast tells when the stream's job is now expected to finish.
+func (t *Target) SetForecast(id StreamID, finish time.Time) {
+	if s := t.running[id]; s != nil {
+		s.Forecast = finish
+	}
+}
+
 // Ended tells that a stream no longer runs.
 func (t *Target) Ended(now time.Time, id StreamID) {
 	t.peaks.add(now, len(t.running), t.entries.total(now))
@@ -199,7 +206,7 @@
 	}
 	for _, r := range t.running {
 		c := *r
-		c.Weight = EffectiveWeight(r.Base, now, r.Due, q.Forecast)
+		c.Weight = EffectiveWeight(r.Base, now, r.Due, r.Forecast)
 		s.Running = append(s.Running, c)
 	}
 	sortKeepFirst(s.Running)
--- a/daemon/steward/decide.go
+++ b/daemon/steward/decide.go
@@ -80,10 +80,9 @@
 		}
 		q.Waiting++
 		if q.NextDue.IsZero() || it.due.Before(q.NextDue) {
-			q.NextDue, q.Weight = it.due, it.weight
+			q.NextDue, q.Weight, q.Forecast = it.due, it.weight, s.jobFinishLocked(it)
 		}
 	}
-	q.Forecast = s.forecastLocked(now, t.group)
 	return q
 }
 
--- a/daemon/steward/fakes_test.go
+++ b/daemon/steward/fakes_test.go
@@ -76,6 +76,8 @@
 	ends    []ledger.ItemEnd
 	leaseMs int64
 	lines   int
+	// forecast is the word on every job.
+	forecast time.Time
 	// away refuses all calls.
 	away bool
 	// gate, when set, holds pull replies until it is closed.
@@ -93,6 +95,9 @@
 	n := min(req.Max, len(l.waiting))
 	reply := ledger.PullReply{Items: l.waiting[:n:n], LeaseMs: l.leaseMs, Backlog: len(l.waiting) - n}
 	l.waiting = l.waiting[n:]
+	if len(l.waiting) > 0 {
+		reply.EarliestDueMs = l.waiting[0].DueMs
+	}
 	for _, it := range reply.Items {
 		l.leased[it.Ref] = it
 	}
@@ -104,6 +109,15 @@
 	return reply, nil
 }
 
+func (l *fakeLedger) Job(context.Context, string) (ledger.JobStatus, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.forecast.IsZero() {
+		return ledger.JobStatus{}, nil
+	}
+	return ledger.JobStatus{ForecastMs: l.forecast.UnixMilli()}, nil
+}
+
 // FinishItems keeps answers, and leases unfinished and crashed items again
 // under the next attempt.
 func (l *fakeLedger) FinishItems(_ context.Context, req ledger.FinishItemsRequest) ([]ledger.ItemEnd, error) {
@@ -217,12 +231,15 @@
 }
 
 // start runs the duties, with the entry host already heard as idle.
-func (b *bench) start() {
+func (b *bench) start() { b.startBeside(0) }
+
+// startBeside runs the duties with online requests already there.
+func (b *bench) startBeside(online int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	b.duties = duty.NewGroup(ctx)
 	b.assign()
-	b.online(0)
+	b.online(online)
 	b.Run(b.duties)
 	DeferCleanup(func() {
 		cancel()
@@ -240,6 +257,13 @@
 	b.OnSignal(sig)
 }
 
+// refresh repeats the count, as an entry host does, until the duties end.
+func (b *bench) refresh(online int) {
+	b.duties.Go(func(ctx context.Context) {
+		every(ctx, 100*time.Millisecond, func(context.Context) { b.online(online) })
+	})
+}
+
 // decideAll takes every decision that is due now, in place of waiting for it.
 func (b *bench) decideAll() {
 	for _, t := range b.ownTargets() {
--- a/daemon/steward/options.go
+++ b/daemon/steward/options.go
@@ -67,6 +67,10 @@
 	// idlePullGap spaces pulls to owners with no known backlog, so that the
 	// control traffic of an idle daemon does not grow with the number of owners.
 	idlePullGap = 100 * time.Millisecond
+	// lookAfter is how old an owner's word on its backlog may grow while nothing
+	// is pulled; lookGap spaces the questions.
+	lookAfter = 2 * time.Second
+	lookGap   = 250 * time.Millisecond
 	// pullMaxBytes bounds one pull's items.
 	pullMaxBytes = 4 << 20
 	// leaseMargin is taken off every lease: within it nothing starts.
--- a/daemon/steward/pull.go
+++ b/daemon/steward/pull.go
@@ -39,6 +39,7 @@
 	if !s.draining {
 		for group := range groups {
 			s.pullGroupLocked(now, group)
+			s.lookLocked(now, group)
 		}
 	}
 	s.renewLocked(now)
@@ -78,11 +79,33 @@
 	}
 }
 
+// lookLocked asks an owner that has not been asked for long what waits there,
+// without taking anything. Targets closed by online work pull nothing, but the
+// due times must be known all the same, to be shown and to raise the weight.
+func (s *Steward) lookLocked(now time.Time, group string) {
+	if now.Sub(s.lastLook) < lookGap {
+		return
+	}
+	var oldest *ownerState
+	for _, o := range s.owners {
+		if o.inFlight || now.Before(o.retryAt) || now.Sub(o.group(group).pulledAt) < lookAfter {
+			continue
+		}
+		if oldest == nil || o.group(group).pulledAt.Before(oldest.group(group).pulledAt) {
+			oldest = o
+		}
+	}
+	if oldest != nil {
+		s.lastLook = now
+		s.sendPullLocked(now, oldest, group, 0)
+	}
+}
+
 // wantLocked is how many more items the group's open targets have room for. As
 // many again are held ready as may run, so that a slot that falls free does not
 // wait for a pull; a target that online work has closed counts for nothing.
 func (s *Steward) wantLocked(now time.Time, group string) int {
-	weight := s.heaviestBatchWeight()
+	weight := s.groupWeightLocked(now, group)
 	want := 0
 	for _, t := range s.ownTargets() {
 		if t.group != group {
@@ -219,6 +242,7 @@
 		s.handBackLocked(it)
 		return
 	}
+	s.noteJobLocked(now, it)
 	s.queued[p.group] = append(s.queued[p.group], it)
 }
 
--- a/daemon/steward/run.go
+++ b/daemon/steward/run.go
@@ -110,7 +110,8 @@
 		other.alone = false
 	}
 	t.core.Admitted(now, admission.Stream{
-		ID: r.id, Due: it.due, Base: it.weight, Suspect: it.suspect, Pinned: it.pinned,
+		ID: r.id, Due: it.due, Base: it.weight, Forecast: s.jobFinishLocked(it),
+		Suspect: it.suspect, Pinned: it.pinned,
 	})
 	r.alone = t.core.Alone(now, r.id)
 	t.runs[r.id] = r
--- a/daemon/steward/status.go
+++ b/daemon/steward/status.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/admission"
 )
 
 // Status is the operators' view of the steward.
@@ -12,6 +14,19 @@
 	Held     int            `json:"held"`
 	Targets  []TargetStatus `json:"targets"`
 	Groups   []GroupStatus  `json:"groups"`
+	Jobs     []JobStatus    `json:"jobs"`
+}
+
+// JobStatus tells whether a job that this steward has had items of will be late.
+type JobStatus struct {
+	Job string `json:"job"`
+	// DueMs and ForecastMs are Unix milliseconds; a forecast of 0 is unknown.
+	DueMs      int64 `json:"due_ms"`
+	ForecastMs int64 `json:"forecast_ms"`
+	// Late tells that the forecast lies beyond the due time.
+	Late bool `json:"late"`
+	// Weight is the effective weight beside online work.
+	Weight float64 `json:"weight"`
 }
 
 // TargetStatus describes one own target.
@@ -43,8 +58,6 @@
 	// milliseconds; 0 is unknown. EarliestDueMs is the first due time in it.
 	ForecastMs    int64 `json:"forecast_ms"`
 	EarliestDueMs int64 `json:"earliest_due_ms"`
-	// Late tells that the forecast lies beyond the first due time.
-	Late bool `json:"late"`
 }
 
 // Status returns the present view.
@@ -61,11 +74,28 @@
 	for group := range groups {
 		st.Groups = append(st.Groups, s.groupStatusLocked(now, group))
 	}
+	for job, j := range s.jobs {
+		st.Jobs = append(st.Jobs, j.status(now, job))
+	}
+	sort.Slice(st.Jobs, func(i, j int) bool { return st.Jobs[i].Job < st.Jobs[j].Job })
 	sort.Slice(st.Targets, func(i, j int) bool { return st.Targets[i].Address < st.Targets[j].Address })
 	sort.Slice(st.Groups, func(i, j int) bool { return st.Groups[i].Group < st.Groups[j].Group })
 	return st
 }
 
+func (j *jobForecast) status(now time.Time, job string) JobStatus {
+	st := JobStatus{
+		Job:    job,
+		DueMs:  j.due.UnixMilli(),
+		Weight: admission.EffectiveWeight(j.weight, now, j.due, j.finish),
+	}
+	if !j.finish.IsZero() {
+		st.ForecastMs = j.finish.UnixMilli()
+		st.Late = j.finish.After(j.due)
+	}
+	return st
+}
+
 func (t *targetState) status(now time.Time) TargetStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -106,7 +136,6 @@
 	}
 	if forecast := s.forecastLocked(now, group); !forecast.IsZero() {
 		st.ForecastMs = forecast.UnixMilli()
-		st.Late = st.EarliestDueMs > 0 && st.ForecastMs > st.EarliestDueMs
 	}
 	return st
 }
--- a/daemon/steward/steward.go
+++ b/daemon/steward/steward.go
@@ -36,11 +36,13 @@
 	held       map[itemKey]*heldItem
 	queued     map[string][]*heldItem
 	suspects   map[string]*targetState
+	jobs       map[string]*jobForecast
 	rates      map[string]*admission.Rate
 	owners     map[string]*ownerState
 	pulls      map[*pullCall]bool
 	pullSeq    int
 	lastIdle   time.Time
+	lastLook   time.Time
 	revoked    map[string]time.Time
 	maxLease   time.Duration
 	draining   bool
@@ -62,6 +64,7 @@
 		held:     make(map[itemKey]*heldItem),
 		queued:   make(map[string][]*heldItem),
 		suspects: make(map[string]*targetState),
+		jobs:     make(map[string]*jobForecast),
 		rates:    make(map[string]*admission.Rate),
 		owners:   make(map[string]*ownerState),
 		pulls:    make(map[*pullCall]bool),
@@ -85,6 +88,7 @@
 	g.Go(s.pullLoop)
 	g.Go(s.reportLoop)
 	g.Go(s.loadLoop)
+	g.Go(s.forecastLoop)
 }
 
 // every runs step at once and then each period until ctx is done.
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tarragonhollow.example/tarragonhollow/core/admission"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/target"
@@ -83,6 +84,39 @@
 	})
 })
 
+var _ = Describe("a due time that comes near", func() {
+	// Guests keep the engine busy all night and the kitchen's profile has weight 0,
+	// so no sheet ever starts, and at the morning shift there are none. The due
+	// time must open a part of the engine in time, and not long before.
+	It("opens a part of a target that online work never leaves", func() {
+		b := newBench(8, engineA)
+		b.ledger.add("c/j", "night", "x", "y")
+		b.startBeside(2)
+		b.refresh(2)
+		Eventually(func() int { return b.Status().Groups[0].Backlog }, patience).Should(Equal(2), "known though nothing is pulled")
+		b.decideAll()
+		Expect(b.engine.Calls()).To(BeEmpty())
+		b.ledger.set(func() {
+			for i := range b.ledger.waiting {
+				b.ledger.waiting[i].DueMs = time.Now().Add(time.Minute).UnixMilli()
+			}
+		})
+		Eventually(b.ledger.answered, patience).Should(HaveLen(2))
+	})
+
+	// The job is due in the morning, but at the present rate it will be finished
+	// at noon. That must be seen now, not in the morning.
+	It("shows a forecast of being late, and raises the weight", func() {
+		b := newBench(2, engineA)
+		b.engine.OnGenerate = gated(make(chan struct{}))
+		b.ledger.forecast = time.Now().Add(30 * time.Hour)
+		b.ledger.add("c/j", "night", "x")
+		b.start()
+		Eventually(func() []JobStatus { return b.Status().Jobs }, patience).Should(ConsistOf(
+			And(HaveField("Late", true), HaveField("Weight", admission.UrgentWeight))))
+	})
+})
+
 var _ = Describe("a cancelled job", func() {
 	// Kitchen staff cancel a job; the reply says that it has stopped. One sheet is
 	// running, one waits here, and a third is on its way in the answer to a pull
