Prove the guards against false burials one by one

Cause: with the own-probes guard, the pause guard or the refreshing taken out, no test failed. Specs now tell hearsay of a death, a pause during a suspicion and a change missed while out of reach; each fails without its guard.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -107,6 +108,65 @@
 		Expect(frozen.Self().Incarnation).To(Equal(uint64(1)))
 	})
 
+	// A daemon suspects another one and is stopped at that moment; meanwhile the
+	// suspect recovers. Its time to refute ran out only in the sleeper's clock, so
+	// the sleeper must not bury it on waking.
+	It("voids suspicions that ran out during a pause", func() {
+		f := newFleet(5)
+		f.run(20)
+		f.down["host-04"] = true
+		for f.states("host-03")["host-04"] != membership.Suspect {
+			f.run(1)
+		}
+		f.run(2) // its own probes miss too
+		Expect(f.states("host-03")).To(HaveKeyWithValue("host-04", membership.Suspect))
+		f.down["host-03"], f.down["host-04"] = true, false
+		f.run(20)
+		f.down["host-03"] = false
+		for range 20 {
+			f.run(1)
+			Expect(f.states("host-03")).To(HaveKey("host-04"))
+		}
+	})
+
+	// A daemon whose link is cut one way hears nobody and spreads that all others
+	// are dead. Those who hear it must not believe it before their own probes have
+	// missed, however long that takes.
+	It("does not bury a member on hearsay", func() {
+		m := membership.New(membership.Options{Self: membership.Member{Host: "self", Incarnation: 1}})
+		now := time.UnixMilli(0)
+		deaf := membership.Member{Host: "deaf", PeerAddress: "d", Incarnation: 1, FactsVersion: 1}
+		told := membership.Member{Host: "told", PeerAddress: "t", Incarnation: 1, FactsVersion: 1}
+		hear := func(s membership.State) {
+			told.State = s
+			m.AnswerProbe(now, membership.ProbeRequest{From: deaf, Gossip: membership.Gossip{Members: []membership.Member{told}}})
+		}
+		tick := func() (probes []membership.Probe) {
+			now = now.Add(membership.DefaultProbeEvery)
+			return m.Tick(now)
+		}
+		hear(membership.Live)
+		hear(membership.Suspect)
+		var direct membership.Probe
+		for range 10 {
+			hear(membership.Dead)
+			for _, p := range tick() {
+				if p.Host == "told" && p.Kind == membership.ProbeDirect {
+					direct = p
+				}
+			}
+			Expect(m.Snapshot().LiveID("told#1")).To(BeTrue())
+		}
+		// Its own requests still come in, but that does not make it reachable.
+		told.State = membership.Live
+		m.AnswerProbe(now, membership.ProbeRequest{From: told})
+		for _, p := range m.Missed(now, direct) {
+			Expect(m.Missed(now, p)).To(BeEmpty())
+		}
+		hear(membership.Dead)
+		Expect(m.Snapshot().LiveID("told#1")).To(BeFalse())
+	})
+
 	// The link between two zones is cut for one pair of hosts only, or one host can
 	// send but hears nothing. Neither may make the others bury a healthy host.
 	It("keeps the healthy through a cut pair and a deaf host", func() {
@@ -159,7 +219,15 @@
 		Expect(holder.Host).To(Equal("host-02"))
 		Expect(holder.ConfigVersion).To(Equal(uint64(9)))
 		Expect(view.TargetLeaving("t:1")).To(BeTrue())
-		list.Version, list.Targets[0].Leaving = 6, false
+		// One that was out of reach while the word spread learns it afterwards.
+		f.down["host-04"] = true
+		list.Version, list.Targets[0].Address = 6, "t:2"
+		f.nodes["host-01"].SetHostList(f.now, list)
+		f.run(60)
+		f.down["host-04"] = false
+		f.run(30)
+		Expect(f.nodes["host-04"].Snapshot().TargetLeaving("t:2")).To(BeTrue())
+		list.Version, list.Targets[0] = 7, membership.ListedTarget{Address: "t:1"}
 		f.nodes["host-03"].SetHostList(f.now, list)
 		f.run(12)
 		Expect(f.nodes["host-05"].Snapshot().TargetLeaving("t:1")).To(BeFalse())
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -147,9 +147,6 @@
 	if u.State == Dead {
 		u.State = Suspect
 	}
-	if u.Incarnation != e.member.Incarnation {
-		delete(m.rounds, u.Host)
-	}
 	e.member = u
 	e.since, e.missed, e.probedAt = now, false, 0
 	m.version++
