Cut trickling bodies in a test and share the way in of online requests

The specs proved a body that stops but not one that trickles: without the bound on the rate they still passed. Each of the two now fails when its bound is taken out, with the profile's deadline out of the way.

Chat and services took requests in by the same lines twice; both use one arrival now. ChatBody reads back by ParseChatBody, so that an answer can be kept in the form in which its caller reads it.

--- a/api/call.go
+++ b/api/call.go
@@ -148,9 +148,8 @@
 		return Call{}, err
 	}
 	if key != "" {
-		key = scoped(caller, key)
+		st.key = scoped(caller, key)
 	}
-	st.key = key
 	deadline, err := deadlineOf(header, profile, st.began)
 	if err != nil {
 		return Call{}, err
--- a/api/chat.go
+++ b/api/chat.go
@@ -13,37 +13,19 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(c echo.Context) error {
-	cfg, err := s.settled()
+	in, err := s.arrive(c)
+	defer in.end()
 	if err != nil {
 		return err
 	}
-	call, err := s.onlineCall(c, cfg)
+	req, stream, err := ParseChat(in.body)
 	if err != nil {
 		return err
 	}
-	leave, err := s.enter(call.Caller, cfg.Limits)
-	if err != nil {
-		return err
-	}
-	defer leave()
-	body, release, err := s.readBody(c, orDefault(cfg.Limits.BodyBytes, defaultBodyBytes), call.Deadline)
-	defer release()
-	if err != nil {
-		return err
-	}
-	done, err := s.run(cfg.Limits)
-	if err != nil {
-		return err
-	}
-	defer done()
-	req, stream, err := ParseChat(body)
-	if err != nil {
-		return err
-	}
-	call.Fingerprint = fingerprint(http.MethodPost, c.Request().URL.Path, body)
-	ctx, cancel := context.WithDeadline(c.Request().Context(), call.Deadline)
+	in.call.Fingerprint = fingerprint(http.MethodPost, c.Request().URL.Path, in.body)
+	ctx, cancel := context.WithDeadline(c.Request().Context(), in.call.Deadline)
 	defer cancel()
-	chat := ChatCall{Call: call, Stream: stream, Request: req}
+	chat := ChatCall{Call: in.call, Stream: stream, Request: req}
 	stateOf(c).called = true
 	if stream {
 		return s.streamChat(ctx, c, chat)
@@ -98,11 +80,14 @@
 // kept answer reads the same each time.
 func completionID(call Call) string {
 	if call.Key != "" {
-		return "chatcmpl-" + shortHash(call.Key)
+		return "chatcmpl-" + shortHash(scoped(call.Caller, call.Key))
 	}
 	return "chatcmpl-" + call.RequestID
 }
 
+// errCompletion is the type of errors of ParseChatBody.
+var errCompletion = errorNamespace.NewType("completion")
+
 // completion is the OpenAI shape of a whole answer.
 type completion struct {
 	ID      string             `json:"id"`
@@ -122,9 +107,35 @@
 
 // completionUsage counts the tokens.
 type completionUsage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          promptDetails `json:"prompt_tokens_details"`
+}
+
+// promptDetails tells how much of the prompt came from the engine's cache.
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// ParseChatBody reads back what ChatBody wrote, so that an answer can be kept in
+// the very form in which its caller will read it.
+func ParseChatBody(body []byte) (ChatResult, error) {
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		return ChatResult{}, errCompletion.Wrap(err, "not a chat completion")
+	}
+	if len(c.Choices) != 1 {
+		return ChatResult{}, errCompletion.New("%d choices, want 1", len(c.Choices))
+	}
+	choice := c.Choices[0]
+	return ChatResult{Text: choice.Message.Content, Finish: target.Finish{
+		Reason: choice.FinishReason,
+		Usage: target.Usage{
+			PromptTokens: c.Usage.PromptTokens, CompletionTokens: c.Usage.CompletionTokens,
+			CachedTokens: c.Usage.Details.CachedTokens,
+		},
+	}}, nil
 }
 
 // ChatBody encodes a whole answer in the OpenAI shape.
@@ -139,6 +150,7 @@
 		Usage: completionUsage{
 			PromptTokens: usage.PromptTokens, CompletionTokens: usage.CompletionTokens,
 			TotalTokens: usage.PromptTokens + usage.CompletionTokens,
+			Details:     promptDetails{CachedTokens: usage.CachedTokens},
 		},
 	})
 	if err != nil {
--- a/api/chatbody.go
+++ b/api/chatbody.go
@@ -28,6 +28,9 @@
 	Content chatContent `json:"content"`
 }
 
+// errContent is the type of errors of a message's content.
+var errContent = errorNamespace.NewType("content")
+
 // chatContent is the text of a message.
 type chatContent string
 
@@ -42,7 +45,7 @@
 	if len(raw) > 0 && raw[0] != '[' {
 		var s *string
 		if err := json.Unmarshal(raw, &s); err != nil || s == nil {
-			return errorNamespace.NewType("content").New("content must be a string or an array of text parts")
+			return errContent.New("content must be a string or an array of text parts")
 		}
 		*t = chatContent(*s)
 		return nil
@@ -54,7 +57,7 @@
 	var text strings.Builder
 	for _, p := range parts {
 		if p.Type != "text" || p.Text == nil {
-			return errorNamespace.NewType("content").New("a content part of type %q: only text parts are supported", p.Type)
+			return errContent.New("a content part of type %q: only text parts are supported", p.Type)
 		}
 		text.WriteString(*p.Text)
 	}
--- a/api/faults_test.go
+++ b/api/faults_test.go
@@ -73,17 +73,33 @@
 		Expect(sent).To(BeNumerically("<", socketBuffers), "tokens were queued in this process")
 	})
 
-	It("refuses a body that stops coming, and serves others meanwhile", func() {
-		d := start(func(o *api.Options) { o.BodyStall = 100 * time.Millisecond })
-		conn := d.dial("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTarragon-Profile: desk\r\nContent-Length: 90\r\n\r\n{\"mo")
-		Expect(d.send("GET", "/healthz", "").StatusCode).To(Equal(200))
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(resp.StatusCode).To(Equal(400))
-		r := read(resp)
-		Expect(r.Error.Message).To(ContainSubstring("too slowly"))
-		Expect(r.Error.Run).To(Equal("not_run"))
-	})
+	// A tablet at the edge of the network sends half a request and then nothing,
+	// or a byte now and then. Its connection and body would be held for hours.
+	DescribeTable("refuses a body that comes too slowly, and serves others meanwhile",
+		func(pause time.Duration) {
+			d := start(func(o *api.Options) { o.BodyStall, o.MinBodyRate = 100*time.Millisecond, 1<<20 })
+			d.cfg.Profiles["desk"].Deadline = time.Hour
+			conn := d.dial("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTarragon-Profile: desk\r\nContent-Length: 4000\r\n\r\n")
+			Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+			go func() {
+				for range 3999 {
+					if _, err := conn.Write([]byte("x")); err != nil {
+						return
+					}
+					time.Sleep(pause)
+				}
+			}()
+			Expect(d.send("GET", "/healthz", "").StatusCode).To(Equal(200))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(400))
+			r := read(resp)
+			Expect(r.Error.Message).To(ContainSubstring("too slowly"))
+			Expect(r.Error.Run).To(Equal("not_run"))
+		},
+		Entry("it stops", time.Hour),
+		Entry("it trickles", 10*time.Millisecond),
+	)
 
 	// The deadline for a body's bytes stays on the socket after the last byte.
 	// It would expire while the model still works and take the request for one
--- a/api/service.go
+++ b/api/service.go
@@ -24,41 +24,23 @@
 
 // service serves POST and GET /v1/services/{service}/{path…}.
 func (s *Server) service(c echo.Context) error {
-	cfg, err := s.settled()
+	in, err := s.arrive(c)
+	defer in.end()
 	if err != nil {
 		return err
 	}
-	call, err := s.onlineCall(c, cfg)
-	if err != nil {
-		return err
-	}
-	leave, err := s.enter(call.Caller, cfg.Limits)
-	if err != nil {
-		return err
-	}
-	defer leave()
-	body, release, err := s.readBody(c, orDefault(cfg.Limits.BodyBytes, defaultBodyBytes), call.Deadline)
-	defer release()
-	if err != nil {
-		return err
-	}
-	done, err := s.run(cfg.Limits)
-	if err != nil {
-		return err
-	}
-	defer done()
 	req := c.Request()
 	name, path, err := servicePath(req)
 	if err != nil {
 		return err
 	}
-	call.Fingerprint = fingerprint(req.Method, req.URL.RequestURI(), body)
-	ctx, cancel := context.WithDeadline(req.Context(), call.Deadline)
+	in.call.Fingerprint = fingerprint(req.Method, req.URL.RequestURI(), in.body)
+	ctx, cancel := context.WithDeadline(req.Context(), in.call.Deadline)
 	defer cancel()
 	stateOf(c).called = true
 	response, err := s.opts.Backend.Service(ctx, ServiceCall{
-		Call: call, Service: name,
-		Request: target.ServiceRequest{Method: req.Method, Path: path, Header: passedOn(req.Header, ownHeaders), Body: body},
+		Call: in.call, Service: name,
+		Request: target.ServiceRequest{Method: req.Method, Path: path, Header: passedOn(req.Header, ownHeaders), Body: in.body},
 	})
 	if err != nil {
 		return err
