Let the planner's simulation lose probes and engines

Four deliberate faults in the planner and the tenure passed the tests: a load that ends when the report names the version, a lost order taken as refused, no serving floor, and a refused fence that is not renewed at once. The draws for rare events were biased towards happening always, so the planner hardly ever gave an order while another load ran.

Rare events are rare now, probes get lost and engines go down.

--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -70,10 +70,19 @@
 	version, reported string
 	loadsUntil        int64
 	leaving, silent   bool
+	// down engines serve nobody; silent ones may, but did not answer now.
+	down bool
 }
 
 func (e *engine) loading(now int64) bool { return now < e.loadsUntil }
 
+func (e *engine) answer(now int64) orders.State {
+	if e.loading(now) {
+		return orders.Loading
+	}
+	return orders.Serving
+}
+
 // The simulation keeps the truth beside the planner's view. Whatever gets lost,
 // lags or fails, at most the allowed share loads, the floor goes on serving, no
 // leaving or silent target is ordered, and once faults end all get there.
@@ -91,25 +100,26 @@
 		storeKnown := false
 		step := func(faults bool) {
 			now += rapid.Int64Range(200, 4000).Draw(t, "pass")
-			if faults && rapid.IntRange(0, 40).Draw(t, "publish") == 0 {
+			if faults && rare(t, "publish", 40) {
 				wanted, storeKnown = wanted+"'", false
 			}
 			goal := orders.Goal{Model: "menu", Version: wanted}
 			usable := 0
 			for i := range fleet {
 				e := &fleet[i]
-				e.silent = faults && rapid.IntRange(0, 9).Draw(t, "silent") == 0
-				e.leaving = faults && (e.leaving || rapid.IntRange(0, 90).Draw(t, "leave") == 0)
+				e.silent = faults && rare(t, "silent", 9)
+				e.leaving = faults && (e.leaving || i > 1 && rare(t, "leave", 400))
+				e.down = faults && rare(t, "down", 9)
 				if !faults || rapid.Bool().Draw(t, "report is fresh") {
 					e.reported = e.version
 				}
 				o := orders.Observation{Address: fmt.Sprint("t", i), Leaving: e.leaving}
-				if !e.silent {
+				if !e.silent && !e.down {
 					o.Reported, o.Model, o.Version = true, "menu", e.reported
-					o.State = orders.Serving
+					o.State = e.answer(now)
 				}
-				if !e.silent && e.loading(now) {
-					o.State = orders.Loading
+				if faults && rare(t, "probe lost", 5) {
+					o.State = orders.Unknown
 				}
 				if !e.leaving {
 					usable++
@@ -121,7 +131,7 @@
 				var i int
 				_, _ = fmt.Sscanf(order.Address, "t%d", &i)
 				e := &fleet[i]
-				if e.leaving || e.silent || !storeKnown || now-lastOrder < opt.SpacingMs {
+				if e.leaving || e.silent || e.down || !storeKnown || now-lastOrder < opt.SpacingMs {
 					t.Fatalf("order to %+v, store %t, %d ms after the last", *e, storeKnown, now-lastOrder)
 				}
 				lastOrder = now
@@ -138,7 +148,7 @@
 				for k := range fleet {
 					if fleet[k].loading(now) && !fleet[k].leaving {
 						loading++
-					} else if !fleet[k].leaving {
+					} else if !fleet[k].leaving && !fleet[k].down {
 						serving++
 					}
 				}
@@ -149,13 +159,13 @@
 			if p.NeedsStore(now) {
 				answer := orders.StoreAnswer(0)
 				if faults {
-					answer = orders.StoreAnswer(rapid.IntRange(0, 2).Draw(t, "store"))
+					answer = orders.StoreAnswer(max(0, rapid.IntRange(-3, 2).Draw(t, "store")))
 				}
 				p.StoreSaid(now, answer, 0)
 				storeKnown = answer == orders.StoreHas
 			}
 		}
-		for range rapid.IntRange(0, 60).Draw(t, "steps with faults") {
+		for range rapid.IntRange(0, 120).Draw(t, "steps with faults") {
 			step(true)
 		}
 		for range 400 {
@@ -169,6 +179,9 @@
 	})
 }
 
+// rare is true about once in n draws; rapid draws small numbers more often.
+func rare(t *rapid.T, name string, n int) bool { return rapid.IntRange(0, n).Draw(t, name) == n-1 }
+
 // leavers counts targets that left while they may still have been loading: the
 // share is of those that stay, so it shrinks under what is on its way.
 func leavers(fleet []engine) (n int) {
--- a/daemon/orders/orders_test.go
+++ b/daemon/orders/orders_test.go
@@ -258,7 +258,7 @@
 		for _, e := range b.fleet {
 			Expect(e.version).To(Equal("2"))
 		}
-		Expect(d.meter.failed.Get()).To(BeNumerically(">", 0))
+		Expect(d.meter.failed.Get()).To(BeEquivalentTo(1))
 	})
 
 	// The remaining window: the issuer is paused after its last look at the
