Make the batch policy a setting of the target group

Cause: the policy was a daemon's own setting, read at the start, so two daemons could hold different rules for one group, and comparing policies meant another fleet for each. Ruled out: a setting per profile (a target serves several profiles at once; their weights stay with the profile). Change: [target-group] batch_policy, batch_headroom, batch_cool_down and batch_reserved in the operators' configuration; the stewards take a change up while they run. [batch] is gone from the settings.

--- a/core/admission/target.go
+++ b/core/admission/target.go
@@ -35,6 +35,12 @@
 	}
 }
 
+// SetPolicy changes the policy from the next step on.
+func (t *Target) SetPolicy(p Policy) { t.policy = p }
+
+// PolicyName names the policy in force.
+func (t *Target) PolicyName() string { return t.policy.Name() }
+
 // SetSlots changes the number of slots.
 func (t *Target) SetSlots(n int) { t.slots = n }
 
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -80,6 +80,34 @@
 	ChecksOrders bool
 	// Slots is how many requests a target runs at once without queueing.
 	Slots int
+	// Batch tells how batch work is admitted to the targets.
+	Batch BatchAdmission
+}
+
+// BatchPolicy names a way of admitting batch work to targets.
+type BatchPolicy string
+
+const (
+	// PolicyGiveWay holds batch back in front of the targets and gives way to
+	// online requests at once.
+	PolicyGiveWay BatchPolicy = "give-way"
+	// PolicyNaive admits batch like online work, for comparison.
+	PolicyNaive BatchPolicy = "naive"
+	// PolicyReserve keeps a fixed part of each target free of batch, for
+	// comparison.
+	PolicyReserve BatchPolicy = "reserve"
+)
+
+// BatchAdmission is how a group's targets take batch work.
+type BatchAdmission struct {
+	// Policy selects the rule; the fields below belong to one policy each.
+	Policy BatchPolicy
+	// Headroom is how many slots give-way leaves free on an idle target.
+	Headroom int
+	// CoolDown is how long give-way waits after the last online request.
+	CoolDown time.Duration
+	// Reserved is how many slots reserve keeps free.
+	Reserved int
 }
 
 // Target is one back end: ADDRESS@ZONE in the configuration.
--- a/core/config/group.go
+++ b/core/config/group.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"tarragonhollow.example/tarragonhollow/inifile"
 )
@@ -14,7 +15,15 @@
 	// DefaultServiceSlots is how many requests a service target runs at once.
 	DefaultServiceSlots = 64
 
-	maxSlots = 4096
+	// DefaultBatchHeadroom leaves a slot for the first request of a burst.
+	DefaultBatchHeadroom = 1
+	// DefaultBatchCoolDown is short, since idle capacity lasts only seconds.
+	DefaultBatchCoolDown = 200 * time.Millisecond
+	// DefaultBatchReserved is half of an engine's default slots.
+	DefaultBatchReserved = 4
+
+	maxSlots    = 4096
+	maxCoolDown = time.Minute
 )
 
 const addressesAllowed = "IP:PORT@ZONE, IP:PORT@ZONE, ..."
@@ -41,6 +50,7 @@
 	// the old holder's time must have run out before a new order is sent.
 	g.ChecksOrders = s.Bool("checks_orders", false)
 	g.Slots = s.Int("slots", defaultSlots(g.Kind), 1, maxSlots)
+	g.Batch = parseBatchAdmission(s)
 	if s.Require("addresses", addressesAllowed) {
 		g.Targets = parseTargets(s)
 	}
@@ -56,6 +66,18 @@
 	return g
 }
 
+// parseBatchAdmission reads the batch_* keys.
+func parseBatchAdmission(s *inifile.Section) BatchAdmission {
+	policy := s.Enum("batch_policy", string(PolicyGiveWay),
+		string(PolicyGiveWay), string(PolicyNaive), string(PolicyReserve))
+	return BatchAdmission{
+		Policy:   BatchPolicy(policy),
+		Headroom: s.Int("batch_headroom", DefaultBatchHeadroom, 0, maxSlots),
+		CoolDown: s.Duration("batch_cool_down", DefaultBatchCoolDown, 0, maxCoolDown),
+		Reserved: s.Int("batch_reserved", DefaultBatchReserved, 0, maxSlots),
+	}
+}
+
 func defaultSlots(k Kind) int {
 	if k == KindService {
 		return DefaultServiceSlots
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -158,7 +158,7 @@
 		Engine:    d.engine,
 		Service:   d.service,
 		Registrar: d.peerServer,
-		Policy:    policyOf(d.settings.Batch.Policy),
+		PolicyOf:  policyOf,
 		OwnerOf:   d.ownerOf,
 		Logger:    d.logger,
 		Metrics:   d.metrics,
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -2,22 +2,22 @@
 
 import (
 	"tarragonhollow.example/tarragonhollow/core/admission"
+	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/shard"
-	"tarragonhollow.example/tarragonhollow/settings"
 )
 
-// reservedSlots is what the static reserve keeps free of batch on each target.
-const reservedSlots = 4
-
-// policyOf returns the batch policy with the given settings name.
-func policyOf(name string) admission.Policy {
-	switch name {
-	case settings.PolicyNaive:
+// policyOf returns the batch policy that the operators configured for a group.
+func policyOf(g *config.TargetGroup) admission.Policy {
+	switch g.Batch.Policy {
+	case config.PolicyNaive:
 		return admission.FCFS{}
-	case settings.PolicyReserve:
-		return admission.StaticReserve{Free: reservedSlots}
+	case config.PolicyReserve:
+		return admission.StaticReserve{Free: g.Batch.Reserved}
 	}
-	return admission.DefaultGiveWay()
+	policy := admission.DefaultGiveWay()
+	policy.Headroom = g.Batch.Headroom
+	policy.CoolDown = g.Batch.CoolDown
+	return policy
 }
 
 // ownerOf returns the peer address of the daemon that holds a job's shard.
--- a/daemon/steward/assign.go
+++ b/daemon/steward/assign.go
@@ -53,6 +53,7 @@
 		for _, configured := range g.Targets {
 			if t := s.assignTarget(now, g, configured.Address, old[configured.Address]); t != nil {
 				t.refresh(now, g.Slots, s.opts.View.TargetLeaving(t.address), live)
+				t.setPolicy(s.opts.PolicyOf(g))
 				next[t.address] = t
 			}
 		}
@@ -84,7 +85,7 @@
 		address: address,
 		group:   g.Name,
 		kind:    g.Kind,
-		core:    admission.NewTarget(s.opts.Policy, g.Slots, now),
+		core:    admission.NewTarget(s.opts.PolicyOf(g), g.Slots, now),
 		runs:    make(map[admission.StreamID]*run),
 	}
 	s.meter.addTarget(t)
@@ -115,6 +116,14 @@
 	}
 }
 
+// setPolicy puts the configured policy in force; operators may change it while
+// batch runs.
+func (t *targetState) setPolicy(p admission.Policy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.SetPolicy(p)
+}
+
 // keepLost marks a target that is no longer this daemon's, so that nothing new
 // starts there, and keeps it while streams of ours still run.
 func (s *Steward) keepLost(now time.Time, t *targetState) bool {
--- a/daemon/steward/options.go
+++ b/daemon/steward/options.go
@@ -113,8 +113,9 @@
 	Service target.Service
 	// Registrar takes the Steward service; nil registers nothing.
 	Registrar peer.Registrar
-	// Policy decides about admissions; nil is admission.DefaultGiveWay.
-	Policy admission.Policy
+	// PolicyOf returns the policy that decides about admissions to a group's
+	// targets; nil is admission.DefaultGiveWay for all.
+	PolicyOf func(*config.TargetGroup) admission.Policy
 	// OwnerOf returns the peer address of the owner of a job's shard. Nil names
 	// held items to the owner that they came from, or to all if it is gone.
 	OwnerOf func(job string) (address string, ok bool)
@@ -135,8 +136,8 @@
 	case o.Engine == nil || o.Service == nil:
 		return OptionsError.New("Engine or Service is missing")
 	}
-	if o.Policy == nil {
-		o.Policy = admission.DefaultGiveWay()
+	if o.PolicyOf == nil {
+		o.PolicyOf = func(*config.TargetGroup) admission.Policy { return admission.DefaultGiveWay() }
 	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
--- a/daemon/steward/status.go
+++ b/daemon/steward/status.go
@@ -9,7 +9,6 @@
 
 // Status is the operators' view of the steward.
 type Status struct {
-	Policy   string         `json:"policy"`
 	Draining bool           `json:"draining"`
 	Held     int            `json:"held"`
 	Targets  []TargetStatus `json:"targets"`
@@ -33,6 +32,8 @@
 type TargetStatus struct {
 	Address string `json:"address"`
 	Group   string `json:"group"`
+	// Policy is the rule in force for batch there.
+	Policy string `json:"policy"`
 	// Steward is false while streams of ours end at a target that another took.
 	Steward bool `json:"steward"`
 	Leaving bool `json:"leaving"`
@@ -65,7 +66,7 @@
 	now := s.opts.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := Status{Policy: s.opts.Policy.Name(), Draining: s.draining, Held: len(s.held)}
+	st := Status{Draining: s.draining, Held: len(s.held)}
 	groups := make(map[string]bool)
 	for _, t := range s.ownTargets() {
 		groups[t.group] = true
@@ -102,6 +103,7 @@
 	st := TargetStatus{
 		Address:     t.address,
 		Group:       t.group,
+		Policy:      t.core.PolicyName(),
 		Steward:     t.lostAt.IsZero(),
 		Leaving:     !t.leavingAt.IsZero(),
 		Online:      t.core.Online(now),
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -33,8 +33,6 @@
 	s.Platform.walk(v)
 	s.Peers.walk(v)
 	s.Ledger.walk(v)
-	v.section("batch")
-	v.word("policy", &s.Batch.Policy, PolicyGiveWay, PolicyNaive, PolicyReserve)
 	v.section("admin")
 	v.secret("token", &s.Admin.Token, minTokenBytes)
 	v.section("log")
@@ -59,7 +57,7 @@
 	v.url("log_url", &p.LogURL, true)
 	v.url("hosts_url", &p.HostsURL, true)
 	v.url("weights_url", &p.WeightsURL, false)
-	v.duration("retention", &p.Retention, time.Minute, 90*24*time.Hour)
+	v.duration("retention", &p.Retention, time.Second, 90*24*time.Hour)
 }
 
 func (p *Peers) walk(v visitor) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,8 +18,6 @@
 	Peers Peers
 	// Ledger paces the shards on the platform's log.
 	Ledger Ledger
-	// Batch selects how batch work is admitted to targets.
-	Batch Batch
 	// Admin guards the operators' paths.
 	Admin Admin
 	// Log sets up the log lines.
@@ -89,24 +87,6 @@
 	Lease time.Duration
 }
 
-// Policies of Batch.Policy.
-const (
-	// PolicyGiveWay holds batch back in front of the targets and gives way to
-	// online requests at once.
-	PolicyGiveWay = "give-way"
-	// PolicyNaive admits batch like online work, for comparison.
-	PolicyNaive = "naive"
-	// PolicyReserve keeps a fixed share of each target free of batch, for
-	// comparison.
-	PolicyReserve = "reserve"
-)
-
-// Batch is the [batch] section.
-type Batch struct {
-	// Policy is one of the policies above.
-	Policy string
-}
-
 // Admin is the [admin] section.
 type Admin struct {
 	// Token is the bearer token of /admin; "" disables /admin.
@@ -163,7 +143,6 @@
 			AppendBudget: 400,
 			Lease:        4 * time.Second,
 		},
-		Batch: Batch{Policy: PolicyGiveWay},
 		Log:   Log{Level: "info"},
 		Drain: Drain{Grace: 3 * time.Second, Timeout: 10 * time.Minute},
 		HTTP: HTTP{
