Report the burn of the whole fleet

GET /admin/burn had nothing to answer from: each daemon sees its own requests only, and what a lost host counted is gone with it.

Ruled out: following the stream on every daemon, which costs all of them bandwidth for a report that is seldom asked for; and judging failed attempts of batch items here, because which failure is the last is the owner's rule.

--- /dev/null
+++ b/daemon/burnlog/collector.go
@@ -0,0 +1,140 @@
+package burnlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"tarragonhollow.example/tarragonhollow/core/burn"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+)
+
+// Collector counts events and reports the fleet's burn. It is safe for
+// concurrent use; Observe never waits.
+type Collector struct {
+	opt    Options
+	meter  *meter
+	events *duty.Ring[burn.Event]
+	items  *duty.Ring[doubtfulEnd]
+	leases *lru.Cache[itemKey, lease]
+
+	// mu guards what this daemon counted.
+	mu       sync.Mutex
+	recorder *burn.Recorder
+	// unsent are counts that the log may not have yet.
+	unsent   *burn.Set
+	restated time.Time
+
+	// logMu guards what the log told.
+	logMu  sync.Mutex
+	logSet *burn.Set
+	next   int64
+}
+
+type meter struct {
+	events, dropped, unknown           *metrics.Counter
+	appends, appendBytes, appendErrors *metrics.Counter
+}
+
+// New validates the options and registers the rpc service.
+func New(o Options) (*Collector, error) {
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	leases, err := lru.New[itemKey, lease](leasesKept)
+	if err != nil {
+		return nil, BadOptions.Wrap(err, "leases")
+	}
+	set := o.Metrics
+	c := &Collector{
+		opt:      o,
+		events:   duty.NewRing[burn.Event](eventRing),
+		items:    duty.NewRing[doubtfulEnd](itemRing),
+		leases:   leases,
+		recorder: burn.NewRecorder(o.View.Self().ID()),
+		unsent:   burn.NewSet(),
+		restated: o.Clock(),
+		logSet:   burn.NewSet(),
+		meter: &meter{
+			events:       set.GetOrCreateCounter("tarragonhollow_burn_events_total"),
+			dropped:      set.GetOrCreateCounter("tarragonhollow_burn_events_dropped_total"),
+			unknown:      set.GetOrCreateCounter("tarragonhollow_burn_events_without_profile_total"),
+			appends:      set.GetOrCreateCounter("tarragonhollow_burn_appends_total"),
+			appendBytes:  set.GetOrCreateCounter("tarragonhollow_burn_append_bytes_total"),
+			appendErrors: set.GetOrCreateCounter("tarragonhollow_burn_append_errors_total"),
+		},
+	}
+	return c, o.Registrar.Register(ServiceName, &service{c})
+}
+
+// Run starts the duties.
+func (c *Collector) Run(g *duty.Group) {
+	g.Go(c.recordLoop)
+	g.Go(c.itemLoop)
+	g.Go(c.appendLoop)
+}
+
+// Observe counts one event. A full ring drops it and says so in a metric: a
+// caller never waits for the reporting.
+func (c *Collector) Observe(e burn.Event) {
+	if e.AtMs == 0 {
+		e.AtMs = c.nowMs()
+	}
+	if !c.events.Offer(e) {
+		c.meter.dropped.Inc()
+	}
+}
+
+// recordLoop counts what Observe was given.
+func (c *Collector) recordLoop(ctx context.Context) {
+	prune := time.NewTicker(pruneEvery)
+	defer prune.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.events.C():
+			c.record(e)
+		case <-prune.C:
+			c.mu.Lock()
+			c.recorder.Prune(c.nowMs())
+			c.mu.Unlock()
+		}
+	}
+}
+
+// record counts an event by the objectives in force now. An event of a profile
+// that is not configured any more has no objective.
+func (c *Collector) record(e burn.Event) {
+	cfg := c.opt.Config()
+	if cfg == nil || cfg.Profiles[e.Profile] == nil {
+		c.meter.unknown.Inc()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recorder.Record(e, cfg.Profiles[e.Profile])
+	c.meter.events.Inc()
+}
+
+func (c *Collector) nowMs() int64 { return c.opt.Clock().UnixMilli() }
+
+// SummariesRequest asks a daemon for what it counted.
+type SummariesRequest struct{}
+
+// SummariesReply is the whole of it.
+type SummariesReply struct{ Summary burn.Summary }
+
+// service is the net/rpc receiver.
+type service struct{ c *Collector }
+
+// Summaries implements the net/rpc method.
+func (s *service) Summaries(_ SummariesRequest, reply *SummariesReply) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	reply.Summary = s.c.recorder.All()
+	return nil
+}
