--- a/core/ledger/fold_job.go
+++ b/core/ledger/fold_job.go
@@ -103,6 +103,9 @@
 	}
 	rest := j.newChunk(first + n)
 	rest.items, c.items = c.items[n:], c.items[:n:n]
+	if len(c.routes) > n {
+		rest.routes, c.routes = c.routes[n:], c.routes[:n:n]
+	}
 	rest.since, rest.folded, rest.atMs = c.since, c.folded, c.atMs
 	rest.bytes = rest.size()
 	s.liveBytes += rest.bytes
--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,368 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+var _ = ginkgo.Describe("a keyed request", func() {
+	// The log takes a start but its answer is lost, and the append is repeated
+	// and lands twice, the second time long after. The order must be granted
+	// once and the second copy must not count.
+	ginkgo.It("counts an append once whose answer was lost", func() {
+		s := newSim()
+		o := s.held("a")
+		id := s.call()
+		o.Begin(s.now, id, order("c/k", "n", "e"))
+		s.now += 50
+		data, _ := o.Build(s.now)
+		o.AppendDone(s.now, Unknown, 0)
+		Expect(o.NeedsBound()).To(BeTrue())
+		o.SetBound(s.log.next())
+		s.now += 1000
+		again, _ := o.Build(s.now)
+		Expect(again).To(Equal(data))
+		s.log.append(data)
+		o.AppendDone(s.now, Appended, 0)
+		s.read(o)
+		Expect(s.replies[id].Begin.Verdict).To(Equal(Granted))
+		o.Finish(s.now, s.call(), FinishRequest{Key: "c/k", Nonce: "n", Attempt: 1, Answer: answer("x")})
+		s.flush(o)
+		s.log.append(data)
+		s.read(o)
+		Expect(o.State().Voids()).To(Equal(uint64(1)))
+		kept, _ := o.Request("c/k")
+		Expect(kept.State).To(Equal(RequestCompleted))
+	})
+
+	// A start's answer is lost and the log stays silent, so the tablet is told
+	// "not run". The start then turns up on the log: the key must become free
+	// for the guest's next try, and not look as if the order had run.
+	ginkgo.It("frees the key of a start that lands after its caller was refused", func() {
+		s := newSim()
+		o := s.held("a")
+		first, second := s.call(), s.call()
+		o.Begin(s.now, first, order("c/k", "n1", "e"))
+		s.now += 50
+		data, _ := o.Build(s.now)
+		o.AppendDone(s.now, Unknown, 0)
+		s.now += callWaitMs + 1
+		o.Tick(s.now)
+		s.collect(o)
+		Expect(s.replies[first].Begin.Refusal.Run).To(Equal(outcome.NotRun))
+		again := order("c/k", "n2", "e")
+		again.WaitMs = 60_000
+		o.Begin(s.now, second, again)
+		s.log.append(data)
+		s.read(o)
+		s.flush(o)
+		Expect(s.replies[second].Begin.Verdict).To(Equal(Granted))
+	})
+
+	// A start's answer is lost; before it lands, another order is taken. The
+	// record that then appears must not be mistaken for the other order's
+	// start: that one is not on the log yet.
+	ginkgo.It("does not take a late record for another one", func() {
+		s := newSim()
+		o := s.held("a")
+		first, second := s.call(), s.call()
+		o.Begin(s.now, first, order("c/k1", "n1", "e"))
+		s.now += 50
+		data, _ := o.Build(s.now)
+		o.AppendDone(s.now, Unknown, 0)
+		o.Begin(s.now, second, order("c/k2", "n2", "e"))
+		s.now += 1000
+		o.SetBound(s.log.next())
+		_, _ = o.Build(s.now)
+		s.log.append(data)
+		s.read(o)
+		Expect(s.replies).NotTo(HaveKey(second))
+	})
+
+	// An owner is paused while a successor claims its shard. It wakes with an
+	// order in hand and appends its start: the record is void, and the caller
+	// is sent to the successor.
+	ginkgo.It("voids the records of an owner that was paused past its loss", func() {
+		s := newSim()
+		paused := s.held("a")
+		next := s.held("b")
+		id := s.call()
+		paused.Begin(s.now, id, order("c/k", "n", "e"))
+		s.now += 50
+		data, _ := paused.Build(s.now)
+		s.log.append(data)
+		paused.AppendDone(s.now, Appended, 0)
+		s.read(paused)
+		s.read(next)
+		Expect(s.replies[id].Lost).To(BeTrue())
+		Expect(paused.Lost()).To(BeTrue())
+		_, known := next.Request("c/k")
+		Expect(known).To(BeFalse())
+	})
+
+	// An entry host dies with a guest's order on its way. The tablet resends: it
+	// must be told that it may have run, and the late answer still settles it.
+	ginkgo.It("never grants a started order again, and lets a late answer settle it", func() {
+		s := newSim()
+		o := s.held("a")
+		o.Begin(s.now, s.call(), order("c/k", "n1", "e1"))
+		s.flush(o)
+		s.dead["e1"] = true
+		o = s.held("b")
+		id := s.call()
+		o.Begin(s.now, id, order("c/k", "n2", "e2"))
+		s.collect(o)
+		Expect(s.replies[id].Begin.Refusal.Run).To(Equal(outcome.MayHaveRun))
+		o.Finish(s.now, s.call(), FinishRequest{Key: "c/k", Nonce: "n1", Attempt: 1, Answer: answer("tray")})
+		s.flush(o)
+		id = s.call()
+		o.Begin(s.now, id, order("c/k", "n3", "e2"))
+		s.collect(o)
+		Expect(body(s.replies[id].Begin.Answer)).To(Equal("tray"))
+	})
+
+	// Other content under a used key must neither run nor get the first one's
+	// answer.
+	ginkgo.It("refuses other content under the same key", func() {
+		s := newSim()
+		o := s.held("a")
+		o.Begin(s.now, s.call(), order("c/k", "n1", "e1"))
+		other := order("c/k", "n2", "e1")
+		other.Fingerprint = "other"
+		id := s.call()
+		o.Begin(s.now, id, other)
+		s.collect(o)
+		Expect(s.replies[id].Begin.Refusal.Code).To(Equal(outcome.Conflict))
+		Expect(s.replies[id].Begin.Refusal.Run).To(Equal(outcome.NotRun))
+	})
+})
+
+var _ = ginkgo.Describe("a job's items", func() {
+	// A completion and a cancel race each other. Whatever comes first on the log
+	// decides, and the counts add up.
+	ginkgo.It("lets log order decide between a cancel and a completion", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 3, true)
+		s.flush(o)
+		items := s.pull(o, "s", 2)
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: items[0].Ref, Answer: answer("x")}}})
+		s.flush(o)
+		id := s.call()
+		o.CancelJob(s.now, id, "c/j")
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: items[1].Ref, Answer: answer("y")}}})
+		s.flush(o)
+		Expect(o.Revokes()).To(Equal([]string{"c/j"}))
+		Expect(s.replies).NotTo(HaveKey(id), "the steward has not answered")
+		o.Revoked(s.now, "c/j", []string{"s"})
+		s.flush(o)
+		Expect(s.replies[id].Cancel.Status.Completed).To(Equal(1))
+		Expect(s.replies[id].Cancel.Status.Cancelled).To(Equal(2))
+		Expect(dump(s.log.replay())).To(Equal(dump(o.State())))
+	})
+
+	// The steward that holds an item of a cancelled job can't be reached; it may
+	// be paused and go on. The cancel must not be confirmed before its lease has
+	// lapsed.
+	ginkgo.It("waits for the lease of a steward that is out of reach", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		s.flush(o)
+		s.pull(o, "s", 1)
+		leased := s.now
+		id := s.call()
+		o.CancelJob(s.now, id, "c/j")
+		s.now += 50
+		data, _ := o.Build(s.now)
+		s.log.append(data)
+		s.read(o)
+		o.Revoked(s.now, "c/j", []string{"other"})
+		s.now = leased + 3999
+		o.Tick(s.now)
+		s.collect(o)
+		Expect(s.replies).NotTo(HaveKey(id))
+		s.now = leased + 4000
+		o.Tick(s.now)
+		s.collect(o)
+		Expect(s.replies[id].Cancel.Refusal).To(BeNil())
+	})
+
+	// A revision must be stamped once. Its steward dies after it got the item:
+	// the item ends as one that may have run, also under a new owner, and is
+	// never handed out again.
+	ginkgo.It("hands a non-repeatable item out once, after its start is on the log", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, false)
+		s.flush(o)
+		Expect(s.pull(o, "s", 1)).To(BeEmpty(), "its start is not on the log yet")
+		s.flush(o)
+		Expect(s.pull(o, "s", 1)).To(HaveLen(1))
+		s.dead["s"] = true
+		o = s.held("b")
+		s.now += 5000
+		s.flush(o)
+		Expect(s.pull(o, "s2", 1)).To(BeEmpty())
+		r, _ := o.Item("c/j", "0")
+		Expect(r.State).To(Equal(ItemFailed))
+		Expect(r.Refusal.Run).To(Equal(outcome.MayHaveRun))
+	})
+
+	// One drawing crashes whichever engine reads it. Others that ran beside it
+	// must not be blamed; it is run alone and refused after two more crashes.
+	ginkgo.It("condemns an item only for crashes while it ran alone", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		s.flush(o)
+		for i, alone := range []bool{false, false, false, true, true} {
+			items := s.pull(o, "s", 1)
+			Expect(items).To(HaveLen(1))
+			Expect(items[0].Suspect).To(Equal(i > 0))
+			refusal := outcome.Refuse(outcome.TargetFailed, "gone").WithRun(outcome.MayHaveRun)
+			o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{
+				Ref: items[0].Ref, Refusal: refusal, Crashed: true, Alone: alone,
+			}}})
+			s.flush(o)
+		}
+		r, _ := o.Item("c/j", "0")
+		Expect(r.Refusal.Code).To(Equal(outcome.Condemned))
+		st, _ := o.Job(s.now, "c/j")
+		Expect(st.State).To(Equal(JobEnded))
+	})
+
+	// A steward is preempted again and again, then loses its lease. Neither may
+	// cost the item an attempt, and a result that comes after all is kept.
+	ginkgo.It("keeps attempts for failures and takes a late result", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		s.flush(o)
+		var first ItemRef
+		for i := 0; i < 5; i++ {
+			items := s.pull(o, "s", 1)
+			Expect(items).To(HaveLen(1))
+			first = items[0].Ref
+			o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: first}}})
+		}
+		Expect(s.pull(o, "s", 1)).To(HaveLen(1))
+		s.now += 5000
+		o.Tick(s.now)
+		Expect(s.pull(o, "s2", 1)).To(HaveLen(1))
+		id := s.call()
+		o.FinishItems(s.now, id, FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: first, Answer: answer("late")}}})
+		s.flush(o)
+		Expect(s.replies[id].Ends.Refusal).To(BeNil())
+		r, _ := o.Item("c/j", "0")
+		Expect(body(r.Answer)).To(Equal("late"))
+	})
+
+	// A bundle of thousands of drawings is due first. A small job of another
+	// caller, due much later, must still get its share.
+	ginkgo.It("lets a large urgent job starve nobody", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "big/j", "u", 4000, true)
+		s.now += 3_600_000
+		s.job(o, "small/j", "u", 20, true)
+		s.flush(o)
+		small := 0
+		for _, it := range s.pull(o, "s", 200) {
+			if callerOf(it.Ref.Job) == "small" {
+				small++
+			}
+		}
+		Expect(small).To(Equal(20))
+	})
+
+	// An owner dies and its successor must not hand out what a steward still
+	// holds; the steward's next pull tells it.
+	ginkgo.It("waits out a predecessor's leases and learns of those that go on", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 2, true)
+		s.flush(o)
+		held := s.pull(o, "s", 1)
+		o = s.held("b")
+		Expect(s.pull(o, "s2", 5)).To(BeEmpty())
+		s.now += 3000
+		o.Pull(s.now, PullRequest{Steward: "s", Group: "g", Running: []ItemRef{held[0].Ref}})
+		s.now += 1500
+		o.Tick(s.now)
+		Expect(s.pull(o, "s2", 5)).To(HaveLen(1))
+	})
+})
+
+var _ = ginkgo.Describe("the stream's beginning", func() {
+	// Records expire under a job that lives longer than the log keeps anything.
+	// The owner states it anew, so that whoever claims the shard later finds it
+	// whole, results included.
+	ginkgo.It("moves forward by restating what lives", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 300, true)
+		o.Begin(s.now, s.call(), order("c/k", "n", "e"))
+		s.flush(o)
+		for _, it := range s.pull(o, "s", 100) {
+			o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: it.Ref, Answer: answer("r")}}})
+		}
+		s.flush(o)
+		before := s.log.next()
+		for third := 0; third < 2; third++ {
+			s.now += 1_300_000 // a little more than a third of the retention
+			s.flush(o)
+		}
+		s.log.first = s.log.record(s.log.next() - 1).Low
+		Expect(s.log.first).To(BeNumerically(">=", before))
+		want := dump(o.State())
+		Expect(dump(s.log.replay())).To(Equal(want))
+		o = s.held("b")
+		st, _ := o.Job(s.now, "c/j")
+		Expect(st.Completed).To(Equal(100))
+	})
+
+	// Everything on a shard's stream has expired while no daemon ran. The first
+	// daemons up must agree on an owner again, and an old one that still sleeps
+	// must lose.
+	ginkgo.It("can be claimed after everything on it has expired", func() {
+		s := newSim()
+		old := s.held("old")
+		s.log.first = s.log.next()
+		a, b := s.owner("a"), s.owner("b")
+		for _, o := range []*Owner{a, b} {
+			data, _ := o.Build(s.now)
+			s.log.append(data)
+			o.AppendDone(s.now, Appended, 0)
+		}
+		for _, o := range []*Owner{a, b, old} {
+			s.read(o)
+		}
+		Expect([]bool{a.Holding(), b.Holding(), old.Holding()}).To(Equal([]bool{true, false, false}))
+		s.job(a, "c/j", "u", 2, true)
+		s.flush(a)
+		Expect(dump(s.log.replay())).To(Equal(dump(a.State())))
+	})
+
+	// Kept answers and results go when their time is over, and with them the
+	// memory and the part of the stream that they held.
+	ginkgo.It("forgets what has been kept for its time", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		o.Finish(s.now, s.call(), FinishRequest{Key: "c/k", Nonce: "n", Attempt: 1, Answer: answer("x"), Begin: order("c/k", "n", "e")})
+		s.flush(o)
+		it := s.pull(o, "s", 1)[0]
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: it.Ref, Answer: answer("r")}}})
+		s.flush(o)
+		o.cfg.Limits = func() Limits { return Limits{KeptAnswersMs: 1000, KeptResultsMs: 1000} }
+		s.now += 20_000
+		s.flush(o)
+		Expect(dump(o.State())).To(Equal(fmt.Sprintf("term %d a\n", o.Term())))
+		Expect(o.State().liveBytes).To(BeZero())
+	})
+})
--- a/core/ledger/owner.go
+++ b/core/ledger/owner.go
@@ -115,6 +115,8 @@
 	cancels map[string]*cancellation
 	revoke  []string
 	served  map[string]float64
+	// routeNames interns routes.
+	routeNames map[string]string
 
 	nextSweepMs int64
 	figures     Figures
@@ -154,6 +156,7 @@
 		scheds: map[string]*sched{}, leases: map[itemKey]*lease{},
 		ready: map[string][]itemKey{}, ends: map[itemKey]*pendingEnd{},
 		cancels: map[string]*cancellation{}, served: map[string]float64{},
+		routeNames: map[string]string{},
 	}
 	o.term = st.term + 1
 	if !st.anchored {
--- a/core/ledger/owner_sched.go
+++ b/core/ledger/owner_sched.go
@@ -83,6 +83,29 @@
 	return caller
 }
 
+// findRoutes works the routes of a chunk's items out, once. It is done as each
+// chunk lands, so that accepting a large job doesn't hold up its shard.
+func (o *Owner) findRoutes(c *chunk) {
+	if len(c.routes) == len(c.items) {
+		return
+	}
+	c.routes = make([]string, len(c.items))
+	for i := range c.items {
+		if !c.items[i].ended() {
+			c.routes[i] = o.intern(routeOf(&c.items[i].Item))
+		}
+	}
+}
+
+// intern keeps one copy of each route.
+func (o *Owner) intern(route string) string {
+	if kept, ok := o.routeNames[route]; ok {
+		return kept
+	}
+	o.routeNames[route] = route
+	return route
+}
+
 // addSched begins to hand out a job's items, after the grace time.
 func (o *Owner) addSched(j *job, graceUntil int64) *sched {
 	caller := callerOf(j.Job)
@@ -94,8 +117,9 @@
 	s.rateEnded = j.completed + j.failed
 	o.scheds[j.Job] = s
 	for _, c := range j.chunks {
+		o.findRoutes(c)
 		for i := range c.items {
-			o.schedule(s, c.first+i, &c.items[i])
+			o.schedule(s, c, i)
 		}
 	}
 	o.closeIfDone(j)
@@ -130,7 +154,8 @@
 
 // schedule puts an item in its lane; one that a predecessor started and that
 // may not be repeated stays with its steward until its fate is known.
-func (o *Owner) schedule(s *sched, index int, it *ItemBody) {
+func (o *Owner) schedule(s *sched, c *chunk, i int) {
+	it, index := &c.items[i], c.first+i
 	if it.ended() {
 		return
 	}
@@ -141,7 +166,7 @@
 		s.leased++
 		return
 	}
-	l := s.lane(routeOf(&it.Item))
+	l := s.lane(c.routes[i])
 	l.fresh = append(l.fresh, index)
 }
 
@@ -164,7 +189,7 @@
 	}
 }
 
-// requeue returns an unended item to its lane, ahead of fresh ones.
+// putBack returns an unended item to its lane, ahead of fresh ones.
 func (o *Owner) putBack(key itemKey) {
 	s := o.scheds[key.job]
 	_, it := o.st.item(key.job, key.index)
--- a/core/ledger/owner_upload.go
+++ b/core/ledger/owner_upload.go
@@ -147,6 +147,11 @@
 	u := p.upload
 	u.queued -= p.bytes
 	u.pending--
+	if j := o.st.uploads[u.id()]; j != nil {
+		if c := j.chunkOf(p.entry.First); c != nil {
+			o.findRoutes(c)
+		}
+	}
 	o.giveRoom(u)
 	o.tryAccept(u)
 }
--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -78,6 +78,8 @@
 	owner *job
 	first int
 	items []ItemBody
+	// routes holds the items' routes once an owner has worked them out.
+	routes []string
 }
 
 // Start says where to begin a fold, given the stream's bounds and its last
@@ -213,7 +215,8 @@
 		}
 		return rec.Term == s.term+1
 	}
-	return rec.Term == s.term && rec.Writer == s.holder && rec.Seq > s.seq
+	held := s.holder != "" && rec.Writer == s.holder
+	return held && rec.Term == s.term && rec.Seq > s.seq
 }
 
 // Low is what the next record says as its Low.
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -369,10 +369,12 @@
 	It("refuses orders and goes on with repeatable work while the log is out", func() {
 		f := newFleet("a", "b")
 		f.ownerOf("c/k")
+		f.ownerOf("c/order")
 		f.log.SetOutage(true)
 		_, err := begin(f.nodes["a"], "c/order", "n1", false)
 		refusal, ok := err.(*outcome.Refusal)
 		Expect(ok).To(BeTrue(), "%v", err)
+		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
 		Expect(refusal.Run).To(Equal(outcome.NotRun))
 		Expect(refusal.RetryAfterMs).To(BeNumerically(">", 0))
 		r, err := begin(f.nodes["a"], "c/k", "n2", true)
