--- a/daemon/burnlog/burnlog_test.go
+++ b/daemon/burnlog/burnlog_test.go
@@ -264,6 +264,7 @@
 		}
 		owner.err = errors.New("no owner")
 		_, _ = client.FinishItems(ctx, ledger.FinishItemsRequest{Ends: ends})
+		Expect(a.leases.Len()).To(Equal(len(ends)), "an end that was not taken over does not count")
 		owner.err = nil
 		for range 2 {
 			_, _ = client.FinishItems(ctx, ledger.FinishItemsRequest{Ends: ends})
