Share the append budget by shards and close gaps at leases and drains

A non-repeatable item whose unhanded lease had lapsed could still be handed over while it was on its way back to waiting. Time that passed in an outage counted as time without a holder, so that a return of the log set off claims against live holders. A drain could miss a claim that succeeded during it.

Change: each held shard has an equal part of the budget and urgent records a reserve in its burst; lapsing leases are not handed over; claims count only time with the log; a drain waits for claims too. The daemon specs run over real peer connections.

--- a/core/ledger/append.go
+++ b/core/ledger/append.go
@@ -139,8 +139,7 @@
 		rec.Entries = []Entry{{Claim: &Claim{Reset: !o.st.anchored}}}
 		return rec, nil
 	}
-	o.restate(rec)
-	b := &batch{rec: rec, touched: map[string]bool{}, room: o.maxRecord}
+	b := &batch{rec: rec, touched: map[string]bool{}, room: o.maxRecord - o.restate(rec)}
 	urgent, normal := o.urgent, o.normal
 	o.urgent, o.normal = nil, nil // a moot proposal may queue another
 	o.urgent = append(o.take(b, urgent), o.urgent...)
--- a/core/ledger/owner.go
+++ b/core/ledger/owner.go
@@ -64,7 +64,7 @@
 const (
 	// maxRecordBytes is the size a record is filled up to. With the largest
 	// single entry on top it stays below a log's limit of 1 MiB.
-	maxRecordBytes = 384 << 10
+	maxRecordBytes = 320 << 10
 	// minRecordBytes is the least that a refusing log may press it to.
 	minRecordBytes = 16 << 10
 	// maxAnswerBytes bounds a kept answer, maxItemBytes a job line.
@@ -207,12 +207,15 @@
 	return r
 }
 
-// Release proposes to give the shard up to the successor.
-func (o *Owner) Release(nowMs int64, successor string) {
+// Release proposes to give the shard up to the successor ("" is nobody in
+// particular) and tells whether that is new.
+func (o *Owner) Release(nowMs int64, successor string) bool {
 	o.now = nowMs
-	if o.releaseTo == nil {
-		o.releaseTo = &successor
+	if o.releaseTo != nil {
+		return false
 	}
+	o.releaseTo = &successor
+	return true
 }
 
 // Tick ends waits that have lasted too long. The daemon calls it a few times a
--- a/core/ledger/owner_items.go
+++ b/core/ledger/owner_items.go
@@ -22,6 +22,12 @@
 // call sent again joins what it proposed before.
 func (o *Owner) FinishItems(nowMs int64, call CallID, req FinishItemsRequest) {
 	o.now = nowMs
+	if o.ringFull() { // the steward keeps its ends until there is room
+		o.figures.RingRefused += uint64(len(req.Ends))
+		refusal := logUnavailable().WithRun(outcome.Ran)
+		o.reply(Reply{Call: call, Ends: &FinishItemsReply{Refusal: refusal}})
+		return
+	}
 	b := &endBatch{call: call, until: nowMs + callWaitMs, left: 1}
 	for i := range req.Ends {
 		o.itemEnd(req.Steward, &req.Ends[i], b)
--- a/core/ledger/owner_lease.go
+++ b/core/ledger/owner_lease.go
@@ -75,6 +75,9 @@
 		return false
 	}
 	l := o.leases[key]
+	if l == nil && !s.job.Repeatable {
+		return false // its start isn't on the log, or was taken back
+	}
 	if l == nil {
 		// A predecessor's lease, or one that lapsed while the steward was out
 		// of reach: it goes on, and pop skips the item's place in its lane.
@@ -99,7 +102,7 @@
 		l := o.leases[key]
 		s := o.scheds[key.job]
 		_, it := o.st.item(key.job, key.index)
-		if l == nil || s == nil || it == nil || it.ended() || l.steward != b.steward || l.handed {
+		if s == nil || it == nil || it.ended() || !l.waitsFor(b.steward) {
 			continue
 		}
 		l.handed = true
@@ -113,6 +116,13 @@
 	o.ready[b.steward] = keys
 }
 
+// waitsFor tells whether the lease's item was started for the steward and is
+// still to be handed over. One whose time lapsed is on its way back to waiting
+// and must not be: another steward may be given it next.
+func (l *lease) waitsFor(steward string) bool {
+	return l != nil && l.steward == steward && !l.handed && !l.ending
+}
+
 func (b *basket) add(s *sched, key itemKey, it *ItemBody, attempt int) {
 	b.room -= len(it.Item.Body)
 	b.items = append(b.items, LeasedItem{
--- a/core/ledger/owner_restate.go
+++ b/core/ledger/owner_restate.go
@@ -37,19 +37,21 @@
 
 // restate adds full states of the oldest objects to a record. They are exact,
 // because a record is built only when all earlier ones have been folded, and
-// they come before the record's other entries.
-func (o *Owner) restate(rec *Record) {
+// they come before the record's other entries. It returns their size.
+func (o *Owner) restate(rec *Record) (bytes int) {
 	room := int64(restateBytes)
 	for e := o.st.live.Front(); e != nil && room > 0; e = e.Next() {
 		x := e.Value.(*object)
 		if !o.restateDue(x) {
-			return
+			break
 		}
-		entry, bytes := x.full(room)
-		room -= bytes
+		entry, size := x.full(room)
+		room -= size
+		bytes += int(size)
 		rec.Entries = append(rec.Entries, entry)
 		o.figures.Restated++
 	}
+	return bytes
 }
 
 // full returns the object's full state; of a chunk, as many items from its
--- a/core/ledger/owner_upload.go
+++ b/core/ledger/owner_upload.go
@@ -136,9 +136,9 @@
 
 func (p *chunkProposal) size() int { return p.bytes }
 
-func (p *chunkProposal) entries(*Owner) []Entry {
-	if p.upload.broken != nil {
-		return nil
+func (p *chunkProposal) entries(o *Owner) []Entry {
+	if p.upload.broken != nil || o.st.jobs[p.entry.Job] != nil {
+		return nil // the job came by another upload meanwhile
 	}
 	return []Entry{{Chunk: &p.entry}}
 }
--- a/daemon/shards/append.go
+++ b/daemon/shards/append.go
@@ -10,6 +10,13 @@
 	"tarragonhollow.example/tarragonhollow/platform"
 )
 
+const (
+	// urgentReserve is the part of the budget's burst that batch changes leave
+	// to urgent ones; reserveWait is how long they wait to look again.
+	urgentReserve = budgetBurst / 2
+	reserveWait   = 20 * time.Millisecond
+)
+
 // appendLoop appends the owner's records, one at a time, at its pace and within
 // this daemon's budget.
 func (s *Shards) appendLoop(ctx context.Context, sl *slot, owner *ledger.Owner) {
@@ -17,7 +24,12 @@
 		if s.findBound(ctx, sl, owner) {
 			continue
 		}
-		if !s.awaitTurn(ctx, sl, owner) {
+		urgent, ready := s.awaitTurn(ctx, sl, owner)
+		if !ready {
+			continue
+		}
+		if !urgent && s.budget.Tokens() < urgentReserve {
+			pause(ctx, reserveWait)
 			continue
 		}
 		if s.budget.Wait(ctx) != nil {
@@ -48,20 +60,20 @@
 }
 
 // awaitTurn waits until a record may be built or something has changed.
-func (s *Shards) awaitTurn(ctx context.Context, sl *slot, owner *ledger.Owner) bool {
+func (s *Shards) awaitTurn(ctx context.Context, sl *slot, owner *ledger.Owner) (urgent, ready bool) {
 	sl.mu.Lock()
-	atMs, _, ok := owner.NextAppend()
+	atMs, urgent, ok := owner.NextAppend()
 	sl.mu.Unlock()
 	wait := time.Duration(atMs-s.nowMs()) * time.Millisecond
 	if ok && wait <= 0 {
-		return true
+		return urgent, true
 	}
 	if !ok {
 		select {
 		case <-ctx.Done():
 		case <-sl.wake:
 		}
-		return false
+		return urgent, false
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -70,7 +82,7 @@
 	case <-sl.wake:
 	case <-timer.C:
 	}
-	return false
+	return urgent, false
 }
 
 func (s *Shards) appendOne(ctx context.Context, sl *slot, owner *ledger.Owner) {
--- a/daemon/shards/claim.go
+++ b/daemon/shards/claim.go
@@ -14,7 +14,7 @@
 	// doubtSteps is how many claim steps longer a shard counts as held when its
 	// holder is merely leaving (it is about to name its successor) or has not
 	// reached the log lately (it may be a blip).
-	doubtSteps = 4
+	doubtSteps = 10
 	// moveEvery bounds how often a shard is released for balance.
 	moveEvery = 2 * time.Second
 	// settleTime is how long a fresh holder is given to tell that it holds the
@@ -64,6 +64,12 @@
 		sl.unheld = time.Time{}
 		return false
 	}
+	if !s.logOK.Load() {
+		// The time in which nobody could claim doesn't count: after an outage
+		// the holders are heard of again before anyone claims against them.
+		sl.unheld = time.Time{}
+		return false
+	}
 	if sl.unheld.IsZero() {
 		sl.unheld = now
 	}
@@ -72,7 +78,7 @@
 	if doubt && !sl.named {
 		wait += doubtSteps * s.opt.ClaimStep
 	}
-	if !ok || now.Sub(sl.unheld) < wait || !s.logOK.Load() {
+	if !ok || now.Sub(sl.unheld) < wait {
 		return false
 	}
 	sl.busy, sl.named = true, false
@@ -120,11 +126,10 @@
 func (s *Shards) release(sl *slot, to string) bool {
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
-	if !sl.holding() {
+	if !sl.holding() || !sl.owner.Release(s.nowMs(), to) {
 		return false
 	}
 	s.opt.Logger.Info("shard_release", zap.Int("shard", sl.id), zap.String("successor", to))
-	sl.owner.Release(s.nowMs(), to)
 	sl.poke()
 	return true
 }
@@ -142,23 +147,33 @@
 // Drain hands all shards over and returns when none is held. Claims end at once.
 func (s *Shards) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-	for _, sl := range s.slots {
-		if to := s.bestSuccessor(sl.id); to != "" {
-			s.release(sl, to)
-		}
-	}
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	for len(s.Holds()) > 0 {
+	for s.busySlots() > 0 {
+		for _, sl := range s.slots { // again and again: a claim may just succeed
+			s.release(sl, s.bestSuccessor(sl.id))
+		}
 		select {
 		case <-ctx.Done():
-			return DrainTimeout.New("%d shards are still held", len(s.Holds()))
+			return DrainTimeout.New("%d shards are still held or being claimed", s.busySlots())
 		case <-ticker.C:
 		}
 	}
 	return nil
 }
 
+func (s *Shards) busySlots() int {
+	n := 0
+	for _, sl := range s.slots {
+		sl.mu.Lock()
+		if sl.busy {
+			n++
+		}
+		sl.mu.Unlock()
+	}
+	return n
+}
+
 // bestSuccessor is the best ranked other member, "" if there is none.
 func (s *Shards) bestSuccessor(id int) string {
 	self := s.opt.View.Self().ID()
--- a/daemon/shards/meter.go
+++ b/daemon/shards/meter.go
@@ -21,10 +21,10 @@
 	}
 	gauge("tarragonhollow_ledger_proposals_waiting", func(f ledger.Figures) float64 { return float64(f.Waiting) })
 	gauge("tarragonhollow_ledger_ring_bytes", func(f ledger.Figures) float64 { return float64(f.WaitingBytes) })
-	gauge("tarragonhollow_ledger_ring_refused", func(f ledger.Figures) float64 { return float64(f.RingRefused) })
-	gauge("tarragonhollow_ledger_items_handed_out", func(f ledger.Figures) float64 { return float64(f.Items) })
-	gauge("tarragonhollow_ledger_restated", func(f ledger.Figures) float64 { return float64(f.Restated) })
-	gauge("tarragonhollow_ledger_records_void", func(f ledger.Figures) float64 { return float64(f.Voids) })
+	gauge("tarragonhollow_ledger_ring_refused_total", func(f ledger.Figures) float64 { return float64(f.RingRefused) })
+	gauge("tarragonhollow_ledger_items_handed_out_total", func(f ledger.Figures) float64 { return float64(f.Items) })
+	gauge("tarragonhollow_ledger_restated_total", func(f ledger.Figures) float64 { return float64(f.Restated) })
+	gauge("tarragonhollow_ledger_records_void_total", func(f ledger.Figures) float64 { return float64(f.Voids) })
 	set.GetOrCreateGauge("tarragonhollow_ledger_shards_held", func() float64 { return float64(len(s.Holds())) })
 	for _, state := range []ledger.ItemState{
 		ledger.ItemWaiting, ledger.ItemRunning, ledger.ItemCompleted, ledger.ItemFailed, ledger.ItemCancelled,
--- a/daemon/shards/options.go
+++ b/daemon/shards/options.go
@@ -66,7 +66,7 @@
 	Shards     int
 	AppendPace time.Duration
 	UrgentPace time.Duration
-	// AppendBudget is the fleet's appends a second; each daemon takes an equal
+	// AppendBudget is the fleet's appends a second; each held shard has an equal
 	// part of it.
 	AppendBudget float64
 	Lease        time.Duration
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -21,8 +21,8 @@
 	tickEvery = 50 * time.Millisecond
 	// budgetBurst is how many appends may be made at once within the budget.
 	budgetBurst = 16
-	// minBudget keeps a daemon of a very large fleet able to append.
-	minBudget = 2
+	// claimBudget lets a daemon without shards append its claims.
+	claimBudget = 1
 	// grantedKept is how many granted runs are remembered until their end.
 	grantedKept = 1 << 15
 )
@@ -138,12 +138,13 @@
 	}
 }
 
-// tickLoop lets the owners end waits and leases, and adjusts this daemon's part
-// of the append budget to the number of live daemons.
+// tickLoop lets the owners end waits and leases, and keeps this daemon's part of
+// the append budget in step with the shards it holds. A part by daemons would
+// starve the owners of a large fleet, most of which hold no shard.
 func (s *Shards) tickLoop(ctx context.Context) {
 	every(ctx, tickEvery, func() {
-		members := max(1, len(s.opt.View.Members()))
-		s.budget.SetLimit(rate.Limit(max(minBudget, s.opt.AppendBudget/float64(members))))
+		part := s.opt.AppendBudget * float64(len(s.Holds())) / float64(len(s.slots))
+		s.budget.SetLimit(rate.Limit(part + claimBudget))
 		for _, sl := range s.slots {
 			s.tick(sl)
 		}
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -1,12 +1,9 @@
 package shards
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"fmt"
-	"net/rpc"
-	"reflect"
+	"net"
 	"sort"
 	"strings"
 	"sync"
@@ -47,7 +44,8 @@
 	client *fakelog.Client
 	shards *Shards
 	stop   func()
-	rpc    map[string]any
+	server *peer.Server
+	caller *peer.Client
 	// revoked lists the jobs that this node's steward was told to drop.
 	revoked []string
 }
@@ -63,12 +61,18 @@
 
 func (f *fleet) start(host string) *node {
 	f.next++
-	n := &node{fleet: f, client: f.log.NewClient(), rpc: map[string]any{}, self: membership.Member{
-		Host: host, PeerAddress: host, Incarnation: f.next, LogOK: true, Ready: true,
-	}}
-	_ = n.Register("Steward", &stewardFake{n})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	n := &node{
+		fleet: f, client: f.log.NewClient(),
+		server: peer.NewServer(peer.ServerOptions{}), caller: peer.NewClient(peer.ClientOptions{}),
+		self: membership.Member{
+			Host: host, PeerAddress: listener.Addr().String(), Incarnation: f.next, LogOK: true, Ready: true,
+		},
+	}
+	Expect(n.server.Register("Steward", &stewardFake{n})).To(Succeed())
 	s, err := New(Options{
-		Log: n.client, View: n, Peer: n, Registrar: n, Shards: testShards,
+		Log: n.client, View: n, Peer: n.caller, Registrar: n.server, Shards: testShards,
 		Config:     func() *config.Config { return nil },
 		GroupOf:    func(it ledger.Item) (string, bool) { return "g", !strings.Contains(it.URL, "nowhere") },
 		AppendPace: 5 * time.Millisecond, UrgentPace: time.Millisecond, AppendBudget: 1e6,
@@ -83,7 +87,13 @@
 	f.nodes[host] = n
 	f.mu.Unlock()
 	s.Run(g)
-	n.stop = func() { cancel(); g.Wait() }
+	g.Go(func(context.Context) { _ = n.server.Serve(listener) })
+	n.stop = func() {
+		cancel()
+		_ = n.server.Close()
+		g.Wait()
+		_ = n.caller.Close()
+	}
 	return n
 }
 
@@ -138,7 +148,7 @@
 	return nil
 }
 
-// The node is its own view, registrar and caller.
+// The node is its own view.
 
 func (n *node) Self() membership.Member { return n.self }
 
@@ -186,49 +196,6 @@
 
 func (n *node) TargetLeaving(string) bool { return false }
 
-func (n *node) Register(name string, receiver any) error {
-	if err := rpc.NewServer().RegisterName(name, receiver); err != nil {
-		return err
-	}
-	n.rpc[name] = receiver
-	return nil
-}
-
-// Call runs the method in process, on copies as the wire would make them.
-func (n *node) Call(_ context.Context, address, method string, args, reply any) error {
-	n.fleet.mu.Lock()
-	to, live := n.fleet.nodes[address]
-	_, self := n.fleet.nodes[n.self.Host]
-	n.fleet.mu.Unlock()
-	if !live || !self {
-		return peer.Unreachable.New("%s is down", address)
-	}
-	service, name, _ := strings.Cut(method, ".")
-	m := reflect.ValueOf(to.rpc[service]).MethodByName(name)
-	arg := reflect.New(m.Type().In(0))
-	answer := reflect.New(m.Type().In(1).Elem())
-	if err := viaGob(args, arg.Interface()); err != nil {
-		return err
-	}
-	if out := m.Call([]reflect.Value{arg.Elem(), answer}); !out[0].IsNil() {
-		return out[0].Interface().(error)
-	}
-	return viaGob(answer.Interface(), reply)
-}
-
-// viaGob copies a message as the connection would.
-func viaGob(from, to any) error {
-	var buf bytes.Buffer
-	if err := gob.NewEncoder(&buf).Encode(from); err != nil {
-		return err
-	}
-	return gob.NewDecoder(&buf).Decode(to)
-}
-
-func (n *node) Notify(address, method string, args any) {
-	go func() { _ = n.Call(context.Background(), address, method, args, &Nothing{}) }()
-}
-
 type stewardFake struct{ n *node }
 
 // RevokeArgs and RevokeWords have the fields of the steward's messages.
