--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -36,6 +36,8 @@
 	log   *fakelog.Log
 	nodes map[string]*node
 	next  uint64
+	// tune changes a node's options, for benchmarks.
+	tune func(*Options)
 }
 
 type node struct {
@@ -71,14 +73,18 @@
 		},
 	}
 	Expect(n.server.Register("Steward", &stewardFake{n})).To(Succeed())
-	s, err := New(Options{
+	opt := Options{
 		Log: n.client, View: n, Peer: n.caller, Registrar: n.server, Shards: testShards,
 		Config:     func() *config.Config { return nil },
 		GroupOf:    func(it ledger.Item) (string, bool) { return "g", !strings.Contains(it.URL, "nowhere") },
 		AppendPace: 5 * time.Millisecond, UrgentPace: time.Millisecond, AppendBudget: 1e6,
 		Lease: 300 * time.Millisecond, ClaimStep: 50 * time.Millisecond, ColdStart: 20 * time.Millisecond,
 		RetryFor: 20 * time.Second,
-	})
+	}
+	if f.tune != nil {
+		f.tune(&opt)
+	}
+	s, err := New(opt)
 	Expect(err).NotTo(HaveOccurred())
 	n.shards = s
 	ctx, cancel := context.WithCancel(context.Background())
@@ -358,6 +364,24 @@
 		}).WithTimeout(10 * time.Second).Should(BeTrue())
 	})
 
+	// The log loses answers, and whole appends, in the middle of an evening's
+	// orders. Each is found again or appended again, and every order is granted.
+	It("finds lost appends again by reading back", func() {
+		f := newFleet("a", "b")
+		f.ownerOf("c/k")
+		for i := 0; i < 4; i++ {
+			f.log.LoseAnswers(1 - i%2)
+			f.log.LoseAppends(i % 2)
+			r, err := begin(f.nodes["a"], "c/k", fmt.Sprint("n", i), false)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Verdict).To(Equal(ledger.Granted))
+			_, err = f.nodes["a"].shards.Finish(context.Background(), ledger.FinishRequest{
+				Key: "c/k", Nonce: fmt.Sprint("n", i), Attempt: r.Attempt, Refusal: outcome.Refuse(outcome.NoTarget, "none"),
+			})
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	// A cancel races the stewards. It returns only when each of them has
 	// dropped the job; afterwards nothing of it is handed out.
 	It("cancels a job at every steward before it answers", func() {
