Test renewals, failed attempts and service calls of the stewards

Cause: lease renewal, the turning of target failures into item ends, and plain services were not covered.

--- a/daemon/steward/fakes_test.go
+++ b/daemon/steward/fakes_test.go
@@ -78,8 +78,11 @@
 	lines   int
 	// forecast is the word on every job.
 	forecast time.Time
-	// away refuses all calls.
-	away bool
+	// away refuses all calls; disown tells that named items are no longer the
+	// steward's.
+	away   bool
+	disown bool
+	named  []ledger.ItemRef
 	// gate, when set, holds pull replies until it is closed.
 	gate chan struct{}
 }
@@ -95,6 +98,12 @@
 	n := min(req.Max, len(l.waiting))
 	reply := ledger.PullReply{Items: l.waiting[:n:n], LeaseMs: l.leaseMs, Backlog: len(l.waiting) - n}
 	l.waiting = l.waiting[n:]
+	if len(req.Running) > 0 {
+		l.named = req.Running
+	}
+	if l.disown {
+		reply.Cancelled = req.Running
+	}
 	if len(l.waiting) > 0 {
 		reply.EarliestDueMs = l.waiting[0].DueMs
 	}
--- a/daemon/steward/policy_bench_test.go
+++ b/daemon/steward/policy_bench_test.go
@@ -170,6 +170,26 @@
 	b.ReportMetric(mean, "last_batch_token_mean_ms")
 }
 
+// BenchmarkOnSignal is what a signal about ten targets costs its sender, beside
+// the steward's own duties.
+func BenchmarkOnSignal(b *testing.B) {
+	RegisterTestingT(b)
+	addresses := make([]string, 10)
+	for i := range addresses {
+		addresses[i] = "10.0.1." + strconv.Itoa(i) + ":80"
+	}
+	s := newBench(8, addresses...)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.duties = duty.NewGroup(ctx)
+	s.assign()
+	s.Run(s.duties)
+	for i := 0; b.Loop(); i++ {
+		s.online(i % 2)
+	}
+	cancel()
+	s.duties.Wait()
+}
+
 // lastBatchToken returns the worst and mean time from a burst's start to the
 // last token of a batch stream that was there before it.
 func lastBatchToken(records []engine.Record, bursts []int64) (worst, mean float64) {
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"tarragonhollow.example/tarragonhollow/core/admission"
+	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/target"
@@ -176,6 +177,86 @@
 	})
 })
 
+var _ = Describe("a held lease", func() {
+	// A drawing takes longer than a lease. Unless the steward names it in time the
+	// owner leases it to another; and once the owner has done so, or the job was
+	// cancelled, the stream here must stop.
+	It("is renewed while the item runs, until the owner disowns it", func() {
+		b := newBench(1, engineA)
+		b.engine.OnGenerate = gated(make(chan struct{}))
+		b.ledger.leaseMs = 1500
+		b.ledger.add("c/j", "night", "x")
+		b.start()
+		named := func() (refs []ledger.ItemRef) {
+			b.ledger.set(func() { refs = b.ledger.named })
+			return refs
+		}
+		Eventually(named, patience).Should(ConsistOf(ledger.ItemRef{Job: "c/j", Index: 0, Attempt: 1}))
+		Expect(b.endedAs("cancelled")).To(BeZero())
+		b.ledger.set(func() { b.ledger.disown = true })
+		Eventually(func() int { return b.endedAs("cancelled") }, patience).Should(Equal(1))
+		Eventually(func() int { return b.Status().Held }, patience).Should(BeZero())
+	})
+})
+
+// What a target says decides whether the item may be tried again, and what its
+// caller is told; "not run" only where that is certain.
+var _ = DescribeTable("a failed attempt",
+	func(body string, failure error, expected ledger.ItemEnd) {
+		b := newBench(2, engineA)
+		b.engine.OnGenerate = func(string, target.GenerateRequest) faketarget.Generation {
+			return faketarget.Generation{Err: failure}
+		}
+		b.ledger.add("c/j", "night", "x")
+		b.ledger.waiting[0].Item.Body = []byte(body)
+		b.start()
+		Eventually(b.ledger.ended, patience).ShouldNot(BeEmpty())
+		end := b.ledger.ended()[0]
+		if end.Refusal != nil {
+			end.Refusal = &outcome.Refusal{Code: end.Refusal.Code, Run: end.Refusal.Run}
+		}
+		expected.Ref = ledger.ItemRef{Job: "c/j", Index: 0, Attempt: 1}
+		Expect(end).To(Equal(expected))
+	},
+	Entry("rejected content is final", "{}", &target.Failure{Reached: true, Rejected: true, Status: 422},
+		ledger.ItemEnd{Final: true, Refusal: &outcome.Refusal{Code: outcome.Unprocessable, Run: outcome.MayHaveRun}}),
+	Entry("a broken body is final and reaches no target", "[]", nil,
+		ledger.ItemEnd{Final: true, Refusal: &outcome.Refusal{Code: outcome.BadRequest, Run: outcome.NotRun}}),
+	Entry("a fault of the target is not final", "{}", &target.Failure{Reached: true, Status: 500},
+		ledger.ItemEnd{Refusal: &outcome.Refusal{Code: outcome.TargetFailed, Run: outcome.MayHaveRun}}),
+	Entry("a busy target costs no attempt", "{}", &target.Failure{Busy: true, Status: 503}, ledger.ItemEnd{}),
+)
+
+var _ = Describe("a call of a plain service", func() {
+	// Prep tickets are printed by a plain service, which cannot resume a call. A
+	// burst must not cut it off half way, and its answer is kept as it is.
+	It("runs to its end beside online work under its own key", func() {
+		b := newBench(4, engineA)
+		b.opts.Config().Groups["g"].Kind = config.KindService
+		let := make(chan struct{})
+		service := &faketarget.Service{OnCall: func(ctx context.Context, _ string, req target.ServiceRequest) (target.ServiceResponse, error) {
+			select {
+			case <-let:
+				return target.ServiceResponse{Status: 201, Body: req.Body}, nil
+			case <-ctx.Done():
+				return target.ServiceResponse{}, &target.Failure{Reached: true, Err: ctx.Err()}
+			}
+		}}
+		b.opts.Service = service
+		b.ledger.add("c/j", "night", "x")
+		b.ledger.waiting[0].Item = ledger.Item{CustomID: "x", URL: "/v1/services/kitchen/tickets?copies=1", Body: []byte(`{"n":1}`)}
+		b.start()
+		Eventually(service.Calls, patience).Should(HaveLen(1))
+		b.online(1)
+		b.decideAll()
+		close(let)
+		Eventually(b.ledger.ended, patience).Should(HaveLen(1))
+		Expect(b.ledger.ended()[0].Answer).To(Equal(&ledger.Answer{Status: 201, Body: []byte(`{"n":1}`)}))
+		call := service.Calls()[0]
+		Expect([]string{call.Key, call.Urgency, call.Request.Path}).To(Equal([]string{"c/j/x", target.UrgencyBatch, "/tickets?copies=1"}))
+	})
+})
+
 var _ = Describe("an item that crashes its target", func() {
 	// One drawing kills every engine that reads it. The sheets beside it on the
 	// engine must still finish, and only a crash while nothing else was there may
