Queue a leased item for the group that serves it

Cause: an owner hands over an item that is not repeatable at the steward's next pull after its start was read back, whichever group that pull is for; the steward queued it for the pull's group and could send a service's item to an engine.

Change: the steward works out the group from the item and the configuration.

Conclusion: the service spec leases its item through a pull for the engines, and fails without the change.

--- a/daemon/steward/fakes_test.go
+++ b/daemon/steward/fakes_test.go
@@ -83,6 +83,8 @@
 	away   bool
 	disown bool
 	named  []ledger.ItemRef
+	// only, when set, is the one group whose pulls get items.
+	only string
 	// gate, when set, holds pull replies until it is closed.
 	gate chan struct{}
 }
@@ -96,6 +98,9 @@
 		return ledger.PullReply{}, errAway
 	}
 	n := min(req.Max, len(l.waiting))
+	if l.only != "" && req.Group != l.only {
+		n = 0
+	}
 	reply := ledger.PullReply{Items: l.waiting[:n:n], LeaseMs: l.leaseMs, Backlog: len(l.waiting) - n}
 	l.waiting = l.waiting[n:]
 	if len(req.Running) > 0 {
--- a/daemon/steward/item.go
+++ b/daemon/steward/item.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/jobline"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/target"
@@ -69,6 +70,33 @@
 // isChat tells whether the item goes to an engine.
 func (it *heldItem) isChat() bool { return it.item.URL == jobline.ChatURL }
 
+// groupOf names the target group that serves the item, or pulled if the
+// configuration names none. An owner hands over items whose start it had to put
+// on the log first at the steward's next pull, whichever group that is for;
+// without this a service's item could be sent to an engine.
+func groupOf(cfg *config.Config, item ledger.Item, pulled string) string {
+	if cfg == nil {
+		return pulled
+	}
+	if rest, ok := strings.CutPrefix(item.URL, jobline.ServicePrefix); ok {
+		service, _, _ := strings.Cut(rest, "/")
+		if cfg.Groups[service] != nil {
+			return service
+		}
+		return pulled
+	}
+	var body struct {
+		Model string `json:"model"`
+	}
+	if json.Unmarshal(item.Body, &body) != nil {
+		return pulled
+	}
+	if g := cfg.GroupForModel(body.Model); g != nil {
+		return g.Name
+	}
+	return pulled
+}
+
 // generateRequest decodes the item's body in the OpenAI shape.
 func (it *heldItem) generateRequest() (target.GenerateRequest, error) {
 	req := target.GenerateRequest{StreamID: it.streamID()}
--- a/daemon/steward/pull.go
+++ b/daemon/steward/pull.go
@@ -226,7 +226,7 @@
 		ref:        leased.Ref,
 		item:       leased.Item,
 		profile:    leased.Profile,
-		group:      p.group,
+		group:      groupOf(s.opts.Config(), leased.Item, p.group),
 		owner:      p.owner,
 		due:        time.UnixMilli(leased.DueMs),
 		weight:     profile.BatchWeight,
@@ -243,7 +243,7 @@
 		return
 	}
 	s.noteJobLocked(now, it)
-	s.queued[p.group] = append(s.queued[p.group], it)
+	s.queued[it.group] = append(s.queued[it.group], it)
 }
 
 // stopItemLocked makes sure that the item of a cancelled job does not start
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -230,9 +230,13 @@
 var _ = Describe("a call of a plain service", func() {
 	// Prep tickets are printed by a plain service, which cannot resume a call. A
 	// burst must not cut it off half way, and its answer is kept as it is.
-	It("runs to its end beside online work under its own key", func() {
+	// The item comes in the answer to a pull for the engines, as an owner does.
+	It("runs to its end beside online work, at the service and under its own key", func() {
 		b := newBench(4, engineA)
-		b.opts.Config().Groups["g"].Kind = config.KindService
+		b.opts.Config().Groups["kitchen"] = &config.TargetGroup{
+			Name: "kitchen", Kind: config.KindService, Slots: 4, Targets: []config.Target{{Address: engineB}},
+		}
+		b.ledger.only = "g"
 		let := make(chan struct{})
 		service := &faketarget.Service{OnCall: func(ctx context.Context, _ string, req target.ServiceRequest) (target.ServiceResponse, error) {
 			select {
@@ -253,7 +257,8 @@
 		Eventually(b.ledger.ended, patience).Should(HaveLen(1))
 		Expect(b.ledger.ended()[0].Answer).To(Equal(&ledger.Answer{Status: 201, Body: []byte(`{"n":1}`)}))
 		call := service.Calls()[0]
-		Expect([]string{call.Key, call.Urgency, call.Request.Path}).To(Equal([]string{"c/j/x", target.UrgencyBatch, "/tickets?copies=1"}))
+		Expect([]string{call.Address, call.Key, call.Urgency, call.Request.Path}).To(
+			Equal([]string{engineB, "c/j/x", target.UrgencyBatch, "/tickets?copies=1"}))
 	})
 })
 
