--- a/daemon/steward/policy_bench_test.go
+++ b/daemon/steward/policy_bench_test.go
@@ -1,7 +1,9 @@
 package steward
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -12,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"tarragonhollow.example/tarragonhollow/core/admission"
@@ -168,6 +171,23 @@
 	worst, mean := lastBatchToken(server.Records(), bursts)
 	b.ReportMetric(worst, "last_batch_token_worst_ms")
 	b.ReportMetric(mean, "last_batch_token_mean_ms")
+	b.ReportMetric(giveWayMeanMs(s.opts.Metrics), "give_way_mean_ms")
+}
+
+// giveWayMeanMs reads the steward's own measurement: from the signal's arrival
+// to the answer of the last cancel.
+func giveWayMeanMs(set *metrics.Set) float64 {
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	var sum, count float64
+	for _, line := range strings.Split(text.String(), "\n") {
+		_, _ = fmt.Sscanf(line, "tarragonhollow_steward_give_way_seconds_sum %g", &sum)
+		_, _ = fmt.Sscanf(line, "tarragonhollow_steward_give_way_seconds_count %g", &count)
+	}
+	if count == 0 {
+		return 0
+	}
+	return 1000 * sum / count
 }
 
 // BenchmarkOnSignal is what a signal about ten targets costs its sender, beside
