Let no ended item stand for the items behind it

Cause: after an owner's death a steward may go on with the first item of a job and end it.

Ruled out: a late configuration at the new owner, which had the same version as the others.

Change: lanes drop ended and leased items from their front before the group is looked up. A spec tells the story; without the change it fails.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -296,6 +296,27 @@
 		o.Tick(s.now)
 		Expect(s.pull(o, "s2", 5)).To(HaveLen(1))
 	})
+
+	// An owner dies, and the steward that goes on with the job's first item ends
+	// it under the successor. The rest of the job must still be handed out: once,
+	// all of it failed as having no target group, because the ended item stood
+	// for it.
+	ginkgo.It("hands out the rest after an item that went on under a new owner", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 3, true)
+		s.flush(o)
+		held := s.pull(o, "s", 1)
+		o = s.held("b")
+		o.Pull(s.now, PullRequest{Steward: "s", Group: "g", Running: []ItemRef{held[0].Ref}})
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: held[0].Ref, Answer: answer("x")}}})
+		s.flush(o)
+		for i := 0; i < 3; i++ {
+			s.now += unknownRouteMs
+			o.Tick(s.now)
+		}
+		Expect(s.pull(o, "s2", 5)).To(HaveLen(2))
+	})
 })
 
 var _ = ginkgo.Describe("the stream's beginning", func() {
--- a/core/ledger/owner_lease.go
+++ b/core/ledger/owner_lease.go
@@ -225,13 +225,11 @@
 // while.
 func (o *Owner) tickRoutes(s *sched) {
 	for _, l := range s.routes {
-		if l.len() == 0 || s.job.State != JobAccepted {
+		if s.job.State != JobAccepted || !o.trim(s, l) {
 			continue
 		}
-		if _, it := o.st.item(s.job.Job, l.head()); it == nil {
-			l.pop()
-			continue
-		} else if _, ok := o.cfg.GroupOf(it.Item); ok {
+		_, it := o.st.item(s.job.Job, l.head())
+		if _, ok := o.cfg.GroupOf(it.Item); ok {
 			l.unknownSince = 0
 			continue
 		}
--- a/core/ledger/owner_sched.go
+++ b/core/ledger/owner_sched.go
@@ -224,7 +224,7 @@
 			continue
 		}
 		for _, l := range s.routes {
-			if l.len() > 0 && o.laneGroup(s, l) == group {
+			if o.trim(s, l) && o.laneGroup(s, l) == group {
 				out = append(out, offer{sched: s, lane: l, class: s.job.DueMs / similarDueMs})
 			}
 		}
@@ -232,6 +232,22 @@
 	return out
 }
 
+// trim drops items at the front of a lane that wait no longer, and tells whether
+// any are left. A steward that goes on with a predecessor's lease leaves its item
+// in the lane; once that has ended, its body is gone, so it must not stand for
+// the lane when the target group is worked out: all items behind it would seem
+// to have none, and fail.
+func (o *Owner) trim(s *sched, l *lane) bool {
+	for l.len() > 0 {
+		key := itemKey{s.job.Job, l.head()}
+		if _, it := o.st.item(key.job, key.index); it != nil && !it.ended() && o.leases[key] == nil {
+			return true
+		}
+		l.pop()
+	}
+	return false
+}
+
 // laneGroup evaluates the lane's target group by its first item.
 func (o *Owner) laneGroup(s *sched, l *lane) string {
 	_, it := o.st.item(s.job.Job, l.head())
--- a/core/ledger/sim_test.go
+++ b/core/ledger/sim_test.go
@@ -81,7 +81,7 @@
 func (s *sim) owner(self string) *Owner {
 	return NewOwner(OwnerConfig{
 		Self: self, Live: func(id string) bool { return !s.dead[id] },
-		GroupOf: func(it Item) (string, bool) { return "g", it.URL != "nowhere" },
+		GroupOf: func(it Item) (string, bool) { return "g", len(it.Body) > 0 },
 		Limits:  func() Limits { return Limits{KeptAnswersMs: 1e9, KeptResultsMs: 1e9, CrashLimit: 2} },
 		LeaseMs: 4000, PaceMs: 100, UrgentMs: 10, RetentionMs: 3_600_000,
 	}, s.log.replay(), s.now)
