Come back at the log's own time when it limits, and move shards calmly

Change: the pause follows the log's word, bursts are half as long, limits are counted instead of logged, and nothing moves until every shard has had a holder for two seconds.

--- a/core/ledger/append.go
+++ b/core/ledger/append.go
@@ -223,6 +223,7 @@
 		return
 	}
 	f.sent = false
+	wait := int64(outageRetryMs / 4)
 	switch out {
 	case Appended:
 		o.appendDown = false
@@ -232,8 +233,10 @@
 		f.maybe = true
 	case Unavailable:
 		o.appendDown = true
+	case Limited, TooLarge:
+		wait = o.cfg.UrgentMs
 	}
-	o.retryAtMs = nowMs + max(retryAfterMs, outageRetryMs/4)
+	o.retryAtMs = nowMs + max(retryAfterMs, wait)
 	if f.maybe {
 		f.bound = noBound // the daemon asks for a new one
 		return
--- a/daemon/shards/append.go
+++ b/daemon/shards/append.go
@@ -107,7 +107,11 @@
 	if out == ledger.Unavailable {
 		s.noteLog(false)
 	}
-	if err != nil {
+	switch {
+	case err == nil || ctx.Err() != nil:
+	case out == ledger.Limited:
+		s.meter.appendLimited.Inc()
+	default:
 		s.meter.appendErrors.Inc()
 		s.opt.Logger.Warn("shard_append_failed", zap.Int("shard", sl.id), zap.Error(err))
 	}
--- a/daemon/shards/claim.go
+++ b/daemon/shards/claim.go
@@ -57,6 +57,9 @@
 func (s *Shards) considerClaim(ctx context.Context, sl *slot, held int) bool {
 	cause, doubt := s.unheldCause(sl.id)
 	now := s.opt.Clock()
+	if cause != "" {
+		s.lastMove = now // no moving while shards change hands anyway
+	}
 	successors := s.opt.View.Successors(shard.Key(sl.id))
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
--- a/daemon/shards/meter.go
+++ b/daemon/shards/meter.go
@@ -11,7 +11,9 @@
 	appends      *metrics.Counter
 	appendBytes  *metrics.Counter
 	appendErrors *metrics.Counter
-	replay       *metrics.Histogram
+	// appendLimited counts appends that the log's rate limit refused.
+	appendLimited *metrics.Counter
+	replay        *metrics.Histogram
 }
 
 func newMeter(s *Shards) *meter {
@@ -33,10 +35,11 @@
 			func() float64 { return float64(s.items()[state]) })
 	}
 	return &meter{
-		appends:      set.GetOrCreateCounter("tarragonhollow_ledger_appends_total"),
-		appendBytes:  set.GetOrCreateCounter("tarragonhollow_ledger_append_bytes_total"),
-		appendErrors: set.GetOrCreateCounter("tarragonhollow_ledger_append_errors_total"),
-		replay:       set.GetOrCreateHistogram("tarragonhollow_ledger_replay_seconds"),
+		appends:       set.GetOrCreateCounter("tarragonhollow_ledger_appends_total"),
+		appendBytes:   set.GetOrCreateCounter("tarragonhollow_ledger_append_bytes_total"),
+		appendErrors:  set.GetOrCreateCounter("tarragonhollow_ledger_append_errors_total"),
+		appendLimited: set.GetOrCreateCounter("tarragonhollow_ledger_append_limited_total"),
+		replay:        set.GetOrCreateHistogram("tarragonhollow_ledger_replay_seconds"),
 	}
 }
 
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -20,7 +20,7 @@
 	// tickEvery is how often owners look at their clocks and claims are weighed.
 	tickEvery = 50 * time.Millisecond
 	// budgetBurst is how many appends may be made at once within the budget.
-	budgetBurst = 16
+	budgetBurst = 8
 	// claimBudget lets a daemon without shards append its claims.
 	claimBudget = 1
 	// grantedKept is how many granted runs are remembered until their end.
@@ -40,7 +40,8 @@
 	pulls    atomic.Uint64
 	// granted remembers by nonce what runs of this daemon were granted on.
 	granted *lru.Cache[string, ledger.BeginRequest]
-	// lastMove is when a shard was last released for balance; claimLoop's own.
+	// lastMove is when a shard was last released for balance, or was without a
+	// holder; claimLoop's own.
 	lastMove time.Time
 }
 
