Prove the tenure only once the weight store has the version

A version that the weight store lacks, a slip in the configuration, would have kept its issuer appending a tenure record every five seconds until it was corrected: the tenure was proven before the store was asked.

The store is asked first now. The spec publishes such a version and finds no append.

--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -152,7 +152,7 @@
 					t.Fatalf("%d load and %d serve of %d", loading, serving, usable)
 				}
 			}
-			if p.NeedsStore(now) {
+			if p.NeedsStore(now, goal) {
 				answer := orders.StoreAnswer(0)
 				if faults {
 					answer = orders.StoreAnswer(max(0, rapid.IntRange(-3, 2).Draw(t, "store")))
--- a/core/orders/planner.go
+++ b/core/orders/planner.go
@@ -269,12 +269,17 @@
 	p.failed(nowMs, t)
 }
 
-// NeedsStore tells whether the weight store should be asked for the version
-// that the last Step was given.
-func (p *Planner) NeedsStore(nowMs int64) bool {
+// NeedsStore tells whether the weight store should be asked for the goal's
+// version now.
+func (p *Planner) NeedsStore(nowMs int64, g Goal) bool {
+	p.follow(g)
 	return !p.store.has && nowMs >= p.store.waitUntil
 }
 
+// StoreReady tells whether the store has confirmed the version: before that no
+// order is given.
+func (p *Planner) StoreReady() bool { return p.store.has }
+
 // StoreSaid reports the store's answer; retryAfterMs is its wish, 0 if none.
 func (p *Planner) StoreSaid(nowMs int64, a StoreAnswer, retryAfterMs int64) {
 	if a == StoreHas {
--- a/daemon/orders/orders.go
+++ b/daemon/orders/orders.go
@@ -170,22 +170,25 @@
 	}
 }
 
-// step observes one group, decides, and sends what was decided.
+// step observes one group, decides, and sends what was decided. The tenure is
+// proven last: a version that the store does not have costs the log nothing.
 func (s *Orders) step(ctx context.Context, a assignment, r *rollout) {
 	goal := s.observe(ctx, a, r)
 	if !goal.Changing() && !r.planner.Busy() {
 		r.note(s, a, orders.Plan{})
 		return
 	}
+	if !s.storeReady(ctx, a, r, goal) {
+		r.note(s, a, orders.Plan{Withheld: orders.WithheldWeights})
+		return
+	}
 	tenure, err := s.tenure(ctx, a.shard)
 	if err != nil {
 		s.opt.Logger.Warn("orders_withheld", zap.String("model", a.model.Name),
 			zap.String("group", a.group.Name), zap.Error(err))
 		return
 	}
-	if r.term != tenure.Term {
-		r.term, r.planner = tenure.Term, orders.NewPlanner(s.opt.Bounds)
-	}
+	r.enter(s.opt.Bounds, tenure.Term)
 	if !a.group.ChecksOrders && s.opt.Clock().Before(tenure.From) {
 		r.note(s, a, orders.Plan{Withheld: "the last issuer's time may not have run out"})
 		return
@@ -196,7 +199,14 @@
 		out := s.send(ctx, a, tenure, order)
 		r.planner.Sent(s.nowMs(), order.Address, out)
 	}
-	s.askStore(ctx, a, r)
+}
+
+// enter begins anew in another term: others have given orders meanwhile.
+func (r *rollout) enter(bounds orders.Options, term uint64) {
+	if r.term != 0 && r.term != term {
+		r.planner = orders.NewPlanner(bounds)
+	}
+	r.term = term
 }
 
 // note logs a changed reason for withholding orders, once.
--- a/daemon/orders/orders_test.go
+++ b/daemon/orders/orders_test.go
@@ -45,7 +45,10 @@
 
 type weights struct{}
 
-func (weights) Weights(context.Context, string, string) (platform.Weights, error) {
+func (weights) Weights(_ context.Context, _, version string) (platform.Weights, error) {
+	if version == "none" {
+		return platform.Weights{}, platform.NotFound.New("no such version")
+	}
 	return platform.Weights{Bytes: 1}, nil
 }
 
@@ -250,7 +253,6 @@
 			Expect(b.sent).To(Equal([]string{"new#1"}))
 			b.loadingEnds()
 		}
-		old.round(ctx) // asks the weight store
 		old.round(ctx)
 		Expect(b.fleet["10.0.0.0:1"].version).To(Equal(version))
 		Expect(old.meter.outlived.Get()).To(BeEquivalentTo(1))
@@ -259,13 +261,15 @@
 		Entry("is open and logged where they do not", false, "1b"),
 	)
 
-	It("gives no order while the log cannot prove the tenure", func() {
+	It("gives no order without weights, nor while the log cannot prove the tenure", func() {
 		b := newBench(true, 3)
 		b.log.SetOutage(true)
 		d := b.daemon("a#1", 1, "2")
 		rollOut(b, d)
 		Expect(b.sent).To(BeEmpty())
 		b.log.SetOutage(false)
+		rollOut(b, b.daemon("b#1", 1, "none"))
+		Expect(b.log.Appends()).To(BeZero(), "a version that the store lacks costs no append")
 		b.log.LoseAnswers(1)
 		rollOut(b, d)
 		Expect(b.sent).To(HaveLen(3))
--- a/daemon/orders/send.go
+++ b/daemon/orders/send.go
@@ -74,10 +74,10 @@
 	return orders.Lost
 }
 
-// askStore asks the weight store for the wanted version, once while it is held.
-func (s *Orders) askStore(ctx context.Context, a assignment, r *rollout) {
-	if !r.planner.NeedsStore(s.nowMs()) {
-		return
+// storeReady asks the weight store for the wanted version, until it has it.
+func (s *Orders) storeReady(ctx context.Context, a assignment, r *rollout, goal orders.Goal) bool {
+	if !r.planner.NeedsStore(s.nowMs(), goal) {
+		return r.planner.StoreReady()
 	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -95,4 +95,5 @@
 		s.opt.Logger.Warn("weights_not_ready", zap.String("model", a.model.Name),
 			zap.String("version", a.model.Version), zap.Bool("missing", answer == orders.StoreMissing), zap.Error(err))
 	}
+	return err == nil
 }
