--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/signal"
 	"tarragonhollow.example/tarragonhollow/daemon/steward"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects"
+	"tarragonhollow.example/tarragonhollow/daemon/trail"
 	"tarragonhollow.example/tarragonhollow/peer"
 	"tarragonhollow.example/tarragonhollow/platform"
 	"tarragonhollow.example/tarragonhollow/settings"
@@ -40,6 +41,7 @@
 	settings *settings.Settings
 	logger   *zap.Logger
 	level    zap.AtomicLevel
+	trail    *trail.Trail
 	metrics  *metrics.Set
 	started  time.Time
 
@@ -70,9 +72,11 @@
 
 // New opens the listeners and puts the parts together; nothing runs before Run.
 func New(s *settings.Settings, o Options) (*Daemon, error) {
+	kept := trail.New()
 	d := &Daemon{
 		settings: s,
-		logger:   o.Logger.With(zap.String("host", s.Host.Name)),
+		logger:   kept.Wrap(o.Logger).With(zap.String("host", s.Host.Name)),
+		trail:    kept,
 		level:    o.Level,
 		metrics:  metrics.NewSet(),
 		started:  time.Now(),
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -8,6 +8,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/online"
 	"tarragonhollow.example/tarragonhollow/daemon/shards"
 	"tarragonhollow.example/tarragonhollow/daemon/steward"
+	"tarragonhollow.example/tarragonhollow/daemon/trail"
 )
 
 // Status is what GET /admin/status shows: this daemon's own view of the fleet.
@@ -22,6 +23,8 @@
 	Shards        shards.Status  `json:"shards"`
 	Online        online.Status  `json:"online"`
 	Batch         steward.Status `json:"batch"`
+	// Events are this daemon's last decisions, oldest first.
+	Events []trail.Event `json:"events"`
 }
 
 // HostStatus is one daemon as this one sees it.
@@ -51,6 +54,7 @@
 		Shards:        d.shards.Status(),
 		Online:        d.online.Status(),
 		Batch:         d.steward.Status(),
+		Events:        d.trail.Events(),
 	}, nil
 }
 
