Let the racing issuers meet within a lease more often

The random pauses were mostly longer than a lease, so the two issuers hardly met within one.

Pauses are up to 4 s and runs longer.

--- a/daemon/orders/orders_test.go
+++ b/daemon/orders/orders_test.go
@@ -166,10 +166,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBench(rapid.Bool().Draw(t, "the targets check"), rapid.IntRange(2, 8).Draw(t, "targets"))
 		issuers := []*daemon{b.daemon("old#1", 3, "1b"), b.daemon("new#1", 4, "2")}
-		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+		for range rapid.IntRange(50, 150).Draw(t, "steps") {
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
-				b.now = b.now.Add(time.Duration(rapid.Int64Range(1, 15_000).Draw(t, "ms")) * time.Millisecond)
+				b.now = b.now.Add(time.Duration(rapid.Int64Range(1, 4_000).Draw(t, "ms")) * time.Millisecond)
 			case 1:
 				b.loadingEnds()
 			case 2:
