Ask the later holder when the own shard's log is out of reach

Cause: a daemon cut off alone from the log kept refusing orders for its shards although another daemon had taken them over and could grant them.

Change: such calls go to the daemon that tells of the later term.

--- a/daemon/shards/client.go
+++ b/daemon/shards/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
@@ -52,11 +53,11 @@
 	req Q, own func(context.Context, Q) Word[R]) (w Word[R], sent bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if s.holdsHere(sl) {
+	holder, ok := s.opt.View.Holder(sl.id)
+	if s.holdsHere(sl, holder, ok) {
 		w = own(ctx, req)
 		return w, w.NotOwner
 	}
-	holder, ok := s.opt.View.Holder(sl.id)
 	if !ok || holder.ID() == s.opt.View.Self().ID() {
 		return Word[R]{NotOwner: true}, false
 	}
@@ -66,10 +67,24 @@
 	return w, false
 }
 
-func (s *Shards) holdsHere(sl *slot) bool {
+// holdsHere tells whether the owner here should be asked. One that is cut off
+// from the log can't read that it lost its shard; if another daemon tells of a
+// later term, that one can do what this owner would have to refuse.
+func (s *Shards) holdsHere(sl *slot, holder membership.Member, known bool) bool {
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
-	return sl.holding()
+	if !sl.holding() {
+		return false
+	}
+	if !known || sl.owner.LogOK() {
+		return true
+	}
+	for _, h := range holder.Shards {
+		if h.Shard == sl.id && h.Term > sl.owner.Term() {
+			return false
+		}
+	}
+	return true
 }
 
 func noOwner(reached bool) *outcome.Refusal {
@@ -103,7 +118,11 @@
 	if begin, ok := s.granted.Get(req.Nonce); ok && req.Begin.Key == "" {
 		req.Begin = begin
 	}
-	return ask(ctx, s, s.slotOf(req.Key), methodFinish, waitTimeout, req, s.ownFinish)
+	reply, err := ask(ctx, s, s.slotOf(req.Key), methodFinish, waitTimeout, req, s.ownFinish)
+	if err == nil && reply.Durable {
+		s.granted.Remove(req.Nonce)
+	}
+	return reply, err
 }
 
 // Request implements ledger.Client.
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -23,8 +23,9 @@
 	budgetBurst = 8
 	// claimBudget lets a daemon without shards append its claims.
 	claimBudget = 1
-	// grantedKept is how many granted runs are remembered until their end.
-	grantedKept = 1 << 15
+	// grantedKept is how many granted runs are remembered until their end; a
+	// daemon has at most half as many requests in flight.
+	grantedKept = 1 << 13
 )
 
 // Shards is this daemon's part in the ledger.
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -121,6 +121,27 @@
 	}
 }
 
+// term is the term in which the node holds the name's shard, 0 if it doesn't.
+func (n *node) term(name string) uint64 {
+	for _, h := range n.shards.Holds() {
+		if h.Shard == shard.Of(name, testShards) {
+			return h.Term
+		}
+	}
+	return 0
+}
+
+// seenTerm is the highest term in which anybody is seen to hold the shard.
+func (n *node) seenTerm(name string) (term uint64) {
+	holder, _ := n.Holder(shard.Of(name, testShards))
+	for _, h := range holder.Shards {
+		if h.Shard == shard.Of(name, testShards) {
+			term = h.Term
+		}
+	}
+	return term
+}
+
 func (f *fleet) ownerOf(name string) *node {
 	var owner *node
 	Eventually(func() *node {
@@ -364,6 +385,24 @@
 		}).WithTimeout(10 * time.Second).Should(BeTrue())
 	})
 
+	// One daemon alone is cut off from the log. Others take its shard over, and
+	// an order placed at the very host that is cut off is granted by the new
+	// owner instead of being refused; back on the log, the old owner learns that
+	// it lost.
+	It("takes over from a holder that is cut off from the log", func() {
+		f := newFleet("a", "b", "c")
+		old := f.ownerOf("c/k")
+		term := old.term("c/k")
+		old.client.SetCut(true)
+		Eventually(func() uint64 { return f.other(old).seenTerm("c/k") }).WithTimeout(20 * time.Second).Should(BeNumerically(">", term))
+		Eventually(func() error {
+			_, err := begin(old, "c/k", "n1", false)
+			return err
+		}).WithTimeout(20 * time.Second).Should(Succeed())
+		old.client.SetCut(false)
+		Eventually(func() uint64 { return old.term("c/k") }).WithTimeout(20 * time.Second).ShouldNot(Equal(term))
+	})
+
 	// The log loses answers, and whole appends, in the middle of an evening's
 	// orders. Each is found again or appended again, and every order is granted.
 	It("finds lost appends again by reading back", func() {
