Wait for targets and for the retry budget within half of the time left

A request now waits, for half of its time at most, while every target is out or the budget is spent; one that ran on two crashed targets runs only where nothing else does. Streams that are given up are cancelled at the engine as well.

--- a/core/retry/decide.go
+++ b/core/retry/decide.go
@@ -14,6 +14,8 @@
 	// jitterShare spreads a backoff over [1-jitterShare, 1+jitterShare] of it,
 	// so that requests that failed together do not come back together.
 	jitterShare = 0.5
+	// budgetPause is the mean wait between two looks at a spent budget.
+	budgetPause = 100 * time.Millisecond
 	// RetryAfterMs is told to callers who are refused because targets failed.
 	RetryAfterMs = 1000
 )
@@ -41,16 +43,22 @@
 	Attempts int
 	// Retries bounds the attempts after the first.
 	Retries int
-	// Now and Deadline bound the time left.
-	Now, Deadline time.Time
+	// Now and Deadline bound the time left; until WaitUntil the request may wait
+	// for the budget.
+	Now, Deadline, WaitUntil time.Time
 	// Random in [0,1) gives the jitter.
 	Random float64
 }
 
-// Decision is a retry after a wait, or the final refusal.
+// Decision is a retry after a wait, a wait for the budget, or the final refusal.
 type Decision struct {
-	// Backoff is the wait before the retry; it counts if Refusal is nil.
+	// Backoff is the wait before the retry, or before deciding again; it counts
+	// if Refusal is nil.
 	Backoff time.Duration
+	// Undecided tells that the budget is spent for now: wait, then decide again.
+	// Waiting costs the targets nothing, and a caller with time left is better
+	// served late than refused because one target's death took the budget.
+	Undecided bool
 	// Refusal is the final answer.
 	Refusal *outcome.Refusal
 }
@@ -75,10 +83,13 @@
 		return giveUp(failedCode(s.Failure), run, s.Failure.Detail, RetryAfterMs)
 	case s.Now.Add(backoff).After(s.Deadline):
 		return giveUp(outcome.DeadlineExceeded, run, s.Failure.Detail, 0)
-	case !b.Take(s.Now):
+	case b.Take(s.Now):
+		return Decision{Backoff: backoff}
+	case s.Now.Add(MaxBackoff).Before(s.WaitUntil):
+		return Decision{Backoff: jitter(budgetPause, s.Random), Undecided: true}
+	default:
 		return giveUp(failedCode(s.Failure), run, "retry budget spent: "+s.Failure.Detail, RetryAfterMs)
 	}
-	return Decision{Backoff: backoff}
 }
 
 // RunState is the truth about a request without an answer: not_run is claimed
@@ -118,6 +129,10 @@
 	if attempts < 8 {
 		base = min(MaxBackoff, FirstBackoff<<max(0, attempts-1))
 	}
+	return jitter(base, random)
+}
+
+func jitter(base time.Duration, random float64) time.Duration {
 	factor := 1 - jitterShare + 2*jitterShare*random
 	return time.Duration(float64(base) * factor)
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -95,8 +95,7 @@
 			}
 			target := fmt.Sprintf("t%d", round)
 			beside := companions(t, s)
-			isolated := s.Verdict(crasher) == Isolated
-			if isolated {
+			if s.Verdict(crasher) != Clear {
 				beside = nil
 			}
 			crashed++
@@ -163,7 +162,7 @@
 	s.Crashed(Crash{Target: "a", AtMs: 0, Running: []string{"innocent", "crasher"}, Total: 2})
 	s.Crashed(Crash{Target: "b", AtMs: 9_000, Running: []string{"innocent"}, Total: 1})
 	s.Crashed(Crash{Target: "b", AtMs: 9_200, Running: []string{"crasher"}, Total: 1})
-	if v := s.Verdict("innocent"); v != Isolated {
+	if v := s.Verdict("innocent"); v != Quarantined {
 		t.Fatalf("verdict %v", v)
 	}
 	s.Crashed(Crash{Target: "c", AtMs: 20_000, Running: []string{"crasher"}, Total: 1})
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -40,9 +40,14 @@
 const (
 	// Clear requests run anywhere.
 	Clear Verdict = iota
-	// Isolated requests are suspects: they run where nothing else does, so that
-	// the next crash, or its absence, tells about them alone.
+	// Isolated requests ran on one target as it crashed: they run next where as
+	// little else as possible does, so that the next crash, or its absence, tells
+	// about them alone.
 	Isolated
+	// Quarantined requests ran on several targets as they crashed: they run only
+	// where nothing else does. One that shared a third crash would cost others
+	// their answers and still prove nothing.
+	Quarantined
 	// Condemned requests are refused.
 	Condemned
 )
@@ -156,12 +161,20 @@
 	if s.condemned[fingerprint] {
 		return Condemned
 	}
+	targets := map[string]bool{}
 	for _, c := range s.crashes {
 		if slices.Contains(c.Running, fingerprint) && !s.explained(c, fingerprint) {
-			return Isolated
+			targets[c.Target] = true
 		}
 	}
-	return Clear
+	switch len(targets) {
+	case 0:
+		return Clear
+	case 1:
+		return Isolated
+	default:
+		return Quarantined
+	}
 }
 
 // Expire forgets crashes older than CrashMemory.
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -38,8 +38,9 @@
 	// Exclude holds the targets already tried; they are used again only when
 	// no other is left.
 	Exclude map[string]bool
-	// Alone asks for a target where nothing else runs, for a suspect.
-	Alone bool
+	// Alone asks for a target where as little else as possible runs, for a
+	// suspect; OnlyAlone for one where nothing does.
+	Alone, OnlyAlone bool
 	// SeedValue makes the random choices repeatable.
 	SeedValue uint64
 }
@@ -69,11 +70,11 @@
 // Pick chooses a target. It returns false only when the group has no target
 // that is not leaving.
 func (t *Table) Pick(now time.Time, r Request) (Choice, bool) {
-	usable := t.tier(now, r, true)
+	usable := t.tier(now, r, !r.OnlyAlone)
 	if len(usable) == 0 {
 		return t.lastResort(now, r)
 	}
-	if r.Alone {
+	if r.Alone || r.OnlyAlone {
 		return Choice{t.emptiest(now, usable).Address, ByIsolation}, true
 	}
 	usable = unreserved(usable)
@@ -84,6 +85,31 @@
 	return Choice{byLoad(now, usable, r).Address, ByLoad}, true
 }
 
+// Ready tells whether starting the request now is better than waiting a little:
+// not while every target that stays is out, and not, for a request that must
+// run alone, while something runs everywhere.
+func (t *Table) Ready(now time.Time, r Request) bool {
+	usable := t.tier(now, r, false)
+	if !r.OnlyAlone {
+		return len(usable) > 0 || !t.anyStays()
+	}
+	for _, e := range usable {
+		if e.reserved == 0 && t.Concurrent(now, e.Address) == 0 {
+			return true
+		}
+	}
+	return !t.anyStays()
+}
+
+func (t *Table) anyStays() bool {
+	for _, e := range t.entries {
+		if !e.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // tier lists the targets that may take the request: not leaving, not out, with
 // room on the ramp and, if untried is set, not tried yet.
 func (t *Table) tier(now time.Time, r Request, untried bool) []*entry {
@@ -142,10 +168,18 @@
 	return b.health.until.Before(a.health.until)
 }
 
-// emptiest returns the target with the least of everything, own and foreign.
+// emptiest returns the target for a suspect: the one with the fewest other
+// suspects, then with the least of everything. Suspects of one crash that met
+// again on the next target would stay indistinguishable.
 func (t *Table) emptiest(now time.Time, usable []*entry) *entry {
 	best := usable[0]
 	for _, e := range usable[1:] {
+		if e.reserved != best.reserved {
+			if e.reserved < best.reserved {
+				best = e
+			}
+			continue
+		}
 		if t.Concurrent(now, e.Address) < t.Concurrent(now, best.Address) {
 			best = e
 		}
--- a/daemon/online/chat.go
+++ b/daemon/online/chat.go
@@ -36,7 +36,7 @@
 
 func (o *Online) chat(ctx context.Context, call api.ChatCall, sink func(target.Token) error) (api.ChatResult, *outcome.Refusal) {
 	c := o.opt.Config()
-	if c == nil {
+	if c == nil || c.Version == 0 {
 		return api.ChatResult{}, outcome.Refuse(outcome.NotReady, "no configuration yet")
 	}
 	described := c.GroupForModel(call.Request.Model)
@@ -177,6 +177,9 @@
 		s.run.answer(address)
 		return s.take(t)
 	})
+	if err != nil && attempt.Err() != nil {
+		s.online.cancels.ring.Offer(orphan{address, request.StreamID})
+	}
 	if err != nil {
 		return stallError(attempt, ctx, err)
 	}
@@ -229,5 +232,5 @@
 	if call.Key == "" {
 		return ctx
 	}
-	return target.WithKey(ctx, scopedKey(call))
+	return target.WithKey(ctx, targetKey(call))
 }
--- a/daemon/online/group.go
+++ b/daemon/online/group.go
@@ -124,21 +124,37 @@
 	return refusal
 }
 
+// found is what came of looking for a target.
+type found int
+
+const (
+	picked found = iota
+	// mustWait: none is usable now.
+	mustWait
+	// noTarget: the group has none that stays.
+	noTarget
+)
+
 // begin picks a target for the run's next attempt and counts it there at once,
-// so that two requests never choose by the same stale figure.
-func (g *group) begin(now time.Time, r *run) (routing.Choice, bool) {
+// so that two requests never choose by the same stale figure. force takes one
+// that is out rather than wait.
+func (g *group) begin(now time.Time, r *run, force bool) (routing.Choice, found) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !force && !g.table.Ready(now, r.pick) {
+		return routing.Choice{}, mustWait
+	}
 	choice, ok := g.table.Pick(now, r.pick)
 	if !ok {
-		return choice, false
+		return choice, noTarget
 	}
-	g.table.Start(now, choice.Address, r.pick.Alone)
+	r.isolated = r.pick.Alone || r.pick.OnlyAlone
+	g.table.Start(now, choice.Address, r.isolated)
 	if g.running[choice.Address] == nil {
 		g.running[choice.Address] = map[*run]bool{}
 	}
 	g.running[choice.Address][r] = true
-	return choice, true
+	return choice, picked
 }
 
 // end takes the end of an attempt. For a crash it returns who ran there.
@@ -150,7 +166,7 @@
 		crash = g.crash(now, address)
 	}
 	delete(g.running[address], r)
-	state, changed := g.table.End(now, address, r.pick.Alone, o)
+	state, changed := g.table.End(now, address, r.isolated, o)
 	if changed {
 		g.logState(now, address, state, r)
 	}
--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -27,6 +27,15 @@
 // scopedKey is CALLER/KEY.
 func scopedKey(call api.Call) string { return call.Caller + "/" + call.Key }
 
+// targetKey is the key that targets see: the caller's own, and for a named
+// caller scoped, so that two callers' equal keys stay apart at the target too.
+func targetKey(call api.Call) string {
+	if call.Caller == "" {
+		return call.Key
+	}
+	return scopedKey(call)
+}
+
 // keyed runs work under the call's idempotency key. replayed tells that the
 // answer is another run's.
 //
--- a/daemon/online/online.go
+++ b/daemon/online/online.go
@@ -31,6 +31,7 @@
 	opt      Options
 	gate     *gate
 	finish   *finisher
+	cancels  *canceller
 	meters   *meters
 	draining atomic.Bool
 	// granted remembers the keys of non-repeatable requests that ran here.
@@ -54,6 +55,7 @@
 		return nil, err
 	}
 	on.finish = newFinisher(o)
+	on.cancels = newCanceller(o)
 	on.gate, err = newGate(o)
 	if err != nil {
 		return nil, err
@@ -69,6 +71,7 @@
 	g.Go(o.probeLoop)
 	g.Go(o.eventsLoop)
 	g.Go(o.finish.finishLoop)
+	g.Go(o.cancels.cancelLoop)
 	g.Go(o.gate.shareLoop)
 }
 
--- a/daemon/online/online_test.go
+++ b/daemon/online/online_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
@@ -303,11 +304,13 @@
 	// third of them, then all. Retries must stay within their share of the
 	// requests; three retries each, the naive rule, double or quadruple the load.
 	DescribeTable("keeps a retry storm within the group's share",
-		func(failing, mostFailed int) {
+		func(failing, mostFailed int, patience time.Duration) {
 			const requests = 3000
 			naive, _ := storm(failing, requests, func(b *bench, content string) error { return naiveChat(b, content) })
 			attempts, failed := storm(failing, requests, func(b *bench, content string) error {
-				_, err := b.online.Chat(context.Background(), chatOf(menu, "", content), nil)
+				call := chatOf(menu, "", content)
+				call.Deadline = time.Now().Add(patience)
+				_, err := b.online.Chat(context.Background(), call, nil)
 				return err
 			})
 			GinkgoWriter.Printf("%d of 6 targets fail: %d requests, attempts naive %d, with the budget %d, failed %d\n",
@@ -316,14 +319,14 @@
 			Expect(naive).To(BeNumerically(">", attempts))
 			Expect(failed).To(BeNumerically("<=", mostFailed))
 		},
-		Entry("when a third of the targets fail", 2, 30),
-		Entry("when all of them fail", 6, 3000),
+		Entry("when a third of the targets fail", 2, 30, 20*time.Second),
+		Entry("when all of them fail", 6, 3000, 200*time.Millisecond),
 	)
 })
 
-// storm sends requests from 30 callers at once and counts what the targets got.
+// storm sends requests from 150 callers at once and counts what the targets got.
 func storm(failing, requests int, send func(b *bench, content string) error) (attempts, failed int) {
-	const callers = 30
+	const callers = 150
 	b := newBench("a:1", "b:1", "c:1", "d:1", "e:1", "f:1")
 	b.engine.OnGenerate = func(address string, _ target.GenerateRequest) faketarget.Generation {
 		if int(address[0]-'a') < failing {
--- a/daemon/online/run.go
+++ b/daemon/online/run.go
@@ -15,6 +15,9 @@
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
+// placePause is the wait between two looks for a target while none is usable.
+const placePause = 50 * time.Millisecond
+
 // noTargetRetryMs is told to callers when the group has no target to try.
 const noTargetRetryMs = 1000
 
@@ -42,6 +45,11 @@
 	// answered tells that the current attempt has given something back.
 	answered bool
 	started  time.Time
+	// waitUntil is how long the request may wait for a target or for the retry
+	// budget: half of its time, so that the other half is left to run in.
+	waitUntil time.Time
+	// isolated tells that the current attempt was counted as one.
+	isolated bool
 }
 
 // attempt sends the request to one target. last tells that no retry is left,
@@ -49,8 +57,9 @@
 type attempt func(ctx context.Context, address string, last bool) error
 
 func (o *Online) newRun(call api.Call, g *group) *run {
+	now := o.opt.Clock()
 	return &run{
-		call: call, group: g, started: o.opt.Clock(),
+		call: call, group: g, started: now, waitUntil: now.Add(call.Deadline.Sub(now) / 2),
 		pick: routing.Request{Zone: o.opt.Zone, Exclude: map[string]bool{}, SeedValue: rand.Uint64()},
 	}
 }
@@ -64,10 +73,9 @@
 		if refusal := o.mayRun(ctx, r); refusal != nil {
 			return refusal
 		}
-		choice, ok := r.group.begin(o.opt.Clock(), r)
-		if !ok {
-			return outcome.Refuse(outcome.NoTarget, "no target of %s is left", r.group.name).
-				WithRun(retry.RunState(r.reached)).After(noTargetRetryMs)
+		choice, refusal := o.place(ctx, r)
+		if refusal != nil {
+			return refusal
 		}
 		err := o.attemptOnce(ctx, r, choice, try)
 		if err == nil {
@@ -79,6 +87,37 @@
 	}
 }
 
+// place picks a target. While every target is out, or none is empty for a
+// request that must run alone, it waits for half of the request's time at most:
+// trying a dead target costs a retry and cannot succeed.
+func (o *Online) place(ctx context.Context, r *run) (routing.Choice, *outcome.Refusal) {
+	for {
+		now := o.opt.Clock()
+		patient := now.Before(r.waitUntil)
+		choice, found := r.group.begin(now, r, !patient && !r.pick.OnlyAlone)
+		switch {
+		case found == picked:
+			return choice, nil
+		case found == noTarget:
+			return choice, outcome.Refuse(outcome.NoTarget, "no target of %s is left", r.group.name).
+				WithRun(retry.RunState(r.reached)).After(noTargetRetryMs)
+		case !patient:
+			return choice, quarantineRefusal(r)
+		}
+		pause(ctx, placePause)
+		if refusal := o.mayRun(ctx, r); refusal != nil {
+			return choice, refusal
+		}
+	}
+}
+
+// quarantineRefusal is told to a request that crashed targets, perhaps, and for
+// which no target is free to find out.
+func quarantineRefusal(r *run) *outcome.Refusal {
+	return outcome.Refuse(outcome.TargetFailed, "this request ran on targets as they crashed, and no target of %s is free to run it alone", r.group.name).
+		WithRun(outcome.MayHaveRun).After(retry.RetryAfterMs)
+}
+
 // mayRun refuses condemned requests and notes whether a suspect must run alone.
 func (o *Online) mayRun(ctx context.Context, r *run) *outcome.Refusal {
 	if ctx.Err() != nil {
@@ -89,6 +128,7 @@
 		return condemnedRefusal()
 	}
 	r.pick.Alone = verdict == retry.Isolated
+	r.pick.OnlyAlone = verdict == retry.Quarantined
 	return nil
 }
 
@@ -179,14 +219,10 @@
 	if failure == nil {
 		failure = &target.Failure{Reached: true, Detail: err.Error()}
 	}
-	decision := r.group.decide(retry.Situation{
-		Failure: retry.Failure{
-			Reached: failure.Reached, Rejected: failure.Rejected, Busy: failure.Busy, Detail: failure.Detail,
-		},
-		Repeatable: r.call.Profile.Repeatable, ReachedBefore: r.reached,
-		Attempts: r.attempts, Retries: r.call.Profile.Retries,
-		Now: o.opt.Clock(), Deadline: r.call.Deadline, Random: rand.Float64(),
-	})
+	decision, alive := o.decide(ctx, r, failure)
+	if !alive {
+		return o.stopped(ctx, r)
+	}
 	if decision.Refusal != nil {
 		return decision.Refusal
 	}
@@ -200,6 +236,27 @@
 	return nil
 }
 
+// decide rules on a failed attempt, waiting for the budget if that is the rule.
+// It returns false when the request's time ran out meanwhile.
+func (o *Online) decide(ctx context.Context, r *run, f *target.Failure) (retry.Decision, bool) {
+	for {
+		decision := r.group.decide(retry.Situation{
+			Failure: retry.Failure{
+				Reached: f.Reached, Rejected: f.Rejected, Busy: f.Busy, Detail: f.Detail,
+			},
+			Repeatable: r.call.Profile.Repeatable, ReachedBefore: r.reached,
+			Attempts: r.attempts, Retries: r.call.Profile.Retries,
+			Now: o.opt.Clock(), Deadline: r.call.Deadline, WaitUntil: r.waitUntil, Random: rand.Float64(),
+		})
+		if !decision.Undecided {
+			return decision, true
+		}
+		if !pause(ctx, decision.Backoff) {
+			return decision, false
+		}
+	}
+}
+
 // stopped is the final word when the caller's time or interest ran out.
 func (o *Online) stopped(ctx context.Context, r *run) *outcome.Refusal {
 	run := retry.RunState(r.reached)
--- a/daemon/online/service.go
+++ b/daemon/online/service.go
@@ -29,7 +29,7 @@
 
 func (o *Online) service(ctx context.Context, call api.ServiceCall) (target.ServiceResponse, *outcome.Refusal) {
 	c := o.opt.Config()
-	if c == nil {
+	if c == nil || c.Version == 0 {
 		return target.ServiceResponse{}, outcome.Refuse(outcome.NotReady, "no configuration yet")
 	}
 	described := c.Groups[call.Service]
