Wire the burn report and the orders to engines into the daemon

Every chat, service call and item end is counted for the service-level burn; requests that the HTTP face turns away are counted by their code. Orders are given only where a weight store is set. Before: /admin/burn refused.

--- a/api/observe.go
+++ b/api/observe.go
@@ -116,6 +116,9 @@
 	seconds := time.Since(st.began).Seconds()
 	status := c.Response().Status
 	s.metrics.request(status, st.code, seconds)
+	if s.opts.Refused != nil && !st.called && st.profile != "" && st.code != "" {
+		s.opts.Refused(st.profile, st.code)
+	}
 	s.opts.Logger.Info("request",
 		zap.String("request_id", st.id),
 		zap.String("method", c.Request().Method),
--- a/api/options.go
+++ b/api/options.go
@@ -6,6 +6,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
 
 var (
@@ -73,6 +75,9 @@
 	// DrainGrace is how long Shutdown goes on accepting after it went unready,
 	// so that balancers notice first.
 	DrainGrace time.Duration
+	// Refused is told of every caller's request that is turned away before the
+	// backend sees it; nil tells nobody.
+	Refused func(profile string, code outcome.Code)
 	// Logger takes one line per request. Required.
 	Logger *zap.Logger
 	// Metrics takes the HTTP metrics; nil keeps them private.
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -41,7 +41,7 @@
 	if err := b.Ready(); err != nil {
 		return api.ChatResult{}, err
 	}
-	return b.online.Chat(ctx, call, sink)
+	return b.burn.Chat(ctx, call, sink, b.online.Chat)
 }
 
 // Service implements api.Backend.
@@ -49,7 +49,7 @@
 	if err := b.Ready(); err != nil {
 		return target.ServiceResponse{}, err
 	}
-	return b.online.Service(ctx, call)
+	return b.burn.Service(ctx, call, b.online.Service)
 }
 
 // Request implements api.Backend.
@@ -100,6 +100,9 @@
 	return b.config.History(), nil
 }
 
+// Burn implements api.Backend.
+func (b *backend) Burn(ctx context.Context) (any, error) { return b.burn.Report(ctx) }
+
 // Drain implements api.Backend.
 func (b *backend) Drain(context.Context) error {
 	b.logger.Info("drain_requested")
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -8,9 +8,11 @@
 	"tarragonhollow.example/tarragonhollow/api"
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/daemon/burnlog"
 	"tarragonhollow.example/tarragonhollow/daemon/configsync"
 	"tarragonhollow.example/tarragonhollow/daemon/members"
 	"tarragonhollow.example/tarragonhollow/daemon/online"
+	"tarragonhollow.example/tarragonhollow/daemon/orders"
 	"tarragonhollow.example/tarragonhollow/daemon/shards"
 	"tarragonhollow.example/tarragonhollow/daemon/signal"
 	"tarragonhollow.example/tarragonhollow/daemon/steward"
@@ -115,6 +117,53 @@
 	return err
 }
 
+// buildOrders lets this daemon give orders to engines for the models whose
+// shards it holds. Without a weight store nothing is ordered.
+func (d *Daemon) buildOrders() error {
+	lead, err := orders.NewLogLeadership(orders.LeadershipOptions{
+		Holds: d.shards.Holds,
+		Self:  d.members.Self().ID(),
+		Log:   d.log,
+	})
+	if err != nil {
+		return err
+	}
+	var weights platform.WeightStore
+	if url := d.settings.Platform.WeightsURL; url != "" {
+		store, err := platform.NewHTTPWeightStore(platform.Options{URL: url, Client: d.settings.Host.Name})
+		if err != nil {
+			return errBuild.Wrap(err, "cannot use [platform] weights_url")
+		}
+		weights = store
+	}
+	d.orders, err = orders.New(orders.Options{
+		Config:     d.config.Current,
+		View:       d.members,
+		Leadership: lead,
+		Engine:     d.engine,
+		Weights:    weights,
+		Shards:     d.settings.Ledger.Shards,
+		Logger:     d.logger,
+		Metrics:    d.metrics,
+	})
+	return err
+}
+
+func (d *Daemon) buildBurn() error {
+	var err error
+	d.burn, err = burnlog.New(burnlog.Options{
+		Log:       d.log,
+		View:      d.members,
+		Peer:      d.peerClient,
+		Registrar: d.peerServer,
+		Config:    d.config.Current,
+		Retention: d.settings.Platform.Retention,
+		Logger:    d.logger,
+		Metrics:   d.metrics,
+	})
+	return err
+}
+
 func (d *Daemon) buildOnline() error {
 	var err error
 	if d.signals, err = signal.NewSender(signal.Options{View: d.members, Peer: d.peerClient, Metrics: d.metrics}); err != nil {
@@ -154,7 +203,7 @@
 	d.steward, err = steward.New(steward.Options{
 		View:      d.members,
 		Config:    d.config.Current,
-		Ledger:    d.shards,
+		Ledger:    d.burn.Items(d.shards),
 		Engine:    d.engine,
 		Service:   d.service,
 		Registrar: d.peerServer,
@@ -186,6 +235,7 @@
 		MaxUploads:        h.MaxUploads,
 		MaxBodyMemory:     h.MaxBodyMemory,
 		DrainGrace:        max(d.settings.Drain.Grace, time.Millisecond),
+		Refused:           d.burn.Refused,
 		Logger:            d.logger,
 		Metrics:           d.metrics,
 	})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,10 +13,12 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/daemon/burnlog"
 	"tarragonhollow.example/tarragonhollow/daemon/configsync"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/members"
 	"tarragonhollow.example/tarragonhollow/daemon/online"
+	"tarragonhollow.example/tarragonhollow/daemon/orders"
 	"tarragonhollow.example/tarragonhollow/daemon/shards"
 	"tarragonhollow.example/tarragonhollow/daemon/signal"
 	"tarragonhollow.example/tarragonhollow/daemon/steward"
@@ -57,6 +59,8 @@
 	members  *members.Members
 	config   *configsync.Sync
 	shards   *shards.Shards
+	orders   *orders.Orders
+	burn     *burnlog.Collector
 	signals  *signal.Sender
 	suspects *suspects.Tracker
 	online   *online.Online
@@ -99,6 +103,8 @@
 		d.buildMembers,
 		d.buildConfig,
 		d.buildShards,
+		d.buildOrders,
+		d.buildBurn,
 		d.buildOnline,
 		d.buildSteward,
 		d.buildAPI,
@@ -153,6 +159,8 @@
 	d.suspects.Run(group)
 	d.online.Run(group)
 	d.steward.Run(group)
+	d.orders.Run(group)
+	d.burn.Run(group)
 	group.Go(d.factsLoop)
 }
 
--- a/daemon/members/members_test.go
+++ b/daemon/members/members_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -150,24 +151,29 @@
 	})
 })
 
-// BenchmarkTraffic reports what membership costs one daemon at the default
-// probe interval, in fleets of two sizes: go test -bench Traffic -benchtime 1x.
+// benchFleet runs daemons at the default probe interval until settled.
+func benchFleet(b *testing.B, size int, settle time.Duration) (fleet []*node) {
+	seed := ""
+	for i := range size {
+		n, err := startNode(i, nil, membership.DefaultProbeEvery, seed)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(n.stop)
+		fleet = append(fleet, n)
+		seed = fleet[0].address
+	}
+	time.Sleep(settle)
+	return fleet
+}
+
+// BenchmarkTraffic reports what membership costs one daemon in fleets of two
+// sizes: go test -bench Traffic -benchtime 1x.
 func BenchmarkTraffic(b *testing.B) {
 	for _, size := range []int{12, 48} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			const settle, window = 30 * time.Second, 10 * time.Second
-			var fleet []*node
-			seed := ""
-			for i := range size {
-				n, err := startNode(i, nil, membership.DefaultProbeEvery, seed)
-				if err != nil {
-					b.Fatal(err)
-				}
-				defer n.stop()
-				fleet = append(fleet, n)
-				seed = fleet[0].address
-			}
-			time.Sleep(settle)
+			const window = 10 * time.Second
+			fleet := benchFleet(b, size, 30*time.Second)
 			bytes, messages := traffic(fleet)
 			time.Sleep(window)
 			bytesAfter, messagesAfter := traffic(fleet)
@@ -175,6 +181,9 @@
 			b.ReportMetric((bytesAfter-bytes)/per, "sent-bytes/s/daemon")
 			b.ReportMetric((messagesAfter-messages)/per, "messages/s/daemon")
 			b.ReportMetric(float64(len(fleet[size-1].Members.Members())), "members-seen")
+			for _, n := range fleet {
+				n.stop()
+			}
 		})
 	}
 }
@@ -182,37 +191,23 @@
 // BenchmarkDeath reports how long after a daemon's process ended the first and
 // the last of eleven others dropped it: go test -bench Death -benchtime 5x.
 func BenchmarkDeath(b *testing.B) {
-	const size, settle = 12, 5 * time.Second
 	var first, last time.Duration
 	for range b.N {
-		var fleet []*node
-		seed := ""
-		for i := range size {
-			n, err := startNode(i, nil, membership.DefaultProbeEvery, seed)
-			if err != nil {
-				b.Fatal(err)
-			}
-			fleet = append(fleet, n)
-			seed = fleet[0].address
-		}
-		time.Sleep(settle)
+		fleet := benchFleet(b, 12, 5*time.Second)
 		id := fleet[5].Self().ID()
 		fleet[5].stop()
-		began, dropped := time.Now(), 0
-		for ; dropped < size-1; time.Sleep(time.Millisecond) {
-			before := dropped
-			dropped = 0
-			for i, n := range fleet {
-				if i != 5 && !n.LiveID(id) {
-					dropped++
-				}
-			}
-			if before == 0 && dropped > 0 {
-				first = max(first, time.Since(began))
-			}
+		began := time.Now()
+		others := append(fleet[:5:5], fleet[6:]...)
+		keeps := func(n *node) bool { return n.LiveID(id) }
+		for !slices.ContainsFunc(others, func(n *node) bool { return !keeps(n) }) {
+			time.Sleep(time.Millisecond)
+		}
+		first = max(first, time.Since(began))
+		for slices.ContainsFunc(others, keeps) {
+			time.Sleep(time.Millisecond)
 		}
 		last = max(last, time.Since(began))
-		for _, n := range fleet {
+		for _, n := range others {
 			n.stop()
 		}
 	}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -33,5 +33,8 @@
 	if err := d.shards.Drain(ctx); err != nil {
 		d.logger.Warn("shards_not_handed_over", zap.Error(err))
 	}
+	if err := d.burn.Drain(ctx); err != nil {
+		d.logger.Warn("burn_not_kept", zap.Error(err))
+	}
 	d.logger.Info("drained", zap.Float64("seconds", time.Since(begin).Seconds()))
 }
