--- a/cli/burn.go
+++ b/cli/burn.go
@@ -32,22 +32,39 @@
 	return a.addClientFlags(group("report", "Reports", report))
 }
 
+// fleetBurn is the burn of the whole fleet as a daemon tells it.
+type fleetBurn struct {
+	burn.Report
+	// NotAnswering names the daemons whose figures are missing.
+	NotAnswering []string `json:"not_answering"`
+	// LogComplete is false while the daemon has not read all kept summaries.
+	LogComplete bool `json:"log_complete"`
+}
+
+// notes tells what the figures leave out.
+func (f fleetBurn) notes() []string {
+	var notes []string
+	if len(f.NotAnswering) > 0 {
+		notes = append(notes, "not answering, figures missing: "+strings.Join(f.NotAnswering, ", "))
+	}
+	if !f.LogComplete {
+		notes = append(notes, "the summaries kept on the log are not all read yet: figures may be low")
+	}
+	return notes
+}
+
 // reportBurn fetches the report, writes the page if asked for, and prints it.
 func (a *app) reportBurn(cmd *cobra.Command, path string) error {
 	body, _, err := a.fetch(cmd, call{method: http.MethodGet, path: "/admin/burn"})
 	if err != nil {
 		return err
 	}
-	var r burn.Report
+	var r fleetBurn
 	if err := json.Unmarshal(body, &r); err != nil {
 		return exitWith(ExitFailed, fmt.Errorf("the daemon's answer is not readable: %w", err))
 	}
 	if path != "" {
-		page, err := htmlPage("Service-level burn", a.when(r.AtMs), burnBlocks(r))
-		if err != nil {
-			return failed(err)
-		}
-		if err := os.WriteFile(path, page, reportMode); err != nil {
+		if err := a.writeBurnPage(path, r); err != nil {
 			return failed(err)
 		}
 	}
@@ -55,11 +72,34 @@
 		_, err := a.Out.Write(body)
 		return failed(err)
 	}
-	fmt.Fprintf(a.Out, "as of %s\n\n", a.when(r.AtMs))
-	a.printBlocks(burnBlocks(r))
+	fmt.Fprintf(a.Out, "as of %s\n", a.when(r.AtMs))
+	for _, note := range r.notes() {
+		fmt.Fprintln(a.Out, note)
+	}
+	fmt.Fprintln(a.Out)
+	a.printBlocks(burnBlocks(r.Report))
 	return nil
 }
 
+// writeBurnPage writes the report as one HTML file.
+func (a *app) writeBurnPage(path string, r fleetBurn) error {
+	picture, err := burnPlot(r.Report)
+	if err != nil {
+		return err
+	}
+	page, err := htmlPage(pageContent{
+		Title:  "Service-level burn",
+		At:     a.when(r.AtMs),
+		Notes:  r.notes(),
+		Plot:   picture,
+		Blocks: burnBlocks(r.Report),
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, page, reportMode)
+}
+
 // burnBlocks lays out a report: one row for each objective, and the reasons of
 // those that lost part of their budget.
 func burnBlocks(r burn.Report) []block {
--- a/cli/html.go
+++ b/cli/html.go
@@ -22,6 +22,8 @@
 <body>
 <h1>{{.Title}}</h1>
 <p>As of {{.At}}</p>
+{{range .Notes}}<p>{{.}}</p>
+{{end}}{{.Plot}}
 {{range .Blocks}}{{if .Title}}<h2>{{.Title}}</h2>{{end}}
 <table>
 {{$header := .Header}}{{$marked := .Marked}}{{range $i, $row := .Rows}}<tr{{if index $marked $i}} class="marked"{{end}}>{{range $row}}{{if and $header (eq $i 0)}}<th>{{.}}</th>{{else}}<td>{{.}}</td>{{end}}{{end}}</tr>
@@ -30,13 +32,20 @@
 </html>
 `))
 
-// htmlPage renders blocks as an HTML file; the template escapes all values.
-func htmlPage(title, at string, blocks []block) ([]byte, error) {
+// pageContent is what a page shows.
+type pageContent struct {
+	Title string
+	At    string
+	// Notes are paragraphs above the plot.
+	Notes []string
+	// Plot is an inline picture; "" is none.
+	Plot   template.HTML
+	Blocks []block
+}
+
+// htmlPage renders a page; the template escapes all values but the plot.
+func htmlPage(content pageContent) ([]byte, error) {
 	var out bytes.Buffer
-	err := page.Execute(&out, struct {
-		Title  string
-		At     string
-		Blocks []block
-	}{title, at, blocks})
+	err := page.Execute(&out, content)
 	return out.Bytes(), err
 }
--- a/daemon/trail/trail.go
+++ b/daemon/trail/trail.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -115,6 +116,11 @@
 	for _, f := range append(slices.Clone(c.fields), fields...) {
 		f.AddTo(enc)
 	}
+	for key, value := range enc.Fields {
+		if d, ok := value.(time.Duration); ok {
+			enc.Fields[key] = d.String()
+		}
+	}
 	c.trail.add(Event{AtMs: e.Time.UnixMilli(), Event: e.Message, Fields: enc.Fields})
 	return nil
 }
