--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -70,7 +70,7 @@
 // Pick chooses a target. It returns false only when the group has no target
 // that is not leaving.
 func (t *Table) Pick(now time.Time, r Request) (Choice, bool) {
-	usable := t.tier(now, r, !r.OnlyAlone)
+	usable := t.tier(now, r, true)
 	if len(usable) == 0 {
 		return t.lastResort(now, r)
 	}
@@ -87,9 +87,10 @@
 
 // Ready tells whether starting the request now is better than waiting a little:
 // not while every target that stays is out, and not, for a request that must
-// run alone, while something runs everywhere.
+// run alone, while something runs on every target that it has not tried: a
+// second crash of the same one would prove nothing.
 func (t *Table) Ready(now time.Time, r Request) bool {
-	usable := t.tier(now, r, false)
+	usable := t.tier(now, r, r.OnlyAlone)
 	if !r.OnlyAlone {
 		return len(usable) > 0 || !t.anyStays()
 	}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -215,6 +215,29 @@
 	}
 }
 
+// A request that ran on two crashed targets must not take others' answers along
+// a third time: it waits for an empty target that it has not tried. Any other
+// request waits only while all targets are out.
+func TestReadyWaitsForAnEmptyTarget(t *testing.T) {
+	table := tableOf(2)
+	table.Start(epoch, address(0), false)
+	quarantined := Request{OnlyAlone: true, Exclude: map[string]bool{address(1): true}}
+	if table.Ready(epoch, quarantined) || !table.Ready(epoch, Request{}) {
+		t.Fatal("ready beside another request, or at a target that was tried")
+	}
+	table.End(epoch, address(0), false, Succeeded)
+	if choice, _ := table.Pick(epoch, quarantined); !table.Ready(epoch, quarantined) || choice.Address != address(0) {
+		t.Fatalf("picked %+v, an empty untried target was there", choice)
+	}
+	for i := range 2 {
+		table.Start(epoch, address(i), false)
+		table.End(epoch, address(i), false, HardFailed)
+	}
+	if table.Ready(epoch, Request{}) {
+		t.Fatal("ready while all targets are out")
+	}
+}
+
 // A request whose deadline lies before the end of the queue is refused with a
 // time to come back; while any slot is free nobody is refused.
 func TestAdmitRefusesByTheQueue(t *testing.T) {
