Prove the promises with real daemon processes under failure

Cause: the packages' specs run one part each, in one process. What a lost, paused or cut-off host does to a caller's work shows only with processes that are really killed.

Ruled out: proxies in front of the targets, because the stand-ins already lose answers, freeze and crash; and the system's own counters as evidence, because a wrong ledger would count wrongly too. Specs compare callers' answers with the records of the targets.

Change: a small harness (processes, a fault proxy to the log for each daemon, the host list) and specs of losses, orders, jobs, log outages, configuration, planned stops, leaving targets, crashing requests and retention. Every refusal with run=not_run that any spec provokes is compared with the targets' records.

--- /dev/null
+++ b/test/fleet/daemon.go
@@ -0,0 +1,291 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/caller"
+	"tarragonhollow.example/tarragonhollow/core/shard"
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/settings"
+	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
+)
+
+// tailBytes is how much of a daemon's log a failed spec shows.
+const tailBytes = 6000
+
+// Daemon is one daemon process.
+type Daemon struct {
+	// Name and Zone are its own; a host that is replaced keeps its name.
+	Name, Zone string
+	// Client speaks to it.
+	Client *caller.Client
+	// Log is the proxy between it and the log.
+	Log *faultproxy.Proxy
+
+	fleet   *Fleet
+	cmd     *exec.Cmd
+	pid     int
+	logPath string
+	exited  chan struct{}
+	stopped atomic.Bool
+}
+
+// Add starts one more daemon as host number i and puts it on the host list.
+func (f *Fleet) Add(i int) *Daemon {
+	GinkgoHelper()
+	proxy, err := faultproxy.New(faultproxy.Options{Target: strings.TrimPrefix(f.LogURL, "http://")})
+	Expect(err).NotTo(HaveOccurred())
+	d := &Daemon{
+		Name:    fmt.Sprintf("entry-%d", i+1),
+		Zone:    f.Shape.Zone(i),
+		Log:     proxy,
+		fleet:   f,
+		logPath: filepath.Join(f.dir, fmt.Sprintf("%d-entry-%d.log", len(f.Daemons), i+1)),
+		exited:  make(chan struct{}),
+	}
+	f.Daemons = append(f.Daemons, d)
+	d.start()
+	httpAddress, peerAddress := d.addresses()
+	d.Client = &caller.Client{HTTP: caller.Pooled(), Base: "http://" + httpAddress, Token: Token}
+	Expect(f.Hosts.Put(platform.Host{
+		Name: d.Name, Role: platform.RoleDaemon, Address: peerAddress, Zone: d.Zone, State: platform.HostLive,
+	})).To(Succeed())
+	return d
+}
+
+func (d *Daemon) settings() *settings.Settings {
+	s := settings.Default()
+	s.Host = settings.Host{Name: d.Name, Zone: d.Zone, HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0"}
+	s.Platform.LogURL = "http://" + d.Log.Addr()
+	s.Platform.HostsURL = d.fleet.HostsURL
+	s.Platform.WeightsURL = d.fleet.WeightsURL
+	s.Peers = settings.Peers{ProbeEvery: 50 * time.Millisecond, SuspectAfter: 300 * time.Millisecond}
+	s.Ledger.Shards, s.Ledger.AppendPace, s.Ledger.Lease = shards, appendPace, time.Second
+	s.Admin.Token = Token
+	s.Drain = settings.Drain{Grace: 200 * time.Millisecond, Timeout: 20 * time.Second}
+	if d.fleet.opts.Settings != nil {
+		d.fleet.opts.Settings(&s)
+	}
+	return &s
+}
+
+func (d *Daemon) start() {
+	GinkgoHelper()
+	file := filepath.Join(d.fleet.dir, d.Name+".ini")
+	Expect(os.WriteFile(file, []byte(d.settings().Encode()), 0o600)).To(Succeed())
+	output, err := os.Create(d.logPath)
+	Expect(err).NotTo(HaveOccurred())
+	defer output.Close()
+	d.cmd = exec.Command(Binary(), "serve", "--settings", file)
+	d.cmd.Stdout, d.cmd.Stderr = output, output
+	// A test binary that dies without its cleanup leaves no daemon behind.
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	Expect(d.cmd.Start()).To(Succeed())
+	d.pid = d.cmd.Process.Pid
+	go func() {
+		_ = d.cmd.Wait()
+		close(d.exited)
+	}()
+}
+
+var startedLine = regexp.MustCompile(`event=started .*http_address=(\S+) peer_address=(\S+)`)
+
+// addresses reads the daemon's addresses from its first log line.
+func (d *Daemon) addresses() (httpAddress, peerAddress string) {
+	GinkgoHelper()
+	var found [][]byte
+	Eventually(func() bool {
+		text, _ := os.ReadFile(d.logPath)
+		found = startedLine.FindSubmatch(text)
+		return found != nil || !d.alive()
+	}, Bound, Poll).Should(BeTrue())
+	Expect(found).NotTo(BeNil(), "%s starts: %s", d.Name, d.tail())
+	return string(found[1]), string(found[2])
+}
+
+// Kill ends the process as a lost host would, and takes it off the host list.
+func (d *Daemon) Kill() {
+	d.signal(syscall.SIGKILL)
+	<-d.exited
+	d.fleet.unlist(d)
+}
+
+// Pause stops the process without its noticing; Resume lets it go on.
+func (d *Daemon) Pause() {
+	d.stopped.Store(true)
+	d.signal(syscall.SIGSTOP)
+}
+
+// Resume ends Pause.
+func (d *Daemon) Resume() {
+	d.signal(syscall.SIGCONT)
+	d.stopped.Store(false)
+}
+
+// Terminate asks the process to stop gracefully.
+func (d *Daemon) Terminate() { d.signal(syscall.SIGTERM) }
+
+// WaitExit waits for the end of a graceful stop, which must report success.
+func (d *Daemon) WaitExit() {
+	GinkgoHelper()
+	Eventually(d.exited, Bound, Poll).Should(BeClosed(), "%s stops", d.Name)
+	Expect(d.cmd.ProcessState.ExitCode()).To(BeZero(), "%s: %s", d.Name, d.tail())
+	d.fleet.unlist(d)
+}
+
+func (d *Daemon) signal(s syscall.Signal) {
+	select {
+	case <-d.exited:
+	default:
+		_ = syscall.Kill(d.pid, s)
+	}
+}
+
+// unlist takes the host off the list unless its name runs again.
+func (f *Fleet) unlist(d *Daemon) {
+	for _, other := range f.Daemons {
+		if other != d && other.Name == d.Name && other.alive() {
+			return
+		}
+	}
+	f.Hosts.Remove(d.Name)
+}
+
+func (d *Daemon) alive() bool {
+	select {
+	case <-d.exited:
+		return false
+	default:
+		return !d.stopped.Load()
+	}
+}
+
+// CutLog cuts this daemon alone off from the log; HealLog ends it.
+func (d *Daemon) CutLog() {
+	GinkgoHelper()
+	Expect(d.Log.SetFaults(faultproxy.Faults{Cut: faultproxy.CutReset})).To(Succeed())
+}
+
+// HealLog ends CutLog.
+func (d *Daemon) HealLog() {
+	GinkgoHelper()
+	Expect(d.Log.SetFaults(faultproxy.Faults{})).To(Succeed())
+}
+
+// Status is the part of GET /admin/status that specs look at.
+type Status struct {
+	Ready         bool   `json:"ready"`
+	ConfigVersion uint64 `json:"config_version"`
+	Shards        struct {
+		Shards []struct {
+			Shard int    `json:"shard"`
+			Term  uint64 `json:"term"`
+		} `json:"shards"`
+	} `json:"shards"`
+}
+
+// Status returns the operators' view; an unreachable daemon has an empty one.
+func (d *Daemon) Status() Status {
+	ctx, cancel := callContext()
+	defer cancel()
+	var s Status
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, d.Client.Base+"/admin/status", nil)
+	req.Header.Set("Authorization", "Bearer "+Token)
+	resp, err := d.Client.HTTP.Do(req)
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	return s
+}
+
+// Shards lists the shards that the daemon holds.
+func (d *Daemon) Shards() []int {
+	var out []int
+	for _, s := range d.Status().Shards.Shards {
+		out = append(out, s.Shard)
+	}
+	return out
+}
+
+// Logged counts the daemon's log lines that contain the text.
+func (d *Daemon) Logged(text string) int {
+	all, _ := os.ReadFile(d.logPath)
+	return bytes.Count(all, []byte(text))
+}
+
+// answeredLine matches the line of each answered request, which would drown
+// what a failed spec is read for.
+var answeredLine = regexp.MustCompile(`(?m)^.* event=request .* status=2.*\n`)
+
+func (d *Daemon) tail() string {
+	text, _ := os.ReadFile(d.logPath)
+	text = answeredLine.ReplaceAll(text, nil)
+	return string(text[max(0, len(text)-tailBytes):])
+}
+
+// callTimeout bounds one call of a spec.
+const callTimeout = 45 * time.Second
+
+func callContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), callTimeout)
+}
+
+// Owner returns the running daemon that holds the shard of a key or job. While
+// a shard moves two may think so: the higher term is the true one.
+func (f *Fleet) Owner(name string) *Daemon {
+	GinkgoHelper()
+	id := shard.Of("/"+name, shards)
+	var owner *Daemon
+	Eventually(func() *Daemon {
+		owner = nil
+		highest := uint64(0)
+		for _, d := range f.Running() {
+			for _, s := range d.Status().Shards.Shards {
+				if s.Shard == id && s.Term > highest {
+					owner, highest = d, s.Term
+				}
+			}
+		}
+		return owner
+	}, Bound, Poll).ShouldNot(BeNil(), "shard %d of %s has an owner", id, name)
+	return owner
+}
+
+// Others returns the running daemons but the given ones.
+func (f *Fleet) Others(than ...*Daemon) []*Daemon {
+	return slices.DeleteFunc(f.Running(), func(d *Daemon) bool { return slices.Contains(than, d) })
+}
+
+// KeyOwnedBy returns a key of the prefix whose shard the daemon holds. A daemon
+// may get its first shard only by the balance after a start.
+func (f *Fleet) KeyOwnedBy(d *Daemon, prefix string) string {
+	GinkgoHelper()
+	var held []int
+	Eventually(func() []int {
+		held = d.Shards()
+		return held
+	}, Bound, Poll).ShouldNot(BeEmpty(), "%s holds shards", d.Name)
+	for i := 0; ; i++ {
+		if key := fmt.Sprintf("%s-%d", prefix, i); slices.Contains(held, shard.Of("/"+key, shards)) {
+			return key
+		}
+	}
+}
--- /dev/null
+++ b/test/jobs_test.go
@@ -0,0 +1,130 @@
+package test
+
+import (
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/caller"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/standin/engine"
+	"tarragonhollow.example/tarragonhollow/test/fleet"
+)
+
+var _ = Describe("A job", func() {
+	// The kitchen's script retries its upload at every daemon at once, and a
+	// colleague sends another list under the same name.
+	It("that is resent whole to several daemons at once is one job, and its name stays its own", func() {
+		f := fleet.Start(fleet.Options{})
+		job := fleet.NewJob("prep", 50, -1)
+		var created, same atomic.Int32
+		all(6, func(i int) {
+			isNew, err := f.Put(f.Daemons[i%3], job)
+			Expect(err).NotTo(HaveOccurred())
+			if isNew {
+				created.Add(1)
+			} else {
+				same.Add(1)
+			}
+		})
+		Expect(created.Load()).To(Equal(int32(1)))
+		Expect(same.Load()).To(Equal(int32(5)))
+		other := fleet.NewJob("another list", 50, -1)
+		other.Name = job.Name
+		for _, d := range f.Daemons {
+			_, err := f.Put(d, other)
+			expectRun(err, outcome.NotRun)
+			Expect(caller.IsRefused(err).Status).To(Equal(409))
+		}
+		f.WaitJob(f.Daemons[1], job)
+		f.CheckJob(job)
+		Expect(f.ItemCalls(other)).To(BeEmpty())
+		for fingerprint, n := range finished(f, job) {
+			Expect(n).To(Equal(1), "runs of prompt %s", fingerprint)
+		}
+		Expect(f.Put(f.Daemons[2], job)).To(BeFalse())
+	})
+
+	// Half an upload reaches a daemon that dies: nothing of it is a job.
+	It("whose upload breaks off does not exist", func() {
+		f := fleet.Start(fleet.Options{})
+		job := fleet.NewJob("prep", 3, -1)
+		Expect(halfUpload(f.Daemons[0], f.Shape.BatchProfile, job.Name)).To(HaveOccurred())
+		for _, d := range f.Daemons {
+			_, err := f.JobState(d, job.Name)
+			Expect(caller.IsRefused(err)).To(HaveField("Status", 404))
+		}
+		Expect(f.Put(f.Daemons[1], job)).To(BeTrue())
+		f.WaitJob(f.Daemons[2], job)
+		f.CheckJob(job)
+	})
+
+	// The office withdraws a bundle in the middle of the night. From the moment
+	// the daemon says so no further drawing may start at any engine.
+	It("that is cancelled starts no item any more", func() {
+		f := fleet.Start(fleet.Options{Shape: slowEngines})
+		job := fleet.NewJob("prep", 400, -1)
+		f.MustPut(f.Daemons[0], job)
+		batchRuns(f, job, 30)
+		other := f.Others(f.Owner(job.Name))[0]
+		Expect(cancel(f, other, job.Name)).To(Succeed())
+		told := time.Now().UnixMilli()
+		Eventually(func() []engine.Record { return open(f.ItemCalls(job)) }, bound, poll).Should(BeEmpty())
+		for _, d := range f.Daemons {
+			Eventually(func() (string, error) {
+				state, err := f.JobState(d, job.Name)
+				return state.State, err
+			}, bound, poll).Should(Equal("cancelled"))
+		}
+		results, err := f.Results(f.Daemons[2], job.Name)
+		Expect(err).NotTo(HaveOccurred())
+		states := map[string]int{}
+		for _, r := range results {
+			states[r.State]++
+		}
+		Expect(results).To(HaveLen(400))
+		Expect(states["completed"] + states["cancelled"]).To(Equal(400))
+		Expect(states["cancelled"]).To(BeNumerically(">", 0))
+		for _, r := range f.ItemCalls(job) {
+			Expect(r.AtMs).To(BeNumerically("<=", told), "started after the cancel was told: %+v", r)
+		}
+		// A resent job is the cancelled one, not a new one.
+		Expect(f.Put(f.Daemons[1], job)).To(BeFalse())
+		Consistently(func() int { return len(open(f.ItemCalls(job))) }, "1s", poll).Should(BeZero())
+	})
+
+	// The shard's owner is lost between the cancel's word and the stewards'.
+	It("that is cancelled stays cancelled when its owner is lost", func() {
+		f := fleet.Start(fleet.Options{Shape: slowEngines})
+		job := fleet.NewJob("prep", 400, -1)
+		f.MustPut(f.Daemons[0], job)
+		batchRuns(f, job, 30)
+		owner := f.Owner(job.Name)
+		Expect(cancel(f, f.Others(owner)[0], job.Name)).To(Succeed())
+		told := time.Now().UnixMilli()
+		owner.Kill()
+		f.WaitOwned()
+		for _, d := range f.Running() {
+			Eventually(func() (string, error) {
+				state, err := f.JobState(d, job.Name)
+				return state.State, err
+			}, bound, poll).Should(Equal("cancelled"))
+		}
+		Eventually(func() []engine.Record { return open(f.ItemCalls(job)) }, bound, poll).Should(BeEmpty())
+		for _, r := range f.ItemCalls(job) {
+			Expect(r.AtMs).To(BeNumerically("<=", told), "started after the cancel was told: %+v", r)
+		}
+	})
+})
+
+func open(records []engine.Record) []engine.Record {
+	var out []engine.Record
+	for _, r := range records {
+		if r.Ended == "" {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/test/log_test.go
@@ -0,0 +1,153 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/caller"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
+	"tarragonhollow.example/tarragonhollow/standin/logsvc"
+	"tarragonhollow.example/tarragonhollow/test/fleet"
+)
+
+// logFaults replaces the faults of the log.
+func logFaults(f *fleet.Fleet, faults logsvc.Faults) {
+	GinkgoHelper()
+	Expect(f.Log.SetFaults(faults)).To(Succeed())
+}
+
+// expectLater matches a true not_run that says when to come back.
+func expectLater(err error) {
+	GinkgoHelper()
+	expectRun(err, outcome.NotRun)
+	Expect(caller.IsRefused(err).RetryAfterMs).To(BeNumerically(">", 0))
+}
+
+var _ = Describe("The platform's log", func() {
+	// The log is gone for everyone while guests chat, a job runs and an order is
+	// kept. Chats go on; what needs the log is refused and says when to come
+	// back; then the log returns.
+	DescribeTable("that is out stops orders and jobs truly, and nothing else", func(outage logsvc.Failure) {
+		f := fleet.Start(fleet.Options{Shape: slowEngines})
+		kept, err := f.Order(f.Daemons[0], "kept")
+		Expect(err).NotTo(HaveOccurred())
+		job := fleet.NewJob("prep", 100, 3)
+		f.MustPut(f.Daemons[0], job)
+		batchRuns(f, job, 10)
+		logFaults(f, logsvc.Faults{Outage: outage})
+		const change = "# made in the outage"
+		published := make(chan error, 1)
+		go func() {
+			_, err := publish(f.Daemons[0], f.Config()+change, 1)
+			published <- err
+		}()
+		all(12, func(i int) {
+			text, key := fmt.Sprintf("room %d", i), ""
+			if i%2 == 0 {
+				key = text
+			}
+			Expect(f.Stream(f.Daemons[i%3], key, text)).To(Equal(f.Expected(text)))
+		})
+		for i, d := range f.Daemons {
+			_, err := f.Order(d, fmt.Sprintf("tray-%d", i))
+			expectLater(err)
+			_, err = f.Put(d, fleet.NewJob("late", 5, -1))
+			expectLater(err)
+			// An order that was confirmed before is never told not_run.
+			again, err := f.Order(d, "kept")
+			if err == nil {
+				Expect(again).To(Equal(kept))
+			} else {
+				expectRun(err, outcome.MayHaveRun)
+			}
+		}
+		logFaults(f, logsvc.Faults{})
+		f.MustPut(f.Daemons[1], fleet.NewJob("late", 5, -1))
+		for i, d := range f.Daemons {
+			key := fmt.Sprintf("tray-%d", i)
+			Eventually(func() error {
+				_, err := f.Order(d, key)
+				return err
+			}, bound, poll).Should(Succeed())
+			Expect(f.Executions(key)).To(Equal(1))
+			Expect(f.Order(d, "kept")).To(Equal(kept))
+		}
+		f.WaitJob(f.Daemons[2], job)
+		f.CheckJob(job)
+		f.WaitJob(f.Daemons[0], fleet.NewJob("late", 5, -1))
+		f.CheckJob(fleet.NewJob("late", 5, -1))
+		// After a cut connection nobody can know that the change was not made;
+		// whoever says so must be right.
+		Eventually(published, bound, poll).Should(Receive(&err))
+		if run, _ := fleet.Run(err); run != outcome.MayHaveRun {
+			Expect(strings.Contains(inForce(f.Daemons[1]).Text, change)).To(Equal(err == nil), "%v", err)
+		}
+	},
+		Entry("answering 503", logsvc.FailUnavailable),
+		Entry("cutting connections", logsvc.FailCut),
+	)
+
+	// Every third append is made and its answer is lost. Who sends it again
+	// doubles an order.
+	It("that loses answers after the append doubles nothing", func() {
+		f := fleet.Start(fleet.Options{Log: logsvc.Options{Seed: 7}})
+		logFaults(f, logsvc.Faults{LoseAnswersShare: 0.3})
+		job := fleet.NewJob("prep", 60, 5)
+		f.MustPut(f.Daemons[0], job)
+		orderTwiceAtOnce(f, 15)
+		f.WaitJob(f.Daemons[1], job)
+		logFaults(f, logsvc.Faults{})
+		Expect(f.Log.Stats().LostAnswers).To(BeNumerically(">", 0))
+		f.CheckJob(job)
+	})
+
+	It("that is slow delays orders and jobs, and chats not at all", func() {
+		f := fleet.Start(fleet.Options{})
+		logFaults(f, logsvc.Faults{AppendDelayMs: 300, ReadDelayMs: 100})
+		job := fleet.NewJob("prep", 40, 5)
+		f.MustPut(f.Daemons[0], job)
+		orderTwiceAtOnce(f, 9)
+		for _, d := range f.Daemons {
+			Expect(f.Chat(d, "", "room "+d.Name)).To(Equal(f.Expected("room " + d.Name)))
+		}
+		f.WaitJob(f.Daemons[1], job)
+		f.CheckJob(job)
+	})
+
+	// The line of one daemon stalls: requests go through, no answer comes back.
+	// Its claims lapse; what it appended without knowing must count once.
+	It("whose answers to one daemon stall doubles nothing", func() {
+		f := fleet.Start(fleet.Options{Shape: slowEngines})
+		job := fleet.NewJob("prep", 80, -1)
+		f.MustPut(f.Daemons[0], job)
+		batchRuns(f, job, 10)
+		stalled := f.Owner(job.Name)
+		Expect(stalled.Log.SetFaults(faultproxy.Faults{Stall: faultproxy.StallDown})).To(Succeed())
+		Eventually(func() *fleet.Daemon { return f.Owner(job.Name) }, bound, poll).ShouldNot(Equal(stalled))
+		stalled.HealLog()
+		f.WaitJob(stalled, job)
+		f.CheckJob(job)
+	})
+})
+
+// orderTwiceAtOnce places n orders, each at two daemons at once: each is
+// answered alike and runs once.
+func orderTwiceAtOnce(f *fleet.Fleet, n int) {
+	GinkgoHelper()
+	all(n, func(i int) {
+		key := fmt.Sprintf("twice-%d", i)
+		var executions [2]int64
+		all(2, func(copy int) {
+			Eventually(func() (err error) {
+				executions[copy], err = f.Order(f.Daemons[(i+copy)%len(f.Daemons)], key)
+				return err
+			}, bound, poll).Should(Succeed(), key)
+		})
+		Expect(executions[0]).To(Equal(executions[1]), key)
+		Expect(f.Executions(key)).To(Equal(1), key)
+	})
+}
--- /dev/null
+++ b/test/orders_test.go
@@ -0,0 +1,146 @@
+package test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/test/fleet"
+)
+
+var _ = Describe("An order that may not run twice", func() {
+	// The kitchen prints the ticket and the line drops before its answer. The
+	// guest must hear at once that the order may have been placed, and every
+	// further tap must hear the same.
+	It("whose answer is lost runs once, and every arrival is told that it may have run", func() {
+		f := fleet.Start(fleet.Options{})
+		f.ControlServices(`{"answer_lost":1}`)
+		_, err := f.Order(f.Daemons[0], "tray")
+		expectRun(err, outcome.MayHaveRun)
+		for _, d := range f.Daemons {
+			_, err := f.Order(d, "tray")
+			expectRun(err, outcome.MayHaveRun)
+			kept, err := f.Kept(d, "tray")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(kept.State).To(Equal("may_have_run"))
+		}
+		Expect(f.Executions("tray")).To(Equal(1))
+	})
+
+	// The entry host dies while the kitchen works on its order. The tablet asks
+	// another daemon; the kitchen prints the ticket later all the same.
+	It("whose entry host dies after the start is never run again", func() {
+		f := fleet.Start(fleet.Options{})
+		f.ControlServices(`{"frozen":true}`)
+		const key = "tray"
+		owner := f.Owner(key)
+		entry, third := f.Others(owner)[0], f.Others(owner)[1]
+		dead := make(chan error, 1)
+		go func() {
+			_, err := f.Order(entry, key)
+			dead <- err
+		}()
+		Eventually(f.Held, bound, poll).Should(Equal(1))
+		entry.Kill()
+		Eventually(dead, bound, poll).Should(Receive(HaveOccurred()))
+		resend := func() outcome.RunState {
+			_, err := f.Order(third, key)
+			run, _ := fleet.Run(err)
+			return run
+		}
+		Eventually(resend, bound, poll).Should(Equal(outcome.MayHaveRun))
+		f.ControlServices(`{"frozen":false}`)
+		Eventually(func() int { return f.Executions(key) }, bound, poll).Should(Equal(1))
+		Expect(resend()).To(Equal(outcome.MayHaveRun))
+		Expect(f.Executions(key)).To(Equal(1))
+	})
+
+	// Entry host and shard owner die together after the start, so that the
+	// successor knows the order from the log alone.
+	It("whose owner dies with its entry host is never run again", func() {
+		f := fleet.Start(fleet.Options{})
+		f.ControlServices(`{"frozen":true}`)
+		const key = "tray"
+		owner := f.Owner(key)
+		entry, third := f.Others(owner)[0], f.Others(owner)[1]
+		go func() { _, _ = f.Order(entry, key) }()
+		Eventually(f.Held, bound, poll).Should(Equal(1))
+		owner.Kill()
+		entry.Kill()
+		Eventually(func() outcome.RunState {
+			_, err := f.Order(third, key)
+			run, _ := fleet.Run(err)
+			return run
+		}, bound, poll).Should(Equal(outcome.MayHaveRun))
+		f.ControlServices(`{"frozen":false}`)
+		Eventually(func() int { return f.Executions(key) }, bound, poll).Should(Equal(1))
+	})
+
+	// Only the shard's owner dies: the entry host lives and gets the kitchen's
+	// answer, which settles the order under the next owner.
+	It("whose owner dies after the start is settled by the late answer", func() {
+		f := fleet.Start(fleet.Options{})
+		f.ControlServices(`{"frozen":true}`)
+		const key = "tray"
+		owner := f.Owner(key)
+		entry := f.Others(owner)[0]
+		answered := make(chan error, 1)
+		go func() {
+			_, err := f.Order(entry, key)
+			answered <- err
+		}()
+		Eventually(f.Held, bound, poll).Should(Equal(1))
+		owner.Kill()
+		f.WaitOwned()
+		f.ControlServices(`{"frozen":false}`)
+		Eventually(answered, bound, poll).Should(Receive(BeNil()))
+		for _, d := range f.Running() {
+			Eventually(func() (string, error) {
+				kept, err := f.Kept(d, key)
+				return kept.State, err
+			}, bound, poll).Should(Equal("completed"))
+		}
+		Expect(f.Executions(key)).To(Equal(1))
+	})
+
+	// The guest taps again and again, on every tablet, while one daemon dies.
+	It("that is resent everywhere at once while a daemon dies runs at most once", func() {
+		f := fleet.Start(fleet.Options{})
+		f.ControlServices(`{"slow_ms":2000}`)
+		const orders = 12
+		go func() {
+			defer GinkgoRecover()
+			Eventually(func() int { return executed(f, orders) }, bound, poll).Should(BeNumerically(">", 2))
+			f.Daemons[1].Kill()
+		}()
+		all(3*orders, func(i int) {
+			_, err := f.Order(f.Daemons[i%3], fmt.Sprintf("tray-%d", i/3))
+			if run, _ := fleet.Run(err); run == outcome.NotRun {
+				_, _ = f.Order(f.Daemons[2], fmt.Sprintf("tray-%d", i/3))
+			}
+		})
+		for i := range orders {
+			key := fmt.Sprintf("tray-%d", i)
+			Expect(f.Executions(key)).To(BeNumerically("<=", 1), key)
+			Eventually(func() error {
+				_, err := f.Order(f.Daemons[0], key)
+				if run, _ := fleet.Run(err); run == outcome.MayHaveRun {
+					return nil
+				}
+				return err
+			}, bound, poll).Should(Succeed(), key)
+			Expect(f.Executions(key)).To(BeNumerically("<=", 1), key)
+		}
+	})
+})
+
+// executed counts the orders tray-0..tray-(n-1) that have run.
+func executed(f *fleet.Fleet, n int) int {
+	count := 0
+	for i := range n {
+		count += min(1, f.Executions(fmt.Sprintf("tray-%d", i)))
+	}
+	return count
+}
