--- /dev/null
+++ b/bench/capacity/membership_test.go
@@ -0,0 +1,317 @@
+package capacity
+
+import (
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/core/shard"
+	"tarragonhollow.example/tarragonhollow/daemon/signal"
+)
+
+// Sizes of the fleets that are measured, and the shape of the planned one.
+var fleetSizes = []int{12, 48, 170, 340}
+
+const (
+	shardCount = 32
+	zoneCount  = 7
+	// settlePerDaemon is how many probe intervals per daemon a fleet that starts
+	// at once needs until no word of the start is spread any more.
+	settlePerDaemon = 2.4
+	minSettleTicks  = 120
+	// probeEvery and suspectAfter are the daemon's default settings.
+	probeEvery   = 500 * time.Millisecond
+	suspectAfter = 2 * time.Second
+)
+
+// gobMeter counts what values take on a connection whose types are known.
+type gobMeter struct {
+	bytes int
+	enc   *gob.Encoder
+}
+
+func newGobMeter() *gobMeter {
+	m := &gobMeter{}
+	m.enc = gob.NewEncoder(m)
+	return m
+}
+
+func (m *gobMeter) Write(p []byte) (int, error) {
+	m.bytes += len(p)
+	return len(p), nil
+}
+
+// add encodes a value. Its types are known afterwards, so that only the values
+// of later ones count; see warm.
+func (m *gobMeter) add(v any) {
+	if err := m.enc.Encode(v); err != nil {
+		panic(err)
+	}
+}
+
+// memberFleet runs membership machines over a network without losses, counting
+// messages, and bytes where metered is set.
+type memberFleet struct {
+	now      time.Time
+	hosts    []string
+	nodes    map[string]*membership.Machine
+	down     map[string]bool
+	messages int
+	meter    *gobMeter
+}
+
+// newMemberFleet starts n daemons in seven zones of which the first 32 hold a
+// shard each, and lets them agree.
+func newMemberFleet(n int) *memberFleet {
+	f := &memberFleet{now: time.UnixMilli(1e12), nodes: map[string]*membership.Machine{}, down: map[string]bool{}}
+	list := membership.HostList{Version: 1}
+	for i := range n {
+		list.Daemons = append(list.Daemons, membership.ListedDaemon{Host: hostName(i), Address: hostAddress(i)})
+	}
+	for i := range n {
+		self := membership.Member{
+			Host: hostName(i), Zone: fmt.Sprintf("region-%d-zone-%d", i%zoneCount/4, i%zoneCount),
+			PeerAddress: hostAddress(i), HTTPAddress: hostAddress(i), Incarnation: uint64(1e18) + uint64(i),
+			ConfigVersion: 500, LogOK: true, Ready: true,
+		}
+		if i < shardCount {
+			self.Shards = []membership.ShardHold{{Shard: i, Term: 7}}
+		}
+		m := membership.New(membership.Options{
+			Self: self, Seeds: []string{hostAddress(0), hostAddress(1)}, Seed: uint64(i + 1),
+			ProbeEvery: probeEvery, SuspectAfter: suspectAfter,
+		})
+		m.SetHostList(f.now, list)
+		f.hosts = append(f.hosts, hostName(i))
+		f.nodes[hostAddress(i)] = m
+	}
+	f.run(max(minSettleTicks, int(settlePerDaemon*float64(n))))
+	return f
+}
+
+func hostName(i int) string    { return fmt.Sprintf("entry-%03d", i) }
+func hostAddress(i int) string { return fmt.Sprintf("10.20.%d.%d:7000", i/200, i%200+1) }
+
+func (f *memberFleet) run(ticks int) {
+	for range ticks {
+		f.now = f.now.Add(probeEvery)
+		for i := range f.hosts {
+			address := hostAddress(i)
+			if f.down[address] {
+				continue
+			}
+			probes := f.nodes[address].Tick(f.now)
+			for len(probes) > 0 {
+				p := probes[0]
+				probes = append(probes[1:], f.send(f.nodes[address], p)...)
+			}
+		}
+	}
+}
+
+// send carries out one probe.
+func (f *memberFleet) send(m *membership.Machine, p membership.Probe) []membership.Probe {
+	f.messages++
+	peer := f.nodes[p.Address]
+	if peer == nil || f.down[p.Address] {
+		return m.Missed(f.now, p)
+	}
+	switch p.Kind {
+	case membership.ProbeIndirect:
+		f.messages++
+		req := peer.StartVia(f.now, p.Via)
+		if f.down[p.Via.Address] {
+			m.AnsweredVia(f.now, p, peer.FinishVia(f.now, nil))
+			return nil
+		}
+		reply := f.nodes[p.Via.Address].AnswerProbe(f.now, req)
+		m.AnsweredVia(f.now, p, peer.FinishVia(f.now, &reply))
+	case membership.ProbeSync:
+		reply := peer.AnswerSync(f.now, p.Request)
+		f.count(p.Request, reply)
+		m.AnsweredSync(f.now, reply)
+	default:
+		reply := peer.AnswerProbe(f.now, p.Request)
+		f.count(p.Request, reply)
+		return m.Answered(f.now, p, reply)
+	}
+	return nil
+}
+
+func (f *memberFleet) count(request, reply any) {
+	if f.meter != nil {
+		f.meter.add(request)
+		f.meter.add(reply)
+	}
+}
+
+// stale counts the pairs of a running observer and a stopped host that it does
+// not hold dead yet.
+func (f *memberFleet) stale() int {
+	n := 0
+	for i := range f.hosts {
+		if f.down[hostAddress(i)] {
+			continue
+		}
+		for _, member := range f.nodes[hostAddress(i)].Snapshot().Members() {
+			if f.down[member.PeerAddress] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// wronglyDead counts the pairs of running hosts of which one holds the other dead.
+func (f *memberFleet) wronglyDead() int {
+	running := len(f.hosts) - len(f.down)
+	n := 0
+	for i := range f.hosts {
+		if f.down[hostAddress(i)] {
+			continue
+		}
+		live := 0
+		for _, member := range f.nodes[hostAddress(i)].Snapshot().Members() {
+			if !f.down[member.PeerAddress] {
+				live++
+			}
+		}
+		n += running - live
+	}
+	return n
+}
+
+// BenchmarkMembershipQuiet gives one daemon's share of a fleet in which nothing
+// happens: messages sent a second, bytes sent and received a second, and the
+// processor time of its own ticks and of answering the others, in percent of a
+// core (gob and sockets apart).
+func BenchmarkMembershipQuiet(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			f := newMemberFleet(n)
+			const ticks = 40
+			seconds := ticks * probeEvery.Seconds()
+			f.meter = newGobMeter()
+			f.run(4) // the types are sent once
+			f.messages, f.meter.bytes = 0, 0
+			f.run(ticks)
+			messages := float64(f.messages) / float64(n) / seconds
+			// Each byte is sent by one daemon and received by another.
+			bytes := 2 * float64(f.meter.bytes) / float64(n) / seconds
+			f.meter = nil
+			b.ResetTimer()
+			for b.Loop() {
+				f.run(ticks)
+			}
+			perDaemon := b.Elapsed().Seconds() / float64(b.N) / float64(n) / seconds
+			b.ReportMetric(messages, "msgs/s")
+			b.ReportMetric(bytes, "bytes/s")
+			b.ReportMetric(100*perDaemon, "core%")
+		})
+	}
+}
+
+// BenchmarkMembershipLoss stops some daemons at once and gives the time until 99
+// in 100 and all pairs of a survivor and a lost daemon are settled, the messages
+// that a survivor sent a second until then, and the pairs of survivors of which
+// one held the other dead by mistake.
+func BenchmarkMembershipLoss(b *testing.B) {
+	losses := []struct {
+		name string
+		lost func(i, n int) bool
+	}{
+		{"host", func(i, _ int) bool { return i == 7 }},
+		{"rack", func(i, n int) bool { return i < n/zoneCount*zoneCount/2 && i%zoneCount == 0 }},
+		{"zone", func(i, _ int) bool { return i%zoneCount == 0 }},
+		{"region", func(i, _ int) bool { return i%zoneCount < 3 }},
+	}
+	for _, loss := range losses {
+		for _, n := range []int{12, 48, 340} {
+			b.Run(fmt.Sprintf("%s/daemons=%d", loss.name, n), func(b *testing.B) {
+				var seconds, most, messages, wrong, lost float64
+				for b.Loop() {
+					f := newMemberFleet(n)
+					for i := range n {
+						if loss.lost(i, n) {
+							f.down[hostAddress(i)] = true
+						}
+					}
+					f.messages, most = 0, 0
+					ticks, stale, pairs := 0, 1, len(f.down)*(n-len(f.down))
+					for stale > 0 && ticks < 1000 {
+						f.run(1)
+						ticks++
+						if stale = f.stale(); most == 0 && stale <= pairs/100 {
+							most = float64(ticks) * probeEvery.Seconds()
+						}
+					}
+					seconds = float64(ticks) * probeEvery.Seconds()
+					lost = float64(len(f.down))
+					messages = float64(f.messages) / (float64(n) - lost) / seconds
+					wrong = float64(f.wronglyDead())
+				}
+				b.ReportMetric(lost, "lost")
+				b.ReportMetric(most, "s-to-99%")
+				b.ReportMetric(seconds, "s-to-all")
+				b.ReportMetric(messages, "msgs/s")
+				b.ReportMetric(wrong, "wrong")
+			})
+		}
+	}
+}
+
+// snapshotView makes a picture of a fleet a membership.View.
+func snapshotView(n int) *membership.Snapshot {
+	return newMemberFleet(n).nodes[hostAddress(0)].Snapshot()
+}
+
+func targetAddress(i int) string { return fmt.Sprintf("10.30.%d.%d:9000", i/200, i%200+1) }
+
+// BenchmarkStewards looks the steward of every target up once, as each daemon
+// does ten times a second; core% is that.
+func BenchmarkStewards(b *testing.B) {
+	const rounds = 10
+	for _, size := range []struct{ daemons, targets int }{{12, 14}, {12, 600}, {48, 85}, {170, 300}, {340, 600}} {
+		b.Run(fmt.Sprintf("daemons=%d/targets=%d", size.daemons, size.targets), func(b *testing.B) {
+			view := snapshotView(size.daemons)
+			for b.Loop() {
+				for i := range size.targets {
+					signal.StewardOf(view, targetAddress(i))
+				}
+			}
+			b.ReportMetric(100*rounds*b.Elapsed().Seconds()/float64(b.N), "core%")
+		})
+	}
+}
+
+// BenchmarkClaimRound ranks the successors of every shard once, as each daemon
+// does in every look at its claims; core% is for the 20 looks a second it takes.
+func BenchmarkClaimRound(b *testing.B) {
+	const rounds = 20
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			view := snapshotView(n)
+			for b.Loop() {
+				for id := range shardCount {
+					view.Successors(shard.Key(id))
+				}
+			}
+			b.ReportMetric(100*rounds*b.Elapsed().Seconds()/float64(b.N), "core%")
+		})
+	}
+}
+
+// BenchmarkSnapshot takes the picture that every change of the membership makes.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			m := newMemberFleet(n).nodes[hostAddress(0)]
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Snapshot()
+			}
+		})
+	}
+}
