Keep a chat's answer in the shape its caller reads

Cause: GET /v1/requests/{key} showed a kept chat as {"text","finish"}, not as the OpenAI shape that the first answer had; the shape was written three times (HTTP face, stewards, kept answers). Change: package chat reads and writes it for all three. Log events of targets and condemned requests take the names the status' trail looks for.

--- a/api/backend.go
+++ b/api/backend.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"tarragonhollow.example/tarragonhollow/chat"
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/target"
@@ -43,6 +44,9 @@
 	Replayed bool
 }
 
+// Answer returns the result in the form that is encoded and kept.
+func (r ChatResult) Answer() chat.Answer { return chat.Answer{Text: r.Text, Finish: r.Finish} }
+
 // ServiceCall is one call of a plain service.
 type ServiceCall struct {
 	Call
--- a/api/chatbody.go
+++ b/chat/request.go
@@ -1,19 +1,25 @@
-package api
+// Package chat reads and writes the OpenAI shape of chat completions: the
+// request as callers and job lines hold it, and the whole answer as it is kept.
+package chat
 
 import (
 	"bytes"
 	"encoding/json"
 	"strings"
 
+	"github.com/joomcode/errorx"
+
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
-// chatFields are the body's fields that the daemon understands.
-type chatFields struct {
-	Model     string        `json:"model"`
-	Messages  []chatMessage `json:"messages"`
-	MaxTokens *int          `json:"max_tokens"`
+var errorNamespace = errorx.NewNamespace("chat")
+
+// requestFields are the body's fields that the daemon understands.
+type requestFields struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	MaxTokens *int      `json:"max_tokens"`
 	// MaxCompletionTokens is the newer name of MaxTokens.
 	MaxCompletionTokens *int  `json:"max_completion_tokens"`
 	Stream              *bool `json:"stream"`
@@ -22,35 +28,35 @@
 // understood names those fields; all others are passed on untouched.
 var understood = []string{"model", "messages", "max_tokens", "max_completion_tokens", "stream"}
 
-// chatMessage is a message whose content is a string or an array of text parts.
-type chatMessage struct {
-	Role    string      `json:"role"`
-	Content chatContent `json:"content"`
+// message is a message whose content is a string or an array of text parts.
+type message struct {
+	Role    string  `json:"role"`
+	Content content `json:"content"`
 }
 
 // errContent is the type of errors of a message's content.
 var errContent = errorNamespace.NewType("content")
 
-// chatContent is the text of a message.
-type chatContent string
+// content is the text of a message.
+type content string
 
-// chatPart is one part of a content array.
-type chatPart struct {
+// part is one part of a content array.
+type part struct {
 	Type string  `json:"type"`
 	Text *string `json:"text"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (t *chatContent) UnmarshalJSON(raw []byte) error {
+func (t *content) UnmarshalJSON(raw []byte) error {
 	if len(raw) > 0 && raw[0] != '[' {
 		var s *string
 		if err := json.Unmarshal(raw, &s); err != nil || s == nil {
 			return errContent.New("content must be a string or an array of text parts")
 		}
-		*t = chatContent(*s)
+		*t = content(*s)
 		return nil
 	}
-	var parts []chatPart
+	var parts []part
 	if err := json.Unmarshal(raw, &parts); err != nil {
 		return err
 	}
@@ -61,13 +67,13 @@
 		}
 		text.WriteString(*p.Text)
 	}
-	*t = chatContent(text.String())
+	*t = content(text.String())
 	return nil
 }
 
-// ParseChat reads the body of a chat completion. The error is a *outcome.Refusal.
-func ParseChat(body []byte) (req target.GenerateRequest, stream bool, err error) {
-	var f chatFields
+// ParseRequest reads the body of a chat completion. The error is a *outcome.Refusal.
+func ParseRequest(body []byte) (req target.GenerateRequest, stream bool, err error) {
+	var f requestFields
 	if err := json.Unmarshal(body, &f); err != nil {
 		return req, false, outcome.Refuse(outcome.BadRequest, "the body is not a chat completion: %v", err)
 	}
@@ -92,7 +98,7 @@
 }
 
 // check refuses what no engine could answer.
-func (f *chatFields) check() error {
+func (f *requestFields) check() error {
 	if f.Model == "" {
 		return outcome.Refuse(outcome.BadRequest, "model is missing")
 	}
@@ -111,7 +117,7 @@
 }
 
 // maxTokens returns the bound, 0 if none is stated.
-func (f *chatFields) maxTokens() int {
+func (f *requestFields) maxTokens() int {
 	if f.MaxTokens != nil {
 		return *f.MaxTokens
 	}
@@ -122,7 +128,7 @@
 }
 
 // messages returns the prompt as the targets take it.
-func (f *chatFields) messages() []target.Message {
+func (f *requestFields) messages() []target.Message {
 	out := make([]target.Message, len(f.Messages))
 	for i, m := range f.Messages {
 		out[i] = target.Message{Role: m.Role, Content: string(m.Content)}
--- a/daemon/online/chat.go
+++ b/daemon/online/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/chat"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/target"
@@ -66,7 +66,7 @@
 		if refusal := o.attemptAll(ctx, s.run, s.try); refusal != nil {
 			return nil, refusal
 		}
-		return encodeChat(s.result())
+		return o.encodeChat(call, s.result()), nil
 	})
 	if refusal != nil {
 		return api.ChatResult{}, refusal
@@ -84,23 +84,16 @@
 	return result, nil
 }
 
-// keptChat is the canonical form of a chat's kept answer.
-type keptChat struct {
-	Text   string        `json:"text"`
-	Finish target.Finish `json:"finish"`
-}
-
-func encodeChat(r api.ChatResult) (*ledger.Answer, *outcome.Refusal) {
-	body, err := json.Marshal(keptChat{Text: r.Text, Finish: r.Finish})
-	if err != nil {
-		return nil, outcome.Refuse(outcome.Internal, "answer cannot be kept: %v", err).WithRun(outcome.Ran)
-	}
-	return &ledger.Answer{Status: http.StatusOK, ContentType: contentJSON, Body: body}, nil
+// encodeChat gives the kept answer the form in which its caller reads it, so
+// that GET /v1/requests/{key} shows the same body as the first answer.
+func (o *Online) encodeChat(call api.ChatCall, r api.ChatResult) *ledger.Answer {
+	body := chat.EncodeAnswer(api.CompletionID(call.Call), call.Request.Model, o.opt.Clock(), r.Answer())
+	return &ledger.Answer{Status: http.StatusOK, ContentType: contentJSON, Body: body}
 }
 
 func decodeChat(a *ledger.Answer) (api.ChatResult, *outcome.Refusal) {
-	var kept keptChat
-	if err := json.Unmarshal(a.Body, &kept); err != nil {
+	kept, err := chat.DecodeAnswer(a.Body)
+	if err != nil {
 		return api.ChatResult{}, outcome.Refuse(outcome.Conflict, "the key's kept answer is not a chat's").
 			WithRun(outcome.Ran)
 	}
--- a/daemon/online/finish.go
+++ b/daemon/online/finish.go
@@ -106,7 +106,7 @@
 func (f *finisher) drop(e *ending, cause string) {
 	f.waiting.Add(-1)
 	f.lost.Inc()
-	f.opt.Logger.Error("end of a keyed request not kept",
+	f.opt.Logger.Error("keyed_end_not_kept",
 		zap.String("key", e.report.Key), zap.String("cause", cause))
 }
 
--- a/daemon/online/group.go
+++ b/daemon/online/group.go
@@ -188,11 +188,11 @@
 		zap.String("state", state.String()), zap.String("request_id", r.call.RequestID),
 	}
 	if state != routing.Removed {
-		g.logger.Info("target returned", fields...)
+		g.logger.Info("target_returned", fields...)
 		return
 	}
 	hold := g.table.Hold(address).Sub(now)
-	g.logger.Warn("target taken out", append(fields,
+	g.logger.Warn("target_taken_out", append(fields,
 		zap.Int64("hold_ms", hold.Milliseconds()), zap.String("cause", r.lastDetail),
 		zap.Int("own_in_flight", g.table.Own(address)))...)
 }
--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -187,7 +187,7 @@
 	}
 	reply, durable := o.finish.report(report)
 	if !durable {
-		o.opt.Logger.Debug("answer given before it was durable",
+		o.opt.Logger.Debug("answer_before_durable",
 			zap.String("request_id", r.call.RequestID), zap.String("key", begin.Key))
 		return answer, false, refusal
 	}
--- a/daemon/steward/item.go
+++ b/daemon/steward/item.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"tarragonhollow.example/tarragonhollow/chat"
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/jobline"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
@@ -99,24 +100,11 @@
 
 // generateRequest decodes the item's body in the OpenAI shape.
 func (it *heldItem) generateRequest() (target.GenerateRequest, error) {
-	req := target.GenerateRequest{StreamID: it.streamID()}
-	fields := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(it.item.Body, &fields); err != nil {
+	req, _, err := chat.ParseRequest(it.item.Body)
+	if err != nil {
 		return req, ItemError.Wrap(err, "body")
 	}
-	known := map[string]any{"model": &req.Model, "messages": &req.Messages, "max_tokens": &req.MaxTokens}
-	for name, value := range known {
-		raw, ok := fields[name]
-		if !ok {
-			continue
-		}
-		if err := json.Unmarshal(raw, value); err != nil {
-			return req, ItemError.Wrap(err, "field %s", name)
-		}
-		delete(fields, name)
-	}
-	delete(fields, "stream")
-	req.Extra = fields
+	req.StreamID = it.streamID()
 	req.ResumeTokens = append([]string(nil), it.progress...)
 	return req, nil
 }
@@ -136,47 +124,11 @@
 	}, nil
 }
 
-// chatCompletion is the OpenAI shape of a whole answer.
-type chatCompletion struct {
-	ID      string       `json:"id"`
-	Object  string       `json:"object"`
-	Model   string       `json:"model"`
-	Choices []chatChoice `json:"choices"`
-	Usage   chatUsage    `json:"usage"`
-}
-
-type chatChoice struct {
-	Index        int            `json:"index"`
-	Message      target.Message `json:"message"`
-	FinishReason string         `json:"finish_reason"`
-}
-
-type chatUsage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
-}
-
 // chatAnswer builds the kept answer from all tokens, those of cancelled
 // segments included.
-func (it *heldItem) chatAnswer(model string, f target.Finish) (*ledger.Answer, error) {
-	completed := len(it.progress)
-	body, err := json.Marshal(chatCompletion{
-		ID:     "chatcmpl-" + it.name(),
-		Object: "chat.completion",
-		Model:  model,
-		Choices: []chatChoice{{
-			Message:      target.Message{Role: "assistant", Content: strings.Join(it.progress, "")},
-			FinishReason: f.Reason,
-		}},
-		Usage: chatUsage{
-			PromptTokens:     f.Usage.PromptTokens,
-			CompletionTokens: completed,
-			TotalTokens:      f.Usage.PromptTokens + completed,
-		},
-	})
-	if err != nil {
-		return nil, ItemError.Wrap(err, "encoding the answer")
-	}
-	return &ledger.Answer{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
+func (it *heldItem) chatAnswer(model string, now time.Time, f target.Finish) *ledger.Answer {
+	f.Usage.CompletionTokens = len(it.progress)
+	whole := chat.Answer{Text: strings.Join(it.progress, ""), Finish: f}
+	body := chat.EncodeAnswer("chatcmpl-"+it.name(), model, now, whole)
+	return &ledger.Answer{Status: http.StatusOK, ContentType: "application/json", Body: body}
 }
--- a/daemon/steward/run.go
+++ b/daemon/steward/run.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return r.item.chatAnswer(req.Model, finish)
+	return r.item.chatAnswer(req.Model, s.opts.Now(), finish), nil
 }
 
 // cancelAtEngine tells the engine to drop the stream. The connection's end says
--- a/daemon/suspects/suspects.go
+++ b/daemon/suspects/suspects.go
@@ -164,7 +164,7 @@
 		if before[f] || t.core.Verdict(f) != retry.Condemned {
 			continue
 		}
-		t.opt.Logger.Warn("request condemned",
+		t.opt.Logger.Warn("request_condemned",
 			zap.String("fingerprint", f), zap.String("target", c.Target),
 			zap.Int("running_there", c.Total), zap.Int("crash_limit", t.opt.Limit()))
 	}
