Give failing items of the stewards' specs a body an engine could answer

Cause: an item whose body lacks model or messages is now refused as bad_request before any target gets it, like the same body from an online caller; three entries used {} and expected the target's word.

--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -16,7 +16,11 @@
 	"tarragonhollow.example/tarragonhollow/target/faketarget"
 )
 
-const patience = 10 * time.Second
+const (
+	patience = 10 * time.Second
+	// chatItem is the least body that an engine could answer.
+	chatItem = `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+)
 
 func content(body string) string {
 	answer, err := chat.DecodeAnswer([]byte(body))
@@ -218,13 +222,13 @@
 		expected.Ref = ledger.ItemRef{Job: "c/j", Index: 0, Attempt: 1}
 		Expect(end).To(Equal(expected))
 	},
-	Entry("rejected content is final", "{}", &target.Failure{Reached: true, Rejected: true, Status: 422},
+	Entry("rejected content is final", chatItem, &target.Failure{Reached: true, Rejected: true, Status: 422},
 		ledger.ItemEnd{Final: true, Refusal: &outcome.Refusal{Code: outcome.Unprocessable, Run: outcome.MayHaveRun}}),
 	Entry("a broken body is final and reaches no target", "[]", nil,
 		ledger.ItemEnd{Final: true, Refusal: &outcome.Refusal{Code: outcome.BadRequest, Run: outcome.NotRun}}),
-	Entry("a fault of the target is not final", "{}", &target.Failure{Reached: true, Status: 500},
+	Entry("a fault of the target is not final", chatItem, &target.Failure{Reached: true, Status: 500},
 		ledger.ItemEnd{Refusal: &outcome.Refusal{Code: outcome.TargetFailed, Run: outcome.MayHaveRun}}),
-	Entry("a busy target costs no attempt", "{}", &target.Failure{Busy: true, Status: 503}, ledger.ItemEnd{}),
+	Entry("a busy target costs no attempt", chatItem, &target.Failure{Busy: true, Status: 503}, ledger.ItemEnd{}),
 )
 
 var _ = Describe("a call of a plain service", func() {
