Tell in the trail how the fleet changed and when batch gave way

Cause: takeovers stood in the status, but not the death that caused them, nor why batch slowed down. Change: joins, suspicions, deaths and leavings of daemons are logged with zone and shards held; a target's giving way at most every five seconds with its figures. A daemon whose host has started a later one drains. Signals of online requests get the connection that probes have, so that a job's chunk never delays them.

--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -106,10 +106,7 @@
 // Drain implements api.Backend.
 func (b *backend) Drain(context.Context) error {
 	b.logger.Info("drain_requested")
-	select {
-	case b.drain <- struct{}{}:
-	default:
-	}
+	b.requestDrain()
 	return nil
 }
 
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -45,7 +45,14 @@
 	d.engine = target.NewEngineClient(target.DefaultClientOptions())
 	d.service = target.NewServiceClient(target.DefaultClientOptions())
 	d.peerServer = peer.NewServer(peer.ServerOptions{Logger: d.logger, Metrics: d.metrics})
-	d.peerClient = peer.NewClient(peer.ClientOptions{LocalIP: d.peerIP(), Logger: d.logger, Metrics: d.metrics})
+	d.peerClient = peer.NewClient(peer.ClientOptions{
+		LocalIP: d.peerIP(),
+		// Neither probes nor the news of online requests wait behind a chunk of
+		// a job on the same connection.
+		ControlServices: []string{members.ServiceName, signal.ServiceName},
+		Logger:          d.logger,
+		Metrics:         d.metrics,
+	})
 	return nil
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -162,6 +162,7 @@
 	d.orders.Run(group)
 	d.burn.Run(group)
 	group.Go(d.factsLoop)
+	group.Go(d.watchLoop)
 }
 
 // serve starts both listeners; the channel tells a failure of the HTTP one.
--- a/daemon/members/loops.go
+++ b/daemon/members/loops.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(intervals*float64(m.opt.ProbeEvery)))
 	defer cancel()
 	m.meter.sent.Inc()
-	return m.opt.Peer.Call(ctx, address, serviceName+"."+method, args, reply)
+	return m.opt.Peer.Call(ctx, address, ServiceName+"."+method, args, reply)
 }
 
 // changeLoop calls the hooks outside of the lock, so that they may read the view
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -14,8 +14,9 @@
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
-// serviceName is the net/rpc name of the probe service.
-const serviceName = "Members"
+// ServiceName is the net/rpc name of the probe service.
+// ServiceName is the net/rpc name of this package's service.
+const ServiceName = "Members"
 
 // Members implements membership.View.
 type Members struct {
@@ -58,7 +59,7 @@
 	})
 	m.view.Store(m.machine.Snapshot())
 	m.meter = newMeter(o.Metrics, m)
-	if err := o.Registrar.Register(serviceName, &Service{m: m}); err != nil {
+	if err := o.Registrar.Register(ServiceName, &Service{m: m}); err != nil {
 		return nil, badOptions.Wrap(err, "the service can't be registered")
 	}
 	return m, nil
@@ -149,7 +150,7 @@
 			ctx, cancel := context.WithTimeout(ctx, m.opt.ProbeEvery)
 			defer cancel()
 			var reply membership.ProbeReply
-			_ = m.opt.Peer.Call(ctx, p.Address, serviceName+".Probe", &p.Request, &reply)
+			_ = m.opt.Peer.Call(ctx, p.Address, ServiceName+".Probe", &p.Request, &reply)
 		})
 	}
 	told.Wait()
--- a/daemon/steward/assign.go
+++ b/daemon/steward/assign.go
@@ -24,6 +24,9 @@
 	core *admission.Target
 	runs map[admission.StreamID]*run
 	why  admission.Reason
+	// heldBack counts streams cancelled since toldAt, when that was last logged.
+	heldBack int
+	toldAt   time.Time
 	// burstAt is when online requests last began while batch was running.
 	burstAt  time.Time
 	report   target.LoadReport
--- a/daemon/steward/decide.go
+++ b/daemon/steward/decide.go
@@ -45,6 +45,9 @@
 	cancelled := t.cancelLocked(action.Cancel)
 	t.mu.Unlock()
 	s.meter.gaveWay(t, cancelled)
+	if cancelled > 0 {
+		s.tellHeldBack(now, t, cancelled)
+	}
 	for range action.Admit {
 		if !s.startNextLocked(now, t, queue.Suspect) {
 			return
@@ -52,6 +55,28 @@
 	}
 }
 
+// tellEvery bounds how often one target's giving way is told: in a burst it
+// happens many times a second.
+const tellEvery = 5 * time.Second
+
+// tellHeldBack logs that batch gave way at the target.
+func (s *Steward) tellHeldBack(now time.Time, t *targetState, cancelled int) {
+	t.mu.Lock()
+	t.heldBack += cancelled
+	told := now.Sub(t.toldAt) < tellEvery
+	held, online, running, why := t.heldBack, t.core.Online(now), t.core.Running(), t.why
+	if !told {
+		t.toldAt, t.heldBack = now, 0
+	}
+	t.mu.Unlock()
+	if told {
+		return
+	}
+	s.log.Info("batch_held_back",
+		zap.String("target", t.address), zap.String("group", t.group), zap.String("cause", string(why)),
+		zap.Int("online", online), zap.Int("batch_running", running), zap.Int("cancelled_since_last", held))
+}
+
 // cancelLocked stops streams and returns how many were not being stopped
 // already; t.mu is held.
 func (t *targetState) cancelLocked(ids []admission.StreamID) int {
