Show in the status what is being refused and why

The status told what the fleet did, not what it refuses. Each refusal is counted by code, run state and profile for ten minutes, with the last message.

--- a/api/chat.go
+++ b/api/chat.go
@@ -68,7 +68,7 @@
 	}
 	st := stateOf(c)
 	refusal := refusalOf(err, st.called)
-	st.code, st.run = refusal.Code, refusal.Run
+	st.refused(refusal)
 	if failed := w.fail(errorBody{Error: fieldsOf(refusal)}); failed != nil {
 		s.metrics.writeErrors.Inc()
 	}
--- a/api/observe.go
+++ b/api/observe.go
@@ -34,6 +34,12 @@
 	bodyRead bool
 	code     outcome.Code
 	run      outcome.RunState
+	message  string
+}
+
+// refused notes what the caller is told.
+func (st *requestState) refused(r *outcome.Refusal) {
+	st.code, st.run, st.message = r.Code, r.Run, r.Message
 }
 
 // stateKey is where echo's context keeps the state.
@@ -116,6 +122,9 @@
 	seconds := time.Since(st.began).Seconds()
 	status := c.Response().Status
 	s.metrics.request(status, st.code, seconds)
+	if st.code != "" {
+		s.refused.add(time.Now(), refusalKind{code: st.code, run: st.run, profile: st.profile}, st.message)
+	}
 	if s.opts.Refused != nil && !st.called && st.profile != "" && st.code != "" {
 		s.opts.Refused(st.profile, st.code)
 	}
--- a/api/refusal.go
+++ b/api/refusal.go
@@ -122,7 +122,7 @@
 func (s *Server) handleError(err error, c echo.Context) {
 	st := stateOf(c)
 	refusal := refusalOf(err, st.called)
-	st.code, st.run = refusal.Code, refusal.Run
+	st.refused(refusal)
 	if c.Response().Committed {
 		return
 	}
@@ -132,7 +132,7 @@
 		fields.Code, fields.Run = outcome.VersionConflict, outcome.NotRun
 		fields.Message = conflict.Error() + ": " + conflict.Winner + " published version " + strconv.FormatUint(conflict.Version, 10)
 		fields.Winner, fields.Version = conflict.Winner, conflict.Version
-		st.code, st.run = fields.Code, fields.Run
+		st.refused(&outcome.Refusal{Code: fields.Code, Run: fields.Run, Message: fields.Message})
 	}
 	s.writeError(c, fields)
 }
--- a/api/results.go
+++ b/api/results.go
@@ -103,7 +103,7 @@
 func (s *Server) cutResults(c echo.Context, err error) {
 	st := stateOf(c)
 	refusal := refusalOf(err, false)
-	st.code, st.run = refusal.Code, refusal.Run
+	st.refused(refusal)
 	if json.NewEncoder(c.Response()).Encode(errorBody{Error: fieldsOf(refusal)}) == nil {
 		_ = http.NewResponseController(c.Response().Writer).Flush()
 	}
--- a/api/server.go
+++ b/api/server.go
@@ -29,6 +29,7 @@
 	uploads  chan struct{}
 	draining atomic.Bool
 	metrics  *httpMetrics
+	refused  refusals
 }
 
 // New returns a server that does not listen yet; its errors are ErrOptions.
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tarragonhollow.example/tarragonhollow/api"
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/daemon/online"
 	"tarragonhollow.example/tarragonhollow/daemon/shards"
@@ -23,6 +24,8 @@
 	Shards        shards.Status  `json:"shards"`
 	Online        online.Status  `json:"online"`
 	Batch         steward.Status `json:"batch"`
+	// Refusals are what this daemon refused in the last ten minutes.
+	Refusals []api.RefusalCount `json:"refusals"`
 	// Events are this daemon's last decisions, oldest first.
 	Events []trail.Event `json:"events"`
 }
@@ -54,6 +57,7 @@
 		Shards:        d.shards.Status(),
 		Online:        d.online.Status(),
 		Batch:         d.steward.Status(),
+		Refusals:      d.api.Refusals(),
 		Events:        d.trail.Events(),
 	}, nil
 }
