Keep the answer of a keyed request that ran without its owner

Cause: a repeatable keyed request runs without the ledger's grant when its owner cannot be reached; its begin was then given up and its end never reported, so GET /v1/requests/{key} found nothing and a resend ran again. Ruled out: waiting for the owner (the online path must not need the log). Change: the end is reported in the background with its own beginning. After: the resend gets the kept answer and the engine sees one call.

Also, a request waits for a target that may come back for at most 4 s, not for half of a 30 s deadline: a caller without any target is told sooner.

--- a/daemon/online/finish.go
+++ b/daemon/online/finish.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// later hands an end over without waiting for it.
+func (f *finisher) later(r ledger.FinishRequest) { f.offer(f.newEnding(r)) }
+
 // abandon frees a key whose Begin went unanswered: the grant may have been
 // given with the answer lost, and the key would look running for as long as
 // this daemon lives.
--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -42,8 +42,8 @@
 // A non-repeatable request runs only with the ledger's grant, and once granted
 // it no longer depends on the caller's connection: breaking it off would leave
 // an order with an unknown outcome. A repeatable one never needs the log: when
-// no owner can be reached it runs all the same, and its key then guards against
-// doubled work only as well as the next Finish gets through.
+// no owner can be reached it runs all the same, and its answer is kept once the
+// owner is back; until then its key does not guard against doubled work.
 func (o *Online) keyed(ctx context.Context, r *run, work func(context.Context) (*ledger.Answer, *outcome.Refusal)) (answer *ledger.Answer, replayed bool, refusal *outcome.Refusal) {
 	if o.opt.Suspects.Verdict(r.call.Fingerprint) == retry.Condemned {
 		return nil, false, condemnedRefusal()
@@ -54,8 +54,7 @@
 	case refusal != nil && (!r.call.Profile.Repeatable || !unreachable(refusal)):
 		return nil, false, o.ownRuns(begin.Key, refusal)
 	case refusal != nil:
-		o.meters.ungranted.Inc()
-		answer, refusal = work(ctx)
+		answer, refusal = o.runUngranted(ctx, begin, work)
 		return answer, false, refusal
 	case reply.Verdict == ledger.Settled:
 		return reply.Answer, true, reply.Refusal
@@ -70,6 +69,22 @@
 	return o.finishRun(r, begin, reply.Attempt, answer, refusal)
 }
 
+// runUngranted runs a repeatable request whose owner did not answer. The owner
+// may have granted it all the same, with its word lost: the end settles the key
+// then, and otherwise brings its own beginning along.
+func (o *Online) runUngranted(ctx context.Context, begin ledger.BeginRequest, work func(context.Context) (*ledger.Answer, *outcome.Refusal)) (*ledger.Answer, *outcome.Refusal) {
+	o.meters.ungranted.Inc()
+	answer, refusal := work(ctx)
+	if answer == nil {
+		o.finish.abandon(begin)
+		return nil, refusal
+	}
+	o.finish.later(ledger.FinishRequest{
+		Key: begin.Key, Nonce: begin.Nonce, Attempt: ledger.AnyAttempt, Answer: answer, Begin: begin,
+	})
+	return answer, refusal
+}
+
 func (o *Online) beginRequest(call api.Call) ledger.BeginRequest {
 	return ledger.BeginRequest{
 		Key: scopedKey(call), Nonce: uuid.NewString(), Entry: o.opt.View.Self().ID(),
@@ -118,7 +133,9 @@
 		case !unreachable(refusal):
 			return reply, refusal
 		case o.opt.Clock().Add(beginBackoff).After(giveUp):
-			o.finish.abandon(req)
+			if !req.Repeatable {
+				o.finish.abandon(req)
+			}
 			return reply, refusal
 		}
 		if err != nil {
--- a/daemon/online/online_test.go
+++ b/daemon/online/online_test.go
@@ -236,6 +236,26 @@
 	})
 })
 
+var _ = Describe("a repeatable keyed chat whose owner cannot be reached", func() {
+	// A planner's plugin asks by key while the key's owner is lost. It gets its
+	// answer at once, and when it asks again a minute later by the same key it
+	// must get that answer, not another run.
+	It("runs, and its answer is kept once the owner is back", func() {
+		b := newBench("a:1")
+		b.ledger.setDown(true)
+		b.start()
+		first, err := b.online.Chat(context.Background(), chatOf(menu, "k1", "hello"), nil)
+		Expect(err).NotTo(HaveOccurred())
+		b.ledger.setDown(false)
+		Eventually(func() bool { _, kept := b.ledger.end("hotel/k1"); return kept }, "10s").Should(BeTrue())
+		again, err := b.online.Chat(context.Background(), chatOf(menu, "k1", "hello"), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Replayed).To(BeTrue())
+		Expect(again.Text).To(Equal(first.Text))
+		Expect(b.engine.Calls()).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("failing targets", func() {
 	// Nothing listens on any target. "not run" is true and must be said; after
 	// one target was reached it must not be said any more.
--- a/daemon/online/run.go
+++ b/daemon/online/run.go
@@ -46,7 +46,7 @@
 	answered bool
 	started  time.Time
 	// waitUntil is how long the request may wait for a target or for the retry
-	// budget: half of its time, so that the other half is left to run in.
+	// budget; see waitFor.
 	waitUntil time.Time
 	// isolated tells that the current attempt was counted as one.
 	isolated bool
@@ -59,11 +59,20 @@
 func (o *Online) newRun(call api.Call, g *group) *run {
 	now := o.opt.Clock()
 	return &run{
-		call: call, group: g, started: now, waitUntil: now.Add(call.Deadline.Sub(now) / 2),
+		call: call, group: g, started: now, waitUntil: now.Add(waitFor(call.Deadline.Sub(now))),
 		pick: routing.Request{Zone: o.opt.Zone, Exclude: map[string]bool{}, SeedValue: rand.Uint64()},
 	}
 }
 
+// longestWait bounds the wait for a target that may come back: a restart after a
+// crash fits in, but nobody is held back for half of a long deadline only to
+// hear that there is no target.
+const longestWait = 4 * time.Second
+
+// waitFor is how long a request with that much time left may wait: half of it
+// at most, so that the other half is left to run in.
+func waitFor(left time.Duration) time.Duration { return min(left/2, longestWait) }
+
 // attemptAll makes attempts until one succeeds or the rules give up.
 func (o *Online) attemptAll(ctx context.Context, r *run, try attempt) *outcome.Refusal {
 	if refusal := r.group.admit(o.opt.Clock(), r.call.Deadline); refusal != nil {
@@ -88,7 +97,7 @@
 }
 
 // place picks a target. While every target is out, or none is empty for a
-// request that must run alone, it waits for half of the request's time at most:
+// request that must run alone, it waits a bounded time:
 // trying a dead target costs a retry and cannot succeed.
 func (o *Online) place(ctx context.Context, r *run) (routing.Choice, *outcome.Refusal) {
 	for {
