Compare load arms on equal terms and against the idle capacity

Cause: an arm's figures depended on its place in the round. The shared prefixes were new in each round, so the first arm (online load alone, the reference) filled the engines' caches; and all arms of a round sent the same prompts whole, so later ones found them cached.

Ruled out: longer rounds. They thin the effect out, but the order stays.

Arms may publish any setting (--arm NAME:KEY=VALUE,...), have a reference of their own, or call engines directly. Ratios are shown with their range over rounds. The idle capacity is stated: batch alone in items a second less the answered requests a second, which are drawn from the same lengths. The time in which items are counted is measured, as stragglers prolong it.

--- a/load/client.go
+++ b/load/client.go
@@ -13,18 +13,26 @@
 type Client struct {
 	// Daemons are the fleet's entry points.
 	Daemons []*caller.Client
+	// Engines are addresses for calls past the daemons.
+	Engines []string
+
+	direct *target.EngineClient
 }
 
-// NewClient returns a client of the daemons at the given base URLs.
-func NewClient(daemons []string, token string) *Client {
+// NewClient returns a client of the daemons at the given base URLs and of the
+// engines at the given addresses.
+func NewClient(daemons, engines []string, token string) *Client {
 	pool := caller.Pooled()
-	c := &Client{}
+	c := &Client{Engines: engines, direct: target.NewEngineClient(target.DefaultClientOptions())}
 	for _, base := range daemons {
 		c.Daemons = append(c.Daemons, &caller.Client{HTTP: pool, Base: base, Token: token})
 	}
 	return c
 }
 
+// Close ends the idle connections to engines.
+func (c *Client) Close() { c.direct.Close() }
+
 // Daemon returns the n-th daemon, in turn.
 func (c *Client) Daemon(n int) *caller.Client { return c.Daemons[n%len(c.Daemons)] }
 
@@ -40,24 +48,53 @@
 	Err error
 }
 
+// stopwatch times the tokens of one stream into a sample.
+type stopwatch struct {
+	Sample
+	start, last time.Time
+}
+
+func newStopwatch() *stopwatch {
+	now := time.Now()
+	return &stopwatch{start: now, last: now}
+}
+
+func (w *stopwatch) token() {
+	now := time.Now()
+	if w.FirstToken == 0 {
+		w.FirstToken = now.Sub(w.start)
+	} else {
+		w.Gaps = append(w.Gaps, now.Sub(w.last))
+	}
+	w.last = now
+}
+
+func (w *stopwatch) end(err error) Sample {
+	w.Err = err
+	w.Total = time.Since(w.start)
+	return w.Sample
+}
+
 // Chat streams one chat completion from the n-th daemon and times it.
 func (c *Client) Chat(ctx context.Context, n int, profile, model string, maxTokens int, messages []target.Message) Sample {
-	var s Sample
-	start := time.Now()
-	last := start
-	onToken := func(string) {
-		now := time.Now()
-		if s.FirstToken == 0 {
-			s.FirstToken = now.Sub(start)
-		} else {
-			s.Gaps = append(s.Gaps, now.Sub(last))
-		}
-		last = now
-	}
+	w := newStopwatch()
 	chat := caller.Chat{Model: model, MaxTokens: maxTokens, Messages: messages}
-	s.Err = c.Daemon(n).StreamChat(ctx, caller.Options{Profile: profile}, chat, onToken)
-	s.Total = time.Since(start)
-	return s
+	err := c.Daemon(n).StreamChat(ctx, caller.Options{Profile: profile}, chat, func(string) { w.token() })
+	return w.end(err)
+}
+
+// Direct streams one chat completion from the n-th engine itself and times it.
+func (c *Client) Direct(ctx context.Context, n int, model string, maxTokens int, messages []target.Message) Sample {
+	w := newStopwatch()
+	req := target.GenerateRequest{
+		StreamID: fmt.Sprintf("load-direct-%d-%d", n, w.start.UnixNano()),
+		Model:    model, MaxTokens: maxTokens, Messages: messages,
+	}
+	_, err := c.direct.Generate(ctx, c.Engines[n%len(c.Engines)], req, func(target.Token) error {
+		w.token()
+		return nil
+	})
+	return w.end(err)
 }
 
 // PutJob submits a job of the given number of prompts.
--- a/load/command.go
+++ b/load/command.go
@@ -6,8 +6,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"regexp"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -22,6 +20,8 @@
 	Token      string
 	Deployment string
 	Policies   []string
+	Arms       []string
+	Engines    []string
 	Rounds     int
 	Round      time.Duration
 	Settle     time.Duration
@@ -40,8 +40,11 @@
 		Short: "Measure batch policies against a running fleet",
 		Long: `Sends the same open-loop online load to a running fleet under each policy in
 turn, with and without batch, and prints the online tail of each arm as a ratio
-to online load alone and its batch throughput as a share of batch load alone.
-Policies are switched by publishing the configuration with another batch_policy.
+to online load alone and its batch throughput as a share of batch load alone and
+of the idle capacity: batch load alone less what the online requests take. Online
+requests and batch items are drawn alike, so each request takes one item's place.
+Arms are switched by publishing the configuration with other settings; at the end
+the former configuration is published again.
 Exit codes: 0 measured, 1 the measurement failed.`,
 		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -58,6 +61,8 @@
 	flags.StringVar(&f.Token, "token", os.Getenv("TARRAGONHOLLOW_TOKEN"), "operators' bearer token")
 	flags.StringVar(&f.Deployment, "deployment", deployment.DaNang, "da-nang or isarwerk: names of profiles and model")
 	flags.StringSliceVar(&f.Policies, "policy", []string{"naive", "reserve", "give-way"}, "batch policies to compare")
+	flags.StringArrayVar(&f.Arms, "arm", nil, "further arm as NAME:KEY=VALUE,...; keys kind (online, batch, both, direct), base (an arm's name), else settings to publish; repeat for each")
+	flags.StringSliceVar(&f.Engines, "engine", nil, "address of an engine, for arms of kind direct; repeat for each")
 	flags.IntVar(&f.Rounds, "rounds", 3, "how often the arms run in turn")
 	flags.DurationVar(&f.Round, "round", 10*time.Second, "how long an arm sends")
 	flags.DurationVar(&f.Settle, "settle", 2*time.Second, "pause before an arm sends")
@@ -77,9 +82,20 @@
 	if err != nil {
 		return err
 	}
-	client := NewClient(f.Daemons, f.Token)
-	apply := func(ctx context.Context, policy string) error { return f.publish(ctx, client.Daemon(0), policy) }
-	results, err := Run(ctx, client, f.plan(shape), apply, func(line string) { fmt.Fprintln(out, line) })
+	plan, err := f.plan(shape)
+	if err != nil {
+		return err
+	}
+	client := NewClient(f.Daemons, f.Engines, f.Token)
+	defer client.Close()
+	apply, restore, err := publisher(ctx, client.Daemon(0), plan.BatchProfile)
+	if err != nil {
+		return err
+	}
+	results, err := Run(ctx, client, plan, apply, func(line string) { fmt.Fprintln(out, line) })
+	if restored := restore(context.WithoutCancel(ctx)); err == nil {
+		err = restored
+	}
 	if err != nil {
 		return err
 	}
@@ -96,13 +112,10 @@
 	tailWords      = 20
 )
 
-func (f *Flags) plan(shape deployment.Shape) Plan {
-	arms := []Arm{
-		{Name: "online-only", Online: true},
-		{Name: "batch-only", Policy: f.Policies[len(f.Policies)-1], Batch: true},
-	}
-	for _, policy := range f.Policies {
-		arms = append(arms, Arm{Name: policy, Policy: policy, Online: true, Batch: true})
+func (f *Flags) plan(shape deployment.Shape) (Plan, error) {
+	arms, err := f.arms()
+	if err != nil {
+		return Plan{}, err
 	}
 	return Plan{
 		Arms: arms, Rounds: f.Rounds, Round: f.Round, Settle: f.Settle, Seed: f.Seed,
@@ -111,22 +124,53 @@
 		OnlineTokens: f.Tokens, BatchTokens: f.Tokens,
 		Prefixes: sharedPrefixes, PrefixWords: prefixWords, TailWords: tailWords,
 		JobItems: f.JobItems, Timeout: time.Minute,
-	}
+	}, nil
 }
 
-var policyLine = regexp.MustCompile(`(?m)^batch_policy *=.*\n`)
+// arms lists the two reference arms, an arm for each policy, and the further ones.
+func (f *Flags) arms() ([]Arm, error) {
+	arms := []Arm{
+		{Name: "online-only", Online: true},
+		{Name: "batch-only", Batch: true},
+	}
+	for _, policy := range f.Policies {
+		settings := []Setting{{"batch_policy", policy}}
+		arms = append(arms, Arm{Name: policy, Settings: settings, Online: true, Batch: true})
+	}
+	for _, text := range f.Arms {
+		arm, err := ParseArm(text)
+		if err != nil {
+			return nil, err
+		}
+		if arm.Direct && len(f.Engines) == 0 {
+			return nil, fmt.Errorf("arm %s: kind %s needs --engine", arm.Name, kindDirect)
+		}
+		arms = append(arms, arm)
+	}
+	return arms, nil
+}
 
-// publish puts the policy in force by publishing the configuration in force
-// with another batch_policy in its engine groups.
-func (f *Flags) publish(ctx context.Context, daemon *caller.Client, policy string) error {
-	current, err := daemon.Config(ctx)
+// publisher returns a function that puts settings in force on top of the
+// configuration that is in force now, and one that brings that back.
+func publisher(ctx context.Context, daemon *caller.Client, profile string) (Switcher, func(context.Context) error, error) {
+	original, err := daemon.Config(ctx)
 	if err != nil {
-		return err
+		return nil, nil, err
+	}
+	version, inForce := original.Version, original.Text
+	publish := func(ctx context.Context, settings []Setting) error {
+		text := withSettings(original.Text, profile, settings)
+		if text == inForce {
+			return nil
+		}
+		accepted, err := daemon.PublishConfig(ctx, text, version)
+		if err != nil {
+			return err
+		}
+		version, inForce = accepted.Version, text
+		return nil
 	}
-	text := policyLine.ReplaceAllString(current.Text, "")
-	text = strings.ReplaceAll(text, "kind = engine\n", "kind = engine\nbatch_policy = "+policy+"\n")
-	_, err = daemon.PublishConfig(ctx, text, current.Version)
-	return err
+	return publish, func(ctx context.Context) error { return publish(ctx, nil) }, nil
 }
 
 func (f *Flags) write(results []Result) error {
--- a/load/prompts.go
+++ b/load/prompts.go
@@ -15,13 +15,21 @@
 	tail     int
 }
 
+// Streams of the generators, so that equal seeds give unrelated draws.
+const (
+	prefixStream = 7
+	tailStream   = 11
+)
+
 // NewPrompts returns a source of prompts with the given number of shared
 // prefixes of prefixWords words, each followed by tailWords words of its own.
-func NewPrompts(prefixes, prefixWords, tailWords int, seed uint64) *Prompts {
-	rng := rand.New(rand.NewPCG(seed, 7))
-	p := &Prompts{rng: rng, tail: tailWords}
+// The prefixes depend on prefixSeed alone. tailSeed must differ between arms, or
+// the later one would find the earlier one's whole prompts in the caches.
+func NewPrompts(prefixes, prefixWords, tailWords int, prefixSeed, tailSeed uint64) *Prompts {
+	fixed := rand.New(rand.NewPCG(prefixSeed, prefixStream))
+	p := &Prompts{rng: rand.New(rand.NewPCG(tailSeed, tailStream)), tail: tailWords}
 	for i := range prefixes {
-		p.prefixes = append(p.prefixes, words(rng, fmt.Sprintf("menu%d", i), prefixWords))
+		p.prefixes = append(p.prefixes, words(fixed, fmt.Sprintf("menu%d", i), prefixWords))
 	}
 	return p
 }
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// Merge adds all that another recorder holds.
+func (r *Recorder) Merge(other *Recorder) {
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.firstToken.Merge(other.firstToken)
+	r.between.Merge(other.between)
+	r.total.Merge(other.total)
+	r.sent += other.sent
+	for text, n := range other.errors {
+		r.errors[text] += n
+	}
+}
+
 func record(h *hdrhistogram.Histogram, d time.Duration) {
 	// The range covers ten minutes; what lies above is recorded as its bound.
 	micros := min(max(d.Microseconds(), lowestMicros), highestMicros)
@@ -64,15 +79,17 @@
 
 // Figures is the summary of an arm. Times are in milliseconds.
 type Figures struct {
-	Sent, Failed              int
-	FirstTokenP50, FirstP99   float64
-	BetweenP50, BetweenP99    float64
-	TotalP50, TotalP99        float64
-	BatchCompleted            int
-	BatchPerSecond            float64
-	RoundSeconds              float64
-	FirstError                string
-	OnlineTokens, BatchTokens int64
+	Sent, Failed            int
+	FirstTokenP50, FirstP99 float64
+	BetweenP50, BetweenP99  float64
+	TotalP50, TotalP99      float64
+	// OnlinePerSecond counts answered requests, BatchPerSecond finished items.
+	OnlinePerSecond float64
+	BatchCompleted  int
+	BatchPerSecond  float64
+	// RoundSeconds is the time measured.
+	RoundSeconds float64
+	FirstError   string
 }
 
 // Figures summarises what was recorded.
--- a/load/report.go
+++ b/load/report.go
@@ -4,7 +4,9 @@
 	"encoding/csv"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 
 	"gonum.org/v1/plot"
@@ -12,39 +14,86 @@
 	"gonum.org/v1/plot/vg"
 )
 
+// tableHead names the columns. A ratio is to the arm's base; the bracket behind
+// it is the lowest and highest ratio of single rounds. share is that of batch
+// load alone, idle_share that of the idle capacity.
+const tableHead = "arm\tsent\tfailed\tttft_p50_ms\tttft_p99_ms\tratio\tgap_p50_ms\tgap_p99_ms\tratio\tbatch_items/s\tshare\tidle_share\t"
+
 // WriteTable writes the results for people, each arm's tail also as a ratio to
-// the first arm that sends online load only, and its batch throughput as a
-// share of the first arm that sends batch load only.
+// its base, by default the first arm that sends online load only, and its batch
+// throughput as a share of the first arm that sends batch load only and of the
+// idle capacity.
 func WriteTable(w io.Writer, results []Result) error {
-	base, capacity := baselines(results)
+	capacity := capacityOf(results)
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "arm\tsent\tfailed\tttft_p50_ms\tttft_p99_ms\tratio\tgap_p50_ms\tgap_p99_ms\tratio\tbatch_items/s\tshare\t")
+	fmt.Fprintln(tw, tableHead)
 	for _, r := range results {
 		f := r.Figures
-		fmt.Fprintf(tw, "%s\t%d\t%d\t%.1f\t%.1f\t%s\t%.1f\t%.1f\t%s\t%.1f\t%s\t\n",
+		base := baseOf(results, r.Arm)
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%.1f\t%.1f\t%s\t%.1f\t%.1f\t%s\t%.1f\t%s\t%s\t\n",
 			r.Arm.Name, f.Sent, f.Failed,
-			f.FirstTokenP50, f.FirstP99, ratio(f.FirstP99, base.FirstP99),
-			f.BetweenP50, f.BetweenP99, ratio(f.BetweenP99, base.BetweenP99),
-			f.BatchPerSecond, ratio(f.BatchPerSecond, capacity.BatchPerSecond))
+			f.FirstTokenP50, f.FirstP99, spread(r, base, func(f Figures) float64 { return f.FirstP99 }),
+			f.BetweenP50, f.BetweenP99, spread(r, base, func(f Figures) float64 { return f.BetweenP99 }),
+			f.BatchPerSecond, ratio(f.BatchPerSecond, capacity),
+			ratio(f.BatchPerSecond, IdleCapacity(capacity, f)))
+	}
+	if err := tw.Flush(); err != nil {
+		return err
 	}
-	return tw.Flush()
+	for _, r := range results {
+		if r.Figures.FirstError != "" {
+			fmt.Fprintf(w, "arm %s: a failed request: %s\n", r.Arm.Name, r.Figures.FirstError)
+		}
+	}
+	return nil
+}
+
+// IdleCapacity is the batch throughput that the online load leaves over, in
+// items a second. Requests and items are drawn from the same lengths of prompts
+// and answers, so each answered request takes the place of one item.
+func IdleCapacity(batchAlone float64, f Figures) float64 {
+	return max(batchAlone-f.OnlinePerSecond, 0)
 }
 
-func baselines(results []Result) (online, batch Figures) {
+func capacityOf(results []Result) float64 {
 	for _, r := range results {
-		if r.Arm.Online && !r.Arm.Batch && online.Sent == 0 {
-			online = r.Figures
+		if r.Arm.Batch && !r.Arm.Online {
+			return r.Figures.BatchPerSecond
 		}
-		if r.Arm.Batch && !r.Arm.Online && batch.BatchCompleted == 0 {
-			batch = r.Figures
+	}
+	return 0
+}
+
+// baseOf returns the arm's reference; an empty result if there is none.
+func baseOf(results []Result, arm Arm) Result {
+	for _, r := range results {
+		if arm.Base == r.Arm.Name || arm.Base == "" && r.Arm.Online && !r.Arm.Batch && !r.Arm.Direct {
+			return r
 		}
 	}
-	return online, batch
+	return Result{}
 }
 
+// spread formats the ratio over all rounds, and the range over single ones.
+func spread(r, base Result, of func(Figures) float64) string {
+	all := ratio(of(r.Figures), of(base.Figures))
+	if all == noRatio || len(r.Rounds) < 2 || len(base.Rounds) != len(r.Rounds) {
+		return all
+	}
+	low, high := math.Inf(1), 0.0
+	for i, f := range r.Rounds {
+		one := of(f) / of(base.Rounds[i])
+		low, high = min(low, one), max(high, one)
+	}
+	return fmt.Sprintf("%s [%.2f-%.2f]", all, low, high)
+}
+
+// noRatio stands where there is nothing to compare with.
+const noRatio = "-"
+
 func ratio(v, base float64) string {
 	if base <= 0 || v <= 0 {
-		return "-"
+		return noRatio
 	}
 	return strconv.FormatFloat(v/base, 'f', 3, 64)
 }
@@ -52,7 +101,7 @@
 // WriteCSV writes one line per arm.
 func WriteCSV(w io.Writer, results []Result) error {
 	out := csv.NewWriter(w)
-	header := []string{"arm", "policy", "online", "batch", "sent", "failed",
+	header := []string{"arm", "settings", "online", "batch", "sent", "failed",
 		"ttft_p50_ms", "ttft_p99_ms", "gap_p50_ms", "gap_p99_ms", "total_p50_ms", "total_p99_ms",
 		"batch_completed", "batch_items_per_second", "seconds"}
 	if err := out.Write(header); err != nil {
@@ -69,7 +118,11 @@
 
 func csvLine(r Result) []string {
 	f := r.Figures
-	line := []string{r.Arm.Name, r.Arm.Policy,
+	settings := make([]string, len(r.Arm.Settings))
+	for i, s := range r.Arm.Settings {
+		settings[i] = s.Key + "=" + s.Value
+	}
+	line := []string{r.Arm.Name, strings.Join(settings, " "),
 		strconv.FormatBool(r.Arm.Online), strconv.FormatBool(r.Arm.Batch),
 		strconv.Itoa(f.Sent), strconv.Itoa(f.Failed)}
 	for _, v := range []float64{f.FirstTokenP50, f.FirstP99, f.BetweenP50, f.BetweenP99, f.TotalP50, f.TotalP99} {
