Tell operators what is unset, allowed or missing

What misled: a forecast or due time that is not known read as "0s", an engine's report that never came as an age of "-1ms", a cancelled job's forecast as "unknown"; a wrong log level was refused without the allowed ones; a refused token did not say where it belongs; a kept burn page said how many milliseconds ago it was made. Ruled out: dropping the fields, since a script or a person who looks for one must find it.

The spec for a wrong log level now also asks for the allowed values, and the one for the page that no relative time stands in it.

--- a/cli/burn.go
+++ b/cli/burn.go
@@ -89,7 +89,7 @@
 	}
 	page, err := htmlPage(pageContent{
 		Title:  "Service-level burn",
-		At:     a.when(r.AtMs),
+		At:     date(r.AtMs),
 		Notes:  r.notes(),
 		Plot:   picture,
 		Blocks: burnBlocks(r.Report),
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -76,7 +76,7 @@
 		Entry("no base", `required flag(s) "base"`, "config", "publish", "x"),
 		Entry("deployment", `--deployment = "munich"; allowed: da-nang, isarwerk`, "try", "--deployment", "munich"),
 		Entry("daemon", `--daemon = "localhost:1"; allowed: http://IP:PORT`, "status", "--daemon", "localhost:1"),
-		Entry("level", `invalid argument "loud"`, "log-level", "loud"),
+		Entry("level", `invalid argument "loud"; allowed: debug, info, warn, error`, "log-level", "loud"),
 	)
 
 	It("checks files without a server", func() {
@@ -145,10 +145,29 @@
 		Expect(r.code).To(Equal(0), r.err)
 		Expect(r.out).To(MatchRegexp(`^the same job was already accepted\njob +n\nprofile +p\nstate +accepted\nitems +3\n +completed +2\n`))
 		Expect(r.out).To(ContainSubstring("LATE by 1m"))
+		Expect(r.out).To(ContainSubstring("forecast"))
 		Expect(seen.Method + seen.URL.Path + seen.Header.Get("Tarragon-Profile")).To(Equal("PUT/v1/jobs/np"))
 		Expect(sent.String()).To(Equal("stdin line\n"))
 	})
 
+	It("forecasts nothing for a job without open items", func() {
+		url, _, _ := daemon(200, `{"job":"n","profile":"p","state":"cancelling","counts":{"items":3,"cancelled":3}}`)
+		Expect(run(cli.Programs{}, "job", "cancel", "n", "--daemon", url).out).To(MatchRegexp(`state +cancelling\n(.*\n)+due +-\n$`))
+	})
+
+	It("shows times and ages that are not there yet as such", func() {
+		url, _, _ := daemon(200, `{"forecast_ms":0,"earliest_due_ms":0,"report_age_ms":-1,"lag_ms":0}`)
+		Expect(run(cli.Programs{}, "status", "--daemon", url).out).To(Equal(
+			"forecast      -\nearliest due  -\nreport age    -\nlag           0s\n"))
+	})
+
+	It("says where the token belongs when it is refused", func() {
+		url, _, _ := daemon(401, `{"error":{"code":"unauthorized","message":"wrong","run":"not_run"}}`)
+		r := run(cli.Programs{}, "status", "--daemon", url)
+		Expect(r.code).To(Equal(cli.ExitFailed))
+		Expect(r.err).To(ContainSubstring("--token or TARRAGONHOLLOW_TOKEN"))
+	})
+
 	It("prints a document in its own order, or untouched", func() {
 		body := `{"profile":"p","lag_ms":1500,"hosts":{"b":{"shards":[1,2]},"a":{"shards":[],"used_bytes":2048}},"note":"<b>"}`
 		url, _, _ := daemon(200, body)
@@ -175,7 +194,7 @@
 		page, err := os.ReadFile(path)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(page)).To(And(ContainSubstring(`<tr class="marked"><td>p</td>`), ContainSubstring("<th>REASON</th>"),
-			ContainSubstring("&lt;g&gt;"), Not(ContainSubstring("<g>"))))
+			ContainSubstring("&lt;g&gt;"), Not(ContainSubstring("<g>")), Not(ContainSubstring(" ago)"))))
 		Expect(run(cli.Programs{}, "report", "burn", "--json", "--daemon", url).out).To(Equal(string(body)))
 	})
 })
--- a/cli/configcmd.go
+++ b/cli/configcmd.go
@@ -56,7 +56,7 @@
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error { return a.publish(cmd, args[0], base) },
 	}
-	cmd.Flags().Uint64Var(&base, "base", 0, "version that the change was made from")
+	cmd.Flags().Uint64Var(&base, "base", 0, "version that the change was made from, as config show prints it; 0 for the first")
 	_ = cmd.MarkFlagRequired("base")
 	return cmd
 }
--- a/cli/job.go
+++ b/cli/job.go
@@ -155,9 +155,10 @@
 		{"accepted", a.when(s.AcceptedMs)},
 		{"due", a.when(s.DueMs)},
 	}
-	if s.EndedMs > 0 {
+	switch {
+	case s.EndedMs > 0:
 		rows = append(rows, []string{"ended", a.when(s.EndedMs)})
-	} else {
+	case n.Waiting+n.Running > 0:
 		rows = append(rows, []string{"forecast", a.forecast(s)})
 	}
 	table(a.Out, rows)
--- a/cli/refusal.go
+++ b/cli/refusal.go
@@ -58,6 +58,9 @@
 	if r.Error.RetryAfterMs > 0 {
 		fmt.Fprintf(&b, "\n  retry:  after %s", time.Duration(r.Error.RetryAfterMs)*time.Millisecond)
 	}
+	if r.Error.Code == "unauthorized" {
+		fmt.Fprintf(&b, "\n  hint:   the token of the daemon's settings goes into --token or %s", EnvToken)
+	}
 	won := r.Error.winner
 	if won.Version == 0 {
 		won = r.winner
--- a/cli/render.go
+++ b/cli/render.go
@@ -14,6 +14,9 @@
 // 1973 as a time, three years as a duration.
 const leastEpochMs = 100_000_000_000
 
+// timeSuffixes end the names of the fields that are points in time.
+var timeSuffixes = []string{"at_ms", "due_ms", "forecast_ms", "accepted_ms", "ended_ms"}
+
 // block is one part of a rendered document: aligned rows under a title.
 type block struct {
 	Title string
@@ -73,6 +76,8 @@
 		return text
 	}
 	switch {
+	case unset(name, number):
+		return "-"
 	case strings.HasSuffix(name, "_ms") && number >= leastEpochMs:
 		return a.when(int64(number))
 	case strings.HasSuffix(name, "_ms"):
@@ -86,6 +91,13 @@
 	}
 }
 
+// unset tells whether a field in milliseconds says that there is nothing yet: a
+// time that is 0 (as a duration it would read as "at once") or a negative age.
+func unset(name string, number float64) bool {
+	isTime := slices.ContainsFunc(timeSuffixes, func(suffix string) bool { return strings.HasSuffix(name, suffix) })
+	return isTime && number == 0 || strings.HasSuffix(name, "_ms") && number < 0
+}
+
 // milliseconds returns a duration.
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
--- a/cli/status.go
+++ b/cli/status.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -39,10 +41,13 @@
 func (a *app) logLevelCommand() *cobra.Command {
 	return a.addClientFlags(&cobra.Command{
 		Use:       "log-level debug|info|warn|error",
-		Short:     "Change the level of the daemon's log",
+		Short:     "Change the level of the daemon's log until it restarts",
 		ValidArgs: logging.Levels,
-		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
+		Args:      cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if !slices.Contains(logging.Levels, args[0]) {
+				return usageError("invalid argument %q; allowed: %s", args[0], strings.Join(logging.Levels, ", "))
+			}
 			body, err := json.Marshal(map[string]string{"level": args[0]})
 			if err != nil {
 				return failed(err)
--- a/cli/times.go
+++ b/cli/times.go
@@ -13,10 +13,12 @@
 	if ms == 0 {
 		return "-"
 	}
-	at := time.UnixMilli(ms)
-	return at.Local().Format(timeLayout) + " (" + relative(at.Sub(a.now())) + ")"
+	return date(ms) + " (" + relative(time.UnixMilli(ms).Sub(a.now())) + ")"
 }
 
+// date tells a time in Unix milliseconds alone, for what is kept and read later.
+func date(ms int64) string { return time.UnixMilli(ms).Local().Format(timeLayout) }
+
 // relative tells a distance in time in its two largest units.
 func relative(d time.Duration) string {
 	if d < 0 {
