Tell a confirmed cancel as cancelled

Cause: the owner built the answer of a cancel while the job was still cancelling on the log; the entry that closes it was queued only afterwards, as a batch change. So DELETE answered 200 with "cancelling", a read right after said the same, and a successor would have waited a whole lease once more.

Ruled out: telling "cancelled" from the owner's memory as soon as no item can start. A reader after a change of owner would see a step backwards.

Change: the close is an urgent record, and the callers are answered when it was read back. One spec counted on an answer in the same moment as the lease's end; it now steps one append and is as strict about the time: nothing is told before the lease has lapsed.

Before, the new spec fails at "Expect(Status.State).To(Equal(JobCancelled))" (ledger_test.go:210).

Conclusion: the state told is true on the log when it is told.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -187,11 +187,31 @@
 		s.collect(o)
 		Expect(s.replies).NotTo(HaveKey(id))
 		s.now = leased + 4000
-		o.Tick(s.now)
-		s.collect(o)
+		s.step(o)
 		Expect(s.replies[id].Cancel.Refusal).To(BeNil())
 	})
 
+	// An operator cancels a job, is told so, and looks at once from another
+	// daemon, after the shard has changed hands. At each look the job must be
+	// cancelled: the same word as the answer, never a step before it.
+	ginkgo.It("tells a confirmed cancel as cancelled, also under a new owner", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 2, true)
+		s.flush(o)
+		s.pull(o, "s", 1)
+		id := s.call()
+		o.CancelJob(s.now, id, "c/j")
+		s.flush(o)
+		o.Revoked(s.now, "c/j", []string{"s"})
+		for i := 0; s.replies[id].Cancel == nil && i < 20; i++ {
+			s.step(o)
+		}
+		Expect(s.replies[id].Cancel.Status.State).To(Equal(JobCancelled))
+		Expect(o.Jobs()[0].State).To(Equal(JobCancelled))
+		Expect(s.held("b").Jobs()[0].State).To(Equal(JobCancelled), "the answer was durable")
+	})
+
 	// A revision must be stamped once. Its steward dies after it got the item:
 	// the item ends as one that may have run, also under a new owner, and is
 	// never handed out again.
--- a/core/ledger/owner_cancel.go
+++ b/core/ledger/owner_cancel.go
@@ -17,6 +17,9 @@
 	// have lapsed; holders are the stewards of leases given here.
 	graceUntil int64
 	holders    map[string]bool
+	// closing is set once no new item can start and the word for that is on its
+	// way to the log.
+	closing bool
 }
 
 // cancelWaitMs bounds how long a cancel waits.
@@ -123,24 +126,43 @@
 	o.tickCancels()
 }
 
+// cancelDone follows once no new item can start. The callers are told when the
+// close was read back, not before: a successor that finds the job cancelling
+// knows nothing of the stewards' words and would tell a later reader so, after
+// the caller was told "cancelled".
 func (o *Owner) cancelDone(name string) {
 	c := o.cancels[name]
-	j := o.st.jobs[name]
-	if c == nil || j == nil {
+	if c == nil || c.closing {
+		return
+	}
+	if j := o.st.jobs[name]; j != nil && j.State == JobCancelling {
+		c.closing = true
+		o.queue(&closeProposal{job: name, state: JobCancelled}, true)
 		return
 	}
+	o.answerCancel(name)
+}
+
+// answerCancel tells the callers of a cancel how the job ended.
+func (o *Owner) answerCancel(name string) {
+	c := o.cancels[name]
+	if c == nil {
+		return
+	}
+	reply := CancelReply{Refusal: noJob()}
+	if j := o.st.jobs[name]; j != nil {
+		reply = CancelReply{Status: o.status(j)}
+	}
 	for _, w := range c.calls {
-		o.reply(Reply{Call: w.call, Cancel: &CancelReply{Status: o.status(j)}})
+		told := reply
+		o.reply(Reply{Call: w.call, Cancel: &told})
 	}
 	delete(o.cancels, name)
-	if j.State == JobCancelling {
-		o.queue(&closeProposal{job: name, state: JobCancelled}, false)
-	}
 }
 
 func (o *Owner) tickCancels() {
 	for name, c := range o.cancels {
-		if c.revoking && o.now >= c.leasesUntil {
+		if c.revoking && !c.closing && o.now >= c.leasesUntil {
 			o.cancelDone(name)
 			continue
 		}
--- a/core/ledger/owner_job.go
+++ b/core/ledger/owner_job.go
@@ -155,6 +155,9 @@
 	if j := o.st.jobs[p.job]; j != nil && j.State == JobEnded {
 		o.dropSched(p.job)
 	}
+	if p.state == JobCancelled {
+		o.answerCancel(p.job)
+	}
 }
 
 func (p *closeProposal) withdraw(*Owner, *outcome.Refusal) bool { return false }
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -432,6 +432,12 @@
 		st, err := f.nodes["a"].shards.CancelJob(context.Background(), "c/job")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(st.Cancelled).To(Equal(10))
+		Expect(st.State).To(Equal(ledger.JobCancelled))
+		for _, n := range []*node{f.nodes["a"], f.nodes["b"]} {
+			seen, err := n.shards.Job(context.Background(), "c/job")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(seen.State).To(Equal(ledger.JobCancelled), n.self.Host)
+		}
 		f.mu.Lock()
 		Expect(f.nodes["a"].revoked).To(ContainElement("c/job"))
 		Expect(f.nodes["b"].revoked).To(ContainElement("c/job"))
