Count no outage against items without a target group

Report: an item of /v1/services/none/x stays waiting with attempts 0 and its job never ends.

Ruled out: refusing the job at acceptance. Its owner and its entry host may have different configurations for a moment, so chance would decide.

Found on the way: the 10 s ran on while the log was out, though the configuration travels on it, and a lane that was empty kept its old time, so an item that came back to it could fail at once. Both only ever failed items too early.

Change: time counts only with the log in reach and an item waiting. The new spec proves the end of items and job and the time; before, it fails at "Expect(o.Jobs()[0].Failed).To(Equal(0), the log was out)" with 2 (ledger_test.go:211).

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -191,6 +191,36 @@
 		Expect(s.replies[id].Cancel.Refusal).To(BeNil())
 	})
 
+	// A job names a service that nobody runs. Its items must end failed, with the
+	// reason and the word that nothing ran, and the job must end; but not before
+	// a configuration that names the service had its time to arrive, and an
+	// outage of the log, which carries it, is no such time.
+	ginkgo.It("fails items that no target group serves, in its time", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 2, false)
+		s.flush(o)
+		s.unserved = true
+		s.flush(o)
+		o.ReadFailed(s.now)
+		s.now += 2 * unknownRouteMs
+		o.Tick(s.now)
+		o.ReadOK(s.now)
+		s.flush(o)
+		waited := s.now
+		Expect(o.Jobs()[0].Failed).To(Equal(0), "the log was out")
+		s.now = waited + unknownRouteMs - 1000
+		s.flush(o)
+		Expect(o.Jobs()[0].Failed).To(Equal(0), "a configuration may be on its way")
+		s.now = waited + unknownRouteMs
+		s.flush(o)
+		Expect(o.Jobs()[0].State).To(Equal(JobEnded))
+		r, _ := o.Item("c/j", "0")
+		Expect(r.State).To(Equal(ItemFailed))
+		Expect(r.Refusal.Code).To(Equal(outcome.UnknownTarget))
+		Expect(r.Refusal.Run).To(Equal(outcome.NotRun))
+	})
+
 	// An operator cancels a job, is told so, and looks at once from another
 	// daemon, after the shard has changed hands. At each look the job must be
 	// cancelled: the same word as the answer, never a step before it.
--- a/core/ledger/owner_lease.go
+++ b/core/ledger/owner_lease.go
@@ -222,10 +222,14 @@
 }
 
 // tickRoutes fails the items of a route that no target group has served for a
-// while.
+// while. Only time counts in which this daemon could have heard of a group and
+// an item waited for it: the configuration travels on the log, so in an outage
+// the one in force here may be old, and an item that comes back to its lane must
+// not be failed for what was so an hour ago.
 func (o *Owner) tickRoutes(s *sched) {
 	for _, l := range s.routes {
-		if s.job.State != JobAccepted || !o.trim(s, l) {
+		if s.job.State != JobAccepted || !o.trim(s, l) || !o.LogOK() {
+			l.unknownSince = 0
 			continue
 		}
 		_, it := o.st.item(s.job.Job, l.head())
--- a/core/ledger/sim_test.go
+++ b/core/ledger/sim_test.go
@@ -67,11 +67,13 @@
 // sim runs owners of one shard against a log, with a clock and liveness that the
 // test moves.
 type sim struct {
-	log     simLog
-	now     int64
-	dead    map[string]bool
-	calls   CallID
-	replies map[CallID]Reply
+	log  simLog
+	now  int64
+	dead map[string]bool
+	// unserved tells that no target group serves any item.
+	unserved bool
+	calls    CallID
+	replies  map[CallID]Reply
 }
 
 func newSim() *sim {
@@ -81,7 +83,7 @@
 func (s *sim) owner(self string) *Owner {
 	return NewOwner(OwnerConfig{
 		Self: self, Live: func(id string) bool { return !s.dead[id] },
-		GroupOf: func(it Item) (string, bool) { return "g", len(it.Body) > 0 },
+		GroupOf: func(it Item) (string, bool) { return "g", len(it.Body) > 0 && !s.unserved },
 		Limits:  func() Limits { return Limits{KeptAnswersMs: 1e9, KeptResultsMs: 1e9, CrashLimit: 2} },
 		LeaseMs: 4000, PaceMs: 100, UrgentMs: 10, RetentionMs: 3_600_000,
 	}, s.log.replay(), s.now)
