Add a fleet of separate processes as an example

The stand-ins' examples take free ports and name a model of their own, so they cannot be put together with a daemon: a newcomer had nothing to start by hand. examples/local has the stand-ins, three daemons and a configuration with fixed loopback ports. A spec holds the files together: an address that two of them write differently would show only as a fleet that never gets ready.

On such a fleet config show printed "# version 0, in force on 3 of 3 hosts" before anything was published; it now says how to begin.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -100,6 +100,14 @@
 		Expect(run(cli.Programs{}, "try").code).To(Equal(cli.ExitFailed))
 	})
 
+	It("shows the version above the text, and how to begin where there is none", func() {
+		url, _, _ := daemon(200, `{"version":3,"text":"[profile p]\n","applied":{"a":3}}`)
+		Expect(run(cli.Programs{}, "config", "show", "--daemon", url).out).To(Equal("# version 3, in force on 1 of 1 hosts\n[profile p]\n"))
+		url, _, _ = daemon(200, `{"version":0,"text":"","applied":{"a":0}}`)
+		Expect(run(cli.Programs{}, "config", "show", "--daemon", url).out).To(Equal(
+			"# no configuration is published yet: publish the first one with --base 0\n"))
+	})
+
 	It("publishes from a base version and names where it is in force", func() {
 		url, seen, sent := daemon(202, `{"version":8,"applied":{"a":8,"b":7}}`)
 		r := run(cli.Programs{}, "config", "publish", file("c.ini", goodConfig), "--base", "7", "--daemon", url, "--token", "t", "--caller", "thu")
--- a/cli/configcmd.go
+++ b/cli/configcmd.go
@@ -79,6 +79,10 @@
 	if done, err := a.passOrParse(body, &info); done || err != nil {
 		return err
 	}
+	if info.Version == 0 {
+		fmt.Fprintln(a.Out, "# no configuration is published yet: publish the first one with --base 0")
+		return nil
+	}
 	fmt.Fprintf(a.Out, "# version %d, %s\n", info.Version, appliedText(info))
 	fmt.Fprintln(a.Out, strings.TrimSuffix(info.Text, "\n"))
 	return nil
--- a/cli/examples_test.go
+++ b/cli/examples_test.go
@@ -9,7 +9,9 @@
 
 	"tarragonhollow.example/tarragonhollow/cli"
 	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/platform"
 	"tarragonhollow.example/tarragonhollow/settings"
+	"tarragonhollow.example/tarragonhollow/standin/standinset"
 )
 
 var _ = DescribeTable("An example deployment loads and has its stated size",
@@ -43,3 +45,34 @@
 	Entry("Isarwerk", "isarwerk", []string{"garching-a", "garching-b", "freising-1", "muc-ost"},
 		[3]string{"sheet-lookup", "stamp-revision", "bundle-index"}, "drawing-reader", 20, "register-lookup"),
 )
+
+// A newcomer starts the local example's processes one by one; an address that
+// two of its files write differently shows only as a fleet that never gets ready.
+var _ = It("has a local example whose files name the same addresses", func() {
+	dir := filepath.Join("..", "examples", "local")
+	s, err := settings.Load(filepath.Join(dir, "host.ini"), nil)
+	Expect(err).NotTo(HaveOccurred())
+	text, err := os.ReadFile(filepath.Join(dir, "config.ini"))
+	Expect(err).NotTo(HaveOccurred())
+	c, err := config.Parse(string(text))
+	Expect(err).NotTo(HaveOccurred())
+	standins, err := standinset.Load(filepath.Join(dir, "standin.ini"), standinset.KindLog)
+	Expect(err).NotTo(HaveOccurred())
+
+	Expect(s.Platform.LogURL).To(Equal("http://" + standins.Listen[standinset.KindLog]))
+	Expect(s.Platform.HostsURL).To(Equal("http://" + standins.Listen[standinset.KindHosts]))
+	Expect(s.Platform.WeightsURL).To(Equal("http://" + standins.Listen[standinset.KindWeights]))
+	Expect(s.Platform.Retention).To(Equal(standins.Log.Retention))
+	var daemons, targets []string
+	for _, host := range standins.Hosts.Hosts {
+		if host.Role == platform.RoleDaemon {
+			daemons = append(daemons, host.Address)
+		} else {
+			targets = append(targets, host.Address)
+		}
+	}
+	Expect(s.Peers.Seeds).To(ConsistOf(daemons))
+	Expect(targets).To(ConsistOf(c.Groups["ordering"].Targets[0].Address, c.Groups["kitchen-tickets"].Targets[0].Address))
+	Expect(targets).To(ConsistOf(standins.Listen[standinset.KindEngine], standins.Listen[standinset.KindService]))
+	Expect(standins.Engine.Model).To(Equal(c.Groups["ordering"].Model))
+})
