Take back non-repeatable items whose handing over was lost

Cause: when the pull reply that hands a non-repeatable item over is lost, the owner has marked it as handed, and a lapsed lease changes nothing as long as its steward lives. The steward never saw the item, so it stayed running for ever and its job never ended.

Ruled out: putting it back when its lease lapses (it may run for longer than a lease), and judging by the list of items that stewards name to renew leases: it goes by their view of the owners, which may be old, so it can lack an item that runs. Judging by times alone was ruled out too: a list may be late on its way.

Change: stewards number their pulls and list everything they hold now and then, at a moment when no other pull at that owner is in flight; an owner takes an item back that is missing from a list of a later pull than the one that handed it over, once its lease has lapsed. What a predecessor handed over stays, as before: paused, it may still answer a pull. That limit is written down.

A spec of the steward proves that no list is called whole while a reply may bring more, nor after an end was dropped.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -263,6 +263,39 @@
 		Expect(r.Refusal.Run).To(Equal(outcome.MayHaveRun))
 	})
 
+	// A revision is handed to a steward, but the reply is lost on the way. The
+	// steward lives and never saw it, so the job would never end. The item must
+	// be handed out again once the steward's later word shows that it never came,
+	// and not on an old word, nor within the lease, nor when the steward has it.
+	ginkgo.It("takes a non-repeatable item back whose handing over was lost", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, false)
+		s.flush(o)
+		s.pullSeq(o, 1)
+		s.flush(o)
+		lost := s.pullSeq(o, 2)
+		Expect(lost).To(HaveLen(1))
+		s.pullSeq(o, 3)
+		s.flush(o)
+		Expect(s.pullSeq(o, 4)).To(BeEmpty(), "its lease goes on")
+		s.now += 5000
+		for _, seen := range [][]LeasedItem{s.pullSeq(o, 1), s.pullSeq(o, 5, lost[0].Ref)} {
+			s.flush(o)
+			Expect(seen).To(BeEmpty())
+			r, _ := o.Item("c/j", "0")
+			Expect(r.State).To(Equal(ItemRunning))
+		}
+		s.pullSeq(o, 6)
+		s.flush(o)
+		s.pullSeq(o, 7)
+		s.flush(o)
+		again := s.pullSeq(o, 8)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Ref.Attempt).To(Equal(2))
+		Expect(dump(s.log.replay())).To(Equal(dump(o.State())))
+	})
+
 	// One drawing crashes whichever engine reads it. Others that ran beside it
 	// must not be blamed; it is run alone and refused after two more crashes.
 	ginkgo.It("condemns an item only for crashes while it ran alone", func() {
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -261,6 +261,15 @@
 	// Running lists the items of this owner's shards that the steward holds
 	// already: a new owner learns its predecessor's leases from it.
 	Running []ItemRef
+	// Seq numbers the steward's pulls from 1; 0 comes from a steward that
+	// doesn't count them.
+	Seq uint64
+	// Held lists every item in the steward's hands, whoever owns its shard, if
+	// HeldWhole is set. The list was made while no earlier pull of the steward's
+	// at this owner was in flight: each one's reply is in the list or was thrown
+	// away for good.
+	Held      []ItemRef
+	HeldWhole bool
 }
 
 // PullReply answers a PullRequest.
--- a/core/ledger/owner_lease.go
+++ b/core/ledger/owner_lease.go
@@ -12,6 +12,9 @@
 	// handed tells that the steward was given the item. For a non-repeatable
 	// item that is so only once its start was read back.
 	handed bool
+	// handedIn is the Seq of the pull whose reply handed a non-repeatable item
+	// over; 0 if that isn't known.
+	handedIn uint64
 	// ending tells that an end waits to be read back.
 	ending bool
 }
@@ -25,7 +28,8 @@
 func (o *Owner) Pull(nowMs int64, req PullRequest) PullReply {
 	o.now = nowMs
 	reply := PullReply{LeaseMs: o.cfg.LeaseMs, Cancelled: o.renew(&req)}
-	b := &basket{steward: req.Steward, max: req.Max, room: req.MaxBytes}
+	o.takeBackUnseen(&req)
+	b := &basket{steward: req.Steward, seq: req.Seq, max: req.Max, room: req.MaxBytes}
 	o.takeReady(b)
 	offers := o.offers(req.Group)
 	if !o.ringFull() {
@@ -46,6 +50,7 @@
 // basket collects a pull's items.
 type basket struct {
 	steward string
+	seq     uint64
 	max     int
 	room    int
 	items   []LeasedItem
@@ -105,7 +110,7 @@
 		if s == nil || it == nil || it.ended() || !l.waitsFor(b.steward) {
 			continue
 		}
-		l.handed = true
+		l.handed, l.handedIn = true, b.seq
 		l.until = o.now + o.cfg.LeaseMs
 		b.add(s, key, it, l.attempt)
 	}
@@ -116,6 +121,50 @@
 	o.ready[b.steward] = keys
 }
 
+// takeBackUnseen returns non-repeatable items to waiting that were handed over in
+// a reply which the steward never got: it lives, so they would stay running for
+// ever. They certainly never started:
+//
+//   - The steward's list is of a later pull than the one that handed the item
+//     over, and was made when that one's reply had been taken in or thrown away.
+//     Had it been taken in, the item would be listed until its end was read back
+//     here, and then it has no lease. A list that was late on its way has a lower
+//     number, and doesn't count, however long ago it was sent.
+//   - Only items that this owner handed over itself are taken back. A
+//     predecessor that is paused may still hand over what it started.
+//   - The lease is over too: a steward may start an item only within the lease,
+//     measured from before it sent the pull.
+//
+// The word that the item waits again goes on the log like any end, so an owner
+// that has lost its shard takes nothing back.
+func (o *Owner) takeBackUnseen(req *PullRequest) {
+	if !req.HeldWhole {
+		return
+	}
+	var held map[itemKey]bool
+	for key, l := range o.leases {
+		s := o.scheds[key.job]
+		if l.steward != req.Steward || l.ending || l.handedIn == 0 || l.handedIn >= req.Seq || o.now < l.until || s == nil {
+			continue
+		}
+		if held == nil {
+			held = req.heldKeys()
+		}
+		if !held[key] {
+			l.ending = true
+			o.proposeEnd(key, o.change(key, l.attempt, ItemWaiting, nil), nil)
+		}
+	}
+}
+
+func (r *PullRequest) heldKeys() map[itemKey]bool {
+	keys := make(map[itemKey]bool, len(r.Held))
+	for _, ref := range r.Held {
+		keys[itemKey{ref.Job, ref.Index}] = true
+	}
+	return keys
+}
+
 // waitsFor tells whether the lease's item was started for the steward and is
 // still to be handed over. One whose time lapsed is on its way back to waiting
 // and must not be: another steward may be given it next.
@@ -183,8 +232,8 @@
 }
 
 // tickLeases returns lapsed leases to waiting. A non-repeatable item that was
-// handed out stays with its steward while that lives; after that it fails as
-// one that may have run.
+// handed out stays with its steward while that lives and names it (see
+// takeBackUnseen); once the steward is dead it fails as one that may have run.
 func (o *Owner) tickLeases() {
 	for key, l := range o.leases {
 		if l.ending || o.now < l.until {
--- a/core/ledger/sim_test.go
+++ b/core/ledger/sim_test.go
@@ -173,6 +173,13 @@
 	return o.Pull(s.now, PullRequest{Steward: steward, Group: "g", Max: n, MaxBytes: 1 << 20}).Items
 }
 
+// pullSeq pulls as the steward's seq-th pull and names all that it holds.
+func (s *sim) pullSeq(o *Owner, seq uint64, held ...ItemRef) []LeasedItem {
+	return o.Pull(s.now, PullRequest{
+		Steward: "s", Group: "g", Max: 1, MaxBytes: 1 << 20, Seq: seq, Held: held, HeldWhole: true,
+	}).Items
+}
+
 // dump writes the live state in one canonical text.
 func dump(st *State) string {
 	var lines []string
--- a/daemon/shards/own.go
+++ b/daemon/shards/own.go
@@ -187,7 +187,7 @@
 	order := s.pullOrder(&req, running, &w.Value)
 	for _, sl := range order {
 		part := req
-		part.Running = nil
+		part.Running, part.HeldWhole = nil, false
 		part.Max = req.Max - len(w.Value.Items)
 		for _, it := range w.Value.Items {
 			part.MaxBytes -= len(it.Item.Body)
--- a/daemon/steward/owners.go
+++ b/daemon/steward/owners.go
@@ -15,6 +15,8 @@
 	// namedAt is when held items were last named to the owner, as counted from
 	// the sending of the pull that it answered.
 	namedAt time.Time
+	// listedAt is when the owner was last sent the whole list of held items.
+	listedAt time.Time
 	// retryAt follows a failed call.
 	retryAt time.Time
 }
--- a/daemon/steward/pull.go
+++ b/daemon/steward/pull.go
@@ -148,11 +148,36 @@
 	for _, it := range p.named {
 		req.Running = append(req.Running, it.ref)
 	}
+	s.pullNo++
+	req.Seq = s.pullNo
+	if now.Sub(o.listedAt) >= o.lease/renewShare {
+		o.listedAt = now
+		req.Held, req.HeldWhole = s.heldWholeLocked(o.address)
+	}
 	o.inFlight = true
 	s.pulls[p] = true
 	s.group.Go(func(ctx context.Context) { s.pull(ctx, p, req) })
 }
 
+// heldWholeLocked lists all held items for an owner that looks for those whose
+// handing over went astray. The list is whole only while no other pull at that
+// owner is in flight, whose reply might still bring items; and never again once
+// an end was dropped, since its item ran and is listed no more.
+func (s *Steward) heldWholeLocked(owner string) (refs []ledger.ItemRef, whole bool) {
+	if s.endsLost {
+		return nil, false
+	}
+	for p := range s.pulls {
+		if p.owner == owner {
+			return nil, false
+		}
+	}
+	for _, it := range s.held {
+		refs = append(refs, it.ref)
+	}
+	return refs, true
+}
+
 func (s *Steward) pull(ctx context.Context, p *pullCall, req ledger.PullRequest) {
 	bounded, release := context.WithTimeout(ctx, pullTimeout)
 	defer release()
--- a/daemon/steward/report.go
+++ b/daemon/steward/report.go
@@ -105,6 +105,7 @@
 	for _, e := range again {
 		if !s.ends.Offer(e) {
 			s.forgetLocked(e.item)
+			s.endsLost = true
 			s.meter.dropped.Inc()
 		}
 	}
--- a/daemon/steward/settle.go
+++ b/daemon/steward/settle.go
@@ -169,6 +169,7 @@
 		return
 	}
 	s.forgetLocked(it)
+	s.endsLost = true
 	s.meter.dropped.Inc()
 	s.log.Error("end_dropped", zap.String("job", it.ref.Job), zap.Int("index", it.ref.Index))
 }
--- a/daemon/steward/steward.go
+++ b/daemon/steward/steward.go
@@ -32,15 +32,19 @@
 	// targets is replaced whole, so that signals are looked up without a lock.
 	targets atomic.Pointer[map[string]*targetState]
 
-	mu         sync.Mutex
-	held       map[itemKey]*heldItem
-	queued     map[string][]*heldItem
-	suspects   map[string]*targetState
-	jobs       map[string]*jobForecast
-	rates      map[string]*admission.Rate
-	owners     map[string]*ownerState
-	pulls      map[*pullCall]bool
-	pullSeq    int
+	mu       sync.Mutex
+	held     map[itemKey]*heldItem
+	queued   map[string][]*heldItem
+	suspects map[string]*targetState
+	jobs     map[string]*jobForecast
+	rates    map[string]*admission.Rate
+	owners   map[string]*ownerState
+	pulls    map[*pullCall]bool
+	pullSeq  int
+	// pullNo numbers the pulls towards owners; endsLost is set once an end was
+	// dropped.
+	pullNo     uint64
+	endsLost   bool
 	lastIdle   time.Time
 	lastLook   time.Time
 	revoked    map[string]time.Time
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -201,6 +201,28 @@
 		Eventually(func() int { return b.endedAs("cancelled") }, patience).Should(Equal(1))
 		Eventually(func() int { return b.Status().Held }, patience).Should(BeZero())
 	})
+
+	// An owner takes a handed-over item back when the steward's list lacks it. A
+	// list made while a reply is still on its way would lack what it brings, and
+	// the item would run here and elsewhere.
+	It("is listed as whole only while no reply can bring more", func() {
+		b := newBench(1, engineA)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		p := &pullCall{owner: self.PeerAddress, group: "g"}
+		b.pulls[p] = true
+		_, whole := b.heldWholeLocked(self.PeerAddress)
+		Expect(whole).To(BeFalse())
+		b.ledger.add("c/j", "once", "x")
+		b.takeReplyLocked(b.opts.Now(), p, ledger.PullRequest{}, ledger.PullReply{Items: b.ledger.waiting, LeaseMs: 1000})
+		delete(b.pulls, p)
+		refs, whole := b.heldWholeLocked(self.PeerAddress)
+		Expect(whole).To(BeTrue())
+		Expect(refs).To(ConsistOf(b.ledger.waiting[0].Ref))
+		b.endsLost = true
+		_, whole = b.heldWholeLocked(self.PeerAddress)
+		Expect(whole).To(BeFalse())
+	})
 })
 
 // What a target says decides whether the item may be tried again, and what its
