Bound what one caller's bodies hold of the memory

Cause: the memory for bodies was one bound for all. One caller that begins large bodies and finishes none fills it for as long as the bodies come at 4 KB/s, and everybody else's longer bodies are refused as overloaded.

Ruled out: the caller's bound on requests in flight, 256 by default, is as many bodies of 1 MiB as the whole memory; a stricter rate would cut honest callers on bad lines.

Change: a caller's requests hold at most half of it together (429 caller_limit), and a quarter is left to claims of at most 64 KiB, which most requests are. The hashes of uploads count for their caller in the same way.

Before: with 32 MiB of memory, one caller's slow bodies had an order of 200 KiB of another caller refused with 503. After: the caller gets 429, the orders 200.

Conclusion: one caller harms itself alone; several together leave room for small bodies.

--- a/api/admin.go
+++ b/api/admin.go
@@ -79,7 +79,7 @@
 	if author == "" {
 		author = operator
 	}
-	text, release, err := s.readBody(c, maxConfigBytes, noDeadline)
+	text, release, err := s.readBody(c, operators, maxConfigBytes, noDeadline)
 	defer release()
 	if err != nil {
 		return err
@@ -153,7 +153,7 @@
 
 // logLevel serves PUT /admin/log-level.
 func (s *Server) logLevel(c echo.Context) error {
-	text, release, err := s.readBody(c, maxLogLevelBytes, noDeadline)
+	text, release, err := s.readBody(c, operators, maxLogLevelBytes, noDeadline)
 	defer release()
 	if err != nil {
 		return err
--- a/api/arrival.go
+++ b/api/arrival.go
@@ -31,7 +31,7 @@
 		return a, err
 	}
 	a.ends = append(a.ends, leave)
-	body, release, err := s.readBody(c, orDefault(cfg.Limits.BodyBytes, defaultBodyBytes), a.call.Deadline)
+	body, release, err := s.readBody(c, a.call.Caller, orDefault(cfg.Limits.BodyBytes, defaultBodyBytes), a.call.Deadline)
 	a.ends = append(a.ends, release)
 	if err != nil {
 		return a, err
--- a/api/body.go
+++ b/api/body.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -107,51 +106,26 @@
 	}
 }
 
-// bodyMemory bounds the bodies held in memory together.
-type bodyMemory struct {
-	used atomic.Int64
-	most int64
-}
-
-// take reserves n bytes.
-func (m *bodyMemory) take(n int64) bool {
-	if m.used.Add(n) > m.most {
-		m.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-// free gives n bytes back.
-func (m *bodyMemory) free(n int64) { m.used.Add(-n) }
-
-const (
-	// bodyStep is how much memory a body reserves ahead of its bytes, so that
-	// a stated length alone holds nothing.
-	bodyStep = 32 << 10
-	// busyRetryMs is when a caller may come back after a full daemon.
-	busyRetryMs = 1000
-)
+// bodyStep is how much memory a body reserves ahead of its bytes, so that a
+// stated length alone holds nothing.
+const bodyStep = 32 << 10
 
 // readBody reads a whole online body. release must be called when the body is
 // no longer used; it is never nil.
-func (s *Server) readBody(c echo.Context, limit int64, until time.Time) (body []byte, release func(), err error) {
-	var held int64
-	release = func() { s.bodies.free(held) }
+func (s *Server) readBody(c echo.Context, caller string, limit int64, until time.Time) (body []byte, release func(), err error) {
+	claim := s.bodies.claim(caller)
 	reader, err := s.newBodyReader(c, limit, until)
 	if err != nil {
-		return nil, release, err
+		return nil, claim.release, err
 	}
 	if n := c.Request().ContentLength; n >= 0 && n < bodyStep {
 		body = make([]byte, 0, n+1)
 	}
 	for {
-		if int64(cap(body)) > held {
-			grow := int64(cap(body)) - held
-			if !s.bodies.take(grow) {
-				return nil, release, outcome.Refuse(outcome.Overloaded, "too many bodies are held in memory").After(busyRetryMs)
+		if more := int64(cap(body)) - claim.held; more > 0 {
+			if refusal := claim.grow(more); refusal != nil {
+				return nil, claim.release, refusal
 			}
-			held += grow
 		}
 		if len(body) == cap(body) {
 			body = append(body, make([]byte, max(bodyStep, cap(body)))...)[:len(body)]
@@ -160,10 +134,10 @@
 		n, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if err == io.EOF {
-			return body, release, nil
+			return body, claim.release, nil
 		}
 		if err != nil {
-			return nil, release, err
+			return nil, claim.release, err
 		}
 	}
 }
--- a/api/idset.go
+++ b/api/idset.go
@@ -1,10 +1,6 @@
 package api
 
-import (
-	"hash/maphash"
-
-	"tarragonhollow.example/tarragonhollow/core/outcome"
-)
+import "hash/maphash"
 
 const (
 	// idBytes is what one hash costs in the map: 27 to 38 bytes were measured
@@ -20,15 +16,14 @@
 // n²/2^65: 1 in 440 million for 290,000 items, and another seed on a resend. A
 // true duplicate is always found.
 type idSet struct {
-	seed   maphash.Seed
-	seen   map[uint64]struct{}
-	memory *bodyMemory
-	held   int64
+	seed  maphash.Seed
+	seen  map[uint64]struct{}
+	claim *claim
 }
 
-// newIDSet returns an empty set that reserves from memory.
-func newIDSet(memory *bodyMemory) *idSet {
-	return &idSet{seed: maphash.MakeSeed(), seen: make(map[uint64]struct{}), memory: memory}
+// newIDSet returns an empty set that reserves its memory by the claim.
+func newIDSet(claim *claim) *idSet {
+	return &idSet{seed: maphash.MakeSeed(), seen: make(map[uint64]struct{}), claim: claim}
 }
 
 // add tells whether id is new, or refuses where there is no memory left.
@@ -38,14 +33,13 @@
 		return false, nil
 	}
 	if len(s.seen)%idStep == 0 {
-		if !s.memory.take(idStep * idBytes) {
-			return false, outcome.Refuse(outcome.Overloaded, "too many items are being uploaded here").After(busyRetryMs)
+		if refusal := s.claim.grow(idStep * idBytes); refusal != nil {
+			return false, refusal
 		}
-		s.held += idStep * idBytes
 	}
 	s.seen[h] = struct{}{}
 	return true, nil
 }
 
 // release gives the memory back.
-func (s *idSet) release() { s.memory.free(s.held) }
+func (s *idSet) release() { s.claim.release() }
--- a/api/observe.go
+++ b/api/observe.go
@@ -174,7 +174,7 @@
 	}
 	set.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(m.connections.Load()) })
 	set.GetOrCreateGauge("tarragonhollow_http_requests_in_flight", func() float64 { return float64(s.inFlight.count()) })
-	set.GetOrCreateGauge("tarragonhollow_http_body_memory_bytes", func() float64 { return float64(s.bodies.used.Load()) })
+	set.GetOrCreateGauge("tarragonhollow_http_body_memory_bytes", func() float64 { return float64(s.bodies.total()) })
 	return m
 }
 
--- a/api/server.go
+++ b/api/server.go
@@ -25,7 +25,7 @@
 	http     *http.Server
 	listener atomic.Pointer[limitListener]
 	inFlight *inFlight
-	bodies   bodyMemory
+	bodies   *bodyMemory
 	uploads  chan struct{}
 	draining atomic.Bool
 	metrics  *httpMetrics
@@ -41,7 +41,7 @@
 		opts:     opts,
 		echo:     echo.New(),
 		inFlight: newInFlight(),
-		bodies:   bodyMemory{most: opts.MaxBodyMemory},
+		bodies:   newBodyMemory(opts.MaxBodyMemory),
 		uploads:  make(chan struct{}, opts.MaxUploads),
 	}
 	s.metrics = newHTTPMetrics(opts.Metrics, s)
--- a/api/upload.go
+++ b/api/upload.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	defer leave()
-	up, err := s.newUpload(c, call.Profile.Name, cfg.Limits)
+	up, err := s.newUpload(c, call.Caller, call.Profile.Name, cfg.Limits)
 	if err != nil {
 		return err
 	}
@@ -98,7 +98,7 @@
 }
 
 // newUpload bounds c's body and prepares the reading.
-func (s *Server) newUpload(c echo.Context, profile string, limits config.Limits) (*upload, error) {
+func (s *Server) newUpload(c echo.Context, caller, profile string, limits config.Limits) (*upload, error) {
 	reader, err := s.newBodyReader(c, orDefault(limits.JobBytes, defaultJobBytes), noDeadline)
 	if err != nil {
 		return nil, err
@@ -107,7 +107,7 @@
 		lines:     bufio.NewReaderSize(reader, bodyStep),
 		lineBytes: orDefault(limits.LineBytes, defaultLineBytes),
 		mostItems: orDefault(limits.ItemsPerJob, defaultItemsPerJob),
-		ids:       newIDSet(&s.bodies),
+		ids:       newIDSet(s.bodies.claim(caller)),
 		hash:      sha256.New(),
 	}
 	u.add([]byte(profile))
