Pace claims at a cold start and keep lost claims from hiding the log

Cause: after the loss of every daemon, 32 claims come within milliseconds, above the burst of 20 that the log allows, so it refuses some (429). And when a claim was lost to another daemon while its append was under way, the append ended with its hold, which was taken for the log being out of reach: the daemon told so for a moment, refused orders with log_unavailable, and others doubted it as a holder.

A smaller burst for each daemon: daemons don't know how many claim beside them.

Change: of shards that lose their holders together, eight are claimed at once and the others 5 ms apart by their number; all daemons count alike, so the pace is the fleet's. An append that ended with its hold says nothing about the log.

The new spec fails without the pacing: 32 claims in the first round where at most 10 may come (claim_test.go).

--- a/daemon/shards/append.go
+++ b/daemon/shards/append.go
@@ -104,7 +104,7 @@
 	s.meter.appends.Inc()
 	s.meter.appendBytes.Add(len(data))
 	out, retry := classify(err)
-	if out == ledger.Unavailable {
+	if out == ledger.Unavailable && ctx.Err() == nil { // not one that ended with its hold
 		s.noteLog(false)
 	}
 	switch {
--- a/daemon/shards/claim.go
+++ b/daemon/shards/claim.go
@@ -20,6 +20,14 @@
 	// settleTime is how long a fresh holder is given to tell that it holds the
 	// shard, before a claim is weighed against it.
 	settleTime = 5 * time.Second
+	// claimsAtOnce is how many of the shards that lose their holders together are
+	// claimed without pacing, claimSpacing the time between the further ones. It
+	// guards against a storm at a cold start: 32 claims within milliseconds exceed
+	// the burst a log allows, which shows as refused appends. Shards take turns by
+	// number, so all daemons together keep to half of the fleet's default budget
+	// without talking to each other.
+	claimsAtOnce = 8
+	claimSpacing = 5 * time.Millisecond
 )
 
 // claimLoop claims shards that have no usable holder and gives up shards that
@@ -29,16 +37,27 @@
 		if s.draining.Load() || s.opt.Clock().Sub(s.started) < s.opt.ColdStart {
 			return
 		}
-		held := len(s.Holds())
-		for _, sl := range s.slots {
-			if s.considerClaim(ctx, sl, held) {
-				held++
-			}
-		}
-		s.rebalance(held)
+		s.rebalance(s.claimRound(ctx))
 	})
 }
 
+// claimRound weighs a claim of each shard and returns how many this daemon holds
+// or has begun to claim.
+func (s *Shards) claimRound(ctx context.Context) (held int) {
+	held = len(s.Holds())
+	unheld := 0
+	for _, sl := range s.slots {
+		claimed, found := s.considerClaim(ctx, sl, held, unheld)
+		if claimed {
+			held++
+		}
+		if found {
+			unheld++
+		}
+	}
+	return held
+}
+
 // unheldCause tells why the shard needs a claim, "" if it has a usable holder.
 func (s *Shards) unheldCause(id int) (cause string, doubt bool) {
 	holder, ok := s.opt.View.Holder(id)
@@ -53,8 +72,10 @@
 	return "", false
 }
 
-// considerClaim starts a hold duty when it is this daemon's turn.
-func (s *Shards) considerClaim(ctx context.Context, sl *slot, held int) bool {
+// considerClaim starts a hold duty when it is this daemon's turn. unheld counts
+// the shards before this one that have no usable holder; the second result tells
+// whether this one has none.
+func (s *Shards) considerClaim(ctx context.Context, sl *slot, held, unheld int) (claimed, found bool) {
 	cause, doubt := s.unheldCause(sl.id)
 	now := s.opt.Clock()
 	if cause != "" {
@@ -65,28 +86,35 @@
 	defer sl.mu.Unlock()
 	if sl.busy || (cause == "" && !sl.named) {
 		sl.unheld = time.Time{}
-		return false
+		return false, cause != ""
 	}
 	if !s.logOK.Load() {
 		// The time in which nobody could claim doesn't count: after an outage
 		// the holders are heard of again before anyone claims against them.
 		sl.unheld = time.Time{}
-		return false
+		return false, true
 	}
 	if sl.unheld.IsZero() {
 		sl.unheld = now
+		sl.pace = claimPace(unheld)
 	}
 	sl.cause = cause
 	wait, ok := s.claimAfter(sl, successors, held)
 	if doubt && !sl.named {
 		wait += doubtSteps * s.opt.ClaimStep
 	}
-	if !ok || now.Sub(sl.unheld) < wait {
-		return false
+	if !ok || now.Sub(sl.unheld) < wait+sl.pace {
+		return false, true
 	}
 	sl.busy, sl.named = true, false
 	s.group.Go(func(ctx context.Context) { s.hold(ctx, sl) })
-	return true
+	return true, true
+}
+
+// claimPace is how much longer a shard waits for its claim that lost its holder
+// together with others before it.
+func claimPace(before int) time.Duration {
+	return time.Duration(max(0, before-claimsAtOnce+1)) * claimSpacing
 }
 
 func (s *Shards) claimAfter(sl *slot, successors []membership.Member, held int) (time.Duration, bool) {
--- /dev/null
+++ b/daemon/shards/claim_test.go
@@ -0,0 +1,54 @@
+package shards
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/platform/fakelog"
+)
+
+var _ = Describe("Claims after the loss of every daemon", func() {
+	// All hosts come back from a power cut at once. Claims of all shards within
+	// milliseconds exceed the burst that the log allows, so it refuses some, and
+	// those wait. Claims must come spread out instead, and all soon.
+	It("come within half of the fleet's append budget", func() {
+		began := time.Now()
+		var passed atomic.Int64
+		self := membership.Member{Host: "a", Incarnation: 1, LogOK: true, Ready: true}
+		n := &node{self: self, fleet: &fleet{nodes: map[string]*node{}}}
+		n.fleet.nodes["a"] = n
+		s, err := New(Options{
+			Log: fakelog.New(fakelog.Options{}), View: n, Peer: peer.NewClient(peer.ClientOptions{}),
+			Registrar: peer.NewServer(peer.ServerOptions{}), Config: func() *config.Config { return nil },
+			Clock: func() time.Time { return began.Add(time.Duration(passed.Load())) },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		s.group = duty.NewGroup(ctx)
+		DeferCleanup(func() { cancel(); s.group.Wait() })
+
+		// A log takes 20 at once; half of that is left to what isn't a claim.
+		const round, burst = 10 * time.Millisecond, 10
+		before := 0
+		for s.busySlots() < DefaultShards && passed.Load() < int64(time.Second) {
+			s.claimRound(ctx)
+			budget := int(DefaultAppendBudget / 2 * round.Seconds())
+			if before == 0 {
+				budget = burst
+			}
+			Expect(s.busySlots() - before).To(BeNumerically("<=", budget))
+			before = s.busySlots()
+			passed.Add(int64(round))
+		}
+		Expect(s.busySlots()).To(Equal(DefaultShards))
+		Expect(time.Duration(passed.Load())).To(BeNumerically("<=", 200*time.Millisecond))
+	})
+})
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -60,6 +60,7 @@
 	busy     bool          // a hold duty runs
 	named    bool          // the last holder named this daemon
 	unheld   time.Time     // since when no usable holder is known
+	pace     time.Duration // how much longer it waits as others are unheld too
 	cause    string        // why it is unheld, for the log
 	calls    map[ledger.CallID]chan ledger.Reply
 	lastCall ledger.CallID
