State units, bounds and errors where a doc comment lacked them

Found by a walk over every exported item: methods of interfaces that shared a comment or had none, and fields of time or size without a unit. Comments only.

--- a/api/backend.go
+++ b/api/backend.go
@@ -67,8 +67,10 @@
 
 // ConfigInfo is the configuration in force here.
 type ConfigInfo struct {
-	Version uint64            `json:"version"`
-	Text    string            `json:"text"`
+	// Version is 0 before the first configuration.
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+	// Applied is the version in force on each host that answers, by its name.
 	Applied map[string]uint64 `json:"applied"`
 }
 
@@ -76,8 +78,10 @@
 type ConfigChange struct {
 	Version uint64 `json:"version"`
 	Author  string `json:"author"`
-	AtMs    int64  `json:"at_ms"`
-	ID      string `json:"id"`
+	// AtMs is the publisher's time, Unix milliseconds.
+	AtMs int64 `json:"at_ms"`
+	// ID names the change, unique in the history.
+	ID string `json:"id"`
 }
 
 // ConfigConflict tells who won the race for a version.
@@ -105,9 +109,11 @@
 	Request(ctx context.Context, key string) (ledger.KeptRequest, error)
 	// PutJob uploads a job; created is false when the same job was there.
 	PutJob(ctx context.Context, up JobUpload) (status ledger.JobStatus, created bool, err error)
-	// Job, Item and CancelJob act on a scoped job name CALLER/JOB.
+	// Job returns the status of a job by its scoped name CALLER/JOB.
 	Job(ctx context.Context, job string) (ledger.JobStatus, error)
+	// Item returns one item of such a job, ended or not.
 	Item(ctx context.Context, job, customID string) (ledger.ItemResult, error)
+	// CancelJob cancels such a job and returns once no new item will start anywhere.
 	CancelJob(ctx context.Context, job string) (ledger.JobStatus, error)
 	// Results pages through the ended items.
 	Results(ctx context.Context, req ledger.ResultsRequest) (ledger.ResultsReply, error)
--- a/core/burn/report.go
+++ b/core/burn/report.go
@@ -10,9 +10,11 @@
 // Window is a span of time that ends now.
 type Window struct {
 	// Name is used in reports.
-	Name   string
+	Name string
+	// SpanMs is the window's length in milliseconds.
 	SpanMs int64
-	Scale  Scale
+	// Scale is the width of the cells that are summed.
+	Scale Scale
 }
 
 // The windows of the two alerts. A long window alone would alert long after the
@@ -52,7 +54,9 @@
 
 // Report is the service-level burn of all profiles that have objectives.
 type Report struct {
-	AtMs     int64           `json:"at_ms"`
+	// AtMs is the time that the windows end at, Unix milliseconds.
+	AtMs int64 `json:"at_ms"`
+	// Profiles are sorted by name; those without an objective are left out.
 	Profiles []ProfileReport `json:"profiles"`
 }
 
@@ -74,7 +78,8 @@
 	// BudgetLeft is the share of the period's error budget that is left: 1 is
 	// untouched, below 0 is overspent.
 	BudgetLeft float64 `json:"budget_left"`
-	PeriodMs   int64   `json:"period_ms"`
+	// PeriodMs is that period's length in milliseconds.
+	PeriodMs int64 `json:"period_ms"`
 	// TopReasons covers the last 6 h.
 	TopReasons []TopReason `json:"top_reasons"`
 }
--- a/core/configlog/record.go
+++ b/core/configlog/record.go
@@ -41,8 +41,9 @@
 type Entry struct {
 	Version uint64 `json:"version"`
 	Author  string `json:"author"`
-	AtMs    int64  `json:"at_ms"`
-	ID      string `json:"id"`
+	// AtMs is the publisher's time, Unix milliseconds.
+	AtMs int64  `json:"at_ms"`
+	ID   string `json:"id"`
 }
 
 // State is the fold of all records up to and including the offset Through.
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -182,7 +182,8 @@
 	Profile string
 	// Upload names this upload: chunks of two uploads never mix.
 	Upload string
-	DueMs  int64
+	// DueMs is when the job is due, Unix milliseconds.
+	DueMs int64
 	// Repeatable is the profile's word for every item.
 	Repeatable bool
 	// MaxAttempts bounds the attempts at one item.
@@ -242,7 +243,8 @@
 	Ref     ItemRef
 	Item    Item
 	Profile string
-	DueMs   int64
+	// DueMs is the job's due time, Unix milliseconds.
+	DueMs int64
 	// Progress holds the tokens that an earlier, cancelled attempt delivered.
 	Progress []string
 	// Suspect tells that the item was running on targets as they crashed: run it alone.
@@ -255,7 +257,7 @@
 	Steward string
 	// Group is the target group's name; the owner matches items by URL and model.
 	Group string
-	// Max bounds the items, MaxBytes their total size.
+	// Max bounds the items, MaxBytes the bytes of their lines together.
 	Max      int
 	MaxBytes int
 	// Running lists the items of this owner's shards that the steward holds
@@ -279,7 +281,8 @@
 	LeaseMs int64
 	// Backlog is how many items of the group still wait at this owner.
 	Backlog int
-	// EarliestDueMs is the most urgent waiting item's due time, 0 if none.
+	// EarliestDueMs is the most urgent waiting item's due time, Unix
+	// milliseconds, 0 if none.
 	EarliestDueMs int64
 	// Cancelled lists the Running items whose job was cancelled: stop them.
 	Cancelled []ItemRef
@@ -314,8 +317,11 @@
 
 // ResultsRequest asks for results from an item index on.
 type ResultsRequest struct {
-	Job      string
-	From     int
+	// Job is the scoped name CALLER/JOB.
+	Job string
+	// From is the first item's index in the job, from 0.
+	From int
+	// MaxBytes bounds the page: the item that passes it is the last one. 0 is 1 MiB.
 	MaxBytes int
 }
 
@@ -333,14 +339,24 @@
 // shard's owner (this daemon or another) and asks it. A refusal is returned as
 // *outcome.Refusal; NoOwner and LogUnavailable tell when to come back.
 type Client interface {
+	// Begin asks for leave to run a keyed request. A non-repeatable one is
+	// granted only once its start was read back from the log.
 	Begin(ctx context.Context, req BeginRequest) (BeginReply, error)
+	// Finish reports the end of a granted run.
 	Finish(ctx context.Context, req FinishRequest) (FinishReply, error)
+	// Request returns what is kept of the key CALLER/KEY; NotFound if nothing is.
 	Request(ctx context.Context, key string) (KeptRequest, error)
+	// OpenJob begins an upload.
 	OpenJob(ctx context.Context, req JobOpenRequest) error
+	// AddItems adds a chunk to an upload; chunks come in the order of their index.
 	AddItems(ctx context.Context, req JobChunkRequest) error
+	// CommitJob turns a whole upload into the job and returns once that is durable.
 	CommitJob(ctx context.Context, req JobCommitRequest) (JobCommitReply, error)
+	// Job returns the status of the job CALLER/JOB; NotFound if there is none.
 	Job(ctx context.Context, job string) (JobStatus, error)
+	// Results returns a page of a job's ended items.
 	Results(ctx context.Context, req ResultsRequest) (ResultsReply, error)
+	// Item returns one item of a job, ended or not.
 	Item(ctx context.Context, job, customID string) (ItemResult, error)
 	// CancelJob returns once no new item will start anywhere.
 	CancelJob(ctx context.Context, job string) (JobStatus, error)
--- a/core/ledger/owner.go
+++ b/core/ledger/owner.go
@@ -26,9 +26,12 @@
 
 // Limits bounds what an owner keeps.
 type Limits struct {
+	// KeptAnswersMs is how long a keyed request's answer stays after its end,
+	// KeptResultsMs how long a job's results do, in milliseconds.
 	KeptAnswersMs int64
 	KeptResultsMs int64
-	CrashLimit    int
+	// CrashLimit is how many targets an item may crash before it fails.
+	CrashLimit int
 }
 
 // OwnerConfig is what an owner is told at its start. Its functions answer from
@@ -124,12 +127,14 @@
 
 // Figures counts what an owner did, for metrics and benchmarks.
 type Figures struct {
+	// Appends counts records built, Items the items handed to stewards and
+	// Restated the objects stated anew.
 	Appends  uint64
 	Items    uint64
 	Restated uint64
 	// RingRefused counts completions that found the ring full.
 	RingRefused uint64
-	// Waiting counts proposals, WaitingBytes their size.
+	// Waiting counts the proposals that wait for the log, WaitingBytes their bytes.
 	Waiting      int
 	WaitingBytes int
 	// Voids counts records read that did not count.
--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -12,9 +12,9 @@
 	MergeWindow = 2 * time.Second
 	// CrashMemory is how long a crash counts.
 	CrashMemory = time.Hour
-	// MaxCrashes and MaxRunning bound the memory: crashes kept, and requests
-	// named per crash.
+	// MaxCrashes is the bound of crashes kept.
 	MaxCrashes = 256
+	// MaxRunning is the bound of requests named per crash.
 	MaxRunning = 128
 )
 
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -12,7 +12,8 @@
 	// LoadFactor and LoadSlack bound the load that affinity may build up:
 	// LoadFactor x mean + LoadSlack.
 	LoadFactor = 1.25
-	LoadSlack  = 1.0
+	// LoadSlack is in requests; see LoadFactor.
+	LoadSlack = 1.0
 	// ZoneMargin is by how many requests a target in another zone must be
 	// better before it is taken: crossing a zone costs about 3 ms both ways,
 	// less than one more request in an engine's batch.
--- a/daemon/online/options.go
+++ b/daemon/online/options.go
@@ -48,16 +48,23 @@
 // Signals is told of every online request that begins or ends at a target; see
 // signal.Sender.
 type Signals interface {
+	// Begin counts a request that is about to be sent to the target (IP:PORT).
 	Begin(address string, promptTokens int)
+	// End counts the end of a request that Begin counted.
 	End(address string, promptTokens int)
+	// Watch names the targets whose stewards' words are wanted.
 	Watch(addresses []string)
+	// OnWords names the function that takes those words; it returns at once.
 	OnWords(func([]signal.Word))
 }
 
 // Suspects knows which requests crash targets; see suspects.Tracker.
 type Suspects interface {
+	// Verdict returns what may be done with the request.
 	Verdict(fingerprint string) retry.Verdict
+	// Crashed notes a crash seen here.
 	Crashed(c retry.Crash)
+	// Completed notes that the request ran to its end and is no suspect any more.
 	Completed(fingerprint string)
 }
 
--- a/daemon/signal/types.go
+++ b/daemon/signal/types.go
@@ -61,5 +61,7 @@
 // Receiver is the steward's side of a signal. OnSignal returns at once and is
 // safe for concurrent use.
 type Receiver interface {
+	// OnSignal takes an entry host's counts and returns a word for each target
+	// named that this daemon is the steward of.
 	OnSignal(s Signal) []Word
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,5 +17,7 @@
 // Registrar takes receivers for the server side (see net/rpc for the method
 // shapes).
 type Registrar interface {
+	// Register adds a receiver's methods under name. It fails for a name that is
+	// taken and for a receiver without a fitting method.
 	Register(name string, receiver any) error
 }
--- a/standin/engine/tokens.go
+++ b/standin/engine/tokens.go
@@ -13,6 +13,7 @@
 	// MinAnswerTokens and MaxAnswerTokens bound an answer that MaxTokens does
 	// not cut.
 	MinAnswerTokens = 16
+	// MaxAnswerTokens is the upper one of the two.
 	MaxAnswerTokens = 127
 
 	syllablesPerToken = 3
--- a/standin/service/call.go
+++ b/standin/service/call.go
@@ -21,7 +21,8 @@
 	BodyHash string `json:"body_hash"`
 	Key      string `json:"key"`
 	Urgency  string `json:"urgency"`
-	AtMs     int64  `json:"at_ms"`
+	// AtMs is when the call came, Unix milliseconds.
+	AtMs int64 `json:"at_ms"`
 	// Execution numbers the executions from 1; 0 tells that the call was
 	// refused and not executed.
 	Execution int64 `json:"execution"`
--- a/target/headers.go
+++ b/target/headers.go
@@ -16,9 +16,10 @@
 	// RunNotRun is the value of HeaderRun on such a refusal.
 	RunNotRun = "not_run"
 
-	// UrgencyOnline and UrgencyBatch are the values of HeaderUrgency.
+	// UrgencyOnline is the value of HeaderUrgency for a caller's own request.
 	UrgencyOnline = "online"
-	UrgencyBatch  = "batch"
+	// UrgencyBatch is its value for an item of a job.
+	UrgencyBatch = "batch"
 )
 
 type contextKey int
--- a/target/target.go
+++ b/target/target.go
@@ -123,6 +123,8 @@
 
 // Service speaks to plain services.
 type Service interface {
+	// Call sends the request once to the target at address (IP:PORT). Its error
+	// is a *Failure; with a status of 400 or above comes the whole response too.
 	Call(ctx context.Context, address string, req ServiceRequest) (ServiceResponse, error)
 }
 
