Cut daemons from each other in tests of real processes

Nothing proved what callers get while daemons reach the log but not each other. Each daemon of such a fleet now has a loopback IP of its own and a fault proxy in front of its peer listener; calls of chosen daemons are reset, or fall silent and arrive late.

Not part of this: the same order on both sides of a cut, and the rate of claims during it.

--- /dev/null
+++ b/test/fleet/partition.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/settings"
+	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
+)
+
+// firstIP is the last byte of the first daemon's loopback IP; the stand-ins and
+// callers use 127.0.0.1.
+const firstIP = 11
+
+// Shards is the number of shards of every fleet.
+const Shards = shards
+
+// Network lies between daemons: each has an IP of its own and a fault proxy in
+// front of its peer listener, so that any two can be cut from each other.
+type Network struct {
+	links map[string]*link
+}
+
+// link is the way to one daemon.
+type link struct {
+	ip       string
+	listener string
+	proxy    *faultproxy.Proxy
+}
+
+// StartApart is Start with a Network between the daemons.
+func StartApart(o Options) (*Fleet, *Network) {
+	GinkgoHelper()
+	n := &Network{links: map[string]*link{}}
+	DeferCleanup(n.close)
+	adjust := o.Settings
+	o.Settings = func(s *settings.Settings) {
+		l := n.link(s.Host.Name)
+		s.Host.PeerAddress, s.Host.PeerAdvertise = l.listener, l.proxy.Addr()
+		if adjust != nil {
+			adjust(s)
+		}
+	}
+	f := Start(o)
+	n.list(f)
+	return f, n
+}
+
+func (n *Network) link(host string) *link {
+	GinkgoHelper()
+	if l := n.links[host]; l != nil {
+		return l
+	}
+	l := &link{ip: fmt.Sprintf("127.0.0.%d", firstIP+len(n.links))}
+	l.listener = freePort(l.ip)
+	var err error
+	l.proxy, err = faultproxy.New(faultproxy.Options{Listen: l.ip + ":0", Target: l.listener})
+	Expect(err).NotTo(HaveOccurred())
+	n.links[host] = l
+	return l
+}
+
+// freePort finds the daemon's listener a port: its proxy is told the address
+// before the daemon starts.
+func freePort(ip string) string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", ip+":0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// list puts the proxies on the host list in place of the listeners, and waits
+// until no daemon knows a way round a proxy any more.
+func (n *Network) list(f *Fleet) {
+	GinkgoHelper()
+	for _, d := range f.Daemons {
+		Expect(f.Hosts.Put(platform.Host{Name: d.Name, Role: platform.RoleDaemon,
+			Address: n.links[d.Name].proxy.Addr(), Zone: d.Zone, State: platform.HostLive})).To(Succeed())
+	}
+	for _, d := range f.Daemons {
+		Eventually(func() int64 { return d.hostListVersion() }, Bound, Poll).Should(Equal(trueVersion(f)), d.Name)
+	}
+}
+
+func trueVersion(f *Fleet) int64 {
+	GinkgoHelper()
+	resp, err := http.Get(f.HostsURL + "/control/hosts")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var view platform.HostView
+	Expect(json.NewDecoder(resp.Body).Decode(&view)).To(Succeed())
+	return view.Version
+}
+
+var listVersion = regexp.MustCompile(`tarragonhollow_members_host_list_version (\d+)`)
+
+// hostListVersion is that of the host list as the daemon has read it.
+func (d *Daemon) hostListVersion() int64 {
+	resp, err := d.Client.HTTP.Get(d.Client.Base + "/metrics")
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	found := listVersion.FindSubmatch(text)
+	if found == nil {
+		return -1
+	}
+	version, _ := strconv.ParseInt(string(found[1]), 10, 64)
+	return version
+}
+
+// Cut gives the calls of the from daemons to the to daemons the faults; their
+// OnlyFrom is set. Answers to calls of the other way come through.
+func (n *Network) Cut(from, to []*Daemon, faults faultproxy.Faults) {
+	GinkgoHelper()
+	faults.OnlyFrom = nil
+	for _, d := range from {
+		faults.OnlyFrom = append(faults.OnlyFrom, n.links[d.Name].ip)
+	}
+	for _, d := range to {
+		Expect(n.links[d.Name].proxy.SetFaults(faults)).To(Succeed())
+	}
+}
+
+// Split cuts two groups from each other, both ways.
+func (n *Network) Split(a, b []*Daemon, faults faultproxy.Faults) {
+	GinkgoHelper()
+	n.Cut(a, b, faults)
+	n.Cut(b, a, faults)
+}
+
+// Heal ends all cuts.
+func (n *Network) Heal() {
+	GinkgoHelper()
+	for _, l := range n.links {
+		Expect(l.proxy.Clear()).To(Succeed())
+	}
+}
+
+func (n *Network) close() {
+	for _, l := range n.links {
+		l.proxy.Close()
+	}
+}
+
+// Sees lists the daemons that this one takes for live, itself included.
+func (d *Daemon) Sees() []string {
+	ctx, cancel := callContext()
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, d.Client.Base+"/admin/status", nil)
+	req.Header.Set("Authorization", "Bearer "+Token)
+	resp, err := d.Client.HTTP.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var status struct {
+		Hosts []struct{ Host, State string }
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&status)
+	var out []string
+	for _, h := range status.Hosts {
+		if h.State == "live" {
+			out = append(out, h.Host)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
