--- a/cli/burn.go
+++ b/cli/burn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -151,8 +152,13 @@
 	return append(row, percent(o.BudgetLeft), alert)
 }
 
-// percent writes a share as a percentage with up to four significant digits.
+// percent writes a share as a percentage: four significant digits, and never an
+// exponent, which nobody reads in a budget that is overspent many times.
 func percent(share float64) string {
-	const hundred = 100
-	return strconv.FormatFloat(share*hundred, 'g', 4, 64) + "%"
+	const hundred, wide = 100, 1000
+	value := share * hundred
+	if math.Abs(value) >= wide {
+		return strconv.FormatFloat(value, 'f', 0, 64) + "%"
+	}
+	return strconv.FormatFloat(value, 'g', 4, 64) + "%"
 }
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -184,9 +184,9 @@
 		Expect(run(cli.Programs{}, "status", "--json", "--daemon", url).out).To(Equal(body))
 	})
 
-	It("reports burn as a table, as a page, or untouched", func() {
+	DescribeTable("reports burn as a table, as a page, or untouched", func(left float64, told string) {
 		report := burn.Report{AtMs: 1, Profiles: []burn.ProfileReport{{Profile: "p", Objectives: []burn.ObjectiveReport{{
-			Objective: "availability", Share: 0.995, BudgetLeft: -0.25, Alerting: true, Alert: burn.FastAlert,
+			Objective: "availability", Share: 0.995, BudgetLeft: left, Alerting: true, Alert: burn.FastAlert,
 			Windows:    []burn.WindowBurn{{Window: "5m", Burn: 20, Total: 100, Bad: 10}},
 			TopReasons: []burn.TopReason{{Group: "<g>", Reason: "no_target", Count: 10}},
 		}}}}}
@@ -196,7 +196,7 @@
 		path := filepath.Join(GinkgoT().TempDir(), "burn.html")
 		Expect(run(cli.Programs{}, "report", "burn", "--html", path, "--daemon", url).out).To(ContainSubstring(
 			"burn:\nPROFILE  OBJECTIVE     SHARE  5M              BUDGET LEFT  ALERT\n" +
-				"p        availability  99.5%  20.00 (10/100)  -25%         FAST\n\n" +
+				"p        availability  99.5%  20.00 (10/100)  " + told + "FAST\n\n" +
 				"reasons in the last 6h:\nPROFILE  OBJECTIVE     TARGET GROUP  REASON     COUNT\n" +
 				"p        availability  <g>           no_target  10\n"))
 		page, err := os.ReadFile(path)
@@ -204,5 +204,8 @@
 		Expect(string(page)).To(And(ContainSubstring(`<tr class="marked"><td>p</td>`), ContainSubstring("<th>REASON</th>"),
 			ContainSubstring("&lt;g&gt;"), Not(ContainSubstring("<g>")), Not(ContainSubstring(" ago)"))))
 		Expect(run(cli.Programs{}, "report", "burn", "--json", "--daemon", url).out).To(Equal(string(body)))
-	})
+	},
+		Entry("overspent", -0.25, "-25%         "),
+		Entry("overspent many times", -141.9, "-14190%      "),
+	)
 })
