Notice at once that a daemon's process has ended

Cause: calls for a dead owner's shards wait for its successor, and by far the largest part of that wait is the detection: 2.5 to 3.8 s of the 3.4 to 3.8 s that the slowest orders took. A probe in turn comes up to a second later, and then a suspect has two seconds to refute. A process that has ended can't, and its host says so: it refuses connections. A paused or slow process is never refused, since its listener is the kernel's.

Ruled out: shorter probe and suspicion times (more false alarms, more traffic); the claim step (the first successor waits none); replay (1 ms in these trials); trusting a refusal alone: a daemon whose own way out is closed would bury all.

Change: a failed call of the ledger's has the member probed out of turn, once a tick at most. If the probe is refused and another daemon confirms that it can't reach the member either, the member is dead at once. Silence keeps its time to refute. Whether a claim counts is decided by the log as before.

The new specs fail without the change: the machine's at "Expected true to be false" (membership_test.go:201), the one on sockets after its 20 s (members_test.go:144, with a time to refute of an hour).

--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -80,8 +80,9 @@
 	// missed says that this daemon's own direct and indirect probes failed since
 	// the suspicion began.
 	missed bool
-	// probedAt is the tick of the last verification.
-	probedAt uint64
+	// probedAt is the tick of the last verification, doubtedAt that of the last
+	// probe out of turn.
+	probedAt, doubtedAt uint64
 }
 
 func (e *entry) claim() Claim {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -169,6 +169,40 @@
 		Expect(m.Snapshot().LiveID("told#1")).To(BeFalse())
 	})
 
+	// A process is killed and its callers wait for a successor. Its host refuses
+	// connections, which a paused or slow process's never does, so its peers need
+	// not wait for it to refute. But one daemon's word alone is not enough: its own
+	// way out may be closed.
+	It("buries a refusing member at once when another confirms it", func() {
+		now := time.UnixMilli(0)
+		ask := func(deny func(*membership.Machine, membership.Probe) []membership.Probe, witness bool) bool {
+			m := membership.New(membership.Options{Self: membership.Member{Host: "self", Incarnation: 1}})
+			m.Tick(now) // before it knows anybody to probe in turn
+			for _, host := range []string{"killed", "w1", "w2"} {
+				m.AnswerProbe(now, membership.ProbeRequest{From: membership.Member{Host: host, PeerAddress: host, Incarnation: 1}})
+			}
+			probes := m.Doubt(now, "killed")
+			Expect(probes).To(HaveLen(1))
+			for _, direct := range probes {
+				Expect(m.Doubt(now, "killed")).To(BeEmpty(), "one probe a tick")
+				for _, via := range deny(m, direct) {
+					if witness {
+						m.AnsweredVia(now, via, membership.ViaReply{})
+						continue
+					}
+					m.Missed(now, via)
+				}
+			}
+			Expect(m.Doubt(now, "nobody")).To(BeEmpty())
+			return m.Snapshot().LiveID("killed#1")
+		}
+		refused := func(m *membership.Machine, p membership.Probe) []membership.Probe { return m.Refused(now, p) }
+		silent := func(m *membership.Machine, p membership.Probe) []membership.Probe { return m.Missed(now, p) }
+		Expect(ask(refused, true)).To(BeFalse())
+		Expect(ask(refused, false)).To(BeTrue(), "nobody else was heard")
+		Expect(ask(silent, true)).To(BeTrue(), "it may be paused")
+	})
+
 	// The link between two zones is cut for one pair of hosts only, or one host can
 	// send but hears nothing. Neither may make the others bury a healthy host.
 	It("keeps the healthy through a cut pair and a deaf host", func() {
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -12,8 +12,21 @@
 type round struct {
 	claim       Claim
 	outstanding int
+	// refused tells that the member's host answered the direct probe: nobody
+	// listens there. witnessed tells that another daemon answered and could not
+	// reach the member either.
+	refused, witnessed bool
+	// asked tells that others were asked.
+	asked bool
 }
 
+// gone tells whether the member's process has certainly ended, as far as probes
+// can tell: its host refused the connection, and if there is another daemon, one
+// has confirmed that the member can't be reached. A paused or slow process still
+// has its listener, so it isn't refused; and a daemon whose own way out is closed
+// gets no witness.
+func (r *round) gone() bool { return r.refused && (r.witnessed || !r.asked) }
+
 // regularProbe picks the one member probed in this tick, so that the cost of a
 // daemon doesn't depend on the fleet's size. Every other tick it is the next one
 // on the ring: each member has one prober that comes back every two ticks, which
@@ -160,6 +173,9 @@
 	m.observe(now)
 	m.mergeGossip(now, reply.Gossip)
 	if !reply.Acked || reply.Target.Host != p.Host {
+		if r := m.rounds[p.Host]; r != nil && p.epoch == m.epoch && r.claim == p.claim {
+			r.witnessed = true
+		}
 		m.Missed(now, p)
 		return
 	}
@@ -185,14 +201,43 @@
 	}
 	if p.Kind == ProbeDirect {
 		if probes := m.indirect(p); len(probes) > 0 {
-			r.outstanding = len(probes)
+			r.outstanding, r.asked = len(probes), true
 			return probes
 		}
 	} else if r.outstanding--; r.outstanding > 0 {
 		return nil
 	}
 	delete(m.rounds, p.Host)
-	m.accuse(now, p)
+	m.accuse(now, p, r.gone())
+	return nil
+}
+
+// Refused steps in that a direct probe was refused: the member's host is there
+// and nobody listens at the address. It goes on as after a miss, but if others
+// confirm it, the member isn't given the time to refute: a process that has
+// ended can't.
+func (m *Machine) Refused(now time.Time, p Probe) []Probe {
+	if r := m.rounds[p.Host]; r != nil && p.Kind == ProbeDirect && p.epoch == m.epoch && r.claim == p.claim {
+		r.refused = true
+	}
+	return m.Missed(now, p)
+}
+
+// Doubt steps in that a call to the member at the address failed, and returns a
+// probe out of turn, at most one a tick. Calls fail at once when a process ends,
+// the next probe in turn may be some intervals away.
+func (m *Machine) Doubt(now time.Time, address string) []Probe {
+	m.observe(now)
+	for _, e := range m.members {
+		if e.member.PeerAddress != address || e.member.State == Dead {
+			continue
+		}
+		if e.doubtedAt == m.ticks || m.rounds[e.member.Host] != nil {
+			return nil
+		}
+		e.doubtedAt = m.ticks
+		return []Probe{m.directProbe(e)}
+	}
 	return nil
 }
 
@@ -210,9 +255,10 @@
 	return probes
 }
 
-// accuse makes a member suspect after direct and indirect probes missed, unless
-// the member has given a newer sign of life since the probing began.
-func (m *Machine) accuse(now time.Time, p Probe) {
+// accuse makes a member suspect after direct and indirect probes missed, or dead
+// if it is gone, unless the member has given a newer sign of life since the
+// probing began.
+func (m *Machine) accuse(now time.Time, p Probe, gone bool) {
 	e := m.members[p.Host]
 	if e == nil || e.member.Incarnation != p.claim.Incarnation || e.member.FactsVersion != p.claim.FactsVersion {
 		return
@@ -224,6 +270,9 @@
 	case Suspect:
 		e.missed = true
 	}
+	if gone && e.member.State == Suspect {
+		m.setState(e, Dead, now)
+	}
 }
 
 // hosts returns the sorted names of the members that keep wants.
--- a/daemon/members/loops.go
+++ b/daemon/members/loops.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
@@ -38,14 +41,39 @@
 		var probes []membership.Probe
 		m.with(func(machine *membership.Machine) { probes = machine.Tick(m.opt.Clock()) })
 		m.send(ctx, probes)
+		m.awaitTick(ctx, ticker.C)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// awaitTick probes doubted members until the next tick.
+func (m *Members) awaitTick(ctx context.Context, tick <-chan time.Time) {
+	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-tick:
+			return
+		case address := <-m.doubts:
+			var probes []membership.Probe
+			m.with(func(machine *membership.Machine) { probes = machine.Doubt(m.opt.Clock(), address) })
+			m.send(ctx, probes)
 		}
 	}
 }
 
+// Doubt tells that a call to the peer address failed; the member there is probed
+// at once instead of at its turn. It never blocks: what is beyond the channel's
+// room is probed in turn.
+func (m *Members) Doubt(address string) {
+	select {
+	case m.doubts <- address:
+	default:
+	}
+}
+
 // send carries out probes; their number is bounded by the machine for each tick
 // and each lasts at most contactTimeout ticks.
 func (m *Members) send(ctx context.Context, probes []membership.Probe) {
@@ -72,7 +100,7 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		m.meter.missed.Inc()
-		m.missed(ctx, p)
+		m.missed(ctx, p, refused(err))
 	}
 }
 
@@ -91,12 +119,35 @@
 	return nil
 }
 
-func (m *Members) missed(ctx context.Context, p membership.Probe) {
+func (m *Members) missed(ctx context.Context, p membership.Probe, refused bool) {
 	var next []membership.Probe
-	m.with(func(machine *membership.Machine) { next = machine.Missed(m.opt.Clock(), p) })
+	m.with(func(machine *membership.Machine) {
+		if refused {
+			next = machine.Refused(m.opt.Clock(), p)
+			return
+		}
+		next = machine.Missed(m.opt.Clock(), p)
+	})
 	m.send(ctx, next)
 }
 
+// refused tells whether the probed host answered that nobody listens at the
+// address, as opposed to silence. The peer layer's errors hide their cause from
+// errors.Is, so the causes are walked.
+func refused(err error) bool {
+	for err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		layered := errorx.Cast(err)
+		if layered == nil {
+			return false
+		}
+		err = layered.Cause()
+	}
+	return false
+}
+
 // call sends one message, bounded by a number of probe intervals.
 func (m *Members) call(ctx context.Context, intervals float64, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(intervals*float64(m.opt.ProbeEvery)))
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -18,6 +18,9 @@
 // ServiceName is the net/rpc name of this package's service.
 const ServiceName = "Members"
 
+// doubtsKept bounds the doubts that wait for a probe.
+const doubtsKept = 16
+
 // Members implements membership.View.
 type Members struct {
 	opt   Options
@@ -31,6 +34,7 @@
 
 	view    atomic.Pointer[membership.Snapshot]
 	changed chan struct{} // capacity 1: a change not yet told
+	doubts  chan string   // peer addresses to be probed out of turn
 	probes  sync.WaitGroup
 
 	hooksMu sync.Mutex
@@ -46,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Members{opt: o, changed: make(chan struct{}, 1)}
+	m := &Members{opt: o, changed: make(chan struct{}, 1), doubts: make(chan string, doubtsKept)}
 	m.machine = membership.New(membership.Options{
 		Self: membership.Member{
 			Host: o.Host, Zone: o.Zone, PeerAddress: o.PeerAddress, HTTPAddress: o.HTTPAddress, Incarnation: o.Incarnation,
--- a/daemon/members/members_test.go
+++ b/daemon/members/members_test.go
@@ -52,6 +52,9 @@
 	stop    func()
 }
 
+// suspectAfter is how long the nodes' suspects may refute; 0 is the default.
+var suspectAfter time.Duration
+
 func startNode(i int, hosts platform.HostList, every time.Duration, seeds ...string) (*node, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -63,7 +66,7 @@
 	n.Members, err = members.New(members.Options{
 		Host: fmt.Sprintf("host-%02d", i), Zone: "son-tra", PeerAddress: n.address, HTTPAddress: "127.0.0.1:1",
 		Incarnation: uint64(time.Now().UnixNano()), HostList: hosts, HostListEvery: 20 * time.Millisecond,
-		Seeds: seeds, Peer: client, Registrar: server, ProbeEvery: every, Metrics: n.set,
+		Seeds: seeds, Peer: client, Registrar: server, ProbeEvery: every, SuspectAfter: suspectAfter, Metrics: n.set,
 	})
 	if err != nil {
 		return nil, err
@@ -128,6 +131,20 @@
 		}
 	})
 
+	// A process is killed. Its host refuses connections, so nobody needs to wait
+	// until the time to refute is over: here that would take an hour.
+	It("drops a daemon whose host refuses connections without waiting", func() {
+		suspectAfter = time.Hour
+		DeferCleanup(func() { suspectAfter = 0 })
+		fleet := startFleet(4, nil)
+		id := fleet[2].Self().ID()
+		fleet[2].stop()
+		for _, i := range []int{0, 1, 3} {
+			fleet[i].Doubt(fleet[2].address)
+			Eventually(func() bool { return fleet[i].LiveID(id) }, "20s").Should(BeFalse())
+		}
+	})
+
 	// The host list can't be read by a daemon while a target begins to leave. It
 	// must hear of it from the others, and keep the last list it read.
 	It("learns of a leaving target through a daemon that can read the list", func() {
--- a/daemon/shards/client.go
+++ b/daemon/shards/client.go
@@ -62,11 +62,22 @@
 		return Word[R]{NotOwner: true}, false
 	}
 	if err := s.opt.Peer.Call(ctx, holder.PeerAddress, method, req, &w); err != nil {
+		s.doubt(holder.PeerAddress, err)
 		return Word[R]{NotOwner: true}, !peer.IsUnreachable(err)
 	}
 	return w, false
 }
 
+// doubter is a View that can look at a member out of turn.
+type doubter interface{ Doubt(address string) }
+
+// doubt has the member at the address looked at, because a call there failed.
+func (s *Shards) doubt(address string, err error) {
+	if d, ok := s.opt.View.(doubter); ok && !peer.IsRemoteError(err) {
+		d.Doubt(address)
+	}
+}
+
 // holdsHere tells whether the owner here should be asked. One that is cut off
 // from the log can't read that it lost its shard; if another daemon tells of a
 // later term, that one can do what this owner would have to refuse.
@@ -185,6 +196,7 @@
 	defer cancel()
 	var w Word[ledger.PullReply]
 	if err := s.opt.Peer.Call(ctx, owner, methodPull, req, &w); err != nil {
+		s.doubt(owner, err)
 		return ledger.PullReply{}, noOwner(!peer.IsUnreachable(err))
 	}
 	return w.Value, nil
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -48,8 +48,10 @@
 	stop   func()
 	server *peer.Server
 	caller *peer.Client
-	// revoked lists the jobs that this node's steward was told to drop.
+	// revoked lists the jobs that this node's steward was told to drop, doubted
+	// the members that were to be looked at.
 	revoked []string
+	doubted []string
 }
 
 func newFleet(hosts ...string) *fleet {
@@ -223,6 +225,8 @@
 
 func (n *node) TargetLeaving(string) bool { return false }
 
+func (n *node) Doubt(address string) { n.doubted = append(n.doubted, address) }
+
 type stewardFake struct{ n *node }
 
 // RevokeArgs and RevokeWords have the fields of the steward's messages.
@@ -403,6 +407,19 @@
 		Eventually(func() uint64 { return old.term("c/k") }).WithTimeout(20 * time.Second).ShouldNot(Equal(term))
 	})
 
+	// A steward asks an owner whose process has just died. The failed call is the
+	// first sign of it; the membership must hear of it and not wait for its probe.
+	It("has an owner looked at whose call failed", func() {
+		n := newFleet("a").nodes["a"]
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		gone := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		_, err = n.shards.Pull(context.Background(), gone, ledger.PullRequest{Steward: n.self.ID(), Group: "g"})
+		Expect(err).To(HaveOccurred())
+		Expect(n.doubted).To(ConsistOf(gone))
+	})
+
 	// The log loses answers, and whole appends, in the middle of an evening's
 	// orders. Each is found again or appended again, and every order is granted.
 	It("finds lost appends again by reading back", func() {
