Fill targets up to a level beside online work

Cause: at weight 0 batch ran only where no online request had been for 200 ms. Requests are spread over all targets, so hardly any was: batch got 8.4 items a second, 0.13 of the idle capacity, while more than half of the steps ran with two or three streams.

Change: beside online work give-way fills a target up to batch_fill streams, online and batch together, whatever the weight. An online burst alone brings a target there, so its step is no longer than the tail knows already, and in a burst batch has nothing. Default: three quarters of an engine's slots, none for services, of whose slowdown nothing is known.

A test holds that a batch item never stands in an engine's queue and shares no connection with online requests.

--- a/core/admission/policy.go
+++ b/core/admission/policy.go
@@ -73,6 +73,11 @@
 type GiveWay struct {
 	// Headroom is how many slots stay free of batch for the first requests of a burst.
 	Headroom int
+	// Fill is up to how many streams, online and batch together, a target is
+	// filled beside online work whatever the weight. A target with this many
+	// steps hardly slower than a burst of online requests makes it, so the tail
+	// does not show it; a burst itself leaves batch none of it.
+	Fill int
 	// CoolDown is how long the target must be free of online work before batch
 	// starts again.
 	CoolDown time.Duration
@@ -91,7 +96,7 @@
 func (GiveWay) Name() string { return "give_way" }
 
 // Limit implements Policy. Beside online work a weight earns its share of the
-// spare slots.
+// spare slots, and Fill what is left below it.
 func (p GiveWay) Limit(s Snapshot) int { return p.limit(s, s.Weight) }
 
 func (p GiveWay) limit(s Snapshot, weight float64) int {
@@ -99,7 +104,7 @@
 	if s.Online == 0 && s.Quiet >= p.CoolDown {
 		return spare
 	}
-	return share(weight, spare)
+	return max(share(weight, spare), min(p.Fill-s.Online, spare))
 }
 
 // Decide implements Policy. While online work runs, a stream is kept only if
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -102,6 +102,9 @@
 type BatchAdmission struct {
 	// Policy selects the rule; the fields below belong to one policy each.
 	Policy BatchPolicy
+	// Fill is up to how many streams, online and batch together, give-way fills
+	// a target beside online work whatever the weight.
+	Fill int
 	// Headroom is how many slots give-way leaves free on an idle target.
 	Headroom int
 	// CoolDown is how long give-way waits after the last online request.
--- a/core/config/group.go
+++ b/core/config/group.go
@@ -50,7 +50,7 @@
 	// the old holder's time must have run out before a new order is sent.
 	g.ChecksOrders = s.Bool("checks_orders", false)
 	g.Slots = s.Int("slots", defaultSlots(g.Kind), 1, maxSlots)
-	g.Batch = parseBatchAdmission(s)
+	g.Batch = parseBatchAdmission(s, defaultFill(g))
 	if s.Require("addresses", addressesAllowed) {
 		g.Targets = parseTargets(s)
 	}
@@ -67,17 +67,29 @@
 }
 
 // parseBatchAdmission reads the batch_* keys.
-func parseBatchAdmission(s *inifile.Section) BatchAdmission {
+func parseBatchAdmission(s *inifile.Section, fill int) BatchAdmission {
 	policy := s.Enum("batch_policy", string(PolicyGiveWay),
 		string(PolicyGiveWay), string(PolicyNaive), string(PolicyReserve))
 	return BatchAdmission{
 		Policy:   BatchPolicy(policy),
+		Fill:     s.Int("batch_fill", fill, 0, maxSlots),
 		Headroom: s.Int("batch_headroom", DefaultBatchHeadroom, 0, maxSlots),
 		CoolDown: s.Duration("batch_cool_down", DefaultBatchCoolDown, 0, maxCoolDown),
 		Reserved: s.Int("batch_reserved", DefaultBatchReserved, 0, maxSlots),
 	}
 }
 
+// defaultFill is three quarters of an engine's slots: an engine steps as slowly
+// as that in a burst of online requests alone, so batch up to there hardly shows
+// in the online tail (docs/design/0009-batch-policy.md). Nothing is known of how
+// a plain service slows down, so there batch stays out of online work's way.
+func defaultFill(g *TargetGroup) int {
+	if g.Kind == KindService {
+		return 0
+	}
+	return g.Slots * 3 / 4
+}
+
 func defaultSlots(k Kind) int {
 	if k == KindService {
 		return DefaultServiceSlots
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -15,6 +15,7 @@
 		return admission.StaticReserve{Free: g.Batch.Reserved}
 	}
 	policy := admission.DefaultGiveWay()
+	policy.Fill = g.Batch.Fill
 	policy.Headroom = g.Batch.Headroom
 	policy.CoolDown = g.Batch.CoolDown
 	return policy
--- /dev/null
+++ b/daemon/steward/headofline_test.go
@@ -0,0 +1,143 @@
+package steward
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/admission"
+	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/standin/engine"
+	"tarragonhollow.example/tarragonhollow/target"
+)
+
+// queueWitness stands between the daemon and the engines and knows, at each
+// start, how many requests are under way at that engine.
+type queueWitness struct {
+	target.Engine
+	mu      sync.Mutex
+	running map[string]int
+	batch   int
+	// queued counts the starts that found all slots taken, by urgency.
+	queued map[string]int
+}
+
+func (w *queueWitness) Generate(ctx context.Context, address string, req target.GenerateRequest, sink func(target.Token) error) (target.Finish, error) {
+	urgency := target.UrgencyFrom(ctx)
+	w.change(func() {
+		if w.running[address] >= witnessSlots {
+			w.queued[urgency]++
+		}
+		if urgency == target.UrgencyBatch {
+			w.batch++
+		}
+		w.running[address]++
+	})
+	defer w.change(func() { w.running[address]-- })
+	return w.Engine.Generate(ctx, address, req, sink)
+}
+
+func (w *queueWitness) change(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+const witnessSlots = 4
+
+var _ = Describe("an online request while batch saturates every target", func() {
+	// A planner clicks a sheet while the nightly bundle fills all engines. Engines
+	// serve first come first served, so one bundle item in an engine's queue would
+	// stand before the click. The steward must never send an item that has to
+	// queue, and the click must not share connections with the bundle either.
+	It("is never behind a batch item, in the engine's queue or for a connection", func() {
+		var addresses []string
+		var clicks atomic.Int64
+		for range 2 {
+			options := engine.DefaultOptions()
+			options.Slots, options.TimeScale = witnessSlots, 10
+			server, err := engine.New(options)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			front := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(target.HeaderUrgency) == target.UrgencyOnline {
+					clicks.Add(1)
+				}
+				server.Handler().ServeHTTP(rw, r)
+			}))
+			DeferCleanup(front.Close)
+			addresses = append(addresses, strings.TrimPrefix(front.URL, "http://"))
+		}
+		connections := target.DefaultClientOptions()
+		connections.BatchConnections = witnessSlots - 1
+		client := target.NewEngineClient(connections)
+		DeferCleanup(client.Close)
+		b := newBench(witnessSlots, addresses...)
+		w := &queueWitness{Engine: client, running: map[string]int{}, queued: map[string]int{}}
+		b.opts.Engine = w
+		b.opts.PolicyOf = func(*config.TargetGroup) admission.Policy {
+			p := admission.DefaultGiveWay()
+			p.Fill = witnessSlots - 1
+			return p
+		}
+		for i := range 400 {
+			b.ledger.add("c/j", "night", strconv.Itoa(i))
+		}
+		b.start()
+		saturated := func() (all bool) {
+			w.change(func() {
+				all = w.running[addresses[0]] == witnessSlots-1 && w.running[addresses[1]] == witnessSlots-1
+			})
+			return all
+		}
+		for burst := range 3 {
+			Eventually(saturated, patience).Should(BeTrue())
+			b.online(1)
+			var group sync.WaitGroup
+			for _, address := range addresses {
+				group.Go(func() { click(w, address, burst) })
+			}
+			group.Wait()
+			b.online(0)
+		}
+		By("a click whose signal is lost, while the bundle holds all its connections for good")
+		Eventually(saturated, patience).Should(BeTrue())
+		before := clicks.Load()
+		freeze(addresses[0], true)
+		DeferCleanup(freeze, addresses[0], false)
+		var group sync.WaitGroup
+		group.Go(func() { click(w, addresses[0], 99) })
+		Eventually(clicks.Load, patience).Should(Equal(before+1), "the click reached the engine")
+		freeze(addresses[0], false)
+		group.Wait()
+		Expect(w.batch).To(BeNumerically(">", 2*witnessSlots), "batch did run")
+		Expect(w.queued).To(BeEmpty(), "starts that found all slots of the engine taken")
+	})
+})
+
+// click sends one online request and waits for its whole answer.
+func click(engine target.Engine, address string, n int) {
+	defer GinkgoRecover()
+	ctx := target.WithUrgency(context.Background(), target.UrgencyOnline)
+	_, err := engine.Generate(ctx, address, target.GenerateRequest{
+		StreamID: "click/" + strconv.Itoa(n), Model: "m", MaxTokens: 8,
+		Messages: []target.Message{{Role: "user", Content: "which sheet is current?"}},
+	}, func(target.Token) error { return nil })
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func freeze(address string, frozen bool) {
+	body := strings.NewReader(`{"frozen":` + strconv.FormatBool(frozen) + `}`)
+	req, err := http.NewRequest(http.MethodPut, "http://"+address+"/control", body)
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.Body.Close()).To(Succeed())
+}
