--- a/test/helpers_test.go
+++ b/test/helpers_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net/http"
-	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -22,26 +18,6 @@
 	return err
 }
 
-// halfUpload sends the first lines of a job and then breaks the connection.
-func halfUpload(d *fleet.Daemon, profile, name string) error {
-	const line = `{"custom_id":"a","url":"/v1/chat/completions","body":{"model":"ordering","messages":[{"role":"user","content":"x"}]}}` + "\n"
-	body := io.MultiReader(strings.NewReader(line), broken{})
-	req, err := http.NewRequest(http.MethodPut, d.Client.Base+"/v1/jobs/"+name, body)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Tarragon-Profile", profile)
-	resp, err := d.Client.HTTP.Do(req)
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
-
-type broken struct{}
-
-func (broken) Read([]byte) (int, error) { return 0, errors.New("the line dropped") }
-
 // publish publishes a configuration made from the base version.
 func publish(d *fleet.Daemon, text string, base uint64) (caller.Config, error) {
 	ctx, stop := callTime()
--- a/test/jobs_test.go
+++ b/test/jobs_test.go
@@ -48,20 +48,6 @@
 		Expect(f.Put(f.Daemons[2], job)).To(BeFalse())
 	})
 
-	// Half an upload reaches a daemon that dies: nothing of it is a job.
-	It("whose upload breaks off does not exist", func() {
-		f := fleet.Start(fleet.Options{})
-		job := fleet.NewJob("prep", 3, -1)
-		Expect(halfUpload(f.Daemons[0], f.Shape.BatchProfile, job.Name)).To(HaveOccurred())
-		for _, d := range f.Daemons {
-			_, err := f.JobState(d, job.Name)
-			Expect(caller.IsRefused(err)).To(HaveField("Status", 404))
-		}
-		Expect(f.Put(f.Daemons[1], job)).To(BeTrue())
-		f.WaitJob(f.Daemons[2], job)
-		f.CheckJob(job)
-	})
-
 	// The office withdraws a bundle in the middle of the night. From the moment
 	// the daemon says so no further drawing may start at any engine.
 	It("that is cancelled starts no item any more", func() {
--- a/test/whole_path_test.go
+++ b/test/whole_path_test.go
@@ -83,6 +83,8 @@
 		run(0, "job", "cancel", "by-hand", daemon)
 		run(1, "job", "status", "never-sent", daemon)
 		Expect(run(0, "status", daemon)).To(ContainSubstring("entry-2"))
+		Expect(run(0, "report", "burn", daemon)).To(ContainSubstring(f.Shape.ChatProfile))
+		Expect(run(0, "report", "burn", "--json", daemon)).To(HavePrefix("{"))
 		run(3, "status", "--daemon=http://127.0.0.1:1")
 	})
 })
