Ask likely holders and dial anew after a broken probe

Cause: two parts were left of the wait after an owner's death. Some views only suspected it and buried it a tick or more later: their probe was under way as the process ended, and a connection that breaks is not yet a refusal. And hosts that had not heard of a shard's new holder waited for the word that travels with the probes, up to half a second, though it is clear who should have claimed it.

Ruled out: telling every member of each claim (a burst of calls that grows with the fleet), and a shorter pause before the owner is looked for again.

Change: a probe whose connection broke is sent once more on a new one. A call for a shard without a known holder asks the three best ranked other members in turn; each answers from memory whether it holds the shard.

The new spec fails without the change: the host that hasn't heard of the holder takes the shard over itself after 5 s ("the holder granted it, not a later one", shards_test.go:441).

--- a/daemon/members/loops.go
+++ b/daemon/members/loops.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/peer"
 	"tarragonhollow.example/tarragonhollow/platform"
 )
 
@@ -110,7 +111,14 @@
 		timeout = contactTimeout
 	}
 	var reply membership.ProbeReply
-	if err := m.call(ctx, timeout, p.Address, "Probe", &p.Request, &reply); err != nil {
+	began := m.opt.Clock()
+	err := m.call(ctx, timeout, p.Address, "Probe", &p.Request, &reply)
+	if peer.IsNoReply(err) && m.opt.Clock().Sub(began) < m.opt.ProbeEvery {
+		// The connection broke under the call, as it does when the process ends. A
+		// new one tells whether anybody still listens there.
+		err = m.call(ctx, timeout, p.Address, "Probe", &p.Request, &reply)
+	}
+	if err != nil {
 		return err
 	}
 	var next []membership.Probe
--- a/daemon/shards/client.go
+++ b/daemon/shards/client.go
@@ -7,6 +7,7 @@
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/shard"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
 
@@ -19,6 +20,9 @@
 	cancelTimeout = 40 * time.Second
 	// lookAgain is the pause before the shard's owner is looked for again.
 	lookAgain = 50 * time.Millisecond
+	// likelyHolders is how many members are asked in turn for a shard whose holder
+	// is not known.
+	likelyHolders = 3
 	// noOwnerRetryMs is told to a caller whose shard has no owner.
 	noOwnerRetryMs = 1000
 )
@@ -32,8 +36,8 @@
 	var none R
 	giveUp := s.opt.Clock().Add(s.opt.RetryFor)
 	reached := false
-	for {
-		w, sent := askOnce(ctx, s, sl, method, timeout, req, own)
+	for try := 0; ; try++ {
+		w, sent := askOnce(ctx, s, sl, try, method, timeout, req, own)
 		reached = reached || sent
 		switch {
 		case !w.NotOwner && w.Refusal != nil:
@@ -49,7 +53,7 @@
 
 // askOnce calls the owner as far as it is known. sent tells that the call may
 // have taken effect though no answer came.
-func askOnce[Q, R any](ctx context.Context, s *Shards, sl *slot, method string, timeout time.Duration,
+func askOnce[Q, R any](ctx context.Context, s *Shards, sl *slot, try int, method string, timeout time.Duration,
 	req Q, own func(context.Context, Q) Word[R]) (w Word[R], sent bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -59,7 +63,11 @@
 		return w, w.NotOwner
 	}
 	if !ok || holder.ID() == s.opt.View.Self().ID() {
-		return Word[R]{NotOwner: true}, false
+		// Word of a new holder travels with the probes. Who should claim the shard
+		// is known at once, and may hold it already.
+		if holder, ok = s.likelyHolder(sl.id, try); !ok {
+			return Word[R]{NotOwner: true}, false
+		}
 	}
 	if err := s.opt.Peer.Call(ctx, holder.PeerAddress, method, req, &w); err != nil {
 		s.doubt(holder.PeerAddress, err)
@@ -68,6 +76,22 @@
 	return w, false
 }
 
+// likelyHolder is one of the best ranked other members, which claim a shard that
+// loses its holder; each further try asks the next of them.
+func (s *Shards) likelyHolder(id, try int) (membership.Member, bool) {
+	self := s.opt.View.Self().ID()
+	var likely []membership.Member
+	for _, m := range s.opt.View.Successors(shard.Key(id)) {
+		if m.ID() != self && len(likely) < likelyHolders {
+			likely = append(likely, m)
+		}
+	}
+	if len(likely) == 0 {
+		return membership.Member{}, false
+	}
+	return likely[try%len(likely)], true
+}
+
 // doubter is a View that can look at a member out of turn.
 type doubter interface{ Doubt(address string) }
 
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,8 @@
 	// the members that were to be looked at.
 	revoked []string
 	doubted []string
+	// blind keeps the node from hearing who holds what.
+	blind atomic.Bool
 }
 
 func newFleet(hosts ...string) *fleet {
@@ -197,6 +200,9 @@
 }
 
 func (n *node) Holder(id int) (best membership.Member, found bool) {
+	if n.blind.Load() {
+		return best, false
+	}
 	var term uint64
 	for _, m := range n.Members() {
 		for _, h := range m.Shards {
@@ -420,6 +426,21 @@
 		Expect(n.doubted).To(ConsistOf(gone))
 	})
 
+	// A shard has just changed hands, and word of its new holder has not come to
+	// the host at which an order is placed. The order must find the holder all the
+	// same, since it is clear who was to claim the shard.
+	It("finds a holder it has not heard of", func() {
+		f := newFleet("a", "b", "c", "d")
+		owner := f.ownerOf("c/k")
+		term := owner.term("c/k")
+		entry := f.other(owner)
+		entry.blind.Store(true)
+		r, err := begin(entry, "c/k", "n1", false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Verdict).To(Equal(ledger.Granted))
+		Expect(owner.term("c/k")).To(Equal(term), "the holder granted it, not a later one")
+	})
+
 	// The log loses answers, and whole appends, in the middle of an evening's
 	// orders. Each is found again or appended again, and every order is granted.
 	It("finds lost appends again by reading back", func() {
