Take a chat's fields by the letter of their names

Cause: encoding/json matches names without regard to case, so {"STREAM":true} changed the answer's form and "Model" beside "model" its model, while both were passed on to the engine as fields that the daemon does not know.

Ruled out: refusing such fields, since the contract passes unknown ones on.

Change: the body is read into its raw fields once and the five known names are taken from them by the letter; an error names its field.

Conclusion: an unknown field reaches the engine and does nothing else.

--- a/chat/request.go
+++ b/chat/request.go
@@ -3,7 +3,6 @@
 package chat
 
 import (
-	"bytes"
 	"encoding/json"
 	"strings"
 
@@ -17,16 +16,27 @@
 
 // requestFields are the body's fields that the daemon understands.
 type requestFields struct {
-	Model     string    `json:"model"`
-	Messages  []message `json:"messages"`
-	MaxTokens *int      `json:"max_tokens"`
+	Model     string
+	Messages  []message
+	MaxTokens *int
 	// MaxCompletionTokens is the newer name of MaxTokens.
-	MaxCompletionTokens *int  `json:"max_completion_tokens"`
-	Stream              *bool `json:"stream"`
+	MaxCompletionTokens *int
+	Stream              *bool
+}
+
+// field is a field's name and where its value goes.
+type field struct {
+	name  string
+	value any
 }
 
 // understood names those fields; all others are passed on untouched.
-var understood = []string{"model", "messages", "max_tokens", "max_completion_tokens", "stream"}
+func (f *requestFields) understood() []field {
+	return []field{
+		{"model", &f.Model}, {"messages", &f.Messages}, {"stream", &f.Stream},
+		{"max_tokens", &f.MaxTokens}, {"max_completion_tokens", &f.MaxCompletionTokens},
+	}
+}
 
 // message is a message whose content is a string or an array of text parts.
 type message struct {
@@ -72,24 +82,29 @@
 }
 
 // ParseRequest reads the body of a chat completion. The error is a *outcome.Refusal.
+//
+// Names are taken by the letter. Failure guarded against: encoding/json would
+// take "Stream" for "stream", so that a field which the daemon does not know
+// would change the answer's form and be passed on too.
 func ParseRequest(body []byte) (req target.GenerateRequest, stream bool, err error) {
-	var f requestFields
-	if err := json.Unmarshal(body, &f); err != nil {
-		return req, false, outcome.Refuse(outcome.BadRequest, "the body is not a chat completion: %v", err)
+	extra := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(body, &extra); err != nil {
+		return req, false, outcome.Refuse(outcome.BadRequest, "the body is not a JSON object: %v", err)
 	}
-	if !bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
-		return req, false, outcome.Refuse(outcome.BadRequest, "the body is not a JSON object")
+	var f requestFields
+	for _, field := range f.understood() {
+		raw, given := extra[field.name]
+		delete(extra, field.name)
+		if !given {
+			continue
+		}
+		if err := json.Unmarshal(raw, field.value); err != nil {
+			return req, false, outcome.Refuse(outcome.BadRequest, "%s: %v", field.name, err)
+		}
 	}
 	if err := f.check(); err != nil {
 		return req, false, err
 	}
-	extra := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(body, &extra); err != nil {
-		return req, false, outcome.Refuse(outcome.BadRequest, "the body is not a JSON object")
-	}
-	for _, name := range understood {
-		delete(extra, name)
-	}
 	req = target.GenerateRequest{Model: f.Model, MaxTokens: f.maxTokens(), Messages: f.messages()}
 	if len(extra) > 0 {
 		req.Extra = extra
