Let the fleet script put a delay before the engines of one zone

Cause: batch policies are to be measured with one availability zone slow. Change: SLOW_ZONE and SLOW_MS start a fault proxy before each engine of that zone, which delays both directions. Without them nothing changes.

--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -8,7 +8,8 @@
 #
 # Environment: ENGINES, SERVICES, ZONES, MODEL and SERVICE override the
 # deployment's own; ENGINE_SET and DAEMON_SET hold more lines for the [engine]
-# section and more "--set section.key=value" flags.
+# section and more "--set section.key=value" flags. SLOW_ZONE puts a fault proxy
+# before the engines of that zone, which delays each way by SLOW_MS.
 set -euo pipefail
 
 dir=$1
@@ -75,6 +76,12 @@
   zone=${zones[$((i % ${#zones[@]}))]}
   printf '[engine]\nlisten = 127.0.0.1:0\nmodel = %s\nversion = 1\nseed = %s\n%b\n' "$model" "$i" "${ENGINE_SET:-}" >"$dir/engine-$i.ini"
   standin engine "engine-$i"
+  if [ "$zone" = "${SLOW_ZONE:-}" ]; then
+    printf '[fault-proxy]\nlisten = 127.0.0.1:0\ntarget = %s\n' "$address" >"$dir/proxy-$i.ini"
+    standin fault-proxy "proxy-$i"
+    curl -sf -X PUT "http://$(await "$dir/logs/proxy-$i.out" 'control=[0-9.:]+' | cut -d= -f2)/control/faults" \
+      -H 'Content-Type: application/json' -d "{\"delay_up_ms\":${SLOW_MS:-25},\"delay_down_ms\":${SLOW_MS:-25}}" >/dev/null
+  fi
   list "engine-$i" target "$address" "$zone"
   engine_list+=("$address@$zone")
 done
