Tell callers no target's address and operators who left for good

Cause: a refusal's message held the target's IP:PORT and, for transport errors, the dialled address; callers have no business with either. Every daemon that stopped gracefully was logged as dead a few seconds later.

--- a/daemon/online/run.go
+++ b/daemon/online/run.go
@@ -238,7 +238,7 @@
 	o.meters.retries.Inc()
 	o.opt.Logger.Debug("attempt_failed",
 		zap.String("request_id", r.call.RequestID), zap.String("target", address),
-		zap.Int("attempt", r.attempts), zap.String("cause", failure.Detail),
+		zap.Int("attempt", r.attempts), zap.String("cause", failure.Error()),
 		zap.Int64("backoff_ms", decision.Backoff.Milliseconds()))
 	r.pick.SeedValue = rand.Uint64()
 	pause(ctx, decision.Backoff)
--- a/daemon/online/service.go
+++ b/daemon/online/service.go
@@ -91,7 +91,7 @@
 	if !replayed {
 		return *response, nil
 	}
-	header := http.Header{}
+	header := http.Header{api.HeaderReplayed: {"true"}}
 	if answer.ContentType != "" {
 		header.Set(headerContentType, answer.ContentType)
 	}
--- a/daemon/steward/settle.go
+++ b/daemon/steward/settle.go
@@ -131,6 +131,9 @@
 
 func refusalFor(err error, f *target.Failure) *outcome.Refusal {
 	refusal := &outcome.Refusal{Code: outcome.TargetFailed, Message: err.Error(), Run: outcome.MayHaveRun}
+	if f != nil {
+		refusal.Message = f.Detail
+	}
 	switch {
 	case errorx.IsOfType(err, ItemError):
 		refusal.Code, refusal.Run = outcome.BadRequest, outcome.NotRun
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -21,7 +21,7 @@
 func (d *Daemon) watchLoop(ctx context.Context) {
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
-	last := map[string]membership.Member{}
+	last := map[string]watched{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,14 +35,22 @@
 	}
 }
 
+// watched is a member as last seen. One that left is not a loss, also when the
+// others take its silence for a death afterwards.
+type watched struct {
+	membership.Member
+	leaving bool
+}
+
 // tellChanges logs what differs between two pictures and returns the new one.
-func (d *Daemon) tellChanges(last map[string]membership.Member, members []membership.Member) map[string]membership.Member {
-	now := make(map[string]membership.Member, len(members))
+func (d *Daemon) tellChanges(last map[string]watched, members []membership.Member) map[string]watched {
+	now := make(map[string]watched, len(members))
 	for _, m := range members {
-		now[m.Host] = m
 		before, known := last[m.Host]
+		same := known && before.Incarnation == m.Incarnation
+		now[m.Host] = watched{m, m.State == membership.Leaving || (same && before.leaving)}
 		switch {
-		case !known:
+		case !same:
 			d.logger.Info("member_joined", memberFields(m)...)
 		case before.State != m.State:
 			d.logger.Info("member_"+stateName(m.State), append(memberFields(m), zap.String("before", stateName(before.State)))...)
@@ -50,12 +58,20 @@
 	}
 	for host, m := range last {
 		if _, still := now[host]; !still {
-			d.logger.Warn("member_dead", append(memberFields(m), zap.String("cause", "no answer to direct and indirect probes"))...)
+			d.tellGone(m)
 		}
 	}
 	return now
 }
 
+func (d *Daemon) tellGone(m watched) {
+	if m.leaving {
+		d.logger.Info("member_left", memberFields(m.Member)...)
+		return
+	}
+	d.logger.Warn("member_dead", append(memberFields(m.Member), zap.String("cause", "no answer to direct and indirect probes"))...)
+}
+
 func memberFields(m membership.Member) []zap.Field {
 	return []zap.Field{
 		zap.String("member", m.Host),
--- a/standin/deployment/shape.go
+++ b/standin/deployment/shape.go
@@ -35,6 +35,9 @@
 	ChatProfile, ActionProfile, BatchProfile string
 	// ActionPath is the path of the service's non-repeatable call.
 	ActionPath string
+	// Question and Action are examples: a chat's text and a non-repeatable
+	// call's JSON body.
+	Question, Action string
 	// Due is the batch profile's due time, as written in the configuration.
 	Due string
 	// BatchWeight trades the online tail (0) against batch throughput (1).
@@ -70,6 +73,8 @@
 		ActionProfile: "place-order",
 		BatchProfile:  "prep-sheets",
 		ActionPath:    "/orders",
+		Question:      "Is there pho today?",
+		Action:        `{"room":12,"dish":"pho"}`,
 		Due:           "6h",
 		BatchWeight:   0,
 	}
@@ -88,6 +93,8 @@
 		ActionProfile: "stamp-revision",
 		BatchProfile:  "bundle-index",
 		ActionPath:    "/revisions",
+		Question:      "Which revision of sheet A-101 is current?",
+		Action:        `{"sheet":"A-101","revision":"C"}`,
 		Due:           "8h",
 		BatchWeight:   0.6,
 	}
--- a/target/failure.go
+++ b/target/failure.go
@@ -35,21 +35,24 @@
 // whether a connection had been handed to the request: before that not one byte
 // can have left this process, so only then is Reached false.
 func transportFailure(ctx context.Context, address string, connected bool, err error) *Failure {
-	f := &Failure{Reached: connected, Err: err}
+	f := &Failure{Reached: connected, Address: address, Err: err}
 	if cause := ctx.Err(); cause != nil {
 		// The caller gave up: the target did not break the connection, and must
 		// not be counted as crashed.
-		f.Err = cause
-		f.Detail = fmt.Sprintf("given up on %s: %v", address, context.Cause(ctx))
+		f.Err = context.Cause(ctx)
+		if !errors.Is(f.Err, cause) {
+			f.Err = errors.Join(f.Err, cause)
+		}
+		f.Detail = "given up while the target worked"
 		return f
 	}
 	f.Err = TransportError.Wrap(err, "call to %s", address)
 	if !connected {
-		f.Detail = fmt.Sprintf("no connection to %s: %v", address, err)
+		f.Detail = "no connection to the target"
 		return f
 	}
 	f.Crashed = !isTimeout(err)
-	f.Detail = fmt.Sprintf("connection to %s broke: %v", address, err)
+	f.Detail = "the connection to the target broke"
 	return f
 }
 
@@ -61,14 +64,14 @@
 
 func protocolFailure(address, format string, args ...any) *Failure {
 	err := ProtocolError.New(format, args...)
-	return &Failure{Reached: true, Detail: address + ": " + err.Message(), Err: err}
+	return &Failure{Reached: true, Address: address, Detail: "the target broke the protocol", Err: err}
 }
 
 // statusFailure classifies an HTTP status other than 2xx. refused tells that
 // the target is known not to have executed the request.
 func statusFailure(address string, status int, refused bool, body []byte) *Failure {
-	f := &Failure{Reached: !refused, Status: status}
-	f.Detail = fmt.Sprintf("%s answered %d: %s", address, status, excerpt(body))
+	f := &Failure{Reached: !refused, Status: status, Address: address}
+	f.Detail = fmt.Sprintf("the target answered %d: %s", status, excerpt(body))
 	switch {
 	case refused:
 		f.Busy = true
--- a/target/stream.go
+++ b/target/stream.go
@@ -89,7 +89,7 @@
 	if f.Reason != "cancelled" {
 		return protocolFailure(address, "unknown finish reason %q", f.Reason)
 	}
-	return &Failure{Reached: true, Detail: address + ": " + ErrStreamCancelled.Error(), Err: ErrStreamCancelled}
+	return &Failure{Reached: true, Address: address, Detail: "the stream was cancelled at the target", Err: ErrStreamCancelled}
 }
 
 // readData returns the content of the next data line; it is valid until the
--- a/target/target.go
+++ b/target/target.go
@@ -142,14 +142,25 @@
 	Busy bool
 	// Status is the HTTP status, 0 if none came.
 	Status int
-	// Detail is for logs and the caller's message.
+	// Address is the target's, for logs; callers are not told it.
+	Address string
+	// Detail is for logs and the caller's message: it names no host.
 	Detail string
 	// Err is the cause, may be nil.
 	Err error
 }
 
 // Error implements error.
-func (f *Failure) Error() string { return f.Detail }
+func (f *Failure) Error() string {
+	text := f.Detail
+	if f.Address != "" {
+		text = f.Address + ": " + text
+	}
+	if f.Err != nil {
+		text += ": " + f.Err.Error()
+	}
+	return text
+}
 
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
--- a/try/try.go
+++ b/try/try.go
@@ -77,12 +77,16 @@
 	for i, m := range f.daemons {
 		fmt.Fprintf(out, "daemon %d in %s: %s\n", i+1, f.shape.Zone(i), m.client.Base)
 	}
-	fmt.Fprintf(out, "operators' token: %s\n\nTry, from another terminal:\n\n", adminToken)
+	fmt.Fprint(out, "\nTry, from another terminal:\n\n")
 	fmt.Fprintf(out, "DAEMON=%s\n", f.daemons[0].client.Base)
-	fmt.Fprintf(out, "curl -s $DAEMON%s -H 'Tarragon-Profile: %s' \\\n  -d '{\"model\":%q,\"messages\":[{\"role\":\"user\",\"content\":\"Is there pho today?\"}]}'\n",
-		caller.ChatPath, f.shape.ChatProfile, f.shape.Model)
-	fmt.Fprintf(out, "curl -s $DAEMON/v1/services/%s%s -H 'Tarragon-Profile: %s' \\\n  -H 'Idempotency-Key: first-one' -d '{\"room\":12}'\n",
-		f.shape.Service, f.shape.ActionPath, f.shape.ActionProfile)
+	fmt.Fprintf(out, "curl -s $DAEMON%s -H 'Tarragon-Profile: %s' \\\n  -d '{\"model\":%q,\"messages\":[{\"role\":\"user\",\"content\":%q}]}'\n",
+		caller.ChatPath, f.shape.ChatProfile, f.shape.Model, f.shape.Question)
+	fmt.Fprintf(out, "curl -s $DAEMON/v1/services/%s%s -H 'Tarragon-Profile: %s' \\\n  -H 'Idempotency-Key: first-one' -d '%s'\n",
+		f.shape.Service, f.shape.ActionPath, f.shape.ActionProfile, f.shape.Action)
+	fmt.Fprintf(out, "\nAs an operator:\n\nexport TARRAGONHOLLOW_DAEMON=$DAEMON TARRAGONHOLLOW_TOKEN=%s\n", adminToken)
+	for _, command := range []string{"status", "config show", "report burn"} {
+		fmt.Fprintf(out, "go run ./cmd/tarragonhollow %s\n", command)
+	}
 	<-ctx.Done()
 	return nil
 }
