Start only cached prompts below the fill level beside online work

Cause: with a fill level, items of long uncached prompts start beside online requests at weight 0, and one such prefill stretches a step of all streams. The fleet's measurements did not show it, since their items share prompts that the engines hold.

Ruled out: a bound on the prompt's length alone; it would keep out every item whose long shared prompt is cached.

Change: the steward remembers the prefixes that its items left at a target and estimates what is left to take in. On account of the fill level an item starts only with at most 64 such tokens, and a stream still at a longer prefill is cancelled when online work comes. What a weight above 0 earns stays as it was. Prompts are decoded before the lock is taken, so that a large pull holds up no cancel.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -45,6 +45,9 @@
 	Tokens int
 	// Admitted is when the stream was started.
 	Admitted time.Time
+	// Small tells that the prompt was almost whole in the target's cache at the
+	// start, so that its prefill hardly lengthens a step.
+	Small bool
 	// Suspect streams run alone.
 	Suspect bool
 	// Pinned streams are never cancelled to make room: calls of plain services
@@ -56,6 +59,8 @@
 type Queue struct {
 	// Waiting counts the items that could start now.
 	Waiting int
+	// Small counts those whose prefill hardly lengthens a step; it may stop at one.
+	Small int
 	// NextDue is the due time of the most urgent one.
 	NextDue time.Time
 	// Weight is its profile's batch weight.
@@ -78,16 +83,20 @@
 	ReasonOnline   Reason = "online_running"
 	ReasonCoolDown Reason = "cool_down"
 	ReasonPrefill  Reason = "prefill_running"
-	ReasonRamp     Reason = "ramp"
-	ReasonSilent   Reason = "entries_silent"
-	ReasonFull     Reason = "slots_full"
-	ReasonEmpty    Reason = "nothing_waiting"
+	// ReasonLongPrefill: what waits would stretch a step of online work too much.
+	ReasonLongPrefill Reason = "long_prefill"
+	ReasonRamp        Reason = "ramp"
+	ReasonSilent      Reason = "entries_silent"
+	ReasonFull        Reason = "slots_full"
+	ReasonEmpty       Reason = "nothing_waiting"
 )
 
 // Action is the output of a step.
 type Action struct {
 	// Admit is how many waiting items may start now.
 	Admit int
+	// Small tells that only items with a small prefill may start.
+	Small bool
 	// Cancel lists running streams to be cancelled at once, to be resumed later.
 	Cancel []StreamID
 	// Why tells what holds back further items.
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -83,6 +83,7 @@
 			}
 			weight := rapid.SampledFrom([]float64{0, 0, 0.5, 1}).Draw(rt, "weight")
 			q := Queue{Waiting: rapid.IntRange(0, 9).Draw(rt, "waiting"), Weight: weight}
+			q.Small = rapid.IntRange(0, q.Waiting).Draw(rt, "small")
 			q.Suspect = q.Waiting > 0 && rapid.IntRange(0, 5).Draw(rt, "suspect") == 0
 			a := target.Step(now, q)
 			checkStep(rt, m, a, q, now, slots, policy)
@@ -199,6 +200,16 @@
 	filled.Signal(now, "a", 2, 6, 6)
 	g.Expect(filled.Step(now, Queue{Waiting: 9}).Cancel).To(HaveLen(7), "a burst takes all")
 
+	small := NewTarget(GiveWay{Headroom: 1, Fill: 5}, 8, now)
+	small.Admitted(now, Stream{ID: 1})
+	small.Admitted(now, Stream{ID: 2, Small: true})
+	small.Signal(now, "a", 1, 1, 1)
+	g.Expect(small.Step(now, Queue{}).Cancel).To(Equal([]StreamID{1}), "a long prefill does not go on beside online")
+	small.Ended(now, 1)
+	small.Progress(2, 1)
+	g.Expect(small.Step(now, Queue{Waiting: 5})).To(Equal(Action{Why: ReasonLongPrefill}))
+	g.Expect(small.Step(now, Queue{Waiting: 5, Small: 1})).To(Equal(Action{Admit: 1, Small: true, Why: ReasonOnline}))
+
 	silent := start(0, 0)
 	silent.SetEntries([]string{"a"})
 	silent.Signal(now, "a", 1, 1, 1)
--- a/core/admission/policy.go
+++ b/core/admission/policy.go
@@ -21,8 +21,10 @@
 	Silent bool
 	// Running lists the batch streams.
 	Running []Stream
-	// Waiting and Weight describe the queue's head.
+	// Waiting and Weight describe the queue's head; Small counts the waiting
+	// items with a small prefill.
 	Waiting int
+	Small   int
 	Weight  float64
 }
 
@@ -100,17 +102,22 @@
 func (p GiveWay) Limit(s Snapshot) int { return p.limit(s, s.Weight) }
 
 func (p GiveWay) limit(s Snapshot, weight float64) int {
-	spare := max(s.Slots-s.Online-p.headroom(s.Slots), 0)
+	spare := p.spare(s)
 	if s.Online == 0 && s.Quiet >= p.CoolDown {
 		return spare
 	}
 	return max(share(weight, spare), min(p.Fill-s.Online, spare))
 }
 
+func (p GiveWay) spare(s Snapshot) int {
+	return max(s.Slots-s.Online-p.headroom(s.Slots), 0)
+}
+
 // Decide implements Policy. While online work runs, a stream is kept only if
 // its rank is below the limit that its weight earns. A new stream's prefill
 // stretches the time between tokens of all running streams, so beside online
-// work at most one prefill runs at a time.
+// work at most one prefill runs at a time, and what runs on account of Fill
+// alone must have a small one.
 func (p GiveWay) Decide(s Snapshot) Action {
 	if s.Online > 0 {
 		return p.besideOnline(s)
@@ -135,7 +142,11 @@
 	a := Action{Why: ReasonOnline}
 	kept := 0
 	for _, r := range s.Running {
-		if r.Pinned || kept < p.limit(s, r.Weight) {
+		limit := p.limit(s, r.Weight)
+		if r.Tokens == 0 && !r.Small {
+			limit = share(r.Weight, p.spare(s))
+		}
+		if r.Pinned || kept < limit {
 			kept++
 			continue
 		}
@@ -161,7 +172,12 @@
 			return a
 		}
 	}
-	a.Admit = 1
+	small := len(s.Running) >= p.quota(share(s.Weight, p.spare(s)), s.Silent, &why)
+	if small && s.Small == 0 {
+		a.Why = ReasonLongPrefill
+		return a
+	}
+	a.Admit, a.Small = 1, small
 	return a
 }
 
--- a/core/admission/target.go
+++ b/core/admission/target.go
@@ -207,6 +207,7 @@
 		Silent:  t.entries.silent(now),
 		Running: make([]Stream, 0, len(t.running)),
 		Waiting: q.Waiting,
+		Small:   q.Small,
 		Weight:  EffectiveWeight(q.Weight, now, q.NextDue, q.Forecast),
 	}
 	for _, r := range t.running {
--- a/daemon/steward/assign.go
+++ b/daemon/steward/assign.go
@@ -23,7 +23,9 @@
 	mu   sync.Mutex
 	core *admission.Target
 	runs map[admission.StreamID]*run
-	why  admission.Reason
+	// prefixes is what the runs left in the target's cache.
+	prefixes prefixMemory
+	why      admission.Reason
 	// heldBack counts streams cancelled since toldAt, when that was last logged.
 	heldBack int
 	toldAt   time.Time
@@ -85,11 +87,12 @@
 	}
 	s.log.Info("steward_taken", zap.String("target", address), zap.String("group", g.Name))
 	t := &targetState{
-		address: address,
-		group:   g.Name,
-		kind:    g.Kind,
-		core:    admission.NewTarget(s.opts.PolicyOf(g), g.Slots, now),
-		runs:    make(map[admission.StreamID]*run),
+		prefixes: newPrefixMemory(),
+		address:  address,
+		group:    g.Name,
+		kind:     g.Kind,
+		core:     admission.NewTarget(s.opts.PolicyOf(g), g.Slots, now),
+		runs:     make(map[admission.StreamID]*run),
 	}
 	s.meter.addTarget(t)
 	return t
--- a/daemon/steward/decide.go
+++ b/daemon/steward/decide.go
@@ -49,7 +49,7 @@
 		s.tellHeldBack(now, t, cancelled)
 	}
 	for range action.Admit {
-		if !s.startNextLocked(now, t, queue.Suspect) {
+		if !s.startNextLocked(now, t, queue.Suspect, action.Small) {
 			return
 		}
 	}
@@ -104,6 +104,10 @@
 			continue
 		}
 		q.Waiting++
+		// One is enough to know of: beside online work one starts at a time.
+		if q.Small == 0 && it.smallAtLocked(t) {
+			q.Small = 1
+		}
 		if q.NextDue.IsZero() || it.due.Before(q.NextDue) {
 			q.NextDue, q.Weight, q.Forecast = it.due, it.weight, s.jobFinishLocked(it)
 		}
@@ -142,12 +146,16 @@
 	return it.prefer == nil || it.prefer == t || !now.Before(it.preferUntil)
 }
 
-// startNextLocked starts the most urgent item that waits for the target.
-func (s *Steward) startNextLocked(now time.Time, t *targetState, suspect bool) bool {
+// startNextLocked starts the most urgent item that waits for the target, of
+// those with a small prefill if small is set.
+func (s *Steward) startNextLocked(now time.Time, t *targetState, suspect, small bool) bool {
 	best := -1
 	queue := s.queued[t.group]
 	for i, it := range queue {
-		if it.suspect == suspect && it.mayRunAt(now, t) && (best < 0 || earlier(it, queue[best])) {
+		if it.suspect != suspect || !it.mayRunAt(now, t) || small && !it.smallAtLocked(t) {
+			continue
+		}
+		if best < 0 || earlier(it, queue[best]) {
 			best = i
 		}
 	}
--- a/daemon/steward/item.go
+++ b/daemon/steward/item.go
@@ -41,6 +41,7 @@
 	// monotonic clock.
 	startUntil time.Time
 
+	prompt   prompt
 	progress []string
 	segment  int
 	tries    int
--- a/daemon/steward/policy_bench_test.go
+++ b/daemon/steward/policy_bench_test.go
@@ -101,6 +101,8 @@
 // the time from a burst's first request to the last batch token. Run it with
 // -benchtime=1x; one round takes some 20 seconds for each policy.
 func BenchmarkPolicies(b *testing.B) {
+	filled := admission.DefaultGiveWay()
+	filled.Fill = 6
 	for _, c := range []struct {
 		name   string
 		policy admission.Policy
@@ -111,6 +113,7 @@
 		{"fcfs", admission.FCFS{}, 0, 4000},
 		{"static_reserve_4", admission.StaticReserve{Free: 4}, 0, 4000},
 		{"give_way_0", admission.DefaultGiveWay(), 0, 4000},
+		{"give_way_0_fill_6", filled, 0, 4000},
 		{"give_way_0.5", admission.DefaultGiveWay(), 0.5, 4000},
 		{"give_way_1", admission.DefaultGiveWay(), 1, 4000},
 	} {
--- a/daemon/steward/pull.go
+++ b/daemon/steward/pull.go
@@ -182,6 +182,7 @@
 	bounded, release := context.WithTimeout(ctx, pullTimeout)
 	defer release()
 	reply, err := s.opts.Ledger.Pull(bounded, p.owner, req)
+	prompts := promptsOf(reply.Items)
 	now := s.opts.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -194,10 +195,10 @@
 		s.log.Debug("pull_failed", zap.String("owner", p.owner), zap.String("group", p.group), zap.Error(err))
 		return
 	}
-	s.takeReplyLocked(now, p, req, reply)
+	s.takeReplyLocked(now, p, req, reply, prompts)
 }
 
-func (s *Steward) takeReplyLocked(now time.Time, p *pullCall, req ledger.PullRequest, reply ledger.PullReply) {
+func (s *Steward) takeReplyLocked(now time.Time, p *pullCall, req ledger.PullRequest, reply ledger.PullReply, prompts []prompt) {
 	lease := time.Duration(reply.LeaseMs) * time.Millisecond
 	s.maxLease = max(s.maxLease, lease)
 	until := p.sentAt.Add(lease - leaseMargin)
@@ -207,8 +208,8 @@
 			s.stopItemLocked(it)
 		}
 	}
-	for _, leased := range reply.Items {
-		s.takeItemLocked(now, p, leased, until)
+	for i, leased := range reply.Items {
+		s.takeItemLocked(now, p, leased, prompts[i], until)
 	}
 	if len(reply.Items) > 0 {
 		s.pokes.Offer(s.anyTarget(p.group))
@@ -236,7 +237,7 @@
 // again because its renewal went astray: the run goes on under the new attempt.
 // If its end waits to be delivered, running it again would be wasted. An item
 // that was handed back may return before the call that took it over does.
-func (s *Steward) takeItemLocked(now time.Time, p *pullCall, leased ledger.LeasedItem, until time.Time) {
+func (s *Steward) takeItemLocked(now time.Time, p *pullCall, leased ledger.LeasedItem, read prompt, until time.Time) {
 	key := itemKey{leased.Ref.Job, leased.Ref.Index}
 	if have := s.held[key]; have != nil && !have.handedBack {
 		if have.ended {
@@ -258,6 +259,7 @@
 		suspect:    leased.Suspect,
 		startUntil: until,
 		repeatable: profile.Repeatable,
+		prompt:     read,
 		progress:   append([]string(nil), leased.Progress...),
 		queuedAt:   now,
 	}
--- a/daemon/steward/run.go
+++ b/daemon/steward/run.go
@@ -101,6 +101,7 @@
 	if len(it.progress) > 0 {
 		s.meter.resumed(t)
 	}
+	small := it.smallAtLocked(t)
 	r := &run{id: s.nextStream, item: it, target: t, streamID: it.streamID(), done: make(chan struct{})}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	r.cancel = cancel
@@ -111,7 +112,7 @@
 	}
 	t.core.Admitted(now, admission.Stream{
 		ID: r.id, Due: it.due, Base: it.weight, Forecast: s.jobFinishLocked(it),
-		Suspect: it.suspect, Pinned: it.pinned,
+		Suspect: it.suspect, Pinned: it.pinned, Small: small,
 	})
 	r.alone = t.core.Alone(now, r.id)
 	t.runs[r.id] = r
--- a/daemon/steward/settle.go
+++ b/daemon/steward/settle.go
@@ -51,6 +51,9 @@
 	alone := r.alone && t.core.Alone(now, r.id)
 	t.core.Ended(now, r.id)
 	delete(t.runs, r.id)
+	if len(r.item.progress) > 0 {
+		t.prefixes.remember(r.item.prompt.prefixes)
+	}
 	f := target.FailureOf(err)
 	switch {
 	case err == nil:
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -214,7 +214,7 @@
 		_, whole := b.heldWholeLocked(self.PeerAddress)
 		Expect(whole).To(BeFalse())
 		b.ledger.add("c/j", "once", "x")
-		b.takeReplyLocked(b.opts.Now(), p, ledger.PullRequest{}, ledger.PullReply{Items: b.ledger.waiting, LeaseMs: 1000})
+		b.takeReplyLocked(b.opts.Now(), p, ledger.PullRequest{}, ledger.PullReply{Items: b.ledger.waiting, LeaseMs: 1000}, promptsOf(b.ledger.waiting))
 		delete(b.pulls, p)
 		refs, whole := b.heldWholeLocked(self.PeerAddress)
 		Expect(whole).To(BeTrue())
