--- a/api/options.go
+++ b/api/options.go
@@ -38,7 +38,7 @@
 	DefaultMaxInFlight = 4096
 	// DefaultMaxUploads bounds job uploads at once. Slow ones hold a place for
 	// long, so it is well above what one host takes in at full speed.
-	DefaultMaxUploads = 256
+	DefaultMaxUploads = 16
 	// DefaultMaxBodyMemory bounds what bodies hold in memory together.
 	DefaultMaxBodyMemory = 256 << 20
 )
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -159,21 +159,21 @@
 
 // JobStatus is what GET /v1/jobs/{job} tells.
 type JobStatus struct {
-	Job       string
-	Profile   string
-	State     JobState
-	Items     int
-	Waiting   int
-	Running   int
-	Completed int
-	Failed    int
-	Cancelled int
+	Job       string   `json:"job"`
+	Profile   string   `json:"profile"`
+	State     JobState `json:"state"`
+	Items     int      `json:"items"`
+	Waiting   int      `json:"waiting"`
+	Running   int      `json:"running"`
+	Completed int      `json:"completed"`
+	Failed    int      `json:"failed"`
+	Cancelled int      `json:"cancelled"`
 	// AcceptedMs, DueMs, EndedMs are Unix milliseconds; 0 is "not yet".
-	AcceptedMs int64
-	DueMs      int64
-	EndedMs    int64
+	AcceptedMs int64 `json:"accepted_ms"`
+	DueMs      int64 `json:"due_ms"`
+	EndedMs    int64 `json:"ended_ms"`
 	// ForecastMs is the forecast of finishing, Unix milliseconds; 0 is "unknown".
-	ForecastMs int64
+	ForecastMs int64 `json:"forecast_ms"`
 }
 
 // JobOpenRequest opens the upload of a job under its scoped name CALLER/JOB.
