Drop a failed upload at once

Cause: an upload that fails (a fault in its last line, a caller that breaks off) stayed with the shard's owner for 60 s of rest; a 43.5 MB job with a bad last line sent six times in a row grew the owner from 29 to 914 MiB. Ruled out: a shorter rest (an honest slow caller would lose its upload). Change: the entry host tells the owner, without holding up the caller's refusal; the owner drops the chunks and refuses late ones. A lost word is made up for by the rest. Before: the new spec finds the upload still there.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -402,6 +402,35 @@
 	})
 })
 
+var _ = ginkgo.Describe("an upload that failed", func() {
+	// A script sends a large job with a bad last line again and again. If each
+	// try rested in memory for its idle minute, a few would exhaust the host.
+	ginkgo.It("is dropped at once, and its late chunks and commit are refused", func() {
+		s := newSim()
+		o := s.held("a")
+		s.now += uploadIdleMs
+		chunk := JobChunkRequest{Job: "j", Upload: "u", Items: []Item{{CustomID: "0", URL: "/v1/services/s/p", Body: []byte("{}")}}}
+		o.OpenJob(s.now, JobOpenRequest{Job: "j", Upload: "u", Profile: "p"})
+		o.AddItems(s.now, s.call(), chunk)
+		s.flush(o)
+		Expect(o.State().uploads).To(HaveLen(1))
+		o.AddItems(s.now, s.call(), JobChunkRequest{Job: "j", Upload: "u", Abandon: true})
+		s.flush(o)
+		Expect(o.State().uploads).To(BeEmpty())
+		chunk.Index = 1
+		late, commit := s.call(), s.call()
+		o.AddItems(s.now, late, chunk)
+		o.CommitJob(s.now, commit, JobCommitRequest{Job: "j", Upload: "u", Chunks: 1, Items: 1, Fingerprint: "f"})
+		s.flush(o)
+		Expect(s.replies[late].Chunk.Refusal.Run).To(Equal(outcome.NotRun))
+		Expect(s.replies[commit].Commit.Refusal.Run).To(Equal(outcome.NotRun))
+		Expect(o.State().jobs).To(BeEmpty())
+		again := s.job(o, "j", "v", 1, true)
+		s.flush(o)
+		Expect(s.replies[again].Commit.Created).To(BeTrue())
+	})
+})
+
 var _ = ginkgo.Describe("the stream's beginning", func() {
 	// Records expire under a job that lives longer than the log keeps anything.
 	// The owner states it anew, so that whoever claims the shard later finds it
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -201,6 +201,9 @@
 	Upload string
 	Index  int
 	Items  []Item
+	// Abandon ends the upload, which will not be committed: what it put on the
+	// log is dropped. The other fields but Job and Upload are not used.
+	Abandon bool
 }
 
 // JobChunkReply answers a JobChunkRequest once the chunk is with the owner
--- a/core/ledger/owner_upload.go
+++ b/core/ledger/owner_upload.go
@@ -62,6 +62,11 @@
 func (o *Owner) AddItems(nowMs int64, call CallID, req JobChunkRequest) {
 	o.now = nowMs
 	u := o.uploads[uploadID{req.Job, req.Upload}]
+	if req.Abandon {
+		o.abandon(u)
+		o.reply(Reply{Call: call, Chunk: &JobChunkReply{}})
+		return
+	}
 	refusal := o.addItems(u, &req)
 	if refusal != nil {
 		o.reply(Reply{Call: call, Chunk: &JobChunkReply{Refusal: refusal}})
@@ -72,6 +77,25 @@
 	o.giveRoom(u)
 }
 
+// abandon forgets an upload and drops its chunks.
+//
+// Failure guarded against: a caller whose job has a fault in its last line sends
+// it again and again; each try would keep its items in memory for a minute.
+// Nothing of it was accepted: once forgotten it can't be committed any more.
+func (o *Owner) abandon(u *upload) {
+	if u == nil || u.accepting {
+		return // an accept on its way decides
+	}
+	id := u.id()
+	o.breakUpload(u, interrupted())
+	delete(o.uploads, id)
+	// A chunk that is read back later comes into a new entry, for the tick to drop.
+	if j := o.st.uploads[id]; j != nil && !j.aborting {
+		j.aborting = true
+		o.queue(&abortProposal{id: id}, false)
+	}
+}
+
 func (o *Owner) addItems(u *upload, req *JobChunkRequest) *outcome.Refusal {
 	switch {
 	case u == nil || req.Index > u.index:
--- a/daemon/upload.go
+++ b/daemon/upload.go
@@ -19,6 +19,8 @@
 	chunkBytes = 192 << 10
 	// chunkItems bounds the items of a chunk, for jobs of tiny items.
 	chunkItems = 1000
+	// abandonTimeout bounds the word that an upload has failed.
+	abandonTimeout = 2 * time.Second
 )
 
 // uploader sends one job to its shard's owner, chunk by chunk.
@@ -46,6 +48,10 @@
 		MaxAttempts: up.Profile.Retries + 1,
 	}}
 	reply, err := u.run(ctx, up)
+	if err != nil {
+		// The caller's refusal does not wait for it.
+		go u.abandon(context.WithoutCancel(ctx))
+	}
 	return reply.Status, reply.Created, err
 }
 
@@ -80,6 +86,14 @@
 	})
 }
 
+// abandon tells the owner to drop what it has of a failed upload. A lost word is
+// made up for by the owner, which drops an upload that rests.
+func (u *uploader) abandon(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, abandonTimeout)
+	defer cancel()
+	_ = u.ledger.AddItems(ctx, ledger.JobChunkRequest{Job: u.open.Job, Upload: u.open.Upload, Abandon: true})
+}
+
 func (u *uploader) add(ctx context.Context, item ledger.Item) error {
 	u.chunk = append(u.chunk, item)
 	u.bytes += len(item.Body) + len(item.CustomID) + len(item.URL)
