Tell of a crash before its caller is answered, and judge only settled crashes

Cause: a caller that sends a request which crashes engines again at once met daemons that did not know of the last crash. The first crash was told at once, the next only 200 ms later, while the resend arrived after some 10 ms. And each daemon judged by its own view of who ran on a crashed target: an innocent that was alone there of this daemon's requests on two targets was refused until the tellings of the daemon with the crasher came.

Ruled out: counting a crash as shared until the steward's word confirms it. The steward of a crashed target may be on a host that is out, and its word is older than the crash. Time from the first hearing needs no further message.

Change: Crashed returns when all daemons were told, after 100 ms at the latest; rounds of telling go out at once, and only a flood (more than 20) is grouped every 200 ms. A silent peer no longer holds up the next round. Whoever took part in crash_limit crashes is Pending, and waits, while one of them is younger than 150 ms. Others are not held up.

Conclusion: better, not yet whole: an innocent can still meet the crasher on three targets, or spend a retry on one that is just restarting.

--- a/core/retry/suspects.go
+++ b/core/retry/suspects.go
@@ -10,6 +10,10 @@
 	// MergeWindow is the time within which two tellings of a crash of the same
 	// target are the same crash, seen by two entry hosts.
 	MergeWindow = 2 * time.Second
+	// SettleTime is how long after it was first heard of a crash is open: every
+	// entry host with a request there sees its own connection break and tells the
+	// others. It covers that with room; see Suspects.VerdictAt.
+	SettleTime = 150 * time.Millisecond
 	// CrashMemory is how long a crash counts.
 	CrashMemory = time.Hour
 	// MaxCrashes is the bound of crashes kept.
@@ -50,6 +54,9 @@
 	Quarantined
 	// Condemned requests are refused.
 	Condemned
+	// Pending requests wait until the crashes they took part in are settled; it
+	// takes SettleTime at most.
+	Pending
 )
 
 // Suspects tracks which requests ran on targets as they crashed. All verdicts
@@ -60,6 +67,9 @@
 	limit     int
 	crashes   []Crash
 	condemned map[string]bool
+	// heardMs holds when each crash of crashes was first heard of here, by this
+	// daemon's clock: others' clocks must not open or settle a crash.
+	heardMs []int64
 }
 
 // NewSuspects returns a tracker that condemns after limit crashes.
@@ -73,8 +83,12 @@
 	s.judge()
 }
 
-// Crashed takes one telling of a crash and tells whether anything was new.
-func (s *Suspects) Crashed(c Crash) bool {
+// Crashed takes one telling of a crash, heard at the moment it tells of.
+func (s *Suspects) Crashed(c Crash) bool { return s.Hear(c.AtMs, c) }
+
+// Hear takes one telling of a crash, heard now, and tells whether anything was
+// new.
+func (s *Suspects) Hear(nowMs int64, c Crash) bool {
 	c = c.bounded()
 	if len(c.Running)+len(c.Cleared) == 0 {
 		return false
@@ -83,11 +97,12 @@
 	changed := true
 	if i < 0 {
 		s.crashes = append(s.crashes, c)
+		s.heardMs = append(s.heardMs, nowMs)
 	} else {
 		changed = merge(&s.crashes[i], c)
 	}
 	if len(s.crashes) > MaxCrashes {
-		s.crashes = s.crashes[1:]
+		s.crashes, s.heardMs = s.crashes[1:], s.heardMs[1:]
 	}
 	s.judge()
 	return changed
@@ -177,15 +192,46 @@
 	}
 }
 
+// VerdictAt is Verdict once others' tellings had a moment to come in. Whoever
+// took part in as many crashes as condemn is Pending while one of them is open.
+//
+// An entry host first knows only its own requests on a crashed target: an
+// innocent that was alone there of all its requests looks alone altogether. On
+// two targets that was enough to refuse it, until the tellings of the entry host
+// that ran the crasher came. And the crasher would have run a further time in
+// the meantime. Fewer crashes condemn nobody, so everybody else goes on at once.
+func (s *Suspects) VerdictAt(nowMs int64, fingerprint string) Verdict {
+	targets := map[string]bool{}
+	open := false
+	for i, c := range s.crashes {
+		if !slices.Contains(c.Running, fingerprint) {
+			continue
+		}
+		targets[c.Target] = true
+		since := nowMs - s.heardMs[i]
+		open = open || 0 <= since && since < SettleTime.Milliseconds()
+	}
+	if open && len(targets) >= s.limit {
+		return Pending
+	}
+	return s.Verdict(fingerprint)
+}
+
 // Expire forgets crashes older than CrashMemory.
 func (s *Suspects) Expire(nowMs int64) {
-	before := len(s.crashes)
-	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool {
-		return nowMs-c.AtMs > CrashMemory.Milliseconds()
-	})
-	if len(s.crashes) != before {
-		s.judge()
+	kept := 0
+	for i, c := range s.crashes {
+		if nowMs-c.AtMs <= CrashMemory.Milliseconds() {
+			s.crashes[kept], s.heardMs[kept] = c, s.heardMs[i]
+			kept++
+		}
+	}
+	if kept == len(s.crashes) {
+		return
 	}
+	clear(s.crashes[kept:])
+	s.crashes, s.heardMs = s.crashes[:kept], s.heardMs[:kept]
+	s.judge()
 }
 
 // Crashes returns a copy of what is known, for a daemon that has just started.
--- a/daemon/online/run.go
+++ b/daemon/online/run.go
@@ -18,6 +18,10 @@
 // placePause is the wait between two looks for a target while none is usable.
 const placePause = 50 * time.Millisecond
 
+// settlePause is the wait between two looks at a request whose verdict is
+// pending.
+const settlePause = 10 * time.Millisecond
+
 // noTargetRetryMs is told to callers when the group has no target to try.
 const noTargetRetryMs = 1000
 
@@ -133,6 +137,12 @@
 		return o.stopped(ctx, r)
 	}
 	verdict := o.opt.Suspects.Verdict(r.call.Fingerprint)
+	for verdict == retry.Pending {
+		if !pause(ctx, settlePause) {
+			return o.stopped(ctx, r)
+		}
+		verdict = o.opt.Suspects.Verdict(r.call.Fingerprint)
+	}
 	if verdict == retry.Condemned {
 		return condemnedRefusal()
 	}
--- a/daemon/suspects/suspects.go
+++ b/daemon/suspects/suspects.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/retry"
@@ -25,8 +26,14 @@
 	tellMethod  = ServiceName + ".Tell"
 	allMethod   = ServiceName + ".All"
 
-	// tellEvery groups what is told to the other daemons.
+	// tellBurst rounds of telling go out at once, so that a crash is known
+	// everywhere before its caller can send the request to another daemon; a flood
+	// of crashes is grouped into one round every tellEvery.
+	tellBurst = 20
 	tellEvery = 200 * time.Millisecond
+	// defaultTellWait bounds how long the end of a request that crashed a target
+	// waits for the others to know; a peer that is out costs no more than that.
+	defaultTellWait = 100 * time.Millisecond
 	// callTimeout bounds one call of a peer.
 	callTimeout = time.Second
 	// pullEvery is the wait between tries to learn from a peer after the start;
@@ -54,6 +61,9 @@
 	Registrar peer.Registrar
 	// Limit returns how many targets a request may crash; required.
 	Limit func() int
+	// TellWait bounds how long Crashed waits for the others to know; default
+	// 100 ms.
+	TellWait time.Duration
 	// Clock returns the time; default time.Now.
 	Clock func() time.Time
 	// Logger gets one line for each condemned request; may be nil.
@@ -72,6 +82,9 @@
 	mu      sync.Mutex
 	core    *retry.Suspects
 	pending []retry.Crash
+	// next is closed when what is pending has been told; current, nil if there is
+	// none, when the round under way has been.
+	next, current chan struct{}
 }
 
 // Message carries crashes between daemons.
@@ -87,6 +100,9 @@
 	if o.View == nil || o.Peer == nil || o.Registrar == nil || o.Limit == nil {
 		return nil, badOptions.New("View, Peer, Registrar and Limit are required")
 	}
+	if o.TellWait <= 0 {
+		o.TellWait = defaultTellWait
+	}
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
@@ -100,6 +116,7 @@
 		opt:     o,
 		crashes: o.Metrics.GetOrCreateCounter("tarragonhollow_suspects_crashes_total"),
 		wake:    make(chan struct{}, 1),
+		next:    make(chan struct{}),
 		core:    retry.NewSuspects(o.Limit()),
 	}
 	return t, o.Registrar.Register(ServiceName, &service{t})
@@ -109,10 +126,16 @@
 func (t *Tracker) Verdict(fingerprint string) retry.Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.Verdict(fingerprint)
+	return t.core.VerdictAt(t.opt.Clock().UnixMilli(), fingerprint)
 }
 
-// Crashed notes a crash seen here. AtMs may be 0 for now.
+// Crashed notes a crash seen here, and returns once the other daemons know of
+// it, after TellWait at the latest. AtMs may be 0 for now.
+//
+// Failure guarded against: the caller gets its refusal, sends the request to
+// another daemon at once, and that one, not knowing, lets it crash a further
+// target. The request has ended, so only its own account is held up. A crash
+// that is known already waits too: its telling may still be under way.
 func (t *Tracker) Crashed(c retry.Crash) {
 	if c.AtMs == 0 {
 		c.AtMs = t.opt.Clock().UnixMilli()
@@ -121,6 +144,26 @@
 	if t.learn([]retry.Crash{c}) {
 		t.tellLater([]retry.Crash{c})
 	}
+	t.awaitTold()
+}
+
+// awaitTold waits for the round that tells what is known now.
+func (t *Tracker) awaitTold() {
+	t.mu.Lock()
+	round := t.current
+	if len(t.pending) > 0 {
+		round = t.next
+	}
+	t.mu.Unlock()
+	if round == nil {
+		return
+	}
+	timer := time.NewTimer(t.opt.TellWait)
+	defer timer.Stop()
+	select {
+	case <-round:
+	case <-timer.C:
+	}
 }
 
 // Completed notes that the request ran to its end: it is no suspect any more.
@@ -139,10 +182,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.core.SetLimit(t.opt.Limit())
+	now := t.opt.Clock().UnixMilli()
 	changed := false
 	for _, c := range crashes {
 		before := t.condemnedOf(c)
-		if !t.core.Crashed(c) {
+		if !t.core.Hear(now, c) {
 			continue
 		}
 		changed = true
@@ -190,37 +234,71 @@
 	g.Go(t.expireLoop)
 }
 
-// tellLoop tells all live daemons what is new here, at most every tellEvery.
-// Crashes are rare, so the fan-out costs nothing in ordinary times.
+// tellLoop tells all live daemons what is new here. Crashes are rare, so the
+// fan-out costs nothing in ordinary times. A peer that does not answer must not
+// hold up the next round, so calls outlast their round; callTimeout and the rate
+// of rounds bound how many.
 func (t *Tracker) tellLoop(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	rounds := rate.NewLimiter(rate.Every(tellEvery), tellBurst)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.wake:
 		}
-		t.tell(ctx)
-		if !pause(ctx, tellEvery) {
+		if rounds.Wait(ctx) != nil {
 			return
 		}
+		crashes, told := t.beginRound()
+		if len(crashes) > 0 {
+			t.tell(ctx, &calls, crashes)
+		}
+		t.endRound(told)
 	}
 }
 
-func (t *Tracker) tell(ctx context.Context) {
+// beginRound takes what is pending.
+func (t *Tracker) beginRound() ([]retry.Crash, chan struct{}) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	crashes := t.pending
 	t.pending = nil
-	t.mu.Unlock()
+	t.current, t.next = t.next, make(chan struct{})
+	return crashes, t.current
+}
+
+func (t *Tracker) endRound(told chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.current = nil
+	close(told)
+}
+
+// tell returns when all others know, or after TellWait.
+func (t *Tracker) tell(ctx context.Context, calls *sync.WaitGroup, crashes []retry.Crash) {
 	self := t.opt.View.Self()
 	message := &Message{From: self.ID(), Crashes: crashes}
-	var all sync.WaitGroup
+	var round sync.WaitGroup
 	for _, m := range t.opt.View.Members() {
 		if m.Host == self.Host {
 			continue
 		}
-		all.Go(func() { t.call(ctx, m.PeerAddress, tellMethod, message, &Message{}) })
+		round.Add(1)
+		calls.Go(func() {
+			defer round.Done()
+			t.call(ctx, m.PeerAddress, tellMethod, message, &Message{})
+		})
+	}
+	told := make(chan struct{})
+	calls.Go(func() { round.Wait(); close(told) })
+	timer := time.NewTimer(t.opt.TellWait)
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
 	}
-	all.Wait()
 }
 
 func (t *Tracker) call(ctx context.Context, address, method string, args, reply *Message) bool {
--- a/daemon/suspects/suspects_test.go
+++ b/daemon/suspects/suspects_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -57,7 +58,7 @@
 	server, client := peer.NewServer(peer.ServerOptions{}), peer.NewClient(peer.ClientOptions{})
 	tracker, err := suspects.New(suspects.Options{
 		View: view{fleet: f, self: self}, Peer: client, Registrar: server,
-		Limit: func() int { return 2 },
+		Limit: func() int { return 2 }, TellWait: time.Minute,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = server.Serve(listener) }()
@@ -94,6 +95,19 @@
 		Eventually(func() retry.Verdict { return late.Verdict("drawing") }, "5s").Should(Equal(retry.Condemned))
 	})
 
+	// The caller of a drawing is refused after a crash and sends it again at once,
+	// to the next daemon, over and over. Telling was held back for 200 ms after the
+	// first crash, so the next daemon did not know of the second one.
+	It("has told the others when the end of a crashed request is accounted for", func() {
+		f := &fleet{}
+		a, b := startDaemon(f, "a"), startDaemon(f, "b")
+		run(a, b)
+		for _, name := range []string{"drawing", "model", "map"} {
+			a.Crashed(retry.Crash{Target: "t1", Running: []string{name}, Total: 1})
+			Expect(b.Verdict(name)).To(Equal(retry.Isolated), name)
+		}
+	})
+
 	// An innocent shared the crash. Its completion on one daemon clears it on all.
 	It("clears an innocent everywhere", func() {
 		f := &fleet{}
