--- a/bench/capacity/control_test.go
+++ b/bench/capacity/control_test.go
@@ -137,21 +137,21 @@
 	}
 }
 
-// BenchmarkBurn gives the memory of a daemon's counts after so many hours with
-// four series, the bytes of all of them for a peer, and of one record of the log.
+// BenchmarkBurn gives the memory of a daemon's counts after so many hours for
+// so many series, the bytes of all of them for a peer, and of one record of the log.
 func BenchmarkBurn(b *testing.B) {
 	profile := &config.Profile{Name: "p", SLO: config.SLO{Availability: 0.999}}
-	for _, hours := range []int{1, 6, 72} {
-		b.Run(fmt.Sprintf("hours=%d", hours), func(b *testing.B) {
+	for _, size := range []struct{ hours, series int }{{1, 4}, {6, 4}, {72, 4}, {72, 12}, {72, 36}} {
+		b.Run(fmt.Sprintf("hours=%d/series=%d", size.hours, size.series), func(b *testing.B) {
 			var memory float64
 			var all, record []byte
 			for b.Loop() {
 				before := heapBytes()
 				recorder := burn.NewRecorder("entry-000/1760000000000000000")
 				now := int64(1e12)
-				for range hours * 360 {
+				for range size.hours * 360 {
 					now += 10_000
-					for s := range 4 {
+					for s := range size.series {
 						recorder.Record(burn.Event{AtMs: now, Profile: fmt.Sprint("profile-", s), Group: "ordering", Outcome: burn.OK}, profile)
 					}
 					if now%300_000 == 0 {
--- a/bench/capacity/membership_test.go
+++ b/bench/capacity/membership_test.go
@@ -262,6 +262,58 @@
 	}
 }
 
+// BenchmarkMembershipFacts raises the configuration version of all daemons at
+// once, as a change of the configuration does, and gives the time until the
+// operator's daemon and until all daemons have heard it of every other one.
+func BenchmarkMembershipFacts(b *testing.B) {
+	for _, n := range []int{12, 48, 340} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			f := newMemberFleet(n)
+			version := uint64(500)
+			var first, all float64
+			for b.Loop() {
+				version++
+				for _, m := range f.nodes {
+					m.SetFacts(func(self *membership.Member) { self.ConfigVersion = version })
+				}
+				first, all = 0, 0
+				for ticks := 1; all == 0 && ticks < 1000; ticks++ {
+					f.run(1)
+					seconds := float64(ticks) * probeEvery.Seconds()
+					if first == 0 && f.behind(0, version) == 0 {
+						first = seconds
+					}
+					if f.allHeard(version) {
+						all = seconds
+					}
+				}
+			}
+			b.ReportMetric(first, "s-at-operator")
+			b.ReportMetric(all, "s-everywhere")
+		})
+	}
+}
+
+// behind counts the daemons whose version the i-th has not heard yet.
+func (f *memberFleet) behind(i int, version uint64) int {
+	n := 0
+	for _, member := range f.nodes[hostAddress(i)].Snapshot().Members() {
+		if member.ConfigVersion < version {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *memberFleet) allHeard(version uint64) bool {
+	for i := range f.hosts {
+		if f.behind(i, version) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // snapshotView makes a picture of a fleet a membership.View.
 func snapshotView(n int) *membership.Snapshot {
 	return newMemberFleet(n).nodes[hostAddress(0)].Snapshot()
