Find a target's steward without ranking all daemons, also without the log

And only daemons that reach the log were ranked: with the log out everywhere no target had a steward, so running batch items were stopped and caller limits had no arbiter, though neither needs the log. Ruled out: ranking less often (a steward must notice within a moment). Change: View.First looks at each live member's score once, whether or not it reaches the log. The new spec fails without First: there is no first member while the log is out.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -304,6 +304,27 @@
 				Expect(rest[0]).To(Equal(all[0]))
 			}
 			Expect(view.Successors(key)[0].Host).To(Equal(all[0]))
+			first, ok := view.First(key)
+			Expect(ok).To(BeTrue())
+			Expect(first.Host).To(Equal(all[0]))
 		}
 	})
+
+	// The platform's log is out. Nobody can claim a shard, but each target must
+	// keep its steward: without one its batch would be stopped, and every daemon
+	// would lose its arbiter of caller limits.
+	It("keeps the first member of a key while the log is out", func() {
+		f := newFleet(5)
+		f.run(20)
+		before, _ := f.nodes["host-00"].Snapshot().First("steward/10.0.0.1:1")
+		for _, node := range f.nodes {
+			node.SetFacts(func(m *membership.Member) { m.LogOK = false })
+		}
+		f.run(40)
+		view := f.nodes["host-00"].Snapshot()
+		Expect(view.Successors("steward/10.0.0.1:1")).To(BeEmpty())
+		after, ok := view.First("steward/10.0.0.1:1")
+		Expect(ok).To(BeTrue())
+		Expect(after.Host).To(Equal(before.Host))
+	})
 })
--- a/core/membership/snapshot.go
+++ b/core/membership/snapshot.go
@@ -110,3 +110,33 @@
 	}
 	return out
 }
+
+// First implements View. It looks at each host's score once: it is asked for
+// every target several times a second.
+func (s *Snapshot) First(key string) (Member, bool) {
+	keyHash := xxhash.Sum64String(key)
+	best := -1
+	var bestScore uint64
+	for i := range s.members {
+		if s.members[i].State != Live {
+			continue
+		}
+		// Members are sorted by host, so of equal scores the first one stands, as
+		// in Rank.
+		if v := score(keyHash, s.hashes[i]); best < 0 || v > bestScore {
+			best, bestScore = i, v
+		}
+	}
+	if best < 0 {
+		return Member{}, false
+	}
+	return s.members[best], true
+}
+
+// FirstOf returns the first of the members, if there is one.
+func FirstOf(members []Member) (Member, bool) {
+	if len(members) == 0 {
+		return Member{}, false
+	}
+	return members[0], true
+}
--- a/core/membership/types.go
+++ b/core/membership/types.go
@@ -67,6 +67,10 @@
 	// Successors returns the usable members (live, log reachable, ready or not)
 	// in rendezvous order for the key, best first.
 	Successors(key string) []Member
+	// First returns the live member that comes first for the key, whether or not
+	// it reaches the log: duties that need no log stay where they are while the
+	// log is out.
+	First(key string) (Member, bool)
 	// TargetLeaving tells whether any daemon has heard the host list say that
 	// the target at this address leaves.
 	TargetLeaving(address string) bool
--- a/daemon/burnlog/burnlog_test.go
+++ b/daemon/burnlog/burnlog_test.go
@@ -53,6 +53,10 @@
 	self membership.Member
 }
 
+func (v peerView) First(key string) (membership.Member, bool) {
+	return membership.FirstOf(v.Successors(key))
+}
+
 func (v peerView) Successors(string) []membership.Member { return v.Members() }
 
 func (v peerView) LiveID(id string) bool {
--- a/daemon/configsync/configsync_test.go
+++ b/daemon/configsync/configsync_test.go
@@ -50,10 +50,14 @@
 	}
 }
 
-func (v view) Self() membership.Member               { return membership.Member{Host: v.host} }
-func (v view) Holder(int) (membership.Member, bool)  { return membership.Member{}, false }
-func (v view) LiveID(string) bool                    { return true }
-func (v view) TargetLeaving(string) bool             { return false }
+func (v view) Self() membership.Member              { return membership.Member{Host: v.host} }
+func (v view) Holder(int) (membership.Member, bool) { return membership.Member{}, false }
+func (v view) LiveID(string) bool                   { return true }
+func (v view) TargetLeaving(string) bool            { return false }
+func (v view) First(key string) (membership.Member, bool) {
+	return membership.FirstOf(v.Successors(key))
+}
+
 func (v view) Successors(string) []membership.Member { return v.Members() }
 func (v view) Members() []membership.Member {
 	v.mu.Lock()
--- a/daemon/members/members.go
+++ b/daemon/members/members.go
@@ -93,6 +93,9 @@
 // Successors implements membership.View.
 func (m *Members) Successors(key string) []membership.Member { return m.view.Load().Successors(key) }
 
+// First implements membership.View.
+func (m *Members) First(key string) (membership.Member, bool) { return m.view.Load().First(key) }
+
 // TargetLeaving implements membership.View.
 func (m *Members) TargetLeaving(address string) bool { return m.view.Load().TargetLeaving(address) }
 
--- a/daemon/online/shares.go
+++ b/daemon/online/shares.go
@@ -170,11 +170,11 @@
 	self := s.opt.View.Self().ID()
 	groups := map[string]*LimitAsk{}
 	for _, ask := range asks {
-		order := s.opt.View.Successors("limits/" + ask.Key.Profile + "/" + ask.Key.Caller)
-		if len(order) == 0 {
+		arbiter, ok := s.opt.View.First("limits/" + ask.Key.Profile + "/" + ask.Key.Caller)
+		if !ok {
 			continue
 		}
-		address := order[0].PeerAddress
+		address := arbiter.PeerAddress
 		if groups[address] == nil {
 			groups[address] = &LimitAsk{Daemon: self}
 		}
--- a/daemon/online/suite_test.go
+++ b/daemon/online/suite_test.go
@@ -30,9 +30,13 @@
 // view is a fleet of one daemon.
 type view struct{ membership.View }
 
-func (view) Self() membership.Member                 { return membership.Member{Host: "d1", Incarnation: 1} }
-func (v view) Members() []membership.Member          { return []membership.Member{v.Self()} }
-func (view) TargetLeaving(string) bool               { return false }
+func (view) Self() membership.Member        { return membership.Member{Host: "d1", Incarnation: 1} }
+func (v view) Members() []membership.Member { return []membership.Member{v.Self()} }
+func (view) TargetLeaving(string) bool      { return false }
+func (v view) First(key string) (membership.Member, bool) {
+	return membership.FirstOf(v.Successors(key))
+}
+
 func (v view) Successors(string) []membership.Member { return v.Members() }
 
 type registrar struct{}
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -223,6 +223,10 @@
 	return false
 }
 
+func (n *node) First(key string) (membership.Member, bool) {
+	return membership.FirstOf(n.Successors(key))
+}
+
 func (n *node) Successors(key string) []membership.Member {
 	all := n.Members()
 	turn := len(key) % max(1, len(all))
--- a/daemon/signal/sender_test.go
+++ b/daemon/signal/sender_test.go
@@ -29,6 +29,10 @@
 	return []membership.Member{v.Self(), {Host: "steward", PeerAddress: "s:7"}}
 }
 
+func (v view) First(key string) (membership.Member, bool) {
+	return membership.FirstOf(v.Successors(key))
+}
+
 func (v view) Successors(key string) []membership.Member {
 	if key == "steward/own:1" {
 		return []membership.Member{v.Self()}
--- a/daemon/signal/service.go
+++ b/daemon/signal/service.go
@@ -25,9 +25,5 @@
 // first by rendezvous order. Views may differ for a moment, so two daemons may
 // both see themselves named; that costs latency, never a result.
 func StewardOf(view membership.View, targetAddress string) (membership.Member, bool) {
-	successors := view.Successors("steward/" + targetAddress)
-	if len(successors) == 0 {
-		return membership.Member{}, false
-	}
-	return successors[0], true
+	return view.First("steward/" + targetAddress)
 }
--- a/daemon/steward/fakes_test.go
+++ b/daemon/steward/fakes_test.go
@@ -45,6 +45,10 @@
 func (v *fakeView) Holder(int) (membership.Member, bool) { return self, true }
 func (v *fakeView) LiveID(string) bool                   { return true }
 
+func (v *fakeView) First(key string) (membership.Member, bool) {
+	return membership.FirstOf(v.Successors(key))
+}
+
 func (v *fakeView) Successors(string) []membership.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
