Serve kept and queued connections to their end at a planned stop

Cause: an answer whose request began before the drain did not say Connection: close, since that was set when the request came. And net/http's Shutdown closes a connection the moment it is idle, and after an answer that ends meanwhile at once; a caller that was told to keep it sends the next request into the close. Third, closing the listener resets connections that the kernel completed ahead of Accept, and one that Accept had just taken was dropped.

Ruled out: SetKeepAlivesEnabled(false): it closes idle connections at once as well. A socket filter that drops SYNs while the queue is emptied: the kernel tried here does not support it ("operation not supported").

Change: Connection: close is set as the header is written. After the grace the queue is accepted empty and listening ended in the next call; kept connections are closed once they were unused for 500 ms (the grace, if that is shorter). A request that comes before is served and told to close.

Conclusion: two races remain. HTTP/1.1's own: a caller that comes back just as its connection is closed for having been unused that long.

--- a/api/conns.go
+++ b/api/conns.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	open map[net.Conn]*list.Element
 	idle *list.List // of net.Conn, longest idle first
 	shut bool
+	// queued holds what the kernel had completed when listening ended.
+	queued []net.Conn
 }
 
 // newLimitListener wraps inner.
@@ -48,22 +51,25 @@
 func (l *limitListener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err
+		queued, ok := l.takeQueued()
+		if !ok {
+			return nil, err
+		}
+		inner = queued
 	}
 	conn := &stallConn{Conn: inner, stall: l.stall, owner: l}
+	conn.used()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.makeRoomLocked() {
-		_ = inner.Close()
-		return nil, net.ErrClosed
-	}
+	l.makeRoomLocked()
 	l.open[conn] = l.idle.PushBack(conn)
 	l.metrics.connections.Store(int64(len(l.open)))
 	return conn, nil
 }
 
-// makeRoomLocked returns false once the listener is closed.
-func (l *limitListener) makeRoomLocked() bool {
+// makeRoomLocked waits for room until the listener is closed: whoever is let in
+// by then may have sent a request, and is served.
+func (l *limitListener) makeRoomLocked() {
 	for !l.shut && len(l.open) >= l.max {
 		if front := l.idle.Front(); front != nil {
 			l.evictLocked(front)
@@ -71,7 +77,6 @@
 		}
 		l.room.Wait()
 	}
-	return !l.shut
 }
 
 // evictLocked closes an idle connection.
@@ -106,6 +111,7 @@
 		}
 		l.open[conn] = nil
 	case http.StateIdle:
+		conn.(*stallConn).used()
 		l.open[conn] = l.idle.PushBack(conn)
 		l.room.Signal()
 	case http.StateClosed, http.StateHijacked:
@@ -138,6 +144,22 @@
 	net.Conn
 	stall time.Duration
 	owner *limitListener
+	// usedAt is when it was accepted, last read from or last ended an answer, in
+	// Unix nanoseconds.
+	usedAt atomic.Int64
+}
+
+// used notes that the caller is at work on the connection.
+func (c *stallConn) used() { c.usedAt.Store(time.Now().UnixNano()) }
+
+// Read implements net.Conn. It notes the use before net/http does, which takes a
+// connection for idle until a request's whole header is there.
+func (c *stallConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.used()
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
--- a/api/observe.go
+++ b/api/observe.go
@@ -63,9 +63,13 @@
 		st := stateOf(c)
 		header := c.Response().Header()
 		header.Set(HeaderRequestID, st.id)
-		if s.draining.Load() {
-			header.Set(echo.HeaderConnection, "close")
-		}
+		c.Response().Before(func() {
+			// Asked when the header is written: a request that began before the drain
+			// must not leave its caller with a connection that is about to close.
+			if s.draining.Load() {
+				header.Set(echo.HeaderConnection, "close")
+			}
+		})
 		if c.Request().ContentLength != 0 {
 			// Bounds the discarding of a body that no handler reads, too.
 			deadline := st.began.Add(s.opts.BodyStall)
--- a/api/server.go
+++ b/api/server.go
@@ -87,26 +87,29 @@
 	if !s.listener.CompareAndSwap(nil, l) {
 		return ErrServe.New("the server serves already")
 	}
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	err := s.http.Serve(l)
+	if !s.draining.Load() && !errors.Is(err, http.ErrServerClosed) {
 		return ErrServe.Wrap(err, "serving HTTP on %s ended", inner.Addr())
 	}
 	return nil
 }
 
-// StartDrain makes /readyz refuse and every answer close its connection, while
-// requests are still taken. Calling it again does nothing.
+// StartDrain makes /readyz refuse, and every answer whose header is written from
+// now on close its connection, while requests are still taken. Calling it again
+// does nothing.
 func (s *Server) StartDrain() { s.draining.Store(true) }
 
 // Shutdown stops gracefully: it goes unready, keeps accepting for DrainGrace so
 // that balancers turn away first, then closes the listener and returns once
-// every request, streams included, has ended. If ctx ends first, requests still
-// running are left running and the error says so.
+// every request, streams included, has ended and every connection is closed. If
+// ctx ends first, requests still running are left running and the error says so.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.StartDrain()
 	select {
 	case <-time.After(s.opts.DrainGrace):
 	case <-ctx.Done():
 	}
+	s.closeQuietly(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
 		return ErrServe.Wrap(err, "requests were still running")
 	}
