Answer a publication after five seconds and withdraw it afterwards

Cause: when the log's answer to a change was lost, Publish looked for it and then tried to append a withdrawal for its whole bound of 20 s, while the operator waited; at the end nobody followed the change any more.

Ruled out: a shorter bound alone. The operator would read a history without the change, go on, and see it arrive later.

Change: PublishWait, 5 s by default, bounds what the operator waits. A change whose fate is open then goes to a duty that tries, once a second, to end its epoch until the log takes that, the change is found, or the epoch has ended. At most 16 are followed; a further one is logged.

Conclusion: a daemon that ends meanwhile forgets what it followed; its operator was told may_have_run, which stays true.

--- a/daemon/configsync/configsync_test.go
+++ b/daemon/configsync/configsync_test.go
@@ -146,6 +146,37 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
+// cutLog answers no append while it is cut. The first of them arrives at release.
+type cutLog struct {
+	*fakelog.Client
+	mu   sync.Mutex
+	cut  bool
+	held []byte
+}
+
+func (l *cutLog) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *cutLog) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.cut {
+		return l.Client.Append(ctx, stream, data)
+	}
+	if l.held == nil {
+		l.held = data
+	}
+	return 0, platform.OutcomeUnknown.New("no answer")
+}
+
+func (l *cutLog) release() {
+	_, err := l.Client.Append(context.Background(), configsync.Stream, l.held)
+	Expect(err).NotTo(HaveOccurred())
+}
+
 var _ = Describe("Sync", func() {
 	var log *fakelog.Log
 	var fleet *board
@@ -207,6 +238,32 @@
 		Expect(s.History()).To(HaveLen(2))
 	})
 
+	// The log cuts every append off. The operator must hear that the change may
+	// have been made while the log is still so, not wait for it; and the change,
+	// which arrives long afterwards, must have no effect.
+	It("answers while the log cuts appends, and withdraws the change afterwards", func() {
+		cut := &cutLog{Client: log.NewClient()}
+		s := fleet.start("a", cut, nil)
+		publish(s, "one", 0)
+		cut.set(true)
+		answered := make(chan error, 1)
+		go func() {
+			_, err := s.Publish(context.Background(), "two", 1, "thu")
+			answered <- err
+		}()
+		var err error
+		Eventually(answered, configsync.DefaultPublishWait+5*time.Second).Should(Receive(&err))
+		var refusal *outcome.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue(), "%v", err)
+		Expect(refusal.Run).To(Equal(outcome.MayHaveRun))
+		Expect(refusal.RetryAfterMs).To(BeNumerically(">", 0))
+		cut.set(false)
+		Eventually(func() int { return len(log.Records(configsync.Stream)) }, "10s").Should(Equal(2))
+		cut.release()
+		Expect(publish(s, "three", 1)).To(Equal(uint64(2)))
+		Expect(s.Current().Text).To(Equal("three"))
+	})
+
 	It("refuses truthfully while the log is out, and a text that is not valid", func() {
 		s := fleet.start("a", log, nil)
 		publish(s, "one", 0)
--- a/daemon/configsync/options.go
+++ b/daemon/configsync/options.go
@@ -30,6 +30,8 @@
 	DefaultRetention = 24 * time.Hour
 	DefaultPollWait  = 5 * time.Second
 	DefaultPeerEvery = 250 * time.Millisecond
+	// DefaultPublishWait holds a first read, a lost answer and a few proposals.
+	DefaultPublishWait = 5 * time.Second
 )
 
 // Options configure a Sync.
@@ -53,6 +55,9 @@
 	PollWait time.Duration
 	// PeerEvery is how often the members' versions are compared; default 250 ms.
 	PeerEvery time.Duration
+	// PublishWait bounds how long an operator waits for the fate of a change;
+	// default 5 s.
+	PublishWait time.Duration
 	// Clock gives the time; default time.Now.
 	Clock func() time.Time
 	// Logger and Metrics may be nil.
@@ -78,6 +83,9 @@
 	if o.PeerEvery <= 0 {
 		o.PeerEvery = DefaultPeerEvery
 	}
+	if o.PublishWait <= 0 {
+		o.PublishWait = DefaultPublishWait
+	}
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
--- a/daemon/configsync/publish.go
+++ b/daemon/configsync/publish.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// publishTimeout bounds a publication whose caller sets no earlier end.
-	publishTimeout = 20 * time.Second
 	// maxProposals bounds how often one change is proposed anew after being voided.
 	maxProposals = 5
 	// firstReadWait is how long a publication waits for the first read.
@@ -24,8 +22,12 @@
 	// lookBack is how long a change with a lost answer is looked for before its
 	// epoch is ended.
 	lookBack = 500 * time.Millisecond
-	// withdrawPause is the pause between tries to append a withdrawal.
+	// withdrawPause is the pause between tries to append a withdrawal, and
+	// laterPause between those that go on after the operator had his answer.
 	withdrawPause = 200 * time.Millisecond
+	laterPause    = time.Second
+	// maxUnresolved bounds the changes whose fate is followed after the answer.
+	maxUnresolved = 16
 	// retryAfterMs is when a refused operator should come back, unless the log
 	// said otherwise.
 	retryAfterMs = 2000
@@ -34,13 +36,14 @@
 // Publish proposes text as the version after base and returns the new version
 // once it is accepted. Its errors: *api.ConfigConflict if another change took the
 // place; *outcome.Refusal otherwise. A refusal says not_run only where the change
-// certainly has no effect and never will; may_have_run where ctx ended before
-// that could be known.
+// certainly has no effect and never will; may_have_run where ctx or PublishWait
+// ended before that could be known. Unless the change is on the log by then, it is
+// withdrawn as soon as the log takes that.
 func (s *Sync) Publish(ctx context.Context, text string, base uint64, author string) (uint64, error) {
 	if _, err := s.opt.Parse(text); err != nil {
 		return 0, outcome.Refuse(outcome.BadRequest, "the configuration is not valid: %v", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.opt.PublishWait)
 	defer cancel()
 	s.awaitFirstRead(ctx)
 	for range maxProposals {
@@ -165,9 +168,58 @@
 		}
 		pause(ctx, withdrawPause)
 	}
+	s.withdrawLater(change)
 	return state, unknown("the log's answer was lost and could not be looked for")
 }
 
+// withdrawLater has the change's epoch ended once the log answers again.
+//
+// Failure guarded against: the operator is told that the change may have been
+// made, and reads a history without it; then it arrives after all and undoes what
+// was published meanwhile. A lost withdrawal can do no more than that, so one
+// too many is only logged.
+func (s *Sync) withdrawLater(change configlog.Change) {
+	select {
+	case s.unresolved <- change:
+	default:
+		s.opt.Logger.Warn("config_change_not_followed", zap.String("change", change.ID))
+	}
+}
+
+// withdrawLoop makes the withdrawals that publications left behind.
+func (s *Sync) withdrawLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case change := <-s.unresolved:
+			s.withdraw(ctx, change)
+		}
+	}
+}
+
+// withdraw tries until the withdrawal is on the log, the change is settled, or
+// its epoch has ended otherwise.
+func (s *Sync) withdraw(ctx context.Context, change configlog.Change) {
+	data, err := configlog.Record{Withdraw: &configlog.Withdraw{Epoch: change.Epoch}}.Encode()
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		if state := s.state(); s.decided(state, change) || state.Epoch > change.Epoch {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := s.opt.Log.Append(call, Stream, data)
+		cancel()
+		if err == nil {
+			s.opt.Logger.Info("config_change_withdrawn", zap.String("change", change.ID))
+			return
+		}
+		pause(ctx, laterPause)
+	}
+}
+
 // decided tells whether the state settles the change, accepted or beaten. Void
 // is no decision: the change may yet arrive.
 func (s *Sync) decided(state configlog.State, change configlog.Change) bool {
--- a/daemon/configsync/sync.go
+++ b/daemon/configsync/sync.go
@@ -28,6 +28,9 @@
 	meter   *meter
 	current atomic.Pointer[config.Config]
 	ready   atomic.Bool
+	// unresolved holds changes whose operators were told that they may have been
+	// made.
+	unresolved chan configlog.Change
 
 	mu     sync.Mutex
 	folder *configlog.Folder
@@ -54,7 +57,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Sync{opt: o, folder: configlog.NewFolder(), stepped: make(chan struct{})}
+	s := &Sync{
+		opt: o, folder: configlog.NewFolder(), stepped: make(chan struct{}),
+		unresolved: make(chan configlog.Change, maxUnresolved),
+	}
 	s.current.Store(none())
 	s.meter = newMeter(o.Metrics, s)
 	if err := o.Registrar.Register(serviceName, &Service{s: s}); err != nil {
@@ -78,6 +84,7 @@
 	g.Go(s.followLoop)
 	g.Go(s.peerLoop)
 	g.Go(s.restateLoop)
+	g.Go(s.withdrawLoop)
 }
 
 // Current returns the configuration in force, never nil; its Version is 0 while
