Let a claim stand before the other half of a cut fleet counter-claims

Cause: while two groups of daemons are cut from each other but reach the log, each takes the other's holders for dead. A daemon that lost a shard claimed it again at its next round, and one whose replay showed a claim of milliseconds ago by a holder that it doesn't see claimed against it. Holders kept a shard for milliseconds, and the claims used up the appends of orders and jobs.

Ruled out: letting a claim stand by its record's time alone. The fold often begins after the claim, and a host whose clock is ahead by an hour would keep its shards from being claimed for an hour. Doing so by the last record's time for every holder delays each takeover after a death by two seconds.

Change: a term that comes as news stands for two seconds by the daemon's own clock: from its own loss on, or, for one that its replay shows, less what has passed since the last record. Terms that the membership has told of aren't news, so a takeover after a death waits no longer than before. Each term gets the time once, whatever its record's time says. Ranks are counted from its end. The order of records alone decides who holds a shard, as before.

Conclusion: groups take turns of two seconds. A claim whose holder dies before the others hear of it is followed up to two seconds later than before.

--- a/daemon/shards/claim.go
+++ b/daemon/shards/claim.go
@@ -82,8 +82,10 @@
 		s.lastMove = now // no moving while shards change hands anyway
 	}
 	successors := s.opt.View.Successors(shard.Key(sl.id))
+	holder, _ := s.opt.View.Holder(sl.id)
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
+	sl.heardOf(holder)
 	if sl.busy || (cause == "" && !sl.named) {
 		sl.unheld = time.Time{}
 		return false, cause != ""
@@ -94,6 +96,10 @@
 		sl.unheld = time.Time{}
 		return false, true
 	}
+	if now.Before(sl.standsUntil) && !sl.named {
+		sl.unheld = time.Time{} // ranks are counted from the end of that time
+		return false, true
+	}
 	if sl.unheld.IsZero() {
 		sl.unheld = now
 		sl.pace = claimPace(unheld)
--- a/daemon/shards/claim_test.go
+++ b/daemon/shards/claim_test.go
@@ -52,3 +52,42 @@
 		Expect(time.Duration(passed.Load())).To(BeNumerically("<=", 200*time.Millisecond))
 	})
 })
+
+var _ = Describe("Daemons that are cut from each other but reach the log", func() {
+	// Each takes the other for dead and claims its shards. If each claims again
+	// the moment it reads of its loss, a shard changes hands ten times a second,
+	// no holder keeps anything, and the claims use up the log's appends.
+	It("let a claim stand before they claim against it", func() {
+		f := newFleet("a", "b")
+		first := f.ownerOf("key")
+		second := f.other(first)
+		Eventually(func() uint64 { return second.seenTerm("key") }).Should(Equal(first.term("key")))
+		before, began := first.term("key"), time.Now()
+		first.alone.Store(true)
+		second.alone.Store(true)
+		Eventually(func() uint64 { return first.term("key") }).WithTimeout(20*time.Second).
+			Should(BeNumerically(">", before), "the first claims it back")
+		// The other's claim between has stood; a slow machine only takes longer.
+		Expect(time.Since(began)).To(BeNumerically(">=", standTime))
+		Expect(first.term("key")).To(Equal(before + 2))
+	})
+
+	// A host whose clock is wrong by a day has claimed a shard and died: the
+	// others wait no longer than for any other claim.
+	It("wait for a claim once, whatever its record's time", func() {
+		f := newFleet("a")
+		s := f.ownerOf("key").shards
+		sl := s.slotOf("key")
+		for _, passed := range []time.Duration{-24 * time.Hour, 24 * time.Hour} {
+			sl.mu.Lock()
+			term := sl.known + 1
+			stands := s.letStand(sl, term, passed)
+			until := sl.standsUntil
+			again := s.letStand(sl, term, passed)
+			sl.mu.Unlock()
+			Expect(stands).To(Equal(passed < 0))
+			Expect(until).To(BeTemporally("<=", time.Now().Add(standTime)))
+			Expect(again).To(BeFalse(), "a second time")
+		}
+	})
+})
--- a/daemon/shards/hold.go
+++ b/daemon/shards/hold.go
@@ -36,7 +36,7 @@
 		return
 	}
 	took := s.opt.Clock().Sub(began)
-	if s.freshlyHeld(st) {
+	if s.freshlyHeld(st) || s.newlyClaimed(sl, st) {
 		return
 	}
 	s.meter.replay.Update(took.Seconds())
@@ -71,14 +71,16 @@
 		delete(sl.calls, id)
 		ch <- ledger.Reply{Call: id, Lost: true}
 	}
-	if owner != nil {
-		sl.figures.Add(owner.Figures())
-	}
-	sl.mu.Unlock()
 	if owner == nil {
+		sl.mu.Unlock()
 		return
 	}
+	sl.figures.Add(owner.Figures())
 	term, holder := owner.State().Term()
+	if holder != "" && holder != s.opt.View.Self().ID() {
+		s.letStand(sl, term, 0)
+	}
+	sl.mu.Unlock()
 	successor := owner.State().Successor()
 	s.opt.Logger.Info("shard_lost", zap.Int("shard", sl.id), zap.Uint64("term", owner.Term()),
 		zap.Uint64("current_term", term), zap.String("holder", holder),
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -55,16 +55,20 @@
 	stream string
 	wake   chan struct{}
 
-	mu       sync.Mutex
-	owner    *ledger.Owner // nil unless claiming or holding
-	busy     bool          // a hold duty runs
-	named    bool          // the last holder named this daemon
-	unheld   time.Time     // since when no usable holder is known
-	pace     time.Duration // how much longer it waits as others are unheld too
-	cause    string        // why it is unheld, for the log
-	calls    map[ledger.CallID]chan ledger.Reply
-	lastCall ledger.CallID
-	figures  ledger.Figures // of earlier owners
+	mu     sync.Mutex
+	owner  *ledger.Owner // nil unless claiming or holding
+	busy   bool          // a hold duty runs
+	named  bool          // the last holder named this daemon
+	unheld time.Time     // since when no usable holder is known
+	pace   time.Duration // how much longer it waits as others are unheld too
+	cause  string        // why it is unheld, for the log
+	// known is the highest term that others are known to have claimed, standsUntil
+	// until when the last of them that came as news is let stand; see standTime.
+	known       uint64
+	standsUntil time.Time
+	calls       map[ledger.CallID]chan ledger.Reply
+	lastCall    ledger.CallID
+	figures     ledger.Figures // of earlier owners
 }
 
 // New validates the options and registers the rpc service.
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -55,6 +55,8 @@
 	doubted []string
 	// blind keeps the node from hearing who holds what.
 	blind atomic.Bool
+	// alone cuts it from all others, but not from the log.
+	alone atomic.Bool
 }
 
 func newFleet(hosts ...string) *fleet {
@@ -189,6 +191,9 @@
 	defer n.fleet.mu.Unlock()
 	var out []membership.Member
 	for _, m := range n.fleet.nodes {
+		if n.alone.Load() && m != n {
+			continue
+		}
 		self := m.self
 		if m.shards != nil {
 			self.Shards, self.LogOK = m.shards.Holds(), m.shards.LogOK()
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -60,6 +61,25 @@
 		f.CheckJob(job)
 	}, splits)
 
+	// While the line is cut, each side holds a shard that the other wants. Claims
+	// and counter-claims that follow each other at once leave no holder the time
+	// to keep anything, and use up the appends that orders and jobs need.
+	DescribeTable("in two groups take turns with the shards", func(left int, line faultproxy.Faults) {
+		f, network := fleet.StartApart(fleet.Options{Daemons: 4})
+		a, b := f.Daemons[:left], f.Daemons[left:]
+		network.Split(a, b, line)
+		expectView(a, a)
+		expectView(b, b)
+		began, before := time.Now(), claims(f)
+		for i := range 12 {
+			expectOneExecution(f, fmt.Sprintf("tray-%d", i), f.Daemons[i%4:i%4+1])
+		}
+		// A slow machine only lowers the rate.
+		seconds := max(1, time.Since(began).Seconds())
+		perShard := float64(claims(f)-before) / seconds / float64(fleet.Shards)
+		Expect(perShard).To(BeNumerically("<", 2), "claims of a shard in a second")
+	}, splits)
+
 	// A firewall's rule lets calls from B to A through and none from A to B. C
 	// reaches both, so nobody is dead. A's callers with a key of B's shards must
 	// hear the truth, and the kitchen's job on B's shard must end.
@@ -139,6 +159,15 @@
 	Eventually(func() int { return doublyHeld(f) }, bound, poll).Should(BeZero())
 }
 
+// claims counts the claims of shards so far.
+func claims(f *fleet.Fleet) int {
+	n := 0
+	for _, d := range f.Daemons {
+		n += d.Logged("event=shard_claim")
+	}
+	return n
+}
+
 // expectOneExecution places an order at each of the daemons at once, again while
 // it is refused as not_run, until all have answered alike.
 func expectOneExecution(f *fleet.Fleet, key string, daemons []*fleet.Daemon) {
