Read the log before an order without an owner is called not run

Cause: an order that ran through one half of a cut fleet was refused at the other half as no_owner, not_run, five seconds later: the guest ordered anew. The entry host knows only its own grants, and the ledger's client marks every refused Begin as not_run, which is true of the arrival and not of the key.

Ruled out: may_have_run for every such refusal. The specs of a one-way cut demand not_run where nothing ran, and a caller who is told may_have_run can't order anew. Asking other daemons: the one that knows may be the one that is cut off. Plain joining of readings: a reading that began before the arrival may lack its key's start.

Change: ledger.Client has OnLog. The entry host folds the shard's stream up to an end asked for after the arrival: nothing of the key is not_run, a kept answer is the answer, a start without an end is may_have_run, and so is a log that can't be read. Only refusals for want of an owner take the longer way, log_unavailable comes as it did.

Conclusion: not_run of an order without an owner is read from the log. A request whose own deadline ends before the owner answered is still told not_run of this arrival, without a look at the log.

--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -64,6 +64,8 @@
 	StillRunning BeginVerdict = "still_running"
 	// Settled: Answer or Refusal holds the final word.
 	Settled BeginVerdict = "settled"
+	// Free: nothing is kept of the key. Only OnLog says so.
+	Free BeginVerdict = "free"
 )
 
 // BeginReply answers a BeginRequest.
@@ -347,6 +349,10 @@
 	Begin(ctx context.Context, req BeginRequest) (BeginReply, error)
 	// Finish reports the end of a granted run.
 	Finish(ctx context.Context, req FinishRequest) (FinishReply, error)
+	// OnLog reads from the log itself, without an owner, what became of the
+	// arrival's key: Free, Settled, or StillRunning if it may have run. It grants
+	// nothing. An error means that the log couldn't be read, or not in time.
+	OnLog(ctx context.Context, req BeginRequest) (BeginReply, error)
 	// Request returns what is kept of the key CALLER/KEY; NotFound if nothing is.
 	Request(ctx context.Context, key string) (KeptRequest, error)
 	// OpenJob begins an upload.
--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -52,7 +52,7 @@
 	reply, refusal := o.begin(ctx, begin)
 	switch {
 	case refusal != nil && (!r.call.Profile.Repeatable || !unreachable(refusal)):
-		return nil, false, o.ownRuns(begin.Key, refusal)
+		return o.ungranted(ctx, begin, refusal)
 	case refusal != nil:
 		answer, refusal = o.runUngranted(ctx, begin, work)
 		return answer, false, refusal
@@ -92,6 +92,24 @@
 	}
 }
 
+// ungranted tells of a request that was not granted. That this arrival didn't run
+// is certain; but to the caller all arrivals of the key are one request, and
+// daemons that can't be reached may have run an earlier one. When no owner
+// answers, the log itself is asked; as long as it can't be read, nobody knows.
+func (o *Online) ungranted(ctx context.Context, begin ledger.BeginRequest, refusal *outcome.Refusal) (*ledger.Answer, bool, *outcome.Refusal) {
+	if begin.Repeatable || refusal.Code != outcome.NoOwner || refusal.Run != outcome.NotRun {
+		return nil, false, o.ownRuns(begin.Key, refusal)
+	}
+	said, err := o.opt.Ledger.OnLog(context.WithoutCancel(ctx), begin)
+	switch {
+	case err != nil || said.Verdict == ledger.StillRunning:
+		return nil, false, refusal.WithRun(outcome.MayHaveRun)
+	case said.Verdict == ledger.Settled:
+		return said.Answer, true, said.Refusal
+	}
+	return nil, false, o.ownRuns(begin.Key, refusal)
+}
+
 // ownRuns corrects a refusal that says not_run of this arrival when an earlier
 // one of the same key was granted here: to the caller both are one request, and
 // it may have run. Arrivals at other daemons are known to the ledger only, so
--- a/daemon/online/suite_test.go
+++ b/daemon/online/suite_test.go
@@ -154,6 +154,7 @@
 	restarts bool
 	service  faketarget.Service
 	ledger   *fakeLedger
+	client   ledger.Client // the ledger, if it isn't the fake
 	signals  *signals
 	config   *config.Config
 	online   *online.Online
@@ -183,8 +184,11 @@
 
 func (b *bench) start() {
 	var err error
+	if b.client == nil {
+		b.client = b.ledger
+	}
 	b.online, err = online.New(online.Options{
-		View: view{}, Config: func() *config.Config { return b.config }, Ledger: b.ledger,
+		View: view{}, Config: func() *config.Config { return b.config }, Ledger: b.client,
 		Engine: engine{&b.engine, b.restarts}, Service: &b.service, Peer: caller{}, Registrar: registrar{},
 		Signals: b.signals, Suspects: &tracker{core: retry.NewSuspects(2)},
 		Host: "d1", Zone: "hai-chau",
--- a/daemon/shards/hold.go
+++ b/daemon/shards/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,7 +30,7 @@
 func (s *Shards) hold(ctx context.Context, sl *slot) {
 	defer s.ended(sl)
 	began := s.opt.Clock()
-	st, err := s.replay(ctx, sl)
+	st, err := s.replay(ctx, sl, math.MaxInt)
 	if err != nil {
 		s.noteLog(false)
 		s.opt.Logger.Warn("shard_replay_failed", zap.Int("shard", sl.id), zap.Error(err))
@@ -106,8 +107,9 @@
 	return false
 }
 
-// replay folds the stream from the last Low on up to its present end.
-func (s *Shards) replay(ctx context.Context, sl *slot) (*ledger.State, error) {
+// replay folds the stream from the last Low on up to its present end; it fails if
+// that is more than the given bytes.
+func (s *Shards) replay(ctx context.Context, sl *slot, atMost int) (*ledger.State, error) {
 	first, next, err := s.bounds(ctx, sl)
 	if err != nil {
 		return nil, err
@@ -127,6 +129,9 @@
 			return nil, errReplay.New("%s ends at %d, not %d", sl.stream, st.Next(), next)
 		}
 		for _, r := range page.Records {
+			if atMost -= len(r.Data); atMost < 0 {
+				return nil, errReplay.New("%s has more to read than is allowed", sl.stream)
+			}
 			rec, _ := ledger.DecodeRecord(sl.id, r.Data)
 			if _, err := st.Apply(r.Offset, len(r.Data), rec); err != nil {
 				return nil, err
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -7,6 +7,7 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
 	"tarragonhollow.example/tarragonhollow/core/config"
@@ -41,6 +42,9 @@
 	pulls    atomic.Uint64
 	// granted remembers by nonce what runs of this daemon were granted on.
 	granted *lru.Cache[string, ledger.BeginRequest]
+	// looks joins calls of OnLog, looking bounds the readings.
+	looks   singleflight.Group
+	looking chan struct{}
 	// lastMove is when a shard was last released for balance, or was without a
 	// holder; claimLoop's own.
 	lastMove time.Time
@@ -78,6 +82,7 @@
 	}
 	s := &Shards{opt: opt, budget: rate.NewLimiter(rate.Limit(opt.AppendBudget), budgetBurst)}
 	s.granted, _ = lru.New[string, ledger.BeginRequest](grantedKept) // fails for a size below 1 only
+	s.looking = make(chan struct{}, looksAtOnce)
 	s.logOK.Store(true)
 	for i := 0; i < opt.Shards; i++ {
 		s.slots = append(s.slots, &slot{
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -61,6 +61,24 @@
 		f.CheckJob(job)
 	}, splits)
 
+	// Guests tap the same order on tablets of both sides of a cut. Two breakfasts
+	// are billed if each side believes its own claim, or if one side says that
+	// the order was not run while the other has placed it, and the guest orders
+	// anew.
+	DescribeTable("in two groups run the same order once and refuse it truly", func(left int, line faultproxy.Faults) {
+		f, network := fleet.StartApart(fleet.Options{Daemons: 4})
+		a, b := f.Daemons[:left], f.Daemons[left:]
+		network.Split(a, b, line)
+		expectView(a, a)
+		expectView(b, b)
+		onBothSides := func(i int) {
+			expectOneExecution(f, fmt.Sprintf("tray-%d", i), []*fleet.Daemon{a[i%len(a)], b[i%len(b)]})
+		}
+		all(12, onBothSides)
+		heal(f, network)
+		all(12, onBothSides)
+	}, splits)
+
 	// While the line is cut, each side holds a shard that the other wants. Claims
 	// and counter-claims that follow each other at once leave no holder the time
 	// to keep anything, and use up the appends that orders and jobs need.
