Hand out again what a dead owner started for a live steward

Cause: an owner puts the start of a non-repeatable item on the log and hands the item over in the steward's next pull. If it dies between, its successor finds the start, takes the item as handed over, and never gets it back: the steward lives and doesn't have it, and what a predecessor handed over wasn't taken back, since a paused one may still answer a pull. The job never ended.

Ruled out: taking it back by the steward's list alone, or after some time. The predecessor's late reply would bring the item once more, and it would run twice.

Change: owners tell stewards the terms of their shards, in answer to the pulls that list all held items, and hand items over under their term. A steward drops items from an earlier term than it has heard of, and sends those terms along with its list, both of one moment. The successor takes an inherited item back if the list lacks it and comes with its own term or a later one, once the lease is over: what the predecessor had handed over by then is in the list until its end was read back, and what it hands over later is dropped. No other steward can have had it, for its start would be the one on the log. The word that the item waits again goes on the log, so an owner that has lost the shard takes nothing back.

A daemon from before this change tells no term; while it owns a shard whose later term a steward has heard of, that steward drops its items, so a fleet should not stay mixed for long.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -296,6 +296,44 @@
 		Expect(dump(s.log.replay())).To(Equal(dump(o.State())))
 	})
 
+	// The owner put a revision's start on the log and died, and nobody knows
+	// whether it handed the item over. Its steward lives, so the job would never
+	// end. The successor hands the item out again once the steward drops what the
+	// dead one may still say, and not before, nor if the steward has it.
+	ginkgo.It("takes a non-repeatable item back that a predecessor started", func() {
+		s := newSim()
+		dead := s.held("a")
+		s.job(dead, "c/j", "u", 1, false)
+		s.flush(dead)
+		s.pullSeq(dead, 1)
+		s.flush(dead)
+		o := s.held("b")
+		s.now += 5000
+		list := func(terms map[int]uint64, held ...ItemRef) []LeasedItem {
+			items := o.Pull(s.now, PullRequest{
+				Steward: "s", Group: "g", Max: 1, MaxBytes: 1 << 20, Seq: 3, Held: held, HeldWhole: true, Terms: terms,
+			}).Items
+			s.flush(o)
+			return items
+		}
+		item := ItemRef{Job: "c/j", Index: 0, Attempt: 1}
+		current := map[int]uint64{0: o.Term()}
+		for _, items := range [][]LeasedItem{list(nil), list(map[int]uint64{0: o.Term() - 1}), list(current, item)} {
+			Expect(items).To(BeEmpty())
+			r, _ := o.Item("c/j", "0")
+			Expect(r.State).To(Equal(ItemRunning))
+		}
+		late := s.pullSeq(dead, 2) // the dead one was only paused
+		Expect(late).To(HaveLen(1))
+		Expect(late[0].Term).To(BeNumerically("<", o.Term()), "its steward drops it")
+		list(current)
+		list(current)
+		again := list(current)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Ref.Attempt).To(Equal(2))
+		Expect(again[0].Term).To(Equal(o.Term()))
+	})
+
 	// One drawing crashes whichever engine reads it. Others that ran beside it
 	// must not be blamed; it is run alone and refused after two more crashes.
 	ginkgo.It("condemns an item only for crashes while it ran alone", func() {
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -252,6 +252,9 @@
 	DueMs int64
 	// Progress holds the tokens that an earlier, cancelled attempt delivered.
 	Progress []string
+	// Shard and Term are the owner's that hands the item over.
+	Shard int
+	Term  uint64
 	// Suspect tells that the item was running on targets as they crashed: run it alone.
 	Suspect bool
 }
@@ -277,6 +280,9 @@
 	// away for good.
 	Held      []ItemRef
 	HeldWhole bool
+	// Terms are the highest terms that the steward has heard of, by shard: it
+	// takes nothing any more from owners of earlier ones. Set with HeldWhole.
+	Terms map[int]uint64
 }
 
 // PullReply answers a PullRequest.
@@ -291,6 +297,9 @@
 	EarliestDueMs int64
 	// Cancelled lists the Running items whose job was cancelled: stop them.
 	Cancelled []ItemRef
+	// Terms are the terms of all shards held at this owner's daemon, told when the
+	// pull has HeldWhole.
+	Terms map[int]uint64
 }
 
 // ItemEnd reports the end of one leased item.
--- a/core/ledger/owner_lease.go
+++ b/core/ledger/owner_lease.go
@@ -15,6 +15,9 @@
 	// handedIn is the Seq of the pull whose reply handed a non-repeatable item
 	// over; 0 if that isn't known.
 	handedIn uint64
+	// inherited tells that a predecessor put the item's start on the log, and may
+	// have handed it over or not.
+	inherited bool
 	// ending tells that an end waits to be read back.
 	ending bool
 }
@@ -29,7 +32,7 @@
 	o.now = nowMs
 	reply := PullReply{LeaseMs: o.cfg.LeaseMs, Cancelled: o.renew(&req)}
 	o.takeBackUnseen(&req)
-	b := &basket{steward: req.Steward, seq: req.Seq, max: req.Max, room: req.MaxBytes}
+	b := &basket{shard: o.cfg.Shard, term: o.term, steward: req.Steward, seq: req.Seq, max: req.Max, room: req.MaxBytes}
 	o.takeReady(b)
 	offers := o.offers(req.Group)
 	if !o.ringFull() {
@@ -49,6 +52,8 @@
 
 // basket collects a pull's items.
 type basket struct {
+	shard   int
+	term    uint64
 	steward string
 	seq     uint64
 	max     int
@@ -130,8 +135,13 @@
 //     Had it been taken in, the item would be listed until its end was read back
 //     here, and then it has no lease. A list that was late on its way has a lower
 //     number, and doesn't count, however long ago it was sent.
-//   - Only items that this owner handed over itself are taken back. A
-//     predecessor that is paused may still hand over what it started.
+//   - An item that a predecessor started is taken back only if the list comes
+//     with this owner's term or a later one. The steward has dropped everything
+//     from earlier terms since before it made the list: what the predecessor had
+//     handed over by then is in the list, what it hands over later, paused until
+//     then or late on its way, is thrown away. Only this steward can have had the
+//     item, since another is given it under a start of its own, which would be
+//     the one that was folded here.
 //   - The lease is over too: a steward may start an item only within the lease,
 //     measured from before it sent the pull.
 //
@@ -144,7 +154,7 @@
 	var held map[itemKey]bool
 	for key, l := range o.leases {
 		s := o.scheds[key.job]
-		if l.steward != req.Steward || l.ending || l.handedIn == 0 || l.handedIn >= req.Seq || o.now < l.until || s == nil {
+		if l.steward != req.Steward || l.ending || !o.missable(l, req) || o.now < l.until || s == nil {
 			continue
 		}
 		if held == nil {
@@ -157,6 +167,15 @@
 	}
 }
 
+// missable tells whether a list that lacks the lease's item proves that the
+// steward never got it.
+func (o *Owner) missable(l *lease, req *PullRequest) bool {
+	if l.inherited {
+		return req.Terms[o.cfg.Shard] >= o.term
+	}
+	return l.handedIn != 0 && l.handedIn < req.Seq
+}
+
 func (r *PullRequest) heldKeys() map[itemKey]bool {
 	keys := make(map[itemKey]bool, len(r.Held))
 	for _, ref := range r.Held {
@@ -177,7 +196,7 @@
 	b.items = append(b.items, LeasedItem{
 		Ref:  ItemRef{Job: key.job, Index: key.index, Attempt: attempt},
 		Item: it.Item, Profile: s.job.Profile, DueMs: s.job.DueMs,
-		Progress: it.Progress, Suspect: it.Suspect,
+		Progress: it.Progress, Suspect: it.Suspect, Shard: b.shard, Term: b.term,
 	})
 }
 
--- a/core/ledger/owner_sched.go
+++ b/core/ledger/owner_sched.go
@@ -161,7 +161,7 @@
 	}
 	if it.Started != "" {
 		o.leases[itemKey{s.job.Job, index}] = &lease{
-			steward: it.Started, attempt: it.Attempts, until: s.graceUntil, handed: true,
+			steward: it.Started, attempt: it.Attempts, until: s.graceUntil, handed: true, inherited: true,
 		}
 		s.leased++
 		return
--- a/daemon/shards/own.go
+++ b/daemon/shards/own.go
@@ -184,6 +184,7 @@
 		running[id] = append(running[id], ref)
 	}
 	w.Value.LeaseMs = s.opt.Lease.Milliseconds()
+	w.Value.Terms = map[int]uint64{}
 	order := s.pullOrder(&req, running, &w.Value)
 	for _, sl := range order {
 		part := req
@@ -216,6 +217,9 @@
 		ask.Max, ask.Running = 0, running[sl.id]
 		s.look(sl, func(o *ledger.Owner) {
 			r := o.Pull(s.nowMs(), ask)
+			if req.HeldWhole {
+				sum.Terms[sl.id] = o.Term()
+			}
 			sum.Cancelled = append(sum.Cancelled, r.Cancelled...)
 			sum.Backlog += r.Backlog
 			if r.EarliestDueMs > 0 && (sum.EarliestDueMs == 0 || r.EarliestDueMs < sum.EarliestDueMs) {
--- a/daemon/steward/pull.go
+++ b/daemon/steward/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -163,6 +164,7 @@
 	if now.Sub(o.listedAt) >= o.lease/renewShare {
 		o.listedAt = now
 		req.Held, req.HeldWhole = s.heldWholeLocked(o.address)
+		req.Terms = maps.Clone(s.terms) // of the same moment as the list
 	}
 	o.inFlight = true
 	s.pulls[p] = true
@@ -218,7 +220,13 @@
 			s.stopItemLocked(it)
 		}
 	}
+	for id, term := range reply.Terms {
+		s.terms[id] = max(s.terms[id], term)
+	}
 	for i, leased := range reply.Items {
+		if leased.Term < s.terms[leased.Shard] {
+			continue
+		}
 		s.takeItemLocked(now, p, leased, prompts[i], until)
 	}
 	if len(reply.Items) > 0 {
--- a/daemon/steward/steward.go
+++ b/daemon/steward/steward.go
@@ -43,8 +43,12 @@
 	pullSeq  int
 	// pullNo numbers the pulls towards owners; endsLost is set once an end was
 	// dropped.
-	pullNo     uint64
-	endsLost   bool
+	pullNo   uint64
+	endsLost bool
+	// terms are the highest terms that owners have told of, by shard. Items from
+	// owners of earlier ones are dropped: the later owner may have given them to
+	// others, since this steward doesn't list them.
+	terms      map[int]uint64
 	lastIdle   time.Time
 	lastLook   time.Time
 	revoked    map[string]time.Time
@@ -73,6 +77,7 @@
 		owners:   make(map[string]*ownerState),
 		pulls:    make(map[*pullCall]bool),
 		revoked:  make(map[string]time.Time),
+		terms:    make(map[int]uint64),
 	}
 	s.targets.Store(&map[string]*targetState{})
 	s.meter = newMeter(opts.Metrics, s)
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -225,6 +225,31 @@
 	})
 })
 
+var _ = Describe("an item from an owner that has been replaced", func() {
+	// The new owner has given the item to another steward, as this one told that
+	// it had it not. The old owner, paused until now, answers an earlier pull.
+	It("is dropped, and the list tells from which term on", func() {
+		b := newBench(1, engineA)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		p := &pullCall{owner: self.PeerAddress, group: "g"}
+		take := func(reply ledger.PullReply) {
+			b.takeReplyLocked(b.opts.Now(), p, ledger.PullRequest{}, reply, promptsOf(reply.Items))
+		}
+		b.ledger.add("c/j", "once", "x")
+		late := b.ledger.waiting
+		late[0].Shard, late[0].Term = 3, 6
+		take(ledger.PullReply{LeaseMs: 1000, Terms: map[int]uint64{3: 7, 4: 2}})
+		take(ledger.PullReply{LeaseMs: 1000, Terms: map[int]uint64{3: 6}})
+		take(ledger.PullReply{LeaseMs: 1000, Items: late})
+		Expect(b.held).To(BeEmpty())
+		Expect(b.terms).To(Equal(map[int]uint64{3: 7, 4: 2}))
+		late[0].Term = 7
+		take(ledger.PullReply{LeaseMs: 1000, Items: late})
+		Expect(b.held).To(HaveLen(1))
+	})
+})
+
 // What a target says decides whether the item may be tried again, and what its
 // caller is told; "not run" only where that is certain.
 var _ = DescribeTable("a failed attempt",
