--- a/standin/faultproxy/faultproxy_test.go
+++ b/standin/faultproxy/faultproxy_test.go
@@ -228,8 +228,7 @@
 			return resp.StatusCode
 		}
 		Expect(put(`{"cut":"reset"}`)).To(Equal(200))
-		c := dial(proxy.Addr())
-		Eventually(c.lines).Should(BeClosed())
+		Expect(resetFrom("127.0.0.1", proxy.Addr())).To(BeTrue())
 		Expect(put(`{"stall":"sideways"}`)).To(Equal(400))
 		Expect(put(`{"stal":"up"}`)).To(Equal(400))
 		Expect(put(`{"cut":"refuse","only_from":["127.0.0.2"]}`)).To(Equal(400))
