Refuse an order at once when its owner says the log is out

Cause: the begin loop took the owner's log_unavailable for an owner that cannot be reached and asked again every 50 ms for the order patience of 3 s, though the owner had answered promptly. Ruled out: the client of the shards and the owner, which return the refusal at once. Change: the refusal goes to the caller as it came; the patience stays for no_owner, while a takeover is under way. Before: the new spec gets deadline_exceeded instead of log_unavailable. Price: if only the old owner is cut off from the log, an order is refused not_run with a time to come back instead of waiting for the takeover.

--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -150,6 +150,13 @@
 			giveUp = o.opt.Clock().Add(patience)
 		case !unreachable(refusal):
 			return reply, refusal
+		case refusal.Code == outcome.LogUnavailable:
+			// The owner is there and knows that it can't begin anything: waiting is
+			// for an owner that is being replaced.
+			if !req.Repeatable {
+				o.finish.abandon(req)
+			}
+			return reply, refusal
 		case o.opt.Clock().Add(beginBackoff).After(giveUp):
 			if !req.Repeatable {
 				o.finish.abandon(req)
--- a/daemon/online/online_test.go
+++ b/daemon/online/online_test.go
@@ -236,6 +236,26 @@
 	})
 })
 
+var _ = Describe("an order whose owner says that the log is out", func() {
+	// A guest orders while the platform's log is down. The owner knows that it
+	// cannot begin anything; the guest must hear so at once and when to come
+	// back, not after the patience that is meant for an owner being replaced.
+	It("is refused by the owner's own word, not by its deadline", func() {
+		b := newBench("a:1")
+		b.orderPatience = time.Hour
+		b.ledger.setDown(true)
+		b.start()
+		call := chatOf(order, "k1", "hello")
+		call.Deadline = time.Now().Add(3 * time.Second)
+		_, err := b.online.Chat(context.Background(), call, nil)
+		refusal := refusalOf(err)
+		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
+		Expect(refusal.Run).To(Equal(outcome.NotRun))
+		Expect(refusal.RetryAfterMs).To(BeNumerically(">", 0))
+		Expect(b.engine.Calls()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a repeatable keyed chat whose owner cannot be reached", func() {
 	// A planner's plugin asks by key while the key's owner is lost. It gets its
 	// answer at once, and when it asks again a minute later by the same key it
--- a/daemon/online/suite_test.go
+++ b/daemon/online/suite_test.go
@@ -1,6 +1,7 @@
 package online_test
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"testing"
@@ -152,14 +153,16 @@
 	// restarts makes the engine send every answer from its first token on,
 	// whatever it was told to resume after.
 	restarts bool
-	service  faketarget.Service
-	ledger   *fakeLedger
-	client   ledger.Client // the ledger, if it isn't the fake
-	signals  *signals
-	config   *config.Config
-	online   *online.Online
-	stop     context.CancelFunc
-	duties   *duty.Group
+	// orderPatience is how long an order waits for its owner; 0 is 100 ms.
+	orderPatience time.Duration
+	service       faketarget.Service
+	ledger        *fakeLedger
+	client        ledger.Client // the ledger, if it isn't the fake
+	signals       *signals
+	config        *config.Config
+	online        *online.Online
+	stop          context.CancelFunc
+	duties        *duty.Group
 }
 
 func newBench(targets ...string) *bench {
@@ -193,7 +196,7 @@
 		Signals: b.signals, Suspects: &tracker{core: retry.NewSuspects(2)},
 		Host: "d1", Zone: "hai-chau",
 		StallMin: 50 * time.Millisecond, StallMax: 50 * time.Millisecond,
-		BeginPatience: 20 * time.Millisecond, OrderPatience: 100 * time.Millisecond,
+		BeginPatience: 20 * time.Millisecond, OrderPatience: cmp.Or(b.orderPatience, 100*time.Millisecond),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	var ctx context.Context
