Call no order not run whose time ran out before its owner spoke

Cause: an order that got no word from any owner until its deadline was told not_run; that is true of this arrival, but an earlier one of the same key may have run elsewhere, and a caller reads it as the word on its order. Ruled out: reading the log then, as for no_owner: the deadline is over, and the refusal must not wait. Change: may_have_run for orders; repeatable requests keep not_run. Before: the new spec gets not_run. After: may_have_run, and no engine has seen the call.

--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -145,7 +145,7 @@
 		switch {
 		case ctx.Err() != nil:
 			o.finish.abandon(req)
-			return reply, o.beginTimedOut(err)
+			return reply, beginTimedOut(req, err)
 		case err == nil:
 			giveUp = o.opt.Clock().Add(patience)
 		case !unreachable(refusal):
@@ -211,13 +211,20 @@
 }
 
 // beginTimedOut is told when the deadline passed before a grant. This arrival
-// did not run; when another arrival of the key is running, it may have.
-func (o *Online) beginTimedOut(err error) *outcome.Refusal {
+// did not run. Whether another one of the key did, nobody has said: a caller that
+// reads not_run as the word on its order would order anew, so an order is told
+// that it may have run. There is no time left to read the log.
+func beginTimedOut(req ledger.BeginRequest, err error) *outcome.Refusal {
 	if err == nil {
 		return outcome.Refuse(outcome.DeadlineExceeded, "another arrival of this key still runs").
 			WithRun(outcome.MayHaveRun).After(beginRetryMs)
 	}
-	return outcome.Refuse(outcome.DeadlineExceeded, "this arrival was not run: the key's owner did not answer in time").After(beginRetryMs)
+	refusal := outcome.Refuse(outcome.DeadlineExceeded, "this arrival was not run: the key's owner did not answer in time").
+		After(beginRetryMs)
+	if req.Repeatable {
+		return refusal
+	}
+	return refusal.WithRun(outcome.MayHaveRun)
 }
 
 // finishRun reports the end of a granted run and returns the answer that
--- a/daemon/online/online_test.go
+++ b/daemon/online/online_test.go
@@ -256,6 +256,24 @@
 	})
 })
 
+var _ = Describe("an order whose time runs out before any owner speaks", func() {
+	// The same order ran through another daemon before; here its owner cannot be
+	// reached until the deadline. A guest who is told "not run" orders anew.
+	It("is not called not run", func() {
+		b := newBench("a:1")
+		b.orderPatience = time.Hour
+		b.ledger.broken = true
+		b.start()
+		call := chatOf(order, "k1", "hello")
+		call.Deadline = time.Now().Add(300 * time.Millisecond)
+		_, err := b.online.Chat(context.Background(), call, nil)
+		refusal := refusalOf(err)
+		Expect(refusal.Code).To(Equal(outcome.DeadlineExceeded))
+		Expect(refusal.Run).To(Equal(outcome.MayHaveRun))
+		Expect(b.engine.Calls()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a repeatable keyed chat whose owner cannot be reached", func() {
 	// A planner's plugin asks by key while the key's owner is lost. It gets its
 	// answer at once, and when it asks again a minute later by the same key it
--- a/daemon/online/suite_test.go
+++ b/daemon/online/suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -86,15 +87,20 @@
 // fakeLedger grants each key once and keeps its end; down makes it unreachable.
 type fakeLedger struct {
 	ledger.Client
-	mu    sync.Mutex
-	down  bool
-	kept  map[string]ledger.FinishRequest
-	begun map[string]string
+	mu   sync.Mutex
+	down bool
+	// broken makes every Begin end without a word.
+	broken bool
+	kept   map[string]ledger.FinishRequest
+	begun  map[string]string
 }
 
 func (l *fakeLedger) Begin(_ context.Context, r ledger.BeginRequest) (ledger.BeginReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.broken {
+		return ledger.BeginReply{}, errors.New("the call broke")
+	}
 	if l.down {
 		return ledger.BeginReply{}, outcome.Refuse(outcome.LogUnavailable, "the log is out").After(700)
 	}
