Place suspects that meet on empty targets apart

Cause: requests that ran on a target as it crashed run alone next. Among equal empty targets the first of the list was taken, so suspects that several entry hosts placed at the same moment all met on one target again, and its next crash harmed the innocent ones. Ruled out: waiting longer for the other hosts' word (the choice falls within microseconds of each other). Change: equal targets are taken from a random start.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -76,7 +76,7 @@
 		return t.lastResort(now, r)
 	}
 	if r.Alone || r.OnlyAlone {
-		return Choice{t.emptiest(now, usable).Address, ByIsolation}, true
+		return Choice{t.emptiest(now, usable, r.SeedValue).Address, ByIsolation}, true
 	}
 	usable = unreserved(usable)
 	limit := loadLimit(now, usable)
@@ -172,10 +172,14 @@
 
 // emptiest returns the target for a suspect: the one with the fewest other
 // suspects, then with the least of everything. Suspects of one crash that met
-// again on the next target would stay indistinguishable.
-func (t *Table) emptiest(now time.Time, usable []*entry) *entry {
-	best := usable[0]
-	for _, e := range usable[1:] {
+// again on the next target would stay indistinguishable. Entry hosts decide at
+// the same moment without each other's word, so equal targets are taken in a
+// random order: by the list's order all hosts would take the same one.
+func (t *Table) emptiest(now time.Time, usable []*entry, seed uint64) *entry {
+	first := int(seed % uint64(len(usable)))
+	best := usable[first]
+	for i := 1; i < len(usable); i++ {
+		e := usable[(first+i)%len(usable)]
 		if e.reserved != best.reserved {
 			if e.reserved < best.reserved {
 				best = e
