Let a stopping daemon go when the log is out and nothing waits for it

Cause: a graceful stop hands each shard over by a record; with the log out it waited for its whole drain time, 10 minutes by default (seen: over 100 s until a second SIGTERM). Ruled out: giving up at once (an outage may be a blip), or while ends wait for the log (they would be lost with the daemon). Change: after 3 s without the log and with nothing waiting, the drain gives up; the others claim what is left when the log is back. Records on their way count as waiting. Before: the new spec waits for its 20 s ("4 shards are still held or being claimed"). After: 4 of 4 runs give up in 3 s.

--- a/core/ledger/owner.go
+++ b/core/ledger/owner.go
@@ -189,6 +189,9 @@
 func (o *Owner) Figures() Figures {
 	f := o.figures
 	f.Waiting = len(o.urgent) + len(o.normal)
+	if o.flight != nil {
+		f.Waiting += len(o.flight.props)
+	}
 	f.WaitingBytes = o.waiting
 	f.Voids = o.st.voids
 	return f
--- a/daemon/shards/claim.go
+++ b/daemon/shards/claim.go
@@ -17,6 +17,8 @@
 	doubtSteps = 10
 	// moveEvery bounds how often a shard is released for balance.
 	moveEvery = 2 * time.Second
+	// drainLogWait is how long a drain waits for a log that does not answer.
+	drainLogWait = 3 * time.Second
 	// settleTime is how long a fresh holder is given to tell that it holds the
 	// shard, before a claim is weighed against it.
 	settleTime = 5 * time.Second
@@ -186,7 +188,19 @@
 	s.draining.Store(true)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	lastOK := time.Now()
 	for s.busySlots() > 0 {
+		if s.LogOK() || s.figures().Waiting > 0 {
+			lastOK = time.Now()
+		}
+		// Handing over takes a record. While the log is out a stopping daemon would
+		// wait for it until its whole drain time is over, and gain nothing: when the
+		// log is back, the others claim what is left as from a lost host. But ends
+		// that wait for the log would be lost with this daemon, so they are waited
+		// for.
+		if time.Since(lastOK) >= drainLogWait {
+			return DrainTimeout.New("%d shards are still held and the log is out of reach", s.busySlots())
+		}
 		for _, sl := range s.slots { // again and again: a claim may just succeed
 			s.release(sl, s.bestSuccessor(sl.id))
 		}
--- a/daemon/shards/shards_test.go
+++ b/daemon/shards/shards_test.go
@@ -492,6 +492,23 @@
 		Expect(pull(f.nodes["b"], owner, 3, nil).Items).To(BeEmpty())
 	})
 
+	// A host is replaced while the platform's log is out. Its daemon can hand
+	// nothing over; it must not stay until its whole drain time is over.
+	It("gives up handing over when the log is out", func() {
+		f := newFleet("a", "b")
+		for id := 0; id < testShards; id++ {
+			Eventually(func() *node { return f.holder(id) }).WithTimeout(10 * time.Second).ShouldNot(BeNil())
+		}
+		a := f.holder(0)
+		f.log.SetOutage(true)
+		Eventually(a.shards.LogOK).WithTimeout(10 * time.Second).Should(BeFalse())
+		Expect(a.shards.Holds()).NotTo(BeEmpty())
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		Expect(a.shards.Drain(ctx)).To(MatchError(ContainSubstring("the log is out of reach")))
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+	})
+
 	// A daemon is stopped on purpose: all its shards go to others, and calls
 	// made meanwhile find the new owners.
 	It("hands its shards over when it drains", func() {
