--- /dev/null
+++ b/core/ledger/jobs_test.go
@@ -0,0 +1,407 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+var _ = ginkgo.Describe("a job's items", func() {
+	// A completion and a cancel race each other. Whatever comes first on the log
+	// decides, and the counts add up.
+	ginkgo.It("lets log order decide between a cancel and a completion", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 3, true)
+		s.flush(o)
+		items := s.pull(o, "s", 2)
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: items[0].Ref, Answer: answer("x")}}})
+		s.flush(o)
+		id := s.call()
+		o.CancelJob(s.now, id, "c/j")
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: items[1].Ref, Answer: answer("y")}}})
+		s.flush(o)
+		Expect(o.Revokes()).To(Equal([]string{"c/j"}))
+		Expect(s.replies).NotTo(HaveKey(id), "the steward has not answered")
+		o.Revoked(s.now, "c/j", []string{"s"})
+		s.flush(o)
+		Expect(s.replies[id].Cancel.Status.Completed).To(Equal(1))
+		Expect(s.replies[id].Cancel.Status.Cancelled).To(Equal(2))
+		Expect(dump(s.log.replay())).To(Equal(dump(o.State())))
+	})
+
+	// The steward that holds an item of a cancelled job can't be reached; it may
+	// be paused and go on. The cancel must not be confirmed before its lease has
+	// lapsed.
+	ginkgo.It("waits for the lease of a steward that is out of reach", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		s.flush(o)
+		s.pull(o, "s", 1)
+		leased := s.now
+		id := s.call()
+		o.CancelJob(s.now, id, "c/j")
+		s.now += 50
+		data, _ := o.Build(s.now)
+		s.log.append(data)
+		s.read(o)
+		o.Revoked(s.now, "c/j", []string{"other"})
+		s.now = leased + 3999
+		o.Tick(s.now)
+		s.collect(o)
+		Expect(s.replies).NotTo(HaveKey(id))
+		s.now = leased + 4000
+		s.step(o)
+		Expect(s.replies[id].Cancel.Refusal).To(BeNil())
+	})
+
+	// A job names a service that nobody runs. Its items must end failed, with the
+	// reason and the word that nothing ran, and the job must end; but not before
+	// a configuration that names the service had its time to arrive, and an
+	// outage of the log, which carries it, is no such time.
+	ginkgo.It("fails items that no target group serves, in its time", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 2, false)
+		s.flush(o)
+		s.unserved = true
+		s.flush(o)
+		o.ReadFailed(s.now)
+		s.now += 2 * unknownRouteMs
+		o.Tick(s.now)
+		o.ReadOK(s.now)
+		s.flush(o)
+		waited := s.now
+		Expect(o.Jobs()[0].Failed).To(Equal(0), "the log was out")
+		s.now = waited + unknownRouteMs - 1000
+		s.flush(o)
+		Expect(o.Jobs()[0].Failed).To(Equal(0), "a configuration may be on its way")
+		s.now = waited + unknownRouteMs
+		s.flush(o)
+		Expect(o.Jobs()[0].State).To(Equal(JobEnded))
+		r, _ := o.Item("c/j", "0")
+		Expect(r.State).To(Equal(ItemFailed))
+		Expect(r.Refusal.Code).To(Equal(outcome.UnknownTarget))
+		Expect(r.Refusal.Run).To(Equal(outcome.NotRun))
+	})
+
+	// An operator cancels a job, is told so, and looks at once from another
+	// daemon, after the shard has changed hands. At each look the job must be
+	// cancelled: the same word as the answer, never a step before it.
+	ginkgo.It("tells a confirmed cancel as cancelled, also under a new owner", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 2, true)
+		s.flush(o)
+		s.pull(o, "s", 1)
+		id := s.call()
+		o.CancelJob(s.now, id, "c/j")
+		s.flush(o)
+		o.Revoked(s.now, "c/j", []string{"s"})
+		for i := 0; s.replies[id].Cancel == nil && i < 20; i++ {
+			s.step(o)
+		}
+		Expect(s.replies[id].Cancel.Status.State).To(Equal(JobCancelled))
+		Expect(o.Jobs()[0].State).To(Equal(JobCancelled))
+		Expect(s.held("b").Jobs()[0].State).To(Equal(JobCancelled), "the answer was durable")
+	})
+
+	// A revision must be stamped once. Its steward dies after it got the item:
+	// the item ends as one that may have run, also under a new owner, and is
+	// never handed out again.
+	ginkgo.It("hands a non-repeatable item out once, after its start is on the log", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, false)
+		s.flush(o)
+		Expect(s.pull(o, "s", 1)).To(BeEmpty(), "its start is not on the log yet")
+		s.flush(o)
+		Expect(s.pull(o, "s", 1)).To(HaveLen(1))
+		s.dead["s"] = true
+		o = s.held("b")
+		s.now += 5000
+		s.flush(o)
+		Expect(s.pull(o, "s2", 1)).To(BeEmpty())
+		r, _ := o.Item("c/j", "0")
+		Expect(r.State).To(Equal(ItemFailed))
+		Expect(r.Refusal.Run).To(Equal(outcome.MayHaveRun))
+	})
+
+	// A revision is handed to a steward, but the reply is lost on the way. The
+	// steward lives and never saw it, so the job would never end. The item must
+	// be handed out again once the steward's later word shows that it never came,
+	// and not on an old word, nor within the lease, nor when the steward has it.
+	ginkgo.It("takes a non-repeatable item back whose handing over was lost", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, false)
+		s.flush(o)
+		s.pullSeq(o, 1)
+		s.flush(o)
+		lost := s.pullSeq(o, 2)
+		Expect(lost).To(HaveLen(1))
+		s.pullSeq(o, 3)
+		s.flush(o)
+		Expect(s.pullSeq(o, 4)).To(BeEmpty(), "its lease goes on")
+		s.now += 5000
+		for _, seen := range [][]LeasedItem{s.pullSeq(o, 1), s.pullSeq(o, 5, lost[0].Ref)} {
+			s.flush(o)
+			Expect(seen).To(BeEmpty())
+			r, _ := o.Item("c/j", "0")
+			Expect(r.State).To(Equal(ItemRunning))
+		}
+		s.pullSeq(o, 6)
+		s.flush(o)
+		s.pullSeq(o, 7)
+		s.flush(o)
+		again := s.pullSeq(o, 8)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Ref.Attempt).To(Equal(2))
+		Expect(dump(s.log.replay())).To(Equal(dump(o.State())))
+	})
+
+	// The owner put a revision's start on the log and died, and nobody knows
+	// whether it handed the item over. Its steward lives, so the job would never
+	// end. The successor hands the item out again once the steward drops what the
+	// dead one may still say, and not before, nor if the steward has it.
+	ginkgo.It("takes a non-repeatable item back that a predecessor started", func() {
+		s := newSim()
+		dead := s.held("a")
+		s.job(dead, "c/j", "u", 1, false)
+		s.flush(dead)
+		s.pullSeq(dead, 1)
+		s.flush(dead)
+		o := s.held("b")
+		s.now += 5000
+		list := func(terms map[int]uint64, held ...ItemRef) []LeasedItem {
+			items := o.Pull(s.now, PullRequest{
+				Steward: "s", Group: "g", Max: 1, MaxBytes: 1 << 20, Seq: 3, Held: held, HeldWhole: true, Terms: terms,
+			}).Items
+			s.flush(o)
+			return items
+		}
+		item := ItemRef{Job: "c/j", Index: 0, Attempt: 1}
+		current := map[int]uint64{0: o.Term()}
+		for _, items := range [][]LeasedItem{list(nil), list(map[int]uint64{0: o.Term() - 1}), list(current, item)} {
+			Expect(items).To(BeEmpty())
+			r, _ := o.Item("c/j", "0")
+			Expect(r.State).To(Equal(ItemRunning))
+		}
+		late := s.pullSeq(dead, 2) // the dead one was only paused
+		Expect(late).To(HaveLen(1))
+		Expect(late[0].Term).To(BeNumerically("<", o.Term()), "its steward drops it")
+		list(current)
+		list(current)
+		again := list(current)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Ref.Attempt).To(Equal(2))
+		Expect(again[0].Term).To(Equal(o.Term()))
+	})
+
+	// One drawing crashes whichever engine reads it. Others that ran beside it
+	// must not be blamed; it is run alone and refused after two more crashes.
+	ginkgo.It("condemns an item only for crashes while it ran alone", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		s.flush(o)
+		for i, alone := range []bool{false, false, false, true, true} {
+			items := s.pull(o, "s", 1)
+			Expect(items).To(HaveLen(1))
+			Expect(items[0].Suspect).To(Equal(i > 0))
+			refusal := outcome.Refuse(outcome.TargetFailed, "gone").WithRun(outcome.MayHaveRun)
+			o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{
+				Ref: items[0].Ref, Refusal: refusal, Crashed: true, Alone: alone,
+			}}})
+			s.flush(o)
+		}
+		r, _ := o.Item("c/j", "0")
+		Expect(r.Refusal.Code).To(Equal(outcome.Condemned))
+		st, _ := o.Job(s.now, "c/j")
+		Expect(st.State).To(Equal(JobEnded))
+	})
+
+	// A steward is preempted again and again, then loses its lease. Neither may
+	// cost the item an attempt, and a result that comes after all is kept.
+	ginkgo.It("keeps attempts for failures and takes a late result", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		s.flush(o)
+		var first ItemRef
+		for i := 0; i < 5; i++ {
+			items := s.pull(o, "s", 1)
+			Expect(items).To(HaveLen(1))
+			first = items[0].Ref
+			o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: first}}})
+		}
+		Expect(s.pull(o, "s", 1)).To(HaveLen(1))
+		s.now += 5000
+		o.Tick(s.now)
+		Expect(s.pull(o, "s2", 1)).To(HaveLen(1))
+		id := s.call()
+		o.FinishItems(s.now, id, FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: first, Answer: answer("late")}}})
+		s.flush(o)
+		Expect(s.replies[id].Ends.Refusal).To(BeNil())
+		r, _ := o.Item("c/j", "0")
+		Expect(body(r.Answer)).To(Equal("late"))
+	})
+
+	// A bundle of thousands of drawings is due first. A small job of another
+	// caller, due much later, must still get its share.
+	ginkgo.It("lets a large urgent job starve nobody", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "big/j", "u", 4000, true)
+		s.now += 3_600_000
+		s.job(o, "small/j", "u", 20, true)
+		s.flush(o)
+		small := 0
+		for _, it := range s.pull(o, "s", 200) {
+			if callerOf(it.Ref.Job) == "small" {
+				small++
+			}
+		}
+		Expect(small).To(Equal(20))
+	})
+
+	// An owner dies and its successor must not hand out what a steward still
+	// holds; the steward's next pull tells it.
+	ginkgo.It("waits out a predecessor's leases and learns of those that go on", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 2, true)
+		s.flush(o)
+		held := s.pull(o, "s", 1)
+		o = s.held("b")
+		Expect(s.pull(o, "s2", 5)).To(BeEmpty())
+		s.now += 3000
+		o.Pull(s.now, PullRequest{Steward: "s", Group: "g", Running: []ItemRef{held[0].Ref}})
+		s.now += 1500
+		o.Tick(s.now)
+		Expect(s.pull(o, "s2", 5)).To(HaveLen(1))
+	})
+
+	// An owner dies, and the steward that goes on with the job's first item ends
+	// it under the successor. The rest of the job must still be handed out: once,
+	// all of it failed as having no target group, because the ended item stood
+	// for it.
+	ginkgo.It("hands out the rest after an item that went on under a new owner", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 3, true)
+		s.flush(o)
+		held := s.pull(o, "s", 1)
+		o = s.held("b")
+		o.Pull(s.now, PullRequest{Steward: "s", Group: "g", Running: []ItemRef{held[0].Ref}})
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: held[0].Ref, Answer: answer("x")}}})
+		s.flush(o)
+		for i := 0; i < 3; i++ {
+			s.now += unknownRouteMs
+			o.Tick(s.now)
+		}
+		Expect(s.pull(o, "s2", 5)).To(HaveLen(2))
+	})
+})
+
+var _ = ginkgo.Describe("an upload that failed", func() {
+	// A script sends a large job with a bad last line again and again. If each
+	// try rested in memory for its idle minute, a few would exhaust the host.
+	ginkgo.It("is dropped at once, and its late chunks and commit are refused", func() {
+		s := newSim()
+		o := s.held("a")
+		s.now += uploadIdleMs
+		chunk := JobChunkRequest{Job: "j", Upload: "u", Items: []Item{{CustomID: "0", URL: "/v1/services/s/p", Body: []byte("{}")}}}
+		o.OpenJob(s.now, JobOpenRequest{Job: "j", Upload: "u", Profile: "p"})
+		o.AddItems(s.now, s.call(), chunk)
+		s.flush(o)
+		Expect(o.State().uploads).To(HaveLen(1))
+		o.AddItems(s.now, s.call(), JobChunkRequest{Job: "j", Upload: "u", Abandon: true})
+		s.flush(o)
+		Expect(o.State().uploads).To(BeEmpty())
+		chunk.Index = 1
+		late, commit := s.call(), s.call()
+		o.AddItems(s.now, late, chunk)
+		o.CommitJob(s.now, commit, JobCommitRequest{Job: "j", Upload: "u", Chunks: 1, Items: 1, Fingerprint: "f"})
+		s.flush(o)
+		Expect(s.replies[late].Chunk.Refusal.Run).To(Equal(outcome.NotRun))
+		Expect(s.replies[commit].Commit.Refusal.Run).To(Equal(outcome.NotRun))
+		Expect(o.State().jobs).To(BeEmpty())
+		again := s.job(o, "j", "v", 1, true)
+		s.flush(o)
+		Expect(s.replies[again].Commit.Created).To(BeTrue())
+	})
+})
+
+var _ = ginkgo.Describe("the stream's beginning", func() {
+	// Records expire under a job that lives longer than the log keeps anything.
+	// The owner states it anew, so that whoever claims the shard later finds it
+	// whole, results included.
+	ginkgo.It("moves forward by restating what lives", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 300, true)
+		o.Begin(s.now, s.call(), order("c/k", "n", "e"))
+		s.flush(o)
+		for _, it := range s.pull(o, "s", 100) {
+			o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: it.Ref, Answer: answer("r")}}})
+		}
+		s.flush(o)
+		before := s.log.next()
+		for third := 0; third < 2; third++ {
+			s.now += 1_300_000 // a little more than a third of the retention
+			s.flush(o)
+		}
+		s.log.first = s.log.record(s.log.next() - 1).Low
+		Expect(s.log.first).To(BeNumerically(">=", before))
+		want := dump(o.State())
+		Expect(dump(s.log.replay())).To(Equal(want))
+		o = s.held("b")
+		st, _ := o.Job(s.now, "c/j")
+		Expect(st.Completed).To(Equal(100))
+	})
+
+	// Everything on a shard's stream has expired while no daemon ran. The first
+	// daemons up must agree on an owner again, and an old one that still sleeps
+	// must lose.
+	ginkgo.It("can be claimed after everything on it has expired", func() {
+		s := newSim()
+		old := s.held("old")
+		s.log.first = s.log.next()
+		a, b := s.owner("a"), s.owner("b")
+		for _, o := range []*Owner{a, b} {
+			data, _ := o.Build(s.now)
+			s.log.append(data)
+			o.AppendDone(s.now, Appended, 0)
+		}
+		for _, o := range []*Owner{a, b, old} {
+			s.read(o)
+		}
+		Expect([]bool{a.Holding(), b.Holding(), old.Holding()}).To(Equal([]bool{true, false, false}))
+		s.job(a, "c/j", "u", 2, true)
+		s.flush(a)
+		Expect(dump(s.log.replay())).To(Equal(dump(a.State())))
+	})
+
+	// Kept answers and results go when their time is over, and with them the
+	// memory and the part of the stream that they held.
+	ginkgo.It("forgets what has been kept for its time", func() {
+		s := newSim()
+		o := s.held("a")
+		s.job(o, "c/j", "u", 1, true)
+		o.Finish(s.now, s.call(), FinishRequest{Key: "c/k", Nonce: "n", Attempt: 1, Answer: answer("x"), Begin: order("c/k", "n", "e")})
+		s.flush(o)
+		it := s.pull(o, "s", 1)[0]
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: it.Ref, Answer: answer("r")}}})
+		s.flush(o)
+		o.cfg.Limits = func() Limits { return Limits{KeptAnswersMs: 1000, KeptResultsMs: 1000} }
+		s.now += 20_000
+		s.flush(o)
+		Expect(dump(o.State())).To(Equal(fmt.Sprintf("term %d a\n", o.Term())))
+		Expect(o.State().liveBytes).To(BeZero())
+	})
+})
