Name a batch item's target group in one place

The owner of a shard and the steward each worked the group out of an item's URL and body, with their own copy of the services' prefix.

--- /dev/null
+++ b/core/config/item.go
@@ -0,0 +1,30 @@
+package config
+
+import (
+	"encoding/json"
+	"strings"
+
+	"tarragonhollow.example/tarragonhollow/core/jobline"
+)
+
+// GroupForItem names the target group that serves a batch item, by its URL and,
+// for a chat completion, the model in its body. ok is false if none does; a
+// service's name is returned all the same.
+func (c *Config) GroupForItem(url string, body []byte) (name string, ok bool) {
+	if rest, isService := strings.CutPrefix(url, jobline.ServicePrefix); isService {
+		name, _, _ := strings.Cut(rest, "/")
+		g := c.Groups[name]
+		return name, g != nil && g.Kind == KindService
+	}
+	var fields struct {
+		Model string `json:"model"`
+	}
+	if json.Unmarshal(body, &fields) != nil {
+		return "", false
+	}
+	g := c.GroupForModel(fields.Model)
+	if g == nil {
+		return "", false
+	}
+	return g.Name, true
+}
--- a/daemon/steward/item.go
+++ b/daemon/steward/item.go
@@ -1,7 +1,6 @@
 package steward
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -80,21 +79,8 @@
 	if cfg == nil {
 		return pulled
 	}
-	if rest, ok := strings.CutPrefix(item.URL, jobline.ServicePrefix); ok {
-		service, _, _ := strings.Cut(rest, "/")
-		if cfg.Groups[service] != nil {
-			return service
-		}
-		return pulled
-	}
-	var body struct {
-		Model string `json:"model"`
-	}
-	if json.Unmarshal(item.Body, &body) != nil {
-		return pulled
-	}
-	if g := cfg.GroupForModel(body.Model); g != nil {
-		return g.Name
+	if name, ok := cfg.GroupForItem(item.URL, item.Body); ok {
+		return name
 	}
 	return pulled
 }
