--- a/bench/capacity/control_test.go
+++ b/bench/capacity/control_test.go
@@ -11,7 +11,7 @@
 	"tarragonhollow.example/tarragonhollow/core/configlog"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/daemon/signal"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
@@ -20,11 +20,11 @@
 func BenchmarkHostList(b *testing.B) {
 	for _, size := range []struct{ daemons, targets int }{{12, 14}, {85, 150}, {340, 600}} {
 		b.Run(fmt.Sprintf("daemons=%d/targets=%d", size.daemons, size.targets), func(b *testing.B) {
-			view := platform.HostView{Version: 12345}
+			view := extern.HostView{Version: 12345}
 			for i := range size.daemons + size.targets {
-				h := platform.Host{Name: hostName(i), Role: platform.RoleDaemon, Address: hostAddress(i), Zone: "hai-chau", State: "live"}
+				h := extern.Host{Name: hostName(i), Role: extern.RoleDaemon, Address: hostAddress(i), Zone: "hai-chau", State: "live"}
 				if i >= size.daemons {
-					h.Name, h.Role, h.Address = fmt.Sprintf("engine-%03d", i), platform.RoleTarget, targetAddress(i)
+					h.Name, h.Role, h.Address = fmt.Sprintf("engine-%03d", i), extern.RoleTarget, targetAddress(i)
 				}
 				view.Hosts = append(view.Hosts, h)
 			}
@@ -33,7 +33,7 @@
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				var got platform.HostView
+				var got extern.HostView
 				if err := json.Unmarshal(text, &got); err != nil {
 					b.Fatal(err)
 				}
--- a/cli/examples_test.go
+++ b/cli/examples_test.go
@@ -9,7 +9,7 @@
 
 	"tarragonhollow.example/tarragonhollow/cli"
 	"tarragonhollow.example/tarragonhollow/core/config"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/settings"
 	"tarragonhollow.example/tarragonhollow/standin/standinset"
 )
@@ -65,7 +65,7 @@
 	Expect(s.Platform.Retention).To(Equal(standins.Log.Retention))
 	var daemons, targets []string
 	for _, host := range standins.Hosts.Hosts {
-		if host.Role == platform.RoleDaemon {
+		if host.Role == extern.RoleDaemon {
 			daemons = append(daemons, host.Address)
 		} else {
 			targets = append(targets, host.Address)
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -17,8 +17,8 @@
 	"tarragonhollow.example/tarragonhollow/daemon/signal"
 	"tarragonhollow.example/tarragonhollow/daemon/steward"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
@@ -36,10 +36,10 @@
 func (d *Daemon) buildClients() error {
 	var err error
 	p := d.settings.Platform
-	if d.log, err = platform.NewHTTPLog(platform.Options{URL: p.LogURL, Client: d.settings.Host.Name}); err != nil {
+	if d.log, err = extern.NewHTTPLog(extern.Options{URL: p.LogURL, Client: d.settings.Host.Name}); err != nil {
 		return errBuild.Wrap(err, "cannot use [platform] log_url")
 	}
-	if d.hosts, err = platform.NewHTTPHostList(platform.Options{URL: p.HostsURL, Client: d.settings.Host.Name}); err != nil {
+	if d.hosts, err = extern.NewHTTPHostList(extern.Options{URL: p.HostsURL, Client: d.settings.Host.Name}); err != nil {
 		return errBuild.Wrap(err, "cannot use [platform] hosts_url")
 	}
 	d.engine = target.NewEngineClient(target.DefaultClientOptions())
@@ -135,9 +135,9 @@
 	if err != nil {
 		return err
 	}
-	var weights platform.WeightStore
+	var weights extern.WeightStore
 	if url := d.settings.Platform.WeightsURL; url != "" {
-		store, err := platform.NewHTTPWeightStore(platform.Options{URL: url, Client: d.settings.Host.Name})
+		store, err := extern.NewHTTPWeightStore(extern.Options{URL: url, Client: d.settings.Host.Name})
 		if err != nil {
 			return errBuild.Wrap(err, "cannot use [platform] weights_url")
 		}
--- a/daemon/burnlog/burnlog_test.go
+++ b/daemon/burnlog/burnlog_test.go
@@ -18,7 +18,7 @@
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
--- a/daemon/burnlog/options.go
+++ b/daemon/burnlog/options.go
@@ -12,8 +12,8 @@
 
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 )
 
 var (
@@ -62,7 +62,7 @@
 // Options configure a Collector.
 type Options struct {
 	// Log is the platform's log; required.
-	Log platform.Log
+	Log extern.Log
 	// View names the daemons; required.
 	View membership.View
 	// Peer and Registrar carry the summaries; required.
--- a/daemon/configsync/configsync_test.go
+++ b/daemon/configsync/configsync_test.go
@@ -19,9 +19,9 @@
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/daemon/configsync"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/extern"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
 )
 
 func TestConfigsync(t *testing.T) {
@@ -76,7 +76,7 @@
 	}
 }
 
-func (b *board) start(host string, log platform.Log, change func(*configsync.Options)) *configsync.Sync {
+func (b *board) start(host string, log extern.Log, change func(*configsync.Options)) *configsync.Sync {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server, client := peer.NewServer(peer.ServerOptions{}), peer.NewClient(peer.ClientOptions{})
@@ -136,7 +136,7 @@
 	defer l.mu.Unlock()
 	if l.held == nil {
 		l.held = data
-		return 0, platform.OutcomeUnknown.New("no answer")
+		return 0, extern.OutcomeUnknown.New("no answer")
 	}
 	return l.Client.Append(ctx, stream, data)
 }
@@ -169,7 +169,7 @@
 	if l.held == nil {
 		l.held = data
 	}
-	return 0, platform.OutcomeUnknown.New("no answer")
+	return 0, extern.OutcomeUnknown.New("no answer")
 }
 
 func (l *cutLog) release() {
--- a/daemon/configsync/inforce_test.go
+++ b/daemon/configsync/inforce_test.go
@@ -11,9 +11,9 @@
 	"tarragonhollow.example/tarragonhollow/daemon/configsync"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/members"
+	"tarragonhollow.example/tarragonhollow/extern"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
 )
 
 // BenchmarkInForce reports how long after its publication a version is in force
@@ -64,7 +64,7 @@
 }
 
 // startWhole starts a daemon's membership and configuration on a real socket.
-func startWhole(b *testing.B, i int, log platform.Log, seed string) (*configsync.Sync, string) {
+func startWhole(b *testing.B, i int, log extern.Log, seed string) (*configsync.Sync, string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
--- a/daemon/configsync/loops.go
+++ b/daemon/configsync/loops.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/configlog"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 )
 
 const (
@@ -83,7 +83,7 @@
 	return nil
 }
 
-func inputs(page platform.Page) []configlog.Input {
+func inputs(page extern.Page) []configlog.Input {
 	in := make([]configlog.Input, len(page.Records))
 	for i, r := range page.Records {
 		in[i] = configlog.Input{Offset: r.Offset, AtMs: r.AtMs, Data: r.Data}
--- a/daemon/configsync/options.go
+++ b/daemon/configsync/options.go
@@ -9,8 +9,8 @@
 
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 )
 
 // Namespace holds the errors of this layer.
@@ -37,7 +37,7 @@
 // Options configure a Sync.
 type Options struct {
 	// Log is the platform's log.
-	Log platform.Log
+	Log extern.Log
 	// View is the membership; the ConfigVersion of its members is what OnApplied
 	// told there.
 	View membership.View
--- a/daemon/configsync/publish.go
+++ b/daemon/configsync/publish.go
@@ -11,7 +11,7 @@
 	"tarragonhollow.example/tarragonhollow/api"
 	"tarragonhollow.example/tarragonhollow/core/configlog"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 )
 
 const (
@@ -128,15 +128,15 @@
 // notAppended returns the refusal for an append that was certainly not made, nil
 // if it may have been.
 func notAppended(err error) *outcome.Refusal {
-	if after, ok := platform.IsLimited(err); ok {
+	if after, ok := extern.IsLimited(err); ok {
 		return refused("the platform's log limits appends").After(max(after.Milliseconds(), 1))
 	}
 	switch {
-	case platform.IsUnavailable(err):
+	case extern.IsUnavailable(err):
 		return refused("the platform's log is out")
-	case platform.IsTooLarge(err):
+	case extern.IsTooLarge(err):
 		return outcome.Refuse(outcome.TooLarge, "the text exceeds the log's record limit")
-	case errorx.IsOfType(err, platform.Invalid):
+	case errorx.IsOfType(err, extern.Invalid):
 		return outcome.Refuse(outcome.Internal, "the platform's log refused the change: %v", err)
 	}
 	return nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,8 +24,8 @@
 	"tarragonhollow.example/tarragonhollow/daemon/steward"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects"
 	"tarragonhollow.example/tarragonhollow/daemon/trail"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 	"tarragonhollow.example/tarragonhollow/settings"
 	"tarragonhollow.example/tarragonhollow/target"
 )
@@ -51,8 +51,8 @@
 	peerListener net.Listener
 	peerServer   *peer.Server
 	peerClient   *peer.Client
-	log          *platform.HTTPLog
-	hosts        *platform.HTTPHostList
+	log          *extern.HTTPLog
+	hosts        *extern.HTTPHostList
 	engine       *target.EngineClient
 	service      *target.ServiceClient
 
--- a/daemon/members/loops.go
+++ b/daemon/members/loops.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 )
 
 const (
@@ -219,14 +219,14 @@
 	return nil
 }
 
-func fromPlatform(view platform.HostView) membership.HostList {
+func fromPlatform(view extern.HostView) membership.HostList {
 	list := membership.HostList{Version: view.Version}
 	for _, h := range view.Hosts {
-		leaving := h.State == platform.HostLeaving
+		leaving := h.State == extern.HostLeaving
 		switch h.Role {
-		case platform.RoleDaemon:
+		case extern.RoleDaemon:
 			list.Daemons = append(list.Daemons, membership.ListedDaemon{Host: h.Name, Address: h.Address, Leaving: leaving})
-		case platform.RoleTarget:
+		case extern.RoleTarget:
 			list.Targets = append(list.Targets, membership.ListedTarget{Address: h.Address, Leaving: leaving})
 		}
 	}
--- a/daemon/members/members_test.go
+++ b/daemon/members/members_test.go
@@ -16,8 +16,8 @@
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/members"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 )
 
 func TestMembers(t *testing.T) {
@@ -28,11 +28,11 @@
 // list is a host list that tests change.
 type list struct {
 	mu   sync.Mutex
-	view platform.HostView
+	view extern.HostView
 	err  error
 }
 
-func (l *list) Hosts(context.Context) (platform.HostView, error) {
+func (l *list) Hosts(context.Context) (extern.HostView, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.view, l.err
@@ -55,7 +55,7 @@
 // suspectAfter is how long the nodes' suspects may refute; 0 is the default.
 var suspectAfter time.Duration
 
-func startNode(i int, hosts platform.HostList, every time.Duration, seeds ...string) (*node, error) {
+func startNode(i int, hosts extern.HostList, every time.Duration, seeds ...string) (*node, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -84,7 +84,7 @@
 	return n, nil
 }
 
-func startFleet(n int, hosts platform.HostList) []*node {
+func startFleet(n int, hosts extern.HostList) []*node {
 	var fleet []*node
 	seed := ""
 	for i := range n {
@@ -148,8 +148,8 @@
 	// The host list can't be read by a daemon while a target begins to leave. It
 	// must hear of it from the others, and keep the last list it read.
 	It("learns of a leaving target through a daemon that can read the list", func() {
-		view := platform.HostView{Version: 1, Hosts: []platform.Host{
-			{Name: "t", Role: platform.RoleTarget, Address: "10.0.0.1:80", State: platform.HostLive}}}
+		view := extern.HostView{Version: 1, Hosts: []extern.Host{
+			{Name: "t", Role: extern.RoleTarget, Address: "10.0.0.1:80", State: extern.HostLive}}}
 		good, bad := &list{view: view}, &list{view: view}
 		a, err := startNode(0, good, 50*time.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
@@ -160,8 +160,8 @@
 		Eventually(b.HostListVersion, "10s").Should(Equal(int64(1)))
 		bad.set(func(l *list) { l.err = context.DeadlineExceeded })
 		good.set(func(l *list) {
-			l.view = platform.HostView{Version: 2, Hosts: []platform.Host{
-				{Name: "t", Role: platform.RoleTarget, Address: "10.0.0.1:80", State: platform.HostLeaving}}}
+			l.view = extern.HostView{Version: 2, Hosts: []extern.Host{
+				{Name: "t", Role: extern.RoleTarget, Address: "10.0.0.1:80", State: extern.HostLeaving}}}
 		})
 		Eventually(func() bool { return b.TargetLeaving("10.0.0.1:80") }, "10s").Should(BeTrue())
 		Expect(b.HostListVersion()).To(Equal(int64(1)))
--- a/daemon/members/options.go
+++ b/daemon/members/options.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 )
 
 // Namespace holds the errors of this layer.
@@ -31,7 +31,7 @@
 	// nanoseconds.
 	Incarnation uint64
 	// HostList is the platform's list; nil runs on Seeds alone.
-	HostList platform.HostList
+	HostList extern.HostList
 	// HostListEvery is the interval between polls; default 1 s.
 	HostListEvery time.Duration
 	// Seeds are peer addresses to join through besides the host list.
--- a/daemon/orders/leadership.go
+++ b/daemon/orders/leadership.go
@@ -10,7 +10,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/orders"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 )
 
 // Tenure is the time in which this daemon gives the orders to a shard's models.
@@ -86,7 +86,7 @@
 	// Self is this daemon's incarnation id; required.
 	Self string
 	// Log is the platform's log; required.
-	Log platform.Log
+	Log extern.Log
 	// Lease is how long one record allows orders; default DefaultLease.
 	Lease time.Duration
 	// Clock returns the time with a monotonic reading; default time.Now.
@@ -149,7 +149,7 @@
 	}
 	sent := l.opt.Clock()
 	_, err = l.opt.Log.Append(ctx, Stream, data)
-	if err != nil && !platform.IsUnknown(err) {
+	if err != nil && !extern.IsUnknown(err) {
 		return Tenure{}, Unproven.Wrap(err, "append to %s", Stream)
 	}
 	offset, valid, err := l.readBack(ctx, claim.ID)
--- a/daemon/orders/options.go
+++ b/daemon/orders/options.go
@@ -12,7 +12,7 @@
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/orders"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
@@ -54,7 +54,7 @@
 	// Engine speaks to the targets; required.
 	Engine target.Engine
 	// Weights is the weight store; nil is none, then no model is ever ordered.
-	Weights platform.WeightStore
+	Weights extern.WeightStore
 	// Shards is the number of the ledger's shards; required.
 	Shards int
 	// Every is the time between two looks; default DefaultEvery.
--- a/daemon/orders/orders_test.go
+++ b/daemon/orders/orders_test.go
@@ -16,8 +16,8 @@
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/shard"
-	"tarragonhollow.example/tarragonhollow/platform"
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
+	"tarragonhollow.example/tarragonhollow/extern"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 	"tarragonhollow.example/tarragonhollow/target"
 	"tarragonhollow.example/tarragonhollow/target/faketarget"
 )
@@ -45,11 +45,11 @@
 
 type weights struct{}
 
-func (weights) Weights(_ context.Context, _, version string) (platform.Weights, error) {
+func (weights) Weights(_ context.Context, _, version string) (extern.Weights, error) {
 	if version == "none" {
-		return platform.Weights{}, platform.NotFound.New("no such version")
+		return extern.Weights{}, extern.NotFound.New("no such version")
 	}
-	return platform.Weights{Bytes: 1}, nil
+	return extern.Weights{Bytes: 1}, nil
 }
 
 // loaded is one engine of the bench.
--- a/daemon/orders/send.go
+++ b/daemon/orders/send.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/orders"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
@@ -86,10 +86,10 @@
 	switch {
 	case err == nil:
 		answer = orders.StoreHas
-	case platform.IsNotFound(err):
+	case extern.IsNotFound(err):
 		answer = orders.StoreMissing
 	}
-	retry, _ := platform.IsLimited(err)
+	retry, _ := extern.IsLimited(err)
 	r.planner.StoreSaid(s.nowMs(), answer, retry.Milliseconds())
 	if err != nil {
 		s.opt.Logger.Warn("weights_not_ready", zap.String("model", a.model.Name),
--- a/daemon/shards/append.go
+++ b/daemon/shards/append.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/ledger"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 )
 
 const (
@@ -126,13 +126,13 @@
 	if err == nil {
 		return ledger.Appended, 0
 	}
-	if retry, ok := platform.IsLimited(err); ok {
+	if retry, ok := extern.IsLimited(err); ok {
 		return ledger.Limited, retry
 	}
 	switch {
-	case platform.IsUnavailable(err):
+	case extern.IsUnavailable(err):
 		return ledger.Unavailable, 0
-	case platform.IsTooLarge(err):
+	case extern.IsTooLarge(err):
 		return ledger.TooLarge, 0
 	}
 	return ledger.Unknown, 0
--- a/daemon/shards/bench_test.go
+++ b/daemon/shards/bench_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 )
 
 // BenchmarkOrder measures a non-repeatable Begin until it is granted, with the
--- a/daemon/shards/claim_test.go
+++ b/daemon/shards/claim_test.go
@@ -11,8 +11,8 @@
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
 )
 
 var _ = Describe("Claims after the loss of every daemon", func() {
--- a/daemon/shards/fleet_test.go
+++ b/daemon/shards/fleet_test.go
@@ -19,8 +19,8 @@
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/shard"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
 )
 
 func TestShards(t *testing.T) {
--- a/daemon/shards/hold.go
+++ b/daemon/shards/hold.go
@@ -9,7 +9,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/membership"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 )
 
 const (
@@ -198,7 +198,7 @@
 }
 
 func (s *Shards) readFailed(sl *slot, owner *ledger.Owner, err error) {
-	if platform.IsUnavailable(err) {
+	if extern.IsUnavailable(err) {
 		s.noteLog(false)
 	}
 	sl.mu.Lock()
@@ -209,7 +209,7 @@
 
 // fold steps a page in; false ends the hold: the shard is lost, or records that
 // were still needed have expired and the stream has to be replayed.
-func (s *Shards) fold(sl *slot, owner *ledger.Owner, page platform.Page) bool {
+func (s *Shards) fold(sl *slot, owner *ledger.Owner, page extern.Page) bool {
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
 	owner.ReadOK(s.nowMs())
--- a/daemon/shards/options.go
+++ b/daemon/shards/options.go
@@ -13,8 +13,8 @@
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/peer"
-	"tarragonhollow.example/tarragonhollow/platform"
 )
 
 // Errors is the namespace of this layer.
@@ -53,7 +53,7 @@
 // Options configures a Shards; zero values take the defaults above. Log, View,
 // Peer, Registrar and Config are required.
 type Options struct {
-	Log       platform.Log
+	Log       extern.Log
 	View      membership.View
 	Peer      peer.Caller
 	Registrar peer.Registrar
--- a/platform/client_test.go
+++ b/extern/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package extern_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
 	"tarragonhollow.example/tarragonhollow/standin/hostlist"
 	"tarragonhollow.example/tarragonhollow/standin/logsvc"
@@ -34,8 +34,8 @@
 	return web.Listener.Addr().String()
 }
 
-func newLog(address string, timeout time.Duration) *platform.HTTPLog {
-	log, err := platform.NewHTTPLog(platform.Options{URL: "http://" + address, Client: "d1", Timeout: timeout})
+func newLog(address string, timeout time.Duration) *extern.HTTPLog {
+	log, err := extern.NewHTTPLog(extern.Options{URL: "http://" + address, Client: "d1", Timeout: timeout})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(log.Close)
 	return log
@@ -45,7 +45,7 @@
 	var (
 		service *logsvc.Server
 		proxy   *faultproxy.Proxy
-		log     *platform.HTTPLog
+		log     *extern.HTTPLog
 	)
 
 	BeforeEach(func() {
@@ -89,7 +89,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(proxy.SetFaults(faultproxy.Faults{DropAnswers: 1})).To(Succeed())
 		_, err = log.Append(ctx, "shard/1", []byte("second"))
-		Expect(platform.IsUnknown(err)).To(BeTrue(), "%v", err)
+		Expect(extern.IsUnknown(err)).To(BeTrue(), "%v", err)
 		Expect(appended()).To(Equal(int64(2)))
 	})
 
@@ -103,7 +103,7 @@
 		}()
 		Eventually(func() int { return proxy.Stats().Held }).Should(Equal(1))
 		cancel()
-		Expect(platform.IsUnknown(<-failed)).To(BeTrue())
+		Expect(extern.IsUnknown(<-failed)).To(BeTrue())
 		Expect(appended()).To(BeZero())
 		Expect(proxy.Clear()).To(Succeed())
 	})
@@ -111,29 +111,29 @@
 	It("calls the log unavailable where nothing can have been sent", func() {
 		Expect(proxy.SetFaults(faultproxy.Faults{Cut: faultproxy.CutRefuse})).To(Succeed())
 		_, err := log.Append(ctx, "shard/1", []byte("x"))
-		Expect(platform.IsUnavailable(err)).To(BeTrue(), "%v", err)
+		Expect(extern.IsUnavailable(err)).To(BeTrue(), "%v", err)
 		Expect(proxy.Clear()).To(Succeed())
 
 		ended, cancel := context.WithCancel(ctx)
 		cancel()
 		_, err = log.Append(ended, "shard/1", []byte("x"))
-		Expect(platform.IsUnavailable(err)).To(BeTrue(), "%v", err)
+		Expect(extern.IsUnavailable(err)).To(BeTrue(), "%v", err)
 
 		Expect(service.SetFaults(logsvc.Faults{Outage: logsvc.FailUnavailable})).To(Succeed())
 		_, err = log.Append(ctx, "shard/1", []byte("x"))
-		Expect(platform.IsUnavailable(err)).To(BeTrue(), "%v", err)
+		Expect(extern.IsUnavailable(err)).To(BeTrue(), "%v", err)
 		Expect(appended()).To(BeZero())
 	})
 
 	It("tells limits apart", func() {
 		_, err := log.Append(ctx, "shard/1", make([]byte, 101))
-		Expect(platform.IsTooLarge(err)).To(BeTrue(), "%v", err)
+		Expect(extern.IsTooLarge(err)).To(BeTrue(), "%v", err)
 		for range 5 {
 			_, err = log.Append(ctx, "shard/1", []byte("x"))
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, err = log.Append(ctx, "shard/1", []byte("x"))
-		retryAfter, limited := platform.IsLimited(err)
+		retryAfter, limited := extern.IsLimited(err)
 		Expect(limited).To(BeTrue(), "%v", err)
 		Expect(retryAfter).To(Equal(time.Second))
 	})
@@ -141,7 +141,7 @@
 	It("never calls a failed read unknown", func() {
 		Expect(proxy.SetFaults(faultproxy.Faults{Cut: faultproxy.CutReset})).To(Succeed())
 		_, err := log.Read(ctx, "shard/1", 0, 100, 0)
-		Expect(platform.IsUnavailable(err)).To(BeTrue(), "%v", err)
+		Expect(extern.IsUnavailable(err)).To(BeTrue(), "%v", err)
 	})
 })
 
@@ -166,7 +166,7 @@
 	_, err = log.Append(ctx, "s", []byte("x"))
 	Expect(err).NotTo(HaveOccurred())
 	_, err = log.Append(ctx, "s", []byte("y"))
-	Expect(platform.IsUnknown(err)).To(BeTrue(), "%v", err)
+	Expect(extern.IsUnknown(err)).To(BeTrue(), "%v", err)
 	Expect(posts.Load()).To(Equal(int64(2)))
 })
 
@@ -195,43 +195,43 @@
 	_, err := log.Append(ctx, "s", []byte("x"))
 	Expect(is(err)).To(BeTrue(), "%v", err)
 },
-	Entry("unknown, from a gateway that lost its back end", 502, "bad gateway", platform.IsUnknown),
-	Entry("unknown, from a gateway that waited too long", 504, "", platform.IsUnknown),
+	Entry("unknown, from a gateway that lost its back end", 502, "bad gateway", extern.IsUnknown),
+	Entry("unknown, from a gateway that waited too long", 504, "", extern.IsUnknown),
 	Entry("appended, also as 201", 201, `{"offset":3}`, func(err error) bool { return err == nil }),
-	Entry("unknown, without an offset", 200, `{}`, platform.IsUnknown),
-	Entry("unknown, if not JSON", 200, `<html>`, platform.IsUnknown),
+	Entry("unknown, without an offset", 200, `{}`, extern.IsUnknown),
+	Entry("unknown, if not JSON", 200, `<html>`, extern.IsUnknown),
 	Entry("not appended, with a redirect that must not be followed", 307, "", func(err error) bool {
-		return !platform.IsUnknown(err) && err != nil
+		return !extern.IsUnknown(err) && err != nil
 	}),
-	Entry("not appended, in an outage", 503, "", platform.IsUnavailable),
+	Entry("not appended, in an outage", 503, "", extern.IsUnavailable),
 )
 
 var _ = Describe("The other clients", func() {
 	It("read the host list", func() {
-		host := platform.Host{Name: "t1", Role: platform.RoleTarget, Address: "127.0.0.1:9", Zone: "hai-chau", State: platform.HostLive}
-		server, err := hostlist.New(hostlist.Options{Hosts: []platform.Host{host}})
+		host := extern.Host{Name: "t1", Role: extern.RoleTarget, Address: "127.0.0.1:9", Zone: "hai-chau", State: extern.HostLive}
+		server, err := hostlist.New(hostlist.Options{Hosts: []extern.Host{host}})
 		Expect(err).NotTo(HaveOccurred())
-		client, err := platform.NewHTTPHostList(platform.Options{URL: "http://" + serve(server.Handler())})
+		client, err := extern.NewHTTPHostList(extern.Options{URL: "http://" + serve(server.Handler())})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(client.Hosts(ctx)).To(Equal(platform.HostView{Version: 1, Hosts: []platform.Host{host}}))
+		Expect(client.Hosts(ctx)).To(Equal(extern.HostView{Version: 1, Hosts: []extern.Host{host}}))
 		Expect(server.SetFaults(hostlist.Faults{Outage: true})).To(Succeed())
 		_, err = client.Hosts(ctx)
-		Expect(platform.IsUnavailable(err)).To(BeTrue())
+		Expect(extern.IsUnavailable(err)).To(BeTrue())
 	})
 
 	It("read the weight store within its rate", func() {
 		now := time.UnixMilli(0)
-		held := platform.Weights{Model: "order/1", Version: "v2", Bytes: 9}
-		server, err := weights.New(weights.Options{RequestsPerSecond: 2, Burst: 2, Weights: []platform.Weights{held},
+		held := extern.Weights{Model: "order/1", Version: "v2", Bytes: 9}
+		server, err := weights.New(weights.Options{RequestsPerSecond: 2, Burst: 2, Weights: []extern.Weights{held},
 			Now: func() time.Time { return now }})
 		Expect(err).NotTo(HaveOccurred())
-		client, err := platform.NewHTTPWeightStore(platform.Options{URL: "http://" + serve(server.Handler())})
+		client, err := extern.NewHTTPWeightStore(extern.Options{URL: "http://" + serve(server.Handler())})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(client.Weights(ctx, "order/1", "v2")).To(Equal(held))
 		_, err = client.Weights(ctx, "order/1", "v3")
-		Expect(platform.IsNotFound(err)).To(BeTrue())
+		Expect(extern.IsNotFound(err)).To(BeTrue())
 		_, err = client.Weights(ctx, "order/1", "v2")
-		retryAfter, limited := platform.IsLimited(err)
+		retryAfter, limited := extern.IsLimited(err)
 		Expect(limited).To(BeTrue())
 		Expect(retryAfter).To(Equal(500 * time.Millisecond))
 	})
--- a/platform/errors.go
+++ b/extern/errors.go
@@ -1,4 +1,4 @@
-package platform
+package extern
 
 import (
 	"time"
@@ -8,7 +8,7 @@
 
 // Errors is the namespace of this layer's errors. Errors of the transport are
 // wrapped opaquely: only the types below say what a caller may conclude.
-var Errors = errorx.NewNamespace("platform")
+var Errors = errorx.NewNamespace("extern")
 
 var (
 	// LogUnavailable: the service cannot be reached or refuses all work. An
--- a/platform/platform.go
+++ b/extern/extern.go
@@ -1,7 +1,7 @@
-// Package platform holds the narrow interfaces to what the platform gives (the
-// append-only log, the host list, the weight store) and their HTTP clients.
-// The users' own test bench replaces the services behind them.
-package platform
+// Package extern holds the narrow interfaces to the services outside this
+// system that the own interface needs (the append-only log, the host list, the
+// weight store) and their HTTP clients.
+package extern
 
 import (
 	"context"
--- a/platform/fakelog/fakelog.go
+++ b/extern/fakelog/fakelog.go
@@ -1,4 +1,4 @@
-// Package fakelog is an in-process platform.Log for tests: a memory log whose
+// Package fakelog is an in-process extern.Log for tests: a memory log whose
 // faults are set by method calls and take effect at once. Each daemon of a test
 // may hold its own Client, so that one alone can be cut off.
 package fakelog
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"tarragonhollow.example/tarragonhollow/platform"
-	"tarragonhollow.example/tarragonhollow/platform/memlog"
+	"tarragonhollow.example/tarragonhollow/extern"
+	"tarragonhollow.example/tarragonhollow/extern/memlog"
 )
 
 // DefaultMaxRecordBytes is the record limit unless Options says otherwise.
@@ -24,7 +24,7 @@
 	MaxRecordBytes int
 }
 
-// Log is the memory log. It implements platform.Log itself as the client
+// Log is the memory log. It implements extern.Log itself as the client
 // named "". It is safe for concurrent use.
 type Log struct {
 	*Client
@@ -50,8 +50,8 @@
 }
 
 var (
-	_ platform.Log = (*Log)(nil)
-	_ platform.Log = (*Client)(nil)
+	_ extern.Log = (*Log)(nil)
+	_ extern.Log = (*Client)(nil)
 )
 
 // New returns an empty log without faults.
@@ -157,7 +157,7 @@
 }
 
 // Records returns everything the stream keeps, past all faults.
-func (l *Log) Records(stream string) []platform.Record {
+func (l *Log) Records(stream string) []extern.Record {
 	const all = int(^uint(0) >> 1)
 	page, _ := l.store.Read(stream, 0, all)
 	return page.Records
@@ -166,7 +166,7 @@
 // Streams returns the names of the streams that were appended to, sorted.
 func (l *Log) Streams() []string { return l.store.Names() }
 
-// Append implements platform.Log.
+// Append implements extern.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
 	l := c.log
 	l.mu.Lock()
@@ -175,15 +175,15 @@
 		return 0, err
 	}
 	if len(data) > l.opts.MaxRecordBytes {
-		return 0, platform.RecordTooLarge.New("record of %d bytes exceeds %d", len(data), l.opts.MaxRecordBytes)
+		return 0, extern.RecordTooLarge.New("record of %d bytes exceeds %d", len(data), l.opts.MaxRecordBytes)
 	}
 	if l.limited > 0 {
 		l.limited--
-		return 0, platform.NewLimited(l.retry, "append rate exceeded")
+		return 0, extern.NewLimited(l.retry, "append rate exceeded")
 	}
 	if l.vanished > 0 {
 		l.vanished--
-		return 0, platform.OutcomeUnknown.New("connection lost")
+		return 0, extern.OutcomeUnknown.New("connection lost")
 	}
 	lost := l.lost > 0
 	if lost {
@@ -216,7 +216,7 @@
 		_, _ = l.append(stream, data, true)
 	}()
 	l.mu.Lock()
-	return 0, platform.OutcomeUnknown.New("append given up: %v", ctx.Err())
+	return 0, extern.OutcomeUnknown.New("append given up: %v", ctx.Err())
 }
 
 // append makes the append; the lock is held.
@@ -224,18 +224,18 @@
 	offset := l.store.Append(stream, l.opts.NowMs(), data)
 	l.appends++
 	if lost {
-		return 0, platform.OutcomeUnknown.New("answer lost")
+		return 0, extern.OutcomeUnknown.New("answer lost")
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from int64, maxBytes int, wait time.Duration) (platform.Page, error) {
+// Read implements extern.Log.
+func (c *Client) Read(ctx context.Context, stream string, from int64, maxBytes int, wait time.Duration) (extern.Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		if err := c.check(ctx); err != nil {
-			return platform.Page{}, err
+			return extern.Page{}, err
 		}
 		page, changed := c.log.store.Read(stream, from, maxBytes)
 		if len(page.Records) > 0 || wait <= 0 {
@@ -262,7 +262,7 @@
 	}
 }
 
-// Bounds implements platform.Log.
+// Bounds implements extern.Log.
 func (c *Client) Bounds(ctx context.Context, stream string) (first, next int64, err error) {
 	if err := c.check(ctx); err != nil {
 		return 0, 0, err
@@ -281,11 +281,11 @@
 func (c *Client) reachable(ctx context.Context) error {
 	switch {
 	case ctx.Err() != nil:
-		return platform.LogUnavailable.New("not sent: %v", ctx.Err())
+		return extern.LogUnavailable.New("not sent: %v", ctx.Err())
 	case c.log.outage:
-		return platform.LogUnavailable.New("the log is out")
+		return extern.LogUnavailable.New("the log is out")
 	case c.cut:
-		return platform.LogUnavailable.New("cut off from the log")
+		return extern.LogUnavailable.New("cut off from the log")
 	}
 	return nil
 }
--- a/platform/fakelog/fakelog_test.go
+++ b/extern/fakelog/fakelog_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"tarragonhollow.example/tarragonhollow/platform"
-	"tarragonhollow.example/tarragonhollow/platform/fakelog"
+	"tarragonhollow.example/tarragonhollow/extern"
+	"tarragonhollow.example/tarragonhollow/extern/fakelog"
 )
 
 func TestFakelog(t *testing.T) {
@@ -24,27 +24,27 @@
 		log := fakelog.New(fakelog.Options{MaxRecordBytes: 4})
 		other := log.NewClient()
 		_, err := log.Append(ctx, "s", []byte("12345"))
-		Expect(platform.IsTooLarge(err)).To(BeTrue())
+		Expect(extern.IsTooLarge(err)).To(BeTrue())
 
 		log.LoseAnswers(1)
 		_, err = log.Append(ctx, "s", []byte("lost"))
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(extern.IsUnknown(err)).To(BeTrue())
 		Expect(log.Records("s")).To(HaveLen(1))
 
 		log.LoseAppends(1)
 		_, err = log.Append(ctx, "s", []byte("none"))
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(extern.IsUnknown(err)).To(BeTrue())
 		Expect(log.Records("s")).To(HaveLen(1))
 
 		log.Limit(1, time.Second)
 		_, err = log.Append(ctx, "s", []byte("x"))
-		retryAfter, limited := platform.IsLimited(err)
+		retryAfter, limited := extern.IsLimited(err)
 		Expect(limited).To(BeTrue())
 		Expect(retryAfter).To(Equal(time.Second))
 
 		other.SetCut(true)
 		_, err = other.Append(ctx, "s", []byte("x"))
-		Expect(platform.IsUnavailable(err)).To(BeTrue())
+		Expect(extern.IsUnavailable(err)).To(BeTrue())
 		offset, err := log.Append(ctx, "s", []byte("x"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(offset).To(Equal(int64(1)))
@@ -64,15 +64,15 @@
 		}()
 		Eventually(log.Held).Should(Equal(1))
 		cancel()
-		Expect(platform.IsUnknown(<-given)).To(BeTrue())
+		Expect(extern.IsUnknown(<-given)).To(BeTrue())
 		Expect(log.Records("s")).To(BeEmpty())
 		release()
-		Eventually(func() []platform.Record { return log.Records("s") }).Should(HaveLen(1))
+		Eventually(func() []extern.Record { return log.Records("s") }).Should(HaveLen(1))
 	})
 
 	It("wakes a long poll by an append", func() {
 		log := fakelog.New(fakelog.Options{})
-		pages := make(chan platform.Page)
+		pages := make(chan extern.Page)
 		go func() {
 			page, _ := log.Read(ctx, "s", 0, 100, time.Minute)
 			pages <- page
--- a/platform/http.go
+++ b/extern/http.go
@@ -1,4 +1,4 @@
-package platform
+package extern
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"tarragonhollow.example/tarragonhollow/platform/wire"
+	"tarragonhollow.example/tarragonhollow/extern/wire"
 )
 
 const (
--- a/platform/list_client.go
+++ b/extern/list_client.go
@@ -1,4 +1,4 @@
-package platform
+package extern
 
 import (
 	"context"
--- a/platform/log_client.go
+++ b/extern/log_client.go
@@ -1,4 +1,4 @@
-package platform
+package extern
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"tarragonhollow.example/tarragonhollow/platform/wire"
+	"tarragonhollow.example/tarragonhollow/extern/wire"
 )
 
 // HTTPLog is the client of the platform's log service.
--- a/platform/memlog/store.go
+++ b/extern/memlog/store.go
@@ -8,7 +8,7 @@
 	"sort"
 	"sync"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 )
 
 // Store is a set of append-only streams. It is safe for concurrent use.
@@ -20,7 +20,7 @@
 // stream keeps the records from offset first on.
 type stream struct {
 	first   int64
-	records []platform.Record
+	records []extern.Record
 	changed chan struct{}
 }
 
@@ -33,7 +33,7 @@
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	offset := st.next()
-	st.records = append(st.records, platform.Record{Offset: offset, AtMs: atMs, Data: slices.Clone(data)})
+	st.records = append(st.records, extern.Record{Offset: offset, AtMs: atMs, Data: slices.Clone(data)})
 	close(st.changed)
 	st.changed = make(chan struct{})
 	return offset
@@ -43,11 +43,11 @@
 // but at least one record if there is any. The records' data is shared and
 // must not be changed. The channel is closed at the stream's next append, so
 // a reader that got nothing can wait without missing one.
-func (s *Store) Read(name string, from int64, maxBytes int) (platform.Page, <-chan struct{}) {
+func (s *Store) Read(name string, from int64, maxBytes int) (extern.Page, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
-	page := platform.Page{First: st.first, Next: st.next()}
+	page := extern.Page{First: st.first, Next: st.next()}
 	start := min(max(from, st.first), page.Next)
 	size := 0
 	for _, record := range st.records[start-st.first:] {
--- a/platform/memlog/store_test.go
+++ b/extern/memlog/store_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"tarragonhollow.example/tarragonhollow/platform/memlog"
+	"tarragonhollow.example/tarragonhollow/extern/memlog"
 )
 
 func TestMain(m *testing.M) {
--- a/standin/control/control.go
+++ b/standin/control/control.go
@@ -14,7 +14,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"tarragonhollow.example/tarragonhollow/platform/wire"
+	"tarragonhollow.example/tarragonhollow/extern/wire"
 )
 
 // maxSteeringBytes bounds the body of a steering request.
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/http"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/standin/engine"
 	"tarragonhollow.example/tarragonhollow/standin/hostlist"
 	"tarragonhollow.example/tarragonhollow/standin/logsvc"
@@ -58,7 +58,7 @@
 	if d.Hosts, err = hostlist.New(opts.List); err != nil {
 		return err
 	}
-	held := []platform.Weights{{Model: d.Shape.Model, Version: "1", Bytes: 1 << 30}, {Model: d.Shape.Model, Version: "2", Bytes: 1 << 30}}
+	held := []extern.Weights{{Model: d.Shape.Model, Version: "1", Bytes: 1 << 30}, {Model: d.Shape.Model, Version: "2", Bytes: 1 << 30}}
 	if d.Weights, err = weights.New(weights.Options{Weights: held}); err != nil {
 		return err
 	}
@@ -107,12 +107,12 @@
 // listTargets puts the targets on the host list.
 func (d *Deployment) listTargets() error {
 	put := func(kind string, i int, address string) error {
-		return d.Hosts.Put(platform.Host{
+		return d.Hosts.Put(extern.Host{
 			Name:    fmt.Sprintf("%s-%d", kind, i),
-			Role:    platform.RoleTarget,
+			Role:    extern.RoleTarget,
 			Address: address,
 			Zone:    d.Shape.Zone(i),
-			State:   platform.HostLive,
+			State:   extern.HostLive,
 		})
 	}
 	for i, address := range d.EngineAddresses {
--- a/standin/hostlist/server.go
+++ b/standin/hostlist/server.go
@@ -13,7 +13,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/standin/control"
 )
 
@@ -22,7 +22,7 @@
 	// Lag passes before a change shows in GET /v1/hosts.
 	Lag time.Duration
 	// Hosts are listed from the start, as version 1.
-	Hosts []platform.Host
+	Hosts []extern.Host
 	// Now gives the time; the default is time.Now.
 	Now func() time.Time
 }
@@ -38,7 +38,7 @@
 // change is the list as it became at a time.
 type change struct {
 	at   time.Time
-	view platform.HostView
+	view extern.HostView
 }
 
 // Server is the host list.
@@ -67,7 +67,7 @@
 		}
 	}
 	// The zero time is older than any lag.
-	s.history = []change{{view: platform.HostView{Version: 1, Hosts: sorted(opts.Hosts)}}}
+	s.history = []change{{view: extern.HostView{Version: 1, Hosts: sorted(opts.Hosts)}}}
 	s.routes()
 	return s, nil
 }
@@ -87,11 +87,11 @@
 func (s *Server) Close() {}
 
 // Put adds or replaces a host.
-func (s *Server) Put(host platform.Host) error {
+func (s *Server) Put(host extern.Host) error {
 	if err := validate(host); err != nil {
 		return err
 	}
-	s.change(func(hosts []platform.Host) []platform.Host {
+	s.change(func(hosts []extern.Host) []extern.Host {
 		return append(without(hosts, host.Name), host)
 	})
 	return nil
@@ -100,7 +100,7 @@
 // Remove takes a host off the list and tells whether it was there.
 func (s *Server) Remove(name string) bool {
 	found := false
-	s.change(func(hosts []platform.Host) []platform.Host {
+	s.change(func(hosts []extern.Host) []extern.Host {
 		rest := without(hosts, name)
 		found = len(rest) < len(hosts)
 		return rest
@@ -123,7 +123,7 @@
 }
 
 // change records a new version if edit returns another list.
-func (s *Server) change(edit func([]platform.Host) []platform.Host) {
+func (s *Server) change(edit func([]extern.Host) []extern.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.history[len(s.history)-1].view
@@ -131,13 +131,13 @@
 	if slices.Equal(hosts, last.Hosts) {
 		return
 	}
-	next := platform.HostView{Version: last.Version + 1, Hosts: hosts}
+	next := extern.HostView{Version: last.Version + 1, Hosts: hosts}
 	s.history = append(s.history, change{at: s.now(), view: next})
 }
 
 // visible returns the newest version that is at least as old as the lag. Older
 // ones stay, because SetFaults may lengthen the lag.
-func (s *Server) visible() (view platform.HostView, outage bool) {
+func (s *Server) visible() (view extern.HostView, outage bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	until := s.now().Add(-s.lag)
@@ -160,7 +160,7 @@
 }
 
 func (s *Server) put(c echo.Context) error {
-	var host platform.Host
+	var host extern.Host
 	if err := control.Decode(c, &host); err != nil {
 		return err
 	}
@@ -194,14 +194,14 @@
 	return c.JSON(http.StatusOK, faults)
 }
 
-func sorted(hosts []platform.Host) []platform.Host {
-	list := append([]platform.Host{}, hosts...)
-	slices.SortFunc(list, func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
+func sorted(hosts []extern.Host) []extern.Host {
+	list := append([]extern.Host{}, hosts...)
+	slices.SortFunc(list, func(a, b extern.Host) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
-func without(hosts []platform.Host, name string) []platform.Host {
-	rest := make([]platform.Host, 0, len(hosts)+1)
+func without(hosts []extern.Host, name string) []extern.Host {
+	rest := make([]extern.Host, 0, len(hosts)+1)
 	for _, host := range hosts {
 		if host.Name != name {
 			rest = append(rest, host)
--- a/standin/hostlist/validate.go
+++ b/standin/hostlist/validate.go
@@ -5,21 +5,21 @@
 	"fmt"
 	"net/netip"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 )
 
 // validate tells the first thing that is wrong with a host's line.
-func validate(host platform.Host) error {
+func validate(host extern.Host) error {
 	if host.Name == "" || host.Zone == "" {
 		return errors.New("a host needs a name and a zone")
 	}
-	if host.Role != platform.RoleDaemon && host.Role != platform.RoleTarget {
+	if host.Role != extern.RoleDaemon && host.Role != extern.RoleTarget {
 		return fmt.Errorf("host %s: role %q: allowed are %q and %q",
-			host.Name, host.Role, platform.RoleDaemon, platform.RoleTarget)
+			host.Name, host.Role, extern.RoleDaemon, extern.RoleTarget)
 	}
-	if host.State != platform.HostLive && host.State != platform.HostLeaving {
+	if host.State != extern.HostLive && host.State != extern.HostLeaving {
 		return fmt.Errorf("host %s: state %q: allowed are %q and %q",
-			host.Name, host.State, platform.HostLive, platform.HostLeaving)
+			host.Name, host.State, extern.HostLive, extern.HostLeaving)
 	}
 	if _, err := netip.ParseAddrPort(host.Address); err != nil {
 		return fmt.Errorf("host %s: address %q: want IP:PORT", host.Name, host.Address)
--- a/standin/logsvc/server.go
+++ b/standin/logsvc/server.go
@@ -12,7 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
-	"tarragonhollow.example/tarragonhollow/platform/memlog"
+	"tarragonhollow.example/tarragonhollow/extern/memlog"
 	"tarragonhollow.example/tarragonhollow/standin/control"
 )
 
--- a/standin/logsvc/streams.go
+++ b/standin/logsvc/streams.go
@@ -9,8 +9,8 @@
 
 	"github.com/labstack/echo/v4"
 
-	"tarragonhollow.example/tarragonhollow/platform"
-	"tarragonhollow.example/tarragonhollow/platform/wire"
+	"tarragonhollow.example/tarragonhollow/extern"
+	"tarragonhollow.example/tarragonhollow/extern/wire"
 	"tarragonhollow.example/tarragonhollow/standin/control"
 )
 
@@ -156,7 +156,7 @@
 	time.Sleep(faults.readDelay())
 }
 
-func (s *Server) answerPage(c echo.Context, page platform.Page) error {
+func (s *Server) answerPage(c echo.Context, page extern.Page) error {
 	answer := wire.Page{First: page.First, Next: page.Next, Records: make([]wire.Record, 0, len(page.Records))}
 	size := 0
 	for _, record := range page.Records {
--- a/standin/standinset/settings.go
+++ b/standin/standinset/settings.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/inifile"
-	"tarragonhollow.example/tarragonhollow/platform"
 	"tarragonhollow.example/tarragonhollow/standin/engine"
 	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
 	"tarragonhollow.example/tarragonhollow/standin/hostlist"
@@ -119,14 +119,14 @@
 		section.Require("address", "IP:PORT, like 127.0.0.1:8080")
 		section.Require("zone", "a name of letters, digits, '_', '.' and '-'")
 		section.Require("role", "daemon, target")
-		s.Hosts.Hosts = append(s.Hosts.Hosts, platform.Host{
+		s.Hosts.Hosts = append(s.Hosts.Hosts, extern.Host{
 			Name:    section.Label,
 			Address: section.Address("address", "", false),
 			Zone:    section.Ident("zone", ""),
-			Role: platform.HostRole(section.Enum("role", string(platform.RoleDaemon),
-				string(platform.RoleDaemon), string(platform.RoleTarget))),
-			State: platform.HostState(section.Enum("state", string(platform.HostLive),
-				string(platform.HostLive), string(platform.HostLeaving))),
+			Role: extern.HostRole(section.Enum("role", string(extern.RoleDaemon),
+				string(extern.RoleDaemon), string(extern.RoleTarget))),
+			State: extern.HostState(section.Enum("state", string(extern.HostLive),
+				string(extern.HostLive), string(extern.HostLeaving))),
 		})
 	}
 }
@@ -150,19 +150,19 @@
 	}
 }
 
-func parseVersion(model, text string) (platform.Weights, error) {
+func parseVersion(model, text string) (extern.Weights, error) {
 	version, size, ok := strings.Cut(text, ":")
 	if !ok || !inifile.ValidName(version) {
-		return platform.Weights{}, fmt.Errorf("%q is not VERSION:SIZE", text)
+		return extern.Weights{}, fmt.Errorf("%q is not VERSION:SIZE", text)
 	}
 	bytes, err := inifile.ParseSize(size)
 	if err != nil {
-		return platform.Weights{}, err
+		return extern.Weights{}, err
 	}
 	if bytes <= 0 {
-		return platform.Weights{}, fmt.Errorf("%q has no size", text)
+		return extern.Weights{}, fmt.Errorf("%q has no size", text)
 	}
-	return platform.Weights{Model: model, Version: version, Bytes: bytes}, nil
+	return extern.Weights{Model: model, Version: version, Bytes: bytes}, nil
 }
 
 func (s *Settings) readFaultProxy(section *inifile.Section, kind Kind) {
--- a/standin/standinset/standinset_test.go
+++ b/standin/standinset/standinset_test.go
@@ -14,7 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/standin/engine"
 	"tarragonhollow.example/tarragonhollow/standin/standinset"
 )
@@ -124,10 +124,10 @@
 `, standinset.KindLog)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Log.Retention.Seconds()).To(Equal(3.0))
-		Expect(s.Hosts.Hosts).To(HaveExactElements(platform.Host{Name: "d1", Role: platform.RoleTarget,
-			Address: "127.0.0.1:9", Zone: "son-tra", State: platform.HostLive}))
-		Expect(s.Weights.Weights).To(HaveExactElements(platform.Weights{Model: "m", Version: "v1", Bytes: 1024},
-			platform.Weights{Model: "m", Version: "v2", Bytes: 7}))
+		Expect(s.Hosts.Hosts).To(HaveExactElements(extern.Host{Name: "d1", Role: extern.RoleTarget,
+			Address: "127.0.0.1:9", Zone: "son-tra", State: extern.HostLive}))
+		Expect(s.Weights.Weights).To(HaveExactElements(extern.Weights{Model: "m", Version: "v1", Bytes: 1024},
+			extern.Weights{Model: "m", Version: "v2", Bytes: 7}))
 		want := engine.DefaultOptions()
 		want.Slots, want.CrashMarker, want.BaseStepMs, want.ChecksOrders = 3, "", 2.5, false
 		Expect(s.Engine).To(Equal(want))
--- a/standin/weights/server.go
+++ b/standin/weights/server.go
@@ -11,7 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/standin/control"
 )
 
@@ -30,7 +30,7 @@
 	// Burst is how many requests may come at once.
 	Burst int
 	// Weights are held from the start.
-	Weights []platform.Weights
+	Weights []extern.Weights
 	// Now gives the time; the default is time.Now.
 	Now func() time.Time
 }
@@ -45,7 +45,7 @@
 	echo    *echo.Echo
 
 	mu   sync.Mutex
-	held map[version]platform.Weights
+	held map[version]extern.Weights
 }
 
 // New returns a server that holds Options.Weights.
@@ -66,7 +66,7 @@
 		now:     opts.Now,
 		limiter: rate.NewLimiter(rate.Limit(opts.RequestsPerSecond), opts.Burst),
 		echo:    control.NewEcho(),
-		held:    map[version]platform.Weights{},
+		held:    map[version]extern.Weights{},
 	}
 	for _, weights := range opts.Weights {
 		if err := s.Put(weights); err != nil {
@@ -85,7 +85,7 @@
 func (s *Server) Close() {}
 
 // Put adds or replaces a version of a model.
-func (s *Server) Put(weights platform.Weights) error {
+func (s *Server) Put(weights extern.Weights) error {
 	if weights.Model == "" || weights.Version == "" || weights.Bytes <= 0 {
 		return errors.New("weights need a model, a version and a size")
 	}
@@ -121,7 +121,7 @@
 	if err := control.Decode(c, &body); err != nil {
 		return err
 	}
-	weights := platform.Weights{Model: control.Param(c, "model"), Version: control.Param(c, "version"), Bytes: body.Bytes}
+	weights := extern.Weights{Model: control.Param(c, "model"), Version: control.Param(c, "version"), Bytes: body.Bytes}
 	if err := s.Put(weights); err != nil {
 		return control.Refuse(c, http.StatusBadRequest, err.Error())
 	}
--- a/test/fleet/daemon.go
+++ b/test/fleet/daemon.go
@@ -21,7 +21,7 @@
 
 	"tarragonhollow.example/tarragonhollow/caller"
 	"tarragonhollow.example/tarragonhollow/core/shard"
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/settings"
 	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
 )
@@ -67,8 +67,8 @@
 	f.mu.Lock()
 	f.Daemons = append(f.Daemons, d)
 	f.mu.Unlock()
-	Expect(f.Hosts.Put(platform.Host{
-		Name: d.Name, Role: platform.RoleDaemon, Address: peerAddress, Zone: d.Zone, State: platform.HostLive,
+	Expect(f.Hosts.Put(extern.Host{
+		Name: d.Name, Role: extern.RoleDaemon, Address: peerAddress, Zone: d.Zone, State: extern.HostLive,
 	})).To(Succeed())
 	return d
 }
--- a/test/fleet/partition.go
+++ b/test/fleet/partition.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/settings"
 	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
 )
@@ -85,8 +85,8 @@
 func (n *Network) list(f *Fleet) {
 	GinkgoHelper()
 	for _, d := range f.Daemons {
-		Expect(f.Hosts.Put(platform.Host{Name: d.Name, Role: platform.RoleDaemon,
-			Address: n.links[d.Name].proxy.Addr(), Zone: d.Zone, State: platform.HostLive})).To(Succeed())
+		Expect(f.Hosts.Put(extern.Host{Name: d.Name, Role: extern.RoleDaemon,
+			Address: n.links[d.Name].proxy.Addr(), Zone: d.Zone, State: extern.HostLive})).To(Succeed())
 	}
 	for _, d := range f.Daemons {
 		Eventually(func() int64 { return d.hostListVersion() }, Bound, Poll).Should(Equal(trueVersion(f)), d.Name)
@@ -98,7 +98,7 @@
 	resp, err := http.Get(f.HostsURL + "/control/hosts")
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
-	var view platform.HostView
+	var view extern.HostView
 	Expect(json.NewDecoder(resp.Body).Decode(&view)).To(Succeed())
 	return view.Version
 }
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"tarragonhollow.example/tarragonhollow/platform"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/settings"
 	"tarragonhollow.example/tarragonhollow/standin/deployment"
 	"tarragonhollow.example/tarragonhollow/test/fleet"
@@ -99,9 +99,9 @@
 		batchRuns(f, job, 50)
 		calls := func() int { return len(f.Engines[0].Records()) }
 		Expect(calls()).To(BeNumerically(">", 0))
-		Expect(f.Hosts.Put(platform.Host{
-			Name: "engine-0", Role: platform.RoleTarget, Address: f.EngineAddresses[0],
-			Zone: f.Shape.Zone(0), State: platform.HostLeaving,
+		Expect(f.Hosts.Put(extern.Host{
+			Name: "engine-0", Role: extern.RoleTarget, Address: f.EngineAddresses[0],
+			Zone: f.Shape.Zone(0), State: extern.HostLeaving,
 		})).To(Succeed())
 		round := 0
 		load := func() {
--- a/try/fleet.go
+++ b/try/fleet.go
@@ -8,8 +8,8 @@
 
 	"tarragonhollow.example/tarragonhollow/caller"
 	"tarragonhollow.example/tarragonhollow/daemon"
+	"tarragonhollow.example/tarragonhollow/extern"
 	"tarragonhollow.example/tarragonhollow/logging"
-	"tarragonhollow.example/tarragonhollow/platform"
 	"tarragonhollow.example/tarragonhollow/settings"
 	"tarragonhollow.example/tarragonhollow/standin/deployment"
 )
@@ -75,12 +75,12 @@
 		_ = d.Run(ctx)
 	}()
 	f.daemons = append(f.daemons, m)
-	return f.stand.Hosts.Put(platform.Host{
+	return f.stand.Hosts.Put(extern.Host{
 		Name:    name,
-		Role:    platform.RoleDaemon,
+		Role:    extern.RoleDaemon,
 		Address: d.PeerAddress(),
 		Zone:    zone,
-		State:   platform.HostLive,
+		State:   extern.HostLive,
 	})
 }
 
