--- a/cli/cli.go
+++ b/cli/cli.go
@@ -42,6 +42,9 @@
 type Programs struct {
 	// Serve runs a daemon until ctx is done and then stops it gracefully.
 	Serve func(ctx context.Context, s *settings.Settings) error
+	// Front runs a daemon that serves routes on a platform, by the settings file
+	// at path, until ctx is done and then stops it gracefully.
+	Front func(ctx context.Context, path string) error
 	// Try runs the demonstration; an error means that an item was lost or
 	// doubled, or that it could not run.
 	Try func(ctx context.Context, o TryOptions) error
@@ -102,7 +105,7 @@
 		},
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(a.serveCommand(), a.tryCommand(), a.settingsCommand(), a.configCommand(), a.jobCommand(),
+	root.AddCommand(a.serveCommand(), a.frontCommand(), a.tryCommand(), a.settingsCommand(), a.configCommand(), a.jobCommand(),
 		a.statusCommand(), a.reportCommand(), a.logLevelCommand(), a.drainCommand())
 	return root
 }
--- /dev/null
+++ b/core/batch/book.go
@@ -0,0 +1,193 @@
+package batch
+
+import (
+	"strings"
+	"time"
+)
+
+// Job is what is known of a job.
+type Job struct {
+	JobRecord
+	// Accepted is false while only results or the end have been read: the
+	// partitions are read at different paces.
+	Accepted bool
+	// Ended tells that the caller gave the job up.
+	Ended bool
+	// Results are in the order of their positions.
+	Results []Result
+	// finished holds the items that have a result.
+	finished map[int]bool
+}
+
+// Finished tells whether the item has a result.
+func (j *Job) Finished(item int) bool { return j.finished[item] }
+
+// Open tells whether items of the job may still run.
+func (j *Job) Open() bool { return j.Accepted && !j.Ended && len(j.Results) < len(j.Items) }
+
+// ItemByID returns the index of an item, -1 if the job has none of that ID.
+func (j *Job) ItemByID(id string) int {
+	for i := range j.Items {
+		if j.Items[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// Change tells what a record changed; empty for records that change nothing.
+type Change struct {
+	// Job is the job concerned, "" for none.
+	Job string
+	// Forgotten tells that the job is no longer kept.
+	Forgotten bool
+}
+
+// Book is the state of all jobs.
+type Book struct {
+	jobs map[string]*Job
+	// waiting holds, by quota, the tokens of accepted items without a result.
+	waiting map[string]int64
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{jobs: map[string]*Job{}, waiting: map[string]int64{}}
+}
+
+// Job returns a job, nil if no record of it was read. The job must not be
+// changed.
+func (b *Book) Job(id string) *Job { return b.jobs[id] }
+
+// Jobs calls visit for every accepted job.
+func (b *Book) Jobs(visit func(*Job)) {
+	for _, j := range b.jobs {
+		if j.Accepted {
+			visit(j)
+		}
+	}
+}
+
+// Len returns how many jobs are kept.
+func (b *Book) Len() int { return len(b.jobs) }
+
+// Waiting returns the tokens that count on a quota.
+func (b *Book) Waiting(quota string) int64 { return b.waiting[quota] }
+
+// ApplyJob takes a record of the partition of acceptances and ends, in log
+// order.
+func (b *Book) ApplyJob(key string, value []byte) (Change, error) {
+	if id, ok := strings.CutPrefix(key, endedPrefix); ok {
+		return b.applyEnd(id, value), nil
+	}
+	id, ok := strings.CutPrefix(key, acceptedPrefix)
+	if !ok {
+		return Change{}, ErrRecord.New("unknown key %q", key)
+	}
+	if len(value) == 0 {
+		return b.forget(id), nil
+	}
+	record, err := decode[JobRecord](key, value)
+	if err != nil {
+		return Change{}, err
+	}
+	return b.accept(record), nil
+}
+
+// accept takes an acceptance. A repeated one changes nothing: the first in log
+// order is the job.
+func (b *Book) accept(record JobRecord) Change {
+	j := b.job(record.ID)
+	if j.Accepted {
+		return Change{}
+	}
+	j.JobRecord = record
+	j.Accepted = true
+	if !j.Ended {
+		b.waiting[j.Quota] += j.waitingTokens()
+	}
+	return Change{Job: j.ID}
+}
+
+func (b *Book) applyEnd(id string, value []byte) Change {
+	if len(value) == 0 {
+		return Change{}
+	}
+	j := b.job(id)
+	if j.Ended {
+		return Change{}
+	}
+	if j.Accepted {
+		b.waiting[j.Quota] -= j.waitingTokens()
+	}
+	j.Ended = true
+	return Change{Job: id}
+}
+
+// ApplyResult takes a record of a partition of results, in log order: the
+// order gives the positions, and the first result of an item is its result.
+func (b *Book) ApplyResult(key string, value []byte) (Change, error) {
+	id, item, err := parseResultKey(key)
+	if err != nil || len(value) == 0 {
+		return Change{}, err
+	}
+	result, err := decode[Result](key, value)
+	if err != nil {
+		return Change{}, err
+	}
+	j := b.job(id)
+	if j.finished[item] {
+		return Change{}, nil
+	}
+	j.finished[item] = true
+	j.Results = append(j.Results, result)
+	if j.Accepted && !j.Ended && item < len(j.Items) {
+		b.waiting[j.Quota] -= j.Items[item].Tokens
+	}
+	return Change{Job: id}, nil
+}
+
+// forget drops a job.
+func (b *Book) forget(id string) Change {
+	j := b.jobs[id]
+	if j == nil {
+		return Change{}
+	}
+	if j.Accepted && !j.Ended {
+		b.waiting[j.Quota] -= j.waitingTokens()
+	}
+	delete(b.jobs, id)
+	return Change{Job: id, Forgotten: true}
+}
+
+// Forgettable lists the accepted jobs that nobody may ask for any more: closed
+// and accepted longer ago than keep.
+func (b *Book) Forgettable(now time.Time, keep time.Duration) []string {
+	var ids []string
+	for id, j := range b.jobs {
+		age := now.Sub(time.UnixMilli(j.AcceptedMs))
+		if j.Accepted && !j.Open() && age > keep {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (b *Book) job(id string) *Job {
+	j := b.jobs[id]
+	if j == nil {
+		j = &Job{JobRecord: JobRecord{ID: id}, finished: map[int]bool{}}
+		b.jobs[id] = j
+	}
+	return j
+}
+
+func (j *Job) waitingTokens() int64 {
+	sum := int64(0)
+	for i := range j.Items {
+		if !j.finished[i] {
+			sum += j.Items[i].Tokens
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/batch/record.go
@@ -0,0 +1,142 @@
+// Package batch is the state of batch jobs as it follows from records in a
+// partitioned log. It is pure: every daemon that reads the same records holds
+// the same state.
+//
+// A job's acceptance and its end stand in one partition, so that all daemons
+// see them in one order; the results of a job stand in one partition of
+// another topic, whose order is the order of the result list. A record is
+// written under its key once, so that the newest record of each key is all
+// there ever was.
+package batch
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+var errorNamespace = errorx.NewNamespace("batch")
+
+// ErrRecord is the type of errors about records that cannot be read.
+var ErrRecord = errorNamespace.NewType("record")
+
+// Header is one header of an item's request.
+type Header struct {
+	Name, Value string
+}
+
+// Item is one request of a job. Its body is kept apart.
+type Item struct {
+	ID      string
+	Path    string
+	Headers []Header
+	// Tokens are the prompt's tokens and the most that may be generated.
+	Tokens int64
+	// BodyBytes is the body's length.
+	BodyBytes int
+}
+
+// JobRecord is a job's acceptance.
+type JobRecord struct {
+	ID string
+	// Host and Path are those of the submission; they select the route.
+	Host, Path string
+	// Quota names the account that the waiting tokens count on.
+	Quota string
+	// AcceptedMs is the accepting daemon's clock, Unix milliseconds.
+	AcceptedMs int64
+	Items      []Item
+}
+
+// State is how an item ended.
+type State int8
+
+const (
+	// Succeeded items have their whole output.
+	Succeeded State = iota + 1
+	// Errored items can never be done, or were given up.
+	Errored
+)
+
+// Result is one entry of a job's result list.
+type Result struct {
+	// Item is the item's index in the job.
+	Item int
+	// ID is the item's ID.
+	ID    string
+	State State
+	// Output is the data of all events, joined by line feeds.
+	Output string
+}
+
+const (
+	acceptedPrefix = "job/"
+	endedPrefix    = "end/"
+)
+
+// AcceptedKey is the key of a job's acceptance.
+func AcceptedKey(job string) string { return acceptedPrefix + job }
+
+// EndedKey is the key of a job's end.
+func EndedKey(job string) string { return endedPrefix + job }
+
+// ResultKey is the key of an item's result.
+func ResultKey(job string, item int) string { return fmt.Sprintf("%s/%05d", job, item) }
+
+// BodyKey is the key of one chunk of an item's body. Keys sort by item and
+// chunk.
+func BodyKey(job string, item, chunk int) string {
+	return fmt.Sprintf("%s/%05d/%03d", job, item, chunk)
+}
+
+// ItemKey sorts directly before the keys of the item's chunks.
+func ItemKey(job string, item int) string { return ResultKey(job, item) }
+
+// ParseBodyKey is the reverse of BodyKey.
+func ParseBodyKey(key string) (job string, item, chunk int, err error) {
+	head, last, _ := cutLast(key)
+	job, middle, ok := cutLast(head)
+	item, itemErr := strconv.Atoi(middle)
+	chunk, chunkErr := strconv.Atoi(last)
+	if !ok || itemErr != nil || chunkErr != nil {
+		return "", 0, 0, ErrRecord.New("bad body key %q", key)
+	}
+	return job, item, chunk, nil
+}
+
+func parseResultKey(key string) (job string, item int, err error) {
+	job, last, ok := cutLast(key)
+	item, err = strconv.Atoi(last)
+	if !ok || err != nil {
+		return "", 0, ErrRecord.New("bad result key %q", key)
+	}
+	return job, item, nil
+}
+
+func cutLast(key string) (before, after string, found bool) {
+	at := strings.LastIndexByte(key, '/')
+	if at < 0 {
+		return "", key, false
+	}
+	return key[:at], key[at+1:], true
+}
+
+// Encode returns the value of an acceptance or a result.
+func Encode(v any) ([]byte, error) {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, ErrRecord.Wrap(err, "cannot encode %T", v)
+	}
+	return data, nil
+}
+
+func decode[T any](key string, data []byte) (T, error) {
+	var v T
+	if err := msgpack.Unmarshal(data, &v); err != nil {
+		return v, ErrRecord.Wrap(err, "cannot decode the record %q", key)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,171 @@
+// Package route holds which target group serves a request: routes by host and
+// path prefix, with what each class of requests needs. It is pure.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be repeated of a route's requests.
+type Kind int
+
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests run at most once.
+	NonIdempotent
+	// Stream requests are answered by a series of numbered events and run at
+	// most once, unless the route is resumable.
+	Stream
+	// Batch routes take jobs of many items that run later.
+	Batch
+)
+
+// String returns the kind's name for logs.
+func (k Kind) String() string {
+	return [...]string{"idempotent", "non_idempotent", "stream", "batch"}[k]
+}
+
+// Share is a target group's part of a route's requests.
+type Share struct {
+	Group  string
+	Weight int
+}
+
+// Route is one class of requests.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Resumable streams may go on at another target after the last event seen.
+	Resumable bool
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to the first event, that callers
+	// are promised.
+	Objective time.Duration
+	// GapObjective is the longest pause between events that keeps the promise.
+	GapObjective time.Duration
+	// MaxAttempts bounds the targets that one request may run on.
+	MaxAttempts int
+	// Priority is the rank, 0 the most urgent.
+	Priority int
+	// Groups are the target groups by weight; never empty.
+	Groups []Share
+	// Due is how long after its acceptance a job is to be done.
+	Due time.Duration
+	// KeepFor is how long after its acceptance an unfinished item is kept trying.
+	KeepFor time.Duration
+	// TokenCap bounds the tokens of the accepted items that are not finished;
+	// 0 is no bound.
+	TokenCap int64
+}
+
+// Repeatable tells whether a request that may have run may be sent again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Batch || r.Kind == Stream && r.Resumable
+}
+
+// Quota names the account of waiting tokens that the route's jobs count on.
+func (r *Route) Quota() string { return r.Host + r.Prefix }
+
+// Pick returns a group by weight; random is in [0,1).
+func (r *Route) Pick(random float64) string {
+	total := 0
+	for _, s := range r.Groups {
+		total += s.Weight
+	}
+	rest := int(random * float64(total))
+	for _, s := range r.Groups {
+		if rest < s.Weight {
+			return s.Group
+		}
+		rest -= s.Weight
+	}
+	return r.Groups[0].Group
+}
+
+// Allows tells whether the route sends requests to the group now.
+func (r *Route) Allows(group string) bool {
+	return slices.ContainsFunc(r.Groups, func(s Share) bool { return s.Group == group && s.Weight > 0 })
+}
+
+// Group is a target group.
+type Group struct {
+	Name string
+	// HealthPath answers 200 while a target is healthy.
+	HealthPath string
+	// MaxConns bounds the connections of all daemons to one target.
+	MaxConns int
+	// Slots is how many requests a target runs at once; 0 is unknown.
+	Slots int
+	// MemoryTokens is what a model engine's memory holds; 0 is unknown.
+	MemoryTokens int64
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Table is one version of the routes. It does not change.
+type Table struct {
+	Version int64
+	Limits  Limits
+	groups  map[string]Group
+	hosts   map[string][]*Route
+}
+
+// NewTable returns a table. Of two routes with the same host and prefix the
+// first one counts.
+func NewTable(version int64, routes []Route, groups []Group, limits Limits) *Table {
+	t := &Table{Version: version, Limits: limits, groups: map[string]Group{}, hosts: map[string][]*Route{}}
+	for _, g := range groups {
+		t.groups[g.Name] = g
+	}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		t.hosts[host] = append(t.hosts[host], &routes[i])
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix of the path, nil
+// if there is none. A port in host is left out.
+func (t *Table) Match(host, path string) *Route {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.hosts[name] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Group returns a target group; an unknown one has only its name.
+func (t *Table) Group(name string) Group {
+	if g, ok := t.groups[name]; ok {
+		return g
+	}
+	return Group{Name: name}
+}
+
+// Groups returns all target groups, sorted by name.
+func (t *Table) Groups() []Group {
+	list := make([]Group, 0, len(t.groups))
+	for _, g := range t.groups {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/daemon/front/front.go
@@ -0,0 +1,170 @@
+// Package front puts a daemon together that serves routes on a platform: the
+// view of the targets, the relay of online requests, the batch jobs and the
+// calls between daemons. What the platform speaks is brought by an adapter.
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/jobs"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/settings"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+)
+
+const (
+	// leaveRotation is how long a stopping daemon still takes new connections:
+	// the platform asks for readiness every second and takes a daemon out after
+	// two misses.
+	leaveRotation = 2600 * time.Millisecond
+	// stopMargin is what is left of the grace for the last lines.
+	stopMargin = 400 * time.Millisecond
+)
+
+// Adapter is what the platform's adapter brings.
+type Adapter struct {
+	Log    partlog.Log
+	Groups partlog.Groups
+	Wire   relay.Wire
+	Topics jobs.Topics
+	// HostsTopic tells the daemons of each other.
+	HostsTopic string
+}
+
+// Node is one daemon.
+type Node struct {
+	Settings *settings.Front
+	Logger   *zap.Logger
+	Metrics  *metrics.Set
+	Places   *places.Places
+	Relay    *relay.Relay
+	Jobs     *jobs.Jobs
+
+	hosts      *hosts
+	peers      *peer.Client
+	peerServer *peer.Server
+	pool       *h1.Pool
+	table      atomic.Pointer[route.Table]
+	stopping   atomic.Bool
+}
+
+// New returns a daemon that does nothing yet.
+func New(s *settings.Front, a Adapter, logger *zap.Logger, set *metrics.Set) (*Node, error) {
+	n := &Node{Settings: s, Logger: logger, Metrics: set}
+	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
+	n.pool = h1.NewPool(opened.Inc)
+	n.Places = places.New(places.Options{Host: s.Host, Zone: s.Zone, Logger: logger})
+	n.Places.OnGone(n.pool.Forget)
+	n.Relay = relay.New(relay.Options{Wire: a.Wire, Pool: n.pool, Places: n.Places, Logger: logger, Metrics: set})
+	n.Jobs = jobs.New(jobs.Options{
+		Host: s.Host, Log: a.Log, Groups: a.Groups, Topics: a.Topics, Parts: s.LogParts, Routes: n.Routes,
+		Places: n.Places, Pool: n.pool, Wire: a.Wire, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom,
+		Logger: logger, Metrics: set,
+	})
+	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, s.PeerAddress, logger)
+	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
+	n.peerServer = peer.NewServer(peer.ServerOptions{Logger: logger, Metrics: set})
+	return n, n.Places.Register(n.peerServer)
+}
+
+// Routes returns the routes in force, nil before the first configuration.
+func (n *Node) Routes() *route.Table { return n.table.Load() }
+
+// SetRoutes puts a configuration in force. An older one than that in force is
+// left out: a daemon that reads the history again must not go back.
+func (n *Node) SetRoutes(t *route.Table) {
+	current := n.table.Load()
+	if current != nil && t.Version <= current.Version {
+		return
+	}
+	n.table.Store(t)
+	n.Logger.Info("configuration_in_force", zap.Int64("version", t.Version))
+}
+
+// Ready tells whether the daemon should get new connections: it knows routes
+// and targets and has read the jobs, and does not stop.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.table.Load() != nil && n.Places.Known() && n.Jobs.Loaded()
+}
+
+// Stopping tells whether the daemon is being stopped.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Run starts the duties of the parts.
+func (n *Node) Run(group *duty.Group) error {
+	listener, err := net.Listen("tcp", n.Settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	group.Go(func(context.Context) {
+		if err := n.peerServer.Serve(listener); err != nil {
+			n.Logger.Error("peer_listener_ended", zap.Error(err))
+		}
+	})
+	group.Go(n.hosts.announce)
+	group.Go(n.hosts.follow)
+	group.Go(func(ctx context.Context) { n.Places.Spread(ctx, n.peers, n.hosts.peers) })
+	n.Jobs.Run(group)
+	return nil
+}
+
+// Stop ends the daemon without interrupting a request: first the platform and
+// the other daemons learn of it, while new connections are still served; then
+// the servers wait for what runs, and batch work ends beside it.
+func (n *Node) Stop(servers ...*http.Server) {
+	began := time.Now()
+	n.Logger.Info("stopping")
+	n.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopGrace-stopMargin)
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		n.Jobs.Drain(ctx)
+		close(drained)
+	}()
+	n.hosts.leave(ctx)
+	wait(ctx, leaveRotation-time.Since(began))
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+		if err := s.Shutdown(ctx); err != nil {
+			n.Logger.Warn("requests_cut", zap.Error(err))
+		}
+	}
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
+	n.Logger.Info("stopped", zap.Float64("seconds", time.Since(began).Seconds()))
+}
+
+// Close drops the connections to peers and targets.
+func (n *Node) Close() {
+	if err := n.peers.Close(); err != nil {
+		n.Logger.Info("peer_client_close", zap.Error(err))
+	}
+	if err := n.peerServer.Close(); err != nil {
+		n.Logger.Info("peer_server_close", zap.Error(err))
+	}
+	n.pool.Close()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(0, d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/daemon/jobs/calls.go
@@ -0,0 +1,314 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+)
+
+const (
+	// retryAfterMs tells callers when to come back while the log is out: its
+	// outages last seconds.
+	retryAfterMs = 500
+	// quotaRetryMs tells callers when to come back to a full quota: items take
+	// seconds.
+	quotaRetryMs = 1000
+	// maxReadBytes bounds the results of one read.
+	maxReadBytes = 900 << 10
+	// contention bounds how often an append starts over because others came
+	// first.
+	contention = 20
+	// failingAfter is for how long reads of a partition may fail before this
+	// daemon no longer says that nothing new has come.
+	failingAfter = 500 * time.Millisecond
+)
+
+// Submission is a job as a caller hands it in.
+type Submission struct {
+	ID         string
+	Host, Path string
+	Items      []SubmittedItem
+}
+
+// SubmittedItem is an item with its body.
+type SubmittedItem struct {
+	batch.Item
+	Body []byte
+}
+
+// Submit accepts the job, or returns why not. Nil means that the job is kept:
+// its acceptance and all its bodies are acknowledged by the log. A refusal that
+// says not_run is final for this call: nothing that could accept the job was
+// sent.
+func (j *Jobs) Submit(ctx context.Context, s *Submission, r *route.Route) *outcome.Refusal {
+	record := newRecord(s, r)
+	refusal := j.submit(ctx, s, r, record)
+	word := "accepted"
+	if refusal != nil {
+		word = string(refusal.Code)
+	}
+	j.Logger.Info("job_submitted", zap.String("job", s.ID), zap.String("route", r.Name), zap.Int("items", len(s.Items)),
+		zap.String("outcome", word), zap.Int64("waiting_tokens", j.waiting(record.Quota)), zap.Int64("cap", r.TokenCap))
+	return refusal
+}
+
+func (j *Jobs) waiting(quota string) int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.book.Waiting(quota)
+}
+
+func newRecord(s *Submission, r *route.Route) *batch.JobRecord {
+	record := &batch.JobRecord{ID: s.ID, Host: s.Host, Path: s.Path, Quota: r.Quota(), AcceptedMs: time.Now().UnixMilli()}
+	for i := range s.Items {
+		item := s.Items[i].Item
+		item.BodyBytes = len(s.Items[i].Body)
+		record.Items = append(record.Items, item)
+	}
+	return record
+}
+
+func (j *Jobs) submit(ctx context.Context, s *Submission, r *route.Route, record *batch.JobRecord) *outcome.Refusal {
+	if known, refusal := j.lookAt(record, r); known || refusal != nil {
+		return refusal
+	}
+	value, err := batch.Encode(record)
+	if err != nil {
+		return outcome.Refuse(outcome.BadRequest, "%v", err)
+	}
+	// The bodies go first: once the acceptance stands, any daemon may be asked
+	// for them, and this one may be gone.
+	if err := j.bodies.put(ctx, s); err != nil {
+		return logOut(err)
+	}
+	records := []partlog.Record{{Key: batch.AcceptedKey(s.ID), Value: value}}
+	sent := false
+	for range contention {
+		at := j.accepted.Position()
+		known, refusal := j.lookAt(record, r)
+		if known || refusal != nil {
+			return whetherSent(refusal, sent)
+		}
+		err := j.appendAt(ctx, j.accepted, at, records)
+		if err == nil {
+			return nil
+		}
+		sent = sent || partlog.IsUnknown(err)
+		if !partlog.IsConflict(err) {
+			return whetherSent(logOut(err), sent)
+		}
+		if err := j.catchUp(ctx, j.accepted); err != nil {
+			return whetherSent(logOut(err), sent)
+		}
+		// The conflict and everything before it was read: an append of ours that
+		// got no answer has either taken effect or never will.
+		sent = false
+	}
+	return logOut(partlog.Conflict.New("others kept coming first"))
+}
+
+// whetherSent keeps a refusal true: an acceptance without an answer may still
+// take effect.
+func whetherSent(refusal *outcome.Refusal, sent bool) *outcome.Refusal {
+	if refusal == nil || !sent {
+		return refusal
+	}
+	return refusal.WithRun(outcome.MayHaveRun)
+}
+
+// lookAt tells whether the job is known, or why it can't be accepted.
+func (j *Jobs) lookAt(record *batch.JobRecord, r *route.Route) (bool, *outcome.Refusal) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if known := j.book.Job(record.ID); known != nil && (known.Accepted || known.Ended) {
+		return true, nil
+	}
+	if j.accepted.position < 0 {
+		return false, logOut(partlog.Unavailable.New("the jobs were not read yet"))
+	}
+	if r.TokenCap == 0 {
+		return false, nil
+	}
+	tokens := int64(0)
+	for i := range record.Items {
+		tokens += record.Items[i].Tokens
+	}
+	if waiting := j.book.Waiting(record.Quota); waiting+tokens > r.TokenCap {
+		return false, outcome.Refuse(outcome.CallerLimit, "%d tokens wait, %d more would pass the cap of %d",
+			waiting, tokens, r.TokenCap).After(quotaRetryMs)
+	}
+	return false, nil
+}
+
+func logOut(err error) *outcome.Refusal {
+	refusal := outcome.Refuse(outcome.LogUnavailable, "%v", err).After(retryAfterMs)
+	if partlog.IsUnknown(err) {
+		return refusal.WithRun(outcome.MayHaveRun)
+	}
+	return refusal
+}
+
+// View is what a caller reads of a job.
+type View struct {
+	// Total is the number of items.
+	Total int
+	// Next is the position after the last result returned.
+	Next int
+	// Results stand at the positions from the one asked for.
+	Results []batch.Result
+}
+
+// Read returns results from a position on, waiting up to wait for the first.
+func (j *Jobs) Read(ctx context.Context, id string, after int, wait time.Duration) (View, *outcome.Refusal) {
+	if refusal := j.known(ctx, id); refusal != nil {
+		return View{}, refusal
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		view, news, refusal := j.view(id, after)
+		if refusal != nil || len(view.Results) > 0 || after >= view.Total {
+			return view, refusal
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return view, j.trusted(id)
+		case <-ctx.Done():
+			return view, j.trusted(id)
+		}
+	}
+}
+
+// known makes sure that the job is known. "No such job" is said only after the
+// log was read to its end just now.
+func (j *Jobs) known(ctx context.Context, id string) *outcome.Refusal {
+	if j.has(id) {
+		return nil
+	}
+	if err := j.catchUp(ctx, j.accepted); err != nil {
+		return logOut(err)
+	}
+	if j.has(id) {
+		return nil
+	}
+	return outcome.Refuse(outcome.NotFound, "no job %s", id)
+}
+
+func (j *Jobs) has(id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	known := j.book.Job(id)
+	return known != nil && known.Accepted
+}
+
+// trusted refuses to say that nothing new has come while the job's partition
+// can't be read: another daemon may have shown a result already.
+func (j *Jobs) trusted(id string) *outcome.Refusal {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c := j.results[j.part(id)]
+	if c.position >= 0 && (!c.failing || time.Since(c.since) < failingAfter) {
+		return nil
+	}
+	return outcome.Refuse(outcome.LogUnavailable, "the results of %s can't be read now", id).After(retryAfterMs)
+}
+
+func (j *Jobs) view(id string, after int) (View, <-chan struct{}, *outcome.Refusal) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	known := j.book.Job(id)
+	if known == nil {
+		return View{}, nil, outcome.Refuse(outcome.NotFound, "no job %s", id)
+	}
+	if j.results[j.part(id)].position < 0 {
+		return View{}, nil, outcome.Refuse(outcome.LogUnavailable, "the results of %s were not read yet", id).After(retryAfterMs)
+	}
+	v := View{Total: len(known.Items), Next: after}
+	size := 0
+	for _, r := range known.Results[min(after, len(known.Results)):] {
+		size += len(r.Output) + len(r.ID)
+		if size > maxReadBytes && len(v.Results) > 0 {
+			break
+		}
+		v.Results = append(v.Results, r)
+	}
+	v.Next = after + len(v.Results)
+	return v, j.news, nil
+}
+
+// Body returns the body of an item that has no result yet.
+func (j *Jobs) Body(ctx context.Context, id, item string) ([]byte, *outcome.Refusal) {
+	if refusal := j.known(ctx, id); refusal != nil {
+		return nil, refusal
+	}
+	index, size := j.findItem(id, item)
+	if index < 0 {
+		return nil, outcome.Refuse(outcome.NotFound, "no item %s in job %s", item, id)
+	}
+	body, err := j.bodies.get(ctx, id, index, size)
+	if err != nil {
+		return nil, logOut(err)
+	}
+	return body, nil
+}
+
+func (j *Jobs) findItem(id, item string) (index, size int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	known := j.book.Job(id)
+	if known == nil {
+		return -1, 0
+	}
+	index = known.ItemByID(item)
+	if index < 0 {
+		return -1, 0
+	}
+	return index, known.Items[index].BodyBytes
+}
+
+// End ends a job: once it returns nil, no daemon that reads the log starts
+// another of its items.
+func (j *Jobs) End(ctx context.Context, id string) *outcome.Refusal {
+	refusal := j.end(ctx, id)
+	word := "ended"
+	if refusal != nil {
+		word = string(refusal.Code)
+	}
+	j.Logger.Info("job_end", zap.String("job", id), zap.String("outcome", word))
+	return refusal
+}
+
+func (j *Jobs) end(ctx context.Context, id string) *outcome.Refusal {
+	if refusal := j.known(ctx, id); refusal != nil {
+		return refusal
+	}
+	if j.isEnded(id) {
+		return nil
+	}
+	records := []partlog.Record{{Key: batch.EndedKey(id), Value: []byte{1}}}
+	for {
+		offset, err := j.Log.Append(ctx, j.accepted.partition, records, partlog.Anywhere)
+		if err == nil {
+			j.applyOwn(j.accepted, offset, records)
+			return nil
+		}
+		// Ending twice is ending once, so an append without an answer is repeated.
+		if !partlog.IsUnknown(err) || ctx.Err() != nil {
+			return logOut(err)
+		}
+	}
+}
+
+func (j *Jobs) isEnded(id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	known := j.book.Job(id)
+	return known != nil && known.Ended
+}
--- /dev/null
+++ b/daemon/jobs/item.go
@@ -0,0 +1,190 @@
+package jobs
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+	"tarragonhollow.example/tarragonhollow/target/sse"
+)
+
+const (
+	noEvent = relay.NoEvent
+	// itemLimit bounds one run of an item; the longest take some ten seconds.
+	itemLimit = 2 * time.Minute
+	// itemFirstPatience is how long an item waits for a target's first sign. It
+	// is only sent where a place is free, so a longer wait means trouble.
+	itemFirstPatience = 3 * time.Second
+	// itemGapPatience is the silence after which a run is given up; events come
+	// every few tens of milliseconds, and a target that has no memory left may
+	// hold one back for a while.
+	itemGapPatience = 1500 * time.Millisecond
+	// itemIdle bounds how long a kept connection may have been idle.
+	itemIdle = time.Minute
+	// itemReadSize is the most that is read at once.
+	itemReadSize = 16 << 10
+	// afterBusy and afterFailure delay an item that was turned away or failed.
+	afterBusy    = 100 * time.Millisecond
+	afterFailure = 300 * time.Millisecond
+)
+
+// runEnd is how a run of an item ended.
+type runEnd struct {
+	// whole: all events came.
+	whole bool
+	// never: the target says that the item can never be done.
+	never bool
+	// failed: the target says that this run failed.
+	failed bool
+	delay  time.Duration
+	cause  string
+	health routing.Outcome
+}
+
+// runItem runs the item once and decides what follows.
+func (r *runner) runItem(ctx context.Context, c *candidate, run *running, p *progress, body []byte) {
+	end := r.runOnce(ctx, c, run, p, body)
+	if ctx.Err() != nil {
+		end.health = routing.Neutral
+		end.delay = 0
+	}
+	r.jobs.Places.ReleaseBatch(run.target, end.health)
+	if end.failed {
+		p.failures++
+	}
+	switch {
+	case end.whole:
+		r.finish(c, batch.Succeeded, strings.Join(p.output, "\n"), "")
+	case end.never:
+		r.finish(c, batch.Errored, "", end.cause)
+	case p.failures >= c.route.MaxAttempts:
+		r.finish(c, batch.Errored, "", end.cause)
+	default:
+		r.again(c, run, p, end)
+	}
+	r.mu.Lock()
+	delete(r.active, c.key)
+	r.mu.Unlock()
+	r.wake()
+}
+
+// again leaves the item to a later run.
+func (r *runner) again(c *candidate, run *running, p *progress, end runEnd) {
+	r.meter.again.Inc()
+	p.avoid = ""
+	if end.delay > 0 {
+		p.avoid = run.target.ID
+		p.notBefore = time.Now().Add(end.delay)
+	}
+	r.jobs.Logger.Info("item_run_ended", zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
+		zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent), zap.Int("failures", p.failures),
+		zap.Int64("ms", time.Since(run.began).Milliseconds()))
+}
+
+// runOnce sends the item to the target and gathers its events.
+func (r *runner) runOnce(ctx context.Context, c *candidate, run *running, p *progress, body []byte) runEnd {
+	request := &relay.Request{
+		ID: c.item.ID, Route: c.route,
+		HTTP: h1.Request{Method: http.MethodPost, URI: c.item.Path, Host: c.host, Header: itemHeader(c.item.Headers), Body: body},
+	}
+	wire := r.jobs.Wire.Prepare(request, run.target, relay.NoDeadline, p.lastEvent)
+	answer, err := r.jobs.Pool.Do(ctx, run.target.Address, wire, h1.Options{
+		MaxIdle: itemIdle, Deadline: time.Now().Add(itemLimit), Patience: itemFirstPatience,
+		Mine: func(status int, header http.Header) bool { return r.jobs.Wire.Mine(c.item.ID, status, header) },
+	})
+	if err != nil {
+		return runEnd{cause: err.Error(), delay: afterFailure, health: routing.SoftFailed}
+	}
+	defer answer.Close()
+	switch r.jobs.Wire.Judge(answer.Status, answer.Header) {
+	case relay.TurnedAway:
+		discard(answer)
+		return runEnd{cause: "turned away", delay: afterBusy, health: routing.Neutral}
+	case relay.Elsewhere:
+		discard(answer)
+		return runEnd{cause: "another target has the address", delay: afterBusy, health: routing.HardFailed}
+	}
+	switch {
+	case answer.Status == http.StatusOK:
+		return gather(answer, p)
+	case answer.Status == http.StatusUnprocessableEntity:
+		discard(answer)
+		return runEnd{never: true, cause: "the target can't do it", health: routing.Succeeded}
+	case answer.Status == http.StatusInternalServerError:
+		discard(answer)
+		return runEnd{failed: true, cause: "the target failed", delay: afterFailure, health: routing.SoftFailed}
+	default:
+		discard(answer)
+		return runEnd{cause: http.StatusText(answer.Status), delay: afterFailure, health: routing.SoftFailed}
+	}
+}
+
+// gather adds the events of an answer to the progress. Events must follow each
+// other: a gap, or a run that does not go on where the last one ended, would
+// leave a hole in the text.
+func gather(answer *h1.Answer, p *progress) runEnd {
+	var events sse.Splitter
+	buffer := make([]byte, itemReadSize)
+	for {
+		n, err := answer.Read(buffer, itemGapPatience)
+		events.Write(buffer[:n])
+		if !p.take(&events) {
+			return runEnd{cause: "events out of order", delay: afterFailure, health: routing.SoftFailed}
+		}
+		switch {
+		case err == io.EOF && len(events.Rest()) == 0 && p.lastEvent != noEvent:
+			return runEnd{whole: true, health: routing.Succeeded}
+		case err == io.EOF:
+			return runEnd{cause: "the stream ended within an event", delay: afterFailure, health: routing.SoftFailed}
+		case err != nil:
+			return runEnd{cause: err.Error(), delay: afterFailure, health: routing.SoftFailed}
+		case events.Overlong():
+			return runEnd{cause: "an event is too long", delay: afterFailure, health: routing.SoftFailed}
+		}
+	}
+}
+
+// take adds the whole events; false tells of a gap.
+func (p *progress) take(events *sse.Splitter) bool {
+	for {
+		e, ok := events.Next()
+		if !ok {
+			return true
+		}
+		if e.ID < 0 || e.ID <= p.lastEvent {
+			continue
+		}
+		if p.lastEvent != noEvent && e.ID != p.lastEvent+1 {
+			return false
+		}
+		p.lastEvent = e.ID
+		p.output = append(p.output, e.Data)
+	}
+}
+
+func discard(answer *h1.Answer) {
+	buffer := make([]byte, itemReadSize)
+	for {
+		if _, err := answer.Read(buffer, afterFailure); err != nil {
+			return
+		}
+	}
+}
+
+func itemHeader(list []batch.Header) http.Header {
+	header := http.Header{}
+	for _, h := range list {
+		header.Add(h.Name, h.Value)
+	}
+	relay.DropHopByHop(header)
+	header.Del("Content-Length")
+	return header
+}
--- /dev/null
+++ b/daemon/jobs/jobs.go
@@ -0,0 +1,300 @@
+// Package jobs keeps batch jobs on the partitioned log and runs their items.
+//
+// Every daemon reads all acceptances and results, so each can accept a job,
+// answer for it and take over its items; none is a leader. What has to be
+// agreed is decided by the log: an append that demands where its partition ends
+// succeeds only if the appender had read everything before. So a job is
+// accepted once and within its quota, and an item has one result at one
+// position, whoever wrote them and however late an append took effect.
+//
+// The groups of the log deal out which daemon runs the items of which
+// partition. That only saves work: two daemons that both believe to hold a
+// partition run an item twice, and the log keeps one result.
+package jobs
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+)
+
+// Topics are the names of the topics, as the log's adapter wants them.
+type Topics struct {
+	// Jobs holds acceptances and ends, all in partition 0: one order for all
+	// jobs makes the quota exact.
+	Jobs string
+	// Results and Bodies hold a job's results and items' bodies, each job in one
+	// partition.
+	Results, Bodies string
+}
+
+// Options configure Jobs.
+type Options struct {
+	// Host is the daemon's name.
+	Host   string
+	Log    partlog.Log
+	Groups partlog.Groups
+	Topics Topics
+	// Parts is the number of partitions of each topic.
+	Parts int
+	// Routes returns the routes in force, nil before the first.
+	Routes func() *route.Table
+	Places *places.Places
+	Pool   *h1.Pool
+	// Wire prepares items as it does requests.
+	Wire relay.Wire
+	// KeepFor is how long after its acceptance a closed job can still be read.
+	KeepFor time.Duration
+	// Headroom is how many places of each target batch leaves free.
+	Headroom int
+	Logger   *zap.Logger
+	Metrics  *metrics.Set
+}
+
+// Pace of the partitions: a result has to be seen at every daemon within a
+// second, and one read takes all that came meanwhile.
+var (
+	jobsPace    = partlog.Pace{Wait: 4 * time.Second, Gather: 50 * time.Millisecond}
+	resultsPace = partlog.Pace{Wait: 4 * time.Second, Gather: 200 * time.Millisecond}
+	bodiesPace  = partlog.Pace{Wait: 10 * time.Second, Gather: 50 * time.Millisecond}
+)
+
+// Jobs is safe for concurrent use.
+type Jobs struct {
+	Options
+
+	mu   sync.Mutex
+	book *batch.Book
+	// news is closed and replaced whenever the book changed.
+	news     chan struct{}
+	accepted *cursor
+	results  []*cursor
+	writers  []*writer
+	runner   *runner
+	bodies   *bodyStore
+}
+
+// New returns Jobs without any record read.
+func New(o Options) *Jobs {
+	j := &Jobs{Options: o, book: batch.NewBook(), news: make(chan struct{})}
+	j.accepted = j.newCursor(partlog.Partition{Topic: o.Topics.Jobs}, j.book.ApplyJob)
+	for part := range o.Parts {
+		p := partlog.Partition{Topic: o.Topics.Results, Part: part}
+		c := j.newCursor(p, j.book.ApplyResult)
+		j.results = append(j.results, c)
+		j.writers = append(j.writers, newWriter(j, c))
+	}
+	j.bodies = newBodyStore(j)
+	j.runner = newRunner(j)
+	return j
+}
+
+// Run starts the duties.
+func (j *Jobs) Run(group *duty.Group) {
+	group.Go(func(ctx context.Context) { partlog.Follow(ctx, j.Log, j.accepted.partition, jobsPace, j.accepted) })
+	for _, c := range j.results {
+		group.Go(func(ctx context.Context) { partlog.Follow(ctx, j.Log, c.partition, resultsPace, c) })
+	}
+	for _, w := range j.writers {
+		group.Go(w.run)
+	}
+	group.Go(j.runner.join)
+	group.Go(j.runner.run)
+}
+
+// part returns the partition of a job's results and bodies.
+func (j *Jobs) part(job string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(job))
+	return int(h.Sum32() % uint32(j.Parts))
+}
+
+// changed wakes those who wait for news. j.mu is held.
+func (j *Jobs) changed() {
+	close(j.news)
+	j.news = make(chan struct{})
+}
+
+// cursor follows one partition into the book.
+type cursor struct {
+	jobs      *Jobs
+	partition partlog.Partition
+	apply     func(key string, value []byte) (batch.Change, error)
+
+	// position is the next offset, negative before the first load; guarded by
+	// jobs.mu, like failing and since.
+	position int64
+	failing  bool
+	since    time.Time
+}
+
+func (j *Jobs) newCursor(p partlog.Partition, apply func(string, []byte) (batch.Change, error)) *cursor {
+	return &cursor{jobs: j, partition: p, apply: apply, position: -1}
+}
+
+// Position implements partlog.Reader.
+func (c *cursor) Position() int64 {
+	c.jobs.mu.Lock()
+	defer c.jobs.mu.Unlock()
+	return c.position
+}
+
+// Load implements partlog.Reader. Records that were applied already change
+// nothing; the others follow them in log order.
+func (c *cursor) Load(records []partlog.Kept, end int64) {
+	c.jobs.mu.Lock()
+	defer c.jobs.mu.Unlock()
+	first := c.position < 0
+	for _, k := range records {
+		c.applyOne(k)
+	}
+	c.position = max(c.position, end)
+	if first {
+		c.jobs.Logger.Info("partition_loaded", zap.String("topic", c.partition.Topic), zap.Int("part", c.partition.Part),
+			zap.Int("records", len(records)), zap.Int64("end", end))
+	}
+	c.jobs.changed()
+}
+
+// Take implements partlog.Reader.
+func (c *cursor) Take(page partlog.Page) {
+	c.jobs.mu.Lock()
+	defer c.jobs.mu.Unlock()
+	c.take(page.Records)
+}
+
+// take applies the records that were not yet: own appends are applied as soon
+// as they are acknowledged, and a read that was on its way may bring them again.
+func (c *cursor) take(records []partlog.Kept) {
+	any := false
+	for _, k := range records {
+		if k.Offset != c.position {
+			continue
+		}
+		c.applyOne(k)
+		c.position++
+		any = true
+	}
+	if any {
+		c.jobs.changed()
+	}
+}
+
+func (c *cursor) applyOne(k partlog.Kept) {
+	change, err := c.apply(k.Key, k.Value)
+	if err != nil {
+		c.jobs.Logger.Error("record_unreadable", zap.String("key", k.Key), zap.Int64("offset", k.Offset), zap.Error(err))
+		return
+	}
+	if change.Job != "" {
+		c.jobs.runner.note(change)
+	}
+}
+
+// Heard implements partlog.Reader.
+func (c *cursor) Heard(err error) {
+	c.jobs.mu.Lock()
+	defer c.jobs.mu.Unlock()
+	failing := err != nil
+	if failing != c.failing {
+		c.since = time.Now()
+		c.failing = failing
+		c.jobs.Logger.Info("log_partition", zap.String("topic", c.partition.Topic), zap.Int("part", c.partition.Part),
+			zap.Bool("lost", failing), zap.Error(err))
+	}
+}
+
+// catchUp reads the partition to its end now.
+func (j *Jobs) catchUp(ctx context.Context, c *cursor) error {
+	for {
+		from := c.Position()
+		if from < 0 {
+			return partlog.Unavailable.New("%s/%d was never read", c.partition.Topic, c.partition.Part)
+		}
+		page, err := j.Log.Read(ctx, c.partition, from, 0)
+		if partlog.IsExpired(err) {
+			if err = partlog.Load(ctx, j.Log, c.partition, c); err == nil {
+				continue
+			}
+		}
+		if err != nil {
+			return err
+		}
+		c.Take(page)
+		if page.Next >= page.End {
+			return nil
+		}
+	}
+}
+
+// unsettledPause is the pause before an append without an answer is sent again.
+const unsettledPause = 50 * time.Millisecond
+
+// appendAt appends records to the cursor's partition if it ends at the given
+// offset, and applies them. Conflict: others appended; catch up and look again.
+//
+// An append without an answer may have taken effect, or may do so seconds
+// later. It is settled by sending the same records with the same demand again:
+// only one of the two can take effect, and a conflict then means that the
+// partition has moved on, so that catching up shows whether the first one did
+// it. Only if ctx ends before that is the error Unknown.
+func (j *Jobs) appendAt(ctx context.Context, c *cursor, at int64, records []partlog.Record) error {
+	unsettled := false
+	for {
+		offset, err := j.Log.Append(ctx, c.partition, records, at)
+		if err == nil {
+			j.applyOwn(c, offset, records)
+			return nil
+		}
+		if partlog.IsConflict(err) {
+			return err
+		}
+		if partlog.IsUnknown(err) && !unsettled {
+			unsettled = true
+			j.Logger.Info("append_unsettled", zap.String("topic", c.partition.Topic), zap.Int("part", c.partition.Part),
+				zap.Int64("at", at), zap.Error(err))
+		}
+		if !unsettled {
+			return err
+		}
+		if !pause(ctx, unsettledPause) {
+			return partlog.Unknown.Wrap(err, "the append at %d is not settled", at)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (j *Jobs) applyOwn(c *cursor, offset int64, records []partlog.Record) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	kept := make([]partlog.Kept, len(records))
+	for i, r := range records {
+		kept[i] = partlog.Kept{Record: r, Offset: offset + int64(i)}
+	}
+	c.take(kept)
+}
+
+// Loaded tells whether the jobs were read at all.
+func (j *Jobs) Loaded() bool { return j.accepted.Position() >= 0 }
--- /dev/null
+++ b/daemon/jobs/meter.go
@@ -0,0 +1,32 @@
+package jobs
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+)
+
+// meter counts items.
+type meter struct {
+	succeeded, errored *metrics.Counter
+	// again counts runs that did not end their item, yields those of them that
+	// gave way to online work.
+	again, yields *metrics.Counter
+}
+
+func newMeter(set *metrics.Set) *meter {
+	return &meter{
+		succeeded: set.GetOrCreateCounter(`tarragonhollow_items_total{state="succeeded"}`),
+		errored:   set.GetOrCreateCounter(`tarragonhollow_items_total{state="errored"}`),
+		again:     set.GetOrCreateCounter("tarragonhollow_item_runs_again_total"),
+		yields:    set.GetOrCreateCounter("tarragonhollow_item_yields_total"),
+	}
+}
+
+func (m *meter) finished(state batch.State) {
+	if state == batch.Succeeded {
+		m.succeeded.Inc()
+		return
+	}
+	m.errored.Inc()
+}
--- /dev/null
+++ b/daemon/jobs/runner.go
@@ -0,0 +1,393 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/route"
+)
+
+const (
+	// stepPause is the shortest time between two looks at what waits: targets'
+	// counts travel for about as long.
+	stepPause = 20 * time.Millisecond
+	// idleLook is the longest, for what changes by time alone.
+	idleLook = 200 * time.Millisecond
+	// startsPerStep bounds the items started at one look. Daemons that see the
+	// same free places would otherwise all fill them.
+	startsPerStep = 3
+	// takeoverWait is how long the items of a partition that came from another
+	// daemon wait, except those of new jobs: that daemon may live and be about to
+	// finish them. It is some half of an item's time.
+	takeoverWait = 2 * time.Second
+	// giveUpSlack is added to the time after which an item may be given up: the
+	// clocks of hosts differ by seconds.
+	giveUpSlack = 5 * time.Second
+	// routeGone is for how long an item's route has to be missing before the
+	// item is given up.
+	routeGone = 5 * time.Second
+)
+
+// itemKey names an item.
+type itemKey struct {
+	job  string
+	item int
+}
+
+// progress is what is kept of an unfinished item between its runs.
+type progress struct {
+	// lastEvent is the number of the last event received, output the data of all.
+	lastEvent int64
+	output    []string
+	// failures counts the answers by which the target told that the item failed.
+	failures int
+	// notBefore delays the next run.
+	notBefore time.Time
+	// avoid is the target that the last run failed at.
+	avoid string
+	// unrouted is since when no route fits.
+	unrouted time.Time
+	// missing is since when the body is looked for.
+	missing time.Time
+}
+
+// running is an item at a target.
+type running struct {
+	key    itemKey
+	target roster.Target
+	began  time.Time
+	cancel context.CancelFunc
+}
+
+// runner runs the items of the partitions that the daemon holds.
+type runner struct {
+	jobs  *Jobs
+	wakes chan struct{}
+	items sync.WaitGroup
+
+	mu sync.Mutex
+	// owned holds since when each partition is held.
+	owned    map[int]time.Time
+	active   map[itemKey]*running
+	progress map[itemKey]*progress
+	stopping bool
+	meter    *meter
+}
+
+func newRunner(j *Jobs) *runner {
+	return &runner{
+		jobs: j, wakes: make(chan struct{}, 1), owned: map[int]time.Time{},
+		active: map[itemKey]*running{}, progress: map[itemKey]*progress{}, meter: newMeter(j.Metrics),
+	}
+}
+
+func (r *runner) wake() { wake(r.wakes) }
+
+// note is told of changes in the book, with jobs.mu held: r.mu is only ever
+// taken after it.
+func (r *runner) note(change batch.Change) {
+	known := r.jobs.book.Job(change.Job)
+	over := change.Forgotten || known != nil && known.Ended
+	if over {
+		r.jobs.bodies.dropJob(change.Job)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key := range r.progress {
+		if key.job == change.Job && (over || known != nil && known.Finished(key.item)) {
+			r.stopItem(key)
+		}
+	}
+	r.wake()
+}
+
+// stopItem drops an item that is over and ends its run, if it has one here.
+func (r *runner) stopItem(key itemKey) {
+	delete(r.progress, key)
+	if run := r.active[key]; run != nil {
+		run.cancel()
+	}
+}
+
+// run looks at what waits whenever something changed.
+func (r *runner) run(ctx context.Context) {
+	idle := time.NewTicker(idleLook)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wakes:
+		case <-r.jobs.Places.Changed():
+		case <-idle.C:
+		}
+		r.step(ctx)
+		if !pause(ctx, stepPause) {
+			return
+		}
+	}
+}
+
+// step gives way where online work needs the places and starts what waits.
+func (r *runner) step(ctx context.Context) {
+	r.giveWay()
+	table := r.jobs.Routes()
+	if table == nil {
+		return
+	}
+	waiting := r.waiting(table)
+	full := map[string]bool{}
+	started := 0
+	for i := range waiting {
+		if started >= startsPerStep {
+			// The rest is looked at again soon.
+			r.wake()
+			return
+		}
+		if r.start(ctx, &waiting[i], full) {
+			started++
+		}
+	}
+}
+
+// giveWay stops the items with the least done at targets that online work
+// fills. They go on later after the last event received, so what they lose is
+// the reading of their prompt.
+func (r *runner) giveWay() {
+	yields := r.jobs.Places.Yields()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for target, n := range yields {
+		for _, run := range r.youngest(target, n) {
+			r.jobs.Logger.Debug("item_gives_way", zap.String("job", run.key.job), zap.Int("item", run.key.item), zap.String("target", target))
+			r.meter.yields.Inc()
+			run.cancel()
+		}
+	}
+}
+
+// youngest returns n items at the target, the ones started last.
+func (r *runner) youngest(target string, n int) []*running {
+	var there []*running
+	for _, run := range r.active {
+		if run.target.ID == target {
+			there = append(there, run)
+		}
+	}
+	slices.SortFunc(there, func(a, b *running) int { return b.began.Compare(a.began) })
+	return there[:min(n, len(there))]
+}
+
+// candidate is an item that could run now.
+type candidate struct {
+	key  itemKey
+	item batch.Item
+	host string
+	// route is nil if none fits.
+	route *route.Route
+	due   time.Time
+	age   time.Duration
+}
+
+// waiting lists the items of the held partitions that neither run nor have a
+// result, in order of their due time.
+func (r *runner) waiting(table *route.Table) []candidate {
+	now := time.Now()
+	r.jobs.mu.Lock()
+	defer r.jobs.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return nil
+	}
+	var list []candidate
+	r.jobs.book.Jobs(func(j *batch.Job) {
+		since, held := r.owned[r.jobs.part(j.ID)]
+		if !held || !j.Open() || now.Sub(since) < takeoverWait && since.UnixMilli() > j.AcceptedMs {
+			return
+		}
+		list = r.appendWaiting(list, now, j, table)
+	})
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
+	})
+	return list
+}
+
+func (r *runner) appendWaiting(list []candidate, now time.Time, j *batch.Job, table *route.Table) []candidate {
+	accepted := time.UnixMilli(j.AcceptedMs)
+	for i := range j.Items {
+		key := itemKey{j.ID, i}
+		if j.Finished(i) || r.active[key] != nil {
+			continue
+		}
+		if p := r.progress[key]; p != nil && now.Before(p.notBefore) {
+			continue
+		}
+		c := candidate{key: key, item: j.Items[i], host: j.Host, age: now.Sub(accepted), due: accepted}
+		if c.route = table.Match(j.Host, j.Items[i].Path); c.route == nil {
+			c.route = table.Match(j.Host, j.Path)
+		}
+		if c.route != nil {
+			c.due = accepted.Add(c.route.Due)
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// start runs the item if its target group has room. full notes the groups that
+// have none.
+func (r *runner) start(ctx context.Context, c *candidate, full map[string]bool) bool {
+	p := r.progressOf(c.key)
+	if r.hopeless(c, p) {
+		return false
+	}
+	if c.route == nil {
+		return false
+	}
+	group := c.route.Pick(rand.Float64())
+	if full[group] {
+		return false
+	}
+	body, ok := r.jobs.bodies.have(c.key.job, c.key.item, c.item.BodyBytes)
+	if !ok {
+		r.fetch(ctx, c, p)
+		return false
+	}
+	target, ok := r.jobs.Places.TakeBatch(group, map[string]bool{p.avoid: true}, r.jobs.Headroom)
+	if !ok {
+		full[group] = true
+		return false
+	}
+	itemCtx, cancel := context.WithCancel(ctx)
+	run := &running{key: c.key, target: target, began: time.Now(), cancel: cancel}
+	r.mu.Lock()
+	r.active[c.key] = run
+	r.mu.Unlock()
+	r.items.Add(1)
+	go func() {
+		defer r.items.Done()
+		defer cancel()
+		r.runItem(itemCtx, c, run, p, body)
+	}()
+	return true
+}
+
+// hopeless gives an item up whose time is over or whose route has gone.
+func (r *runner) hopeless(c *candidate, p *progress) bool {
+	now := time.Now()
+	if c.route == nil {
+		if p.unrouted.IsZero() {
+			p.unrouted = now
+		}
+		if now.Sub(p.unrouted) > routeGone {
+			r.finish(c, batch.Errored, "", "no route")
+			return true
+		}
+		return false
+	}
+	p.unrouted = time.Time{}
+	if c.route.KeepFor > 0 && c.age > c.route.KeepFor+giveUpSlack {
+		r.finish(c, batch.Errored, "", "too old")
+		return true
+	}
+	return false
+}
+
+// bodyWait is how long the reading of the partition may take to bring a body
+// before it is asked for by itself.
+const bodyWait = 2 * time.Second
+
+// fetch asks the log for a body that does not come by itself.
+func (r *runner) fetch(ctx context.Context, c *candidate, p *progress) {
+	now := time.Now()
+	if p.missing.IsZero() {
+		p.missing = now
+	}
+	if now.Sub(p.missing) < bodyWait {
+		return
+	}
+	p.missing = now
+	go func() {
+		body, err := r.jobs.bodies.get(ctx, c.key.job, c.key.item, c.item.BodyBytes)
+		if err != nil {
+			r.jobs.Logger.Warn("body_missing", zap.String("job", c.key.job), zap.Int("item", c.key.item), zap.Error(err))
+			return
+		}
+		r.jobs.bodies.hold(c.key.job, c.key.item, 0, body)
+		r.wake()
+	}()
+}
+
+func (r *runner) progressOf(key itemKey) *progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.progress[key]
+	if p == nil {
+		p = &progress{lastEvent: noEvent}
+		r.progress[key] = p
+	}
+	return p
+}
+
+// finish queues the item's result and drops what was kept of it.
+func (r *runner) finish(c *candidate, state batch.State, output, cause string) {
+	r.jobs.Logger.Info("item_ended", zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.Int("item", c.key.item),
+		zap.Bool("succeeded", state == batch.Succeeded), zap.String("cause", cause), zap.Int64("age_ms", c.age.Milliseconds()))
+	r.meter.finished(state)
+	// The delay covers the time until the result is in the book.
+	r.mu.Lock()
+	if p := r.progress[c.key]; p != nil {
+		p.output = nil
+		p.notBefore = time.Now().Add(time.Hour)
+	}
+	r.mu.Unlock()
+	result := batch.Result{Item: c.key.item, ID: c.item.ID, State: state, Output: output}
+	r.jobs.writers[r.jobs.part(c.key.job)].add(entry{c.key.job, result})
+	r.jobs.bodies.drop(c.key.job, c.key.item)
+}
+
+// Drain ends the batch work of a stopping daemon: the partitions go back, nothing
+// new starts, what runs may end while ctx lasts, and results are written.
+func (j *Jobs) Drain(ctx context.Context) {
+	j.runner.stop()
+	if err := j.Groups.Leave(ctx, groupName, j.Host); err != nil {
+		j.Logger.Info("group_not_left", zap.Error(err))
+	}
+	ended := make(chan struct{})
+	go func() {
+		j.runner.items.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	for !j.written() && pause(ctx, stepPause) {
+	}
+}
+
+// stop lets nothing new start and no membership be renewed.
+func (r *runner) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+func (j *Jobs) written() bool {
+	for _, w := range j.writers {
+		if !w.empty() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/daemon/places/places.go
@@ -0,0 +1,321 @@
+// Package places is the daemon's view of the targets: which there are, how many
+// requests of the whole fleet run at each, and where the next one goes.
+package places
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+)
+
+// defaultSlots stands for a target that does not say how many requests it runs
+// at once.
+const defaultSlots = 4
+
+// Options configure Places.
+type Options struct {
+	// Host is the daemon's name, Zone its availability zone.
+	Host, Zone string
+	Logger     *zap.Logger
+}
+
+// Places is safe for concurrent use.
+type Places struct {
+	zone   string
+	logger *zap.Logger
+
+	mu     sync.Mutex
+	roster *roster.Roster
+	board  *board.Board
+	groups map[string]*group
+	byID   map[string]roster.Target
+	// expiry wakes the view when lapsed targets count as gone.
+	expiry *time.Timer
+	gone   func(address string)
+
+	// dirty holds a token when own counts changed; changed wakes the batch
+	// runner when room may have come or gone.
+	dirty   chan struct{}
+	changed chan struct{}
+}
+
+// group is one target group.
+type group struct {
+	table   *routing.Table
+	targets []roster.Target
+}
+
+// New returns a view without targets.
+func New(o Options) *Places {
+	return &Places{
+		zone: o.Zone, logger: o.Logger,
+		roster: roster.New(), board: board.New(o.Host),
+		groups: map[string]*group{}, byID: map[string]roster.Target{},
+		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		gone: func(string) {},
+	}
+}
+
+// OnGone sets what is called with the address of a target that left for good.
+// It is set before the view is used.
+func (p *Places) OnGone(gone func(address string)) { p.gone = gone }
+
+// Update changes the roster and works out the groups anew.
+func (p *Places) Update(change func(now time.Time, r *roster.Roster)) {
+	now := time.Now()
+	p.mu.Lock()
+	change(now, p.roster)
+	left := p.rebuild(now)
+	p.mu.Unlock()
+	for _, t := range left {
+		p.gone(t.Address)
+	}
+	signal(p.changed)
+}
+
+// rebuild works the groups out and returns the targets that are no longer used.
+func (p *Places) rebuild(now time.Time) []roster.Target {
+	usable, until := p.roster.Usable(now)
+	members := map[string][]roster.Target{}
+	next := make(map[string]roster.Target, len(usable))
+	for _, t := range usable {
+		members[t.Group] = append(members[t.Group], t)
+		next[t.ID] = t
+		if _, known := p.byID[t.ID]; !known {
+			p.logger.Info("target_in", zap.String("target", t.ID), zap.String("group", t.Group),
+				zap.String("address", t.Address), zap.String("zone", t.Zone))
+		}
+	}
+	var left []roster.Target
+	for id, t := range p.byID {
+		if _, stays := next[id]; !stays {
+			p.logger.Info("target_out", zap.String("target", id), zap.String("group", t.Group))
+			left = append(left, t)
+		}
+	}
+	p.byID = next
+	p.setGroups(members)
+	p.armExpiry(now, until)
+	return left
+}
+
+func (p *Places) setGroups(members map[string][]roster.Target) {
+	for name := range p.groups {
+		if _, stays := members[name]; !stays {
+			members[name] = nil
+		}
+	}
+	for name, targets := range members {
+		list := make([]routing.Target, 0, len(targets))
+		slots := defaultSlots
+		for _, t := range targets {
+			list = append(list, routing.Target{Address: t.ID, Zone: t.Zone})
+			slots = slotsOf(t)
+		}
+		g := p.groups[name]
+		if g == nil {
+			g = &group{table: routing.NewTable(name, list, slots)}
+			p.groups[name] = g
+		} else {
+			g.table.SetTargets(list, slots)
+		}
+		g.targets = targets
+	}
+}
+
+func (p *Places) armExpiry(now, until time.Time) {
+	if p.expiry != nil {
+		p.expiry.Stop()
+		p.expiry = nil
+	}
+	if until.IsZero() {
+		return
+	}
+	p.expiry = time.AfterFunc(until.Sub(now), func() { p.Update(func(time.Time, *roster.Roster) {}) })
+}
+
+// Known tells whether the list of targets was read at all.
+func (p *Places) Known() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Known()
+}
+
+// Target returns a usable target.
+func (p *Places) Target(id string) (roster.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.byID[id]
+	return t, ok
+}
+
+// Ask is what the choice for an online request depends on.
+type Ask struct {
+	Group string
+	// Exclude holds the IDs of targets already tried.
+	Exclude map[string]bool
+	// Patience is how long the request may queue in front of a target.
+	Patience time.Duration
+}
+
+// Take chooses a target for an online request and counts the request there;
+// Release must follow. A refusal is true: nothing was sent.
+func (p *Places) Take(a Ask) (roster.Target, *outcome.Refusal) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[a.Group]
+	if g == nil || len(g.targets) == 0 {
+		return roster.Target{}, outcome.Refuse(outcome.Overloaded, "no target of %s is known", a.Group)
+	}
+	p.hear(now, g)
+	if refusal := g.table.Admit(now, now.Add(a.Patience)); refusal != nil {
+		return roster.Target{}, refusal
+	}
+	ask := routing.Request{Zone: p.zone, Exclude: a.Exclude, SeedValue: rand.Uint64()}
+	choice, ok := g.table.PickLeast(now, ask)
+	if !ok {
+		choice, ok = g.table.Pick(now, ask)
+	}
+	t, known := p.byID[choice.Address]
+	if !ok || !known {
+		return roster.Target{}, outcome.Refuse(outcome.Overloaded, "no target of %s takes requests", a.Group)
+	}
+	g.table.Start(now, t.ID, false)
+	p.board.Add(t.ID, 1, 0)
+	p.touched()
+	return t, nil
+}
+
+// hear tells the group's table the fleet's counts.
+func (p *Places) hear(now time.Time, g *group) {
+	for _, t := range g.targets {
+		total := p.board.Total(now, t.ID)
+		g.table.Hear(now, t.ID, routing.Word{OnlineTotal: total.Online, BatchRunning: total.Batch,
+			ReportAge: -1, Slots: slotsOf(t)})
+	}
+}
+
+// Release ends what Take counted. took is the whole time of an answered
+// request, 0 for others.
+func (p *Places) Release(t roster.Target, result routing.Outcome, took time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.Add(t.ID, -1, 0)
+	p.noteEnd(now, t, result)
+	if g := p.groups[t.Group]; g != nil && took > 0 {
+		g.table.Measured(took)
+	}
+	p.touched()
+}
+
+// noteEnd tells the group's table how a request ended.
+func (p *Places) noteEnd(now time.Time, t roster.Target, result routing.Outcome) {
+	g := p.groups[t.Group]
+	if g == nil {
+		return
+	}
+	state, changed := g.table.End(now, t.ID, false, result)
+	if changed {
+		p.logger.Info("target_health", zap.String("target", t.ID), zap.String("group", t.Group), zap.Stringer("state", state))
+	}
+}
+
+// TakeBatch chooses the emptiest target with a place that neither online nor
+// batch work takes, leaving headroom places free, and counts a batch item there;
+// ReleaseBatch must follow.
+func (p *Places) TakeBatch(groupName string, exclude map[string]bool, headroom int) (roster.Target, bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[groupName]
+	if g == nil {
+		return roster.Target{}, false
+	}
+	best, lowest := roster.Target{}, 0
+	first := rand.IntN(max(1, len(g.targets)))
+	for i := range g.targets {
+		t := g.targets[(first+i)%len(g.targets)]
+		total := p.board.Total(now, t.ID)
+		running := total.Online + total.Batch
+		if exclude[t.ID] || running+headroom >= slotsOf(t) || !g.table.Open(now, t.ID) {
+			continue
+		}
+		// Twice the count leaves room for the own zone to win among equals: bytes
+		// between zones cost more than the order of equal targets matters.
+		weight := 2 * running
+		if t.Zone != p.zone {
+			weight++
+		}
+		if best.ID == "" || weight < lowest {
+			best, lowest = t, weight
+		}
+	}
+	if best.ID == "" {
+		return roster.Target{}, false
+	}
+	p.board.Add(best.ID, 0, 1)
+	p.touched()
+	return best, true
+}
+
+// ReleaseBatch ends what TakeBatch counted.
+func (p *Places) ReleaseBatch(t roster.Target, result routing.Outcome) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.Add(t.ID, 0, -1)
+	if g := p.groups[t.Group]; g != nil {
+		g.table.Note(now, t.ID, result)
+	}
+	p.touched()
+}
+
+// Yields returns, by target, how many own batch items must give way to online
+// work now.
+func (p *Places) Yields() map[string]int {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	yields := map[string]int{}
+	for id := range p.board.Counts() {
+		t, known := p.byID[id]
+		if !known {
+			continue
+		}
+		if n := p.board.Yield(now, id, slotsOf(t)); n > 0 {
+			yields[id] = n
+		}
+	}
+	return yields
+}
+
+// Changed has a token when targets or counts changed.
+func (p *Places) Changed() <-chan struct{} { return p.changed }
+
+func (p *Places) touched() {
+	signal(p.dirty)
+	signal(p.changed)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func slotsOf(t roster.Target) int {
+	if t.Slots > 0 {
+		return t.Slots
+	}
+	return defaultSlots
+}
--- /dev/null
+++ b/daemon/places/spread.go
@@ -0,0 +1,97 @@
+package places
+
+import (
+	"context"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/peer"
+)
+
+const (
+	// boardMethod is the call that carries a daemon's counts.
+	boardMethod = "Board.Hear"
+	// gatherFor is how long changes are gathered into one word. It is a tenth of
+	// the time that a request spends at a target, so the fleet's view is off by
+	// few requests.
+	gatherFor = 20 * time.Millisecond
+	// gatherPerPeer is added for each peer: a word goes to every one of them, and
+	// so the messages of one daemon stay under 1/gatherPerPeer a second however
+	// large the fleet is, at the price of an older view.
+	gatherPerPeer = time.Millisecond
+)
+
+// Ack is the empty answer of a peer.
+type Ack struct{}
+
+// service takes the words of other daemons.
+type service struct{ places *Places }
+
+// Hear is called by peers.
+func (s *service) Hear(w board.Word, _ *Ack) error {
+	s.places.hearWord(w)
+	return nil
+}
+
+// Register adds the service that peers call.
+func (p *Places) Register(r peer.Registrar) error { return r.Register("Board", &service{p}) }
+
+func (p *Places) hearWord(w board.Word) {
+	p.mu.Lock()
+	p.board.Hear(time.Now(), w)
+	p.mu.Unlock()
+	signal(p.changed)
+}
+
+// Spread tells the other daemons the own counts whenever they changed, and
+// renews the word while there is any work. peers returns the addresses.
+func (p *Places) Spread(ctx context.Context, caller peer.Caller, peers func() []string) {
+	// Numbers go on rising over a restart of the daemon.
+	number := uint64(time.Now().UnixMicro())
+	renew := time.NewTicker(board.RenewEvery)
+	defer renew.Stop()
+	idle := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-renew.C:
+			if idle {
+				continue
+			}
+		case <-p.dirty:
+		}
+		addresses := peers()
+		if !sleep(ctx, gatherFor+time.Duration(len(addresses))*gatherPerPeer) {
+			return
+		}
+		number++
+		word := p.word(number)
+		idle = len(word.Counts) == 0
+		for _, address := range addresses {
+			caller.Notify(address, boardMethod, word)
+		}
+	}
+}
+
+// word takes the own counts and the token that announced them.
+func (p *Places) word(number uint64) board.Word {
+	select {
+	case <-p.dirty:
+	default:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return board.Word{From: p.board.Self(), Number: number, Counts: p.board.Counts()}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/daemon/relay/attempt.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+	"tarragonhollow.example/tarragonhollow/target/sse"
+)
+
+const (
+	// idleRepeatable and idleOnce bound how long a kept connection may have been
+	// idle before it carries a request. One that may not be repeated takes only
+	// connections used just now: if the target closed it unseen, the request
+	// would be lost.
+	idleRepeatable = time.Minute
+	idleOnce       = 3 * time.Second
+	// firstPatience is how long a repeatable request waits for a target's first
+	// sign before it is tried elsewhere. Callers leave a stream that is silent
+	// for 2 s, and a queue of this length would have been refused on arrival.
+	firstPatience = 1200 * time.Millisecond
+	// gapFactor and the bounds give the silence within a resumable stream after
+	// which it goes on at another target: some way beyond the pause that callers
+	// are promised, and well before they leave.
+	gapFactor  = 1.5
+	leastGap   = 300 * time.Millisecond
+	longestGap = 800 * time.Millisecond
+	// queueShare and longestQueue bound the expected wait in front of a target
+	// with which a request is still taken; see queuePatience.
+	longestQueue = time.Second
+	// maxBuffered bounds an answer that is read whole before it is passed on.
+	maxBuffered = 16 << 20
+	// readSize is the most that is read of an answer at once.
+	readSize = 16 << 10
+)
+
+// attempt is how one attempt at a target ended.
+type attempt struct {
+	// done tells that the caller has its answer, or that it was cut off.
+	done, aborted bool
+	// reached is false only if the target certainly did not run the request.
+	reached bool
+	// busy tells that the target refused for load.
+	busy   bool
+	detail string
+	health routing.Outcome
+}
+
+// served returns the time that an answered request took.
+func (a attempt) served(began time.Time) time.Duration {
+	if a.done && !a.aborted && a.health == routing.Succeeded {
+		return time.Since(began)
+	}
+	return 0
+}
+
+// queuePatience is how long a request may be expected to queue. A caller that
+// would leave before its first event, or be answered after its deadline, is
+// better told at once, while another attempt can still succeed.
+func (u *run) queuePatience() time.Duration {
+	left := time.Until(u.request.Deadline)
+	return min(left/2, longestQueue)
+}
+
+// repeats tells whether another attempt would be allowed after one more run.
+func (u *run) repeats() bool {
+	return u.request.Route.Repeatable() && u.runs+1 < u.request.Route.MaxAttempts
+}
+
+// attempt sends the request to the target once.
+func (u *run) attempt(ctx context.Context, t roster.Target) attempt {
+	request := u.relay.Wire.Prepare(u.request, t, time.Until(u.request.Deadline), u.out.lastEvent)
+	options := h1.Options{
+		MaxIdle:  idleOnce,
+		Deadline: u.request.Deadline,
+		Mine:     func(status int, header http.Header) bool { return u.relay.Wire.Mine(u.request.ID, status, header) },
+	}
+	if u.request.Route.Repeatable() {
+		options.MaxIdle = idleRepeatable
+	}
+	if u.repeats() {
+		options.Patience = firstPatience
+	}
+	answer, err := u.relay.Pool.Do(ctx, t.Address, request, options)
+	if err != nil {
+		return failedSend(ctx, err)
+	}
+	defer answer.Close()
+	switch u.relay.Wire.Judge(answer.Status, answer.Header) {
+	case TurnedAway:
+		drain(answer)
+		return attempt{busy: true, detail: "turned away by " + t.ID, health: routing.Neutral}
+	case Elsewhere:
+		drain(answer)
+		return attempt{detail: t.ID + " is no longer at its address", health: routing.HardFailed}
+	}
+	if u.request.Route.Kind == route.Stream && answer.Status == http.StatusOK {
+		return u.stream(ctx, answer)
+	}
+	return u.whole(ctx, t, answer)
+}
+
+// failedSend tells what an error before the answer's head means.
+func failedSend(ctx context.Context, err error) attempt {
+	a := attempt{reached: true, detail: err.Error(), health: routing.SoftFailed}
+	if errorx.IsOfType(err, h1.NotSent) {
+		a.reached = false
+		a.health = routing.HardFailed
+	}
+	if ctx.Err() != nil {
+		a.health = routing.Neutral
+	}
+	return a
+}
+
+// drain reads the short body of a refusal, so that the connection can be kept.
+func drain(answer *h1.Answer) {
+	buffer := make([]byte, readSize)
+	for {
+		if _, err := answer.Read(buffer, leastGap); err != nil {
+			return
+		}
+	}
+}
+
+// whole reads the answer to its end before it is passed on, so that one that
+// breaks off can be asked for again or told as broken.
+func (u *run) whole(ctx context.Context, t roster.Target, answer *h1.Answer) attempt {
+	u.sign()
+	var body []byte
+	buffer := make([]byte, readSize)
+	for {
+		n, err := answer.Read(buffer, u.bodyPatience())
+		body = append(body, buffer[:n]...)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return failedSend(ctx, err)
+		}
+		if len(body) > maxBuffered {
+			return attempt{reached: true, detail: "the answer is too long", health: routing.SoftFailed}
+		}
+	}
+	if answer.Status == http.StatusInternalServerError {
+		u.out.keep(answer.Status, answer.Header, body)
+		if u.repeats() {
+			return attempt{reached: true, detail: "failed at " + t.ID, health: routing.SoftFailed}
+		}
+		u.out.sendKept()
+		return attempt{done: true, health: routing.SoftFailed}
+	}
+	u.out.send(answer.Status, answer.Header, body)
+	return attempt{done: true, health: routing.Succeeded}
+}
+
+func (u *run) bodyPatience() time.Duration {
+	if u.repeats() {
+		return firstPatience
+	}
+	return 0
+}
+
+// sign notes the first sign of an answer.
+func (u *run) sign() {
+	if u.firstByte == 0 {
+		u.firstByte = time.Since(u.request.Arrived)
+	}
+}
+
+// stream passes whole events on as they come. A break leaves the delivery at
+// the last whole event, from which another target can go on.
+func (u *run) stream(ctx context.Context, answer *h1.Answer) attempt {
+	var events sse.Splitter
+	buffer := make([]byte, readSize)
+	for {
+		n, err := answer.Read(buffer, u.eventPatience())
+		events.Write(buffer[:n])
+		if sent := u.forward(answer, &events); sent != nil {
+			return attempt{done: true, aborted: true, detail: sent.Error(), health: routing.Neutral}
+		}
+		switch {
+		case err == io.EOF && len(events.Rest()) == 0:
+			u.out.finish(answer)
+			return attempt{done: true, health: routing.Succeeded}
+		case err == io.EOF:
+			return attempt{reached: true, detail: "the stream ended within an event", health: routing.SoftFailed}
+		case err != nil:
+			return failedSend(ctx, err)
+		case events.Overlong():
+			return attempt{reached: true, detail: "an event is too long", health: routing.SoftFailed}
+		}
+	}
+}
+
+// forward passes the whole events on.
+func (u *run) forward(answer *h1.Answer, events *sse.Splitter) error {
+	passed := false
+	for {
+		e, ok := events.Next()
+		if !ok {
+			break
+		}
+		if e.ID >= 0 && e.ID <= u.out.lastEvent {
+			continue
+		}
+		u.sign()
+		if err := u.out.event(answer, e); err != nil {
+			return err
+		}
+		passed = true
+	}
+	if passed {
+		u.out.flush()
+	}
+	return nil
+}
+
+// eventPatience is the silence after which a stream is given up at its target,
+// 0 for none.
+func (u *run) eventPatience() time.Duration {
+	if !u.repeats() {
+		return 0
+	}
+	if u.out.lastEvent == NoEvent {
+		return firstPatience
+	}
+	gap := time.Duration(gapFactor * float64(u.request.Route.GapObjective))
+	return min(max(gap, leastGap), longestGap)
+}
--- /dev/null
+++ b/daemon/relay/headers.go
@@ -0,0 +1,24 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// splitList splits a comma-separated header value.
+func splitList(value string) []string {
+	fields := strings.Split(value, ",")
+	for i := range fields {
+		fields[i] = strings.TrimSpace(fields[i])
+	}
+	return fields
+}
+
+// setLength tells the body's length where an answer may have a body.
+func setLength(header http.Header, length, status int) {
+	if status == http.StatusNoContent || status == http.StatusNotModified {
+		return
+	}
+	header.Set("Content-Length", strconv.Itoa(length))
+}
--- /dev/null
+++ b/daemon/relay/relay.go
@@ -0,0 +1,278 @@
+// Package relay forwards a caller's request byte for byte to a target and the
+// target's answer back. It sends a request again only where the route allows
+// it or the target is known not to have run it, goes on with a broken stream
+// at another target, and never lets a broken answer look whole.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/retry"
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+)
+
+const (
+	// maxRefusals bounds the targets that may turn one request away, or be
+	// unreachable, before the caller is told to come back: asking the whole group
+	// under overload would only add to it.
+	maxRefusals = 4
+	// retryShare is the part of the requests that may be sent again; see
+	// retry.Budget.
+	retryShare = 0.2
+)
+
+// Request is one request of a caller.
+type Request struct {
+	// ID is the caller's name for the request.
+	ID    string
+	Route *route.Route
+	// HTTP is what the caller sent; its header holds no hop-by-hop fields.
+	HTTP h1.Request
+	// Arrived is when the request was read, Deadline when the caller stops
+	// waiting.
+	Arrived, Deadline time.Time
+}
+
+// Verdict is what an answer's head says of the request.
+type Verdict int
+
+const (
+	// Ran: the target dealt with the request.
+	Ran Verdict = iota
+	// TurnedAway: the target did not run it for load.
+	TurnedAway
+	// Elsewhere: another target than the one expected has the address.
+	Elsewhere
+)
+
+// NoDeadline stands for a request that may take as long as it needs.
+const NoDeadline time.Duration = 0
+
+// NoEvent is the place before a stream's first event.
+const NoEvent int64 = -1
+
+// Wire turns requests into what targets expect and reads their heads.
+type Wire interface {
+	// Prepare returns the request for a target. left is the time that the target
+	// has; after is the last event already delivered, or NoEvent.
+	Prepare(r *Request, t roster.Target, left time.Duration, after int64) *h1.Request
+	// Mine tells whether an answer is that of the request with the ID.
+	Mine(id string, status int, header http.Header) bool
+	// Judge reads an answer's head.
+	Judge(status int, header http.Header) Verdict
+}
+
+// Options configure a Relay.
+type Options struct {
+	Wire    Wire
+	Pool    *h1.Pool
+	Places  *places.Places
+	Logger  *zap.Logger
+	Metrics *metrics.Set
+}
+
+// Relay is safe for concurrent use.
+type Relay struct {
+	Options
+	meter *meter
+
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+// New returns a relay.
+func New(o Options) *Relay {
+	return &Relay{Options: o, meter: newMeter(o.Metrics), budget: retry.NewBudget(retryShare, time.Now())}
+}
+
+// Serve answers the request on w. It returns a refusal if nothing was written
+// yet: the caller of Serve writes it. Aborted tells that an answer was begun
+// and cannot be ended; its connection must be broken.
+func (r *Relay) Serve(ctx context.Context, request *Request, w http.ResponseWriter) Result {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	r.mu.Lock()
+	r.budget.First()
+	r.mu.Unlock()
+	run := &run{relay: r, request: request, out: newDelivery(w, request.Route), exclude: map[string]bool{}}
+	result := run.serve(ctx)
+	r.end(request, run, result)
+	return result
+}
+
+// Result is how Serve ended.
+type Result struct {
+	// Refusal is the answer that is still to be written; nil if one was.
+	Refusal *outcome.Refusal
+	// Aborted tells that a begun answer must be cut off.
+	Aborted bool
+	// Left tells that the caller went away.
+	Left bool
+}
+
+// run is one request on its way.
+type run struct {
+	relay   *Relay
+	request *Request
+	out     *delivery
+	exclude map[string]bool
+	// runs counts the attempts that may have run, refusals the others.
+	runs, refusals int
+	lastTarget     roster.Target
+	firstByte      time.Duration
+	cause          string
+}
+
+// serve makes attempts until one ends the request.
+func (u *run) serve(ctx context.Context) Result {
+	for {
+		target, refusal := u.relay.Places.Take(places.Ask{
+			Group: u.group(), Exclude: u.exclude, Patience: u.queuePatience(),
+		})
+		if refusal != nil {
+			return u.refuse(refusal)
+		}
+		u.lastTarget = target
+		began := time.Now()
+		ended := u.attempt(ctx, target)
+		u.relay.Places.Release(target, ended.health, ended.served(began))
+		if ended.done {
+			return Result{Aborted: ended.aborted}
+		}
+		if result, final := u.next(ctx, target, ended); final {
+			return result
+		}
+	}
+}
+
+// group picks the target group of the next attempt.
+func (u *run) group() string { return u.request.Route.Pick(rand.Float64()) }
+
+// next decides what follows a failed attempt.
+func (u *run) next(ctx context.Context, target roster.Target, failed attempt) (Result, bool) {
+	u.cause = failed.detail
+	u.exclude[target.ID] = true
+	if failed.reached {
+		u.runs++
+	} else {
+		u.refusals++
+	}
+	if ctx.Err() != nil {
+		return u.outOfTime(ctx), true
+	}
+	if u.refusals > maxRefusals {
+		return u.refuse(outcome.Refuse(outcome.Overloaded, "%s", failed.detail).After(retry.RetryAfterMs)), true
+	}
+	for {
+		decision := u.decide(failed)
+		if decision.Refusal != nil {
+			return u.refuse(decision.Refusal), true
+		}
+		if !pause(ctx, decision.Backoff) {
+			return u.outOfTime(ctx), true
+		}
+		if !decision.Undecided {
+			u.relay.meter.retries.Inc()
+			return Result{}, false
+		}
+	}
+}
+
+func (u *run) decide(failed attempt) retry.Decision {
+	u.relay.mu.Lock()
+	defer u.relay.mu.Unlock()
+	return retry.Decide(retry.Situation{
+		Failure:       retry.Failure{Reached: failed.reached, Busy: failed.busy, Detail: failed.detail},
+		Repeatable:    u.request.Route.Repeatable(),
+		ReachedBefore: u.runs > 0,
+		Attempts:      u.runs,
+		Retries:       u.request.Route.MaxAttempts - 1,
+		Now:           time.Now(), Deadline: u.request.Deadline, WaitUntil: u.request.Deadline,
+		Random: rand.Float64(),
+	}, u.relay.budget)
+}
+
+// refuse ends the request without an answer of a target. An answer that was
+// begun is cut off; the last failure that a target itself answered is passed
+// on; otherwise the refusal is told, and only one that is true: a request that
+// may have run is never said not to have.
+func (u *run) refuse(refusal *outcome.Refusal) Result {
+	if u.out.begun {
+		return Result{Aborted: true}
+	}
+	if u.out.kept != nil {
+		u.out.sendKept()
+		return Result{}
+	}
+	if u.runs > 0 {
+		refusal = refusal.WithRun(outcome.MayHaveRun)
+	}
+	return Result{Refusal: refusal}
+}
+
+// outOfTime ends a request whose caller left or whose time is up.
+func (u *run) outOfTime(ctx context.Context) Result {
+	if time.Now().Before(u.request.Deadline) {
+		return Result{Left: true, Aborted: u.out.begun}
+	}
+	refusal := outcome.Refuse(outcome.DeadlineExceeded, "no answer within %s", u.request.Deadline.Sub(u.request.Arrived))
+	if u.runs == 0 && u.refusals == 0 {
+		refusal = refusal.WithRun(outcome.MayHaveRun)
+	}
+	return u.refuse(refusal)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// end writes the request's line and counts it.
+func (r *Relay) end(request *Request, u *run, result Result) {
+	took := time.Since(request.Arrived)
+	word := "served"
+	switch {
+	case result.Left:
+		word = "caller_left"
+	case result.Aborted:
+		word = "broken_off"
+	case result.Refusal != nil:
+		word = string(result.Refusal.Code)
+	}
+	r.meter.ended(request.Route.Kind, word, took, u.firstByte)
+	fields := []zap.Field{
+		zap.String("id", request.ID), zap.String("route", request.Route.Name), zap.String("outcome", word),
+		zap.Int("status", u.out.status), zap.Int("runs", u.runs), zap.Int("refusals", u.refusals),
+		zap.String("target", u.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
+		zap.Int64("first_ms", u.firstByte.Milliseconds()), zap.Int64("last_event", u.out.lastEvent),
+	}
+	if result.Refusal != nil {
+		fields = append(fields, zap.String("run", string(result.Refusal.Run)), zap.Int64("retry_after_ms", result.Refusal.RetryAfterMs),
+			zap.String("reason", result.Refusal.Message))
+	}
+	if u.cause != "" {
+		fields = append(fields, zap.String("cause", u.cause))
+	}
+	if word == "served" {
+		r.Logger.Info("request", fields...)
+		return
+	}
+	r.Logger.Warn("request", fields...)
+}
