Close callers' connections at a planned stop only when they are quiet

Ruled out: a worker that broke off (its run ended because we closed). Change: the own interface's listener, which closes connections only after a quiet time, moves to callerconns/ and serves the platform's callers too; bytes that come while a connection is being closed are dropped unread.

--- a/api/observe.go
+++ b/api/observe.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -164,7 +163,6 @@
 	evicted     *metrics.Counter
 	stalled     *metrics.Counter
 	writeErrors *metrics.Counter
-	connections atomic.Int64
 }
 
 // newHTTPMetrics registers the metrics in set.
@@ -176,7 +174,7 @@
 		stalled:     set.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
 		writeErrors: set.GetOrCreateCounter("tarragonhollow_http_write_errors_total"),
 	}
-	set.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(m.connections.Load()) })
+	set.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(s.openConnections()) })
 	set.GetOrCreateGauge("tarragonhollow_http_requests_in_flight", func() float64 { return float64(s.inFlight.count()) })
 	set.GetOrCreateGauge("tarragonhollow_http_body_memory_bytes", func() float64 { return float64(s.bodies.total()) })
 	return m
--- a/api/server.go
+++ b/api/server.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/callerconns"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
 
@@ -23,7 +24,7 @@
 	opts     Options
 	echo     *echo.Echo
 	http     *http.Server
-	listener atomic.Pointer[limitListener]
+	listener atomic.Pointer[callerconns.Listener]
 	inFlight *inFlight
 	bodies   *bodyMemory
 	uploads  chan struct{}
@@ -83,7 +84,8 @@
 
 // Serve accepts connections from inner until Shutdown; it returns nil then.
 func (s *Server) Serve(inner net.Listener) error {
-	l := newLimitListener(inner, s.opts.MaxConnections, s.opts.WriteStall, s.metrics)
+	l := callerconns.New(inner, s.opts.MaxConnections, s.opts.WriteStall,
+		callerconns.Metrics{Evicted: s.metrics.evicted, Stalled: s.metrics.stalled})
 	if !s.listener.CompareAndSwap(nil, l) {
 		return ErrServe.New("the server serves already")
 	}
@@ -116,10 +118,30 @@
 	return nil
 }
 
+// closeQuietly closes the listener and the kept connections.
+func (s *Server) closeQuietly(ctx context.Context) {
+	l := s.listener.Load()
+	if l == nil {
+		return
+	}
+	if err := l.CloseQuietly(ctx, s.opts.DrainGrace); err != nil {
+		s.opts.Logger.Debug("listener_closes_with_its_queue", zap.Error(err))
+	}
+}
+
+// openConnections counts the callers' connections.
+func (s *Server) openConnections() int {
+	l := s.listener.Load()
+	if l == nil {
+		return 0
+	}
+	return l.Open()
+}
+
 // track is the server's ConnState hook.
 func (s *Server) track(conn net.Conn, state http.ConnState) {
 	if l := s.listener.Load(); l != nil {
-		l.track(conn, state)
+		l.Track(conn, state)
 	}
 }
 
--- a/api/conns.go
+++ b/callerconns/listener.go
@@ -1,29 +1,41 @@
-package api
+// Package callerconns keeps callers' connections: it bounds them, cuts callers
+// that stop reading, and closes them at a planned stop without interrupting a
+// request.
+package callerconns
 
 import (
 	"container/list"
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // writeChunk is how much of one write must be taken within WriteStall: a slow
 // reader of a large answer is served, one that stopped reading is not.
 const writeChunk = 64 << 10
 
-// limitListener bounds the open connections. At the bound the connection that
+// Metrics are the counters of a Listener.
+type Metrics struct {
+	// Evicted counts idle connections that made room, Stalled the writes that the
+	// caller did not take in time.
+	Evicted, Stalled *metrics.Counter
+}
+
+// Listener bounds the open connections. At the bound the connection that
 // has been idle the longest makes room.
 //
 // Failure guarded against: thousands of connections without a request (a
 // caller's leaking pool, or an attack) would keep everybody else out until
 // their idle timeout. A connection with a request running is never closed, so
 // no request is interrupted; one that turns idle wakes a waiting accept.
-type limitListener struct {
+type Listener struct {
 	net.Listener
 	stall   time.Duration
-	metrics *httpMetrics
+	evicted *metrics.Counter
+	stalled *metrics.Counter
 
 	mu   sync.Mutex
 	room *sync.Cond
@@ -35,10 +47,12 @@
 	queued []net.Conn
 }
 
-// newLimitListener wraps inner.
-func newLimitListener(inner net.Listener, most int, stall time.Duration, m *httpMetrics) *limitListener {
-	l := &limitListener{
-		Listener: inner, stall: stall, metrics: m, max: most,
+// New wraps inner: at most most connections are open, and a write that the caller
+// does not take within stall ends its connection. The server's ConnState hook
+// must be Track.
+func New(inner net.Listener, most int, stall time.Duration, m Metrics) *Listener {
+	l := &Listener{
+		Listener: inner, stall: stall, evicted: m.Evicted, stalled: m.Stalled, max: most,
 		open: make(map[net.Conn]*list.Element), idle: list.New(),
 	}
 	l.room = sync.NewCond(&l.mu)
@@ -48,7 +62,7 @@
 // Accept makes room only for a connection that is really there: making it
 // ahead would evict an idle connection for nobody. While it waits for a
 // request to end it holds the one connection, so at most max+1 are open.
-func (l *limitListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
 	if err != nil {
 		queued, ok := l.takeQueued()
@@ -58,18 +72,17 @@
 		inner = queued
 	}
 	conn := &stallConn{Conn: inner, stall: l.stall, owner: l}
-	conn.used()
+	_ = conn.used() // nothing can be closing it yet
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.makeRoomLocked()
 	l.open[conn] = l.idle.PushBack(conn)
-	l.metrics.connections.Store(int64(len(l.open)))
 	return conn, nil
 }
 
 // makeRoomLocked waits for room until the listener is closed: whoever is let in
 // by then may have sent a request, and is served.
-func (l *limitListener) makeRoomLocked() {
+func (l *Listener) makeRoomLocked() {
 	for !l.shut && len(l.open) >= l.max {
 		if front := l.idle.Front(); front != nil {
 			l.evictLocked(front)
@@ -80,15 +93,15 @@
 }
 
 // evictLocked closes an idle connection.
-func (l *limitListener) evictLocked(e *list.Element) {
+func (l *Listener) evictLocked(e *list.Element) {
 	conn := e.Value.(*stallConn)
 	l.forgetLocked(conn)
-	l.metrics.evicted.Inc()
+	l.evicted.Inc()
 	_ = conn.Conn.Close()
 }
 
 // Close ends accepting.
-func (l *limitListener) Close() error {
+func (l *Listener) Close() error {
 	l.mu.Lock()
 	l.shut = true
 	l.room.Broadcast()
@@ -96,8 +109,8 @@
 	return l.Listener.Close()
 }
 
-// track is the server's ConnState hook: it keeps the idle list.
-func (l *limitListener) track(conn net.Conn, state http.ConnState) {
+// Track is the server's ConnState hook: it keeps the idle list.
+func (l *Listener) Track(conn net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e, ok := l.open[conn]
@@ -111,7 +124,7 @@
 		}
 		l.open[conn] = nil
 	case http.StateIdle:
-		conn.(*stallConn).used()
+		_ = conn.(*stallConn).used()
 		l.open[conn] = l.idle.PushBack(conn)
 		l.room.Signal()
 	case http.StateClosed, http.StateHijacked:
@@ -119,8 +132,15 @@
 	}
 }
 
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 // forgetLocked drops a connection from the count.
-func (l *limitListener) forgetLocked(conn net.Conn) {
+func (l *Listener) forgetLocked(conn net.Conn) {
 	e, ok := l.open[conn]
 	if !ok {
 		return
@@ -129,7 +149,6 @@
 		l.idle.Remove(e)
 	}
 	delete(l.open, conn)
-	l.metrics.connections.Store(int64(len(l.open)))
 	l.room.Signal()
 }
 
@@ -143,21 +162,46 @@
 type stallConn struct {
 	net.Conn
 	stall time.Duration
-	owner *limitListener
-	// usedAt is when it was accepted, last read from or last ended an answer, in
-	// Unix nanoseconds.
-	usedAt atomic.Int64
+	owner *Listener
+
+	mu sync.Mutex
+	// usedAt is when it was accepted, last read from or last ended an answer.
+	usedAt time.Time
+	// quit tells that it is being closed for having been quiet.
+	quit bool
+}
+
+// used notes that the caller is at work on the connection; false if the
+// connection is being closed.
+func (c *stallConn) used() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.usedAt = time.Now()
+	return !c.quit
 }
 
-// used notes that the caller is at work on the connection.
-func (c *stallConn) used() { c.usedAt.Store(time.Now().UnixNano()) }
+// quitIfQuiet decides whether the connection is closed.
+func (c *stallConn) quitIfQuiet(before time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.usedAt.After(before) {
+		return false
+	}
+	c.quit = true
+	return true
+}
 
 // Read implements net.Conn. It notes the use before net/http does, which takes a
 // connection for idle until a request's whole header is there.
+//
+// Failure guarded against: bytes that arrive while the connection is being
+// closed would be taken for a request and forwarded, with nowhere to send the
+// answer. The use and the decision to close exclude each other, so such bytes
+// are dropped unread.
 func (c *stallConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.used()
+	if n > 0 && !c.used() {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
@@ -185,6 +229,6 @@
 // countStall counts writes that ran into the deadline.
 func (c *stallConn) countStall(err error) {
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
-		c.owner.metrics.stalled.Inc()
+		c.owner.stalled.Inc()
 	}
 }
--- a/api/queue_linux.go
+++ b/callerconns/queue_linux.go
@@ -1,4 +1,4 @@
-package api
+package callerconns
 
 import (
 	"net"
@@ -16,11 +16,11 @@
 func emptyQueue(l net.Listener, keep func(net.Conn)) error {
 	socket, ok := l.(syscall.Conn)
 	if !ok {
-		return ErrServe.New("the listener is no socket")
+		return errQueue.New("the listener is no socket")
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return ErrServe.Wrap(err, "the listener has no descriptor")
+		return errQueue.Wrap(err, "the listener has no descriptor")
 	}
 	err = raw.Control(func(fd uintptr) {
 		for {
@@ -36,7 +36,7 @@
 		}
 	})
 	if err != nil {
-		return ErrServe.Wrap(err, "the listener is closed")
+		return errQueue.Wrap(err, "the listener is closed")
 	}
 	return nil
 }
--- a/api/queue_other.go
+++ b/callerconns/queue_other.go
@@ -1,10 +1,10 @@
 //go:build !linux
 
-package api
+package callerconns
 
 import "net"
 
 // emptyQueue is known for Linux only; elsewhere the listener closes with its queue.
 func emptyQueue(net.Listener, func(net.Conn)) error {
-	return ErrServe.New("not known on this system")
+	return errQueue.New("not known on this system")
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -6,9 +6,7 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -24,15 +22,6 @@
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
-const (
-	// leaveRotation is how long a stopping daemon still takes new connections:
-	// the platform asks for readiness every second and takes a daemon out after
-	// two misses.
-	leaveRotation = 2600 * time.Millisecond
-	// stopMargin is what is left of the grace for the last lines.
-	stopMargin = 400 * time.Millisecond
-)
-
 // Adapter is what the platform's adapter brings.
 type Adapter struct {
 	Log    partlog.Log
@@ -58,6 +47,7 @@
 	pool       *h1.Pool
 	table      atomic.Pointer[route.Table]
 	stopping   atomic.Bool
+	callers    *callers
 }
 
 // New returns a daemon that does nothing yet.
@@ -120,35 +110,6 @@
 	return nil
 }
 
-// Stop ends the daemon without interrupting a request: first the platform and
-// the other daemons learn of it, while new connections are still served; then
-// the servers wait for what runs, and batch work ends beside it.
-func (n *Node) Stop(servers ...*http.Server) {
-	began := time.Now()
-	n.Logger.Info("stopping")
-	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopGrace-stopMargin)
-	defer cancel()
-	drained := make(chan struct{})
-	go func() {
-		n.Jobs.Drain(ctx)
-		close(drained)
-	}()
-	n.hosts.leave(ctx)
-	wait(ctx, leaveRotation-time.Since(began))
-	for _, s := range servers {
-		s.SetKeepAlivesEnabled(false)
-		if err := s.Shutdown(ctx); err != nil {
-			n.Logger.Warn("requests_cut", zap.Error(err))
-		}
-	}
-	select {
-	case <-drained:
-	case <-ctx.Done():
-	}
-	n.Logger.Info("stopped", zap.Float64("seconds", time.Since(began).Seconds()))
-}
-
 // Close drops the connections to peers and targets.
 func (n *Node) Close() {
 	if err := n.peers.Close(); err != nil {
@@ -159,12 +120,3 @@
 	}
 	n.pool.Close()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(max(0, d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
