--- /dev/null
+++ b/core/board/board_test.go
@@ -0,0 +1,94 @@
+package board_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragonhollow.example/tarragonhollow/core/board"
+)
+
+func TestBoard(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "board")
+}
+
+var now = time.Unix(1000, 0)
+
+// fleet returns the boards of daemons that have heard all of each other.
+func fleet(counts []board.Count) []*board.Board {
+	boards := make([]*board.Board, len(counts))
+	for i, c := range counts {
+		boards[i] = board.New(fmt.Sprintf("d%d", i))
+		boards[i].Add("t", c.Online, c.Batch)
+	}
+	for i, b := range boards {
+		for j, other := range boards {
+			if i != j {
+				b.Hear(now, board.Word{From: other.Self(), Number: 1, Counts: other.Counts()})
+			}
+		}
+	}
+	return boards
+}
+
+var _ = Describe("The board", func() {
+	It("adds up the own counts and the others' fresh words", func() {
+		boards := fleet([]board.Count{{Online: 1, Batch: 2}, {Online: 3}, {Batch: 4}})
+		Expect(boards[0].Total(now, "t")).To(Equal(board.Count{Online: 4, Batch: 6}))
+		later := now.Add(board.WordLife + 1)
+		Expect(boards[0].Total(later, "t")).To(Equal(board.Count{Online: 1, Batch: 2}))
+	})
+
+	It("lets no late word replace a newer one, and takes a restarted daemon's", func() {
+		b := board.New("self")
+		word := func(number uint64, online int) board.Word {
+			return board.Word{From: "x", Number: number, Counts: map[string]board.Count{"t": {Online: online}}}
+		}
+		b.Hear(now, word(5, 5))
+		b.Hear(now, word(4, 4))
+		Expect(b.Total(now, "t").Online).To(Equal(5))
+		later := now.Add(board.WordLife + 1)
+		b.Hear(later, word(1, 1))
+		Expect(b.Total(later, "t").Online).To(Equal(1))
+	})
+
+	It("forgets a daemon that says it runs nothing", func() {
+		b := board.New("self")
+		b.Hear(now, board.Word{From: "x", Number: 1, Counts: map[string]board.Count{"t": {Online: 1}}})
+		b.Hear(now, board.Word{From: "x", Number: 2})
+		Expect(b.Total(now, "t")).To(BeZero())
+	})
+
+	// Online requests fill a target beside batch. If every daemon stopped its own
+	// items, a burst of one request would end them all; if none felt concerned,
+	// guests would queue behind batch.
+	It("stops together exactly the excess, for any fleet that knows of each other", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			n := rapid.IntRange(1, 8).Draw(t, "daemons")
+			counts := make([]board.Count, n)
+			online, batch := 0, 0
+			for i := range counts {
+				counts[i] = board.Count{Online: rapid.IntRange(0, 4).Draw(t, "online"), Batch: rapid.IntRange(0, 4).Draw(t, "batch")}
+				online += counts[i].Online
+				batch += counts[i].Batch
+			}
+			slots := rapid.IntRange(1, 16).Draw(t, "slots")
+			sum := 0
+			for i, b := range fleet(counts) {
+				mine := b.Yield(now, "t", slots)
+				if mine > counts[i].Batch {
+					t.Fatalf("daemon %d stops %d of %d", i, mine, counts[i].Batch)
+				}
+				sum += mine
+			}
+			if want := max(0, min(online+batch-slots, batch)); sum != want {
+				t.Fatalf("%d stop, %d must", sum, want)
+			}
+		})
+	})
+})
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,60 @@
+package route_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/route"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "route")
+}
+
+var _ = Describe("A table", func() {
+	table := route.NewTable(7, []route.Route{
+		{Name: "short", Host: "A.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}, []route.Group{{Name: "g", Slots: 8}}, route.Limits{})
+
+	DescribeTable("matches the longest prefix of the host",
+		func(host, path, name string) {
+			r := table.Match(host, path)
+			if name == "" {
+				Expect(r).To(BeNil())
+				return
+			}
+			Expect(r).NotTo(BeNil())
+			Expect(r.Name).To(Equal(name))
+		},
+		Entry("short", "a.example", "/x/1", "short"),
+		Entry("long", "a.example", "/x/y/1", "long"),
+		Entry("a port and letter case", "A.Example:80", "/x/y/", "long"),
+		Entry("another host", "b.example", "/x/y/1", "other"),
+		Entry("no prefix", "a.example", "/y/", ""),
+		Entry("a prefix without its slash", "a.example", "/x", ""),
+		Entry("no host", "c.example", "/x/", ""),
+	)
+
+	It("deals requests out by weight", func() {
+		r := route.Route{Groups: []route.Share{{Group: "a", Weight: 90}, {Group: "none", Weight: 0}, {Group: "b", Weight: 10}}}
+		got := map[string]int{}
+		for i := range 1000 {
+			got[r.Pick(float64(i)/1000)]++
+		}
+		Expect(got).To(Equal(map[string]int{"a": 900, "b": 100}))
+	})
+
+	DescribeTable("knows what may be repeated",
+		func(r route.Route, repeatable bool) { Expect(r.Repeatable()).To(Equal(repeatable)) },
+		Entry("idempotent", route.Route{Kind: route.Idempotent}, true),
+		Entry("not idempotent", route.Route{Kind: route.NonIdempotent}, false),
+		Entry("a stream", route.Route{Kind: route.Stream}, false),
+		Entry("a resumable stream", route.Route{Kind: route.Stream, Resumable: true}, true),
+		Entry("what is not idempotent is not made so by resuming", route.Route{Kind: route.NonIdempotent, Resumable: true}, false),
+	)
+})
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -24,9 +24,10 @@
 	// contention bounds how often an append starts over because others came
 	// first.
 	contention = 20
-	// failingAfter is for how long reads of a partition may fail before this
-	// daemon no longer says that nothing new has come.
-	failingAfter = 500 * time.Millisecond
+	// freshFor is how old the last reading of a partition may be when a caller is
+	// told that it holds nothing new; what one daemon shows, all must show within
+	// a second.
+	freshFor = 300 * time.Millisecond
 )
 
 // Submission is a job as a caller hands it in.
@@ -171,17 +172,20 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for waited := false; ; {
 		view, news, refusal := j.view(id, after)
-		if refusal != nil || len(view.Results) > 0 || after >= view.Total {
+		if refusal != nil || len(view.Results) > 0 || after >= view.Total || waited {
 			return view, refusal
 		}
 		select {
 		case <-news:
 		case <-timer.C:
-			return view, j.trusted(id)
+			waited = true
+			if refusal := j.freshen(ctx, id); refusal != nil {
+				return View{}, refusal
+			}
 		case <-ctx.Done():
-			return view, j.trusted(id)
+			return View{}, logOut(partlog.Unavailable.Wrap(ctx.Err(), "the caller's time is up"))
 		}
 	}
 }
@@ -208,16 +212,28 @@
 	return known != nil && known.Accepted
 }
 
-// trusted refuses to say that nothing new has come while the job's partition
-// can't be read: another daemon may have shown a result already.
-func (j *Jobs) trusted(id string) *outcome.Refusal {
-	j.mu.Lock()
-	defer j.mu.Unlock()
+// freshen makes sure that a job's results were read to their end lately, before
+// a caller is told that nothing new has come.
+//
+// Failure guarded against: a read that waits for records may hear nothing of
+// new ones for seconds, while another daemon shows them to callers already. It
+// shows as a result that a caller has read and then can't find. A read that does
+// not wait is answered by what the log holds.
+func (j *Jobs) freshen(ctx context.Context, id string) *outcome.Refusal {
 	c := j.results[j.part(id)]
-	if c.position >= 0 && (!c.failing || time.Since(c.since) < failingAfter) {
+	if j.readWithin(c, freshFor) {
 		return nil
 	}
-	return outcome.Refuse(outcome.LogUnavailable, "the results of %s can't be read now", id).After(retryAfterMs)
+	if err := j.catchUp(ctx, c); err != nil {
+		return logOut(err)
+	}
+	return nil
+}
+
+func (j *Jobs) readWithin(c *cursor, d time.Duration) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return c.position >= 0 && time.Since(c.read) < d
 }
 
 func (j *Jobs) view(id string, after int) (View, <-chan struct{}, *outcome.Refusal) {
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -63,12 +63,14 @@
 	Metrics  *metrics.Set
 }
 
-// Pace of the partitions: a result has to be seen at every daemon within a
-// second, and one read takes all that came meanwhile.
+// Pace of the partitions. A read that waits may hear nothing of news for its
+// whole wait, so what has to be seen within 3 s, such as the end of a job, is
+// read at least every second. Results and bodies are asked for when they are
+// needed sooner than they come.
 var (
-	jobsPace    = partlog.Pace{Wait: 4 * time.Second, Gather: 50 * time.Millisecond}
-	resultsPace = partlog.Pace{Wait: 4 * time.Second, Gather: 200 * time.Millisecond}
-	bodiesPace  = partlog.Pace{Wait: 10 * time.Second, Gather: 50 * time.Millisecond}
+	jobsPace    = partlog.Pace{Wait: time.Second, Gather: 50 * time.Millisecond}
+	resultsPace = partlog.Pace{Wait: 8 * time.Second, Gather: 200 * time.Millisecond}
+	bodiesPace  = partlog.Pace{Wait: 8 * time.Second, Gather: 50 * time.Millisecond}
 )
 
 // Jobs is safe for concurrent use.
@@ -134,10 +136,11 @@
 	apply     func(key string, value []byte) (batch.Change, error)
 
 	// position is the next offset, negative before the first load; guarded by
-	// jobs.mu, like failing and since.
+	// jobs.mu, like the fields below.
 	position int64
 	failing  bool
-	since    time.Time
+	// read is when the partition was last read to its end.
+	read time.Time
 }
 
 func (j *Jobs) newCursor(p partlog.Partition, apply func(string, []byte) (batch.Change, error)) *cursor {
@@ -173,6 +176,9 @@
 	c.jobs.mu.Lock()
 	defer c.jobs.mu.Unlock()
 	c.take(page.Records)
+	if c.position >= page.End {
+		c.read = time.Now()
+	}
 }
 
 // take applies the records that were not yet: own appends are applied as soon
@@ -209,7 +215,6 @@
 	defer c.jobs.mu.Unlock()
 	failing := err != nil
 	if failing != c.failing {
-		c.since = time.Now()
 		c.failing = failing
 		c.jobs.Logger.Info("log_partition", zap.String("topic", c.partition.Topic), zap.Int("part", c.partition.Part),
 			zap.Bool("lost", failing), zap.Error(err))
--- /dev/null
+++ b/daemon/jobs/jobs_test.go
@@ -0,0 +1,433 @@
+package jobs_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/jobs"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+	"tarragonhollow.example/tarragonhollow/target/rawtarget"
+)
+
+func TestJobs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "jobs")
+}
+
+// limit bounds what is expected to come.
+const limit = 15 * time.Second
+
+var topics = jobs.Topics{Jobs: "jobs", Results: "results", Bodies: "bodies"}
+
+// plainWire is a small protocol: Id names the item, After the last event.
+type plainWire struct{}
+
+func (plainWire) Prepare(r *relay.Request, _ roster.Target, _ time.Duration, after int64) *h1.Request {
+	request := r.HTTP
+	request.Header = http.Header{"Id": {r.ID}}
+	if after != relay.NoEvent {
+		request.Header.Set("After", strconv.FormatInt(after, 10))
+	}
+	return &request
+}
+func (plainWire) Mine(id string, _ int, header http.Header) bool { return header.Get("Id") == id }
+func (plainWire) Judge(_ int, header http.Header) relay.Verdict {
+	if header.Get("Not-Run") != "" {
+		return relay.TurnedAway
+	}
+	return relay.Ran
+}
+
+// batchRoute takes jobs of the host h under /b/.
+func batchRoute(tokenCap int64) route.Route {
+	return route.Route{Name: "b", Host: "h", Prefix: "/b/", Kind: route.Batch, MaxAttempts: 2, Due: time.Minute,
+		KeepFor: time.Hour, TokenCap: tokenCap, Groups: []route.Share{{Group: "g", Weight: 1}}}
+}
+
+// submission returns a job of n items of 10 tokens.
+func submission(id string, n int) *jobs.Submission {
+	s := &jobs.Submission{ID: id, Host: "h", Path: "/b/" + id}
+	for i := range n {
+		name := fmt.Sprintf("%s-%d", id, i)
+		s.Items = append(s.Items, jobs.SubmittedItem{
+			Item: batch.Item{ID: name, Path: "/b/" + name, Tokens: 10}, Body: []byte("body of " + name)})
+	}
+	return s
+}
+
+// bare is a job without bodies: its acceptance is its only append.
+func bare(id string) *jobs.Submission {
+	s := submission(id, 1)
+	s.Items[0].Body = nil
+	return s
+}
+
+// answer streams five events, from the one after After.
+func answer(r *rawtarget.Request, c net.Conn) {
+	id := r.Header.Get("Id")
+	first := 0
+	if after, err := strconv.Atoi(r.Header.Get("After")); err == nil {
+		first = after + 1
+	}
+	rawtarget.Write(c, head(id))
+	for i := first; i < 5; i++ {
+		rawtarget.Write(c, rawtarget.Chunk(rawtarget.Event(i, fmt.Sprintf("%s.%d", id, i))))
+	}
+	rawtarget.Write(c, rawtarget.LastChunk)
+}
+
+func head(id string) string {
+	return rawtarget.Head(200, "Id: "+id, "Transfer-Encoding: chunked")
+}
+
+func output(id string) string {
+	return strings.Join([]string{id + ".0", id + ".1", id + ".2", id + ".3", id + ".4"}, "\n")
+}
+
+var _ = Describe("Jobs", func() {
+	var (
+		log    *fakepartlog.Log
+		script func(r *rawtarget.Request, c net.Conn)
+		target *rawtarget.Target
+		table  *route.Table
+	)
+
+	BeforeEach(func() {
+		log = fakepartlog.New(4)
+		script = answer
+		table = route.NewTable(1, []route.Route{batchRoute(0)}, nil, route.Limits{})
+		var err error
+		target, err = rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { script(r, c) })
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(target.Close)
+	})
+
+	// daemon starts one daemon on the log; groups may deal out other partitions.
+	daemon := func(name string, groups partlog.Groups) (*jobs.Jobs, context.CancelFunc) {
+		view := places.New(places.Options{Host: name, Zone: "z", Logger: zap.NewNop()})
+		view.Update(func(now time.Time, r *roster.Roster) {
+			r.Heard(now)
+			r.Replace(now, []roster.Target{{ID: "t", Group: "g", Address: target.Address, Zone: "z", Slots: 8}})
+		})
+		pool := h1.NewPool(func() {})
+		j := jobs.New(jobs.Options{
+			Host: name, Log: log, Groups: groups, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
+			Places: view, Pool: pool, Wire: plainWire{}, KeepFor: time.Hour, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		group := duty.NewGroup(ctx)
+		j.Run(group)
+		stop := sync.OnceFunc(func() {
+			cancel()
+			group.Wait()
+			pool.Close()
+		})
+		DeferCleanup(stop)
+		Eventually(j.Loaded).WithTimeout(limit).Should(BeTrue())
+		return j, stop
+	}
+	alone := func() *jobs.Jobs {
+		j, _ := daemon("a", log)
+		return j
+	}
+	ctx := func() context.Context {
+		c, cancel := context.WithTimeout(context.Background(), limit)
+		DeferCleanup(cancel)
+		return c
+	}
+	submit := func(j *jobs.Jobs, s *jobs.Submission) *outcome.Refusal {
+		r := batchRoute(0)
+		return j.Submit(ctx(), s, &r)
+	}
+	// all reads until every item has a result.
+	all := func(j *jobs.Jobs, id string) []batch.Result {
+		var got []batch.Result
+		Eventually(func(g Gomega) {
+			v, refusal := j.Read(ctx(), id, len(got), 100*time.Millisecond)
+			g.Expect(refusal).To(BeNil())
+			got = append(got, v.Results...)
+			g.Expect(got).To(HaveLen(v.Total))
+		}).WithTimeout(limit).WithPolling(time.Millisecond).Should(Succeed())
+		return got
+	}
+	acceptances := func() int {
+		page, err := log.Read(ctx(), partlog.Partition{Topic: topics.Jobs}, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		n := 0
+		for _, k := range page.Records {
+			if strings.HasPrefix(k.Key, "job/") {
+				n++
+			}
+		}
+		return n
+	}
+
+	It("runs a job and shows its results alike at every daemon", func() {
+		a, b := alone(), func() *jobs.Jobs { j, _ := daemon("b", log); return j }()
+		Expect(submit(a, submission("j", 6))).To(BeNil())
+		at, other := all(a, "j"), all(b, "j")
+		Expect(other).To(Equal(at))
+		for _, r := range at {
+			Expect(r.State).To(Equal(batch.Succeeded))
+			Expect(r.Output).To(Equal(output(r.ID)))
+		}
+		body, refusal := b.Body(ctx(), "j", "j-3")
+		Expect(refusal).To(BeNil())
+		Expect(string(body)).To(Equal("body of j-3"))
+	})
+
+	// A client that got no answer sends its job again to other daemons, at the
+	// same moment. Accepted twice, each item would have two results.
+	It("accepts a job once, however often it is sent and wherever", func() {
+		var daemons []*jobs.Jobs
+		for _, name := range []string{"a", "b", "c"} {
+			j, _ := daemon(name, log)
+			daemons = append(daemons, j)
+		}
+		var wg sync.WaitGroup
+		for i := range 9 {
+			wg.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer wg.Done()
+				Expect(submit(daemons[i%3], submission("j", 2))).To(BeNil())
+			}()
+		}
+		wg.Wait()
+		Expect(acceptances()).To(Equal(1))
+	})
+
+	// Several daemons accept jobs at once, each below the cap by its own count.
+	It("keeps the quota over all daemons at once", func() {
+		script = func(*rawtarget.Request, net.Conn) {} // nothing ends
+		var daemons []*jobs.Jobs
+		for _, name := range []string{"a", "b", "c"} {
+			j, _ := daemon(name, log)
+			daemons = append(daemons, j)
+		}
+		limited := batchRoute(100)
+		codes := make(chan outcome.Code, 12)
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				refusal := daemons[i%3].Submit(ctx(), submission(fmt.Sprint("j", i), 3), &limited)
+				if refusal == nil {
+					codes <- ""
+					return
+				}
+				codes <- refusal.Code
+			}()
+		}
+		wg.Wait()
+		close(codes)
+		count := map[outcome.Code]int{}
+		for code := range codes {
+			count[code]++
+		}
+		Expect(count).To(Equal(map[outcome.Code]int{"": 3, outcome.CallerLimit: 9}))
+	})
+
+	It("settles an acceptance whose answer was lost", func() {
+		a := alone()
+		log.LoseAnswers(1)
+		Expect(submit(a, bare("j"))).To(BeNil())
+		Expect(acceptances()).To(Equal(1))
+	})
+
+	// The append gets no answer and takes effect seconds later, after the same
+	// job was accepted by another append. It must not be accepted twice.
+	It("lets an acceptance that takes effect late do nothing", func() {
+		a := alone()
+		log.DelayAppends(1)
+		Expect(submit(a, bare("j"))).To(BeNil())
+		log.Settle()
+		Expect(acceptances()).To(Equal(1))
+	})
+
+	// No answer comes until the caller's time is up. "Not run" would be a lie:
+	// the job may be accepted any moment.
+	It("does not say that a job was not accepted while that may still happen", func() {
+		a := alone()
+		log.DelayAppends(1000)
+		r := batchRoute(0)
+		short, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		refusal := a.Submit(short, bare("j"), &r)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Run).To(Equal(outcome.MayHaveRun))
+		log.DelayAppends(0)
+		log.Settle()
+		Expect(submit(a, bare("j"))).To(BeNil())
+		Expect(acceptances()).To(Equal(1))
+	})
+
+	It("refuses at once and truly while the log is out, and says of no job that it does not exist", func() {
+		a := alone()
+		log.SetDown(true)
+		refusal := submit(a, submission("j", 1))
+		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
+		Expect(refusal.Run).To(Equal(outcome.NotRun))
+		_, refusal = a.Read(ctx(), "j", 0, 0)
+		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
+		log.SetDown(false)
+		_, refusal = a.Read(ctx(), "j", 0, 0)
+		Expect(refusal.Code).To(Equal(outcome.NotFound))
+	})
+
+	// A result was written by one daemon and read there. Another daemon's waiting
+	// read of the log heard nothing of it, and told a client that the position
+	// it had read was empty.
+	It("does not say that a position is empty that another daemon has shown", func() {
+		log.SetDeaf(true)
+		a := alone()
+		b, _ := daemon("b", emptyHanded{log})
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		shown := all(a, "j")
+		v, refusal := b.Read(ctx(), "j", 0, 10*time.Millisecond)
+		Expect(refusal).To(BeNil())
+		Expect(v.Results).To(Equal(shown))
+	})
+
+	It("gives an item one result when two daemons both run it", func() {
+		a, _ := daemon("a", everything{log})
+		b, _ := daemon("b", everything{log})
+		Expect(submit(a, submission("j", 8))).To(BeNil())
+		got := all(a, "j")
+		Expect(all(b, "j")).To(Equal(got))
+		seen := map[string]bool{}
+		for _, r := range got {
+			Expect(seen[r.ID]).To(BeFalse())
+			seen[r.ID] = true
+		}
+	})
+
+	It("shows the same results after every daemon lost its memory and the log its history", func() {
+		a, stop := daemon("a", log)
+		Expect(submit(a, submission("j", 7))).To(BeNil())
+		got := all(a, "j")
+		stop()
+		for part := range 4 {
+			log.Expire(partlog.Partition{Topic: topics.Results, Part: part})
+			log.Expire(partlog.Partition{Topic: topics.Bodies, Part: part})
+		}
+		log.Expire(partlog.Partition{Topic: topics.Jobs})
+		b, _ := daemon("b", log)
+		Expect(all(b, "j")).To(Equal(got))
+		body, refusal := b.Body(ctx(), "j", "j-6")
+		Expect(refusal).To(BeNil())
+		Expect(string(body)).To(Equal("body of j-6"))
+	})
+
+	It("goes on with a broken item after its last event", func() {
+		var mu sync.Mutex
+		asked := map[string]int{}
+		script = func(r *rawtarget.Request, c net.Conn) {
+			id := r.Header.Get("Id")
+			mu.Lock()
+			asked[id]++
+			turn := asked[id]
+			mu.Unlock()
+			if turn > 1 {
+				answer(r, c)
+				return
+			}
+			rawtarget.Write(c, head(id)+rawtarget.Chunk(rawtarget.Event(0, id+".0"))+
+				rawtarget.Chunk(rawtarget.Event(1, id+".1"))+rawtarget.Chunk("id: 2\ndata: "))
+			rawtarget.Reset(c)
+		}
+		a := alone()
+		Expect(submit(a, submission("j", 2))).To(BeNil())
+		for _, r := range all(a, "j") {
+			Expect(r.Output).To(Equal(output(r.ID)))
+		}
+		for _, r := range target.Requests() {
+			Expect(r.Header.Get("After")).To(Or(BeEmpty(), Equal("1")))
+		}
+	})
+
+	It("does not join a run that leaves events out", func() {
+		var once sync.Once
+		script = func(r *rawtarget.Request, c net.Conn) {
+			gap := false
+			once.Do(func() { gap = true })
+			if !gap {
+				answer(r, c)
+				return
+			}
+			id := r.Header.Get("Id")
+			rawtarget.Write(c, head(id)+rawtarget.Chunk(rawtarget.Event(0, id+".0"))+
+				rawtarget.Chunk(rawtarget.Event(2, id+".2"))+rawtarget.LastChunk)
+		}
+		a := alone()
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
+	})
+
+	DescribeTable("gives up what can't be done, after as many tries as are allowed",
+		func(status, tries int) {
+			script = func(r *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, rawtarget.Whole(status, "no", "Id: "+r.Header.Get("Id")))
+			}
+			a := alone()
+			Expect(submit(a, submission("j", 1))).To(BeNil())
+			Expect(all(a, "j")[0].State).To(Equal(batch.Errored))
+			Expect(target.Requests()).To(HaveLen(tries))
+		},
+		Entry("the target says never", 422, 1),
+		Entry("the target fails each time", 500, 2),
+	)
+
+	It("stops an ended job's items, at the daemon that runs them too", func() {
+		script = func(*rawtarget.Request, net.Conn) {}
+		a, _ := daemon("a", log)
+		b, _ := daemon("b", emptyHanded{log})
+		Expect(submit(a, submission("j", 3))).To(BeNil())
+		Eventually(target.Requests).WithTimeout(limit).Should(HaveLen(3))
+		Expect(b.End(ctx(), "j")).To(BeNil())
+		Eventually(target.Open).WithTimeout(limit).Should(BeZero())
+		Expect(b.End(ctx(), "j")).To(BeNil())
+		Expect(submit(a, submission("j", 3))).To(BeNil())
+		Expect(acceptances()).To(Equal(1))
+	})
+})
+
+// emptyHanded deals out no partitions.
+type emptyHanded struct{ *fakepartlog.Log }
+
+func (emptyHanded) Join(context.Context, string, string, []string, time.Duration, int64) (partlog.Claim, error) {
+	return partlog.Claim{Generation: 1}, nil
+}
+
+// everything deals all partitions out to whoever asks.
+type everything struct{ *fakepartlog.Log }
+
+func (everything) Join(_ context.Context, _, _ string, names []string, _ time.Duration, _ int64) (partlog.Claim, error) {
+	claim := partlog.Claim{Generation: 1}
+	for part := range 4 {
+		claim.Parts = append(claim.Parts, partlog.Partition{Topic: names[0], Part: part})
+	}
+	return claim, nil
+}
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -246,7 +246,7 @@
 		t := g.targets[(first+i)%len(g.targets)]
 		total := p.board.Total(now, t.ID)
 		running := total.Online + total.Batch
-		if exclude[t.ID] || running+headroom >= slotsOf(t) || !g.table.Open(now, t.ID) {
+		if exclude[t.ID] && len(g.targets) > 1 || running+headroom >= slotsOf(t) || !g.table.Open(now, t.ID) {
 			continue
 		}
 		// Twice the count leaves room for the own zone to win among equals: bytes
--- /dev/null
+++ b/daemon/relay/relay_test.go
@@ -0,0 +1,312 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+	"tarragonhollow.example/tarragonhollow/target/rawtarget"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+// limit bounds what is expected to come.
+const limit = 5 * time.Second
+
+// plainWire is a small protocol: Id names the request, Not-Run says it did not
+// run, Left gives the time left, After the last event.
+type plainWire struct{}
+
+func (plainWire) Prepare(r *relay.Request, t roster.Target, left time.Duration, after int64) *h1.Request {
+	request := r.HTTP
+	request.Header = http.Header{"Id": {r.ID}, "Expect": {t.ID}, "Left": {strconv.FormatInt(left.Milliseconds(), 10)}}
+	if after != relay.NoEvent {
+		request.Header.Set("After", strconv.FormatInt(after, 10))
+	}
+	return &request
+}
+
+func (plainWire) Mine(id string, _ int, header http.Header) bool { return header.Get("Id") == id }
+
+func (plainWire) Judge(status int, header http.Header) relay.Verdict {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return relay.Elsewhere
+	case header.Get("Not-Run") != "":
+		return relay.TurnedAway
+	default:
+		return relay.Ran
+	}
+}
+
+const idHeader = "Id: r"
+
+func streamHead() string {
+	return rawtarget.Head(200, idHeader, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+}
+
+func events(from, to int) string {
+	text := ""
+	for i := from; i <= to; i++ {
+		text += rawtarget.Chunk(rawtarget.Event(i, fmt.Sprint("e", i)))
+	}
+	return text
+}
+
+var _ = Describe("The relay", func() {
+	var (
+		view    *places.Places
+		r       *relay.Relay
+		targets []*rawtarget.Target
+		request *relay.Request
+	)
+
+	BeforeEach(func() {
+		targets = nil
+		view = places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()})
+		pool := h1.NewPool(func() {})
+		DeferCleanup(pool.Close)
+		r = relay.New(relay.Options{Wire: plainWire{}, Pool: pool, Places: view, Logger: zap.NewNop(), Metrics: metrics.NewSet()})
+		request = &relay.Request{
+			ID:      "r",
+			Route:   &route.Route{Kind: route.Idempotent, MaxAttempts: 3, Groups: []route.Share{{Group: "g", Weight: 1}}, Timeout: limit},
+			HTTP:    h1.Request{Method: "POST", URI: "/x", Host: "h"},
+			Arrived: time.Now(), Deadline: time.Now().Add(limit),
+		}
+	})
+
+	// with starts targets; the script gets the number of the request over all of
+	// them, so that which one is asked first does not matter.
+	with := func(n int, script func(turn int, r *rawtarget.Request, c net.Conn)) {
+		turns := make(chan int, 100)
+		for i := range 100 {
+			turns <- i
+		}
+		var list []roster.Target
+		for i := range n {
+			t, err := rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { script(<-turns, r, c) })
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(t.Close)
+			targets = append(targets, t)
+			list = append(list, roster.Target{ID: fmt.Sprint("t", i), Group: "g", Address: t.Address, Zone: "z", Slots: 2})
+		}
+		view.Update(func(now time.Time, ros *roster.Roster) {
+			ros.Heard(now)
+			ros.Replace(now, list)
+		})
+	}
+	sent := func() []rawtarget.Request {
+		var all []rawtarget.Request
+		for _, t := range targets {
+			all = append(all, t.Requests()...)
+		}
+		return all
+	}
+	serve := func() (*httptest.ResponseRecorder, relay.Result) {
+		w := httptest.NewRecorder()
+		return w, r.Serve(context.Background(), request, w)
+	}
+	whole := func(c net.Conn) { rawtarget.Write(c, rawtarget.Whole(200, "answer", idHeader, "Sign: s")) }
+	notRun := func(c net.Conn) { rawtarget.Write(c, rawtarget.Whole(503, "", idHeader, "Not-Run: 1")) }
+
+	It("passes the answer on as the target gave it", func() {
+		with(1, func(_ int, _ *rawtarget.Request, c net.Conn) { whole(c) })
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Code).To(Equal(200))
+		Expect(w.Body.String()).To(Equal("answer"))
+		Expect(w.Header().Get("Sign")).To(Equal("s"))
+		left, err := strconv.Atoi(sent()[0].Header.Get("Left"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(BeNumerically("<=", limit.Milliseconds()))
+	})
+
+	// An order is sent and its answer is lost. Sent again it would be placed
+	// twice; told as not run, the guest would place it again by hand.
+	DescribeTable("runs what may not be repeated at most once",
+		func(spoil func(c net.Conn)) {
+			request.Route.Kind = route.NonIdempotent
+			with(3, func(_ int, _ *rawtarget.Request, c net.Conn) { spoil(c) })
+			w, result := serve()
+			Expect(sent()).To(HaveLen(1))
+			Expect(result.Refusal).NotTo(BeNil())
+			Expect(result.Refusal.Run).To(Equal(outcome.MayHaveRun))
+			Expect(w.Body.Len()).To(BeZero())
+		},
+		Entry("no answer", func(c net.Conn) { _ = c.Close() }),
+		Entry("a reset", rawtarget.Reset),
+		Entry("half an answer", func(c net.Conn) {
+			rawtarget.Write(c, rawtarget.Head(200, idHeader, "Content-Length: 9")+"half")
+			_ = c.Close()
+		}),
+		Entry("no HTTP", func(c net.Conn) { rawtarget.Write(c, "??\r\n\r\n"); _ = c.Close() }),
+	)
+
+	It("sends what may not be repeated elsewhere only if the target says it did not run", func() {
+		request.Route.Kind = route.NonIdempotent
+		request.Route.MaxAttempts = 1
+		with(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				notRun(c)
+				return
+			}
+			whole(c)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Code).To(Equal(200))
+		Expect(sent()).To(HaveLen(2))
+	})
+
+	It("says truly that nothing ran when every target turned it away", func() {
+		request.Route.Kind = route.NonIdempotent
+		with(2, func(_ int, _ *rawtarget.Request, c net.Conn) { notRun(c) })
+		_, result := serve()
+		Expect(result.Refusal.Run).To(Equal(outcome.NotRun))
+		Expect(result.Refusal.RetryAfterMs).To(BeNumerically(">", 0))
+	})
+
+	It("asks again for a broken answer that may be repeated, within the attempts", func() {
+		with(4, func(_ int, _ *rawtarget.Request, c net.Conn) { _ = c.Close() })
+		_, result := serve()
+		Expect(sent()).To(HaveLen(request.Route.MaxAttempts))
+		Expect(result.Refusal.Run).To(Equal(outcome.MayHaveRun))
+	})
+
+	It("passes a target's own failure on when no attempt is left", func() {
+		with(4, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, rawtarget.Whole(500, "failed", idHeader, "Sign: s"))
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Code).To(Equal(500))
+		Expect(w.Header().Get("Sign")).To(Equal("s"))
+		Expect(sent()).To(HaveLen(request.Route.MaxAttempts))
+	})
+
+	It("does not take another target at the address for the one it chose", func() {
+		with(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, rawtarget.Whole(421, ""))
+				return
+			}
+			whole(c)
+		})
+		w, _ := serve()
+		Expect(w.Code).To(Equal(200))
+	})
+
+	It("gives the final answer at the deadline", func() {
+		request.Deadline = time.Now().Add(100 * time.Millisecond)
+		with(1, func(int, *rawtarget.Request, net.Conn) {})
+		_, result := serve()
+		Expect(result.Refusal.Code).To(Equal(outcome.DeadlineExceeded))
+		Expect(result.Refusal.Run).To(Equal(outcome.MayHaveRun))
+	})
+
+	It("ends the target's work when the caller leaves", func() {
+		with(1, func(int, *rawtarget.Request, net.Conn) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan relay.Result, 1)
+		go func() { done <- r.Serve(ctx, request, httptest.NewRecorder()) }()
+		Eventually(sent).WithTimeout(limit).Should(HaveLen(1))
+		cancel()
+		var result relay.Result
+		Eventually(done).WithTimeout(limit).Should(Receive(&result))
+		Expect(result.Left).To(BeTrue())
+		Eventually(targets[0].Open).WithTimeout(limit).Should(BeZero())
+	})
+
+	Context("with a stream", func() {
+		BeforeEach(func() {
+			request.Route.Kind = route.Stream
+			request.Route.Resumable = true
+			request.Route.GapObjective = 200 * time.Millisecond
+		})
+		all := func(from, to int) string {
+			text := ""
+			for i := from; i <= to; i++ {
+				text += rawtarget.Event(i, fmt.Sprint("e", i))
+			}
+			return text
+		}
+
+		It("passes it on to its end", func() {
+			with(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, streamHead()+events(0, 4)+rawtarget.LastChunk)
+			})
+			w, result := serve()
+			Expect(result).To(Equal(relay.Result{}))
+			Expect(w.Body.String()).To(Equal(all(0, 4)))
+		})
+
+		// An engine dies in the middle of an event. The guest must see each event
+		// once and whole: the cut one is dropped and comes from another engine.
+		It("goes on elsewhere after the last whole event", func() {
+			with(2, func(turn int, got *rawtarget.Request, c net.Conn) {
+				if turn == 0 {
+					rawtarget.Write(c, streamHead()+events(0, 2)+rawtarget.Chunk("id: 3\ndata: cu"))
+					rawtarget.Reset(c)
+					return
+				}
+				Expect(got.Header.Get("After")).To(Equal("2"))
+				rawtarget.Write(c, streamHead()+events(2, 5)+rawtarget.LastChunk)
+			})
+			w, result := serve()
+			Expect(result).To(Equal(relay.Result{}))
+			Expect(w.Body.String()).To(Equal(all(0, 5)))
+		})
+
+		It("goes on elsewhere when its target falls silent", func() {
+			with(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				if turn == 0 {
+					rawtarget.Write(c, streamHead()+events(0, 1))
+					return
+				}
+				rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+			})
+			w, _ := serve()
+			Expect(w.Body.String()).To(Equal(all(0, 3)))
+		})
+
+		It("cuts off what it can't end, so that it does not look whole", func() {
+			request.Route.Resumable = false
+			with(2, func(_ int, _ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, streamHead()+events(0, 2))
+				rawtarget.Reset(c)
+			})
+			w, result := serve()
+			Expect(result.Aborted).To(BeTrue())
+			Expect(w.Body.String()).To(Equal(all(0, 2)))
+			Expect(sent()).To(HaveLen(1))
+		})
+
+		It("takes a stream that ends within an event for broken", func() {
+			request.Route.MaxAttempts = 1
+			with(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, streamHead()+events(0, 1)+rawtarget.Chunk("id: 2\nda")+rawtarget.LastChunk)
+			})
+			_, result := serve()
+			Expect(result.Aborted).To(BeTrue())
+		})
+	})
+})
--- /dev/null
+++ b/extern/partlog/fakepartlog/fakepartlog.go
@@ -0,0 +1,253 @@
+// Package fakepartlog is a partitioned log in memory for tests, with the faults
+// that the real one has: outages, lost answers, appends that take effect later,
+// readers that hear nothing, and history that is dropped.
+package fakepartlog
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+)
+
+// Log implements partlog.Log and partlog.Groups.
+type Log struct {
+	mu     sync.Mutex
+	parts  map[partlog.Partition]*partition
+	groups map[string]*group
+	// count is the number of partitions that a group deals out per topic.
+	count int
+	news  chan struct{}
+
+	down bool
+	deaf bool
+	lose int
+	late int
+	held []func()
+	// appends counts the appends that were executed.
+	appends int
+}
+
+type partition struct {
+	first   int64
+	records []partlog.Kept
+	newest  map[string]partlog.Kept
+}
+
+type group struct {
+	generation int64
+	members    []string
+}
+
+var (
+	_ partlog.Log    = (*Log)(nil)
+	_ partlog.Groups = (*Log)(nil)
+)
+
+// New returns an empty log whose groups deal out count partitions of a topic.
+func New(count int) *Log {
+	return &Log{parts: map[partlog.Partition]*partition{}, groups: map[string]*group{}, count: count, news: make(chan struct{})}
+}
+
+// SetDown makes every call fail with nothing done.
+func (l *Log) SetDown(down bool) { l.set(func() { l.down = down }) }
+
+// SetDeaf makes waiting reads hear nothing of new records.
+func (l *Log) SetDeaf(deaf bool) { l.set(func() { l.deaf = deaf }) }
+
+// LoseAnswers executes the next n appends without answering them.
+func (l *Log) LoseAnswers(n int) { l.set(func() { l.lose = n }) }
+
+// DelayAppends leaves the next n appends without answer and executes them at
+// Settle, if their condition still holds then.
+func (l *Log) DelayAppends(n int) { l.set(func() { l.late = n }) }
+
+// Settle executes the delayed appends.
+func (l *Log) Settle() {
+	l.set(func() {
+		held := l.held
+		l.held = nil
+		for _, run := range held {
+			run()
+		}
+	})
+}
+
+// Expire drops the history of a partition; the newest record of each key stays.
+func (l *Log) Expire(p partlog.Partition) {
+	l.set(func() {
+		at := l.part(p)
+		at.first += int64(len(at.records))
+		at.records = nil
+	})
+}
+
+// Appends returns how many appends were executed.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+func (l *Log) set(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+func (l *Log) part(p partlog.Partition) *partition {
+	at := l.parts[p]
+	if at == nil {
+		at = &partition{newest: map[string]partlog.Kept{}}
+		l.parts[p] = at
+	}
+	return at
+}
+
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
+// Append implements partlog.Log.
+func (l *Log) Append(_ context.Context, p partlog.Partition, records []partlog.Record, at int64) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, partlog.Unavailable.New("down")
+	}
+	if l.late > 0 {
+		l.late--
+		l.held = append(l.held, func() { _, _ = l.execute(p, records, at) })
+		return 0, partlog.Unknown.New("no answer")
+	}
+	offset, err := l.execute(p, records, at)
+	if err == nil && l.lose > 0 {
+		l.lose--
+		return 0, partlog.Unknown.New("the answer is lost")
+	}
+	return offset, err
+}
+
+func (l *Log) execute(p partlog.Partition, records []partlog.Record, at int64) (int64, error) {
+	to := l.part(p)
+	offset := to.end()
+	if at != partlog.Anywhere && at != offset {
+		return 0, partlog.Conflict.New("ends at %d, not at %d", offset, at)
+	}
+	for _, r := range records {
+		kept := partlog.Kept{Record: r, Offset: to.end()}
+		to.records = append(to.records, kept)
+		if len(r.Value) == 0 {
+			delete(to.newest, r.Key)
+		} else {
+			to.newest[r.Key] = kept
+		}
+	}
+	l.appends++
+	close(l.news)
+	l.news = make(chan struct{})
+	return offset, nil
+}
+
+// Read implements partlog.Log.
+func (l *Log) Read(ctx context.Context, p partlog.Partition, from int64, wait time.Duration) (partlog.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, news, err := l.read(p, from)
+		if err != nil || len(page.Records) > 0 || wait == 0 {
+			return page, err
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return page, partlog.Unavailable.Wrap(ctx.Err(), "read")
+		}
+	}
+}
+
+func (l *Log) read(p partlog.Partition, from int64) (partlog.Page, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return partlog.Page{}, nil, partlog.Unavailable.New("down")
+	}
+	at := l.part(p)
+	if from < at.first {
+		return partlog.Page{}, nil, partlog.Expired.New("first is %d", at.first)
+	}
+	records := slices.Clone(at.records[min(from-at.first, int64(len(at.records))):])
+	news := l.news
+	if l.deaf {
+		news = nil
+	}
+	return partlog.Page{Next: from + int64(len(records)), End: at.end(), Records: records}, news, nil
+}
+
+// pageSize is small, so that tests meet several pages.
+const pageSize = 3
+
+// Newest implements partlog.Log.
+func (l *Log) Newest(_ context.Context, p partlog.Partition, after string) (partlog.NewestPage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return partlog.NewestPage{}, partlog.Unavailable.New("down")
+	}
+	at := l.part(p)
+	var all []partlog.Kept
+	for key, k := range at.newest {
+		if key > after {
+			all = append(all, k)
+		}
+	}
+	slices.SortFunc(all, func(a, b partlog.Kept) int { return cmp.Compare(a.Key, b.Key) })
+	page := partlog.NewestPage{End: at.end(), More: len(all) > pageSize}
+	page.Records = all[:min(pageSize, len(all))]
+	return page, nil
+}
+
+// Join implements partlog.Groups: partitions go round the members in turn.
+func (l *Log) Join(_ context.Context, name, member string, topics []string, _ time.Duration, _ int64) (partlog.Claim, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return partlog.Claim{}, partlog.Unavailable.New("down")
+	}
+	g := l.groups[name]
+	if g == nil {
+		g = &group{}
+		l.groups[name] = g
+	}
+	if !slices.Contains(g.members, member) {
+		g.members = append(g.members, member)
+		g.generation++
+	}
+	claim := partlog.Claim{Generation: g.generation}
+	mine := slices.Index(g.members, member)
+	for _, topic := range topics {
+		for part := range l.count {
+			if part%len(g.members) == mine {
+				claim.Parts = append(claim.Parts, partlog.Partition{Topic: topic, Part: part})
+			}
+		}
+	}
+	return claim, nil
+}
+
+// Leave implements partlog.Groups.
+func (l *Log) Leave(_ context.Context, name, member string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return partlog.Unavailable.New("down")
+	}
+	if g := l.groups[name]; g != nil {
+		g.members = slices.DeleteFunc(g.members, func(m string) bool { return m == member })
+		g.generation++
+	}
+	return nil
+}
--- /dev/null
+++ b/target/h1/h1_test.go
@@ -0,0 +1,250 @@
+package h1_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/target/h1"
+	"tarragonhollow.example/tarragonhollow/target/rawtarget"
+)
+
+func TestH1(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "h1")
+}
+
+// limit bounds what is expected to come.
+const limit = 5 * time.Second
+
+var _ = Describe("An exchange", func() {
+	var (
+		pool   *h1.Pool
+		opened atomic.Int64
+	)
+
+	BeforeEach(func() {
+		opened.Store(0)
+		pool = h1.NewPool(func() { opened.Add(1) })
+		DeferCleanup(pool.Close)
+	})
+
+	start := func(script func(r *rawtarget.Request, c net.Conn)) *rawtarget.Target {
+		t, err := rawtarget.Start(script)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(t.Close)
+		return t
+	}
+	options := func(id string) h1.Options {
+		return h1.Options{
+			MaxIdle: time.Minute, Deadline: time.Now().Add(limit),
+			Mine: func(_ int, header http.Header) bool { return header.Get("Id") == id },
+		}
+	}
+	request := func(id string) *h1.Request {
+		return &h1.Request{Method: "POST", URI: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body")}
+	}
+	read := func(a *h1.Answer) (string, error) {
+		var b strings.Builder
+		buffer := make([]byte, 7)
+		for {
+			n, err := a.Read(buffer, limit)
+			b.Write(buffer[:n])
+			if err == io.EOF {
+				return b.String(), nil
+			}
+			if err != nil {
+				return b.String(), err
+			}
+		}
+	}
+	exchange := func(t *rawtarget.Target, id string) (string, error) {
+		a, err := pool.Do(context.Background(), t.Address, request(id), options(id))
+		if err != nil {
+			return "", err
+		}
+		defer a.Close()
+		return read(a)
+	}
+	echo := func(r *rawtarget.Request, c net.Conn) {
+		rawtarget.Write(c, rawtarget.Whole(200, "for "+r.Header.Get("Id"), "Id: "+r.Header.Get("Id")))
+	}
+
+	It("sends the request byte for byte and keeps the connection", func() {
+		t := start(echo)
+		Expect(exchange(t, "1")).To(Equal("for 1"))
+		Expect(exchange(t, "2")).To(Equal("for 2"))
+		got := t.Requests()
+		Expect(got[0].URI).To(Equal("/a/b?c=%20d"))
+		Expect(got[0].Host).To(Equal("h.example"))
+		Expect(string(got[0].Body)).To(Equal("body"))
+		Expect(opened.Load()).To(BeEquivalentTo(1))
+	})
+
+	// A target sends a second answer to a request it has answered. It waits on
+	// the kept connection and would be read as the answer to the next request:
+	// a caller would get another caller's answer.
+	It("does not keep a connection behind whose answer more bytes lie", func() {
+		t := start(func(r *rawtarget.Request, c net.Conn) {
+			echo(r, c)
+			rawtarget.Write(c, rawtarget.Whole(200, "stray", "Id: "+r.Header.Get("Id")))
+		})
+		Expect(exchange(t, "1")).To(Equal("for 1"))
+		Expect(exchange(t, "2")).To(Equal("for 2"))
+		Expect(t.Requests()[1].Conn).NotTo(Equal(t.Requests()[0].Conn))
+	})
+
+	// The same second answer comes late, when the next request is under way on
+	// that connection already. Only its mark tells that it is not the answer.
+	It("passes over the late answer of another request", func() {
+		t := start(func(r *rawtarget.Request, c net.Conn) {
+			if r.Turn == 1 {
+				rawtarget.Write(c, rawtarget.Whole(200, "stray", "Id: 1"))
+			}
+			echo(r, c)
+		})
+		Expect(exchange(t, "1")).To(Equal("for 1"))
+		Expect(exchange(t, "2")).To(Equal("for 2"))
+		Expect(opened.Load()).To(BeEquivalentTo(1))
+	})
+
+	// A kept connection is closed by the target just as a request is sent on it.
+	// A client that sends it again by itself runs it twice.
+	It("never sends a request twice by itself", func() {
+		t := start(func(r *rawtarget.Request, c net.Conn) {
+			if r.Turn == 1 {
+				rawtarget.Reset(c)
+				return
+			}
+			echo(r, c)
+		})
+		Expect(exchange(t, "1")).To(Equal("for 1"))
+		_, err := exchange(t, "2")
+		Expect(errorx.IsOfType(err, h1.Broken)).To(BeTrue(), "%v", err)
+		Expect(t.Requests()).To(HaveLen(2))
+	})
+
+	It("uses no kept connection that the target has closed, and none that was idle too long", func() {
+		t := start(func(r *rawtarget.Request, c net.Conn) {
+			echo(r, c)
+			if r.Header.Get("Id") == "1" {
+				_ = c.Close()
+			}
+		})
+		Expect(exchange(t, "1")).To(Equal("for 1"))
+		Eventually(t.Open).WithTimeout(limit).Should(BeZero())
+		Expect(exchange(t, "2")).To(Equal("for 2"))
+		o := options("3")
+		o.MaxIdle = 0
+		a, err := pool.Do(context.Background(), t.Address, request("3"), o)
+		Expect(err).NotTo(HaveOccurred())
+		a.Close()
+		Expect(opened.Load()).To(BeEquivalentTo(3))
+	})
+
+	DescribeTable("takes no cut answer for whole",
+		func(answer string, reset bool) {
+			t := start(func(_ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, answer)
+				if reset {
+					rawtarget.Reset(c)
+					return
+				}
+				_ = c.Close()
+			})
+			_, err := exchange(t, "1")
+			Expect(errorx.IsOfType(err, h1.Broken)).To(BeTrue(), "%v", err)
+		},
+		Entry("shorter than its length", rawtarget.Head(200, "Id: 1", "Content-Length: 10")+"short", false),
+		Entry("without its last chunk", rawtarget.Head(200, "Id: 1", "Transfer-Encoding: chunked")+rawtarget.Chunk("part"), false),
+		Entry("within its head", "HTTP/1.1 200 OK\r\nId: 1\r\n", false),
+		Entry("not HTTP at all", "\x00\x01garbage\r\n\r\n", false),
+		Entry("nothing", "", false),
+		Entry("without a length, and reset", rawtarget.Head(200, "Id: 1")+"part", true),
+	)
+
+	It("takes an answer without a length to the end of its connection, and does not keep that", func() {
+		t := start(func(_ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, rawtarget.Head(200, "Id: 1")+"all of it")
+			_ = c.Close()
+		})
+		Expect(exchange(t, "1")).To(Equal("all of it"))
+		Expect(exchange(t, "1")).To(Equal("all of it"))
+		Expect(opened.Load()).To(BeEquivalentTo(2))
+	})
+
+	// A target answers before it has read a long body and reads on afterwards.
+	// If the connection were kept, the next request's bytes would be taken for
+	// the rest of that body.
+	It("does not keep a connection whose request was not sent to its end", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		closed := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			rawtarget.Write(c, rawtarget.Whole(413, "too long", "Id: 1"))
+			buffer := make([]byte, 1)
+			for {
+				time.Sleep(10 * time.Millisecond)
+				if _, err := c.Read(buffer); err != nil {
+					break
+				}
+			}
+			close(closed)
+		}()
+		long := request("1")
+		long.Body = make([]byte, 64<<20)
+		a, err := pool.Do(context.Background(), listener.Addr().String(), long, options("1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(a)).To(Equal("too long"))
+		a.Close()
+		again, err := pool.Do(context.Background(), listener.Addr().String(), request("2"), h1.Options{
+			MaxIdle: time.Minute, Deadline: time.Now().Add(limit), Patience: 100 * time.Millisecond})
+		if err == nil {
+			again.Close()
+		}
+		Expect(opened.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("tells a target that it can't reach from one that is silent", func() {
+		gone := start(echo)
+		gone.Close()
+		_, err := exchange(gone, "1")
+		Expect(errorx.IsOfType(err, h1.NotSent)).To(BeTrue(), "%v", err)
+
+		mute := start(func(*rawtarget.Request, net.Conn) {})
+		o := options("1")
+		o.Patience = 50 * time.Millisecond
+		_, err = pool.Do(context.Background(), mute.Address, request("1"), o)
+		Expect(errorx.IsOfType(err, h1.Silent)).To(BeTrue(), "%v", err)
+		Eventually(mute.Open).WithTimeout(limit).Should(BeZero())
+	})
+
+	It("closes the connection when its context ends, so that the target stops", func() {
+		mute := start(func(*rawtarget.Request, net.Conn) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			_, err := pool.Do(ctx, mute.Address, request("1"), options("1"))
+			done <- err
+		}()
+		Eventually(mute.Requests).WithTimeout(limit).Should(HaveLen(1))
+		cancel()
+		Eventually(done).WithTimeout(limit).Should(Receive(HaveOccurred()))
+		Eventually(mute.Open).WithTimeout(limit).Should(BeZero())
+	})
+})
--- /dev/null
+++ b/target/rawtarget/rawtarget.go
@@ -0,0 +1,148 @@
+// Package rawtarget is a target for tests that answers byte by byte, so that
+// every way in which an answer can go wrong can be brought about.
+package rawtarget
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Request is a request as the target got it.
+type Request struct {
+	Method, URI, Host string
+	Header            http.Header
+	Body              []byte
+	// Conn numbers the connections from 0, Turn the requests on each.
+	Conn, Turn int
+}
+
+// Target answers each request by a script.
+type Target struct {
+	// Address is IP:PORT.
+	Address  string
+	listener net.Listener
+	script   func(r *Request, c net.Conn)
+
+	mu       sync.Mutex
+	requests []Request
+	conns    int
+	open     map[net.Conn]bool
+}
+
+// Start serves on a free loopback port. script writes the answer to c; closing
+// c ends the connection.
+func Start(script func(r *Request, c net.Conn)) (*Target, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{Address: listener.Addr().String(), listener: listener, script: script, open: map[net.Conn]bool{}}
+	go t.accept()
+	return t, nil
+}
+
+func (t *Target) accept() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		number := t.conns
+		t.conns++
+		t.open[c] = true
+		t.mu.Unlock()
+		go t.serve(c, number)
+	}
+}
+
+func (t *Target) serve(c net.Conn, number int) {
+	defer func() {
+		_ = c.Close()
+		t.mu.Lock()
+		delete(t.open, c)
+		t.mu.Unlock()
+	}()
+	reader := bufio.NewReader(c)
+	for turn := 0; ; turn++ {
+		got, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(got.Body)
+		if err != nil {
+			return
+		}
+		r := Request{Method: got.Method, URI: got.RequestURI, Host: got.Host, Header: got.Header, Body: body, Conn: number, Turn: turn}
+		t.mu.Lock()
+		t.requests = append(t.requests, r)
+		t.mu.Unlock()
+		t.script(&r, c)
+	}
+}
+
+// Requests returns what came so far.
+func (t *Target) Requests() []Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Request(nil), t.requests...)
+}
+
+// Open returns the number of connections that the other side keeps open.
+func (t *Target) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
+// Close ends the target and its connections.
+func (t *Target) Close() {
+	_ = t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		_ = c.Close()
+	}
+}
+
+// Reset ends a connection by a reset.
+func Reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Write writes text; a caller that left is no fault of the target.
+func Write(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+// Head returns the head of an answer with the given headers, "Name: value" each.
+func Head(status int, headers ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	for _, h := range headers {
+		b.WriteString(h + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.String()
+}
+
+// Whole returns an answer with its length.
+func Whole(status int, body string, headers ...string) string {
+	return Head(status, append(headers, "Content-Length: "+strconv.Itoa(len(body)))...) + body
+}
+
+// Chunk returns one chunk of a body.
+func Chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// LastChunk ends a body in chunks.
+const LastChunk = "0\r\n\r\n"
+
+// Event returns one server-sent event.
+func Event(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
