Pace batch by each daemon's share of free places, and tell what still runs

At planned restarts the new holder of a partition ran again what the old one still ran. Ruled out: engines that turn items away (none did; the counts were ours). Change: a daemon starts at most its share of the free places in the time that a word between daemons takes; online requests take targets with a free place first; batch leaves no place free, since it gives way within a word; words name the items that run on after their partition has gone.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -29,6 +29,9 @@
 	From   string
 	Number uint64
 	Counts map[string]Count
+	// Held names, by a hash, the batch items that the daemon still runs although
+	// their partition has gone to another one.
+	Held []uint64
 }
 
 type heard struct {
@@ -84,7 +87,7 @@
 	if known && w.Number < last.word.Number && now.Sub(last.at) < WordLife {
 		return
 	}
-	if len(w.Counts) == 0 {
+	if len(w.Counts) == 0 && len(w.Held) == 0 {
 		delete(b.others, w.From)
 		return
 	}
@@ -105,6 +108,20 @@
 	return sum
 }
 
+// HeldElsewhere returns the items that other daemons still run.
+func (b *Board) HeldElsewhere(now time.Time) map[uint64]bool {
+	held := map[uint64]bool{}
+	for _, h := range b.others {
+		if now.Sub(h.at) > WordLife {
+			continue
+		}
+		for _, item := range h.word.Held {
+			held[item] = true
+		}
+	}
+	return held
+}
+
 // Total adds up what all daemons run at a target.
 func (b *Board) Total(now time.Time, target string) Count {
 	sum := b.Others(now, target)
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -64,6 +64,15 @@
 		Expect(b.Total(now, "t")).To(BeZero())
 	})
 
+	It("tells which items others still run, as long as they say so", func() {
+		b := board.New("self")
+		b.Hear(now, board.Word{From: "x", Number: 1, Held: []uint64{7}})
+		Expect(b.HeldElsewhere(now)).To(HaveKey(uint64(7)))
+		Expect(b.HeldElsewhere(now.Add(board.WordLife + 1))).To(BeEmpty())
+		b.Hear(now, board.Word{From: "x", Number: 2})
+		Expect(b.HeldElsewhere(now)).To(BeEmpty())
+	})
+
 	// Online requests fill a target beside batch. If every daemon stopped its own
 	// items, a burst of one request would end them all; if none felt concerned,
 	// guests would queue behind batch.
--- a/core/routing/least.go
+++ b/core/routing/least.go
@@ -8,8 +8,10 @@
 // own requests and hears the others' within tens of milliseconds. The own zone
 // is kept unless another zone's target is better by more than ZoneMargin, and
 // equal targets are taken in random order, so that daemons that decide at the
-// same moment do not all take the same one. It returns false if every target
-// is out, leaving or tried.
+// same moment do not all take the same one. A target with a free place goes
+// before one where batch work would have to give way: what gives way reads its
+// prompt again elsewhere. It returns false if every target is out, leaving or
+// tried.
 func (t *Table) PickLeast(now time.Time, r Request) (Choice, bool) {
 	usable := t.tier(now, r, true)
 	if len(usable) == 0 {
@@ -24,6 +26,9 @@
 		if e.Zone != r.Zone {
 			load += ZoneMargin
 		}
+		if t.fullOfBatch(now, e) {
+			load += fullMargin
+		}
 		if best == nil || load < lowest {
 			best, lowest = e, load
 		}
@@ -31,6 +36,18 @@
 	return Choice{best.Address, ByLoad}, true
 }
 
+// fullMargin puts every target that batch work fills behind every target with a
+// free place: it is above any load with a free place.
+const fullMargin = 1000
+
+// fullOfBatch tells whether the target has places, none of them free.
+func (t *Table) fullOfBatch(now time.Time, e *entry) bool {
+	if !e.heard.fresh(now) || e.heard.word.Slots == 0 {
+		return false
+	}
+	return t.Concurrent(now, e.Address) >= e.heard.word.Slots
+}
+
 // Open tells whether the target may take one more request by its health.
 func (t *Table) Open(now time.Time, address string) bool {
 	e := t.entries[address]
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,13 +22,10 @@
 	stepPause = 20 * time.Millisecond
 	// idleLook is the longest, for what changes by time alone.
 	idleLook = 200 * time.Millisecond
-	// startsPerStep bounds the items started at one look. Daemons that see the
-	// same free places would otherwise all fill them.
-	startsPerStep = 3
 	// takeoverWait is how long the items of a partition that came from another
-	// daemon wait, except those of new jobs: that daemon may live and be about to
-	// finish them. It is some half of an item's time.
-	takeoverWait = 2 * time.Second
+	// daemon wait, except those of new jobs: that daemon may live and finish them.
+	// It learns of its loss within a renewal, and then says what it still runs.
+	takeoverWait = renewEvery + 300*time.Millisecond
 	// giveUpSlack is added to the time after which an item may be given up: the
 	// clocks of hosts differ by seconds.
 	giveUpSlack = 5 * time.Second
@@ -80,12 +78,15 @@
 	progress map[itemKey]*progress
 	stopping bool
 	meter    *meter
+	// pacers hold, by group, how many items may start.
+	pacers map[string]*pacer
 }
 
 func newRunner(j *Jobs) *runner {
 	return &runner{
 		jobs: j, wakes: make(chan struct{}, 1), owned: map[int]time.Time{},
 		active: map[itemKey]*running{}, progress: map[itemKey]*progress{}, meter: newMeter(j.Metrics),
+		pacers: map[string]*pacer{},
 	}
 }
 
@@ -143,19 +144,34 @@
 	if table == nil {
 		return
 	}
+	r.tellHeld()
 	waiting := r.waiting(table)
 	full := map[string]bool{}
-	started := 0
 	for i := range waiting {
-		if started >= startsPerStep {
-			// The rest is looked at again soon.
-			r.wake()
-			return
-		}
-		if r.start(ctx, &waiting[i], full) {
-			started++
+		r.start(ctx, &waiting[i], full)
+	}
+}
+
+// tellHeld tells the other daemons which items still run here although their
+// partition has gone, so that its new holder does not run them a second time
+// meanwhile.
+func (r *runner) tellHeld() {
+	r.mu.Lock()
+	var held []uint64
+	for key := range r.active {
+		if _, mine := r.owned[r.jobs.part(key.job)]; !mine || r.stopping {
+			held = append(held, key.hash())
 		}
 	}
+	r.mu.Unlock()
+	r.jobs.Places.SetHeld(held)
+}
+
+// hash names the item in the words between daemons.
+func (k itemKey) hash() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(batch.ResultKey(k.job, k.item)))
+	return h.Sum64()
 }
 
 // giveWay stops the items with the least done at targets that online work
@@ -201,6 +217,7 @@
 // result, in order of their due time.
 func (r *runner) waiting(table *route.Table) []candidate {
 	now := time.Now()
+	elsewhere := r.jobs.Places.HeldElsewhere()
 	r.jobs.mu.Lock()
 	defer r.jobs.mu.Unlock()
 	r.mu.Lock()
@@ -217,7 +234,7 @@
 		if !held || !read || !j.Open() || now.Sub(since) < takeoverWait && since.UnixMilli() > j.AcceptedMs {
 			return
 		}
-		list = r.appendWaiting(list, now, j, table)
+		list = r.appendWaiting(list, now, j, table, elsewhere)
 	})
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
@@ -225,11 +242,11 @@
 	return list
 }
 
-func (r *runner) appendWaiting(list []candidate, now time.Time, j *batch.Job, table *route.Table) []candidate {
+func (r *runner) appendWaiting(list []candidate, now time.Time, j *batch.Job, table *route.Table, elsewhere map[uint64]bool) []candidate {
 	accepted := time.UnixMilli(j.AcceptedMs)
 	for i := range j.Items {
 		key := itemKey{j.ID, i}
-		if j.Finished(i) || r.active[key] != nil {
+		if j.Finished(i) || r.active[key] != nil || len(elsewhere) > 0 && elsewhere[key.hash()] {
 			continue
 		}
 		if p := r.progress[key]; p != nil && now.Before(p.notBefore) {
@@ -249,27 +266,28 @@
 
 // start runs the item if its target group has room. full notes the groups that
 // have none.
-func (r *runner) start(ctx context.Context, c *candidate, full map[string]bool) bool {
+func (r *runner) start(ctx context.Context, c *candidate, full map[string]bool) {
 	p := r.progressOf(c.key)
-	if r.hopeless(c, p) {
-		return false
-	}
-	if c.route == nil {
-		return false
+	if r.hopeless(c, p) || c.route == nil {
+		return
 	}
 	group := c.route.Pick(rand.Float64())
 	if full[group] {
-		return false
+		return
 	}
 	body, ok := r.jobs.bodies.have(c.key.job, c.key.item, c.item.BodyBytes)
 	if !ok {
 		r.fetch(ctx, c, p)
-		return false
+		return
+	}
+	if !r.mayStart(group) {
+		full[group] = true
+		return
 	}
 	target, ok := r.jobs.Places.TakeBatch(group, map[string]bool{p.avoid: true}, r.jobs.Headroom)
 	if !ok {
 		full[group] = true
-		return false
+		return
 	}
 	itemCtx, cancel := context.WithCancel(ctx)
 	run := &running{key: c.key, target: target, began: time.Now(), cancel: cancel}
@@ -282,7 +300,6 @@
 		defer cancel()
 		r.runItem(itemCtx, c, run, p, body)
 	}()
-	return true
 }
 
 // hopeless gives an item up whose time is over or whose route has gone.
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -39,6 +39,8 @@
 	// expiry wakes the view when lapsed targets count as gone.
 	expiry *time.Timer
 	gone   func(address string)
+	// held names the items that this daemon runs for another one.
+	held []uint64
 
 	// dirty holds a token when own counts changed; changed wakes the batch
 	// runner when room may have come or gone.
@@ -279,6 +281,45 @@
 	p.touched()
 }
 
+// Free returns how many places of the group neither online nor batch work takes,
+// headroom places of each target left out.
+func (p *Places) Free(groupName string, headroom int) int {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[groupName]
+	if g == nil {
+		return 0
+	}
+	free := 0
+	for _, t := range g.targets {
+		if g.table.Open(now, t.ID) {
+			total := p.board.Total(now, t.ID)
+			free += max(0, slotsOf(t)-headroom-total.Online-total.Batch)
+		}
+	}
+	return free
+}
+
+// SetHeld tells the other daemons which items this one runs although their
+// partition has gone elsewhere.
+func (p *Places) SetHeld(items []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(items) == 0 && len(p.held) == 0 {
+		return
+	}
+	p.held = items
+	signal(p.dirty)
+}
+
+// HeldElsewhere returns the items that other daemons still run.
+func (p *Places) HeldElsewhere() map[uint64]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.board.HeldElsewhere(time.Now())
+}
+
 // Yields returns, by target, how many own batch items must give way to online
 // work now.
 func (p *Places) Yields() map[string]int {
--- a/daemon/places/spread.go
+++ b/daemon/places/spread.go
@@ -19,6 +19,8 @@
 	// so the messages of one daemon stay under 1/gatherPerPeer a second however
 	// large the fleet is, at the price of an older view.
 	gatherPerPeer = time.Millisecond
+	// travelTime is what a word takes to a busy daemon in another zone.
+	travelTime = 10 * time.Millisecond
 )
 
 // Ack is the empty answer of a peer.
@@ -62,18 +64,24 @@
 		case <-p.dirty:
 		}
 		addresses := peers()
-		if !sleep(ctx, gatherFor+time.Duration(len(addresses))*gatherPerPeer) {
+		if !sleep(ctx, gatherTime(len(addresses))) {
 			return
 		}
 		number++
 		word := p.word(number)
-		idle = len(word.Counts) == 0
+		idle = len(word.Counts) == 0 && len(word.Held) == 0
 		for _, address := range addresses {
 			caller.Notify(address, boardMethod, word)
 		}
 	}
 }
 
+func gatherTime(peers int) time.Duration { return gatherFor + time.Duration(peers)*gatherPerPeer }
+
+// WordAge is how old another daemon's word may be in a fleet of that size: it is
+// gathered, sent across zones and taken in.
+func WordAge(fleet int) time.Duration { return gatherTime(fleet) + travelTime }
+
 // word takes the own counts and the token that announced them.
 func (p *Places) word(number uint64) board.Word {
 	select {
@@ -82,7 +90,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return board.Word{From: p.board.Self(), Number: number, Counts: p.board.Counts()}
+	return board.Word{From: p.board.Self(), Number: number, Counts: p.board.Counts(), Held: p.held}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/settings/front.go
+++ b/settings/front.go
@@ -45,7 +45,7 @@
 // DefaultFront returns the values in force where a file says nothing.
 func DefaultFront() Front {
 	return Front{
-		MemoryMB: 256, StopGrace: 8 * time.Second, JobsReadable: 2 * time.Minute, BatchHeadroom: 1, LogLevel: "info",
+		MemoryMB: 256, StopGrace: 8 * time.Second, JobsReadable: 2 * time.Minute, LogLevel: "info",
 	}
 }
 
