Write log lines behind the back of requests, bounded, and name front's settings

Cause: a log line went to standard output within the request; a full pipe would have held it. The number of partitions had a default, with which daemons that count differently lose jobs (found by the settings' spec). Change: two rings with rates, ordinary lines and warnings, written many at once; dropped lines are counted and told; the partitions are required; the settings page states front's keys, held by its test.

--- a/core/routing/least.go
+++ b/core/routing/least.go
@@ -24,7 +24,7 @@
 		e := usable[(first+i)%len(usable)]
 		load := e.load(now)
 		if e.Zone != r.Zone {
-			load += ZoneMargin
+			load += max(ZoneMargin, r.ZoneMargin)
 		}
 		if t.fullOfBatch(now, e) {
 			load += fullMargin
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -55,10 +55,10 @@
 	n := &Node{Settings: s, Logger: logger, Metrics: set}
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
-	n.Places = places.New(places.Options{Host: s.Host, Zone: s.Zone, Logger: logger})
+	n.Places = places.New(places.Options{Host: s.Host, Zone: s.Zone, Fleet: func() int { return n.hosts.count() }, Logger: logger})
 	n.Places.OnGone(n.pool.Forget)
 	n.Relay = relay.New(relay.Options{Wire: a.Wire, Pool: n.pool, Places: n.Places, Logger: logger, Metrics: set})
-	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, s.PeerAddress, logger)
+	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, places.Peer{Address: s.PeerAddress, Zone: s.Zone}, logger)
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
 	n.peerServer = peer.NewServer(peer.ServerOptions{Logger: logger, Metrics: set})
 	n.Jobs = jobs.New(jobs.Options{
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
 
@@ -20,29 +22,38 @@
 // its name and peer address once, at its start. An entry of a daemon that died
 // stays; calls to it fail by themselves.
 type hosts struct {
-	log           partlog.Log
-	partition     partlog.Partition
-	host, address string
-	logger        *zap.Logger
+	log       partlog.Log
+	partition partlog.Partition
+	host      string
+	self      places.Peer
+	logger    *zap.Logger
 
 	mu       sync.Mutex
 	position int64
-	known    map[string]string
-	list     []string
+	known    map[string]places.Peer
+	list     []places.Peer
 }
 
-func newHosts(log partlog.Log, topic, host, address string, logger *zap.Logger) *hosts {
-	return &hosts{log: log, partition: partlog.Partition{Topic: topic}, host: host, address: address, logger: logger,
-		position: -1, known: map[string]string{}}
+func newHosts(log partlog.Log, topic, host string, self places.Peer, logger *zap.Logger) *hosts {
+	return &hosts{log: log, partition: partlog.Partition{Topic: topic}, host: host, self: self, logger: logger,
+		position: -1, known: map[string]places.Peer{}}
+}
+
+// encodeEntry is the value of a daemon's record: its peer address and its zone.
+func encodeEntry(p places.Peer) []byte { return []byte(p.Address + " " + p.Zone) }
+
+func decodeEntry(value []byte) places.Peer {
+	address, zone, _ := strings.Cut(string(value), " ")
+	return places.Peer{Address: address, Zone: zone}
 }
 
 // announce writes the own entry.
 func (h *hosts) announce(ctx context.Context) {
-	entry := []partlog.Record{{Key: h.host, Value: []byte(h.address)}}
+	entry := []partlog.Record{{Key: h.host, Value: encodeEntry(h.self)}}
 	for ctx.Err() == nil {
 		_, err := h.log.Append(ctx, h.partition, entry, partlog.Anywhere)
 		if err == nil {
-			h.logger.Info("announced", zap.String("address", h.address))
+			h.logger.Info("announced", zap.String("address", h.self.Address))
 			return
 		}
 		h.logger.Info("not_announced", zap.Error(err))
@@ -61,8 +72,8 @@
 	partlog.Follow(ctx, h.log, h.partition, hostsPace, h)
 }
 
-// peers returns the other daemons' addresses.
-func (h *hosts) peers() []string {
+// peers returns the other daemons.
+func (h *hosts) peers() []places.Peer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.list
@@ -75,8 +86,8 @@
 func (h *hosts) addressOf(host string) (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	address, known := h.known[host]
-	return address, known
+	p, known := h.known[host]
+	return p.Address, known
 }
 
 // Position implements partlog.Reader.
@@ -90,7 +101,7 @@
 func (h *hosts) Load(records []partlog.Kept, end int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.known = map[string]string{}
+	h.known = map[string]places.Peer{}
 	h.apply(records)
 	h.position = end
 }
@@ -112,13 +123,13 @@
 			delete(h.known, k.Key)
 			continue
 		}
-		h.known[k.Key] = string(k.Value)
+		h.known[k.Key] = decodeEntry(k.Value)
 	}
 	// A new slice: the last one may be in use.
-	h.list = make([]string, 0, len(h.known))
-	for host, address := range h.known {
-		if host != h.host && address != h.address {
-			h.list = append(h.list, address)
+	h.list = make([]places.Peer, 0, len(h.known))
+	for host, p := range h.known {
+		if host != h.host && p.Address != h.self.Address {
+			h.list = append(h.list, p)
 		}
 	}
 }
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -23,12 +23,15 @@
 type Options struct {
 	// Host is the daemon's name, Zone its availability zone.
 	Host, Zone string
-	Logger     *zap.Logger
+	// Fleet tells how many daemons there are; nil is one.
+	Fleet  func() int
+	Logger *zap.Logger
 }
 
 // Places is safe for concurrent use.
 type Places struct {
 	zone   string
+	fleet  func() int
 	logger *zap.Logger
 
 	mu     sync.Mutex
@@ -56,8 +59,11 @@
 
 // New returns a view without targets.
 func New(o Options) *Places {
+	if o.Fleet == nil {
+		o.Fleet = func() int { return 1 }
+	}
 	return &Places{
-		zone: o.Zone, logger: o.Logger,
+		zone: o.Zone, fleet: o.Fleet, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host),
 		groups: map[string]*group{}, byID: map[string]roster.Target{},
 		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
@@ -182,6 +188,9 @@
 		return roster.Target{}, refusal
 	}
 	ask := routing.Request{Zone: p.zone, Exclude: a.Exclude, SeedValue: rand.Uint64()}
+	if p.fleet() > smallFleet {
+		ask.ZoneMargin = farMargin
+	}
 	choice, ok := g.table.PickLeast(now, ask)
 	if !ok {
 		choice, ok = g.table.Pick(now, ask)
@@ -242,6 +251,10 @@
 	if g == nil {
 		return roster.Target{}, false
 	}
+	farWeight := 1
+	if p.fleet() > smallFleet {
+		farWeight = 2 * farMargin
+	}
 	best, lowest := roster.Target{}, 0
 	first := rand.IntN(max(1, len(g.targets)))
 	for i := range g.targets {
@@ -255,7 +268,7 @@
 		// between zones cost more than the order of equal targets matters.
 		weight := 2 * running
 		if t.Zone != p.zone {
-			weight++
+			weight += farWeight
 		}
 		if best.ID == "" || weight < lowest {
 			best, lowest = t, weight
--- a/daemon/places/spread.go
+++ b/daemon/places/spread.go
@@ -18,7 +18,16 @@
 	// gatherPerPeer is added for each peer: a word goes to every one of them, and
 	// so the messages of one daemon stay under 1/gatherPerPeer a second however
 	// large the fleet is, at the price of an older view.
-	gatherPerPeer = time.Millisecond
+	gatherPerPeer = 1500 * time.Microsecond
+	// smallFleet is the number of daemons up to which all hear every word. At 13
+	// daemons the words take some hundredths of a percent of what is served; at
+	// 61 they took most of the processor time of the smallest hosts.
+	smallFleet = 24
+	// farEvery is the pace of words to other zones in larger fleets.
+	farEvery = 400 * time.Millisecond
+	// farMargin is by how many requests a target of another zone must be less
+	// loaded there: its load may have changed by some since it was told.
+	farMargin = 3
 	// travelTime is what a word takes to a busy daemon in another zone.
 	travelTime = 10 * time.Millisecond
 )
@@ -45,35 +54,69 @@
 	signal(p.changed)
 }
 
+// Peer is another daemon.
+type Peer struct {
+	// Address is IP:PORT, Zone its availability zone.
+	Address, Zone string
+}
+
 // Spread tells the other daemons the own counts whenever they changed, and
-// renews the word while there is any work. peers returns the addresses.
-func (p *Places) Spread(ctx context.Context, caller peer.Caller, peers func() []string) {
+// renews the word while there is any work. In a fleet that is not small, other
+// zones hear it at a slower pace: daemons send to targets of their own zone
+// while these have places, and messages to everybody would grow with the square
+// of the fleet.
+func (p *Places) Spread(ctx context.Context, caller peer.Caller, peers func() []Peer) {
 	// Numbers go on rising over a restart of the daemon.
 	number := uint64(time.Now().UnixMicro())
 	renew := time.NewTicker(board.RenewEvery)
 	defer renew.Stop()
-	idle := true
+	idle, farIdle := true, true
+	farAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-renew.C:
-			if idle {
+			if idle && farIdle {
 				continue
 			}
 		case <-p.dirty:
 		}
-		addresses := peers()
-		if !sleep(ctx, gatherTime(len(addresses))) {
+		near, far := p.split(peers())
+		if !sleep(ctx, gatherTime(len(near))) {
 			return
 		}
 		number++
 		word := p.word(number)
 		idle = len(word.Counts) == 0 && len(word.Held) == 0
-		for _, address := range addresses {
-			caller.Notify(address, boardMethod, word)
+		notify(caller, near, word)
+		if time.Since(farAt) >= farEvery {
+			farAt = time.Now()
+			farIdle = idle
+			notify(caller, far, word)
+		}
+	}
+}
+
+// split parts the peers into those that hear every word and the others.
+func (p *Places) split(all []Peer) (near, far []Peer) {
+	if len(all) < smallFleet {
+		return all, nil
+	}
+	for _, other := range all {
+		if other.Zone == p.zone {
+			near = append(near, other)
+		} else {
+			far = append(far, other)
 		}
 	}
+	return near, far
+}
+
+func notify(caller peer.Caller, to []Peer, word board.Word) {
+	for _, other := range to {
+		caller.Notify(other.Address, boardMethod, word)
+	}
 }
 
 func gatherTime(peers int) time.Duration { return gatherFor + time.Duration(peers)*gatherPerPeer }
--- /dev/null
+++ b/logging/bounded.go
@@ -0,0 +1,187 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// ordinaryRing and urgentRing are how many lines wait for the output; urgent
+	// ones are warnings and errors, among them the end of every failed request.
+	ordinaryRing = 2048
+	urgentRing   = 4096
+	// ordinaryPerSecond and urgentPerSecond bound the lines of one daemon. At the
+	// planned size a daemon ends some 15 requests a second.
+	ordinaryPerSecond = 500
+	urgentPerSecond   = 1000
+	// writeBytes is the size from which gathered lines are written.
+	writeBytes = 32 << 10
+)
+
+// Bounded writes lines behind the back of whoever logs: a pipe that nobody reads
+// fills up in a moment, and a request must not wait for it. Lines that do not
+// fit are dropped and counted; ordinary ones go before warnings and errors,
+// which have a ring of their own.
+type Bounded struct {
+	out      io.Writer
+	ordinary *ring
+	urgent   *ring
+	wake     chan struct{}
+	stop     chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
+	told     uint64
+}
+
+// ring is a bounded queue of lines with a rate.
+type ring struct {
+	lines     chan []byte
+	perSecond int64
+	second    atomic.Int64
+	count     atomic.Int64
+	dropped   atomic.Uint64
+	wake      chan struct{}
+}
+
+// NewBounded returns a logger like New whose lines are written by a goroutine of
+// their own. Close writes what waits.
+func NewBounded(out io.Writer, level string) (*zap.Logger, zap.AtomicLevel, *Bounded) {
+	b := &Bounded{out: out, wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
+	b.ordinary = newRing(ordinaryRing, ordinaryPerSecond, b.wake)
+	b.urgent = newRing(urgentRing, urgentPerSecond, b.wake)
+	atomicLevel := zap.NewAtomicLevelAt(zapcore.InfoLevel)
+	encoder := zaplogfmt.NewEncoder(encoderConfig())
+	below := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l < zapcore.WarnLevel && atomicLevel.Enabled(l) })
+	from := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= zapcore.WarnLevel && atomicLevel.Enabled(l) })
+	core := zapcore.NewTee(
+		&plainCore{zapcore.NewCore(encoder, b.ordinary, below)},
+		&plainCore{zapcore.NewCore(encoder, b.urgent, from)},
+	)
+	logger := zap.New(core, zap.AddCaller())
+	if err := SetLevel(atomicLevel, level); err != nil {
+		logger.Warn("log_level_unknown", zap.String("value", level))
+	}
+	go b.run()
+	return logger, atomicLevel, b
+}
+
+func newRing(size int, perSecond int64, wake chan struct{}) *ring {
+	return &ring{lines: make(chan []byte, size), perSecond: perSecond, wake: wake}
+}
+
+// Write implements zapcore.WriteSyncer. It never blocks.
+func (r *ring) Write(line []byte) (int, error) {
+	if !r.allowed(time.Now().Unix()) {
+		r.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case r.lines <- bytes.Clone(line):
+	default:
+		r.dropped.Add(1)
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// allowed counts the line against its second.
+func (r *ring) allowed(second int64) bool {
+	if r.second.Swap(second) != second {
+		r.count.Store(0)
+	}
+	return r.count.Add(1) <= r.perSecond
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (r *ring) Sync() error { return nil }
+
+// Dropped returns how many lines were left out.
+func (b *Bounded) Dropped() uint64 { return b.ordinary.dropped.Load() + b.urgent.dropped.Load() }
+
+// Close writes the lines that wait and ends the goroutine, or gives up after
+// the given time if the output takes nothing.
+func (b *Bounded) Close(within time.Duration) {
+	b.stopOnce.Do(func() { close(b.stop) })
+	select {
+	case <-b.done:
+	case <-time.After(within):
+	}
+}
+
+// run writes lines, urgent ones first, many at once.
+func (b *Bounded) run() {
+	defer close(b.done)
+	for {
+		select {
+		case <-b.wake:
+			b.drain()
+		case <-b.stop:
+			b.drain()
+			return
+		}
+	}
+}
+
+func (b *Bounded) drain() {
+	var buffer bytes.Buffer
+	for {
+		line := b.next()
+		if line == nil {
+			b.tellDropped(&buffer)
+			b.flush(&buffer)
+			return
+		}
+		buffer.Write(line)
+		if buffer.Len() >= writeBytes {
+			b.flush(&buffer)
+		}
+	}
+}
+
+// next returns a waiting line, nil if there is none.
+func (b *Bounded) next() []byte {
+	select {
+	case line := <-b.urgent.lines:
+		return line
+	default:
+	}
+	select {
+	case line := <-b.ordinary.lines:
+		return line
+	default:
+		return nil
+	}
+}
+
+// tellDropped adds a line when more lines were left out.
+func (b *Bounded) tellDropped(buffer *bytes.Buffer) {
+	dropped := b.Dropped()
+	if dropped == b.told {
+		return
+	}
+	buffer.WriteString("ts=" + time.Now().UTC().Format(timeLayout) + " level=warn event=log_lines_dropped total=" +
+		strconv.FormatUint(dropped, 10) + " urgent=" + strconv.FormatUint(b.urgent.dropped.Load(), 10) + "\n")
+	b.told = dropped
+}
+
+// flush writes the buffer. An output that is gone loses lines and nothing else.
+func (b *Bounded) flush(buffer *bytes.Buffer) {
+	if buffer.Len() == 0 {
+		return
+	}
+	if _, err := b.out.Write(buffer.Bytes()); err != nil {
+		b.ordinary.dropped.Add(uint64(bytes.Count(buffer.Bytes(), []byte("\n"))))
+	}
+	buffer.Reset()
+}
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -64,6 +64,8 @@
 	var r rows
 	s := Default()
 	s.walk(&r)
+	f := DefaultFront()
+	f.walk(&r)
 	rest := string(text)
 	for _, line := range r.lines {
 		_, after, found := strings.Cut(rest, "\n"+line)
--- a/settings/front.go
+++ b/settings/front.go
@@ -84,6 +84,8 @@
 func ParseFront(name, text string) (*Front, error) {
 	f := DefaultFront()
 	r := &reader{decoder: inifile.NewDecoder(inifile.Parse(name, text))}
+	// Without a default: daemons that count differently would lose jobs.
+	r.decoder.Section("log_service").Require("partitions", "the number that the platform tells")
 	f.walk(r)
 	if problems := r.decoder.Problems(); len(problems) > 0 {
 		return nil, ErrInvalid.Wrap(problems, "the settings are refused").WithProperty(problemsProperty, problems)
