Take a share below one by chance, and hold the batch pace to the naive one

Change: the share is drawn at each look; specs of places, of following a partition and the replay against starts without pacing. Ruled out: a smaller cap of the saved share: it only delays the same moment. Figures: the replay's loads stay below a fifth of the naive starts too many.

--- a/daemon/jobs/pacer.go
+++ b/daemon/jobs/pacer.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/daemon/places"
@@ -13,39 +14,39 @@
 // see the same few free places at the same moment. If each took all it saw, the
 // target would get several times what fits, and most items would have to give
 // way before they began. With its share each daemon takes on average what is
-// free, once.
+// free, once. A share below one is taken by chance: saved up, it would be spent
+// by all daemons at the same moment.
 type pacer struct {
-	credit float64
-	at     time.Time
+	at time.Time
 }
 
-// take spends one start if there is one. free are the free places that the
-// daemon sees, fleet the daemons that see them, age how old their words are.
-func (p *pacer) take(now time.Time, free, fleet int, age time.Duration) bool {
-	share := float64(free) / float64(max(1, fleet))
+// allow returns how many items may start now. free are the free places that the
+// daemon sees, fleet the daemons that see them, age how old their words are, and
+// random is in [0,1).
+func (p *pacer) allow(now time.Time, free, fleet int, age time.Duration, random float64) int {
 	passed := min(1, now.Sub(p.at).Seconds()/age.Seconds())
 	p.at = now
-	p.credit = min(p.credit+share*passed, max(1, share))
-	if free == 0 || p.credit < 1 {
-		return false
+	share := float64(free) / float64(max(1, fleet)) * passed
+	whole := int(share)
+	if random < share-float64(whole) {
+		whole++
 	}
-	p.credit--
-	return true
+	return whole
 }
 
-// mayStart asks the group's pacer.
-func (r *runner) mayStart(group string) bool {
-	fleet := min(r.jobs.Fleet(), r.jobs.Parts)
+// allowance returns how many items of the group may start at this look.
+func (r *runner) allowance(group string) int {
 	free := r.jobs.Places.Free(group, r.jobs.Headroom)
 	p := r.pacers[group]
 	if p == nil {
 		p = &pacer{}
 		r.pacers[group] = p
 	}
-	ok := p.take(time.Now(), free, fleet, places.WordAge(r.jobs.Fleet()))
-	if !ok && free > 0 {
-		// The share grows by time alone.
+	fleet := r.jobs.Fleet()
+	n := p.allow(time.Now(), free, min(fleet, r.jobs.Parts), places.WordAge(fleet), rand.Float64())
+	if n < free {
+		// The rest of the share comes with time alone.
 		r.wake()
 	}
-	return ok
+	return n
 }
--- /dev/null
+++ b/daemon/jobs/pacer_test.go
@@ -0,0 +1,64 @@
+package jobs
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// replay lets daemons fill a group of engines whose free places they see as they
+// were one word ago, and returns how many starts found no place, and how many
+// places were left empty at the end.
+func replay(daemons, places, steps int, paced bool) (over, empty int) {
+	const age = 40 * time.Millisecond
+	const look = 20 * time.Millisecond
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, uint64(daemons)))
+	pacers := make([]pacer, daemons)
+	taken := 0
+	seen := []int{places, places}
+	for range steps {
+		now = now.Add(look)
+		free := seen[0]
+		started := 0
+		for i := range pacers {
+			n := free
+			if paced {
+				n = pacers[i].allow(now, free, daemons, age, random.Float64())
+			}
+			started += n
+		}
+		fit := min(started, places-taken)
+		taken += fit
+		over += started - fit
+		seen = append(seen[1:], places-taken)
+	}
+	return over, places - taken
+}
+
+// A burst of online requests ends and leaves places at the engines. All daemons
+// see them at once, and each has enough items to take them all. What does not
+// fit is cancelled before it began, and its prompt is read for nothing.
+func TestPacedStartsAgainstNaive(t *testing.T) {
+	for _, load := range []struct{ daemons, places int }{{13, 40}, {13, 4}, {13, 1}, {61, 200}, {1, 30}} {
+		naive, _ := replay(load.daemons, load.places, 100, false)
+		paced, empty := replay(load.daemons, load.places, 100, true)
+		if empty != 0 {
+			t.Errorf("%+v: %d places stay empty for 2 s", load, empty)
+		}
+		if load.daemons > 1 && paced > naive/5 {
+			t.Errorf("%+v: %d starts too many, %d without pacing", load, paced, naive)
+		}
+	}
+}
+
+func TestPacerStartsNothingWithoutPlaces(t *testing.T) {
+	var p pacer
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(time.Second)
+		if p.allow(now, 0, 5, time.Millisecond, 0) > 0 {
+			t.Fatal("started with no place free")
+		}
+	}
+}
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -146,9 +146,9 @@
 	}
 	r.tellHeld()
 	waiting := r.waiting(table)
-	full := map[string]bool{}
+	left := map[string]int{}
 	for i := range waiting {
-		r.start(ctx, &waiting[i], full)
+		r.start(ctx, &waiting[i], left)
 	}
 }
 
@@ -264,15 +264,18 @@
 	return list
 }
 
-// start runs the item if its target group has room. full notes the groups that
-// have none.
-func (r *runner) start(ctx context.Context, c *candidate, full map[string]bool) {
+// start runs the item if its target group has room. left holds how many items of
+// each group may still start at this look.
+func (r *runner) start(ctx context.Context, c *candidate, left map[string]int) {
 	p := r.progressOf(c.key)
 	if r.hopeless(c, p) || c.route == nil {
 		return
 	}
 	group := c.route.Pick(rand.Float64())
-	if full[group] {
+	if _, known := left[group]; !known {
+		left[group] = r.allowance(group)
+	}
+	if left[group] == 0 {
 		return
 	}
 	body, ok := r.jobs.bodies.have(c.key.job, c.key.item, c.item.BodyBytes)
@@ -280,15 +283,12 @@
 		r.fetch(ctx, c, p)
 		return
 	}
-	if !r.mayStart(group) {
-		full[group] = true
-		return
-	}
 	target, ok := r.jobs.Places.TakeBatch(group, map[string]bool{p.avoid: true}, r.jobs.Headroom)
 	if !ok {
-		full[group] = true
+		left[group] = 0
 		return
 	}
+	left[group]--
 	itemCtx, cancel := context.WithCancel(ctx)
 	run := &running{key: c.key, target: target, began: time.Now(), cancel: cancel}
 	r.mu.Lock()
--- /dev/null
+++ b/daemon/places/places_test.go
@@ -0,0 +1,191 @@
+package places_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/peer"
+)
+
+func TestPlaces(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "places")
+}
+
+const limit = 10 * time.Second
+
+// hearer is what peers call.
+type hearer interface {
+	Hear(board.Word, *places.Ack) error
+}
+
+// wire hands the words of one daemon to the others.
+type wire struct {
+	mu      sync.Mutex
+	hearers map[string]hearer
+	sent    map[string]int
+}
+
+type registrar struct {
+	wire *wire
+	name string
+}
+
+func (r registrar) Register(_ string, receiver any) error {
+	r.wire.hearers[r.name] = receiver.(hearer)
+	return nil
+}
+
+func (w *wire) Call(context.Context, string, string, any, any) error {
+	return peer.Unreachable.New("no")
+}
+
+func (w *wire) Notify(address, _ string, args any) {
+	w.mu.Lock()
+	w.sent[address]++
+	w.mu.Unlock()
+	_ = w.hearers[address].Hear(args.(board.Word), nil) // it never fails
+}
+
+func (w *wire) count(address string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent[address]
+}
+
+var _ = Describe("The view of the targets", func() {
+	var fleet int
+	BeforeEach(func() { fleet = 2 })
+
+	view := func(name, zone string, targets ...roster.Target) *places.Places {
+		p := places.New(places.Options{Host: name, Zone: zone, Fleet: func() int { return fleet }, Logger: zap.NewNop()})
+		p.Update(func(now time.Time, r *roster.Roster) {
+			r.Heard(now)
+			r.Replace(now, targets)
+		})
+		return p
+	}
+	target := func(id, zone string) roster.Target {
+		return roster.Target{ID: id, Group: "g", Address: id, Zone: zone, Slots: 4}
+	}
+	take := func(p *places.Places) string {
+		t, refusal := p.Take(places.Ask{Group: "g", Patience: time.Second})
+		Expect(refusal).To(BeNil())
+		return t.ID
+	}
+
+	It("spreads requests, the own zone first", func() {
+		p := view("d", "z1", target("a", "z1"), target("b", "z1"), target("far", "z2"))
+		got := map[string]int{}
+		for range 6 {
+			got[take(p)]++
+		}
+		Expect(got["a"]).To(BeNumerically("~", 2, 1))
+		Expect(got["b"]).To(BeNumerically("~", 2, 1))
+		Expect(got["far"]).To(BeNumerically("<=", 2))
+		first := view("d", "z1", target("a", "z1"), target("far", "z2"))
+		Expect(take(first)).To(Equal("a"))
+	})
+
+	It("refuses at once and truly without any target", func() {
+		p := view("d", "z1")
+		_, refusal := p.Take(places.Ask{Group: "g"})
+		Expect(refusal.Run).To(Equal(outcome.NotRun))
+	})
+
+	It("sends online requests to free places before those that batch has taken", func() {
+		p := view("d", "z1", target("a", "z1"), target("b", "z1"))
+		for range 4 {
+			t, ok := p.TakeBatch("g", map[string]bool{"b": true}, 0)
+			Expect(ok).To(BeTrue())
+			Expect(t.ID).To(Equal("a"))
+		}
+		for range 4 {
+			Expect(take(p)).To(Equal("b"))
+		}
+		Expect(p.Yields()).To(BeEmpty())
+		Expect(take(p)).To(Equal("a"))
+		Expect(p.Yields()).To(Equal(map[string]int{"a": 1}))
+	})
+
+	It("leaves the headroom free of batch and takes no target that is out", func() {
+		p := view("d", "z1", target("a", "z1"))
+		for range 3 {
+			_, ok := p.TakeBatch("g", nil, 1)
+			Expect(ok).To(BeTrue())
+		}
+		_, ok := p.TakeBatch("g", nil, 1)
+		Expect(ok).To(BeFalse())
+		Expect(p.Free("g", 0)).To(Equal(1))
+		p.ReleaseBatch(target("a", "z1"), routing.HardFailed)
+		_, ok = p.TakeBatch("g", nil, 0)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("counts what other daemons run", func() {
+		w := &wire{hearers: map[string]hearer{}, sent: map[string]int{}}
+		a, b := view("a", "z1", target("t", "z1")), view("b", "z1", target("t", "z1"))
+		Expect(a.Register(registrar{w, "a"})).To(Succeed())
+		Expect(b.Register(registrar{w, "b"})).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			a.Spread(ctx, w, func() []places.Peer { return []places.Peer{{Address: "b", Zone: "z1"}} })
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		for range 4 {
+			take(a)
+		}
+		Eventually(func() int { return b.Free("g", 0) }).WithTimeout(limit).Should(BeZero())
+		a.SetHeld([]uint64{7})
+		Eventually(b.HeldElsewhere).WithTimeout(limit).Should(HaveKey(uint64(7)))
+	})
+
+	// Words to everybody grow with the square of the fleet, and the smallest hosts
+	// would do little else.
+	It("tells other zones less often in a large fleet", func() {
+		fleet = 60
+		w := &wire{hearers: map[string]hearer{}, sent: map[string]int{}}
+		a := view("a", "z1", target("t", "z1"))
+		var peers []places.Peer
+		for i := range fleet {
+			zone := fmt.Sprint("z", 1+i%4)
+			name := fmt.Sprint("p", i)
+			peers = append(peers, places.Peer{Address: name, Zone: zone})
+			Expect(view(name, zone).Register(registrar{w, name})).To(Succeed())
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			a.Spread(ctx, w, func() []places.Peer { return peers })
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		// p0 is in the own zone, p1 in another.
+		Eventually(func() int {
+			id := take(a)
+			a.Release(target(id, "z1"), routing.Succeeded, 0)
+			return w.count("p1")
+		}).WithTimeout(limit).Should(BeNumerically(">=", 2))
+		Expect(w.count("p0")).To(BeNumerically(">", 2*w.count("p1")))
+	})
+})
--- /dev/null
+++ b/extern/partlog/follow_test.go
@@ -0,0 +1,140 @@
+package partlog_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
+)
+
+func TestPartlog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "partlog")
+}
+
+// recorder keeps the newest value of each key, and the order of keys.
+type recorder struct {
+	mu       sync.Mutex
+	position int64
+	values   map[string]string
+	order    []string
+	lost     bool
+}
+
+func (r *recorder) Position() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.position
+}
+
+func (r *recorder) Load(records []partlog.Kept, end int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.values, r.order = map[string]string{}, nil
+	r.apply(records)
+	r.position = end
+}
+
+func (r *recorder) Take(page partlog.Page) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(page.Records)
+	r.position = page.Next
+}
+
+func (r *recorder) apply(records []partlog.Kept) {
+	for _, k := range records {
+		r.values[k.Key] = string(k.Value)
+		r.order = append(r.order, k.Key)
+	}
+}
+
+func (r *recorder) Heard(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = err != nil
+}
+
+func (r *recorder) value(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.values[key]
+}
+
+func (r *recorder) isLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost
+}
+
+var _ = Describe("Following a partition", func() {
+	const limit = 10 * time.Second
+	var (
+		log *fakepartlog.Log
+		r   *recorder
+		p   = partlog.Partition{Topic: "t"}
+	)
+	put := func(key, value string) {
+		_, err := log.Append(context.Background(), p, []partlog.Record{{Key: key, Value: []byte(value)}}, partlog.Anywhere)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	follow := func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			partlog.Follow(ctx, log, p, partlog.Pace{Wait: 50 * time.Millisecond}, r)
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+	}
+	BeforeEach(func() {
+		log = fakepartlog.New(1)
+		r = &recorder{position: -1}
+	})
+
+	It("loads the newest records over several pages in log order, then takes what follows", func() {
+		for i := range 8 {
+			put(fmt.Sprint("k", 7-i), "old")
+		}
+		put("k7", "new")
+		follow()
+		Eventually(func() string { return r.value("k7") }).WithTimeout(limit).Should(Equal("new"))
+		r.mu.Lock()
+		Expect(r.order).To(Equal([]string{"k6", "k5", "k4", "k3", "k2", "k1", "k0", "k7"}))
+		r.mu.Unlock()
+		put("later", "x")
+		Eventually(func() string { return r.value("later") }).WithTimeout(limit).Should(Equal("x"))
+	})
+
+	// The store drops its history while a reader waits. The reader must not stop
+	// at the gap: a configuration would never come into force here.
+	It("loads again when the history it needs was dropped", func() {
+		put("k", "1")
+		follow()
+		Eventually(func() string { return r.value("k") }).WithTimeout(limit).Should(Equal("1"))
+		log.SetDown(true)
+		Eventually(r.isLost).WithTimeout(limit).Should(BeTrue())
+		log.SetDown(false)
+		put("k", "2")
+		log.Expire(p)
+		Eventually(func() string { return r.value("k") }).WithTimeout(limit).Should(Equal("2"))
+	})
+
+	It("hears news within its wait although the waiting read is deaf", func() {
+		log.SetDeaf(true)
+		follow()
+		Eventually(r.Position).WithTimeout(limit).Should(BeZero())
+		put("k", "1")
+		Eventually(func() string { return r.value("k") }).WithTimeout(limit).Should(Equal("1"))
+	})
+})
