Choose near places first in large fleets, far ones by chance among those with room

Change: PickLeast with stale far loads takes a place at home, also one that batch gives back; then a far target with two places to spare, by chance; then the shortest queue at home. Far words every 250 ms. Ruled out: words to everybody (61 daemons: the square of the fleet).

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -36,10 +36,8 @@
 	Prefixes []string
 	// Zone is the entry host's availability zone.
 	Zone string
-	// ZoneMargin is by how many requests PickLeast must find a target of another
-	// zone better, where that is more than the constant of the same name: the
-	// loads of other zones may be told less often.
-	ZoneMargin float64
+	// FarIsStale tells PickLeast that the loads of other zones are heard late.
+	FarIsStale bool
 	// Exclude holds the targets already tried; they are used again only when
 	// no other is left.
 	Exclude map[string]bool
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -188,9 +188,7 @@
 		return roster.Target{}, refusal
 	}
 	ask := routing.Request{Zone: p.zone, Exclude: a.Exclude, SeedValue: rand.Uint64()}
-	if p.fleet() > smallFleet {
-		ask.ZoneMargin = farMargin
-	}
+	ask.FarIsStale = p.fleet() > smallFleet
 	choice, ok := g.table.PickLeast(now, ask)
 	if !ok {
 		choice, ok = g.table.Pick(now, ask)
--- a/daemon/places/spread.go
+++ b/daemon/places/spread.go
@@ -19,14 +19,14 @@
 	// so the messages of one daemon stay under 1/gatherPerPeer a second however
 	// large the fleet is, at the price of an older view.
 	gatherPerPeer = 1500 * time.Microsecond
-	// smallFleet is the number of daemons up to which all hear every word. At 13
-	// daemons the words take some hundredths of a percent of what is served; at
-	// 61 they took most of the processor time of the smallest hosts.
+	// smallFleet is the number of daemons up to which all hear every word: each
+	// then sends at most some 400 messages a second.
 	smallFleet = 24
 	// farEvery is the pace of words to other zones in larger fleets.
-	farEvery = 400 * time.Millisecond
+	farEvery = 250 * time.Millisecond
 	// farMargin is by how many requests a target of another zone must be less
-	// loaded there: its load may have changed by some since it was told.
+	// loaded there to get a batch item: its load may have changed by some since it
+	// was told.
 	farMargin = 3
 	// travelTime is what a word takes to a busy daemon in another zone.
 	travelTime = 10 * time.Millisecond
