Refuse a request that crashed two targets, on the platform too

Change: the fleet's suspects serve the relay: a broken connection counts as a crash only if the target takes no connection any more; items' runs that are broken off without an event get further and further apart. Ruled out: counting broken connections: answers get lost without a crash (spec).

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -16,12 +16,17 @@
 	"tarragonhollow.example/tarragonhollow/daemon/jobs"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/daemon/suspects"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/peer"
 	"tarragonhollow.example/tarragonhollow/settings"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
+// crashLimit is how many targets a request may crash before it is refused: one
+// crash may be anybody's fault, a second one at another target hardly is.
+const crashLimit = 2
+
 // Adapter is what the platform's adapter brings.
 type Adapter struct {
 	Log    partlog.Log
@@ -42,6 +47,7 @@
 	Jobs     *jobs.Jobs
 
 	hosts      *hosts
+	suspects   *suspects.Tracker
 	peers      *peer.Client
 	peerServer *peer.Server
 	pool       *h1.Pool
@@ -57,14 +63,24 @@
 	n.pool = h1.NewPool(opened.Inc)
 	n.Places = places.New(places.Options{Host: s.Host, Zone: s.Zone, Fleet: func() int { return n.hosts.count() }, Logger: logger})
 	n.Places.OnGone(n.pool.Forget)
-	n.Relay = relay.New(relay.Options{Wire: a.Wire, Pool: n.pool, Places: n.Places, Logger: logger, Metrics: set})
 	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, places.Peer{Address: s.PeerAddress, Zone: s.Zone}, logger)
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
 	n.peerServer = peer.NewServer(peer.ServerOptions{Logger: logger, Metrics: set})
+	var err error
+	n.suspects, err = suspects.New(suspects.Options{
+		View: n.hosts, Peer: n.peers, Registrar: n.peerServer, Limit: func() int { return crashLimit }, Logger: logger, Metrics: set,
+	})
+	if err != nil {
+		return nil, err
+	}
+	crashes := relay.NewCrashes(n.suspects, n.pool)
+	n.Relay = relay.New(relay.Options{
+		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Logger: logger, Metrics: set,
+	})
 	n.Jobs = jobs.New(jobs.Options{
 		Host: s.Host, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
 		Fleet: n.hosts.count, Topics: a.Topics, Parts: s.LogParts, Routes: n.Routes,
-		Places: n.Places, Pool: n.pool, Wire: a.Wire, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom,
+		Places: n.Places, Pool: n.pool, Wire: a.Wire, Crashes: crashes, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom,
 		Logger: logger, Metrics: set,
 	})
 	if err := n.Places.Register(n.peerServer); err != nil {
@@ -110,6 +126,7 @@
 	group.Go(n.hosts.announce)
 	group.Go(n.hosts.follow)
 	group.Go(func(ctx context.Context) { n.Places.Spread(ctx, n.peers, n.hosts.peers) })
+	n.suspects.Run(group)
 	n.Jobs.Run(group)
 	return nil
 }
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
@@ -27,6 +28,8 @@
 	host      string
 	self      places.Peer
 	logger    *zap.Logger
+	// incarnation differs at every start.
+	incarnation uint64
 
 	mu       sync.Mutex
 	position int64
@@ -36,7 +39,7 @@
 
 func newHosts(log partlog.Log, topic, host string, self places.Peer, logger *zap.Logger) *hosts {
 	return &hosts{log: log, partition: partlog.Partition{Topic: topic}, host: host, self: self, logger: logger,
-		position: -1, known: map[string]places.Peer{}}
+		incarnation: uint64(time.Now().UnixNano()), position: -1, known: map[string]places.Peer{}}
 }
 
 // encodeEntry is the value of a daemon's record: its peer address and its zone.
@@ -90,6 +93,22 @@
 	return p.Address, known
 }
 
+// Self implements suspects.Fleet.
+func (h *hosts) Self() membership.Member {
+	return membership.Member{Host: h.host, Zone: h.self.Zone, PeerAddress: h.self.Address, Incarnation: h.incarnation}
+}
+
+// Members implements suspects.Fleet.
+func (h *hosts) Members() []membership.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]membership.Member, 0, len(h.known))
+	for host, p := range h.known {
+		list = append(list, membership.Member{Host: host, Zone: p.Zone, PeerAddress: p.Address})
+	}
+	return list
+}
+
 // Position implements partlog.Reader.
 func (h *hosts) Position() int64 {
 	h.mu.Lock()
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
@@ -34,6 +35,8 @@
 	// afterBusy and afterFailure delay an item that was turned away or failed.
 	afterBusy    = 100 * time.Millisecond
 	afterFailure = 300 * time.Millisecond
+	// longestDelay bounds the growing delay of an item whose runs are broken off.
+	longestDelay = 10 * time.Second
 )
 
 // runEnd is how a run of an item ended.
@@ -44,6 +47,8 @@
 	never bool
 	// failed: the target says that this run failed.
 	failed bool
+	// broken: the target broke the connection.
+	broken bool
 	delay  time.Duration
 	cause  string
 	health routing.Outcome
@@ -51,7 +56,14 @@
 
 // runItem runs the item once and decides what follows.
 func (r *runner) runItem(ctx context.Context, c *candidate, run *running, p *progress, body []byte) {
+	before := p.lastEvent
+	r.jobs.Crashes.Begin(run.target.ID, c.item.ID)
 	end := r.runOnce(ctx, c, run, p, body)
+	if end.broken && ctx.Err() == nil {
+		r.jobs.Crashes.Broke(ctx, run.target)
+	}
+	r.jobs.Crashes.End(run.target.ID, c.item.ID)
+	p.noteFruitless(end, before)
 	if ctx.Err() != nil {
 		end.health = routing.Neutral
 		end.delay = 0
@@ -82,7 +94,7 @@
 	p.avoid = ""
 	if end.delay > 0 {
 		p.avoid = run.target.ID
-		p.notBefore = time.Now().Add(end.delay)
+		p.notBefore = time.Now().Add(p.pause(end.delay))
 	}
 	r.jobs.Logger.Info("item_run_ended", zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
 		zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent), zap.Int("failures", p.failures),
@@ -101,7 +113,7 @@
 		Mine: func(status int, header http.Header) bool { return r.jobs.Wire.Mine(c.item.ID, status, header) },
 	})
 	if err != nil {
-		return runEnd{cause: err.Error(), delay: afterFailure, health: routing.SoftFailed}
+		return brokenRun(err)
 	}
 	defer answer.Close()
 	switch r.jobs.Wire.Judge(answer.Status, answer.Header) {
@@ -127,6 +139,30 @@
 	}
 }
 
+// brokenRun tells what an error of the exchange means.
+func brokenRun(err error) runEnd {
+	return runEnd{broken: errorx.IsOfType(err, h1.Broken), cause: err.Error(), delay: afterFailure, health: routing.SoftFailed}
+}
+
+// noteFruitless counts runs that the target broke off without a new event. An
+// item that crashes each target must not take one down every moment until it
+// is too old: its runs get further and further apart.
+func (p *progress) noteFruitless(end runEnd, before int64) {
+	if !end.broken || p.lastEvent != before {
+		p.fruitless = 0
+		return
+	}
+	p.fruitless++
+}
+
+// pause returns the delay before the next run.
+func (p *progress) pause(delay time.Duration) time.Duration {
+	if p.fruitless > 1 {
+		delay = min(longestDelay, delay<<min(p.fruitless-1, 6))
+	}
+	return delay
+}
+
 // gather adds the events of an answer to the progress. Events must follow each
 // other: a gap, or a run that does not go on where the last one ended, would
 // leave a hole in the text.
@@ -145,7 +181,7 @@
 		case err == io.EOF:
 			return runEnd{cause: "the stream ended within an event", delay: afterFailure, health: routing.SoftFailed}
 		case err != nil:
-			return runEnd{cause: err.Error(), delay: afterFailure, health: routing.SoftFailed}
+			return brokenRun(err)
 		case events.Overlong():
 			return runEnd{cause: "an event is too long", delay: afterFailure, health: routing.SoftFailed}
 		}
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -64,6 +64,8 @@
 	Pool   *h1.Pool
 	// Wire prepares items as it does requests.
 	Wire relay.Wire
+	// Crashes is told of targets that break off.
+	Crashes *relay.Crashes
 	// KeepFor is how long after its acceptance a closed job can still be read.
 	KeepFor time.Duration
 	// Headroom is how many places of each target batch leaves free.
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -18,6 +18,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
@@ -139,7 +140,7 @@
 		pool := h1.NewPool(func() {})
 		j := jobs.New(jobs.Options{
 			Host: name, Log: log, Groups: groups, Peers: peers, Address: peers.address, Fleet: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
-			Places: view, Pool: pool, Wire: plainWire{}, KeepFor: time.Hour, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+			Places: view, Pool: pool, Wire: plainWire{}, Crashes: relay.NewCrashes(noSuspects{}, pool), KeepFor: time.Hour, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
 		})
 		Expect(j.Register(peers.registrar(name))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -521,6 +522,13 @@
 	return nil
 }
 
+// noSuspects clears everybody.
+type noSuspects struct{}
+
+func (noSuspects) Verdict(string) retry.Verdict { return retry.Clear }
+func (noSuspects) Crashed(retry.Crash)          {}
+func (noSuspects) Completed(string)             {}
+
 // emptyHanded deals out no partitions.
 type emptyHanded struct{ *fakepartlog.Log }
 
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -47,6 +47,8 @@
 	output    []string
 	// failures counts the answers by which the target told that the item failed.
 	failures int
+	// fruitless counts the runs in a row that were broken off without an event.
+	fruitless int
 	// notBefore delays the next run.
 	notBefore time.Time
 	// avoid is the target that the last run failed at.
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -169,6 +169,8 @@
 	Group string
 	// Exclude holds the IDs of targets already tried.
 	Exclude map[string]bool
+	// Alone asks for a target where as little else as possible runs.
+	Alone bool
 	// Patience is how long the request may queue in front of a target.
 	Patience time.Duration
 }
@@ -189,7 +191,11 @@
 	}
 	ask := routing.Request{Zone: p.zone, Exclude: a.Exclude, SeedValue: rand.Uint64()}
 	ask.FarIsStale = p.fleet() > smallFleet
-	choice, ok := g.table.PickLeast(now, ask)
+	ask.Alone = a.Alone
+	choice, ok := routing.Choice{}, false
+	if !a.Alone {
+		choice, ok = g.table.PickLeast(now, ask)
+	}
 	if !ok {
 		choice, ok = g.table.Pick(now, ask)
 	}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -47,6 +47,8 @@
 	done, aborted bool
 	// reached is false only if the target certainly did not run the request.
 	reached bool
+	// broken tells that the target broke the connection.
+	broken bool
 	// busy tells that the target refused for load.
 	busy   bool
 	detail string
@@ -110,9 +112,12 @@
 // failedSend tells what an error before the answer's head means.
 func failedSend(ctx context.Context, err error) attempt {
 	a := attempt{reached: true, detail: err.Error(), health: routing.SoftFailed}
-	if errorx.IsOfType(err, h1.NotSent) {
+	switch {
+	case errorx.IsOfType(err, h1.NotSent):
 		a.reached = false
 		a.health = routing.HardFailed
+	case errorx.IsOfType(err, h1.Broken):
+		a.broken = true
 	}
 	if ctx.Err() != nil {
 		a.health = routing.Neutral
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -78,6 +78,7 @@
 	Wire    Wire
 	Pool    *h1.Pool
 	Places  *places.Places
+	Crashes *Crashes
 	Logger  *zap.Logger
 	Metrics *metrics.Set
 }
@@ -105,7 +106,8 @@
 	r.mu.Lock()
 	r.budget.First()
 	r.mu.Unlock()
-	run := &run{relay: r, request: request, out: newDelivery(w, request.Route), exclude: map[string]bool{}}
+	run := &run{relay: r, request: request, out: newDelivery(w, request.Route), exclude: map[string]bool{},
+		fingerprint: Fingerprint(&request.HTTP)}
 	result := run.serve(ctx)
 	r.end(request, run, result)
 	return result
@@ -127,6 +129,10 @@
 	request *Request
 	out     *delivery
 	exclude map[string]bool
+	// fingerprint names the request's content; alone asks for a target where as
+	// little else as possible runs.
+	fingerprint string
+	alone       bool
 	// runs counts the attempts that may have run, refusals the others.
 	runs, refusals int
 	lastTarget     roster.Target
@@ -137,15 +143,18 @@
 // serve makes attempts until one ends the request.
 func (u *run) serve(ctx context.Context) Result {
 	for {
+		if refusal := u.mayRun(ctx); refusal != nil {
+			return u.refuse(refusal)
+		}
 		target, refusal := u.relay.Places.Take(places.Ask{
-			Group: u.group(), Exclude: u.exclude, Patience: u.queuePatience(),
+			Group: u.group(), Exclude: u.exclude, Patience: u.queuePatience(), Alone: u.alone,
 		})
 		if refusal != nil {
 			return u.refuse(refusal)
 		}
 		u.lastTarget = target
 		began := time.Now()
-		ended := u.attempt(ctx, target)
+		ended := u.attemptAt(ctx, target)
 		u.relay.Places.Release(target, ended.health, ended.served(began))
 		if ended.done {
 			return Result{Aborted: ended.aborted}
@@ -156,6 +165,32 @@
 	}
 }
 
+// mayRun refuses a request that crashed the targets that ran it, and notes
+// whether it must run apart from others.
+func (u *run) mayRun(ctx context.Context) *outcome.Refusal {
+	switch u.relay.Crashes.Verdict(ctx, u.fingerprint) {
+	case retry.Condemned:
+		return outcome.Refuse(outcome.NoTarget, "this request crashed the targets that ran it")
+	case retry.Isolated, retry.Quarantined:
+		u.alone = true
+	}
+	return nil
+}
+
+// attemptAt makes one attempt and tells of the target's crash, if it is one.
+func (u *run) attemptAt(ctx context.Context, target roster.Target) attempt {
+	u.relay.Crashes.Begin(target.ID, u.fingerprint)
+	ended := u.attempt(ctx, target)
+	if ended.broken && ctx.Err() == nil {
+		u.relay.Crashes.Broke(ctx, target)
+	}
+	u.relay.Crashes.End(target.ID, u.fingerprint)
+	if ended.done && !ended.aborted {
+		u.relay.Crashes.Completed(u.fingerprint)
+	}
+	return ended
+}
+
 // group picks the target group of the next attempt.
 func (u *run) group() string { return u.request.Route.Pick(rand.Float64()) }
 
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
@@ -58,6 +60,30 @@
 	}
 }
 
+// tracker is a Suspects without peers.
+type tracker struct {
+	mu   sync.Mutex
+	core *retry.Suspects
+}
+
+func (t *tracker) Verdict(f string) retry.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Verdict(f)
+}
+
+func (t *tracker) Crashed(c retry.Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Crashed(c)
+}
+
+func (t *tracker) Completed(f string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Completed(f)
+}
+
 const idHeader = "Id: r"
 
 func streamHead() string {
@@ -74,10 +100,11 @@
 
 var _ = Describe("The relay", func() {
 	var (
-		view    *places.Places
-		r       *relay.Relay
-		targets []*rawtarget.Target
-		request *relay.Request
+		view     *places.Places
+		r        *relay.Relay
+		targets  []*rawtarget.Target
+		request  *relay.Request
+		suspects *tracker
 	)
 
 	BeforeEach(func() {
@@ -85,7 +112,8 @@
 		view = places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()})
 		pool := h1.NewPool(func() {})
 		DeferCleanup(pool.Close)
-		r = relay.New(relay.Options{Wire: plainWire{}, Pool: pool, Places: view, Logger: zap.NewNop(), Metrics: metrics.NewSet()})
+		suspects = &tracker{core: retry.NewSuspects(2)}
+		r = relay.New(relay.Options{Wire: plainWire{}, Pool: pool, Places: view, Crashes: relay.NewCrashes(suspects, pool), Logger: zap.NewNop(), Metrics: metrics.NewSet()})
 		request = &relay.Request{
 			ID:      "r",
 			Route:   &route.Route{Kind: route.Idempotent, MaxAttempts: 3, Groups: []route.Share{{Group: "g", Weight: 1}}, Timeout: limit},
@@ -215,6 +243,30 @@
 		Expect(w.Code).To(Equal(200))
 	})
 
+	// A request crashes every target that runs it, and its caller sends it again
+	// and again. Without memory it takes down the whole group.
+	It("refuses a request that crashed two targets, and says truly that this one did not run", func() {
+		with(4, func(_ int, _ *rawtarget.Request, c net.Conn) { _ = c.Close() })
+		for i := range targets {
+			t := targets[i]
+			t.OnRequest(t.Close)
+		}
+		_, result := serve()
+		Expect(result.Refusal).NotTo(BeNil())
+		Expect(sent()).To(HaveLen(2))
+		request.ID = "again"
+		_, result = serve()
+		Expect(result.Refusal.Run).To(Equal(outcome.NotRun))
+		Expect(sent()).To(HaveLen(2))
+	})
+
+	It("suspects no request whose answers were only lost", func() {
+		with(4, func(_ int, _ *rawtarget.Request, c net.Conn) { rawtarget.Reset(c) })
+		_, _ = serve()
+		Expect(sent()).To(HaveLen(request.Route.MaxAttempts))
+		Expect(suspects.Verdict(relay.Fingerprint(&request.HTTP))).To(Equal(retry.Clear))
+	})
+
 	It("gives the final answer at the deadline", func() {
 		request.Deadline = time.Now().Add(100 * time.Millisecond)
 		with(1, func(int, *rawtarget.Request, net.Conn) {})
--- a/daemon/suspects/suspects.go
+++ b/daemon/suspects/suspects.go
@@ -51,10 +51,18 @@
 	badOptions = namespace.NewType("options")
 )
 
+// Fleet names the daemons.
+type Fleet interface {
+	// Self returns this daemon's own entry.
+	Self() membership.Member
+	// Members returns all daemons; the slice is the caller's.
+	Members() []membership.Member
+}
+
 // Options configure a Tracker.
 type Options struct {
 	// View names the other daemons; required.
-	View membership.View
+	View Fleet
 	// Peer carries the calls; required.
 	Peer peer.Caller
 	// Registrar takes the service; required.
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -114,6 +114,19 @@
 	return last
 }
 
+// Reachable tells whether the address takes a connection within the time.
+func (p *Pool) Reachable(ctx context.Context, address string, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	p.opened()
+	p.put(&conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer), keep: defaultKeep})
+	return true
+}
+
 // put keeps a connection on which an answer has ended whole.
 func (p *Pool) put(c *conn) {
 	if err := c.SetDeadline(time.Time{}); err != nil {
--- a/target/rawtarget/rawtarget.go
+++ b/target/rawtarget/rawtarget.go
@@ -33,6 +33,7 @@
 	requests []Request
 	conns    int
 	open     map[net.Conn]bool
+	hook     func()
 }
 
 // Start serves on a free loopback port. script writes the answer to c; closing
@@ -82,7 +83,11 @@
 		r := Request{Method: got.Method, URI: got.RequestURI, Host: got.Host, Header: got.Header, Body: body, Conn: number, Turn: turn}
 		t.mu.Lock()
 		t.requests = append(t.requests, r)
+		hook := t.hook
 		t.mu.Unlock()
+		if hook != nil {
+			hook()
+		}
 		t.script(&r, c)
 	}
 }
@@ -94,6 +99,13 @@
 	return append([]Request(nil), t.requests...)
 }
 
+// OnRequest sets what is done when a request was read, before its script runs.
+func (t *Target) OnRequest(hook func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hook = hook
+}
+
 // Open returns the number of connections that the other side keeps open.
 func (t *Target) Open() int {
 	t.mu.Lock()
