Wait for targets before calling a fresh daemon ready; say why runs ended

Lines of runs that we ended ourselves said that the target was silent. Ruled out: waiting with the request: another daemon answers sooner.

--- a/api/jobs.go
+++ b/api/jobs.go
@@ -7,9 +7,9 @@
 
 	"github.com/labstack/echo/v4"
 
-	"tarragonhollow.example/tarragonhollow/core/jobline"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/jobline"
 )
 
 // jobName is what a job may be called: safe in a path, a log line and a shell.
--- a/api/upload.go
+++ b/api/upload.go
@@ -14,9 +14,9 @@
 	"github.com/labstack/echo/v4"
 
 	"tarragonhollow.example/tarragonhollow/core/config"
-	"tarragonhollow.example/tarragonhollow/core/jobline"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/jobline"
 )
 
 // putJob serves PUT /v1/jobs/{job}.
--- a/core/config/item.go
+++ b/core/config/item.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"strings"
 
-	"tarragonhollow.example/tarragonhollow/core/jobline"
+	"tarragonhollow.example/tarragonhollow/jobline"
 )
 
 // GroupForItem names the target group that serves a batch item, by its URL and,
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -160,6 +160,22 @@
 	return Group{Name: name}
 }
 
+// Used returns the names of the groups that routes send requests to, sorted.
+func (t *Table) Used() []string {
+	var names []string
+	for _, list := range t.hosts {
+		for _, r := range list {
+			for _, s := range r.Groups {
+				if s.Weight > 0 {
+					names = append(names, s.Group)
+				}
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Groups returns all target groups, sorted by name.
 func (t *Table) Groups() []Group {
 	list := make([]Group, 0, len(t.groups))
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -49,6 +49,14 @@
 		Expect(got).To(Equal(map[string]int{"a": 900, "b": 100}))
 	})
 
+	It("lists the groups that get requests", func() {
+		used := route.NewTable(1, []route.Route{
+			{Host: "a", Prefix: "/", Groups: []route.Share{{Group: "y", Weight: 1}, {Group: "off", Weight: 0}}},
+			{Host: "b", Prefix: "/", Groups: []route.Share{{Group: "x", Weight: 2}, {Group: "y", Weight: 1}}},
+		}, nil, route.Limits{})
+		Expect(used.Used()).To(Equal([]string{"x", "y"}))
+	})
+
 	DescribeTable("knows what may be repeated",
 		func(r route.Route, repeatable bool) { Expect(r.Repeatable()).To(Equal(repeatable)) },
 		Entry("idempotent", route.Route{Kind: route.Idempotent}, true),
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -27,6 +28,11 @@
 // crash may be anybody's fault, a second one at another target hardly is.
 const crashLimit = 2
 
+// targetWait is how long after its start a daemon waits for a target of every
+// group before it calls itself ready without: entries that lapsed are back within
+// some 2 s.
+const targetWait = 4 * time.Second
+
 // Adapter is what the platform's adapter brings.
 type Adapter struct {
 	Log    partlog.Log
@@ -53,12 +59,16 @@
 	pool       *h1.Pool
 	table      atomic.Pointer[route.Table]
 	stopping   atomic.Bool
-	callers    *callers
+	// reached is set once every group had a target, or had time for it, after
+	// started.
+	reached atomic.Bool
+	started time.Time
+	callers *callers
 }
 
 // New returns a daemon that does nothing yet.
 func New(s *settings.Front, a Adapter, logger *zap.Logger, set *metrics.Set) (*Node, error) {
-	n := &Node{Settings: s, Logger: logger, Metrics: set}
+	n := &Node{Settings: s, Logger: logger, Metrics: set, started: time.Now()}
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
 	n.Places = places.New(places.Options{Host: s.Host, Zone: s.Zone, Fleet: func() int { return n.hosts.count() }, Logger: logger})
@@ -106,7 +116,26 @@
 // Ready tells whether the daemon should get new connections: it knows routes
 // and targets and has read the jobs, and does not stop.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.table.Load() != nil && n.Places.Known() && n.Jobs.Loaded()
+	table := n.table.Load()
+	return !n.stopping.Load() && table != nil && n.Places.Known() && n.Jobs.Loaded() && n.reaches(table, time.Now())
+}
+
+// reaches tells whether every group that requests are sent to has a target, or
+// has had time to get one.
+//
+// Failure guarded against: a daemon that starts while the targets' entries have
+// lapsed reads an empty list, and refuses what others could serve.
+func (n *Node) reaches(table *route.Table, now time.Time) bool {
+	if n.reached.Load() {
+		return true
+	}
+	for _, group := range table.Used() {
+		if now.Sub(n.started) < targetWait && !n.Places.Has(group) {
+			return false
+		}
+	}
+	n.reached.Store(true)
+	return true
 }
 
 // Stopping tells whether the daemon is being stopped.
--- /dev/null
+++ b/daemon/front/front_test.go
@@ -0,0 +1,76 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "front")
+}
+
+func table(version int64) *route.Table {
+	return route.NewTable(version, []route.Route{{Host: "h", Prefix: "/", Groups: []route.Share{{Group: "g", Weight: 1}}}}, nil, route.Limits{})
+}
+
+var _ = Describe("A daemon", func() {
+	var n *Node
+	start := time.Unix(1000, 0)
+	BeforeEach(func() {
+		n = &Node{Logger: zap.NewNop(), started: start}
+		n.Places = places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()})
+	})
+
+	It("never goes back to an older configuration", func() {
+		n.SetRoutes(table(7))
+		n.SetRoutes(table(5))
+		Expect(n.Routes().Version).To(BeEquivalentTo(7))
+		n.SetRoutes(table(9))
+		Expect(n.Routes().Version).To(BeEquivalentTo(9))
+	})
+
+	// The store was away and the targets' entries have lapsed when a daemon
+	// starts. It must not take callers whom other daemons could serve.
+	It("reaches its targets only once it knows some, or has waited for them", func() {
+		Expect(n.reaches(table(1), start)).To(BeFalse())
+		Expect(n.reaches(table(1), start.Add(targetWait))).To(BeTrue())
+	})
+
+	It("stays in service when its targets go later", func() {
+		n.Places.Update(func(now time.Time, r *roster.Roster) {
+			r.Heard(now)
+			r.Replace(now, []roster.Target{{ID: "t", Group: "g"}})
+		})
+		Expect(n.reaches(table(1), start)).To(BeTrue())
+		n.Places.Update(func(now time.Time, r *roster.Roster) { r.Replace(now, nil) })
+		Expect(n.reaches(table(1), start)).To(BeTrue())
+	})
+
+	It("finds the others by their records, and not itself", func() {
+		log := fakepartlog.New(1)
+		a := newHosts(log, "hosts", "a", places.Peer{Address: "1:1", Zone: "z1"}, zap.NewNop())
+		b := newHosts(log, "hosts", "b", places.Peer{Address: "2:2", Zone: "z2"}, zap.NewNop())
+		a.announce(GinkgoT().Context())
+		b.announce(GinkgoT().Context())
+		Expect(partlog.Load(GinkgoT().Context(), log, a.partition, a)).To(Succeed())
+		Expect(a.peers()).To(Equal([]places.Peer{{Address: "2:2", Zone: "z2"}}))
+		Expect(a.count()).To(Equal(2))
+		address, known := a.addressOf("b")
+		Expect(known).To(BeTrue())
+		Expect(address).To(Equal("2:2"))
+		b.leave(GinkgoT().Context())
+		Expect(partlog.Load(GinkgoT().Context(), log, a.partition, a)).To(Succeed())
+		Expect(a.peers()).To(BeEmpty())
+	})
+})
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -67,6 +67,7 @@
 	if ctx.Err() != nil {
 		end.health = routing.Neutral
 		end.delay = 0
+		end.cause = run.reason
 	}
 	r.jobs.Places.ReleaseBatch(run.target, end.health)
 	if end.failed {
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -65,6 +65,14 @@
 	target roster.Target
 	began  time.Time
 	cancel context.CancelFunc
+	// reason tells why the run was cancelled; it is set before that.
+	reason string
+}
+
+// stop ends the run.
+func (r *running) stop(reason string) {
+	r.reason = reason
+	r.cancel()
 }
 
 // runner runs the items of the partitions that the daemon holds.
@@ -116,7 +124,7 @@
 func (r *runner) stopItem(key itemKey) {
 	delete(r.progress, key)
 	if run := r.active[key]; run != nil {
-		run.cancel()
+		run.stop("the item or its job is over")
 	}
 }
 
@@ -185,9 +193,8 @@
 	defer r.mu.Unlock()
 	for target, n := range yields {
 		for _, run := range r.youngest(target, n) {
-			r.jobs.Logger.Debug("item_gives_way", zap.String("job", run.key.job), zap.Int("item", run.key.item), zap.String("target", target))
 			r.meter.yields.Inc()
-			run.cancel()
+			run.stop("gives way to online work")
 		}
 	}
 }
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -19,6 +19,11 @@
 // at once.
 const defaultSlots = 4
 
+// noTargetRetryMs tells callers when to come back to a daemon that knows no
+// target. It is one that has just started, or the targets' entries have lapsed;
+// they write them again within some 2 s, and other daemons may know more.
+const noTargetRetryMs = 500
+
 // Options configure Places.
 type Options struct {
 	// Host is the daemon's name, Zone its availability zone.
@@ -156,6 +161,14 @@
 	return p.roster.Known()
 }
 
+// Has tells whether the group has any usable target.
+func (p *Places) Has(group string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[group]
+	return g != nil && len(g.targets) > 0
+}
+
 // Target returns a usable target.
 func (p *Places) Target(id string) (roster.Target, bool) {
 	p.mu.Lock()
@@ -183,7 +196,7 @@
 	defer p.mu.Unlock()
 	g := p.groups[a.Group]
 	if g == nil || len(g.targets) == 0 {
-		return roster.Target{}, outcome.Refuse(outcome.Overloaded, "no target of %s is known", a.Group)
+		return roster.Target{}, outcome.Refuse(outcome.NoTarget, "no target of %s is known", a.Group).After(noTargetRetryMs)
 	}
 	p.hear(now, g)
 	if refusal := g.table.Admit(now, now.Add(a.Patience)); refusal != nil {
@@ -201,7 +214,7 @@
 	}
 	t, known := p.byID[choice.Address]
 	if !ok || !known {
-		return roster.Target{}, outcome.Refuse(outcome.Overloaded, "no target of %s takes requests", a.Group)
+		return roster.Target{}, outcome.Refuse(outcome.NoTarget, "no target of %s takes requests", a.Group).After(noTargetRetryMs)
 	}
 	g.table.Start(now, t.ID, false)
 	p.board.Add(t.ID, 1, 0)
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -120,7 +120,9 @@
 		a.broken = true
 	}
 	if ctx.Err() != nil {
+		// The connection was closed here; the target did nothing wrong.
 		a.health = routing.Neutral
+		a.detail = "ended here: " + ctx.Err().Error()
 	}
 	return a
 }
--- a/daemon/steward/item.go
+++ b/daemon/steward/item.go
@@ -8,8 +8,8 @@
 
 	"tarragonhollow.example/tarragonhollow/chat"
 	"tarragonhollow.example/tarragonhollow/core/config"
-	"tarragonhollow.example/tarragonhollow/core/jobline"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/jobline"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
--- a/core/jobline/jobline_test.go
+++ b/jobline/jobline_test.go
@@ -7,12 +7,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"tarragonhollow.example/tarragonhollow/core/jobline"
+	"tarragonhollow.example/tarragonhollow/jobline"
 )
 
 func TestJobline(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "core/jobline")
+	RunSpecs(t, "jobline")
 }
 
 var _ = DescribeTable("a refused line names its number and what is wrong",
