--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -26,6 +26,8 @@
 	// daemon wait, except those of new jobs: that daemon may live and finish them.
 	// It learns of its loss within a renewal, and then says what it still runs.
 	takeoverWait = renewEvery + 300*time.Millisecond
+	// tellEvery is the pace of the lines on what waits.
+	tellEvery = time.Second
 	// giveUpSlack is added to the time after which an item may be given up: the
 	// clocks of hosts differ by seconds.
 	giveUpSlack = 5 * time.Second
@@ -88,6 +90,8 @@
 	progress map[itemKey]*progress
 	stopping bool
 	meter    *meter
+	// told is when it was last logged what waits.
+	told time.Time
 	// pacers hold, by group, how many items may start.
 	pacers map[string]*pacer
 }
@@ -160,6 +164,25 @@
 	for i := range waiting {
 		r.start(ctx, &waiting[i], left)
 	}
+	r.tell(waiting)
+}
+
+// tell writes what batch waits for, now and then while it waits.
+func (r *runner) tell(waiting []candidate) {
+	if len(waiting) == 0 || time.Since(r.told) < tellEvery {
+		return
+	}
+	r.told = time.Now()
+	r.mu.Lock()
+	active := len(r.active)
+	r.mu.Unlock()
+	first := waiting[0]
+	free := 0
+	if first.route != nil {
+		free = r.jobs.Places.Free(first.route.Groups[0].Group, r.jobs.Headroom)
+	}
+	r.jobs.Logger.Info("batch_waits", zap.Int("waiting", len(waiting)), zap.Int("running", active), zap.Int("free_places", free),
+		zap.String("first_job", first.key.job), zap.Int64("first_due_in_ms", time.Until(first.due).Milliseconds()))
 }
 
 // tellHeld tells the other daemons which items still run here although their
