Add explain, and hold the operations page to the platform's code too

Cause: on-call engineers gather a request's lines over daemons by hand; the test of the page did not look at platform/ and callerconns/, and seven warnings were missing there.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -105,7 +105,7 @@
 		},
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(a.serveCommand(), a.frontCommand(), a.tryCommand(), a.settingsCommand(), a.configCommand(), a.jobCommand(),
+	root.AddCommand(a.serveCommand(), a.frontCommand(), a.explainCommand(), a.tryCommand(), a.settingsCommand(), a.configCommand(), a.jobCommand(),
 		a.statusCommand(), a.reportCommand(), a.logLevelCommand(), a.drainCommand())
 	return root
 }
--- /dev/null
+++ b/cli/explain_test.go
@@ -0,0 +1,63 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/cli"
+)
+
+var _ = Describe("explain", func() {
+	const (
+		first  = "ts=2026-01-01T00:00:01.000Z level=info event=job_submitted host=a job=j1 outcome=accepted"
+		second = "ts=2026-01-01T00:00:02.000Z level=info event=item_ended host=b job=j1 id=x succeeded=true"
+		other  = "ts=2026-01-01T00:00:01.500Z level=info event=request host=a id=j12 outcome=served"
+	)
+	run := func(in string, args ...string) (int, string, string) {
+		var out, err bytes.Buffer
+		code := cli.ExecuteOn(context.Background(), cli.Programs{}, append([]string{"explain"}, args...),
+			cli.Streams{In: strings.NewReader(in), Out: &out, Err: &err})
+		return code, out.String(), err.String()
+	}
+
+	It("prints a story over several daemons' files in order of time", func() {
+		dir := GinkgoT().TempDir()
+		a, b := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+		Expect(os.WriteFile(b, []byte(second+"\n"), 0o600)).To(Succeed())
+		Expect(os.WriteFile(a, []byte(other+"\n"+first+"\n"), 0o600)).To(Succeed())
+		code, out, _ := run("", "j1", b, a)
+		Expect(code).To(Equal(cli.ExitOK))
+		Expect(out).To(Equal(first + "\n" + second + "\n"))
+	})
+
+	It("reads standard input and takes no part of a value for the whole", func() {
+		code, out, _ := run(other+"\n"+second+"\n", "j12")
+		Expect(code).To(Equal(cli.ExitOK))
+		Expect(out).To(Equal(other + "\n"))
+	})
+
+	It("says so when nobody knows the ID, and when a file can't be read", func() {
+		code, out, err := run(first, "nobody")
+		Expect(code).To(Equal(cli.ExitFailed))
+		Expect(out).To(BeEmpty())
+		Expect(err).To(ContainSubstring(`no line has a field with the value "nobody"`))
+		code, _, _ = run("", "x", filepath.Join(GinkgoT().TempDir(), "none.log"))
+		Expect(code).To(Equal(cli.ExitUsage))
+	})
+
+	It("checks the settings of front without a server", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "f.ini")
+		Expect(os.WriteFile(path, []byte("[host]\nname = a\n"), 0o600)).To(Succeed())
+		var out, err bytes.Buffer
+		code := cli.ExecuteOn(context.Background(), cli.Programs{}, []string{"front", "--check", "--settings", path},
+			cli.Streams{In: strings.NewReader(""), Out: &out, Err: &err})
+		Expect(code).To(Equal(cli.ExitUsage))
+		Expect(err.String()).To(ContainSubstring("[log_service] partitions: missing key"))
+	})
+})
--- a/cli/operations_test.go
+++ b/cli/operations_test.go
@@ -14,7 +14,7 @@
 // sources returns the text of all packages that run in a daemon.
 func sources() string {
 	var all strings.Builder
-	for _, dir := range []string{"api", "daemon", "peer", "logging"} {
+	for _, dir := range []string{"api", "daemon", "peer", "logging", "platform", "callerconns"} {
 		Expect(filepath.WalkDir(filepath.Join("..", dir), func(path string, entry fs.DirEntry, err error) error {
 			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
