--- a/daemon/configsync/loops.go
+++ b/daemon/configsync/loops.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/configlog"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern"
 )
 
@@ -49,7 +50,7 @@
 			s.opt.Logger.Warn("config_stream_unreadable", zap.Error(err))
 		}
 		backoff = min(max(2*backoff, firstReadBackoff), maxReadBackoff)
-		pause(ctx, backoff)
+		duty.Pause(ctx, backoff)
 	}
 }
 
@@ -209,13 +210,3 @@
 	s.meter.restates.Inc()
 	s.opt.Logger.Info("config_restated", zap.Uint64("version", state.Version), zap.Int64("through", state.Through))
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/daemon/configsync/publish.go
+++ b/daemon/configsync/publish.go
@@ -11,6 +11,7 @@
 	"tarragonhollow.example/tarragonhollow/api"
 	"tarragonhollow.example/tarragonhollow/core/configlog"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern"
 )
 
@@ -166,7 +167,7 @@
 		if err == nil {
 			return s.readBack(ctx, offset)
 		}
-		pause(ctx, withdrawPause)
+		duty.Pause(ctx, withdrawPause)
 	}
 	s.withdrawLater(change)
 	return state, unknown("the log's answer was lost and could not be looked for")
@@ -216,7 +217,7 @@
 			s.opt.Logger.Info("config_change_withdrawn", zap.String("change", change.ID))
 			return
 		}
-		pause(ctx, laterPause)
+		duty.Pause(ctx, laterPause)
 	}
 }
 
--- a/daemon/front/callers.go
+++ b/daemon/front/callers.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/callerconns"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
 const (
@@ -105,7 +106,7 @@
 		close(drained)
 	}()
 	n.hosts.leave(ctx)
-	wait(ctx, leaveRotation-time.Since(began))
+	duty.Pause(ctx, leaveRotation-time.Since(began))
 	if err := n.callers.listener.CloseQuietly(ctx, leaveRotation); err != nil {
 		n.Logger.Info("queued_connections_reset", zap.Error(err))
 	}
@@ -118,12 +119,3 @@
 	}
 	n.Logger.Info("stopped", zap.Float64("seconds", time.Since(began).Seconds()))
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(max(0, d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
@@ -60,7 +61,7 @@
 			return
 		}
 		h.logger.Info("not_announced", zap.Error(err))
-		wait(ctx, announcePause)
+		duty.Pause(ctx, announcePause)
 	}
 }
 
--- a/daemon/jobs/bodies.go
+++ b/daemon/jobs/bodies.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
 
@@ -68,7 +69,7 @@
 		if err == nil {
 			return nil
 		}
-		if attempt == putAttempts || !pause(ctx, unsettledPause) {
+		if attempt == putAttempts || !duty.Pause(ctx, unsettledPause) {
 			// Bodies alone accept nothing, whether they arrived or not.
 			return partlog.Unavailable.Wrap(err, "the bodies could not be kept")
 		}
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -285,23 +285,12 @@
 		if !unsettled {
 			return err
 		}
-		if !pause(ctx, unsettledPause) {
+		if !duty.Pause(ctx, unsettledPause) {
 			return partlog.Unknown.Wrap(err, "the append at %d is not settled", at)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (j *Jobs) applyOwn(c *cursor, offset int64, records []partlog.Record) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/daemon/jobs/membership.go
+++ b/daemon/jobs/membership.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
 
@@ -40,7 +41,7 @@
 			forgot = time.Now()
 			r.forget(ctx)
 		}
-		if !pause(ctx, renewEvery) {
+		if !duty.Pause(ctx, renewEvery) {
 			return
 		}
 	}
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -14,6 +14,7 @@
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
 const (
@@ -145,7 +146,7 @@
 		case <-idle.C:
 		}
 		r.step(ctx)
-		if !pause(ctx, stepPause) {
+		if !duty.Pause(ctx, stepPause) {
 			return
 		}
 	}
@@ -424,7 +425,7 @@
 	case <-ended:
 	case <-ctx.Done():
 	}
-	for !j.written() && pause(ctx, stepPause) {
+	for !j.written() && duty.Pause(ctx, stepPause) {
 	}
 }
 
--- a/daemon/jobs/writer.go
+++ b/daemon/jobs/writer.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
 
@@ -68,13 +69,13 @@
 			return
 		case <-w.wakes:
 		}
-		if !pause(ctx, gatherResults) {
+		if !duty.Pause(ctx, gatherResults) {
 			return
 		}
 		for !w.empty() && ctx.Err() == nil {
 			if err := w.write(ctx); err != nil {
 				w.jobs.Logger.Info("results_not_written", zap.Int("part", w.cursor.partition.Part), zap.Error(err))
-				pause(ctx, writePause)
+				duty.Pause(ctx, writePause)
 			}
 		}
 	}
--- a/daemon/online/events.go
+++ b/daemon/online/events.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
 const (
@@ -28,7 +29,7 @@
 	after := map[string]int64{}
 	for {
 		period := max(eventsMin, time.Duration(len(o.opt.View.Members()))*eventsPerDaemon)
-		if !pause(ctx, period) {
+		if !duty.Pause(ctx, period) {
 			return
 		}
 		o.readEvents(ctx, after)
--- a/daemon/online/finish.go
+++ b/daemon/online/finish.go
@@ -144,7 +144,7 @@
 		f.waiting.Add(-1)
 		return
 	}
-	if !pause(ctx, finishBackoff) {
+	if !duty.Pause(ctx, finishBackoff) {
 		return
 	}
 	if !f.ring.Offer(e) {
--- a/daemon/online/keyed.go
+++ b/daemon/online/keyed.go
@@ -12,6 +12,7 @@
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/retry"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
 const (
@@ -164,7 +165,7 @@
 			return reply, refusal
 		}
 		if err != nil {
-			pause(ctx, beginBackoff)
+			duty.Pause(ctx, beginBackoff)
 		}
 	}
 }
--- a/daemon/online/online.go
+++ b/daemon/online/online.go
@@ -83,30 +83,18 @@
 func (o *Online) Drain(ctx context.Context) {
 	o.draining.Store(true)
 	for o.InFlight() > 0 || o.finish.pending() > 0 {
-		if !pause(ctx, drainPoll) {
+		if !duty.Pause(ctx, drainPoll) {
 			return
 		}
 	}
 }
 
-// pause waits and tells whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // refreshLoop keeps the groups in step with the configuration and the targets'
 // leaving marks.
 func (o *Online) refreshLoop(ctx context.Context) {
 	for {
 		o.refresh()
-		if !pause(ctx, refreshEvery) {
+		if !duty.Pause(ctx, refreshEvery) {
 			return
 		}
 	}
--- a/daemon/online/probe.go
+++ b/daemon/online/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
 const (
@@ -33,7 +34,7 @@
 // probeLoop probes the targets that are out, shortly before their hold ends, so
 // that callers' requests are not used up on dead ones.
 func (o *Online) probeLoop(ctx context.Context) {
-	for pause(ctx, probeEvery) {
+	for duty.Pause(ctx, probeEvery) {
 		o.mu.RLock()
 		groups := make([]*group, 0, len(o.groups))
 		for _, g := range o.groups {
--- a/daemon/online/run.go
+++ b/daemon/online/run.go
@@ -12,6 +12,7 @@
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/target"
 )
 
@@ -117,7 +118,7 @@
 		case !patient:
 			return choice, quarantineRefusal(r)
 		}
-		pause(ctx, placePause)
+		duty.Pause(ctx, placePause)
 		if refusal := o.mayRun(ctx, r); refusal != nil {
 			return choice, refusal
 		}
@@ -138,7 +139,7 @@
 	}
 	verdict := o.opt.Suspects.Verdict(r.call.Fingerprint)
 	for verdict == retry.Pending {
-		if !pause(ctx, settlePause) {
+		if !duty.Pause(ctx, settlePause) {
 			return o.stopped(ctx, r)
 		}
 		verdict = o.opt.Suspects.Verdict(r.call.Fingerprint)
@@ -251,7 +252,7 @@
 		zap.Int("attempt", r.attempts), zap.String("cause", failure.Error()),
 		zap.Int64("backoff_ms", decision.Backoff.Milliseconds()))
 	r.pick.SeedValue = rand.Uint64()
-	pause(ctx, decision.Backoff)
+	duty.Pause(ctx, decision.Backoff)
 	return nil
 }
 
@@ -270,7 +271,7 @@
 		if !decision.Undecided {
 			return decision, true
 		}
-		if !pause(ctx, decision.Backoff) {
+		if !duty.Pause(ctx, decision.Backoff) {
 			return decision, false
 		}
 	}
--- a/daemon/places/spread.go
+++ b/daemon/places/spread.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
 
@@ -83,7 +84,7 @@
 		case <-p.dirty:
 		}
 		near, far := p.split(peers())
-		if !sleep(ctx, gatherTime(len(near))) {
+		if !duty.Pause(ctx, gatherTime(len(near))) {
 			return
 		}
 		number++
@@ -135,14 +136,3 @@
 	defer p.mu.Unlock()
 	return board.Word{From: p.board.Self(), Number: number, Counts: p.board.Counts(), Held: p.held}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/daemon/relay/crashes.go
+++ b/daemon/relay/crashes.go
@@ -10,6 +10,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
@@ -141,7 +142,7 @@
 func (c *Crashes) Verdict(ctx context.Context, fingerprint string) retry.Verdict {
 	verdict := c.suspects.Verdict(fingerprint)
 	for range settleLimit {
-		if verdict != retry.Pending || !pause(ctx, settlePause) {
+		if verdict != retry.Pending || !duty.Pause(ctx, settlePause) {
 			break
 		}
 		verdict = c.suspects.Verdict(fingerprint)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -18,6 +18,7 @@
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
@@ -214,7 +215,7 @@
 		if decision.Refusal != nil {
 			return u.refuse(decision.Refusal), true
 		}
-		if !pause(ctx, decision.Backoff) {
+		if !duty.Pause(ctx, decision.Backoff) {
 			return u.outOfTime(ctx), true
 		}
 		if !decision.Undecided {
@@ -268,17 +269,6 @@
 	return u.refuse(refusal)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // end writes the request's line and counts it.
 func (r *Relay) end(request *Request, u *run, result Result) {
 	took := time.Since(request.Arrived)
--- a/daemon/shards/append.go
+++ b/daemon/shards/append.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/ledger"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern"
 )
 
@@ -29,7 +30,7 @@
 			continue
 		}
 		if !urgent && s.budget.Tokens() < urgentReserve {
-			pause(ctx, reserveWait)
+			duty.Pause(ctx, reserveWait)
 			continue
 		}
 		if s.budget.Wait(ctx) != nil {
@@ -50,7 +51,7 @@
 	_, next, err := s.bounds(ctx, sl)
 	if err != nil {
 		s.noteLog(false)
-		pause(ctx, pauseAfterError)
+		duty.Pause(ctx, pauseAfterError)
 		return true
 	}
 	sl.mu.Lock()
@@ -92,7 +93,7 @@
 	sl.mu.Unlock()
 	if err != nil {
 		s.opt.Logger.Error("shard_encode_failed", zap.Int("shard", sl.id), zap.Error(err))
-		pause(ctx, pauseAfterError)
+		duty.Pause(ctx, pauseAfterError)
 		return
 	}
 	if data == nil {
--- a/daemon/shards/client.go
+++ b/daemon/shards/client.go
@@ -8,6 +8,7 @@
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/shard"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
 
@@ -47,7 +48,7 @@
 		case ctx.Err() != nil || s.opt.Clock().After(giveUp):
 			return none, noOwner(reached)
 		}
-		pause(ctx, lookAgain)
+		duty.Pause(ctx, lookAgain)
 	}
 }
 
--- a/daemon/shards/hold.go
+++ b/daemon/shards/hold.go
@@ -9,6 +9,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/membership"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern"
 )
 
@@ -177,7 +178,7 @@
 		}
 		if err != nil {
 			s.readFailed(sl, owner, err)
-			pause(ctx, pauseAfterError)
+			duty.Pause(ctx, pauseAfterError)
 			continue
 		}
 		s.noteLog(true)
@@ -228,12 +229,3 @@
 	sl.poke()
 	return !owner.Lost()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/daemon/signal/sender.go
+++ b/daemon/signal/sender.go
@@ -186,24 +186,13 @@
 			s.send(ctx, true)
 		case <-s.wake:
 			s.send(ctx, false)
-			if !pause(ctx, s.opt.GroupEvery) {
+			if !duty.Pause(ctx, s.opt.GroupEvery) {
 				return
 			}
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // send delivers what changed (or, at a refresh, all that counts), one signal
 // for each steward. One delivery per steward is in flight at a time: while one
 // is, its targets stay dirty and go out, with their newest counts, after it.
--- a/daemon/suspects/suspects.go
+++ b/daemon/suspects/suspects.go
@@ -319,7 +319,7 @@
 // started, and now and then what it was told in vain.
 func (t *Tracker) pullLoop(ctx context.Context) {
 	wait := pullEvery
-	for pause(ctx, wait) {
+	for duty.Pause(ctx, wait) {
 		self := t.opt.View.Self()
 		others := t.opt.View.Members()
 		others = others[:without(others, self.Host)]
@@ -348,24 +348,13 @@
 }
 
 func (t *Tracker) expireLoop(ctx context.Context) {
-	for pause(ctx, expireEvery) {
+	for duty.Pause(ctx, expireEvery) {
 		t.mu.Lock()
 		t.core.Expire(t.opt.Clock().UnixMilli())
 		t.mu.Unlock()
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // service is the net/rpc face of a Tracker.
 type service struct {
 	tracker *Tracker
