End an item as errored whose output the log can't hold

Cause: found by reading: a result above a record's size would be refused each time and hold up all results of its partition for ever. Change: it ends as errored, with a line; a spec that hung before. Ruled out: splitting it over records: outputs of the users' kinds are at most some 150 KB (pieces times their largest size).

--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -437,6 +437,23 @@
 		Entry("the target fails each time", 500, 2),
 	)
 
+	// One item's output is longer than a record of the log. Written again and
+	// again it would hold up every result of its partition for ever.
+	It("ends an item as errored whose output the log can't hold, and goes on with the others", func() {
+		script = func(r *rawtarget.Request, c net.Conn) {
+			if id := r.Header.Get("Id"); id == "j-0" {
+				rawtarget.Write(c, head(id)+rawtarget.Chunk(rawtarget.Event(0, strings.Repeat("x", fakepartlog.MaxRecordBytes)))+rawtarget.LastChunk)
+				return
+			}
+			answer(r, c)
+		}
+		a := alone()
+		Expect(submit(a, submission("j", 3))).To(BeNil())
+		for _, r := range all(a, "j") {
+			Expect(r.State == batch.Errored).To(Equal(r.ID == "j-0"), r.ID)
+		}
+	})
+
 	It("stops an ended job's items, at the daemon that runs them too", func() {
 		script = func(*rawtarget.Request, net.Conn) {}
 		a, _ := daemon("a", log)
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -394,6 +394,9 @@
 
 // finish queues the item's result and drops what was kept of it.
 func (r *runner) finish(c *candidate, state batch.State, output, cause string) {
+	if len(output) > maxRecordBytes {
+		cause = "the output is longer than a record of the log"
+	}
 	r.jobs.Logger.Info("item_ended", zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.Int("item", c.key.item),
 		zap.Bool("succeeded", state == batch.Succeeded), zap.String("cause", cause), zap.Int64("age_ms", c.age.Milliseconds()))
 	r.meter.finished(state)
--- a/daemon/jobs/writer.go
+++ b/daemon/jobs/writer.go
@@ -20,6 +20,9 @@
 	writePause = 200 * time.Millisecond
 	// settleTime bounds one try to settle an append.
 	settleTime = 5 * time.Second
+	// maxRecordBytes bounds one result; the log's records hold 256 KiB with their
+	// key.
+	maxRecordBytes = 255 << 10
 	// maxResultBytes bounds the results of one append.
 	maxResultBytes = 1 << 20
 )
@@ -126,7 +129,7 @@
 	var records []partlog.Record
 	size := 0
 	for i, e := range open {
-		value, err := batch.Encode(e.result)
+		value, err := encodeResult(e.result)
 		if err != nil {
 			return 0, nil, nil, err
 		}
@@ -138,6 +141,17 @@
 	return at, open[:len(records)], records, nil
 }
 
+// encodeResult returns the result's record. One that the log can't hold ends as
+// errored: written as it is, it would be refused again and again, and hold up
+// every result behind it.
+func encodeResult(r batch.Result) ([]byte, error) {
+	value, err := batch.Encode(r)
+	if err != nil || len(value) <= maxRecordBytes {
+		return value, err
+	}
+	return batch.Encode(batch.Result{Item: r.Item, ID: r.ID, State: batch.Errored})
+}
+
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/extern/partlog/fakepartlog/fakepartlog.go
+++ b/extern/partlog/fakepartlog/fakepartlog.go
@@ -13,6 +13,9 @@
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
 
+// MaxRecordBytes is the longest record that the log takes.
+const MaxRecordBytes = 256 << 10
+
 // Log implements partlog.Log and partlog.Groups.
 type Log struct {
 	mu     sync.Mutex
@@ -131,6 +134,11 @@
 }
 
 func (l *Log) execute(p partlog.Partition, records []partlog.Record, at int64) (int64, error) {
+	for _, r := range records {
+		if len(r.Key)+len(r.Value) > MaxRecordBytes {
+			return 0, partlog.Invalid.New("a record of %d bytes", len(r.Value))
+		}
+	}
 	to := l.part(p)
 	offset := to.end()
 	if at != partlog.Anywhere && at != offset {
