--- a/core/board/board.go
+++ b/core/board/board.go
@@ -66,9 +66,6 @@
 	b.own[target] = c
 }
 
-// Own returns the own counts at a target.
-func (b *Board) Own(target string) Count { return b.own[target] }
-
 // Counts returns a copy of all own counts.
 func (b *Board) Counts() map[string]Count {
 	counts := make(map[string]Count, len(b.own))
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -52,8 +52,6 @@
 	GapObjective time.Duration
 	// MaxAttempts bounds the targets that one request may run on.
 	MaxAttempts int
-	// Priority is the rank, 0 the most urgent.
-	Priority int
 	// Groups are the target groups by weight; never empty.
 	Groups []Share
 	// Due is how long after its acceptance a job is to be done.
@@ -89,47 +87,25 @@
 	return r.Groups[0].Group
 }
 
-// Allows tells whether the route sends requests to the group now.
-func (r *Route) Allows(group string) bool {
-	return slices.ContainsFunc(r.Groups, func(s Share) bool { return s.Group == group && s.Weight > 0 })
-}
-
-// Group is a target group.
-type Group struct {
-	Name string
-	// HealthPath answers 200 while a target is healthy.
-	HealthPath string
-	// MaxConns bounds the connections of all daemons to one target.
-	MaxConns int
-	// Slots is how many requests a target runs at once; 0 is unknown.
-	Slots int
-	// MemoryTokens is what a model engine's memory holds; 0 is unknown.
-	MemoryTokens int64
-}
-
 // Limits bound what a caller may send.
 type Limits struct {
+	// MaxHeaderBytes bounds the names and values of the headers together, 0 is
+	// no bound; MaxBodyBytes bounds the body.
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
 }
 
 // Table is one version of the routes. It does not change.
 type Table struct {
 	Version int64
 	Limits  Limits
-	groups  map[string]Group
 	hosts   map[string][]*Route
 }
 
 // NewTable returns a table. Of two routes with the same host and prefix the
 // first one counts.
-func NewTable(version int64, routes []Route, groups []Group, limits Limits) *Table {
-	t := &Table{Version: version, Limits: limits, groups: map[string]Group{}, hosts: map[string][]*Route{}}
-	for _, g := range groups {
-		t.groups[g.Name] = g
-	}
+func NewTable(version int64, routes []Route, limits Limits) *Table {
+	t := &Table{Version: version, Limits: limits, hosts: map[string][]*Route{}}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
 		t.hosts[host] = append(t.hosts[host], &routes[i])
@@ -152,14 +128,6 @@
 	return nil
 }
 
-// Group returns a target group; an unknown one has only its name.
-func (t *Table) Group(name string) Group {
-	if g, ok := t.groups[name]; ok {
-		return g
-	}
-	return Group{Name: name}
-}
-
 // Used returns the names of the groups that routes send requests to, sorted.
 func (t *Table) Used() []string {
 	var names []string
@@ -175,13 +143,3 @@
 	slices.Sort(names)
 	return slices.Compact(names)
 }
-
-// Groups returns all target groups, sorted by name.
-func (t *Table) Groups() []Group {
-	list := make([]Group, 0, len(t.groups))
-	for _, g := range t.groups {
-		list = append(list, g)
-	}
-	slices.SortFunc(list, func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
-	return list
-}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -19,7 +19,7 @@
 		{Name: "short", Host: "A.example", Prefix: "/x/"},
 		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "b.example", Prefix: "/x/"},
-	}, []route.Group{{Name: "g", Slots: 8}}, route.Limits{})
+	}, route.Limits{})
 
 	DescribeTable("matches the longest prefix of the host",
 		func(host, path, name string) {
@@ -53,7 +53,7 @@
 		used := route.NewTable(1, []route.Route{
 			{Host: "a", Prefix: "/", Groups: []route.Share{{Group: "y", Weight: 1}, {Group: "off", Weight: 0}}},
 			{Host: "b", Prefix: "/", Groups: []route.Share{{Group: "x", Weight: 2}, {Group: "y", Weight: 1}}},
-		}, nil, route.Limits{})
+		}, route.Limits{})
 		Expect(used.Used()).To(Equal([]string{"x", "y"}))
 	})
 
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -138,9 +138,6 @@
 	return true
 }
 
-// Stopping tells whether the daemon is being stopped.
-func (n *Node) Stopping() bool { return n.stopping.Load() }
-
 // Run starts the duties of the parts.
 func (n *Node) Run(group *duty.Group) error {
 	listener, err := net.Listen("tcp", n.Settings.PeerAddress)
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -21,7 +21,7 @@
 }
 
 func table(version int64) *route.Table {
-	return route.NewTable(version, []route.Route{{Host: "h", Prefix: "/", Groups: []route.Share{{Group: "g", Weight: 1}}}}, nil, route.Limits{})
+	return route.NewTable(version, []route.Route{{Host: "h", Prefix: "/", Groups: []route.Share{{Group: "g", Weight: 1}}}}, route.Limits{})
 }
 
 var _ = Describe("A daemon", func() {
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -121,7 +121,7 @@
 		log = fakepartlog.New(4)
 		peers = &fakePeers{daemons: map[string]reader{}}
 		script = answer
-		table = route.NewTable(1, []route.Route{batchRoute(0)}, nil, route.Limits{})
+		table = route.NewTable(1, []route.Route{batchRoute(0)}, route.Limits{})
 		var err error
 		target, err = rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { script(r, c) })
 		Expect(err).NotTo(HaveOccurred())
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -169,14 +169,6 @@
 	return g != nil && len(g.targets) > 0
 }
 
-// Target returns a usable target.
-func (p *Places) Target(id string) (roster.Target, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t, ok := p.byID[id]
-	return t, ok
-}
-
 // Ask is what the choice for an online request depends on.
 type Ask struct {
 	Group string
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -32,8 +32,8 @@
 	gapFactor  = 1.5
 	leastGap   = 300 * time.Millisecond
 	longestGap = 800 * time.Millisecond
-	// queueShare and longestQueue bound the expected wait in front of a target
-	// with which a request is still taken; see queuePatience.
+	// longestQueue bounds the expected wait in front of a target with which a
+	// request is still taken: callers leave a stream that is silent for 2 s.
 	longestQueue = time.Second
 	// maxBuffered bounds an answer that is read whole before it is passed on.
 	maxBuffered = 16 << 20
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -222,9 +222,6 @@
 	return n, err
 }
 
-// Framed tells whether the answer's length was told or it came in chunks.
-func (a *Answer) Framed() bool { return a.reusable }
-
 // Close ends the exchange. The connection is kept only if the answer was read
 // to its end, the request was sent to its end and nothing lies behind the
 // answer: bytes there belong to no request. Otherwise it is closed, which ends
