Keep a request to one target group, and a run to its first reason

Cause: found by reading: a stream that goes on could be sent to another group of a split route; two cancellations of one run wrote its reason while it was read; a branch in the last answer could not be reached. Change: the group is drawn once a request; the first reason counts; the branch goes.

--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -72,9 +72,12 @@
 	reason string
 }
 
-// stop ends the run.
+// stop ends the run. The first reason counts; it must not change while the run
+// reads it.
 func (r *running) stop(reason string) {
-	r.reason = reason
+	if r.reason == "" {
+		r.reason = reason
+	}
 	r.cancel()
 }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -136,6 +136,7 @@
 	alone       bool
 	// runs counts the attempts that may have run, refusals the others.
 	runs, refusals int
+	groupName      string
 	lastTarget     roster.Target
 	firstByte      time.Duration
 	cause          string
@@ -192,8 +193,14 @@
 	return ended
 }
 
-// group picks the target group of the next attempt.
-func (u *run) group() string { return u.request.Route.Pick(rand.Float64()) }
+// group is the target group of all attempts: a stream that began at one goes on
+// there.
+func (u *run) group() string {
+	if u.groupName == "" {
+		u.groupName = u.request.Route.Pick(rand.Float64())
+	}
+	return u.groupName
+}
 
 // next decides what follows a failed attempt.
 func (u *run) next(ctx context.Context, target roster.Target, failed attempt) (Result, bool) {
@@ -263,9 +270,6 @@
 		return Result{Left: true, Aborted: u.out.begun}
 	}
 	refusal := outcome.Refuse(outcome.DeadlineExceeded, "no answer within %s", u.request.Deadline.Sub(u.request.Arrived))
-	if u.runs == 0 && u.refusals == 0 {
-		refusal = refusal.WithRun(outcome.MayHaveRun)
-	}
 	return u.refuse(refusal)
 }
 
