Keep jobs some seconds longer than they must be readable

Cause: found by reading: an acceptance is stamped by one host's clock and judged by another's; clocks jump by seconds, so a job could go too early. Change: 15 s of slack.

--- a/daemon/jobs/membership.go
+++ b/daemon/jobs/membership.go
@@ -21,6 +21,9 @@
 	renewEvery = 800 * time.Millisecond
 	// forgetEvery is the pace at which old jobs are looked for.
 	forgetEvery = 10 * time.Second
+	// forgetSlack is added to the time for which a job can be read: the clock that
+	// stamped its acceptance may differ from this one, and clocks jump by seconds.
+	forgetSlack = 15 * time.Second
 )
 
 // join keeps the membership and takes what it holds.
@@ -127,7 +130,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var mine []string
-	for _, id := range r.jobs.book.Forgettable(time.Now(), r.jobs.KeepFor) {
+	for _, id := range r.jobs.book.Forgettable(time.Now(), r.jobs.KeepFor+forgetSlack) {
 		if _, held := r.owned[r.jobs.part(id)]; held {
 			mine = append(mine, id)
 		}
