--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -119,23 +119,23 @@
 	defer answer.Close()
 	switch r.jobs.Wire.Judge(answer.Status, answer.Header) {
 	case relay.TurnedAway:
-		discard(answer)
+		answer.Drain(afterFailure)
 		return runEnd{cause: "turned away", delay: afterBusy, health: routing.Neutral}
 	case relay.Elsewhere:
-		discard(answer)
+		answer.Drain(afterFailure)
 		return runEnd{cause: "another target has the address", delay: afterBusy, health: routing.HardFailed}
 	}
 	switch {
 	case answer.Status == http.StatusOK:
 		return gather(answer, p)
 	case answer.Status == http.StatusUnprocessableEntity:
-		discard(answer)
+		answer.Drain(afterFailure)
 		return runEnd{never: true, cause: "the target can't do it", health: routing.Succeeded}
 	case answer.Status == http.StatusInternalServerError:
-		discard(answer)
+		answer.Drain(afterFailure)
 		return runEnd{failed: true, cause: "the target failed", delay: afterFailure, health: routing.SoftFailed}
 	default:
-		discard(answer)
+		answer.Drain(afterFailure)
 		return runEnd{cause: http.StatusText(answer.Status), delay: afterFailure, health: routing.SoftFailed}
 	}
 }
@@ -207,15 +207,6 @@
 	}
 }
 
-func discard(answer *h1.Answer) {
-	buffer := make([]byte, itemReadSize)
-	for {
-		if _, err := answer.Read(buffer, afterFailure); err != nil {
-			return
-		}
-	}
-}
-
 func itemHeader(list []batch.Header) http.Header {
 	header := http.Header{}
 	for _, h := range list {
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -97,10 +97,10 @@
 	defer answer.Close()
 	switch u.relay.Wire.Judge(answer.Status, answer.Header) {
 	case TurnedAway:
-		drain(answer)
+		answer.Drain(leastGap)
 		return attempt{busy: true, detail: "turned away by " + t.ID, health: routing.Neutral}
 	case Elsewhere:
-		drain(answer)
+		answer.Drain(leastGap)
 		return attempt{detail: t.ID + " is no longer at its address", health: routing.HardFailed}
 	}
 	if u.request.Route.Kind == route.Stream && answer.Status == http.StatusOK {
@@ -127,16 +127,6 @@
 	return a
 }
 
-// drain reads the short body of a refusal, so that the connection can be kept.
-func drain(answer *h1.Answer) {
-	buffer := make([]byte, readSize)
-	for {
-		if _, err := answer.Read(buffer, leastGap); err != nil {
-			return
-		}
-	}
-}
-
 // whole reads the answer to its end before it is passed on, so that one that
 // breaks off can be asked for again or told as broken.
 func (u *run) whole(ctx context.Context, t roster.Target, answer *h1.Answer) attempt {
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -222,6 +222,20 @@
 	return n, err
 }
 
+// drainSize is the most that Drain reads at once.
+const drainSize = 4 << 10
+
+// Drain reads the short body of a refusal to its end, so that the connection can
+// be kept.
+func (a *Answer) Drain(patience time.Duration) {
+	buffer := make([]byte, drainSize)
+	for {
+		if _, err := a.Read(buffer, patience); err != nil {
+			return
+		}
+	}
+}
+
 // Close ends the exchange. The connection is kept only if the answer was read
 // to its end, the request was sent to its end and nothing lies behind the
 // answer: bytes there belong to no request. Otherwise it is closed, which ends
