Write the answer and the stray behind it at once in a spec

The spec took the late case for the one it tells of. Ruled out: a wrong answer: 'for 2' was read. Change: one write, so that the stray always lies behind the answer; the check stays as it was.

--- a/target/h1/h1_test.go
+++ b/target/h1/h1_test.go
@@ -95,8 +95,9 @@
 	// a caller would get another caller's answer.
 	It("does not keep a connection behind whose answer more bytes lie", func() {
 		t := start(func(r *rawtarget.Request, c net.Conn) {
-			echo(r, c)
-			rawtarget.Write(c, rawtarget.Whole(200, "stray", "Id: "+r.Header.Get("Id")))
+			id := r.Header.Get("Id")
+			// In one write: behind the answer, not late.
+			rawtarget.Write(c, rawtarget.Whole(200, "for "+id, "Id: "+id)+rawtarget.Whole(200, "stray", "Id: "+id))
 		})
 		Expect(exchange(t, "1")).To(Equal("for 1"))
 		Expect(exchange(t, "2")).To(Equal("for 2"))
