Never call a job not accepted when its own append may be the conflict

An acceptance's append takes effect and its answer is lost; sent again it conflicts with itself; if the read that would show it then fails, the caller was told 503, not run, though the job may be accepted. The same after the last of the tries that others came before. Ruled out: the results' writer: it looks at the book before each append. Change: appendAt tells whether a conflict may be its own doing; the refusal then says may have run (504); after the last try the book is looked at again.

--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -89,35 +89,32 @@
 		return logOut(err)
 	}
 	records := []partlog.Record{{Key: batch.AcceptedKey(s.ID), Value: value}}
-	sent := false
 	for range contention {
 		at := j.accepted.Position()
-		known, refusal := j.lookAtAll(ctx, record, r)
-		if known || refusal != nil {
-			return whetherSent(refusal, sent)
+		if known, refusal := j.lookAtAll(ctx, record, r); known || refusal != nil {
+			return refusal
 		}
-		err := j.appendAt(ctx, j.accepted, at, records)
+		unsettled, err := j.appendAt(ctx, j.accepted, at, records)
 		if err == nil {
 			return nil
 		}
-		sent = sent || partlog.IsUnknown(err)
 		if !partlog.IsConflict(err) {
-			return whetherSent(logOut(err), sent)
+			return logOut(err)
 		}
 		if err := j.catchUp(ctx, j.accepted); err != nil {
-			return whetherSent(logOut(err), sent)
+			return whetherSent(logOut(err), unsettled)
 		}
-		// The conflict and everything before it was read: an append of ours that
-		// got no answer has either taken effect or never will.
-		sent = false
+	}
+	if known, refusal := j.lookAtAll(ctx, record, r); known || refusal != nil {
+		return refusal
 	}
 	return logOut(partlog.Conflict.New("others kept coming first"))
 }
 
-// whetherSent keeps a refusal true: an acceptance without an answer may still
-// take effect.
-func whetherSent(refusal *outcome.Refusal, sent bool) *outcome.Refusal {
-	if refusal == nil || !sent {
+// whetherSent keeps a refusal true: an acceptance without an answer may have
+// taken effect.
+func whetherSent(refusal *outcome.Refusal, unsettled bool) *outcome.Refusal {
+	if !unsettled {
 		return refusal
 	}
 	return refusal.WithRun(outcome.MayHaveRun)
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -264,18 +264,18 @@
 // An append without an answer may have taken effect, or may do so seconds
 // later. It is settled by sending the same records with the same demand again:
 // only one of the two can take effect, and a conflict then means that the
-// partition has moved on, so that catching up shows whether the first one did
-// it. Only if ctx ends before that is the error Unknown.
-func (j *Jobs) appendAt(ctx context.Context, c *cursor, at int64, records []partlog.Record) error {
-	unsettled := false
+// partition has moved on. unsettled tells that the conflict may be the first
+// one's own doing, which only catching up shows. If ctx ends before a conflict
+// or an answer comes, the error is Unknown.
+func (j *Jobs) appendAt(ctx context.Context, c *cursor, at int64, records []partlog.Record) (unsettled bool, err error) {
 	for {
 		offset, err := j.Log.Append(ctx, c.partition, records, at)
 		if err == nil {
 			j.applyOwn(c, offset, records)
-			return nil
+			return false, nil
 		}
 		if partlog.IsConflict(err) {
-			return err
+			return unsettled, err
 		}
 		if partlog.IsUnknown(err) && !unsettled {
 			unsettled = true
@@ -283,10 +283,10 @@
 				zap.Int64("at", at), zap.Error(err))
 		}
 		if !unsettled {
-			return err
+			return false, err
 		}
 		if !duty.Pause(ctx, unsettledPause) {
-			return partlog.Unknown.Wrap(err, "the append at %d is not settled", at)
+			return true, partlog.Unknown.Wrap(err, "the append at %d is not settled", at)
 		}
 	}
 }
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -300,6 +300,21 @@
 		Expect(acceptances()).To(Equal(1))
 	})
 
+	// The append took effect and its answer was lost; sent again it conflicts with
+	// itself, and the read that would show it fails. The job is accepted: "not
+	// run" would make the client give it up while its items run.
+	It("does not say that a job was not accepted when it can't read what its own append did", func() {
+		a := alone()
+		log.LoseAnswers(1)
+		log.SetReadsDown(true)
+		refusal := submit(a, bare("j"))
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Run).To(Equal(outcome.MayHaveRun))
+		log.SetReadsDown(false)
+		Expect(submit(a, bare("j"))).To(BeNil())
+		Expect(acceptances()).To(Equal(1))
+	})
+
 	It("refuses at once and truly while the log is out, and says of no job that it does not exist", func() {
 		a := alone()
 		log.SetDown(true)
--- a/daemon/jobs/writer.go
+++ b/daemon/jobs/writer.go
@@ -92,7 +92,8 @@
 	if err != nil || len(head) == 0 {
 		return err
 	}
-	err = w.jobs.appendAt(ctx, w.cursor, at, records)
+	// What an append without an answer did is seen before the next one.
+	_, err = w.jobs.appendAt(ctx, w.cursor, at, records)
 	if partlog.IsConflict(err) {
 		return w.jobs.catchUp(ctx, w.cursor)
 	}
--- a/extern/partlog/fakepartlog/fakepartlog.go
+++ b/extern/partlog/fakepartlog/fakepartlog.go
@@ -26,10 +26,12 @@
 	news  chan struct{}
 
 	down bool
-	deaf bool
-	lose int
-	late int
-	held []func()
+	// readsDown makes reads fail while appends are served.
+	readsDown bool
+	deaf      bool
+	lose      int
+	late      int
+	held      []func()
 	// appends counts the appends that were executed.
 	appends int
 }
@@ -59,6 +61,9 @@
 // SetDown makes every call fail with nothing done.
 func (l *Log) SetDown(down bool) { l.set(func() { l.down = down }) }
 
+// SetReadsDown makes reads of records fail while appends are served.
+func (l *Log) SetReadsDown(down bool) { l.set(func() { l.readsDown = down }) }
+
 // SetDeaf makes waiting reads hear nothing of new records.
 func (l *Log) SetDeaf(deaf bool) { l.set(func() { l.deaf = deaf }) }
 
@@ -181,7 +186,7 @@
 func (l *Log) read(p partlog.Partition, from int64) (partlog.Page, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.down {
+	if l.down || l.readsDown {
 		return partlog.Page{}, nil, partlog.Unavailable.New("down")
 	}
 	at := l.part(p)
