--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 
-	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 	"tarragonhollow.example/tarragonhollow/target/sse"
 )
@@ -30,7 +29,6 @@
 // delivery is the answer as the caller gets it.
 type delivery struct {
 	w     http.ResponseWriter
-	route *route.Route
 	begun bool
 	// status is the answer's, 0 before it.
 	status int
@@ -46,8 +44,8 @@
 	body   []byte
 }
 
-func newDelivery(w http.ResponseWriter, r *route.Route) *delivery {
-	return &delivery{w: w, route: r, lastEvent: NoEvent}
+func newDelivery(w http.ResponseWriter) *delivery {
+	return &delivery{w: w, lastEvent: NoEvent}
 }
 
 // begin sends the head of the first target that answers; a stream that goes on
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -107,7 +107,7 @@
 	r.mu.Lock()
 	r.budget.First()
 	r.mu.Unlock()
-	run := &run{relay: r, request: request, out: newDelivery(w, request.Route), exclude: map[string]bool{},
+	run := &run{relay: r, request: request, out: newDelivery(w), exclude: map[string]bool{},
 		fingerprint: Fingerprint(&request.HTTP)}
 	result := run.serve(ctx)
 	r.end(request, run, result)
