Take no record of a job that names no item of it

Cause: a result whose key names item -1 made the book index its items with -1 and panic; a body's key with chunk made the daemon hold that many places; an acceptance under another job's key, or a result of an unknown state or of another item's ID, counted. Another writer may leave any bytes, so each record is checked against the key under which it stands. Results read before their job's acceptance are checked when it comes.

--- a/core/batch/book.go
+++ b/core/batch/book.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -35,6 +36,23 @@
 	return -1
 }
 
+// owns tells whether the result is one of the job's items.
+func (j *Job) owns(r *Result) bool {
+	return r.Item < len(j.Items) && j.Items[r.Item].ID == r.ID
+}
+
+// dropForeign drops the results that were read before the acceptance and are none
+// of the job's.
+func (j *Job) dropForeign() {
+	j.Results = slices.DeleteFunc(j.Results, func(r Result) bool {
+		foreign := !j.owns(&r)
+		if foreign {
+			delete(j.finished, r.Item)
+		}
+		return foreign
+	})
+}
+
 // Change tells what a record changed; empty for records that change nothing.
 type Change struct {
 	// Job is the job concerned, "" for none.
@@ -91,6 +109,9 @@
 	if err != nil {
 		return Change{}, err
 	}
+	if !record.valid(id) {
+		return Change{}, ErrRecord.New("the record %q is no acceptance of its job", key)
+	}
 	return b.accept(record), nil
 }
 
@@ -103,6 +124,7 @@
 	}
 	j.JobRecord = record
 	j.Accepted = true
+	j.dropForeign()
 	if !j.Ended {
 		b.waiting[j.Quota] += j.waitingTokens()
 	}
@@ -135,13 +157,19 @@
 	if err != nil {
 		return Change{}, err
 	}
+	if !result.valid(item) {
+		return Change{}, ErrRecord.New("the record %q is no result of its item", key)
+	}
 	j := b.job(id)
+	if j.Accepted && !j.owns(&result) {
+		return Change{}, ErrRecord.New("the job of %q has no such item", key)
+	}
 	if j.finished[item] {
 		return Change{}, nil
 	}
 	j.finished[item] = true
 	j.Results = append(j.Results, result)
-	if j.Accepted && !j.Ended && item < len(j.Items) {
+	if j.Accepted && !j.Ended {
 		b.waiting[j.Quota] -= j.Items[item].Tokens
 	}
 	return Change{Job: id}, nil
--- /dev/null
+++ b/core/batch/fuzz_test.go
@@ -0,0 +1,73 @@
+package batch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+)
+
+// FuzzRecords gives whatever records to the book, beside a good job. None may panic,
+// take a place for a number that no item has, or change what is known of the job.
+func FuzzRecords(f *testing.F) {
+	encode := func(v any) []byte {
+		data, err := batch.Encode(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return data
+	}
+	good := batch.JobRecord{ID: "j", Quota: "q", Items: []batch.Item{{ID: "a", Tokens: 3}, {ID: "b", Tokens: 4}}}
+	result := batch.Result{Item: 0, ID: "a", State: batch.Succeeded, Output: "x"}
+	f.Add("job/j", encode(good))
+	f.Add("job/k", encode(good))
+	f.Add("job/k", encode(batch.JobRecord{ID: "k", Items: []batch.Item{{ID: "a", Tokens: -1 << 62, BodyBytes: -1}}}))
+	f.Add("end/k", []byte{1})
+	f.Add(batch.ResultKey("j", 1), encode(result))
+	f.Add("j/-1", encode(result))
+	f.Add("j/99999999999", encode(result))
+	f.Add("j/7", encode(batch.Result{Item: 7, ID: "z", State: 9}))
+	f.Add("j/00001/999999999", []byte{1})
+	f.Add("\xff", []byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		book := batch.NewBook()
+		apply(t, book.ApplyResult, batch.ResultKey("k", 0), encode(result))
+		apply(t, book.ApplyJob, batch.AcceptedKey("j"), encode(good))
+		_, _ = book.ApplyJob(key, value)
+		_, _ = book.ApplyResult(key, value)
+		if job, item, chunk, err := batch.ParseBodyKey(key); err == nil && (item < 0 || chunk < 0 || item > 99_999 || chunk > 999) {
+			t.Fatalf("%q names chunk %d of item %d of %s", key, chunk, item, job)
+		}
+		if key == "job/j" || key == "end/j" {
+			return // the job's own records may end or drop it
+		}
+		j := book.Job("j")
+		if j == nil || !j.Accepted || len(j.Items) != 2 || len(j.Results) > 2 {
+			t.Fatalf("%q left %+v", key, j)
+		}
+		for _, r := range j.Results {
+			if r.ID != j.Items[r.Item].ID {
+				t.Fatalf("%q brought the result %+v", key, r)
+			}
+		}
+		if got, want := book.Waiting("q"), waitingTokens(j); got < want {
+			t.Fatalf("%q left %d tokens waiting, the job has %d", key, got, want)
+		}
+	})
+}
+
+func apply(t *testing.T, by func(string, []byte) (batch.Change, error), key string, value []byte) {
+	if _, err := by(key, value); err != nil {
+		t.Fatal(fmt.Errorf("%s: %w", key, err))
+	}
+}
+
+func waitingTokens(j *batch.Job) int64 {
+	sum := int64(0)
+	for i, item := range j.Items {
+		if !j.Finished(i) && !j.Ended {
+			sum += item.Tokens
+		}
+	}
+	return sum
+}
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -99,18 +99,30 @@
 func ParseBodyKey(key string) (job string, item, chunk int, err error) {
 	head, last, _ := cutLast(key)
 	job, middle, ok := cutLast(head)
-	item, itemErr := strconv.Atoi(middle)
-	chunk, chunkErr := strconv.Atoi(last)
-	if !ok || itemErr != nil || chunkErr != nil {
+	item, itemOK := number(middle, maxItemNumber)
+	chunk, chunkOK := number(last, maxChunkNumber)
+	if !ok || !itemOK || !chunkOK {
 		return "", 0, 0, ErrRecord.New("bad body key %q", key)
 	}
 	return job, item, chunk, nil
 }
 
+// The largest numbers that keys hold. A reader keeps a place for each number up to
+// the one it reads, so a foreign key with a huge one would take all memory.
+const (
+	maxItemNumber  = 99_999
+	maxChunkNumber = 999
+)
+
+func number(text string, most int) (int, bool) {
+	n, err := strconv.Atoi(text)
+	return n, err == nil && n >= 0 && n <= most
+}
+
 func parseResultKey(key string) (job string, item int, err error) {
 	job, last, ok := cutLast(key)
-	item, err = strconv.Atoi(last)
-	if !ok || err != nil {
+	item, known := number(last, maxItemNumber)
+	if !ok || !known {
 		return "", 0, ErrRecord.New("bad result key %q", key)
 	}
 	return job, item, nil
@@ -124,6 +136,24 @@
 	return key[:at], key[at+1:], true
 }
 
+// valid tells whether an acceptance is one of the job that its key names.
+func (r *JobRecord) valid(id string) bool {
+	if id == "" || r.ID != id || len(r.Items) == 0 || len(r.Items) > maxItemNumber {
+		return false
+	}
+	for i := range r.Items {
+		if r.Items[i].Tokens < 0 || r.Items[i].BodyBytes < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// valid tells whether a result is one of the item that its key names.
+func (r *Result) valid(item int) bool {
+	return r.Item == item && (r.State == Succeeded || r.State == Errored)
+}
+
 // Encode returns the value of an acceptance or a result.
 func Encode(v any) ([]byte, error) {
 	data, err := msgpack.Marshal(v)
--- /dev/null
+++ b/core/board/fuzz_test.go
@@ -0,0 +1,42 @@
+package board
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+	"time"
+)
+
+// FuzzWord gives whatever bytes to the decoder of words between daemons, and what
+// comes of them to the board. Nothing may panic, and a word must leave nothing behind
+// once it has expired.
+func FuzzWord(f *testing.F) {
+	for _, w := range []Word{
+		{From: "a", Number: 1, Zone: "z", Counts: map[string]Count{"t": {Online: 3, Batch: 1}}, Doubts: map[string]int{"t": 2}, Held: []uint64{7}},
+		{From: "me", Number: 1 << 63, Counts: map[string]Count{"t": {Online: -5, Batch: 1 << 40}}},
+		{From: "b", Number: 2, Counts: map[string]Count{"": {}}},
+	} {
+		var data bytes.Buffer
+		if err := gob.NewEncoder(&data).Encode(w); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data.Bytes())
+	}
+	f.Add([]byte{0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var w Word
+		if gob.NewDecoder(bytes.NewReader(data)).Decode(&w) != nil {
+			return
+		}
+		b, now := New("me", "z"), time.Unix(1000, 0)
+		b.Add("t", 1, 1)
+		b.Hear(now, w)
+		b.Yield(now, "t", "z", 4)
+		b.Doubts(now)
+		b.Digest(now, 1)
+		later := now.Add(WordLife + time.Second)
+		if got := b.Total(later, "t"); got != (Count{1, 1}) || len(b.HeldElsewhere(later)) > 0 || len(b.Doubts(later)) > 0 {
+			t.Fatalf("%+v is left of %+v", got, w)
+		}
+	})
+}
