Tell the starts of a target apart, and take entries strictly

Cause: a target may start again under the ID that it had. Counts, breaker, doubts, crash evidence and exclusions were kept by ID and would have passed to the new start, and work at the earlier one waited for its patience (1.2 to 3 s) or, if it may not be repeated, for its deadline. Entries without state, service, address or slots counted as ready, and one record that could not be read kept a whole list from being read.

Change: roster.Start names one start; all beliefs, words between daemons included, are kept under it, in as few bytes as before (11 a name). The start born last stands; an entry of an earlier one counts only after 8 s without a word of the later (writes take effect up to 6 s late; a target's clock may go back). Ruled out: larger born always wins (a target whose clock went back stays unused); keeping the good entry under a bad one (it may hide the end of a target).

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -18,13 +17,23 @@
 	// put down to the silence itself. It is above the pace at which the store is
 	// asked in calm times.
 	AwayAfter = 1500 * time.Millisecond
+	// LateFor is how long an entry of an earlier start stands aside. Writes whose
+	// answer was lost take effect up to 6 s late, and a living target writes its
+	// entry again with its next heartbeat, some 1.2 s later, if another one stands
+	// there.
+	LateFor = 8 * time.Second
 )
 
 // Target is what a target's entry says.
 type Target struct {
-	// ID names one start of the target; it is never used again, while an
-	// address may be.
+	// ID names the target. It may start again under its ID; an address may be used
+	// again by another target.
 	ID string
+	// Born is when it started, in Unix milliseconds by its own clock, which need
+	// not agree with any other; 0 if its entries don't tell.
+	Born int64
+	// Start names this start. The roster sets it.
+	Start Start
 	// Group is the target group that it serves.
 	Group string
 	// Address is IP:PORT.
@@ -42,23 +51,27 @@
 	entries map[string]Target
 	// lapsed holds the targets whose entries vanished while the store was away,
 	// with the moment at which they count as gone.
-	lapsed    map[string]lapse
+	lapsed map[string]waiting
+	// aside holds the entries of earlier starts, with the moment at which they
+	// count after all.
+	aside     map[string]waiting
 	heard     time.Time
 	graceEnds time.Time
 }
 
-type lapse struct {
+// waiting is a target of which something changes at a moment.
+type waiting struct {
 	target Target
-	ends   time.Time
+	until  time.Time
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Target{}, lapsed: map[string]lapse{}}
+	return &Roster{entries: map[string]Target{}, lapsed: map[string]waiting{}, aside: map[string]waiting{}}
 }
 
-// Heard notes an answer of the store. Call it before Set, Remove and Replace
-// for what the answer holds.
+// Heard notes an answer of the store. Call it before Set, Remove, Spoil and
+// Replace for what the answer holds.
 func (r *Roster) Heard(now time.Time) {
 	if !r.heard.IsZero() && now.Sub(r.heard) > AwayAfter {
 		r.graceEnds = now.Add(ReturnGrace)
@@ -67,9 +80,24 @@
 }
 
 // Set takes an entry.
-func (r *Roster) Set(t Target) {
+//
+// Failure guarded against: the last write of a target that crashed takes effect
+// seconds later, when the target has started again under its ID. Taken as news, it
+// would bring back an address that serves others by now, or make a target that
+// drains look ready. So the start that was born last stands, and an entry of an
+// earlier one counts only if the later start writes nothing more for LateFor: then
+// the target's clock has gone back, and the log's order is right.
+func (r *Roster) Set(now time.Time, t Target) {
+	t.Start = StartOf(t.ID, t.Born)
+	if known, had := r.entries[t.ID]; had && t.Born < known.Born {
+		if _, waits := r.aside[t.ID]; !waits {
+			r.aside[t.ID] = waiting{t, now.Add(LateFor)}
+		}
+		return
+	}
 	r.entries[t.ID] = t
 	delete(r.lapsed, t.ID)
+	delete(r.aside, t.ID)
 }
 
 // Remove takes the end of an entry. Within the grace after a silence of the
@@ -77,55 +105,92 @@
 // targets lapse, and dropping them all at once would leave nowhere to send.
 // Targets that were draining are dropped at once.
 func (r *Roster) Remove(now time.Time, id string) {
+	delete(r.aside, id)
 	t, ok := r.entries[id]
 	if !ok {
 		return
 	}
 	delete(r.entries, id)
 	if now.Before(r.graceEnds) && !t.Draining {
-		r.lapsed[id] = lapse{t, r.graceEnds}
+		r.lapsed[id] = waiting{t, r.graceEnds}
 	}
 }
 
-// Replace takes all entries at once, as read after a gap in the changes.
-func (r *Roster) Replace(now time.Time, all []Target) {
+// Spoil takes an entry that names no usable target. What it replaced no longer
+// counts, without any grace: somebody else has written there, and the target, if it
+// lives, writes its own entry again with its next heartbeat.
+func (r *Roster) Spoil(id string) {
+	delete(r.entries, id)
+	delete(r.lapsed, id)
+	delete(r.aside, id)
+}
+
+// Replace takes all entries at once, as read after a gap in the changes. spoiled
+// lists the IDs whose entry names no usable target.
+func (r *Roster) Replace(now time.Time, all []Target, spoiled ...string) {
 	next := make(map[string]bool, len(all))
 	for _, t := range all {
 		next[t.ID] = true
 	}
+	for _, id := range spoiled {
+		r.Spoil(id)
+	}
 	for id := range r.entries {
 		if !next[id] {
 			r.Remove(now, id)
 		}
 	}
 	for _, t := range all {
-		r.Set(t)
+		r.Set(now, t)
 	}
 }
 
 // Known tells whether the store was heard at all.
 func (r *Roster) Known() bool { return !r.heard.IsZero() }
 
+// Current returns the start that the target has now, "" if none is known.
+func (r *Roster) Current(id string) Start { return r.entries[id].Start }
+
 // Usable returns the targets that may get new work, sorted by ID, and when the
 // answer changes by time alone (zero: never).
 func (r *Roster) Usable(now time.Time) ([]Target, time.Time) {
-	list := make([]Target, 0, len(r.entries))
+	until := r.pass(now)
+	list := make([]Target, 0, len(r.entries)+len(r.lapsed))
 	for _, t := range r.entries {
 		if !t.Draining {
 			list = append(list, t)
 		}
 	}
-	var until time.Time
-	for id, l := range maps.Clone(r.lapsed) {
-		if !now.Before(l.ends) {
-			delete(r.lapsed, id)
-			continue
-		}
+	for _, l := range r.lapsed {
 		list = append(list, l.target)
-		if until.IsZero() || l.ends.Before(until) {
-			until = l.ends
-		}
 	}
 	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	return list, until
 }
+
+// pass takes the changes that time alone has brought, and returns when the next
+// one comes (zero: never).
+func (r *Roster) pass(now time.Time) time.Time {
+	var next time.Time
+	due := func(w waiting) bool {
+		if !now.Before(w.until) {
+			return true
+		}
+		if next.IsZero() || w.until.Before(next) {
+			next = w.until
+		}
+		return false
+	}
+	for id, w := range r.aside {
+		if due(w) {
+			delete(r.aside, id)
+			r.entries[id] = w.target
+		}
+	}
+	for id, w := range r.lapsed {
+		if due(w) {
+			delete(r.lapsed, id)
+		}
+	}
+	return next
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -36,7 +36,7 @@
 	It("uses what is listed and does not drain", func() {
 		r := fresh()
 		Expect(ids(r, at(0))).To(Equal([]string{"a", "b"}))
-		r.Set(roster.Target{ID: "a", Draining: true})
+		r.Set(at(0), roster.Target{ID: "a", Draining: true})
 		Expect(ids(r, at(0))).To(Equal([]string{"b"}))
 	})
 
@@ -56,7 +56,7 @@
 		r.Heard(back)
 		r.Replace(back, nil)
 		Expect(ids(r, back)).To(Equal([]string{"a", "b"}))
-		r.Set(roster.Target{ID: "a", Address: "new"})
+		r.Set(at(0), roster.Target{ID: "a", Address: "new"})
 		list, until := r.Usable(back.Add(time.Second))
 		Expect(list).To(HaveLen(2))
 		Expect(list[0].Address).To(Equal("new"))
@@ -66,7 +66,7 @@
 
 	It("gives no grace to a target that drained before the store went away", func() {
 		r := fresh()
-		r.Set(roster.Target{ID: "b", Draining: true})
+		r.Set(at(0), roster.Target{ID: "b", Draining: true})
 		back := at(6 * time.Second)
 		r.Heard(back)
 		r.Replace(back, nil)
@@ -82,4 +82,65 @@
 		r.Remove(back.Add(roster.ReturnGrace), "a")
 		Expect(ids(r, back.Add(roster.ReturnGrace))).To(Equal([]string{"b"}))
 	})
+
+	// A target crashes, starts again under its ID at another address and writes an
+	// entry; only then the last write of its earlier start takes effect, seconds
+	// late. Requests must not go back to the old address, and a target that drains
+	// must not look ready.
+	It("lets no late entry of an earlier start replace a later one", func() {
+		r := fresh()
+		r.Set(at(0), roster.Target{ID: "a", Born: 100, Address: "old"})
+		r.Set(at(0), roster.Target{ID: "a", Born: 200, Address: "new"})
+		r.Set(at(time.Second), roster.Target{ID: "a", Born: 100, Address: "old"})
+		list, _ := r.Usable(at(time.Second))
+		Expect(list[0].Address).To(Equal("new"))
+		r.Set(at(2*time.Second), roster.Target{ID: "a", Born: 200, Address: "new", Draining: true})
+		r.Set(at(3*time.Second), roster.Target{ID: "a", Born: 100, Address: "old"})
+		Expect(ids(r, at(4*time.Second))).To(Equal([]string{"b"}))
+		r.Set(at(5*time.Second), roster.Target{ID: "a", Born: 200, Address: "new", Draining: true})
+		Expect(ids(r, at(time.Minute))).To(Equal([]string{"b"}))
+	})
+
+	// A target's clock goes back, and it starts again: its later start was born
+	// earlier by that clock. It must not stay unused for good.
+	It("takes a start that was born earlier if the later one says nothing more", func() {
+		r := fresh()
+		r.Set(at(0), roster.Target{ID: "a", Born: 200, Address: "old"})
+		r.Set(at(time.Second), roster.Target{ID: "a", Born: 150, Address: "new"})
+		_, until := r.Usable(at(2 * time.Second))
+		Expect(until).To(Equal(at(time.Second + roster.LateFor)))
+		list, _ := r.Usable(until)
+		Expect(list[0].Address).To(Equal("new"))
+	})
+
+	It("takes any start once the entry has gone", func() {
+		r := fresh()
+		r.Heard(at(time.Second))
+		r.Set(at(time.Second), roster.Target{ID: "a", Born: 200})
+		r.Remove(at(time.Second), "a")
+		r.Set(at(time.Second), roster.Target{ID: "a", Born: 100})
+		Expect(r.Current("a")).To(Equal(roster.StartOf("a", 100)))
+	})
+
+	It("names each start of a target differently, in few bytes", func() {
+		names := map[roster.Start]bool{}
+		for _, id := range []string{"a", "b", "a-longer-name-of-a-target"} {
+			for born := range int64(50) {
+				name := roster.StartOf(id, 1_800_000_000_000+born)
+				Expect(name).To(HaveLen(11))
+				names[name] = true
+			}
+		}
+		Expect(names).To(HaveLen(150))
+	})
+
+	// Somebody else writes over a target's entry. Nothing is known of the target
+	// then; it must not stay in use for the grace that a lapsed entry has.
+	It("drops a target at once whose entry was spoiled", func() {
+		r := fresh()
+		back := at(6 * time.Second)
+		r.Heard(back)
+		r.Replace(back, []roster.Target{{ID: "b"}}, "a")
+		Expect(ids(r, back)).To(Equal([]string{"b"}))
+	})
 })
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -73,4 +73,19 @@
 		Expect(partlog.Load(GinkgoT().Context(), log, a.partition, a)).To(Succeed())
 		Expect(a.peers()).To(BeEmpty())
 	})
+
+	// Somebody writes into the topic where the daemons tell of each other. It must
+	// cost the daemons that wrote properly nothing.
+	It("passes over records of its topic that name no peer", func() {
+		log := fakepartlog.New(1)
+		a := newHosts(log, "hosts", "a", places.Peer{Address: "1:1", Zone: "z1"}, zap.NewNop())
+		a.apply([]partlog.Kept{
+			{Record: partlog.Record{Key: "b", Value: encodeEntry(places.Peer{Address: "2:2", Zone: "z2"})}},
+			{Record: partlog.Record{Key: "c", Value: []byte("3:3")}},
+			{Record: partlog.Record{Key: "d", Value: []byte("somewhere z2")}},
+			{Record: partlog.Record{Key: "e", Value: []byte{0xff, 0}}},
+			{Unreadable: true},
+		})
+		Expect(a.peers()).To(Equal([]places.Peer{{Address: "2:2", Zone: "z2"}}))
+	})
 })
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -46,9 +47,12 @@
 // encodeEntry is the value of a daemon's record: its peer address and its zone.
 func encodeEntry(p places.Peer) []byte { return []byte(p.Address + " " + p.Zone) }
 
-func decodeEntry(value []byte) places.Peer {
-	address, zone, _ := strings.Cut(string(value), " ")
-	return places.Peer{Address: address, Zone: zone}
+func decodeEntry(value []byte) (places.Peer, bool) {
+	address, zone, found := strings.Cut(string(value), " ")
+	if _, _, err := net.SplitHostPort(address); err != nil || !found || zone == "" {
+		return places.Peer{}, false
+	}
+	return places.Peer{Address: address, Zone: zone}, true
 }
 
 // announce writes the own entry.
@@ -139,11 +143,16 @@
 
 func (h *hosts) apply(records []partlog.Kept) {
 	for _, k := range records {
-		if len(k.Value) == 0 {
-			delete(h.known, k.Key)
+		delete(h.known, k.Key)
+		if len(k.Value) == 0 && !k.Unreadable {
+			continue
+		}
+		p, ok := decodeEntry(k.Value)
+		if k.Unreadable || !ok {
+			h.logger.Warn("peer_unreadable", zap.String("peer", k.Key), zap.Int64("offset", k.Offset))
 			continue
 		}
-		h.known[k.Key] = decodeEntry(k.Value)
+		h.known[k.Key] = p
 	}
 	// A new slice: the last one may be in use.
 	h.list = make([]places.Peer, 0, len(h.known))
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -93,7 +93,7 @@
 	r.meter.again.Inc()
 	p.avoid = ""
 	if end.delay > 0 {
-		p.avoid = run.target.ID
+		p.avoid = string(run.target.Start)
 		p.notBefore = time.Now().Add(p.pause(end.delay))
 	}
 	r.jobs.Logger.Info("item_run_ended", zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -212,7 +212,10 @@
 }
 
 func (c *cursor) applyOne(k partlog.Kept) {
-	change, err := c.apply(k.Key, k.Value)
+	change, err := batch.Change{}, error(batch.ErrRecord.New("no key and value"))
+	if !k.Unreadable {
+		change, err = c.apply(k.Key, k.Value)
+	}
 	if err != nil {
 		c.jobs.Logger.Error("record_unreadable", zap.String("key", k.Key), zap.Int64("offset", k.Offset), zap.Error(err))
 		return
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
@@ -95,10 +96,16 @@
 		peers  *fakePeers
 		// fleet is how many daemons there are said to be.
 		fleet int
+		// views holds what each daemon knows of the targets.
+		views map[string]*places.Places
+		// logger takes the daemons' lines.
+		logger *zap.Logger
 	)
 
 	BeforeEach(func() {
 		fleet = 2
+		views = map[string]*places.Places{}
+		logger = zap.NewNop()
 		log = fakepartlog.New(4)
 		peers = &fakePeers{daemons: map[string]reader{}}
 		script = answer
@@ -112,6 +119,7 @@
 	// daemon starts one daemon on the log; groups may deal out other partitions.
 	daemon := func(name string, groups partlog.Groups) (*jobs.Jobs, context.CancelFunc) {
 		view := places.New(places.Options{Host: name, Zone: "z", Logger: zap.NewNop()})
+		views[name] = view
 		view.Update(func(now time.Time, r *roster.Roster) {
 			r.Heard(now)
 			r.Replace(now, []roster.Target{{ID: "t", Group: "g", Address: target.Address, Zone: "z", Slots: 8}})
@@ -119,7 +127,7 @@
 		pool := h1.NewPool(func() {})
 		j := jobs.New(jobs.Options{
 			Host: name, Log: log, Groups: groups, Peers: peers, Address: peers.address, Fleet: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
-			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashes(noSuspects{}, pool), KeepFor: time.Hour, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashes(noSuspects{}, pool), KeepFor: time.Hour, Logger: logger, Metrics: metrics.NewSet(),
 		})
 		Expect(j.Register(peers.registrar(name))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -171,6 +179,34 @@
 		return n
 	}
 
+	// A target crashes behind a cut with items under way and starts again under its
+	// ID. Nothing comes on their connections any more; the items must not wait for
+	// that to be noticed.
+	It("runs items again at once whose target has started again", func() {
+		var once sync.Once
+		hung := make(chan struct{})
+		script = func(r *rawtarget.Request, c net.Conn) {
+			hang := false
+			once.Do(func() { hang = true })
+			if hang {
+				close(hung)
+				return
+			}
+			answer(r, c)
+		}
+		core, lines := observer.New(zap.InfoLevel)
+		logger = zap.New(core)
+		a := alone()
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		Eventually(hung).WithTimeout(limit).Should(BeClosed())
+		views["a"].Update(func(now time.Time, r *roster.Roster) {
+			r.Set(now, roster.Target{ID: "t", Born: 1, Group: "g", Address: target.Address, Zone: "z", Slots: 8})
+		})
+		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
+		ended := lines.FilterMessage("item_run_ended").All()[0].ContextMap()
+		Expect(ended).To(HaveKeyWithValue("cause", "the target has started again"))
+	})
+
 	It("asks a partition's holder for results in a large fleet", func() {
 		fleet = 100
 		a := alone()
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -227,10 +227,10 @@
 }
 
 // youngest returns n items at the target, the ones started last.
-func (r *runner) youngest(target string, n int) []*running {
+func (r *runner) youngest(target roster.Start, n int) []*running {
 	var there []*running
 	for _, run := range r.active {
-		if run.target.ID == target {
+		if run.target.Start == target {
 			there = append(there, run)
 		}
 	}
@@ -327,14 +327,14 @@
 		r.fetch(ctx, c, p)
 		return
 	}
-	target, ok := r.jobs.Places.TakeBatch(group, map[string]bool{p.avoid: true}, r.jobs.Headroom)
+	place, ok := r.jobs.Places.TakeBatch(group, map[string]bool{p.avoid: true}, r.jobs.Headroom)
 	if !ok {
 		left[group] = 0
 		return
 	}
 	left[group]--
 	itemCtx, cancel := context.WithCancel(ctx)
-	run := &running{key: c.key, target: target, began: time.Now(), cancel: cancel}
+	run := &running{key: c.key, target: place.Target, began: time.Now(), cancel: cancel}
 	r.mu.Lock()
 	r.active[c.key] = run
 	r.mu.Unlock()
@@ -342,10 +342,18 @@
 	go func() {
 		defer r.items.Done()
 		defer cancel()
+		defer context.AfterFunc(place.Alive, func() { r.startedAgain(run) })()
 		r.runItem(itemCtx, c, run, p, body)
 	}()
 }
 
+// startedAgain ends a run whose target has forgotten it.
+func (r *runner) startedAgain(run *running) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.stop("the target has started again")
+}
+
 // hopeless gives an item up whose time is over or whose route has gone.
 func (r *runner) hopeless(c *candidate, p *progress) bool {
 	now := time.Now()
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -3,6 +3,7 @@
 package places
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -17,10 +18,6 @@
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
-// defaultSlots stands for a target that does not say how many requests it runs
-// at once.
-const defaultSlots = 4
-
 // noTargetRetryMs tells callers when to come back to a daemon that knows no
 // target. It is one that has just started, or the targets' entries have lapsed;
 // they write them again within some 2 s, and other daemons may know more.
@@ -49,7 +46,10 @@
 	roster *roster.Roster
 	board  *board.Board
 	groups map[string]*group
-	byID   map[string]roster.Target
+	// used holds the targets that may get work.
+	used map[roster.Start]roster.Target
+	// starts holds those where own work runs, used or not.
+	starts starts
 	// expiry wakes the view when lapsed targets count as gone.
 	expiry *time.Timer
 	gone   func(address string)
@@ -80,7 +80,7 @@
 	return &Places{
 		self: o.PeerAddress, zone: o.Zone, fleet: o.Fleet, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host, o.Zone),
-		groups: map[string]*group{}, byID: map[string]roster.Target{},
+		groups: map[string]*group{}, used: map[roster.Start]roster.Target{}, starts: starts{},
 		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		gone: func(string) {},
 	}
@@ -96,10 +96,15 @@
 	p.mu.Lock()
 	change(now, p.roster)
 	left := p.rebuild(now)
+	replaced := p.starts.replaced(p.roster.Current)
 	p.mu.Unlock()
 	for _, t := range left {
 		p.gone(t.Address)
 	}
+	for _, at := range replaced {
+		p.logger.Info("target_started_again", zap.String("target", at.id), zap.Int("work_ended", at.work))
+		at.end()
+	}
 	duty.Wake(p.changed)
 }
 
@@ -108,25 +113,25 @@
 	usable, until := p.roster.Usable(now)
 	// A first list is told in one line a group: with thousands of targets a line for
 	// each would keep a small host from serving when it starts.
-	first := len(p.byID) == 0
+	first := len(p.used) == 0
 	members := map[string][]roster.Target{}
-	next := make(map[string]roster.Target, len(usable))
+	next := make(map[roster.Start]roster.Target, len(usable))
 	for _, t := range usable {
 		members[t.Group] = append(members[t.Group], t)
-		next[t.ID] = t
-		if _, known := p.byID[t.ID]; !known && !first {
-			p.logger.Info("target_in", zap.String("target", t.ID), zap.String("group", t.Group),
+		next[t.Start] = t
+		if _, known := p.used[t.Start]; !known && !first {
+			p.logger.Info("target_in", zap.String("target", t.ID), zap.Int64("born", t.Born), zap.String("group", t.Group),
 				zap.String("address", t.Address), zap.String("zone", t.Zone))
 		}
 	}
 	var left []roster.Target
-	for id, t := range p.byID {
-		if _, stays := next[id]; !stays {
-			p.logger.Info("target_out", zap.String("target", id), zap.String("group", t.Group))
+	for start, t := range p.used {
+		if _, stays := next[start]; !stays {
+			p.logger.Info("target_out", zap.String("target", t.ID), zap.Int64("born", t.Born), zap.String("group", t.Group))
 			left = append(left, t)
 		}
 	}
-	p.byID = next
+	p.used = next
 	if first {
 		for name, targets := range members {
 			p.logger.Info("targets_loaded", zap.String("group", name), zap.Int("count", len(targets)))
@@ -145,10 +150,10 @@
 	}
 	for name, targets := range members {
 		list := make([]routing.Target, 0, len(targets))
-		slots := defaultSlots
+		slots := 0
 		for _, t := range targets {
-			list = append(list, routing.Target{Address: t.ID, Zone: t.Zone})
-			slots = slotsOf(t)
+			list = append(list, routing.Target{Address: string(t.Start), Zone: t.Zone})
+			slots = t.Slots
 		}
 		g := p.groups[name]
 		if g == nil {
@@ -190,7 +195,7 @@
 // Ask is what the choice for an online request depends on.
 type Ask struct {
 	Group string
-	// Exclude holds the IDs of targets already tried.
+	// Exclude holds the starts of targets already tried.
 	Exclude map[string]bool
 	// Alone asks for a target where as little else as possible runs.
 	Alone bool
@@ -207,6 +212,8 @@
 	// and batch; WordAge is how old the others' part of it may be.
 	Running int
 	WordAge time.Duration
+	// Alive is done once the target is known to have started again.
+	Alive context.Context
 }
 
 // Take chooses a target for an online request and counts the request there;
@@ -234,24 +241,25 @@
 	if !ok {
 		choice, ok = g.table.Pick(now, ask)
 	}
-	t, known := p.byID[choice.Address]
+	t, known := p.used[roster.Start(choice.Address)]
 	if !ok || !known {
 		return Place{}, outcome.Refuse(outcome.NoTarget, "no target of %s takes requests", a.Group).After(noTargetRetryMs)
 	}
-	running := p.board.Total(now, t.ID)
-	g.table.Start(now, t.ID, false)
-	p.board.Add(t.ID, 1, 0)
+	running := p.board.Total(now, string(t.Start))
+	g.table.Start(now, string(t.Start), false)
+	p.board.Add(string(t.Start), 1, 0)
 	p.touched()
-	return Place{Target: t, Running: running.Online + running.Batch, WordAge: ask.WordAge}, nil
+	return Place{Target: t, Running: running.Online + running.Batch, WordAge: ask.WordAge, Alive: p.starts.begin(t)}, nil
 }
 
 // hear tells the group's table the fleet's counts.
 func (p *Places) hear(now time.Time, g *group) {
 	doubts := p.board.Doubts(now)
 	for _, t := range g.targets {
-		total := p.board.Total(now, t.ID)
-		g.table.Hear(now, t.ID, routing.Word{OnlineTotal: total.Online, BatchRunning: total.Batch,
-			ReportAge: -1, Slots: slotsOf(t), Doubt: doubts[t.ID]})
+		start := string(t.Start)
+		total := p.board.Total(now, start)
+		g.table.Hear(now, start, routing.Word{OnlineTotal: total.Online, BatchRunning: total.Batch,
+			ReportAge: -1, Slots: t.Slots, Doubt: doubts[start]})
 	}
 }
 
@@ -261,7 +269,8 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.board.Add(t.ID, -1, 0)
+	p.board.Add(string(t.Start), -1, 0)
+	p.starts.done(t)
 	p.noteEnd(now, t, result)
 	if g := p.groups[t.Group]; g != nil && took > 0 {
 		g.table.Measured(took)
@@ -275,7 +284,7 @@
 	if g == nil {
 		return
 	}
-	state, changed := g.table.End(now, t.ID, false, result)
+	state, changed := g.table.End(now, string(t.Start), false, result)
 	if changed {
 		p.logger.Info("target_health", zap.String("target", t.ID), zap.String("group", t.Group), zap.Stringer("state", state))
 	}
@@ -284,13 +293,13 @@
 // TakeBatch chooses the emptiest target with a place that neither online nor
 // batch work takes, leaving headroom places free, and counts a batch item there;
 // ReleaseBatch must follow.
-func (p *Places) TakeBatch(groupName string, exclude map[string]bool, headroom int) (roster.Target, bool) {
+func (p *Places) TakeBatch(groupName string, exclude map[string]bool, headroom int) (Place, bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.groups[groupName]
 	if g == nil {
-		return roster.Target{}, false
+		return Place{}, false
 	}
 	p.hear(now, g)
 	farWeight := 1
@@ -301,9 +310,10 @@
 	first := rand.IntN(max(1, len(g.targets)))
 	for i := range g.targets {
 		t := g.targets[(first+i)%len(g.targets)]
-		total := p.board.Total(now, t.ID)
+		start := string(t.Start)
+		total := p.board.Total(now, start)
 		running := total.Online + total.Batch
-		if exclude[t.ID] && len(g.targets) > 1 || running+headroom >= slotsOf(t) || !g.table.Open(now, t.ID) {
+		if exclude[start] && len(g.targets) > 1 || running+headroom >= t.Slots || !g.table.Open(now, start) {
 			continue
 		}
 		// Twice the count leaves room for the own zone to win among equals: bytes
@@ -312,19 +322,19 @@
 		if t.Zone != p.zone {
 			weight += farWeight
 		}
-		if g.table.Doubtful(now, t.ID) {
-			weight += 2 * slotsOf(t)
+		if g.table.Doubtful(now, start) {
+			weight += 2 * t.Slots
 		}
 		if best.ID == "" || weight < lowest {
 			best, lowest = t, weight
 		}
 	}
 	if best.ID == "" {
-		return roster.Target{}, false
+		return Place{}, false
 	}
-	p.board.Add(best.ID, 0, 1)
+	p.board.Add(string(best.Start), 0, 1)
 	p.touched()
-	return best, true
+	return Place{Target: best, Alive: p.starts.begin(best)}, true
 }
 
 // ReleaseBatch ends what TakeBatch counted.
@@ -332,9 +342,10 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.board.Add(t.ID, 0, -1)
+	p.board.Add(string(t.Start), 0, -1)
+	p.starts.done(t)
 	if g := p.groups[t.Group]; g != nil {
-		g.table.Note(now, t.ID, result)
+		g.table.Note(now, string(t.Start), result)
 	}
 	p.touched()
 }
@@ -351,9 +362,9 @@
 	}
 	free := 0
 	for _, t := range g.targets {
-		if g.table.Open(now, t.ID) {
-			total := p.board.Total(now, t.ID)
-			free += max(0, slotsOf(t)-headroom-total.Online-total.Batch)
+		if g.table.Open(now, string(t.Start)) {
+			total := p.board.Total(now, string(t.Start))
+			free += max(0, t.Slots-headroom-total.Online-total.Batch)
 		}
 	}
 	return free
@@ -378,20 +389,20 @@
 	return p.board.HeldElsewhere(time.Now())
 }
 
-// Yields returns, by target, how many own batch items must give way to online
-// work now.
-func (p *Places) Yields() map[string]int {
+// Yields returns, by start of a target, how many own batch items must give way to
+// online work now.
+func (p *Places) Yields() map[roster.Start]int {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	yields := map[string]int{}
-	for id := range p.board.Counts() {
-		t, known := p.byID[id]
+	yields := map[roster.Start]int{}
+	for start := range p.board.Counts() {
+		t, known := p.used[roster.Start(start)]
 		if !known {
 			continue
 		}
-		if n := p.board.Yield(now, id, t.Zone, slotsOf(t)); n > 0 {
-			yields[id] = n
+		if n := p.board.Yield(now, start, t.Zone, t.Slots); n > 0 {
+			yields[t.Start] = n
 		}
 	}
 	return yields
@@ -404,10 +415,3 @@
 	duty.Wake(p.dirty)
 	duty.Wake(p.changed)
 }
-
-func slotsOf(t roster.Target) int {
-	if t.Slots > 0 {
-		return t.Slots
-	}
-	return defaultSlots
-}
--- a/daemon/places/places_test.go
+++ b/daemon/places/places_test.go
@@ -84,7 +84,12 @@
 		return p
 	}
 	target := func(id, zone string) roster.Target {
-		return roster.Target{ID: id, Group: "g", Address: id, Zone: zone, Slots: 4}
+		return roster.Target{ID: id, Start: roster.StartOf(id, 0), Group: "g", Address: id, Zone: zone, Slots: 4}
+	}
+	// born is a later start of a target.
+	born := func(t roster.Target, at int64) roster.Target {
+		t.Born, t.Start = at, roster.StartOf(t.ID, at)
+		return t
 	}
 	take := func(p *places.Places) string {
 		t, refusal := p.Take(places.Ask{Group: "g", Patience: time.Second})
@@ -114,7 +119,7 @@
 	It("sends online requests to free places before those that batch has taken", func() {
 		p := view("d", "z1", target("a", "z1"), target("b", "z1"))
 		for range 4 {
-			t, ok := p.TakeBatch("g", map[string]bool{"b": true}, 0)
+			t, ok := p.TakeBatch("g", map[string]bool{string(roster.StartOf("b", 0)): true}, 0)
 			Expect(ok).To(BeTrue())
 			Expect(t.ID).To(Equal("a"))
 		}
@@ -123,7 +128,7 @@
 		}
 		Expect(p.Yields()).To(BeEmpty())
 		Expect(take(p)).To(Equal("a"))
-		Expect(p.Yields()).To(Equal(map[string]int{"a": 1}))
+		Expect(p.Yields()).To(Equal(map[roster.Start]int{roster.StartOf("a", 0): 1}))
 	})
 
 	It("leaves the headroom free of batch and takes no target that is out", func() {
@@ -140,6 +145,59 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// A target crashes with four requests, refuses the next ones, and starts again
+	// under its ID. What was counted and believed of its earlier start must not keep
+	// requests away from it, nor end up on the new one.
+	It("believes nothing of an earlier start once it knows a later one", func() {
+		first := target("a", "z1")
+		p := view("d", "z1", first)
+		var work []places.Place
+		for range 4 {
+			place, refusal := p.Take(places.Ask{Group: "g", Patience: time.Second})
+			Expect(refusal).To(BeNil())
+			work = append(work, place)
+		}
+		p.Release(work[0].Target, routing.HardFailed, 0)
+		Expect(p.Free("g", 0)).To(BeZero())
+		p.Update(func(now time.Time, r *roster.Roster) { r.Set(now, born(first, 100)) })
+		Expect(p.Free("g", 0)).To(Equal(4))
+		place, refusal := p.Take(places.Ask{Group: "g", Exclude: map[string]bool{string(first.Start): true}})
+		Expect(refusal).To(BeNil())
+		Expect(place.Running).To(BeZero())
+		Expect(place.Born).To(BeEquivalentTo(100))
+		for _, w := range work[1:] {
+			Expect(w.Alive.Err()).To(HaveOccurred())
+			p.Release(w.Target, routing.HardFailed, 0)
+		}
+		Expect(place.Alive.Err()).NotTo(HaveOccurred())
+		Expect(p.Free("g", 0)).To(Equal(3))
+	})
+
+	// A target drains, crashes before its work is done, and starts again. It is no
+	// longer among those that get work, but what runs there must end all the same.
+	It("ends the work at a target that drained and has started again", func() {
+		first := target("a", "z1")
+		p := view("d", "z1", first)
+		place, ok := p.TakeBatch("g", nil, 0)
+		Expect(ok).To(BeTrue())
+		drains := first
+		drains.Draining = true
+		p.Update(func(now time.Time, r *roster.Roster) { r.Set(now, drains) })
+		Expect(place.Alive.Err()).NotTo(HaveOccurred())
+		p.Update(func(now time.Time, r *roster.Roster) { r.Set(now, born(first, 100)) })
+		Expect(place.Alive.Err()).To(HaveOccurred())
+	})
+
+	// The crashed target's connections may look whole from here.
+	It("forgets the connections to an earlier start", func() {
+		first := target("a", "z1")
+		p := view("d", "z1", first)
+		var forgotten []string
+		p.OnGone(func(address string) { forgotten = append(forgotten, address) })
+		p.Update(func(now time.Time, r *roster.Roster) { r.Set(now, born(first, 100)) })
+		Expect(forgotten).To(Equal([]string{first.Address}))
+	})
+
 	It("counts what other daemons run", func() {
 		w := &wire{hearers: map[string]hearer{}, senders: map[string]map[string]bool{}}
 		a, b := view("a", "z1", target("t", "z1")), view("b", "z1", target("t", "z1"))
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -43,6 +43,14 @@
 	readSize = 16 << 10
 )
 
+var errorNamespace = errorx.NewNamespace("relay")
+
+// errEnded is the type of errors about attempts that were ended here.
+var errEnded = errorNamespace.NewType("ended")
+
+// errStartedAgain ends the attempts at a target that has started again.
+var errStartedAgain = errEnded.New("the target has started again")
+
 // attempt is how one attempt at a target ended.
 type attempt struct {
 	// done tells that the caller has its answer, or that it was cut off.
@@ -118,7 +126,7 @@
 	if ctx.Err() != nil {
 		// The connection was closed here; the target did nothing wrong.
 		a.health = routing.Neutral
-		a.detail = "ended here: " + ctx.Err().Error()
+		a.detail = "ended here: " + context.Cause(ctx).Error()
 	}
 	return a
 }
--- a/daemon/relay/crashes.go
+++ b/daemon/relay/crashes.go
@@ -74,8 +74,8 @@
 // connection, and tells of the target's crash, if it was one. It returns once the
 // other daemons know of that.
 func (c *Crashes) Watch(ctx context.Context, t roster.Target, fingerprint string, run func() (broken bool)) {
-	c.begin(t.ID, fingerprint)
-	defer c.end(t.ID, fingerprint)
+	c.begin(string(t.Start), fingerprint)
+	defer c.end(string(t.Start), fingerprint)
 	if run() && ctx.Err() == nil {
 		c.broke(ctx, t)
 	}
@@ -118,11 +118,11 @@
 
 // broke is told of a connection that a target broke.
 func (c *Crashes) broke(ctx context.Context, t roster.Target) {
-	running := c.suspected(t.ID)
+	running := c.suspected(string(t.Start))
 	if len(running) == 0 || c.pool.Reachable(ctx, t.Address, aliveTime) {
 		return
 	}
-	c.suspects.Crashed(retry.Crash{Target: t.ID, Running: running, Total: len(running)})
+	c.suspects.Crashed(retry.Crash{Target: string(t.Start), Running: running, Total: len(running)})
 }
 
 // suspected lists the requests that may have crashed the target, once for all
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -159,7 +159,7 @@
 		u.lastTarget = target
 		u.tellSent(place)
 		began := time.Now()
-		ended := u.attemptAt(ctx, target)
+		ended := u.attemptAt(ctx, place)
 		u.relay.Places.Release(target, ended.health, ended.served(began))
 		if ended.done {
 			return Result{Aborted: ended.aborted}
@@ -191,10 +191,16 @@
 	return nil
 }
 
-// attemptAt makes one attempt and tells of the target's crash, if it is one.
-func (u *run) attemptAt(ctx context.Context, target roster.Target) (ended attempt) {
-	u.relay.Crashes.Watch(ctx, target, u.fingerprint, func() bool {
-		ended = u.attempt(ctx, target)
+// attemptAt makes one attempt and tells of the target's crash, if it is one. The
+// attempt ends when the target is known to have started again: it has forgotten the
+// request.
+func (u *run) attemptAt(ctx context.Context, place places.Place) (ended attempt) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(place.Alive, func() { cancel(errStartedAgain) })
+	defer stop()
+	u.relay.Crashes.Watch(ctx, place.Target, u.fingerprint, func() bool {
+		ended = u.attempt(ctx, place.Target)
 		return ended.broken
 	})
 	if ended.done && !ended.aborted {
@@ -215,7 +221,7 @@
 // next decides what follows a failed attempt.
 func (u *run) next(ctx context.Context, target roster.Target, failed attempt) (Result, bool) {
 	u.cause = failed.detail
-	u.exclude[target.ID] = true
+	u.exclude[string(target.Start)] = true
 	if failed.reached {
 		u.runs++
 	} else {
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -257,6 +257,63 @@
 		Expect(suspects.Verdict(relay.Fingerprint(&request.HTTP))).To(Equal(retry.Clear))
 	})
 
+	// startAgain tells that a target has started again at the same address.
+	startAgain := func(i int) {
+		view.Update(func(now time.Time, ros *roster.Roster) {
+			ros.Set(now, roster.Target{ID: fmt.Sprint("t", i), Born: 1, Group: "g", Address: targets[i].Address, Zone: "z", Slots: 2})
+		})
+	}
+
+	// A target crashes behind a cut and starts again under its ID. Its callers'
+	// connections show nothing of it, and their answers never come.
+	It("goes on elsewhere at once when its target has started again", func() {
+		hangs := make(chan string, 1)
+		with(2, func(turn int, got *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				hangs <- c.LocalAddr().String()
+				return
+			}
+			whole(c)
+		})
+		core, lines := observer.New(zap.InfoLevel)
+		r.Logger = zap.New(core)
+		done := make(chan string, 1)
+		go func() {
+			w, _ := serve()
+			done <- w.Body.String()
+		}()
+		var at string
+		Eventually(hangs).WithTimeout(limit).Should(Receive(&at))
+		for i := range targets {
+			if targets[i].Address == at {
+				startAgain(i)
+			}
+		}
+		Eventually(done).WithTimeout(limit).Should(Receive(Equal("answer")))
+		ended := lines.FilterMessage("request").All()[0].ContextMap()
+		Expect(ended).To(HaveKeyWithValue("cause", ContainSubstring("started again")))
+		Expect(suspects.Verdict(relay.Fingerprint(&request.HTTP))).To(Equal(retry.Clear))
+	})
+
+	It("ends what may not be repeated at once when its target has started again, and promises nothing", func() {
+		request.Route.Kind = route.NonIdempotent
+		request.Deadline = time.Now().Add(time.Hour)
+		arrived := make(chan struct{})
+		with(1, func(int, *rawtarget.Request, net.Conn) { close(arrived) })
+		done := make(chan relay.Result, 1)
+		go func() {
+			_, result := serve()
+			done <- result
+		}()
+		Eventually(arrived).WithTimeout(limit).Should(BeClosed())
+		startAgain(0)
+		var result relay.Result
+		Eventually(done).WithTimeout(limit).Should(Receive(&result))
+		Expect(result.Refusal.Run).To(Equal(outcome.MayHaveRun))
+		Expect(result.Refusal.Message).To(ContainSubstring("started again"))
+		Expect(sent()).To(HaveLen(1))
+	})
+
 	It("gives the final answer at the deadline", func() {
 		request.Deadline = time.Now().Add(100 * time.Millisecond)
 		with(1, func(int, *rawtarget.Request, net.Conn) {})
--- a/extern/partlog/follow.go
+++ b/extern/partlog/follow.go
@@ -139,8 +139,11 @@
 		if err != nil {
 			return err
 		}
+		before := l.after
 		l.add(page)
-		if !page.More || len(page.Records) == 0 {
+		// A page behind which the next one can't be asked for is the last: keys that
+		// can't be read must not make a load go round for ever.
+		if !page.More || l.after == before {
 			return nil
 		}
 	}
@@ -154,7 +157,7 @@
 		if k.Offset < l.end {
 			l.records = append(l.records, k)
 		}
-		l.after = k.Key
+		l.after = max(l.after, k.Key)
 	}
 }
 
--- a/extern/partlog/partlog.go
+++ b/extern/partlog/partlog.go
@@ -26,6 +26,9 @@
 type Kept struct {
 	Record
 	Offset int64
+	// Unreadable tells that another writer's bytes stand there, from which no key
+	// and value could be read.
+	Unreadable bool
 }
 
 // Anywhere is the place of an append that does not depend on the partition's
