Hand a job in through other daemons when the log is not soon reached from here

Cause: the log turns some hosts away or they are cut off from it for seconds; a job that arrived there was refused after 0.2 to 2.5 s and came back elsewhere past its objective of 400 ms, so that all its items were late. Ruled out: longer or shorter Retry-After alone (the caller has lost its objective by the time the failure shows).

--- /dev/null
+++ b/core/batch/ways_test.go
@@ -0,0 +1,49 @@
+package batch_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+// A job goes to the log and through two other daemons. Its caller may be told that it
+// does not run only if every way has ended and each of them knows that.
+func TestWaysNeverDenyWhatMayRun(t *testing.T) {
+	refusals := []*outcome.Refusal{
+		nil,
+		outcome.Refuse(outcome.LogUnavailable, "out"),
+		outcome.Refuse(outcome.LogUnavailable, "no answer").WithRun(outcome.MayHaveRun),
+		outcome.Refuse(outcome.CallerLimit, "full"),
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var w batch.Ways
+		accepted, mayHaveRun, limit := false, false, false
+		n := rapid.IntRange(1, 4).Draw(t, "ways")
+		for range n {
+			w.Begin()
+		}
+		for i := range n {
+			if !w.Open() {
+				t.Fatalf("%d of %d ways have ended, and none is open", i, n)
+			}
+			refusal := rapid.SampledFrom(refusals).Draw(t, "end")
+			w.End(refusal)
+			accepted = accepted || refusal == nil
+			mayHaveRun = mayHaveRun || refusal != nil && refusal.Run != outcome.NotRun
+			limit = limit || refusal != nil && refusal.Code == outcome.CallerLimit
+		}
+		got := w.Refusal()
+		switch {
+		case w.Open() || w.Accepted() != accepted || accepted != (got == nil):
+			t.Fatalf("accepted %v, told %v", accepted, got)
+		case accepted:
+		case mayHaveRun != (got.Run == outcome.MayHaveRun):
+			t.Fatalf("may have run: %v, told %v", mayHaveRun, got)
+		case limit != (got.Code == outcome.CallerLimit) || limit != w.Final():
+			t.Fatalf("refused by the quota: %v, told %v", limit, got)
+		}
+	})
+}
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -88,8 +88,8 @@
 		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Logger: logger, Metrics: set,
 	})
 	n.Jobs = jobs.New(jobs.Options{
-		Host: s.Host, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
-		Fleet: n.hosts.count, Topics: a.Topics, Parts: s.LogParts, Routes: n.Routes,
+		Host: s.Host, Zone: s.Zone, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
+		Others: n.hosts.peers, Fleet: n.hosts.count, Topics: a.Topics, Parts: s.LogParts, Routes: n.Routes,
 		Places: n.Places, Pool: n.pool, Wire: a.Wire, Crashes: crashes, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom,
 		Logger: logger, Metrics: set,
 	})
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -48,15 +48,19 @@
 // says not_run is final for this call: nothing that could accept the job was
 // sent.
 func (j *Jobs) Submit(ctx context.Context, s *Submission, r *route.Route) *outcome.Refusal {
-	record := newRecord(s, r)
-	refusal := j.submit(ctx, s, r, record)
+	refusal := j.handIn(ctx, s, r, newRecord(s, r))
+	j.tellSubmitted(s, r, refusal, "caller")
+	return refusal
+}
+
+func (j *Jobs) tellSubmitted(s *Submission, r *route.Route, refusal *outcome.Refusal, from string) {
 	word := "accepted"
 	if refusal != nil {
 		word = string(refusal.Code)
 	}
-	j.Logger.Info("job_submitted", zap.String("job", s.ID), zap.String("route", r.Name), zap.Int("items", len(s.Items)),
-		zap.String("outcome", word), zap.Int64("waiting_tokens", j.waiting(record.Quota)), zap.Int64("cap", r.TokenCap))
-	return refusal
+	j.Logger.Info("job_submitted", zap.String("job", s.ID), zap.String("from", from), zap.String("route", r.Name),
+		zap.Int("items", len(s.Items)), zap.String("outcome", word), zap.Bool("log_lost", j.accepted.lost()),
+		zap.Int64("waiting_tokens", j.waiting(r.Quota())), zap.Int64("cap", r.TokenCap))
 }
 
 func (j *Jobs) waiting(quota string) int64 {
--- a/daemon/jobs/fakes_test.go
+++ b/daemon/jobs/fakes_test.go
@@ -7,6 +7,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/daemon/jobs"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
 	"tarragonhollow.example/tarragonhollow/peer"
@@ -15,6 +16,7 @@
 // reader is what daemons call at each other.
 type reader interface {
 	Read(jobs.ReadArgs, *jobs.ReadReply) error
+	Submit(jobs.SubmitArgs, *jobs.SubmitReply) error
 }
 
 // fakePeers calls the daemons of a spec directly. A daemon's address is its name.
@@ -22,6 +24,7 @@
 	mu      sync.Mutex
 	daemons map[string]reader
 	cut     bool
+	lose    bool
 	calls   int
 }
 
@@ -40,6 +43,13 @@
 	p.cut = cut
 }
 
+// loseAnswers makes calls take effect whose answers are lost.
+func (p *fakePeers) loseAnswers(lose bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = lose
+}
+
 // called returns how many calls were made.
 func (p *fakePeers) called() int {
 	p.mu.Lock()
@@ -48,17 +58,25 @@
 }
 
 // Call implements peer.Caller.
-func (p *fakePeers) Call(_ context.Context, address, _ string, args, reply any) error {
+func (p *fakePeers) Call(_ context.Context, address, method string, args, reply any) error {
 	p.mu.Lock()
 	to := p.daemons[address]
 	if p.cut {
 		to = nil
 	}
 	p.calls++
+	lose := p.lose
 	p.mu.Unlock()
 	if to == nil {
 		return peer.Unreachable.New("%s", address)
 	}
+	if method == "Jobs.Submit" {
+		err := to.Submit(args.(jobs.SubmitArgs), reply.(*jobs.SubmitReply))
+		if lose {
+			return peer.NoReply.New("%s", address)
+		}
+		return err
+	}
 	return to.Read(args.(jobs.ReadArgs), reply.(*jobs.ReadReply))
 }
 
@@ -81,6 +99,78 @@
 	return nil
 }
 
+// list returns the daemons but one.
+func (p *fakePeers) list(but string) []places.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []places.Peer
+	for host := range p.daemons {
+		if host != but {
+			list = append(list, places.Peer{Address: host, Zone: "z"})
+		}
+	}
+	return list
+}
+
+// hostLog is the log as one host reaches it.
+type hostLog struct {
+	*fakepartlog.Log
+	mu  sync.Mutex
+	way string
+}
+
+// The ways in which a host may fail to reach the log.
+const (
+	turnedAway = "turned away"
+	silent     = "silent"
+)
+
+func newHostLog(log *fakepartlog.Log) *hostLog { return &hostLog{Log: log} }
+
+func (l *hostLog) set(way string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.way = way
+}
+
+func (l *hostLog) reach(ctx context.Context) error {
+	l.mu.Lock()
+	way := l.way
+	l.mu.Unlock()
+	switch way {
+	case turnedAway:
+		return partlog.Unavailable.New("not this host")
+	case silent:
+		<-ctx.Done()
+		return partlog.Unknown.Wrap(ctx.Err(), "no answer")
+	}
+	return nil
+}
+
+// Append implements partlog.Log.
+func (l *hostLog) Append(ctx context.Context, p partlog.Partition, records []partlog.Record, at int64) (int64, error) {
+	if err := l.reach(ctx); err != nil {
+		return 0, err
+	}
+	return l.Log.Append(ctx, p, records, at)
+}
+
+// Read implements partlog.Log.
+func (l *hostLog) Read(ctx context.Context, p partlog.Partition, from int64, wait time.Duration) (partlog.Page, error) {
+	if err := l.reach(ctx); err != nil {
+		return partlog.Page{}, err
+	}
+	return l.Log.Read(ctx, p, from, wait)
+}
+
+// Newest implements partlog.Log.
+func (l *hostLog) Newest(ctx context.Context, p partlog.Partition, after string) (partlog.NewestPage, error) {
+	if err := l.reach(ctx); err != nil {
+		return partlog.NewestPage{}, err
+	}
+	return l.Log.Newest(ctx, p, after)
+}
+
 // noSuspects clears everybody.
 type noSuspects struct{}
 
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -46,13 +46,15 @@
 
 // Options configure Jobs.
 type Options struct {
-	// Host is the daemon's name.
-	Host   string
-	Log    partlog.Log
-	Groups partlog.Groups
+	// Host is the daemon's name, Zone its availability zone.
+	Host, Zone string
+	Log        partlog.Log
+	Groups     partlog.Groups
 	// Peers calls other daemons; Address tells a daemon's peer address by its name.
 	Peers   peer.Caller
 	Address func(host string) (string, bool)
+	// Others lists the other daemons; nil is none.
+	Others func() []places.Peer
 	// Fleet tells how many daemons there are.
 	Fleet  func() int
 	Topics Topics
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -98,6 +98,8 @@
 		fleet int
 		// views holds what each daemon knows of the targets.
 		views map[string]*places.Places
+		// reach holds how a host reaches the log, where it does not as the others do.
+		reach map[string]*hostLog
 		// logger takes the daemons' lines.
 		logger *zap.Logger
 	)
@@ -105,6 +107,7 @@
 	BeforeEach(func() {
 		fleet = 2
 		views = map[string]*places.Places{}
+		reach = map[string]*hostLog{}
 		logger = zap.NewNop()
 		log = fakepartlog.New(4)
 		peers = &fakePeers{daemons: map[string]reader{}}
@@ -125,8 +128,12 @@
 			r.Replace(now, []roster.Target{{ID: "t", Group: "g", Address: target.Address, Zone: "z", Slots: 8}})
 		})
 		pool := h1.NewPool(func() {})
+		var reached partlog.Log = log
+		if own := reach[name]; own != nil {
+			reached = own
+		}
 		j := jobs.New(jobs.Options{
-			Host: name, Log: log, Groups: groups, Peers: peers, Address: peers.address, Fleet: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
+			Host: name, Zone: "z", Log: reached, Groups: groups, Others: func() []places.Peer { return peers.list(name) }, Peers: peers, Address: peers.address, Fleet: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
 			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashes(noSuspects{}, pool), KeepFor: time.Hour, Logger: logger, Metrics: metrics.NewSet(),
 		})
 		Expect(j.Register(peers.registrar(name))).To(Succeed())
@@ -283,6 +290,58 @@
 		Expect(count).To(Equal(map[outcome.Code]int{"": 3, outcome.CallerLimit: 9}))
 	})
 
+	// The log turns one host away and serves the others. A job that arrives there must
+	// not be late for that, let alone be refused.
+	It("hands a job in through another daemon when the log turns its own host away", func() {
+		reach["a"] = newHostLog(log)
+		a, _ := daemon("a", emptyHanded{log})
+		b, _ := daemon("b", log)
+		reach["a"].set(turnedAway)
+		Expect(submit(a, submission("j", 3))).To(BeNil())
+		Expect(acceptances()).To(Equal(1))
+		Expect(all(b, "j")).To(HaveLen(3))
+	})
+
+	// A host is cut off from the log and does not know it yet: its calls get no
+	// answer. The job must not wait for them to time out.
+	It("hands a job in through another daemon when its own call gets no answer", func() {
+		reach["a"] = newHostLog(log)
+		a, _ := daemon("a", emptyHanded{log})
+		daemon("b", log)
+		reach["a"].set(silent)
+		r := batchRoute(0)
+		// Nothing but the detour ends this call.
+		Expect(a.Submit(context.Background(), submission("j", 1), &r)).To(BeNil())
+		Expect(acceptances()).To(Equal(1))
+	})
+
+	// The log is out for all. What is known not to be kept is refused at once, and
+	// truly: no way of the job has run.
+	It("refuses a job at once and truly when no daemon reaches the log", func() {
+		a := alone()
+		daemon("b", emptyHanded{log})
+		log.SetDown(true)
+		r := batchRoute(0)
+		refusal := a.Submit(context.Background(), submission("j", 1), &r)
+		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
+		Expect(refusal.Run).To(Equal(outcome.NotRun))
+		log.SetDown(false)
+		Expect(acceptances()).To(BeZero())
+	})
+
+	// The daemon that was asked on the way may have handed the job in, and no word of
+	// it came back.
+	It("does not say that a job was not accepted when another daemon may have handed it in", func() {
+		reach["a"] = newHostLog(log)
+		a, _ := daemon("a", emptyHanded{log})
+		daemon("b", log)
+		reach["a"].set(turnedAway)
+		peers.loseAnswers(true)
+		refusal := submit(a, bare("j"))
+		Expect(refusal.Run).To(Equal(outcome.MayHaveRun))
+		Expect(acceptances()).To(Equal(1))
+	})
+
 	It("settles an acceptance whose answer was lost", func() {
 		a := alone()
 		log.LoseAnswers(1)
