Hand results over that can't be written here, and leave partitions that others hold

Ruled out: a slow writer after the log's return (all results stood within 0.2 s of it). Items whose results are unwritten count as held. A daemon whose membership is not renewed lists all that runs there, and starts nothing of a partition that another one, by its word, holds for certain.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -31,12 +31,16 @@
 	// fail its requests, how many failures in a row the zone has seen.
 	Zone   string
 	Doubts map[string]int
-	// Held names, by a hash, the batch items that the daemon still runs although
-	// their partition has gone to another one.
+	// Held names, by a hash, the batch items that the daemon still runs, or whose
+	// results it could not write yet, although their partition may have gone to
+	// another one.
 	Held []uint64
+	// Parts lists the partitions of batch work that the daemon holds for certain.
+	Parts []int
 }
 
-// Empty tells whether the word says nothing.
+// Empty tells whether the word says nothing that others wait for. A daemon that only
+// holds partitions is silent.
 func (w *Word) Empty() bool { return len(w.Counts) == 0 && len(w.Held) == 0 && len(w.Doubts) == 0 }
 
 type heard struct {
@@ -185,6 +189,18 @@
 	return held
 }
 
+// PartsElsewhere returns the partitions that other daemons hold for certain.
+func (b *Board) PartsElsewhere(now time.Time) map[int]bool {
+	b.expire(now)
+	parts := map[int]bool{}
+	for _, h := range b.others {
+		for _, part := range h.word.Parts {
+			parts[part] = true
+		}
+	}
+	return parts
+}
+
 // Total adds up what all daemons run at a target.
 func (b *Board) Total(now time.Time, target string) Count {
 	sum := b.Others(now, target)
@@ -207,6 +223,7 @@
 			add(digest.Counts, target, c)
 		}
 		digest.Held = append(digest.Held, h.word.Held...)
+		digest.Parts = append(digest.Parts, h.word.Parts...)
 	}
 	return digest
 }
--- a/daemon/jobs/fakes_test.go
+++ b/daemon/jobs/fakes_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"tarragonhollow.example/tarragonhollow/core/board"
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/daemon/jobs"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
@@ -17,6 +19,7 @@
 type reader interface {
 	Read(jobs.ReadArgs, *jobs.ReadReply) error
 	Submit(jobs.SubmitArgs, *jobs.SubmitReply) error
+	Write(jobs.WriteArgs, *jobs.WriteReply) error
 }
 
 // fakePeers calls the daemons of a spec directly. A daemon's address is its name.
@@ -77,6 +80,9 @@
 		}
 		return err
 	}
+	if method == "Jobs.Write" {
+		return to.Write(args.(jobs.WriteArgs), reply.(*jobs.WriteReply))
+	}
 	return to.Read(args.(jobs.ReadArgs), reply.(*jobs.ReadReply))
 }
 
@@ -195,3 +201,30 @@
 	}
 	return claim, nil
 }
+
+// leaving deals everything out until the membership can't be renewed any more.
+type leaving struct {
+	everything
+	lost atomic.Bool
+}
+
+func (l *leaving) Join(ctx context.Context, group, member string, names []string, ttl time.Duration, generation int64) (partlog.Claim, error) {
+	if l.lost.Load() {
+		return partlog.Claim{}, partlog.Unavailable.New("not this host")
+	}
+	return l.everything.Join(ctx, group, member, names, ttl, generation)
+}
+
+// boardHearer is what daemons call to tell what they run.
+type boardHearer interface {
+	Hear(board.Word, *places.Ack) error
+}
+
+// boardRegistrar takes a view's service.
+type boardRegistrar struct{ to *boardHearer }
+
+// Register implements peer.Registrar.
+func (r boardRegistrar) Register(_ string, receiver any) error {
+	*r.to = receiver.(boardHearer)
+	return nil
+}
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -129,6 +129,7 @@
 	group.Go(j.runner.join)
 	group.Go(j.runner.run)
 	group.Go(j.runner.keep)
+	group.Go(j.handOver)
 }
 
 func (j *Jobs) part(job string) int { return Part(job, j.Parts) }
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/board"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
@@ -384,6 +385,57 @@
 		Expect(acceptances()).To(Equal(1))
 	})
 
+	// The log turns a host away while an item ends there. Its result must be shown in
+	// time, and must not be lost with the host.
+	It("has results written by another daemon when the log turns its own host away", func() {
+		reach["a"] = newHostLog(log)
+		a, stop := daemon("a", everything{log})
+		b, _ := daemon("b", emptyHanded{log})
+		script = func(r *rawtarget.Request, c net.Conn) {
+			reach["a"].set(turnedAway)
+			answer(r, c)
+		}
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		Expect(all(b, "j")[0].Output).To(Equal(output("j-0")))
+		stop()
+		Expect(target.Requests()).To(HaveLen(1))
+	})
+
+	// The log turns a host away for longer than its membership lasts, and another one
+	// takes its partitions over. Both would run the items that are still to run.
+	It("starts no items of partitions that another daemon holds by now", func() {
+		groups := &leaving{everything: everything{log}}
+		a, _ := daemon("a", groups)
+		b, _ := daemon("b", emptyHanded{log})
+		Expect(submit(a, submission("before", 1))).To(BeNil())
+		all(a, "before")
+		groups.lost.Store(true)
+		var hearer boardHearer
+		Expect(views["a"].Register(boardRegistrar{&hearer})).To(Succeed())
+		number := uint64(0)
+		tellParts := func() {
+			number++
+			Expect(hearer.Hear(board.Word{From: "b", Number: number, Zone: "z", Held: []uint64{1}, Parts: []int{0, 1, 2, 3}}, nil)).To(Succeed())
+		}
+		turn := 0
+		// A membership that was just renewed counts for more than another's word.
+		Eventually(func() bool {
+			tellParts()
+			turn++
+			id := fmt.Sprint("j", turn)
+			Expect(submit(b, bare(id))).To(BeNil())
+			time.Sleep(700 * time.Millisecond)
+			view, refusal := b.Read(ctx(), id, 0, 0)
+			Expect(refusal).To(BeNil())
+			return len(view.Results) == 0
+		}).WithTimeout(limit).Should(BeTrue())
+		before := len(target.Requests())
+		Consistently(func() int {
+			tellParts()
+			return len(target.Requests())
+		}, "1s").Should(Equal(before))
+	})
+
 	It("settles an acceptance whose answer was lost", func() {
 		a := alone()
 		log.LoseAnswers(1)
--- a/daemon/jobs/membership.go
+++ b/daemon/jobs/membership.go
@@ -69,6 +69,7 @@
 	if r.stopping {
 		return
 	}
+	r.renewed = now
 	for part := range r.owned {
 		if !held[part] {
 			delete(r.owned, part)
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -73,6 +74,8 @@
 	// progress was read from the log.
 	owned    map[int]time.Time
 	restored map[int]time.Time
+	// renewed is when the membership was last renewed.
+	renewed  time.Time
 	active   map[itemKey]*running
 	progress map[itemKey]*progress
 	// over names the items that have ended and whose progress the log still holds.
@@ -174,21 +177,40 @@
 		zap.String("first_job", first.key.job), zap.Int64("first_due_in_ms", time.Until(first.due).Milliseconds()))
 }
 
-// tellHeld tells the other daemons which items still run here although their
-// partition has gone, so that its new holder does not run them a second time
-// meanwhile.
+// tellHeld tells the other daemons which items they must not run: those that run here,
+// or whose results are not written yet, although their partition has gone or may have
+// gone. It tells them too which partitions are held here for certain.
+//
+// Failure guarded against: the log turns this daemon away, its partitions go to
+// another one, and that runs the items a second time that run or have ended here.
 func (r *runner) tellHeld() {
+	unwritten := r.jobs.unwritten()
 	r.mu.Lock()
+	certain := r.certain(time.Now())
 	var held []uint64
-	for key := range r.active {
-		if _, mine := r.owned[r.jobs.part(key.job)]; !mine || r.stopping {
+	tell := func(key itemKey) {
+		if _, mine := r.owned[r.jobs.part(key.job)]; !mine || !certain {
 			held = append(held, key.hash())
 		}
 	}
+	for key := range r.active {
+		tell(key)
+	}
+	for _, key := range unwritten {
+		tell(key)
+	}
+	var parts []int
+	if certain {
+		parts = slices.Sorted(maps.Keys(r.owned))
+	}
 	r.mu.Unlock()
-	r.jobs.Places.SetHeld(held)
+	r.jobs.Places.SetHeld(held, parts)
 }
 
+// certain tells whether the partitions are held for certain: the membership was
+// renewed lately, so that they can't have been dealt to others. r.mu is held.
+func (r *runner) certain(now time.Time) bool { return !r.stopping && now.Sub(r.renewed) < memberTTL }
+
 // hash names the item in the words between daemons.
 func (k itemKey) hash() uint64 {
 	h := fnv.New64a()
@@ -247,6 +269,7 @@
 func (r *runner) waiting(table *route.Table) []candidate {
 	now := time.Now()
 	elsewhere := r.jobs.Places.HeldElsewhere()
+	partsElsewhere := r.jobs.Places.PartsElsewhere()
 	r.jobs.mu.Lock()
 	defer r.jobs.mu.Unlock()
 	r.mu.Lock()
@@ -255,9 +278,14 @@
 		return nil
 	}
 	var list []candidate
+	certain := r.certain(now)
 	r.jobs.book.Jobs(func(j *batch.Job) {
 		part := r.jobs.part(j.ID)
 		since, held := r.owned[part]
+		if !certain && partsElsewhere[part] {
+			// The new holder goes on with its items.
+			return
+		}
 		// What was finished before the partition came here must have been read.
 		read := r.jobs.results[part].read.After(since)
 		if !held || !read || !j.Open() || since.UnixMilli() > j.AcceptedMs && !r.takenOver(now, part, since) {
@@ -420,7 +448,7 @@
 	}
 	r.mu.Unlock()
 	result := batch.Result{Item: c.key.item, ID: c.item.ID, State: state, Output: output}
-	r.jobs.writers[r.jobs.part(c.key.job)].add(entry{c.key.job, result})
+	r.jobs.writers[r.jobs.part(c.key.job)].add(entry{c.key.job, result, time.Now()})
 	r.jobs.bodies.drop(c.key.job, c.key.item)
 }
 
--- a/daemon/jobs/writer.go
+++ b/daemon/jobs/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +32,12 @@
 type entry struct {
 	job    string
 	result batch.Result
+	// since is when it began to wait.
+	since time.Time
 }
 
+func (e *entry) key() itemKey { return itemKey{e.job, e.result.Item} }
+
 // writer writes the results of one partition. Each append demands that the
 // partition ends where this daemon has read to, so an item that another daemon
 // finished first is seen before a second result could be written.
@@ -57,6 +62,26 @@
 	duty.Wake(w.wakes)
 }
 
+// waiting returns a copy of what waits since the given moment or longer.
+func (w *writer) waiting(since time.Time) []entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []entry
+	for _, e := range w.queue {
+		if !e.since.After(since) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// remove drops what another daemon has written.
+func (w *writer) remove(written map[itemKey]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queue = slices.DeleteFunc(w.queue, func(e entry) bool { return written[e.key()] })
+}
+
 // empty tells whether everything is written.
 func (w *writer) empty() bool {
 	w.mu.Lock()
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -53,8 +53,10 @@
 	// expiry wakes the view when lapsed targets count as gone.
 	expiry *time.Timer
 	gone   func(address string)
-	// held names the items that this daemon runs for another one.
-	held []uint64
+	// held names the items that another daemon must not run, parts the partitions
+	// that this one holds for certain; see board.Word.
+	held  []uint64
+	parts []int
 
 	// wordAge is how old the words of the daemons that tell each change may be, in
 	// nanoseconds.
@@ -370,11 +372,12 @@
 	return free
 }
 
-// SetHeld tells the other daemons which items this one runs although their
-// partition has gone elsewhere.
-func (p *Places) SetHeld(items []uint64) {
+// SetHeld tells the other daemons which items they must not run and which partitions
+// this one holds for certain; see board.Word. Partitions go out with the next word.
+func (p *Places) SetHeld(items []uint64, parts []int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.parts = parts
 	if len(items) == 0 && len(p.held) == 0 {
 		return
 	}
@@ -382,6 +385,13 @@
 	duty.Wake(p.dirty)
 }
 
+// PartsElsewhere returns the partitions that other daemons hold for certain.
+func (p *Places) PartsElsewhere() map[int]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.board.PartsElsewhere(time.Now())
+}
+
 // HeldElsewhere returns the items that other daemons still run.
 func (p *Places) HeldElsewhere() map[uint64]bool {
 	p.mu.Lock()
--- a/daemon/places/places_test.go
+++ b/daemon/places/places_test.go
@@ -217,8 +217,9 @@
 			take(a)
 		}
 		Eventually(func() int { return b.Free("g", 0) }).WithTimeout(limit).Should(BeZero())
-		a.SetHeld([]uint64{7})
+		a.SetHeld([]uint64{7}, []int{3})
 		Eventually(b.HeldElsewhere).WithTimeout(limit).Should(HaveKey(uint64(7)))
+		Expect(b.PartsElsewhere()).To(Equal(map[int]bool{3: true}))
 	})
 
 	// A target fails every request of one zone at once and looks empty all the time.
--- a/daemon/places/spread.go
+++ b/daemon/places/spread.go
@@ -205,7 +205,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return board.Word{From: p.board.Self(), Number: number, Counts: p.board.Counts(), Held: p.held,
+	return board.Word{From: p.board.Self(), Number: number, Counts: p.board.Counts(), Held: p.held, Parts: p.parts,
 		Zone: p.zone, Doubts: p.doubts()}
 }
 
@@ -215,6 +215,7 @@
 	defer p.mu.Unlock()
 	digest := p.board.Digest(time.Now(), number)
 	digest.Held = append(digest.Held, p.held...)
+	digest.Parts = append(digest.Parts, p.parts...)
 	return digest
 }
 
