Finish an item where it was begun, as long as its daemon lives and says so

Change: items that were begun here are claimed towards the new holder and go on here for 8 s after the partition has gone; those not begun are the new holder's.

--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// begun tells whether anything of the item is had.
+func (p *progress) begun() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastEvent != noEvent
+}
+
 // text is the data of all events.
 func (p *progress) text() string {
 	p.mu.Lock()
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -74,6 +74,8 @@
 	// progress was read from the log.
 	owned    map[int]time.Time
 	restored map[int]time.Time
+	// left holds when each partition that was held went to another daemon.
+	left map[int]time.Time
 	// renewed is when the membership was last renewed.
 	renewed  time.Time
 	active   map[itemKey]*running
@@ -90,7 +92,7 @@
 
 func newRunner(j *Jobs) *runner {
 	return &runner{
-		jobs: j, wakes: make(chan struct{}, 1), owned: map[int]time.Time{}, restored: map[int]time.Time{},
+		jobs: j, wakes: make(chan struct{}, 1), owned: map[int]time.Time{}, restored: map[int]time.Time{}, left: map[int]time.Time{},
 		active: map[itemKey]*running{}, progress: map[itemKey]*progress{}, meter: newMeter(j.Metrics),
 		pacers: map[string]*pacer{},
 	}
@@ -178,15 +180,18 @@
 }
 
 // tellHeld tells the other daemons which items they must not run: those that run here,
-// or whose results are not written yet, although their partition has gone or may have
-// gone. It tells them too which partitions are held here for certain.
+// or whose results are not written yet, or that were begun here, although their
+// partition has gone or may have gone. It tells them too which partitions are held here
+// for certain.
 //
 // Failure guarded against: the log turns this daemon away, its partitions go to
 // another one, and that runs the items a second time that run or have ended here.
 func (r *runner) tellHeld() {
 	unwritten := r.jobs.unwritten()
+	elsewhere := r.jobs.Places.PartsElsewhere()
+	now := time.Now()
 	r.mu.Lock()
-	certain := r.certain(time.Now())
+	certain := r.certain(now)
 	var held []uint64
 	tell := func(key itemKey) {
 		if _, mine := r.owned[r.jobs.part(key.job)]; !mine || !certain {
@@ -199,6 +204,11 @@
 	for _, key := range unwritten {
 		tell(key)
 	}
+	for key, p := range r.progress {
+		if r.active[key] == nil && r.tenure(now, r.jobs.part(key.job), elsewhere) != none && p.begun() {
+			tell(key)
+		}
+	}
 	var parts []int
 	if certain {
 		parts = slices.Sorted(maps.Keys(r.owned))
@@ -207,6 +217,40 @@
 	r.jobs.Places.SetHeld(held, parts)
 }
 
+// tenure is which items of a partition this daemon runs.
+type tenure int
+
+const (
+	// none: the partition is another daemon's.
+	none tenure = iota
+	// begunOnly: it is another daemon's by now; what was begun here is finished here,
+	// since the other one has less of it, or nothing.
+	begunOnly
+	// all: it is held here.
+	all
+)
+
+// finishFor is how long items that were begun here are still started after their
+// partition has gone: about as long as an item takes beside online work.
+const finishFor = 8 * time.Second
+
+// tenure tells which items of the partition run here. elsewhere holds the partitions
+// that other daemons hold for certain. r.mu is held.
+func (r *runner) tenure(now time.Time, part int, elsewhere map[int]bool) tenure {
+	if r.stopping {
+		return none
+	}
+	_, held := r.owned[part]
+	switch {
+	case held && (r.certain(now) || !elsewhere[part]):
+		return all
+	case held || now.Sub(r.left[part]) < finishFor:
+		return begunOnly
+	default:
+		return none
+	}
+}
+
 // certain tells whether the partitions are held for certain: the membership was
 // renewed lately, so that they can't have been dealt to others. r.mu is held.
 func (r *runner) certain(now time.Time) bool { return !r.stopping && now.Sub(r.renewed) < memberTTL }
@@ -278,20 +322,16 @@
 		return nil
 	}
 	var list []candidate
-	certain := r.certain(now)
 	r.jobs.book.Jobs(func(j *batch.Job) {
 		part := r.jobs.part(j.ID)
-		since, held := r.owned[part]
-		if !certain && partsElsewhere[part] {
-			// The new holder goes on with its items.
-			return
-		}
-		// What was finished before the partition came here must have been read.
-		read := r.jobs.results[part].read.After(since)
-		if !held || !read || !j.Open() || since.UnixMilli() > j.AcceptedMs && !r.takenOver(now, part, since) {
-			return
+		switch r.tenure(now, part, partsElsewhere) {
+		case all:
+			if r.ready(now, j, part) {
+				list = r.appendWaiting(list, now, j, table, func(key itemKey) bool { return len(elsewhere) == 0 || !elsewhere[key.hash()] })
+			}
+		case begunOnly:
+			list = r.appendWaiting(list, now, j, table, func(key itemKey) bool { return r.progress[key] != nil && r.progress[key].begun() })
 		}
-		list = r.appendWaiting(list, now, j, table, elsewhere)
 	})
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
@@ -299,6 +339,16 @@
 	return list
 }
 
+// ready tells whether items of a held partition may run.
+func (r *runner) ready(now time.Time, j *batch.Job, part int) bool {
+	since := r.owned[part]
+	// What was finished before the partition came here must have been read.
+	if !j.Open() || !r.jobs.results[part].read.After(since) {
+		return false
+	}
+	return since.UnixMilli() <= j.AcceptedMs || r.takenOver(now, part, since)
+}
+
 // takenOver tells whether the items of a partition that came from another daemon may
 // run: that daemon had time to say what it still runs, and their progress was read.
 func (r *runner) takenOver(now time.Time, part int, since time.Time) bool {
@@ -306,11 +356,17 @@
 	return held >= takeoverWait && (r.restored[part].After(since) || held >= restorePatience)
 }
 
-func (r *runner) appendWaiting(list []candidate, now time.Time, j *batch.Job, table *route.Table, elsewhere map[uint64]bool) []candidate {
+// appendWaiting adds the items of a job that may run here and neither run nor have a
+// result.
+func (r *runner) appendWaiting(list []candidate, now time.Time, j *batch.Job, table *route.Table, here func(itemKey) bool) []candidate {
+	if !j.Open() {
+		return list
+	}
+
 	accepted := time.UnixMilli(j.AcceptedMs)
 	for i := range j.Items {
 		key := itemKey{j.ID, i}
-		if j.Finished(i) || r.active[key] != nil || len(elsewhere) > 0 && elsewhere[key.hash()] {
+		if j.Finished(i) || r.active[key] != nil || !here(key) {
 			continue
 		}
 		if p := r.progress[key]; p != nil && now.Before(p.notBefore) {
