--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -68,6 +68,7 @@
 		end.cause = run.reason
 	}
 	r.jobs.Places.ReleaseBatch(run.target, end.health)
+	r.learn(c, run, p, end, before)
 	if end.failed {
 		p.failures++
 	}
@@ -87,6 +88,17 @@
 	r.wake()
 }
 
+// learn takes what a run tells of items' speed.
+func (r *runner) learn(c *candidate, run *running, p *progress, end runEnd, before int64) {
+	had := p.events()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.speed.Ran(had-before-1, time.Since(run.began))
+	if end.whole {
+		r.speed.Finished(had, c.item.Tokens)
+	}
+}
+
 // again leaves the item to a later run.
 func (r *runner) again(c *candidate, run *running, p *progress, end runEnd) {
 	r.meter.again.Inc()
--- a/daemon/jobs/membership.go
+++ b/daemon/jobs/membership.go
@@ -73,7 +73,7 @@
 	for part := range r.owned {
 		if !held[part] {
 			delete(r.owned, part)
-			r.left[part] = now
+			r.gaveUp[part] = now
 			r.jobs.bodies.unfollow(part)
 			r.jobs.Logger.Info("partition_given_up", zap.Int("part", part), zap.Int64("generation", claim.Generation))
 		}
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -74,13 +74,16 @@
 	}
 }
 
-// begun tells whether anything of the item is had.
-func (p *progress) begun() bool {
+// events is how many events of the item are had.
+func (p *progress) events() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lastEvent != noEvent
+	return p.lastEvent + 1
 }
 
+// begun tells whether anything of the item is had.
+func (p *progress) begun() bool { return p.events() > 0 }
+
 // text is the data of all events.
 func (p *progress) text() string {
 	p.mu.Lock()
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -49,6 +49,9 @@
 	key    itemKey
 	target roster.Target
 	began  time.Time
+	// due is when the item is due, tokens its size; see batch.Item.
+	due    time.Time
+	tokens int64
 	cancel context.CancelFunc
 	// reason tells why the run was cancelled; it is set before that.
 	reason string
@@ -74,8 +77,8 @@
 	// progress was read from the log.
 	owned    map[int]time.Time
 	restored map[int]time.Time
-	// left holds when each partition that was held went to another daemon.
-	left map[int]time.Time
+	// gaveUp holds when each partition that was held went to another daemon.
+	gaveUp map[int]time.Time
 	// renewed is when the membership was last renewed.
 	renewed  time.Time
 	active   map[itemKey]*running
@@ -84,6 +87,8 @@
 	over     []itemKey
 	stopping bool
 	meter    *meter
+	// speed is what was learned of items' runs.
+	speed batch.Speed
 	// told is when it was last logged what waits.
 	told time.Time
 	// pacers hold, by group, how many items may start.
@@ -92,7 +97,7 @@
 
 func newRunner(j *Jobs) *runner {
 	return &runner{
-		jobs: j, wakes: make(chan struct{}, 1), owned: map[int]time.Time{}, restored: map[int]time.Time{}, left: map[int]time.Time{},
+		jobs: j, wakes: make(chan struct{}, 1), owned: map[int]time.Time{}, restored: map[int]time.Time{}, gaveUp: map[int]time.Time{},
 		active: map[itemKey]*running{}, progress: map[itemKey]*progress{}, meter: newMeter(j.Metrics),
 		pacers: map[string]*pacer{},
 	}
@@ -171,11 +176,17 @@
 	active := len(r.active)
 	r.mu.Unlock()
 	first := waiting[0]
+	behind := 0
+	for i := range waiting {
+		if waiting[i].behind {
+			behind++
+		}
+	}
 	free := 0
 	if first.route != nil {
 		free = r.jobs.Places.Free(first.route.Groups[0].Group, r.jobs.Headroom)
 	}
-	r.jobs.Logger.Info("batch_waits", zap.Int("waiting", len(waiting)), zap.Int("running", active), zap.Int("free_places", free),
+	r.jobs.Logger.Info("batch_waits", zap.Int("waiting", len(waiting)), zap.Int("behind", behind), zap.Int("running", active), zap.Int("free_places", free),
 		zap.String("first_job", first.key.job), zap.Int64("first_due_in_ms", time.Until(first.due).Milliseconds()))
 }
 
@@ -244,7 +255,7 @@
 	switch {
 	case held && (r.certain(now) || !elsewhere[part]):
 		return all
-	case held || now.Sub(r.left[part]) < finishFor:
+	case held || now.Sub(r.gaveUp[part]) < finishFor:
 		return begunOnly
 	default:
 		return none
@@ -298,6 +309,8 @@
 	route *route.Route
 	due   time.Time
 	age   time.Duration
+	// behind tells that the item can't be on time.
+	behind bool
 }
 
 // routeName is empty without a route.
@@ -333,10 +346,54 @@
 			list = r.appendWaiting(list, now, j, table, func(key itemKey) bool { return r.progress[key] != nil && r.progress[key].begun() })
 		}
 	})
+	r.order(now, list)
+	return list
+}
+
+// order sorts the items by their due time, those that can't be on time behind the
+// others; see batch.OnTime. r.mu is held.
+func (r *runner) order(now time.Time, list []candidate) {
+	r.speed.Had(now, len(r.active))
+	places, known := r.speed.Places()
+	if known {
+		works := make([]batch.Work, 0, len(list)+len(r.active))
+		for i := range list {
+			c := &list[i]
+			works = append(works, batch.Work{Due: c.due.Sub(now), Left: r.left(c.key, c.item.Tokens)})
+		}
+		for _, run := range r.active {
+			works = append(works, batch.Work{Due: run.due.Sub(now), Left: r.left(run.key, run.tokens)})
+		}
+		first := batch.OnTime(works, places)
+		for i := range list {
+			list[i].behind = !first[i]
+		}
+	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
+		return cmp.Or(compareBool(a.behind, b.behind), a.due.Compare(b.due),
+			cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
 	})
-	return list
+}
+
+// left estimates how long an item still runs. r.mu is held.
+func (r *runner) left(key itemKey, tokens int64) time.Duration {
+	had := int64(0)
+	if p := r.progress[key]; p != nil {
+		had = p.events()
+	}
+	return r.speed.Left(tokens, had)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // ready tells whether items of a held partition may run.
@@ -410,7 +467,7 @@
 	}
 	left[group]--
 	itemCtx, cancel := context.WithCancel(ctx)
-	run := &running{key: c.key, target: place.Target, began: time.Now(), cancel: cancel}
+	run := &running{key: c.key, target: place.Target, began: time.Now(), due: c.due, tokens: c.item.Tokens, cancel: cancel}
 	r.mu.Lock()
 	r.active[c.key] = run
 	r.mu.Unlock()
