Write a result once however often it is handed over

Cause: a daemon that is asked to write results queues them; asked again after 1.5 s without word it queued them again, and wrote both records in one append. The book takes the first, a host that restarts and reads the newest record of each key takes the last: the position moves. The cause is shown by a spec that fails before (three records under one key). Change: the queue drops an item's second result.

--- a/daemon/jobs/fakes_test.go
+++ b/daemon/jobs/fakes_test.go
@@ -39,6 +39,13 @@
 	delete(p.daemons, host)
 }
 
+// daemon returns what others call at a daemon.
+func (p *fakePeers) daemon(host string) reader {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.daemons[host]
+}
+
 // setCut makes all calls fail.
 func (p *fakePeers) setCut(cut bool) {
 	p.mu.Lock()
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -436,6 +436,47 @@
 		}, "1s").Should(Equal(before))
 	})
 
+	// A daemon asks another one to write a result, gets no word in time and asks again.
+	// The result must not be written twice: hosts that restart read the newest record
+	// of each key, and would show it at another position than before.
+	It("writes a result once however often it is handed over", func() {
+		script = func(*rawtarget.Request, net.Conn) {} // nothing ends by itself
+		a := alone()
+		Expect(submit(a, submission("j", 3))).To(BeNil())
+		log.SetDown(true)
+		handed := func(item int) jobs.WriteArgs {
+			result := batch.Result{Item: item, ID: fmt.Sprint("j-", item), State: batch.Succeeded, Output: "x"}
+			return jobs.WriteArgs{Part: jobs.Part("j", 4), Results: []jobs.KeptResult{{Job: "j", Result: result}}}
+		}
+		service := peers.daemon("a")
+		var wg sync.WaitGroup
+		for _, item := range []int{0, 0, 1, 0} {
+			wg.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer wg.Done()
+				var reply jobs.WriteReply
+				Expect(service.Write(handed(item), &reply)).To(Succeed())
+			}()
+		}
+		wg.Wait()
+		log.SetDown(false)
+		var reply jobs.WriteReply
+		Eventually(func() bool {
+			Expect(service.Write(handed(2), &reply)).To(Succeed())
+			return reply.Written
+		}).WithTimeout(limit).Should(BeTrue())
+		page, err := log.Read(ctx(), partlog.Partition{Topic: topics.Results, Part: jobs.Part("j", 4)}, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		seen := map[string]int{}
+		for _, k := range page.Records {
+			seen[k.Key]++
+		}
+		for key, n := range seen {
+			Expect(n).To(Equal(1), key)
+		}
+	})
+
 	It("settles an acceptance whose answer was lost", func() {
 		a := alone()
 		log.LoseAnswers(1)
--- a/daemon/jobs/writer.go
+++ b/daemon/jobs/writer.go
@@ -131,6 +131,11 @@
 // next drops what the book has already and returns the rest's head with the
 // offset that it must stand at. Both are taken under one lock: a result that
 // is read in between would move the offset and fail the append.
+//
+// An item's second result in the queue is dropped too. Failure guarded against: it is
+// queued by a run here and by a daemon that hands it over, perhaps twice. Two records
+// of one item in one append both stand on the log; a host that reads the newest of each
+// key then shows the item at another position than before.
 func (w *writer) next() (int64, []entry, []partlog.Record, error) {
 	w.jobs.mu.Lock()
 	defer w.jobs.mu.Unlock()
@@ -141,9 +146,11 @@
 		return 0, nil, nil, partlog.Unavailable.New("the partition was not read yet")
 	}
 	var open []entry
+	queued := map[itemKey]bool{}
 	for _, e := range w.queue {
 		known := w.jobs.book.Job(e.job)
-		if known != nil && !known.Finished(e.result.Item) {
+		if known != nil && !known.Finished(e.result.Item) && !queued[e.key()] {
+			queued[e.key()] = true
 			open = append(open, e)
 		}
 	}
