--- a/bench/days/play.sh
+++ b/bench/days/play.sh
@@ -24,7 +24,10 @@
 while read -r of day; do
   [ "$of" = "$name" ] || continue
   # shellcheck disable=SC2086 # a seed is an argument of its own
-  play replay "$site" $day
+  case "$day" in
+  *--seed*) play run "$site" $day ;;
+  *) play replay "$site" $day ;;
+  esac
 done < <(grep -v '^#' "$here/regressions.txt")
 echo "$name: $broken days with a broken rule"
 [ "$broken" -eq 0 ]
