Part the runner, and move the pacer to core

What waits, what is held and what is allowed stood in one file of 600 lines with the runs; they are files of their own now, and the pacer, which decides without input or output, stands in core/batch with its replay. No behaviour changes.

--- a/daemon/jobs/pacer.go
+++ b/core/batch/pace.go
@@ -1,13 +1,8 @@
-package jobs
+package batch
 
-import (
-	"math/rand/v2"
-	"time"
+import "time"
 
-	"tarragonhollow.example/tarragonhollow/daemon/places"
-)
-
-// pacer bounds how many items a daemon starts, to its share of the free places
+// Pacer bounds how many items a daemon starts, to its share of the free places
 // in the time that a word between daemons takes.
 //
 // It answers the load at which batch fills what online work leaves: all daemons
@@ -16,14 +11,14 @@
 // way before they began. With its share each daemon takes on average what is
 // free, once. A share below one is taken by chance: saved up, it would be spent
 // by all daemons at the same moment.
-type pacer struct {
+type Pacer struct {
 	at time.Time
 }
 
-// allow returns how many items may start now. free are the free places that the
+// Allow returns how many items may start now. free are the free places that the
 // daemon sees, fleet the daemons that see them, age how old their words are, and
 // random is in [0,1).
-func (p *pacer) allow(now time.Time, free, fleet int, age time.Duration, random float64) int {
+func (p *Pacer) Allow(now time.Time, free, fleet int, age time.Duration, random float64) int {
 	passed := min(1, now.Sub(p.at).Seconds()/age.Seconds())
 	p.at = now
 	share := float64(free) / float64(max(1, fleet)) * passed
@@ -33,20 +28,3 @@
 	}
 	return whole
 }
-
-// allowance returns how many items of the group may start at this look.
-func (r *runner) allowance(group string) int {
-	free := r.jobs.Places.Free(group, r.jobs.Headroom)
-	p := r.pacers[group]
-	if p == nil {
-		p = &pacer{}
-		r.pacers[group] = p
-	}
-	fleet := r.jobs.Fleet()
-	n := p.allow(time.Now(), free, min(fleet, r.jobs.Parts), places.WordAge(fleet), rand.Float64())
-	if n < free {
-		// The rest of the share comes with time alone.
-		r.wake()
-	}
-	return n
-}
--- a/daemon/jobs/pacer_test.go
+++ b/core/batch/pace_test.go
@@ -1,9 +1,11 @@
-package jobs
+package batch_test
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
 )
 
 // replay lets daemons fill a group of engines whose free places they see as they
@@ -14,7 +16,7 @@
 	const look = 20 * time.Millisecond
 	now := time.Unix(1000, 0)
 	random := rand.New(rand.NewPCG(1, uint64(daemons)))
-	pacers := make([]pacer, daemons)
+	pacers := make([]batch.Pacer, daemons)
 	taken := 0
 	seen := []int{places, places}
 	for range steps {
@@ -24,7 +26,7 @@
 		for i := range pacers {
 			n := free
 			if paced {
-				n = pacers[i].allow(now, free, daemons, age, random.Float64())
+				n = pacers[i].Allow(now, free, daemons, age, random.Float64())
 			}
 			started += n
 		}
@@ -53,11 +55,11 @@
 }
 
 func TestPacerStartsNothingWithoutPlaces(t *testing.T) {
-	var p pacer
+	var p batch.Pacer
 	now := time.Unix(1000, 0)
 	for range 100 {
 		now = now.Add(time.Second)
-		if p.allow(now, 0, 5, time.Millisecond, 0) > 0 {
+		if p.Allow(now, 0, 5, time.Millisecond, 0) > 0 {
 			t.Fatal("started with no place free")
 		}
 	}
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -1,10 +1,8 @@
 package jobs
 
 import (
-	"cmp"
 	"context"
 	"hash/fnv"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -14,7 +12,6 @@
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/core/roster"
-	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
 
@@ -24,10 +21,6 @@
 	stepPause = 20 * time.Millisecond
 	// idleLook is the longest, for what changes by time alone.
 	idleLook = 200 * time.Millisecond
-	// takeoverWait is how long the items of a partition that came from another
-	// daemon wait, except those of new jobs: that daemon may live and finish them.
-	// It learns of its loss within a renewal, and then says what it still runs.
-	takeoverWait = renewEvery + 300*time.Millisecond
 	// tellEvery is the pace of the lines on what waits.
 	tellEvery = time.Second
 	// giveUpSlack is added to the time after which an item may be given up: the
@@ -92,14 +85,14 @@
 	// told is when it was last logged what waits.
 	told time.Time
 	// pacers hold, by group, how many items may start.
-	pacers map[string]*pacer
+	pacers map[string]*batch.Pacer
 }
 
 func newRunner(j *Jobs) *runner {
 	return &runner{
 		jobs: j, wakes: make(chan struct{}, 1), owned: map[int]time.Time{}, restored: map[int]time.Time{}, gaveUp: map[int]time.Time{},
 		active: map[itemKey]*running{}, progress: map[itemKey]*progress{}, meter: newMeter(j.Metrics),
-		pacers: map[string]*pacer{},
+		pacers: map[string]*batch.Pacer{},
 	}
 }
 
@@ -190,82 +183,6 @@
 		zap.String("first_job", first.key.job), zap.Int64("first_due_in_ms", time.Until(first.due).Milliseconds()))
 }
 
-// tellHeld tells the other daemons which items they must not run: those that run here,
-// or whose results are not written yet, or that were begun here, although their
-// partition has gone or may have gone. It tells them too which partitions are held here
-// for certain.
-//
-// Failure guarded against: the log turns this daemon away, its partitions go to
-// another one, and that runs the items a second time that run or have ended here.
-func (r *runner) tellHeld() {
-	unwritten := r.jobs.unwritten()
-	elsewhere := r.jobs.Places.PartsElsewhere()
-	now := time.Now()
-	r.mu.Lock()
-	certain := r.certain(now)
-	var held []uint64
-	tell := func(key itemKey) {
-		if _, mine := r.owned[r.jobs.part(key.job)]; !mine || !certain {
-			held = append(held, key.hash())
-		}
-	}
-	for key := range r.active {
-		tell(key)
-	}
-	for _, key := range unwritten {
-		tell(key)
-	}
-	for key, p := range r.progress {
-		if r.active[key] == nil && r.tenure(now, r.jobs.part(key.job), elsewhere) != none && p.begun() {
-			tell(key)
-		}
-	}
-	var parts []int
-	if certain {
-		parts = slices.Sorted(maps.Keys(r.owned))
-	}
-	r.mu.Unlock()
-	r.jobs.Places.SetHeld(held, parts)
-}
-
-// tenure is which items of a partition this daemon runs.
-type tenure int
-
-const (
-	// none: the partition is another daemon's.
-	none tenure = iota
-	// begunOnly: it is another daemon's by now; what was begun here is finished here,
-	// since the other one has less of it, or nothing.
-	begunOnly
-	// all: it is held here.
-	all
-)
-
-// finishFor is how long items that were begun here are still started after their
-// partition has gone: about as long as an item takes beside online work.
-const finishFor = 8 * time.Second
-
-// tenure tells which items of the partition run here. elsewhere holds the partitions
-// that other daemons hold for certain. r.mu is held.
-func (r *runner) tenure(now time.Time, part int, elsewhere map[int]bool) tenure {
-	if r.stopping {
-		return none
-	}
-	_, held := r.owned[part]
-	switch {
-	case held && (r.certain(now) || !elsewhere[part]):
-		return all
-	case held || now.Sub(r.gaveUp[part]) < finishFor:
-		return begunOnly
-	default:
-		return none
-	}
-}
-
-// certain tells whether the partitions are held for certain: the membership was
-// renewed lately, so that they can't have been dealt to others. r.mu is held.
-func (r *runner) certain(now time.Time) bool { return !r.stopping && now.Sub(r.renewed) < memberTTL }
-
 // hash names the item in the words between daemons.
 func (k itemKey) hash() uint64 {
 	h := fnv.New64a()
@@ -300,147 +217,6 @@
 	return there[:min(n, len(there))]
 }
 
-// candidate is an item that could run now.
-type candidate struct {
-	key  itemKey
-	item batch.Item
-	host string
-	// route is nil if none fits.
-	route *route.Route
-	due   time.Time
-	age   time.Duration
-	// behind tells that the item can't be on time.
-	behind bool
-}
-
-// routeName is empty without a route.
-func (c *candidate) routeName() string {
-	if c.route == nil {
-		return ""
-	}
-	return c.route.Name
-}
-
-// waiting lists the items of the held partitions that neither run nor have a
-// result, in order of their due time.
-func (r *runner) waiting(table *route.Table) []candidate {
-	now := time.Now()
-	elsewhere := r.jobs.Places.HeldElsewhere()
-	partsElsewhere := r.jobs.Places.PartsElsewhere()
-	r.jobs.mu.Lock()
-	defer r.jobs.mu.Unlock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stopping {
-		return nil
-	}
-	var list []candidate
-	r.jobs.book.Jobs(func(j *batch.Job) {
-		part := r.jobs.part(j.ID)
-		switch r.tenure(now, part, partsElsewhere) {
-		case all:
-			if r.ready(now, j, part) {
-				list = r.appendWaiting(list, now, j, table, func(key itemKey) bool { return len(elsewhere) == 0 || !elsewhere[key.hash()] })
-			}
-		case begunOnly:
-			list = r.appendWaiting(list, now, j, table, func(key itemKey) bool { return r.progress[key] != nil && r.progress[key].begun() })
-		}
-	})
-	r.order(now, list)
-	return list
-}
-
-// order sorts the items by their due time, those that can't be on time behind the
-// others; see batch.OnTime. r.mu is held.
-func (r *runner) order(now time.Time, list []candidate) {
-	r.speed.Had(now, len(r.active))
-	places, known := r.speed.Places()
-	if known {
-		works := make([]batch.Work, 0, len(list)+len(r.active))
-		for i := range list {
-			c := &list[i]
-			works = append(works, batch.Work{Due: c.due.Sub(now), Left: r.left(c.key, c.item.Tokens)})
-		}
-		for _, run := range r.active {
-			works = append(works, batch.Work{Due: run.due.Sub(now), Left: r.left(run.key, run.tokens)})
-		}
-		first := batch.OnTime(works, places)
-		for i := range list {
-			list[i].behind = !first[i]
-		}
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(compareBool(a.behind, b.behind), a.due.Compare(b.due),
-			cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
-	})
-}
-
-// left estimates how long an item still runs. r.mu is held.
-func (r *runner) left(key itemKey, tokens int64) time.Duration {
-	had := int64(0)
-	if p := r.progress[key]; p != nil {
-		had = p.events()
-	}
-	return r.speed.Left(tokens, had)
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
-// ready tells whether items of a held partition may run.
-func (r *runner) ready(now time.Time, j *batch.Job, part int) bool {
-	since := r.owned[part]
-	// What was finished before the partition came here must have been read.
-	if !j.Open() || !r.jobs.results[part].read.After(since) {
-		return false
-	}
-	return since.UnixMilli() <= j.AcceptedMs || r.takenOver(now, part, since)
-}
-
-// takenOver tells whether the items of a partition that came from another daemon may
-// run: that daemon had time to say what it still runs, and their progress was read.
-func (r *runner) takenOver(now time.Time, part int, since time.Time) bool {
-	held := now.Sub(since)
-	return held >= takeoverWait && (r.restored[part].After(since) || held >= restorePatience)
-}
-
-// appendWaiting adds the items of a job that may run here and neither run nor have a
-// result.
-func (r *runner) appendWaiting(list []candidate, now time.Time, j *batch.Job, table *route.Table, here func(itemKey) bool) []candidate {
-	if !j.Open() {
-		return list
-	}
-
-	accepted := time.UnixMilli(j.AcceptedMs)
-	for i := range j.Items {
-		key := itemKey{j.ID, i}
-		if j.Finished(i) || r.active[key] != nil || !here(key) {
-			continue
-		}
-		if p := r.progress[key]; p != nil && now.Before(p.notBefore) {
-			continue
-		}
-		c := candidate{key: key, item: j.Items[i], host: j.Host, age: now.Sub(accepted), due: accepted}
-		if c.route = table.Match(j.Host, j.Items[i].Path); c.route == nil {
-			c.route = table.Match(j.Host, j.Path)
-		}
-		if c.route != nil {
-			c.due = accepted.Add(c.route.Due)
-		}
-		list = append(list, c)
-	}
-	return list
-}
-
 // start runs the item if its target group has room. left holds how many items of
 // each group may still start at this look.
 func (r *runner) start(ctx context.Context, c *candidate, left map[string]int) {
