--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -54,7 +54,7 @@
 		switch r.tenure(now, part, parts) {
 		case all:
 			if r.ready(now, j, part) {
-				list = r.appendWaiting(list, now, j, table, func(key itemKey) bool { return !held[key.hash()] })
+				list = r.appendWaiting(list, now, j, table, func(key itemKey) bool { return len(held) == 0 || !held[key.hash()] })
 			}
 		case begunOnly:
 			list = r.appendWaiting(list, now, j, table, r.begun)
