--- a/daemon/duty/pause.go
+++ b/daemon/duty/pause.go
@@ -17,3 +17,18 @@
 		return true
 	}
 }
+
+// Every calls work at a pace until ctx is done. Calls that take longer than the pace
+// leave out turns.
+func Every(ctx context.Context, pace time.Duration, work func()) {
+	tick := time.NewTicker(pace)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			work()
+		}
+	}
+}
--- a/daemon/jobs/handover.go
+++ b/daemon/jobs/handover.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 )
 
@@ -106,18 +107,11 @@
 
 // handOver hands results over until ctx is done.
 func (j *Jobs) handOver(ctx context.Context) {
-	tick := time.NewTicker(handOverEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	duty.Every(ctx, handOverEvery, func() {
 		for _, w := range j.writers {
 			j.handOverPart(ctx, w)
 		}
-	}
+	})
 }
 
 func (j *Jobs) handOverPart(ctx context.Context, w *writer) {
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/target/sse"
 )
@@ -139,16 +140,7 @@
 
 // keep keeps the progress of items on the log until ctx is done.
 func (r *runner) keep(ctx context.Context) {
-	tick := time.NewTicker(keepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		r.keepProgress(ctx, batch.WorthKeeping)
-	}
+	duty.Every(ctx, keepEvery, func() { r.keepProgress(ctx, batch.WorthKeeping) })
 }
 
 // keepProgress writes the progress that is worth it, in one append a partition. One
