Count what vanished, not what is still missing, for the grace of lapsed entries

The grace held while more than half of a group was missing; as targets came back one by one, the rest were dropped at the half, though they would have been back within 2 s. Change: the share is of those that vanished within the grace, back or not. The spec is unchanged and passes; so does the one on a part of a group.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -13,8 +13,9 @@
 	// entry vanished meanwhile stays in use: living targets write their entries
 	// again within about 2 s of the store's return.
 	ReturnGrace = 2200 * time.Millisecond
-	// lapsedShare is the part of a group that must vanish within the grace for its
-	// targets to stay in use: less than that is what planned work takes away.
+	// lapsedShare is the part of a group that must have vanished within the grace for
+	// its targets to stay in use, whether or not some are back: less than that is what
+	// planned work takes away.
 	lapsedShare = 0.5
 	// AwayAfter is the silence of the store after which entries that vanish are
 	// put down to the silence itself. It is above the pace at which the store is
@@ -55,6 +56,9 @@
 	// lapsed holds the targets whose entries vanished while the store was away,
 	// with the moment at which they count as gone.
 	lapsed map[string]waiting
+	// vanished holds, by ID, the group of each target whose entry vanished within the
+	// last grace, also of those that are back.
+	vanished map[string]string
 	// aside holds the entries of earlier starts, with the moment at which they
 	// count after all.
 	aside     map[string]waiting
@@ -70,7 +74,8 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Target{}, lapsed: map[string]waiting{}, aside: map[string]waiting{}}
+	return &Roster{entries: map[string]Target{}, lapsed: map[string]waiting{}, aside: map[string]waiting{},
+		vanished: map[string]string{}}
 }
 
 // Heard notes an answer of the store. Call it before Set, Remove, Spoil and
@@ -78,6 +83,7 @@
 func (r *Roster) Heard(now time.Time) {
 	if !r.heard.IsZero() && now.Sub(r.heard) > AwayAfter {
 		r.graceEnds = now.Add(ReturnGrace)
+		clear(r.vanished)
 	}
 	r.heard = now
 }
@@ -120,6 +126,7 @@
 	delete(r.entries, id)
 	if now.Before(r.graceEnds) && !t.Draining {
 		r.lapsed[id] = waiting{t, r.graceEnds}
+		r.vanished[id] = t.Group
 	}
 }
 
@@ -173,23 +180,25 @@
 	return list, until
 }
 
-// kept lists the lapsed targets of the groups of which most have lapsed.
+// kept lists the lapsed targets of the groups of which most have vanished.
 func (r *Roster) kept() []Target {
 	if len(r.lapsed) == 0 {
 		return nil
 	}
-	all, lapsed := map[string]int{}, map[string]int{}
-	for _, t := range r.entries {
-		all[t.Group]++
+	all, vanished := map[string]int{}, map[string]int{}
+	for id, t := range r.entries {
+		if _, was := r.vanished[id]; !was {
+			all[t.Group]++
+		}
 	}
-	for _, l := range r.lapsed {
-		all[l.target.Group]++
-		lapsed[l.target.Group]++
+	for _, group := range r.vanished {
+		all[group]++
+		vanished[group]++
 	}
 	var list []Target
 	for _, l := range r.lapsed {
 		group := l.target.Group
-		if float64(lapsed[group]) > lapsedShare*float64(all[group]) {
+		if float64(vanished[group]) > lapsedShare*float64(all[group]) {
 			list = append(list, l.target)
 		}
 	}
