--- a/bench/days/play.sh
+++ b/bench/days/play.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# Plays the days of this folder and every day that ever broke a rule on a site.
+# Plays the days of deploy/days and every day that ever broke a rule on a site.
 # Usage: bench/days/play.sh FLEETBENCH SITE WHY
 # FLEETBENCH is the users' bench; days that broke a rule stand in regressions.txt
 # as "site day", the day as the bench names it or as "standard-day --seed N".
 set -uo pipefail
 bench=$1 site=$2 why=$3
 here=$(dirname "$0")
+days=$here/../../deploy/days
 name=$(basename "$site" .toml)
 broken=0
 play() {
@@ -17,17 +18,9 @@
     echo "$out" | grep -A8 BROKEN | head -12
   fi
 }
-for day in "$here"/*.toml; do
+for day in "$days"/*.toml; do
   play run "$site" "$day"
 done
-# Kinds of trouble that only the grown sites know.
-case "$name" in
-*-grown)
-  for day in "$here"/grown/*.toml; do
-    play run "$site" "$day"
-  done
-  ;;
-esac
 while read -r of day; do
   [ "$of" = "$name" ] || continue
   # shellcheck disable=SC2086 # a seed is an argument of its own
