--- a/core/board/board.go
+++ b/core/board/board.go
@@ -209,24 +209,16 @@
 	return sum
 }
 
-// Digest sums up, in one word for other zones, what the daemons of the own zone
-// run, as they told and as this one knows of itself. Whichever daemon gives it,
-// it stands for the zone.
-func (b *Board) Digest(now time.Time, number uint64) Word {
-	b.expire(now)
-	digest := Word{From: digestName(b.zone), Zone: b.zone, Number: number, Counts: b.Counts()}
-	for _, h := range b.others {
-		if h.word.Zone != b.zone {
-			continue
-		}
-		for target, c := range h.word.Counts {
-			add(digest.Counts, target, c)
+// Less returns counts without the own ones in them.
+func (b *Board) Less(counts map[string]Count) map[string]Count {
+	others := make(map[string]Count, len(counts))
+	for target, c := range counts {
+		own := b.own[target]
+		c.Online = max(0, c.Online-own.Online)
+		c.Batch = max(0, c.Batch-own.Batch)
+		if c != (Count{}) {
+			others[target] = c
 		}
-		digest.Held = append(digest.Held, h.word.Held...)
-		digest.Parts = append(digest.Parts, h.word.Parts...)
 	}
-	return digest
+	return others
 }
-
-// digestName is the sender of a zone's digests.
-func digestName(zone string) string { return "zone " + zone }
--- a/core/routing/admit.go
+++ b/core/routing/admit.go
@@ -64,8 +64,13 @@
 	if wait <= left {
 		return nil
 	}
+	return TooBusy(t.group, wait, left)
+}
+
+// TooBusy refuses a request that would queue for wait and has only left.
+func TooBusy(group string, wait, left time.Duration) *outcome.Refusal {
 	refusal := outcome.Refuse(outcome.Overloaded,
-		"the targets of %s are busy for about %s, the deadline is in %s",
-		t.group, wait.Round(time.Millisecond), left.Round(time.Millisecond))
+		"the targets of %s are busy for about %s, the request can wait for %s",
+		group, wait.Round(time.Millisecond), left.Round(time.Millisecond))
 	return refusal.After(max(1, (wait - left).Milliseconds()))
 }
--- a/core/routing/doubt.go
+++ b/core/routing/doubt.go
@@ -25,18 +25,19 @@
 	maxDoubtShare = 0.25
 )
 
-// doubt is what failures without a success since say of a target. It lasts as long
-// as a removal after as many failures holds a target.
-type doubt struct {
+// Doubt is what failures without a success since say of a target. It lasts as long
+// as a removal after as many failures holds a target. The zero value is no doubt; a
+// success brings it back.
+type Doubt struct {
 	// failures in a row, those that the zone told of included.
 	failures int
 	until    time.Time
 }
 
-// failed takes an own failure. heard is how many failures others have told of.
+// Failed takes a failure. heard is how many failures others have told of.
 // Failures of requests that were sent before the doubt arrive in a bunch; they
 // count as one.
-func (d *doubt) failed(now time.Time, heard int) {
+func (d *Doubt) Failed(now time.Time, heard int) {
 	if now.Before(d.until) {
 		return
 	}
@@ -44,6 +45,12 @@
 	d.until = now.Add(holdAfter(d.failures - 1))
 }
 
+// Failures counts the failures in a row.
+func (d *Doubt) Failures() int { return d.failures }
+
+// Lasts tells whether the target is still held back.
+func (d *Doubt) Lasts(now time.Time) bool { return now.Before(d.until) }
+
 // heardDoubt returns how many failures in a row the zone's others tell of.
 func (e *entry) heardDoubt(now time.Time) int {
 	if !e.heard.fresh(now) {
@@ -58,7 +65,7 @@
 // that may be repeated; for others the doubt lasts until the target answers.
 func (e *entry) doubtful(now time.Time, r Request) bool {
 	d := e.health.doubt
-	if e.heardDoubt(now) > d.failures || now.Before(d.until) {
+	if e.heardDoubt(now) > d.failures || d.Lasts(now) {
 		return true
 	}
 	return r.LastChance && (d.failures > 0 || e.heardDoubt(now) > 0 || e.health.state(now) == HalfOpen)
--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -54,7 +54,7 @@
 	// allowance bounds the own requests in flight while half-open; 0 is healthy.
 	allowance int
 	// doubt is milder than a removal and comes with the first failure.
-	doubt doubt
+	doubt Doubt
 }
 
 func (h *health) state(now time.Time) State {
@@ -88,7 +88,7 @@
 
 func (h *health) succeeded(now time.Time) bool {
 	h.failures = 0
-	h.doubt = doubt{}
+	h.doubt = Doubt{}
 	if h.allowance == 0 || now.Before(h.until) {
 		return false
 	}
@@ -142,7 +142,7 @@
 // note takes an outcome of the own work and tells whether the state changed.
 func (e *entry) note(now time.Time, o Outcome) bool {
 	if o == SoftFailed || o == HardFailed {
-		e.health.doubt.failed(now, e.heardDoubt(now))
+		e.health.doubt.Failed(now, e.heardDoubt(now))
 	}
 	return e.health.note(now, o)
 }
--- /dev/null
+++ b/core/slots/slots_test.go
@@ -0,0 +1,301 @@
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/core/slots"
+)
+
+func TestSlots(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "slots")
+}
+
+var start = time.Unix(1000, 0)
+
+const perTarget = 4
+
+// ledger returns a ledger of n targets t0, t1, ... of the group g.
+func ledger(n int) *slots.Ledger {
+	l := slots.NewLedger()
+	var targets []slots.Target
+	for i := range n {
+		targets = append(targets, slots.Target{Start: fmt.Sprint("t", i), Slots: perTarget})
+	}
+	l.SetTargets(map[string][]slots.Target{"g": targets})
+	return l
+}
+
+var numbers uint64
+
+// ask asks for an online request of the holder h, changed by the options.
+func ask(change ...func(*slots.Ask)) slots.Ask {
+	numbers++
+	a := slots.Ask{ID: slots.ID{Holder: "h", Number: numbers}, Group: "g", Patience: time.Second}
+	for _, c := range change {
+		c(&a)
+	}
+	return a
+}
+
+func batch(a *slots.Ask)      { a.Batch = true }
+func visiting(a *slots.Ask)   { a.Visiting = true }
+func staying(a *slots.Ask)    { a.Stay = true }
+func lastChance(a *slots.Ask) { a.LastChance = true }
+
+func holder(name string) func(*slots.Ask) { return func(a *slots.Ask) { a.ID.Holder = name } }
+
+func without(targets ...string) func(*slots.Ask) {
+	return func(a *slots.Ask) { a.Exclude = targets }
+}
+
+var _ = Describe("The ledger of a zone's slots", func() {
+	var l *slots.Ledger
+	var now time.Time
+	BeforeEach(func() { l, now = ledger(2), start })
+
+	granted := func(change ...func(*slots.Ask)) slots.Grant {
+		GinkgoHelper()
+		got := l.Grant(now, ask(change...), numbers)
+		Expect(got.Verdict).To(Equal(slots.Granted))
+		return got
+	}
+
+	It("fills the targets evenly and gives each free slot out once", func() {
+		for range 2 * perTarget {
+			granted()
+		}
+		Expect(l.Counts()).To(Equal(map[string]board.Count{"t0": {Online: perTarget}, "t1": {Online: perTarget}}))
+		Expect(l.Free(now)["g"]).To(BeZero())
+		Expect(l.Grant(now, ask(visiting), 0).Verdict).To(Equal(slots.None))
+		Expect(l.Grant(now, ask(batch), 0).Verdict).To(Equal(slots.None))
+	})
+
+	It("has as many batch items give way as online work needs, the last ones first", func() {
+		var items []slots.Ask
+		for range 2 * perTarget {
+			a := ask(batch, holder(fmt.Sprint("h", len(items))))
+			Expect(l.Grant(now, a, numbers).Verdict).To(Equal(slots.Granted))
+			items = append(items, a)
+			now = now.Add(time.Millisecond)
+		}
+		told := map[slots.ID]bool{}
+		for range 3 {
+			for _, id := range granted().Yield {
+				told[id] = true
+			}
+		}
+		Expect(told).To(HaveLen(3))
+		Expect(told).To(HaveKey(items[len(items)-1].ID))
+		Expect(told).To(HaveKey(items[len(items)-2].ID))
+		// An item whose holder did not hear of it is told again, or another one.
+		now = now.Add(time.Second)
+		Expect(granted().Yield).NotTo(BeEmpty())
+	})
+
+	It("leaves batch the slots beyond the headroom only", func() {
+		l = ledger(1)
+		for range perTarget - 1 {
+			a := ask(batch)
+			a.Headroom = 1
+			Expect(l.Grant(now, a, 0).Verdict).To(Equal(slots.Granted))
+		}
+		a := ask(batch)
+		a.Headroom = 1
+		Expect(l.Grant(now, a, 0).Verdict).To(Equal(slots.None))
+		Expect(l.Grant(now, ask(), 0).Verdict).To(Equal(slots.Granted))
+	})
+
+	// A target takes every connection and fails each request at once. It always looks
+	// like the emptiest one, and would draw the requests of the whole zone.
+	It("holds a target back that fails, and tries it again by one request at a time", func() {
+		a := ask(without("t1"))
+		Expect(l.Grant(now, a, 0).Target).To(Equal("t0"))
+		l.Report(now, "h", nil, []slots.Ended{{Number: a.ID.Number, Target: "t0", Outcome: routing.HardFailed}})
+		for range perTarget {
+			Expect(granted().Target).To(Equal("t1"))
+		}
+		// Its slots are not counted as free, but go before a queue elsewhere.
+		Expect(l.Free(now)["g"]).To(BeZero())
+		now = now.Add(routing.FirstHold)
+		l = ledgerAfterFailure(now.Add(-routing.FirstHold))
+		trial := ask()
+		Expect(l.Grant(now, trial, 0).Target).To(Equal("t0"))
+		for range perTarget {
+			Expect(l.Grant(now, ask(), 0).Target).To(Equal("t1"))
+		}
+		l.Report(now, "h", nil, []slots.Ended{{Number: trial.ID.Number, Target: "t0", Outcome: routing.Succeeded}})
+		Expect(l.Grant(now, ask(), 0).Target).To(Equal("t0"))
+		Expect(l.Grant(now, ask(), 0).Target).To(Equal("t0"))
+	})
+
+	It("sends what must not run twice to no target that has not answered since it failed", func() {
+		l = ledgerAfterFailure(now)
+		now = now.Add(time.Minute)
+		for range perTarget {
+			Expect(l.Grant(now, ask(lastChance), 0).Target).To(Equal("t1"))
+		}
+	})
+
+	It("passes a request on to the zone with the most room, and counts what it sent there", func() {
+		for range 2 * perTarget {
+			granted()
+		}
+		l.HearRoom(now, "y", "y:1", map[string]int{"g": 3})
+		l.HearRoom(now, "x", "x:1", map[string]int{"g": 4})
+		var zones []string
+		for range 5 {
+			got := l.Grant(now, ask(), 0)
+			if got.Verdict == slots.Elsewhere {
+				zones = append(zones, got.Zone)
+				continue
+			}
+			Expect(got.Verdict).To(Equal(slots.Granted))
+			zones = append(zones, "home")
+		}
+		// The last slot of a zone may be gone.
+		Expect(zones).To(Equal([]string{"x", "x", "y", "x", "y"}))
+		Expect(l.Grant(now, ask(), 0).Verdict).To(Equal(slots.Granted))
+		Expect(l.Grant(now, ask(staying), 0).Verdict).To(Equal(slots.Granted))
+		now = now.Add(slots.RoomLife + time.Millisecond)
+		l.HearRoom(now, "v", "v:1", map[string]int{"g": 2})
+		Expect(l.Grant(now, ask(), 0).Zone).To(Equal("v"))
+	})
+
+	// What would wait for longer than its caller does must be refused at once.
+	It("refuses what would queue for too long, by the time that requests take", func() {
+		l = ledger(1)
+		for range 10 {
+			a := ask()
+			Expect(l.Grant(now, a, 0).Verdict).To(Equal(slots.Granted))
+			l.Report(now, "h", nil, []slots.Ended{{Number: a.ID.Number, Target: "t0", Outcome: routing.Succeeded, Took: time.Second}})
+		}
+		for range perTarget {
+			granted()
+		}
+		// One in four slots gets free each quarter of a second.
+		granted()
+		granted()
+		granted()
+		refused := ask()
+		refused.Patience = 900 * time.Millisecond
+		got := l.Grant(now, refused, 0)
+		Expect(got.Verdict).To(Equal(slots.Overloaded))
+		Expect(got.Wait).To(BeNumerically("~", time.Second, time.Millisecond))
+	})
+
+	It("uses a target that the asker has tried only for want of another", func() {
+		Expect(granted(without("t0")).Target).To(Equal("t1"))
+		Expect(granted(without("t0", "t1")).Target).NotTo(BeEmpty())
+		Expect(l.Grant(now, ask(func(a *slots.Ask) { a.Group = "unknown" }), 0).Verdict).To(Equal(slots.None))
+	})
+
+	// A leader's host loses power. The next one knows nothing of what runs, and must
+	// not send the zone's requests to engines that are full.
+	It("is whole after one report of each holder", func() {
+		var running []slots.Running
+		for range 2 * perTarget {
+			a := ask()
+			got := l.Grant(now, a, 0)
+			running = append(running, slots.Running{Number: a.ID.Number, Target: got.Target})
+		}
+		next := ledger(2)
+		next.Report(now, "h", running, nil)
+		Expect(next.Counts()).To(Equal(l.Counts()))
+	})
+
+	It("drops a lease that its holder does not name, once it can't be under way to it any more", func() {
+		granted()
+		l.Report(now, "h", nil, nil)
+		Expect(l.Counts()).To(HaveLen(1))
+		now = now.Add(slots.ReportEvery)
+		l.Report(now, "h", nil, nil)
+		Expect(l.Counts()).To(BeEmpty())
+	})
+
+	It("drops the leases of a holder that is silent", func() {
+		granted()
+		now = now.Add(slots.LeaseLife)
+		l.Expire(now)
+		Expect(l.Counts()).To(HaveLen(1))
+		now = now.Add(time.Millisecond)
+		l.Expire(now)
+		Expect(l.Counts()).To(BeEmpty())
+	})
+
+	// A count that is taken back wrongly leaves load that nobody has: a target looks
+	// full for good, or gets twice what fits.
+	It("counts what its holders run, whatever is asked, told and lost", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			l := ledger(3)
+			now := start
+			type key struct {
+				holder string
+				number uint64
+			}
+			held := map[key]slots.Running{}
+			last := uint64(0)
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+				h := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "holder")
+				switch rapid.IntRange(0, 2).Draw(t, "step") {
+				case 0:
+					last++
+					a := slots.Ask{ID: slots.ID{Holder: h, Number: last}, Group: "g", Patience: time.Second, Batch: rapid.Bool().Draw(t, "batch")}
+					if got := l.Grant(now, a, last); got.Verdict == slots.Granted {
+						held[key{h, last}] = slots.Running{Number: last, Target: got.Target, Batch: a.Batch}
+					}
+				case 1:
+					for k, r := range held {
+						if k.holder == h {
+							delete(held, k)
+							l.End(now, h, []slots.Ended{{Number: k.number, Target: r.Target, Outcome: routing.Neutral}})
+							break
+						}
+					}
+				case 2:
+					var running []slots.Running
+					for k, r := range held {
+						if k.holder == h {
+							running = append(running, r)
+						}
+					}
+					l.Report(now, h, running, nil)
+				}
+				want := map[string]board.Count{}
+				for _, r := range held {
+					c := want[r.Target]
+					if r.Batch {
+						c.Batch++
+					} else {
+						c.Online++
+					}
+					want[r.Target] = c
+				}
+				if got := l.Counts(); fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Fatalf("counts %v, held %v", got, want)
+				}
+				for start, c := range want {
+					if c.Batch > perTarget {
+						t.Fatalf("%d batch items at %s", c.Batch, start)
+					}
+				}
+			}
+		})
+	})
+})
+
+// ledgerAfterFailure returns a ledger of two targets, of which t0 has just failed.
+func ledgerAfterFailure(now time.Time) *slots.Ledger {
+	l := ledger(2)
+	l.End(now, "h", []slots.Ended{{Number: 1, Target: "t0", Outcome: routing.HardFailed}})
+	return l
+}
--- a/daemon/front/callers.go
+++ b/daemon/front/callers.go
@@ -98,6 +98,7 @@
 	began := time.Now()
 	n.Logger.Info("stopping")
 	n.stopping.Store(true)
+	n.Places.StepDown()
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopGrace-stopMargin)
 	defer cancel()
 	drained := make(chan struct{})
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -71,11 +71,15 @@
 	n := &Node{Settings: s, Logger: logger, Metrics: set, started: time.Now()}
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
-	n.Places = places.New(places.Options{Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Fleet: func() int { return n.hosts.count() }, Logger: logger})
-	n.Places.OnGone(n.pool.Forget)
-	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, places.Peer{Address: s.PeerAddress, Zone: s.Zone}, logger)
+	self := places.Peer{Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores}
+	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, self, logger)
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
 	n.peerServer = peer.NewServer(peer.ServerOptions{Logger: logger, Metrics: set})
+	n.Places = places.New(places.Options{
+		Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Cores: s.Cores, Fleet: n.hosts.count, Peers: n.peers,
+		Logger: logger, Metrics: set,
+	})
+	n.Places.OnGone(n.pool.Forget)
 	var err error
 	n.suspects, err = suspects.New(suspects.Options{
 		View: n.hosts, Peer: n.peers, Registrar: n.peerServer, Limit: func() int { return crashLimit }, Logger: logger, Metrics: set,
@@ -152,7 +156,8 @@
 	group.Go(n.hosts.announce)
 	group.Go(n.hosts.follow)
 	group.Go(func(ctx context.Context) { n.Places.Spread(ctx, n.peers, n.hosts.peers) })
-	group.Go(func(ctx context.Context) { n.Places.SpreadFar(ctx, n.peers, n.hosts.peers) })
+	group.Go(func(ctx context.Context) { n.Places.Lead(ctx, n.hosts.peers) })
+	group.Go(n.Places.Report)
 	n.suspects.Run(group)
 	n.Jobs.Run(group)
 	return nil
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -84,6 +84,9 @@
 			{Record: partlog.Record{Key: "c", Value: []byte("3:3")}},
 			{Record: partlog.Record{Key: "d", Value: []byte("somewhere z2")}},
 			{Record: partlog.Record{Key: "e", Value: []byte{0xff, 0}}},
+			{Record: partlog.Record{Key: "f", Value: []byte("4:4 z2 NaN")}},
+			{Record: partlog.Record{Key: "g", Value: []byte("4:4 z2 -1")}},
+			{Record: partlog.Record{Key: "i", Value: []byte("4:4  1")}},
 			{Unreadable: true},
 		})
 		Expect(a.peers()).To(Equal([]places.Peer{{Address: "2:2", Zone: "z2"}}))
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,15 +45,28 @@
 		incarnation: uint64(time.Now().UnixNano()), position: -1, known: map[string]places.Peer{}}
 }
 
-// encodeEntry is the value of a daemon's record: its peer address and its zone.
-func encodeEntry(p places.Peer) []byte { return []byte(p.Address + " " + p.Zone) }
+// encodeEntry is the value of a daemon's record: its peer address, its zone and the
+// cores that it may use.
+func encodeEntry(p places.Peer) []byte {
+	return []byte(p.Address + " " + p.Zone + " " + strconv.FormatFloat(p.Cores, 'g', -1, 64))
+}
+
+// entryFields is the number of fields of an entry.
+const entryFields = 3
 
 func decodeEntry(value []byte) (places.Peer, bool) {
-	address, zone, found := strings.Cut(string(value), " ")
-	if _, _, err := net.SplitHostPort(address); err != nil || !found || zone == "" {
+	fields := strings.Split(string(value), " ")
+	if len(fields) != entryFields || fields[1] == "" {
+		return places.Peer{}, false
+	}
+	if _, _, err := net.SplitHostPort(fields[0]); err != nil {
+		return places.Peer{}, false
+	}
+	cores, err := strconv.ParseFloat(fields[2], 64)
+	if err != nil || !(cores >= 0) {
 		return places.Peer{}, false
 	}
-	return places.Peer{Address: address, Zone: zone}, true
+	return places.Peer{Address: fields[0], Zone: fields[1], Cores: cores}, true
 }
 
 // announce writes the own entry.
--- a/daemon/jobs/allowance.go
+++ b/daemon/jobs/allowance.go
@@ -8,8 +8,16 @@
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 )
 
-// allowance returns how many items of the group may start at this look.
+// mostStarts bounds how many items start at one look where each is asked for by
+// itself: asking takes some 0.5 ms, and giving way must not wait for longer.
+const mostStarts = 40
+
+// allowance returns how many items of the group may start at this look. Where leaders
+// give slots out they count what is free, and no pace is needed.
 func (r *runner) allowance(group string) int {
+	if r.jobs.Places.Counted() {
+		return mostStarts
+	}
 	free := r.jobs.Places.Free(group, r.jobs.Headroom)
 	p := r.pacers[group]
 	if p == nil {
--- a/daemon/jobs/fakes_test.go
+++ b/daemon/jobs/fakes_test.go
@@ -227,11 +227,13 @@
 	Hear(board.Word, *places.Ack) error
 }
 
-// boardRegistrar takes a view's service.
+// boardRegistrar takes the one of a view's services that hears words.
 type boardRegistrar struct{ to *boardHearer }
 
 // Register implements peer.Registrar.
 func (r boardRegistrar) Register(_ string, receiver any) error {
-	*r.to = receiver.(boardHearer)
+	if hearer, hears := receiver.(boardHearer); hears {
+		*r.to = hearer
+	}
 	return nil
 }
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -67,7 +67,7 @@
 		end.delay = 0
 		end.cause = run.reason
 	}
-	r.jobs.Places.ReleaseBatch(run.target, end.health)
+	r.jobs.Places.ReleaseBatch(run.place, end.health)
 	r.learn(c, run, p, end, before)
 	if end.failed {
 		p.failures++
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -13,6 +13,7 @@
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
 )
 
 const (
@@ -41,6 +42,7 @@
 type running struct {
 	key    itemKey
 	target roster.Target
+	place  places.Place
 	began  time.Time
 	// due is when the item is due, tokens its size; see batch.Item.
 	due    time.Time
@@ -236,14 +238,14 @@
 		r.fetch(ctx, c, p)
 		return
 	}
-	place, ok := r.jobs.Places.TakeBatch(group, map[string]bool{p.avoid: true}, r.jobs.Headroom)
+	place, ok := r.jobs.Places.TakeBatch(ctx, group, map[string]bool{p.avoid: true}, r.jobs.Headroom)
 	if !ok {
 		left[group] = 0
 		return
 	}
 	left[group]--
 	itemCtx, cancel := context.WithCancel(ctx)
-	run := &running{key: c.key, target: place.Target, began: time.Now(), due: c.due, tokens: c.item.Tokens, cancel: cancel}
+	run := &running{key: c.key, target: place.Target, place: place, began: time.Now(), due: c.due, tokens: c.item.Tokens, cancel: cancel}
 	r.mu.Lock()
 	r.active[c.key] = run
 	r.mu.Unlock()
--- /dev/null
+++ b/daemon/places/lead.go
@@ -0,0 +1,233 @@
+package places
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/core/election"
+	"tarragonhollow.example/tarragonhollow/core/slots"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+)
+
+const (
+	// roomEvery is the pace at which leaders tell each other of their free slots: some
+	// 30 messages a round in a fleet of six zones.
+	roomEvery = 50 * time.Millisecond
+	// zoneLife is how long what another zone's leader told counts.
+	zoneLife = 1500 * time.Millisecond
+	// strangers is how many daemons of a zone are told where its leader is not known;
+	// they pass it on.
+	strangers = 2
+)
+
+// Lead takes part in the election of the zone's leader, and does a leader's work while
+// this daemon leads, until ctx is done.
+func (p *Places) Lead(ctx context.Context, peers func() []Peer) {
+	pace := election.HeartbeatEvery
+	for duty.Pause(ctx, pace) {
+		pace = election.HeartbeatEvery
+		if p.scheduled() && p.leadOnce(time.Now(), peers()) {
+			pace = roomEvery
+		}
+	}
+}
+
+// StepDown ends this daemon's part in the election.
+func (p *Places) StepDown() {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+// leadOnce tells whether this daemon leads.
+func (p *Places) leadOnce(now time.Time, peers []Peer) bool {
+	s := p.scheduler
+	s.mu.Lock()
+	led := s.leads
+	s.election.SetMembers(now, s.members(peers))
+	s.leads = s.election.Lead(now, s.able && !s.stopping)
+	s.noteLeader(now, "the election")
+	leads := s.leads
+	var room Room
+	var beat *Beat
+	if leads {
+		s.ledger.Expire(now)
+		room = Room{Zone: s.zone, Leader: s.self, Free: s.ledger.Free(now), Held: s.heldInZone(now)}
+		if now.Sub(s.beaten) >= election.HeartbeatEvery {
+			s.beaten = now
+			beat = s.beat(now)
+		}
+	}
+	s.mu.Unlock()
+	switch {
+	case leads:
+		s.tellRoom(now, room, peers)
+		if beat != nil {
+			p.takeBeat(now, *beat)
+			s.tellZone(*beat, peers)
+		}
+	case led:
+		s.tellZone(Beat{From: s.self, Resigned: true}, peers)
+	}
+	return leads
+}
+
+// members lists the daemons of the own zone, this one too.
+func (s *scheduler) members(peers []Peer) []election.Member {
+	list := []election.Member{{Address: s.self, Room: s.cores}}
+	for _, other := range peers {
+		if other.Zone == s.zone {
+			list = append(list, election.Member{Address: other.Address, Room: other.Cores})
+		}
+	}
+	return list
+}
+
+// beat gathers what the zone's daemons are told. s.mu is held.
+func (s *scheduler) beat(now time.Time) *Beat {
+	held := s.heldInZone(now)
+	for _, z := range s.zones {
+		if now.Sub(z.at) > zoneLife {
+			continue
+		}
+		for holder, work := range z.held {
+			held[holder] = work
+		}
+	}
+	return &Beat{From: s.self, Counts: s.ledger.Counts(), Doubts: s.ledger.Doubts(now), Held: held}
+}
+
+// heldInZone gathers the held work of the zone's daemons. s.mu is held.
+func (s *scheduler) heldInZone(now time.Time) map[string]HeldWork {
+	held := map[string]HeldWork{}
+	for holder, w := range s.holders {
+		switch {
+		case now.Sub(w.at) > slots.LeaseLife:
+			delete(s.holders, holder)
+		case !w.held.empty():
+			held[holder] = w.held
+		}
+	}
+	return held
+}
+
+func (s *scheduler) tellZone(b Beat, peers []Peer) {
+	for _, other := range peers {
+		if other.Zone == s.zone {
+			s.caller.Notify(other.Address, beatMethod, b)
+		}
+	}
+}
+
+// tellRoom tells the leaders of the other zones of the free slots, or some daemons of
+// a zone whose leader is not known.
+func (s *scheduler) tellRoom(now time.Time, r Room, peers []Peer) {
+	zones := map[string][]string{}
+	for _, other := range peers {
+		if other.Zone != s.zone {
+			zones[other.Zone] = append(zones[other.Zone], other.Address)
+		}
+	}
+	for zone, members := range zones {
+		if leader, known := s.leaderOf(now, zone); known {
+			s.caller.Notify(leader, roomMethod, r)
+			continue
+		}
+		for range strangers {
+			s.caller.Notify(members[rand.IntN(len(members))], roomMethod, r)
+		}
+	}
+}
+
+// leaderOf returns the leader of another zone.
+func (s *scheduler) leaderOf(now time.Time, zone string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	z := s.zones[zone]
+	if z == nil || now.Sub(z.at) > election.Silence {
+		return "", false
+	}
+	return z.leader, true
+}
+
+// hearRoom takes another zone's word, or passes it on to the leader.
+func (s *scheduler) hearRoom(now time.Time, r Room) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Zone == s.zone {
+		return
+	}
+	if s.leads {
+		s.zones[r.Zone] = &zoneWord{leader: r.Leader, held: r.Held, at: now}
+		s.ledger.HearRoom(now, r.Zone, r.Leader, r.Free)
+		return
+	}
+	if leader, found := s.election.Leader(now); found && !r.Forwarded {
+		r.Forwarded = true
+		s.caller.Notify(leader, roomMethod, r)
+	}
+}
+
+// hearReport takes a daemon's leases.
+func (s *scheduler) hearReport(now time.Time, r Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.holders[r.Holder]
+	if w == nil || w.incarnation != r.Incarnation {
+		w = &holderWord{incarnation: r.Incarnation}
+		s.holders[r.Holder] = w
+	}
+	if r.Number < w.number {
+		// A later report was taken before: only the ends are news.
+		s.ledger.End(now, r.Holder, r.Ended)
+		return
+	}
+	w.number, w.held, w.at = r.Number, r.Held, now
+	s.ledger.Report(now, r.Holder, r.Running, r.Ended)
+}
+
+// hearBeat takes a leader's heartbeat.
+func (p *Places) hearBeat(now time.Time, b Beat) {
+	s := p.scheduler
+	s.mu.Lock()
+	if b.Resigned {
+		s.election.Resigned(now, b.From)
+		s.noteLeader(now, "it resigned")
+		s.mu.Unlock()
+		return
+	}
+	s.election.Heard(now, b.From)
+	s.noteLeader(now, "its heartbeat")
+	follows := s.leader == b.From
+	s.mu.Unlock()
+	if follows {
+		p.takeBeat(now, b)
+	}
+}
+
+// takeBeat keeps what the leader tells, for when it can't be asked.
+func (p *Places) takeBeat(now time.Time, b Beat) {
+	word := board.Word{From: "zone " + p.zone, Zone: p.zone, Doubts: b.Doubts}
+	for holder, work := range b.Held {
+		if holder != p.self {
+			word.Held = append(word.Held, work.Items...)
+			word.Parts = append(word.Parts, work.Parts...)
+		}
+	}
+	p.mu.Lock()
+	p.beats++
+	word.Number = p.beats
+	word.Counts = p.board.Less(b.Counts)
+	p.board.Hear(now, word)
+	p.mu.Unlock()
+	duty.Wake(p.changed)
+}
+
+// hearYield notes which batch work must give way.
+func (p *Places) hearYield(y Yield) {
+	p.scheduler.own.yield(y.Numbers)
+	duty.Wake(p.changed)
+}
--- /dev/null
+++ b/daemon/places/leases.go
@@ -0,0 +1,206 @@
+package places
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/core/slots"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+)
+
+// reportGather is how long ends are gathered into one report: much less than the time
+// that a request spends at a target, since the slot stays taken for as long.
+const reportGather = 3 * time.Millisecond
+
+// ownLease is a slot that this daemon's work takes.
+type ownLease struct {
+	target roster.Target
+	batch  bool
+	// by is the peer address of the leader that gave it, "" if nobody did.
+	by string
+}
+
+// ownEnd is an end that is still to be told.
+type ownEnd struct {
+	slots.Ended
+	// zone is the target's zone, by the leader that gave the lease.
+	zone, by string
+}
+
+// ownLeases are the leases of this daemon. It is safe for concurrent use.
+type ownLeases struct {
+	// news has a token when a leader has to be told.
+	news chan struct{}
+
+	mu      sync.Mutex
+	last    uint64
+	running map[uint64]ownLease
+	ended   []ownEnd
+	held    HeldWork
+	// yields counts the batch items that must give way, by start of their target.
+	yields map[roster.Start]int
+	// reports numbers the reports; told tells whether the last one to the leader said
+	// anything.
+	reports uint64
+	told    bool
+}
+
+func newOwnLeases() *ownLeases {
+	// Numbers begin anywhere: a daemon that starts again must not use one again that
+	// may still count.
+	return &ownLeases{news: make(chan struct{}, 1), last: rand.Uint64() >> 1, running: map[uint64]ownLease{}, yields: map[roster.Start]int{}}
+}
+
+func (o *ownLeases) wake() { duty.Wake(o.news) }
+
+// next returns a new lease's number.
+func (o *ownLeases) next() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last++
+	return o.last
+}
+
+// begin counts a lease. One that no leader gave is told soon.
+func (o *ownLeases) begin(number uint64, lease ownLease) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running[number] = lease
+	if lease.by == "" {
+		o.wake()
+	}
+}
+
+// end ends a lease; what it says of the target is told.
+func (o *ownLeases) end(number uint64, result routing.Outcome, took time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lease, known := o.running[number]
+	if !known {
+		return
+	}
+	delete(o.running, number)
+	o.ended = append(o.ended, ownEnd{
+		Ended: slots.Ended{Number: number, Target: string(lease.target.Start), Outcome: result, Took: took},
+		zone:  lease.target.Zone, by: lease.by,
+	})
+	o.wake()
+}
+
+// abandon gives a slot back that a leader may have given without being heard.
+func (o *ownLeases) abandon(number uint64, by string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = append(o.ended, ownEnd{Ended: slots.Ended{Number: number}, by: by})
+	o.wake()
+}
+
+// hold takes what others must not run; see Places.SetHeld.
+func (o *ownLeases) hold(held HeldWork) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	news := len(held.Items) > 0 || len(o.held.Items) > 0
+	o.held = held
+	if news {
+		o.wake()
+	}
+}
+
+// yield notes the leases that must give way.
+func (o *ownLeases) yield(numbers []uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, number := range numbers {
+		if lease, runs := o.running[number]; runs {
+			o.yields[lease.target.Start]++
+		}
+	}
+}
+
+// takeYields returns, once, how many batch items must give way at each target.
+func (o *ownLeases) takeYields() map[roster.Start]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	yields := o.yields
+	o.yields = map[roster.Start]int{}
+	return yields
+}
+
+// reportsTo makes the reports that are due, by leader: that of the own zone is told of
+// all work in the zone, another one of what it gave.
+func (o *ownLeases) reportsTo(zone, leader string) map[string]*Report {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reports++
+	reports := map[string]*Report{}
+	to := func(targetZone, by string) *Report {
+		address := by
+		if targetZone == zone {
+			address = leader
+		}
+		if address == "" {
+			return &Report{} // nobody to tell: it lapses, or is told to the next leader
+		}
+		if reports[address] == nil {
+			reports[address] = &Report{Number: o.reports}
+		}
+		return reports[address]
+	}
+	for number, lease := range o.running {
+		r := to(lease.target.Zone, lease.by)
+		r.Running = append(r.Running, slots.Running{Number: number, Target: string(lease.target.Start), Batch: lease.batch})
+	}
+	for _, e := range o.ended {
+		r := to(e.zone, e.by)
+		r.Ended = append(r.Ended, e.Ended)
+	}
+	o.ended = nil
+	if !o.held.empty() {
+		to(zone, leader).Held = o.held
+	}
+	// One empty report tells that nothing is held any more.
+	if leader != "" && reports[leader] == nil && o.told {
+		reports[leader] = &Report{Number: o.reports}
+		o.told = false
+	} else {
+		o.told = reports[leader] != nil
+	}
+	return reports
+}
+
+// Report tells the leaders of the own leases until ctx is done.
+func (p *Places) Report(ctx context.Context) {
+	renew := time.NewTicker(slots.ReportEvery)
+	defer renew.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-renew.C:
+		case <-p.scheduler.own.news:
+		}
+		if !duty.Pause(ctx, reportGather) {
+			return
+		}
+		if p.scheduled() {
+			p.scheduler.report(time.Now())
+		}
+	}
+}
+
+// report tells the leaders of the own leases once.
+func (s *scheduler) report(now time.Time) {
+	leader, _ := s.currentLeader(now)
+	for address, r := range s.own.reportsTo(s.zone, leader) {
+		r.Holder, r.Incarnation = s.self, s.incarnation
+		if address == s.self {
+			s.hearReport(now, *r)
+			continue
+		}
+		s.caller.Notify(address, reportMethod, *r)
+	}
+}
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -3,26 +3,21 @@
 package places
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/board"
-	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/peer"
 )
 
-// noTargetRetryMs tells callers when to come back to a daemon that knows no
-// target. It is one that has just started, or the targets' entries have lapsed;
-// they write them again within some 2 s, and other daemons may know more.
-const noTargetRetryMs = 500
-
 // Options configure Places.
 type Options struct {
 	// Host is the daemon's name, Zone its availability zone.
@@ -30,8 +25,14 @@
 	// PeerAddress is where other daemons reach it.
 	PeerAddress string
 	// Fleet tells how many daemons there are; nil is one.
-	Fleet  func() int
+	Fleet func() int
+	// Peers calls the other daemons; nil in a fleet of one. Cores is the processor
+	// time that this one may use.
+	Peers  peer.Caller
+	Cores  float64
 	Logger *zap.Logger
+	// Metrics receives the counters; may be nil.
+	Metrics *metrics.Set
 }
 
 // Places is safe for concurrent use.
@@ -45,6 +46,8 @@
 	mu     sync.Mutex
 	roster *roster.Roster
 	board  *board.Board
+	// beats numbers the heartbeats of the zone's leader.
+	beats  uint64
 	groups map[string]*group
 	// used holds the targets that may get work.
 	used map[roster.Start]roster.Target
@@ -66,6 +69,8 @@
 	// runner when room may have come or gone.
 	dirty   chan struct{}
 	changed chan struct{}
+
+	scheduler *scheduler
 }
 
 // group is one target group.
@@ -79,8 +84,12 @@
 	if o.Fleet == nil {
 		o.Fleet = func() int { return 1 }
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
 	return &Places{
-		self: o.PeerAddress, zone: o.Zone, fleet: o.Fleet, logger: o.Logger,
+		scheduler: newScheduler(o),
+		self:      o.PeerAddress, zone: o.Zone, fleet: o.Fleet, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host, o.Zone),
 		groups: map[string]*group{}, used: map[roster.Start]roster.Target{}, starts: starts{},
 		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
@@ -140,6 +149,7 @@
 		}
 	}
 	p.setGroups(members)
+	p.scheduler.setTargets(p.zoneTargets())
 	p.armExpiry(now, until)
 	return left
 }
@@ -168,6 +178,19 @@
 	}
 }
 
+// zoneTargets lists the targets of the own zone by group.
+func (p *Places) zoneTargets() map[string][]slots.Target {
+	list := map[string][]slots.Target{}
+	for name, g := range p.groups {
+		for _, t := range g.targets {
+			if t.Zone == p.zone {
+				list[name] = append(list[name], slots.Target{Start: string(t.Start), Slots: t.Slots})
+			}
+		}
+	}
+	return list
+}
+
 func (p *Places) armExpiry(now, until time.Time) {
 	if p.expiry != nil {
 		p.expiry.Stop()
@@ -194,190 +217,13 @@
 	return g != nil && len(g.targets) > 0
 }
 
-// Ask is what the choice for an online request depends on.
-type Ask struct {
-	Group string
-	// Exclude holds the starts of targets already tried.
-	Exclude map[string]bool
-	// Alone asks for a target where as little else as possible runs.
-	Alone bool
-	// LastChance tells that nothing may follow a failed attempt.
-	LastChance bool
-	// Patience is how long the request may queue in front of a target.
-	Patience time.Duration
-}
-
-// Place is a target that was chosen for a request, and by what.
-type Place struct {
-	roster.Target
-	// Running is how many requests of the fleet ran there as far as known, online
-	// and batch; WordAge is how old the others' part of it may be.
-	Running int
-	WordAge time.Duration
-	// Alive is done once the target is known to have started again.
-	Alive context.Context
-}
-
-// Take chooses a target for an online request and counts the request there;
-// Release must follow. A refusal is true: nothing was sent.
-func (p *Places) Take(a Ask) (Place, *outcome.Refusal) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.groups[a.Group]
-	if g == nil || len(g.targets) == 0 {
-		return Place{}, outcome.Refuse(outcome.NoTarget, "no target of %s is known", a.Group).After(noTargetRetryMs)
-	}
-	p.hear(now, g)
-	if refusal := g.table.Admit(now, now.Add(a.Patience)); refusal != nil {
-		return Place{}, refusal
-	}
-	ask := routing.Request{Zone: p.zone, Exclude: a.Exclude, LastChance: a.LastChance, SeedValue: rand.Uint64()}
-	ask.FarIsStale = p.fleet() > smallFleet
-	ask.WordAge = time.Duration(p.wordAge.Load())
-	ask.Alone = a.Alone
-	choice, ok := routing.Choice{}, false
-	if !a.Alone {
-		choice, ok = g.table.PickLeast(now, ask)
-	}
-	if !ok {
-		choice, ok = g.table.Pick(now, ask)
-	}
-	t, known := p.used[roster.Start(choice.Address)]
-	if !ok || !known {
-		return Place{}, outcome.Refuse(outcome.NoTarget, "no target of %s takes requests", a.Group).After(noTargetRetryMs)
-	}
-	running := p.board.Total(now, string(t.Start))
-	g.table.Start(now, string(t.Start), false)
-	p.board.Add(string(t.Start), 1, 0)
-	p.touched()
-	return Place{Target: t, Running: running.Online + running.Batch, WordAge: ask.WordAge, Alive: p.starts.begin(t)}, nil
-}
-
-// hear tells the group's table the fleet's counts.
-func (p *Places) hear(now time.Time, g *group) {
-	doubts := p.board.Doubts(now)
-	for _, t := range g.targets {
-		start := string(t.Start)
-		total := p.board.Total(now, start)
-		g.table.Hear(now, start, routing.Word{OnlineTotal: total.Online, BatchRunning: total.Batch,
-			ReportAge: -1, Slots: t.Slots, Doubt: doubts[start]})
-	}
-}
-
-// Release ends what Take counted. took is the whole time of an answered
-// request, 0 for others.
-func (p *Places) Release(t roster.Target, result routing.Outcome, took time.Duration) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.board.Add(string(t.Start), -1, 0)
-	p.starts.done(t)
-	p.noteEnd(now, t, result)
-	if g := p.groups[t.Group]; g != nil && took > 0 {
-		g.table.Measured(took)
-	}
-	p.touched()
-}
-
-// noteEnd tells the group's table how a request ended.
-func (p *Places) noteEnd(now time.Time, t roster.Target, result routing.Outcome) {
-	g := p.groups[t.Group]
-	if g == nil {
-		return
-	}
-	state, changed := g.table.End(now, string(t.Start), false, result)
-	if changed {
-		p.logger.Info("target_health", zap.String("target", t.ID), zap.String("group", t.Group), zap.Stringer("state", state))
-	}
-}
-
-// TakeBatch chooses the emptiest target with a place that neither online nor
-// batch work takes, leaving headroom places free, and counts a batch item there;
-// ReleaseBatch must follow.
-func (p *Places) TakeBatch(groupName string, exclude map[string]bool, headroom int) (Place, bool) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.groups[groupName]
-	if g == nil {
-		return Place{}, false
-	}
-	p.hear(now, g)
-	farWeight := 1
-	if p.fleet() > smallFleet {
-		farWeight = 2 * farMargin
-	}
-	best, lowest := roster.Target{}, 0
-	first := rand.IntN(max(1, len(g.targets)))
-	for i := range g.targets {
-		t := g.targets[(first+i)%len(g.targets)]
-		start := string(t.Start)
-		total := p.board.Total(now, start)
-		running := total.Online + total.Batch
-		if exclude[start] && len(g.targets) > 1 || running+headroom >= t.Slots || !g.table.Open(now, start) {
-			continue
-		}
-		// Twice the count leaves room for the own zone to win among equals: bytes
-		// between zones cost more than the order of equal targets matters.
-		weight := 2 * running
-		if t.Zone != p.zone {
-			weight += farWeight
-		}
-		if g.table.Doubtful(now, start) {
-			weight += 2 * t.Slots
-		}
-		if best.ID == "" || weight < lowest {
-			best, lowest = t, weight
-		}
-	}
-	if best.ID == "" {
-		return Place{}, false
-	}
-	p.board.Add(string(best.Start), 0, 1)
-	p.touched()
-	return Place{Target: best, Alive: p.starts.begin(best)}, true
-}
-
-// ReleaseBatch ends what TakeBatch counted.
-func (p *Places) ReleaseBatch(t roster.Target, result routing.Outcome) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.board.Add(string(t.Start), 0, -1)
-	p.starts.done(t)
-	if g := p.groups[t.Group]; g != nil {
-		g.table.Note(now, string(t.Start), result)
-	}
-	p.touched()
-}
-
-// Free returns how many places of the group neither online nor batch work takes,
-// headroom places of each target left out.
-func (p *Places) Free(groupName string, headroom int) int {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.groups[groupName]
-	if g == nil {
-		return 0
-	}
-	free := 0
-	for _, t := range g.targets {
-		if g.table.Open(now, string(t.Start)) {
-			total := p.board.Total(now, string(t.Start))
-			free += max(0, t.Slots-headroom-total.Online-total.Batch)
-		}
-	}
-	return free
-}
-
 // SetHeld tells the other daemons which items they must not run and which partitions
 // this one holds for certain; see board.Word. Partitions go out with the next word.
 func (p *Places) SetHeld(items []uint64, parts []int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.parts = parts
+	p.scheduler.own.hold(HeldWork{items, parts})
 	if len(items) == 0 && len(p.held) == 0 {
 		return
 	}
@@ -400,8 +246,11 @@
 }
 
 // Yields returns, by start of a target, how many own batch items must give way to
-// online work now.
+// online work now. Each is told once where the zone's leader says so.
 func (p *Places) Yields() map[roster.Start]int {
+	if p.scheduled() {
+		return p.scheduler.own.takeYields()
+	}
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/daemon/places/scheduler_test.go
@@ -0,0 +1,247 @@
+package places_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+)
+
+const (
+	fleetSize   = 48
+	fleetZones  = 4
+	zoneTargets = 3
+	targetSlots = 4
+)
+
+// largeFleet is a fleet whose zones have leaders, in one process.
+type largeFleet struct {
+	wire  *wire
+	views []*places.Places
+	peers []places.Peer
+	stops []context.CancelFunc
+	ended []*sync.WaitGroup
+}
+
+// newLargeFleet starts a fleet. Daemon i is in zone i%fleetZones; the daemon 4 is the
+// roomiest of zone 0.
+func newLargeFleet() *largeFleet {
+	f := &largeFleet{wire: newWire()}
+	var targets []roster.Target
+	for i := range fleetZones * zoneTargets {
+		id := fmt.Sprint("t", i)
+		targets = append(targets, roster.Target{ID: id, Start: roster.StartOf(id, 0), Group: "g", Address: id,
+			Zone: fmt.Sprint("z", i%fleetZones), Slots: targetSlots})
+	}
+	for i := range fleetSize {
+		p := places.Peer{Address: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i%fleetZones), Cores: 0.2}
+		if i/fleetZones == 1 {
+			p.Cores = 0.8
+		}
+		f.peers = append(f.peers, p)
+	}
+	for i, p := range f.peers {
+		v := places.New(places.Options{Host: p.Address, Zone: p.Zone, PeerAddress: p.Address, Cores: p.Cores, Peers: f.wire,
+			Fleet: func() int { return fleetSize }, Logger: zap.NewNop()})
+		v.Update(func(now time.Time, r *roster.Roster) {
+			r.Heard(now)
+			r.Replace(now, targets)
+		})
+		Expect(v.Register(registrar{f.wire, p.Address})).To(Succeed())
+		f.views = append(f.views, v)
+		f.run(i)
+	}
+	DeferCleanup(func() {
+		for i := range f.views {
+			f.stop(i)
+		}
+	})
+	return f
+}
+
+func (f *largeFleet) run(i int) {
+	v := f.views[i]
+	others := slices.Delete(slices.Clone(f.peers), i, i+1)
+	peers := func() []places.Peer { return others }
+	ctx, cancel := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	ended.Go(func() { v.Lead(ctx, peers) })
+	ended.Go(func() { v.Report(ctx) })
+	ended.Go(func() { v.Spread(ctx, f.wire, peers) })
+	f.stops = append(f.stops, cancel)
+	f.ended = append(f.ended, &ended)
+}
+
+func (f *largeFleet) stop(i int) {
+	f.stops[i]()
+	f.ended[i].Wait()
+}
+
+func (f *largeFleet) take(i int) places.Place {
+	GinkgoHelper()
+	place, refusal := f.views[i].Take(context.Background(), places.Ask{Group: "g", Patience: time.Second})
+	Expect(refusal).To(BeNil())
+	return place
+}
+
+// follows waits until daemon i gets its slots from the leader.
+func (f *largeFleet) follows(i int, leader string) {
+	GinkgoHelper()
+	Eventually(func() string {
+		place := f.take(i)
+		f.views[i].Release(place, routing.Neutral, 0)
+		return place.By
+	}).WithTimeout(limit).Should(Equal(leader))
+}
+
+// settle waits until the leaders have heard of all ends.
+func (f *largeFleet) settle() {
+	GinkgoHelper()
+	beats := f.wire.count("Slots.Beat")
+	Eventually(func() int { return f.wire.count("Slots.Beat") }).WithTimeout(limit).Should(BeNumerically(">", beats+3*fleetSize))
+}
+
+var _ = Describe("The slots of a large fleet", func() {
+	var f *largeFleet
+	BeforeEach(func() {
+		f = newLargeFleet()
+		for i := range fleetZones {
+			f.follows(i, fmt.Sprint("p", i+fleetZones))
+		}
+		f.settle()
+	})
+
+	// In a step of load the whole zone looks for the last free slots at once. Two
+	// requests at one slot are late while the next engine has one free.
+	It("are each given out once, whoever asks at the same moment", func() {
+		var mu sync.Mutex
+		got := map[string]int{}
+		var asking sync.WaitGroup
+		for n := range zoneTargets * targetSlots {
+			asking.Go(func() {
+				defer GinkgoRecover()
+				place := f.take(n * fleetZones % fleetSize)
+				mu.Lock()
+				defer mu.Unlock()
+				got[place.ID]++
+			})
+		}
+		asking.Wait()
+		Expect(got).To(Equal(map[string]int{"t0": targetSlots, "t4": targetSlots, "t8": targetSlots}))
+		// The next one goes to another zone, which has room.
+		Eventually(func() string {
+			place := f.take(0)
+			f.views[0].Release(place, routing.Neutral, 0)
+			return place.Zone
+		}).WithTimeout(limit).ShouldNot(Equal("z0"))
+	})
+
+	It("cost two short calls a request, however many daemons there are", func() {
+		before := f.wire.count("Slots.Grant") + f.wire.count("Slots.Report")
+		const requests = 40
+		for range requests {
+			place := f.take(0)
+			f.views[0].Release(place, routing.Neutral, 0)
+		}
+		Expect(f.wire.count("Slots.Grant") + f.wire.count("Slots.Report") - before).To(BeNumerically("<=", 2*requests+2*fleetSize))
+		Expect(f.wire.count("Board.Hear")).To(BeZero())
+	})
+
+	// The leader's host is cut off or frozen: what is sent there is lost.
+	It("are taken by what a daemon knows itself while the leader answers nobody", func() {
+		f.wire.setCut("p4", true)
+		began := time.Now()
+		place := f.take(0)
+		Expect(place.By).To(BeEmpty())
+		Expect(place.Zone).To(Equal("z0"))
+		Expect(time.Since(began)).To(BeNumerically("<", limit))
+		f.wire.setCut("p4", false)
+		f.follows(0, "p4")
+	})
+
+	It("are given out by another daemon once the leader has died, which counts what runs", func() {
+		held := []places.Place{f.take(0), f.take(8), f.take(12)}
+		f.wire.setCut("p4", true)
+		f.stop(1 * fleetZones)
+		Eventually(func() string {
+			place := f.take(0)
+			f.views[0].Release(place, routing.Neutral, 0)
+			return place.By
+		}).WithTimeout(limit).ShouldNot(Or(BeEmpty(), Equal("p4")))
+		// The new leader hears of what runs from its holders: one slot at each target.
+		Eventually(func() int {
+			place := f.take(0)
+			f.views[0].Release(place, routing.Neutral, 0)
+			return place.Running
+		}).WithTimeout(limit).Should(Equal(1))
+		Expect(held).To(HaveLen(3))
+	})
+
+	It("are left at once by a leader that steps down", func() {
+		f.views[4].StepDown()
+		Eventually(func() string {
+			place := f.take(0)
+			f.views[0].Release(place, routing.Neutral, 0)
+			return place.By
+		}).WithTimeout(limit).ShouldNot(Or(BeEmpty(), Equal("p4")))
+	})
+
+	// Guests wait behind batch if its holder does not hear that it must give way.
+	It("are given back by batch where online work needs them, at the holder of the item", func() {
+		var items []places.Place
+		for {
+			place, ok := f.views[8].TakeBatch(context.Background(), "g", nil, 0)
+			if !ok || place.Zone != "z0" {
+				break
+			}
+			items = append(items, place)
+		}
+		Expect(len(items)).To(Equal(zoneTargets * targetSlots))
+		f.take(0)
+		var told atomic.Int64
+		Eventually(func() int64 {
+			for _, n := range f.views[8].Yields() {
+				told.Add(int64(n))
+			}
+			return told.Load()
+		}).WithTimeout(limit).Should(BeEquivalentTo(1))
+	})
+
+	// A target fails every request at once and looks empty all the time. Daemons that
+	// have not met it yet would send their orders there.
+	It("of a target that fails one daemon's request are not given to the next one", func() {
+		bad := f.take(0)
+		f.views[0].Release(bad, routing.HardFailed, 0)
+		Eventually(func() bool {
+			seen := false
+			for range 2 * zoneTargets {
+				place := f.take(8)
+				seen = seen || place.ID == bad.ID
+				f.views[8].Release(place, routing.Neutral, 0)
+			}
+			return seen
+		}).WithTimeout(limit).Should(BeFalse())
+	})
+
+	// The log turns a daemon away and its partitions go to others, in other zones.
+	It("are accompanied by the word of what is held, through all zones", func() {
+		f.views[0].SetHeld([]uint64{7}, []int{3})
+		for _, i := range []int{1, 2, 3, 16} {
+			Eventually(f.views[i].HeldElsewhere).WithTimeout(limit).Should(HaveKey(uint64(7)))
+			Expect(f.views[i].PartsElsewhere()).To(HaveKey(3))
+		}
+		Consistently(f.views[0].HeldElsewhere).WithTimeout(time.Second / 2).Should(BeEmpty())
+		f.views[0].SetHeld(nil, nil)
+		Eventually(f.views[1].HeldElsewhere).WithTimeout(limit).Should(BeEmpty())
+	})
+})
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -148,7 +148,7 @@
 		if refusal := u.mayRun(ctx); refusal != nil {
 			return u.refuse(refusal)
 		}
-		place, refusal := u.relay.Places.Take(places.Ask{
+		place, refusal := u.relay.Places.Take(ctx, places.Ask{
 			Group: u.group(), Exclude: u.exclude, Patience: u.queuePatience(), Alone: u.alone,
 			LastChance: !u.repeats(),
 		})
@@ -160,7 +160,7 @@
 		u.tellSent(place)
 		began := time.Now()
 		ended := u.attemptAt(ctx, place)
-		u.relay.Places.Release(target, ended.health, ended.served(began))
+		u.relay.Places.Release(place, ended.health, ended.served(began))
 		if ended.done {
 			return Result{Aborted: ended.aborted}
 		}
@@ -176,6 +176,7 @@
 func (u *run) tellSent(p places.Place) {
 	u.relay.Logger.Info("request_sent", zap.String("id", u.request.ID), zap.String("target", p.ID), zap.String("zone", p.Zone),
 		zap.Int("attempt", u.runs+u.refusals+1), zap.Int("running_there", p.Running), zap.Int64("heard_ms", p.WordAge.Milliseconds()),
+		zap.String("by", p.By),
 		zap.Int64("left_ms", time.Until(u.request.Deadline).Milliseconds()))
 }
 
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -54,6 +54,10 @@
 	r.row(key, f(*field), f(low)+" to "+f(high))
 }
 
+func (r *rows) fraction(key string, field *float64, low, high float64) {
+	r.row(key, fmt.Sprint(*field), fmt.Sprintf("%v to %v", low, high))
+}
+
 // TestDocumentation checks that docs/SETTINGS.md states every key with its
 // default and range, in order.
 func TestDocumentation(t *testing.T) {
--- a/settings/encode.go
+++ b/settings/encode.go
@@ -53,3 +53,7 @@
 }
 
 func (w *writer) size(key string, field *int64, _, _ int64) { w.set(key, inifile.FormatSize(*field)) }
+
+func (w *writer) fraction(key string, field *float64, _, _ float64) {
+	w.set(key, strconv.FormatFloat(*field, 'g', -1, 64))
+}
--- a/settings/front.go
+++ b/settings/front.go
@@ -24,6 +24,8 @@
 	LogParts   int
 	// MemoryMB bounds the process.
 	MemoryMB int
+	// Cores is the processor time that the process may use, in cores.
+	Cores float64
 	// StopGrace is how long after the signal to stop the process may live.
 	StopGrace time.Duration
 	// JobsReadable is how long after its acceptance a closed job can be read.
@@ -39,13 +41,15 @@
 	mostParts    = 4096
 	leastMemory  = 32
 	mostMemory   = 1 << 20
+	leastCores   = 0.01
+	mostCores    = 1024
 	mostHeadroom = 1024
 )
 
 // DefaultFront returns the values in force where a file says nothing.
 func DefaultFront() Front {
 	return Front{
-		MemoryMB: 256, StopGrace: 8 * time.Second, JobsReadable: 2 * time.Minute, LogLevel: "info",
+		MemoryMB: 256, Cores: 1, StopGrace: 8 * time.Second, JobsReadable: 2 * time.Minute, LogLevel: "info",
 	}
 }
 
@@ -62,6 +66,7 @@
 	v.number("partitions", &f.LogParts, 1, mostParts)
 	v.section("limits")
 	v.number("memory_mb", &f.MemoryMB, leastMemory, mostMemory)
+	v.fraction("cores", &f.Cores, leastCores, mostCores)
 	v.duration("stop_grace", &f.StopGrace, time.Second, time.Hour)
 	v.section("jobs")
 	v.duration("readable", &f.JobsReadable, time.Second, 30*24*time.Hour)
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -61,3 +61,7 @@
 func (r *reader) size(key string, field *int64, low, high int64) {
 	*field = r.current.Size(key, *field, low, high)
 }
+
+func (r *reader) fraction(key string, field *float64, low, high float64) {
+	*field = r.current.Float(key, *field, low, high)
+}
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -25,6 +25,7 @@
 	number(key string, field *int, low, high int)
 	duration(key string, field *time.Duration, low, high time.Duration)
 	size(key string, field *int64, low, high int64)
+	fraction(key string, field *float64, low, high float64)
 }
 
 // walk shows v every key of s.
