--- /dev/null
+++ b/core/retry/silence_test.go
@@ -0,0 +1,78 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/retry"
+)
+
+var _ = Describe("The silence after which a target is given up", func() {
+	// around is a time about a mean, as engines take it with a slot free.
+	around := func(r *rand.Rand, mean time.Duration) time.Duration {
+		return time.Duration(float64(mean) * (0.5 + r.ExpFloat64()/2))
+	}
+	learned := func(r *rand.Rand, mean time.Duration) *retry.Silence {
+		var s retry.Silence
+		for range 200 {
+			s.Answered(around(r, mean))
+		}
+		return &s
+	}
+
+	It("is the longest until enough answers were seen", func() {
+		var s retry.Silence
+		for range 15 {
+			Expect(s.Patience()).To(Equal(retry.LongestSilence))
+			s.Answered(20 * time.Millisecond)
+		}
+		s.Answered(20 * time.Millisecond)
+		Expect(s.Patience()).To(BeNumerically("<", retry.LongestSilence))
+	})
+
+	// A guest's question goes to an engine that has just gone dark. It must still be
+	// answered within its 300 ms by another one.
+	It("leaves time for another target within the objective where targets are quick", func() {
+		s := learned(rand.New(rand.NewPCG(1, 1)), 30*time.Millisecond)
+		Expect(s.Patience()).To(BeNumerically("<=", 250*time.Millisecond))
+		Expect(s.Patience()).To(BeNumerically(">=", retry.ShortestSilence))
+	})
+
+	// All engines turn slow together. A patience that gives up what would have come
+	// doubles their load.
+	It("gives up few requests when all targets turn slow together", func() {
+		for _, slow := range []time.Duration{150 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond} {
+			r := rand.New(rand.NewPCG(2, uint64(slow)))
+			s := learned(r, 30*time.Millisecond)
+			const requests = 200
+			gaveUp := 0
+			for range requests {
+				patience, took := s.Patience(), around(r, slow)
+				if took > patience && patience < retry.LongestSilence {
+					gaveUp++
+					s.GaveUp(patience)
+					continue
+				}
+				s.Answered(took)
+			}
+			// A tenth of the requests is half of what may be sent again at all.
+			Expect(gaveUp).To(BeNumerically("<=", requests/10), slow.String())
+		}
+	})
+
+	It("comes back to what targets take once they are quick again", func() {
+		r := rand.New(rand.NewPCG(3, 3))
+		s := learned(r, 30*time.Millisecond)
+		before := s.Patience()
+		s.GaveUp(before)
+		s.GaveUp(s.Patience())
+		Expect(s.Patience()).To(BeNumerically(">", 2*before))
+		for range 40 {
+			s.Answered(around(r, 30*time.Millisecond))
+		}
+		Expect(s.Patience()).To(BeNumerically("<=", 300*time.Millisecond))
+	})
+})
--- a/core/routing/doubt.go
+++ b/core/routing/doubt.go
@@ -77,6 +77,13 @@
 	return e != nil && e.doubtful(now, Request{})
 }
 
+// Suspect has the target doubted although no request there has ended.
+func (t *Table) Suspect(now time.Time, address string) {
+	if e := t.entries[address]; e != nil {
+		e.health.doubt.Failed(now, e.heardDoubt(now))
+	}
+}
+
 // Doubts gives the failures in a row of the targets that the own requests put in
 // doubt, for the other daemons of the zone; none if they are too many to be the
 // targets' own fault.
--- a/daemon/places/leases.go
+++ b/daemon/places/leases.go
@@ -16,6 +16,9 @@
 // that a request spends at a target, since the slot stays taken for as long.
 const reportGather = 3 * time.Millisecond
 
+// noLease is the number of no lease: an end that tells of the target alone.
+const noLease = 0
+
 // ownLease is a slot that this daemon's work takes.
 type ownLease struct {
 	target roster.Target
@@ -91,6 +94,21 @@
 	o.wake()
 }
 
+// doubt has the target of a lease that goes on doubted.
+func (o *ownLeases) doubt(number uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lease, known := o.running[number]
+	if !known {
+		return
+	}
+	o.ended = append(o.ended, ownEnd{
+		Ended: slots.Ended{Number: noLease, Target: string(lease.target.Start), Outcome: routing.SoftFailed},
+		zone:  lease.target.Zone, by: lease.by,
+	})
+	o.wake()
+}
+
 // abandon gives a slot back that a leader may have given without being heard.
 func (o *ownLeases) abandon(number uint64, by string) {
 	o.mu.Lock()
--- a/daemon/places/take.go
+++ b/daemon/places/take.go
@@ -190,6 +190,18 @@
 	p.touched()
 }
 
+// Doubt has the target doubted, here and in the zone, before the request there ends.
+func (p *Places) Doubt(place Place) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g := p.groups[place.Group]; g != nil {
+		g.table.Suspect(now, string(place.Start))
+	}
+	p.scheduler.own.doubt(place.lease)
+	p.touched()
+}
+
 // toldOutcome is what the zone's leader is told of an end. A daemon at which more
 // targets fail than can be their own fault tells of no failure; see routing.Doubts.
 func (p *Places) toldOutcome(now time.Time, g *group, result routing.Outcome) routing.Outcome {
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/core/routing"
@@ -24,16 +25,17 @@
 	// connections.
 	idleRepeatable = time.Minute
 	onlyNew        = time.Duration(0)
-	// firstPatience is how long a repeatable request waits for a target's first
-	// sign before it is tried elsewhere. Callers leave a stream that is silent
-	// for 2 s, and a queue of this length would have been refused on arrival.
-	firstPatience = 1200 * time.Millisecond
+	// firstPatience is how long a repeatable request waits for the next bytes of an
+	// answer that has begun.
+	firstPatience = retry.LongestSilence
 	// gapFactor and the bounds give the silence within a resumable stream after
 	// which it goes on at another target: some way beyond the pause that callers
 	// are promised, and well before they leave.
 	gapFactor  = 1.5
 	leastGap   = 300 * time.Millisecond
 	longestGap = 800 * time.Millisecond
+	// leastPatience is left for the first event after a head that came late.
+	leastPatience = 20 * time.Millisecond
 	// longestQueue bounds the expected wait in front of a target with which a
 	// request is still taken: callers leave a stream that is silent for 2 s.
 	longestQueue = time.Second
@@ -93,12 +95,12 @@
 		options.MaxIdle = idleRepeatable
 	}
 	if u.repeats() {
-		options.Patience = firstPatience
+		options.Patience = u.patience
 	}
 	sender := Sender{u.relay.Wire, u.relay.Pool}
 	answer, verdict, err := sender.Send(ctx, u.request, t, time.Until(u.request.Deadline), u.out.lastEvent, options)
 	if err != nil {
-		return failedSend(ctx, err)
+		return u.failedSend(ctx, err)
 	}
 	switch verdict {
 	case TurnedAway:
@@ -113,6 +115,14 @@
 	return u.whole(ctx, t, answer)
 }
 
+// failedSend is failedSend for an attempt that may have had no sign yet.
+func (u *run) failedSend(ctx context.Context, err error) attempt {
+	if !u.signed.Load() && ctx.Err() == nil && errorx.IsOfType(err, h1.Silent) {
+		u.relay.gaveUp(u.group(), u.patience)
+	}
+	return failedSend(ctx, err)
+}
+
 // failedSend tells what an error before the answer's head means.
 func failedSend(ctx context.Context, err error) attempt {
 	a := attempt{reached: true, detail: err.Error(), health: routing.SoftFailed}
@@ -174,6 +184,9 @@
 	if u.firstByte == 0 {
 		u.firstByte = time.Since(u.request.Arrived)
 	}
+	if u.signed.CompareAndSwap(false, true) {
+		u.relay.answered(u.group(), time.Since(u.began))
+	}
 }
 
 // stream passes whole events on as they come. A break leaves the delivery at
@@ -194,7 +207,7 @@
 		case err == io.EOF:
 			return attempt{reached: true, detail: "the stream ended within an event", health: routing.SoftFailed}
 		case err != nil:
-			return failedSend(ctx, err)
+			return u.failedSend(ctx, err)
 		case events.Overlong():
 			return attempt{reached: true, detail: "an event is too long", health: routing.SoftFailed}
 		}
@@ -230,8 +243,8 @@
 	if !u.repeats() {
 		return 0
 	}
-	if u.out.lastEvent == NoEvent {
-		return firstPatience
+	if !u.signed.Load() {
+		return max(u.patience-time.Since(u.began), leastPatience)
 	}
 	gap := time.Duration(gapFactor * float64(u.request.Route.GapObjective))
 	return min(max(gap, leastGap), longestGap)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -91,11 +92,48 @@
 
 	mu     sync.Mutex
 	budget *retry.Budget
+	// silences holds, by group, what was learned of targets' first signs.
+	silences map[string]*retry.Silence
 }
 
 // New returns a relay.
 func New(o Options) *Relay {
-	return &Relay{Options: o, meter: newMeter(o.Metrics), budget: retry.NewBudget(retryShare, time.Now())}
+	return &Relay{Options: o, meter: newMeter(o.Metrics), budget: retry.NewBudget(retryShare, time.Now()),
+		silences: map[string]*retry.Silence{}}
+}
+
+// patience returns how long a request waits for the first sign of its answer.
+func (r *Relay) patience(group string, place places.Place) time.Duration {
+	if place.Running >= place.Slots {
+		return retry.LongestSilence // it may queue
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silence(group).Patience()
+}
+
+// answered takes the time to the first sign of an answer.
+func (r *Relay) answered(group string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silence(group).Answered(took)
+}
+
+// gaveUp takes a silence that was given up.
+func (r *Relay) gaveUp(group string, patience time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silence(group).GaveUp(patience)
+}
+
+// silence returns what was learned of a group. r.mu is held.
+func (r *Relay) silence(group string) *retry.Silence {
+	s := r.silences[group]
+	if s == nil {
+		s = &retry.Silence{}
+		r.silences[group] = s
+	}
+	return s
 }
 
 // Serve answers the request on w. It returns a refusal if nothing was written
@@ -140,6 +178,11 @@
 	lastTarget     roster.Target
 	firstByte      time.Duration
 	cause          string
+	// began is when the running attempt began, patience how long it waits for the first
+	// sign of an answer; signed tells that one has come.
+	began    time.Time
+	patience time.Duration
+	signed   atomic.Bool
 }
 
 // serve makes attempts until one ends the request.
@@ -158,9 +201,12 @@
 		target := place.Target
 		u.lastTarget = target
 		u.tellSent(place)
-		began := time.Now()
+		u.began, u.patience = time.Now(), u.relay.patience(u.group(), place)
+		u.signed.Store(false)
+		stopWatch := u.doubtWhenSilent(place)
 		ended := u.attemptAt(ctx, place)
-		u.relay.Places.Release(place, ended.health, ended.served(began))
+		stopWatch()
+		u.relay.Places.Release(place, ended.health, ended.served(u.began))
 		if ended.done {
 			return Result{Aborted: ended.aborted}
 		}
@@ -170,6 +216,23 @@
 	}
 }
 
+// doubtWhenSilent has a target doubted that leaves a request with a slot of its own
+// without a sign for as long as a repeatable one would wait: one that may run once only
+// goes on waiting, and others must not follow it. The function returned ends the watch.
+func (u *run) doubtWhenSilent(place places.Place) (stop func()) {
+	if place.Running >= place.Slots {
+		return func() {}
+	}
+	timer := time.AfterFunc(u.patience, func() {
+		if !u.signed.Load() {
+			u.relay.Logger.Info("target_silent", zap.String("id", u.request.ID), zap.String("target", place.ID),
+				zap.Int("running_there", place.Running), zap.Int64("ms", u.patience.Milliseconds()))
+			u.relay.Places.Doubt(place)
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // tellSent writes which target the request goes to and why. The line that ends a
 // request is missing if its host loses power meanwhile; then this one tells where
 // it was.
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -264,6 +265,75 @@
 		})
 	}
 
+	// Engines go dark with their connections open. A guest's question that went to one
+	// must be answered by another within its objective, and what may run once only must
+	// not follow it there.
+	It("leaves a target that gives no sign, long before the longest patience, and tells of it", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		r.Logger = zap.New(core)
+		var dark atomic.Pointer[string]
+		with(2, func(_ int, got *rawtarget.Request, c net.Conn) {
+			if expected := got.Header.Get("Expect"); dark.CompareAndSwap(nil, nil) || *dark.Load() != expected {
+				whole(c)
+			}
+		})
+		for range 40 {
+			_, result := serve()
+			Expect(result).To(Equal(relay.Result{}))
+		}
+		name := "t0"
+		dark.Store(&name)
+		const guests = 30
+		for range guests {
+			w, _ := serve()
+			Expect(w.Body.String()).To(Equal("answer"))
+		}
+		ended := lines.FilterMessage("request").All()
+		silences := 0
+		for _, line := range ended[len(ended)-guests:] {
+			if cause, failed := line.ContextMap()["cause"]; failed {
+				Expect(cause).To(ContainSubstring("silent"))
+				Expect(line.ContextMap()["ms"]).To(BeNumerically("<", retry.LongestSilence.Milliseconds()))
+				silences++
+			}
+		}
+		// The first one that met it told the others.
+		Expect(silences).To(Equal(1))
+	})
+
+	It("has a target doubted that leaves what may run once without a sign", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		r.Logger = zap.New(core)
+		hold := make(chan struct{})
+		var slow atomic.Bool
+		with(2, func(_ int, got *rawtarget.Request, c net.Conn) {
+			if slow.Load() && got.Header.Get("Expect") == "t0" {
+				<-hold
+			}
+			whole(c)
+		})
+		request.Route.Kind, request.Route.MaxAttempts = route.NonIdempotent, 1
+		for range 40 {
+			serve()
+		}
+		slow.Store(true)
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			defer GinkgoRecover()
+			for lines.FilterMessage("target_silent").Len() == 0 {
+				serve()
+			}
+		}()
+		Eventually(func() int { return lines.FilterMessage("target_silent").Len() }).WithTimeout(limit).Should(Equal(1))
+		for range 3 {
+			w, _ := serve()
+			Expect(w.Body.String()).To(Equal("answer"))
+		}
+		close(hold)
+		Eventually(served).WithTimeout(limit).Should(BeClosed())
+	})
+
 	// A target crashes behind a cut and starts again under its ID. Its callers'
 	// connections show nothing of it, and their answers never come.
 	It("goes on elsewhere at once when its target has started again", func() {
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -23,8 +23,9 @@
 const (
 	// DialTimeout bounds a new connection. Targets are at most a few
 	// milliseconds away; a lost opening packet is repeated only after a second,
-	// and by then another target is the better choice.
-	DialTimeout = 300 * time.Millisecond
+	// and by then another target is the better choice: half of the shortest
+	// objective is left for it.
+	DialTimeout = 150 * time.Millisecond
 	// maxIdlePerTarget bounds the kept connections to one target.
 	maxIdlePerTarget = 8
 	// keepMargin is how long before the target's own idle timeout a kept
