Order who gives way by daemon alone, and let a zone without targets have a leader

The order by zones of core/board.Yield served daemons that knew other zones by digests only; now words are heard singly wherever it decides.

--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -140,7 +140,7 @@
 			slots := rapid.IntRange(1, 16).Draw(t, "slots")
 			sum := 0
 			for i, b := range fleet(counts) {
-				mine := b.Yield(now, "t", "z", slots)
+				mine := b.Yield(now, "t", slots)
 				if mine > counts[i].Batch {
 					t.Fatalf("daemon %d stops %d of %d", i, mine, counts[i].Batch)
 				}
--- a/core/board/fuzz_test.go
+++ b/core/board/fuzz_test.go
@@ -31,7 +31,7 @@
 		b, now := New("me", "z"), time.Unix(1000, 0)
 		b.Add("t", 1, 1)
 		b.Hear(now, w)
-		b.Yield(now, "t", "z", 4)
+		b.Yield(now, "t", 4)
 		b.Doubts(now)
 		b.Less(w.Counts)
 		later := now.Add(WordLife + time.Second)
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -149,7 +149,7 @@
 		}
 	}
 	p.setGroups(members)
-	p.scheduler.setTargets(p.zoneTargets())
+	p.scheduler.setTargets(p.zoneTargets(), len(p.used) > 0)
 	p.armExpiry(now, until)
 	return left
 }
@@ -260,7 +260,7 @@
 		if !known {
 			continue
 		}
-		if n := p.board.Yield(now, start, t.Zone, t.Slots); n > 0 {
+		if n := p.board.Yield(now, start, t.Slots); n > 0 {
 			yields[t.Start] = n
 		}
 	}
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -49,7 +49,7 @@
 	// told; "" is none.
 	leads  bool
 	leader string
-	// able tells whether the zone has targets; stopping that this daemon leaves.
+	// able tells whether targets are known; stopping that this daemon leaves.
 	able, stopping bool
 	// beaten is when the last heartbeat was sent.
 	beaten time.Time
@@ -87,11 +87,12 @@
 	s.set.GetOrCreateCounter(`tarragonhollow_slots_asked_total{outcome="` + outcome + `"}`).Inc()
 }
 
-// setTargets takes the zone's targets by group.
-func (s *scheduler) setTargets(targets map[string][]slots.Target) {
+// setTargets takes the zone's targets by group. able tells whether any target is known:
+// the leader of a zone that has none still knows which zone has room.
+func (s *scheduler) setTargets(targets map[string][]slots.Target, able bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.able = len(targets) > 0
+	s.able = able
 	s.ledger.SetTargets(targets)
 }
 
--- a/daemon/places/scheduler_test.go
+++ b/daemon/places/scheduler_test.go
@@ -146,6 +146,22 @@
 		}).WithTimeout(limit).ShouldNot(Equal("z0"))
 	})
 
+	// A zone of callers only, or one whose engines have all left.
+	It("are found for a zone without targets by its leader", func() {
+		for _, v := range f.views {
+			v.Update(func(now time.Time, r *roster.Roster) {
+				for i := range zoneTargets {
+					r.Remove(now, fmt.Sprint("t", i*fleetZones))
+				}
+			})
+		}
+		Eventually(func() string {
+			place := f.take(0)
+			f.views[0].Release(place, routing.Neutral, 0)
+			return place.By
+		}).WithTimeout(limit).Should(BeElementOf("p5", "p6", "p7"))
+	})
+
 	It("cost two short calls a request, however many daemons there are", func() {
 		before := f.wire.count("Slots.Grant") + f.wire.count("Slots.Report")
 		const requests = 40
