--- a/daemon/jobs/allowance.go
+++ b/daemon/jobs/allowance.go
@@ -15,7 +15,7 @@
 // allowance returns how many items of the group may start at this look. Where leaders
 // give slots out they count what is free, and no pace is needed.
 func (r *runner) allowance(group string) int {
-	if r.jobs.Places.Counted() {
+	if r.jobs.Places.Scheduled() {
 		return mostStarts
 	}
 	free := r.jobs.Places.Free(group, r.jobs.Headroom)
--- a/daemon/places/lead.go
+++ b/daemon/places/lead.go
@@ -28,7 +28,7 @@
 	pace := election.HeartbeatEvery
 	for duty.Pause(ctx, pace) {
 		pace = election.HeartbeatEvery
-		if p.scheduled() && p.leadOnce(time.Now(), peers()) {
+		if p.Scheduled() && p.leadOnce(time.Now(), peers()) {
 			pace = roomEvery
 		}
 	}
--- a/daemon/places/leases.go
+++ b/daemon/places/leases.go
@@ -154,40 +154,52 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.reports++
-	reports := map[string]*Report{}
-	to := func(targetZone, by string) *Report {
-		address := by
-		if targetZone == zone {
-			address = leader
-		}
-		if address == "" {
-			return &Report{} // nobody to tell: it lapses, or is told to the next leader
-		}
-		if reports[address] == nil {
-			reports[address] = &Report{Number: o.reports}
-		}
-		return reports[address]
-	}
+	due := dueReports{zone: zone, leader: leader, number: o.reports, reports: map[string]*Report{}}
 	for number, lease := range o.running {
-		r := to(lease.target.Zone, lease.by)
+		r := due.of(lease.target.Zone, lease.by)
 		r.Running = append(r.Running, slots.Running{Number: number, Target: string(lease.target.Start), Batch: lease.batch})
 	}
 	for _, e := range o.ended {
-		r := to(e.zone, e.by)
+		r := due.of(e.zone, e.by)
 		r.Ended = append(r.Ended, e.Ended)
 	}
 	o.ended = nil
 	if !o.held.empty() {
-		to(zone, leader).Held = o.held
+		due.of(zone, leader).Held = o.held
+	}
+	o.tellEnd(&due)
+	return due.reports
+}
+
+// tellEnd has the own zone's leader told once that nothing runs or is held any more.
+func (o *ownLeases) tellEnd(due *dueReports) {
+	told := due.reports[due.leader] != nil
+	if !told && o.told && due.leader != "" {
+		due.of(due.zone, due.leader)
+	}
+	o.told = told
+}
+
+// dueReports gathers reports by the leader that gets them.
+type dueReports struct {
+	zone, leader string
+	number       uint64
+	reports      map[string]*Report
+}
+
+// of returns the report that tells of a lease in a zone, given by a leader.
+func (d *dueReports) of(zone, by string) *Report {
+	address := by
+	if zone == d.zone {
+		address = d.leader
+	}
+	if address == "" {
+		return &Report{} // nobody to tell: it lapses, or the next leader is told
 	}
-	// One empty report tells that nothing is held any more.
-	if leader != "" && reports[leader] == nil && o.told {
-		reports[leader] = &Report{Number: o.reports}
-		o.told = false
-	} else {
-		o.told = reports[leader] != nil
+	if d.reports[address] == nil {
+		d.reports[address] = &Report{Number: d.number}
 	}
-	return reports
+	return d.reports[address]
 }
 
 // Report tells the leaders of the own leases until ctx is done.
@@ -204,7 +216,7 @@
 		if !duty.Pause(ctx, reportGather) {
 			return
 		}
-		if p.scheduled() {
+		if p.Scheduled() {
 			p.scheduler.report(time.Now())
 		}
 	}
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -248,7 +248,7 @@
 // Yields returns, by start of a target, how many own batch items must give way to
 // online work now. Each is told once where the zone's leader says so.
 func (p *Places) Yields() map[roster.Start]int {
-	if p.scheduled() {
+	if p.Scheduled() {
 		return p.scheduler.own.takeYields()
 	}
 	now := time.Now()
--- a/daemon/places/spread.go
+++ b/daemon/places/spread.go
@@ -41,13 +41,9 @@
 	Cores float64
 }
 
-// scheduled tells whether the fleet is too large for every daemon to hear every
-// other one: then the leaders of the zones give slots out.
-func (p *Places) scheduled() bool { return p.fleet() > smallFleet }
-
-// Counted tells whether the leaders of the zones count what runs, so that a slot that
-// is given out is free.
-func (p *Places) Counted() bool { return p.scheduled() }
+// Scheduled tells whether the fleet is too large for every daemon to hear every other
+// one: then the leaders of the zones count what runs and give slots out.
+func (p *Places) Scheduled() bool { return p.fleet() > smallFleet }
 
 // Spread tells the other daemons the own counts whenever they changed, and
 // renews the word while there is any work, in a small fleet.
@@ -67,7 +63,7 @@
 			}
 		case <-p.dirty:
 		}
-		if p.scheduled() {
+		if p.Scheduled() {
 			p.wordAge.Store(int64(election.HeartbeatEvery + travelTime))
 			idle = true
 			continue
--- a/daemon/places/take.go
+++ b/daemon/places/take.go
@@ -49,7 +49,7 @@
 // Take chooses a target for an online request and counts the request there;
 // Release must follow. A refusal is true: nothing was sent.
 func (p *Places) Take(ctx context.Context, a Ask) (Place, *outcome.Refusal) {
-	if p.scheduled() && !a.Alone {
+	if p.Scheduled() && !a.Alone {
 		if place, refusal, decided := p.takeGranted(ctx, a); decided {
 			return place, refusal
 		}
@@ -141,7 +141,7 @@
 		return Place{}, refusal
 	}
 	ask := routing.Request{Zone: p.zone, Exclude: a.Exclude, LastChance: a.LastChance, SeedValue: rand.Uint64()}
-	ask.FarIsStale = p.scheduled()
+	ask.FarIsStale = p.Scheduled()
 	ask.WordAge = time.Duration(p.wordAge.Load())
 	ask.Alone = a.Alone
 	choice, ok := routing.Choice{}, false
@@ -227,7 +227,7 @@
 // batch work takes, leaving headroom places free, and counts a batch item there;
 // ReleaseBatch must follow.
 func (p *Places) TakeBatch(ctx context.Context, groupName string, exclude map[string]bool, headroom int) (Place, bool) {
-	if !p.scheduled() {
+	if !p.Scheduled() {
 		return p.takeBatchKnown(groupName, exclude, headroom)
 	}
 	number := p.scheduler.own.next()
