Keep no ends for leaders that a small fleet does not have; blame no leader for a caller

A batch item that another zone turned away no longer asks its own zone twice. Small fleets look twice a second whether they have grown, not seven times.

--- a/daemon/places/lead.go
+++ b/daemon/places/lead.go
@@ -15,6 +15,9 @@
 	// roomEvery is the pace at which leaders tell each other of their free slots: some
 	// 30 messages a round in a fleet of six zones.
 	roomEvery = 50 * time.Millisecond
+	// smallFleetPace is the pace at which a daemon of a small fleet looks whether it has
+	// grown.
+	smallFleetPace = 500 * time.Millisecond
 	// zoneLife is how long what another zone's leader told counts.
 	zoneLife = 1500 * time.Millisecond
 	// strangers is how many daemons of a zone are told where its leader is not known;
@@ -28,7 +31,10 @@
 	pace := election.HeartbeatEvery
 	for duty.Pause(ctx, pace) {
 		pace = election.HeartbeatEvery
-		if p.Scheduled() && p.leadOnce(time.Now(), peers()) {
+		switch {
+		case !p.Scheduled():
+			pace = smallFleetPace
+		case p.leadOnce(time.Now(), peers()):
 			pace = roomEvery
 		}
 	}
--- a/daemon/places/leases.go
+++ b/daemon/places/leases.go
@@ -36,6 +36,8 @@
 
 // ownLeases are the leases of this daemon. It is safe for concurrent use.
 type ownLeases struct {
+	// told tells whether there are leaders to tell; in a small fleet there are none.
+	told func() bool
 	// news has a token when a leader has to be told.
 	news chan struct{}
 
@@ -46,16 +48,16 @@
 	held    HeldWork
 	// yields counts the batch items that must give way, by start of their target.
 	yields map[roster.Start]int
-	// reports numbers the reports; told tells whether the last one to the leader said
+	// reports numbers the reports; spoke tells whether the last one to the leader said
 	// anything.
 	reports uint64
-	told    bool
+	spoke   bool
 }
 
-func newOwnLeases() *ownLeases {
+func newOwnLeases(told func() bool) *ownLeases {
 	// Numbers begin anywhere: a daemon that starts again must not use one again that
 	// may still count.
-	return &ownLeases{news: make(chan struct{}, 1), last: rand.Uint64() >> 1, running: map[uint64]ownLease{}, yields: map[roster.Start]int{}}
+	return &ownLeases{told: told, news: make(chan struct{}, 1), last: rand.Uint64() >> 1, running: map[uint64]ownLease{}, yields: map[roster.Start]int{}}
 }
 
 func (o *ownLeases) wake() { duty.Wake(o.news) }
@@ -73,7 +75,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.running[number] = lease
-	if lease.by == "" {
+	if lease.by == "" && o.told() {
 		o.wake()
 	}
 }
@@ -87,10 +89,18 @@
 		return
 	}
 	delete(o.running, number)
-	o.ended = append(o.ended, ownEnd{
+	o.tell(ownEnd{
 		Ended: slots.Ended{Number: number, Target: string(lease.target.Start), Outcome: result, Took: took},
 		zone:  lease.target.Zone, by: lease.by,
 	})
+}
+
+// tell keeps an end for the next report. o.mu is held.
+func (o *ownLeases) tell(e ownEnd) {
+	if !o.told() {
+		return
+	}
+	o.ended = append(o.ended, e)
 	o.wake()
 }
 
@@ -102,19 +112,17 @@
 	if !known {
 		return
 	}
-	o.ended = append(o.ended, ownEnd{
+	o.tell(ownEnd{
 		Ended: slots.Ended{Number: noLease, Target: string(lease.target.Start), Outcome: routing.SoftFailed},
 		zone:  lease.target.Zone, by: lease.by,
 	})
-	o.wake()
 }
 
 // abandon gives a slot back that a leader may have given without being heard.
 func (o *ownLeases) abandon(number uint64, by string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.ended = append(o.ended, ownEnd{Ended: slots.Ended{Number: number}, by: by})
-	o.wake()
+	o.tell(ownEnd{Ended: slots.Ended{Number: number}, by: by})
 }
 
 // hold takes what others must not run; see Places.SetHeld.
@@ -123,7 +131,7 @@
 	defer o.mu.Unlock()
 	news := len(held.Items) > 0 || len(o.held.Items) > 0
 	o.held = held
-	if news {
+	if news && o.told() {
 		o.wake()
 	}
 }
@@ -173,11 +181,11 @@
 
 // tellEnd has the own zone's leader told once that nothing runs or is held any more.
 func (o *ownLeases) tellEnd(due *dueReports) {
-	told := due.reports[due.leader] != nil
-	if !told && o.told && due.leader != "" {
+	speaks := due.reports[due.leader] != nil
+	if !speaks && o.spoke && due.leader != "" {
 		due.of(due.zone, due.leader)
 	}
-	o.told = told
+	o.spoke = speaks
 }
 
 // dueReports gathers reports by the leader that gets them.
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -87,14 +87,15 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	return &Places{
-		scheduler: newScheduler(o),
-		self:      o.PeerAddress, zone: o.Zone, fleet: o.Fleet, logger: o.Logger,
+	p := &Places{
+		self: o.PeerAddress, zone: o.Zone, fleet: o.Fleet, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host, o.Zone),
 		groups: map[string]*group{}, used: map[roster.Start]roster.Target{}, starts: starts{},
 		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		gone: func(string) {},
 	}
+	p.scheduler = newScheduler(o, p.Scheduled)
+	return p
 }
 
 // OnGone sets what is called with the address of a target that left for good.
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -74,11 +74,13 @@
 	at     time.Time
 }
 
-func newScheduler(o Options) *scheduler {
+// newScheduler returns the part of a daemon; scheduled tells whether leaders give slots
+// out.
+func newScheduler(o Options, scheduled func() bool) *scheduler {
 	return &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, logger: o.Logger, set: o.Metrics,
 		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedger(),
-		holders: map[string]*holderWord{}, zones: map[string]*zoneWord{}, own: newOwnLeases(),
+		holders: map[string]*holderWord{}, zones: map[string]*zoneWord{}, own: newOwnLeases(scheduled),
 	}
 }
 
@@ -103,6 +105,9 @@
 		s.mu.Unlock()
 		return slots.Grant{}, errNotReady.New("%s gives out no slots", s.self)
 	}
+	if !s.leads {
+		s.ledger.Expire(now) // asked in error: a leader does so at each heartbeat
+	}
 	grant := s.ledger.Grant(now, a, rand.Uint64())
 	s.mu.Unlock()
 	s.tellYields(grant.Yield)
@@ -143,6 +148,9 @@
 	if ok && far.Verdict == slots.Granted {
 		return far, grant.Leader, true
 	}
+	if a.Batch {
+		return slots.Grant{}, leader, true
+	}
 	a.Stay = true
 	grant, answered = s.ask(ctx, leader, a)
 	return grant, leader, answered
@@ -159,7 +167,10 @@
 		err = s.caller.Call(callCtx, leader, grantMethod, a, &grant)
 		late := errors.Is(callCtx.Err(), context.DeadlineExceeded)
 		cancel()
-		s.noteCall(leader, err, late)
+		// A caller that left says nothing of the leader.
+		if ctx.Err() == nil {
+			s.noteCall(leader, err, late)
+		}
 	}
 	if err != nil {
 		s.count("unanswered")
--- a/daemon/places/scheduler_test.go
+++ b/daemon/places/scheduler_test.go
@@ -173,6 +173,21 @@
 		Expect(f.wire.count("Board.Hear")).To(BeZero())
 	})
 
+	// A guest hangs up while its daemon asks for a slot. The leader has done nothing
+	// wrong, and the next guests must still get theirs from it.
+	It("are still taken from a leader after callers left while it was asked", func() {
+		for range 5 {
+			left, cancel := context.WithCancel(context.Background())
+			cancel()
+			f.wire.setCut("p4", true)
+			place, refusal := f.views[0].Take(left, places.Ask{Group: "g", Patience: time.Second})
+			Expect(refusal).To(BeNil())
+			f.views[0].Release(place, routing.Neutral, 0)
+			f.wire.setCut("p4", false)
+		}
+		Expect(f.take(0).By).To(Equal("p4"))
+	})
+
 	// The leader's host is cut off or frozen: what is sent there is lost.
 	It("are taken by what a daemon knows itself while the leader answers nobody", func() {
 		f.wire.setCut("p4", true)
