--- a/core/routing/least.go
+++ b/core/routing/least.go
@@ -25,7 +25,8 @@
 	return Choice{t.least(now, usable, r, unheard, &random).Address, ByLoad}, true
 }
 
-// nearFirst is the choice where the loads of other zones are heard late: a place
+// nearFirst is the choice where the loads of other zones are heard late or not at all,
+// as in a large fleet whose leader does not answer: a place
 // in the own zone, if need be one that batch gives back; else any target of
 // another zone that had farSlack places to spare when it was last heard of, by
 // chance, since every daemon of this zone looks at the same old word; else a short
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -38,7 +38,8 @@
 	Zone string
 	// WordAge is how old what PickLeast has heard of the loads may be.
 	WordAge time.Duration
-	// FarIsStale tells PickLeast that the loads of other zones are heard late.
+	// FarIsStale tells PickLeast that the loads of other zones are heard late, or not at
+	// all.
 	FarIsStale bool
 	// Exclude holds the targets already tried; they are used again only when
 	// no other is left.
