Let one piece of code serve where the change had two

Found on reading the whole change once more; behaviour stays as it is. - routing.Speed is the running average of requests' times and the estimate of a queue for both routing.Table and slots.Ledger, which had a copy of both. - duty.News wakes those who wait for a change, in jobs and in front, which had one each. - jobs.askHolder makes the call to a partition's holder for results and for bodies. - board.HeldElsewhere and PartsElsewhere share their loop. - places.ask begins the ask of a request and of an item. - slots.Ledger.Has was called by nobody and is gone.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -179,26 +179,24 @@
 
 // HeldElsewhere returns the items that other daemons still run.
 func (b *Board) HeldElsewhere(now time.Time) map[uint64]bool {
-	b.expire(now)
-	held := map[uint64]bool{}
-	for _, h := range b.others {
-		for _, item := range h.word.Held {
-			held[item] = true
-		}
-	}
-	return held
+	return told(b, now, func(w *Word) []uint64 { return w.Held })
 }
 
 // PartsElsewhere returns the partitions that other daemons hold for certain.
 func (b *Board) PartsElsewhere(now time.Time) map[int]bool {
+	return told(b, now, func(w *Word) []int { return w.Parts })
+}
+
+// told gathers what the others' fresh words list.
+func told[T comparable](b *Board, now time.Time, list func(*Word) []T) map[T]bool {
 	b.expire(now)
-	parts := map[int]bool{}
+	all := map[T]bool{}
 	for _, h := range b.others {
-		for _, part := range h.word.Parts {
-			parts[part] = true
+		for _, one := range list(&h.word) {
+			all[one] = true
 		}
 	}
-	return parts
+	return all
 }
 
 // Total adds up what all daemons run at a target.
--- a/core/routing/admit.go
+++ b/core/routing/admit.go
@@ -6,25 +6,43 @@
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
 
-// speedWeight is the weight of a new measurement in the running averages.
+// speedWeight is the weight of a new measurement in the running average.
 const speedWeight = 0.1
 
-// speed holds running averages of the group's finished requests.
-type speed struct {
+// Speed is the running average of the total time of a group's finished requests. The
+// zero value knows nothing.
+type Speed struct {
 	total time.Duration
 	known bool
 }
 
 // Measured takes the total time of a finished request.
-func (t *Table) Measured(total time.Duration) {
-	if !t.speed.known {
-		t.speed = speed{total: total, known: true}
+func (s *Speed) Measured(total time.Duration) {
+	if !s.known {
+		*s = Speed{total: total, known: true}
 		return
 	}
-	change := speedWeight * float64(total-t.speed.total)
-	t.speed.total += time.Duration(change)
+	change := speedWeight * float64(total-s.total)
+	s.total += time.Duration(change)
+}
+
+// Queue estimates how long one more request would queue at a target that runs slots
+// requests at once and has so many: with all slots taken, one gets free every
+// total/slots.
+func (s Speed) Queue(load float64, slots int) time.Duration {
+	if slots <= 0 {
+		return 0
+	}
+	ahead := load - float64(slots) + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(slots) * float64(s.total))
 }
 
+// Measured takes the total time of a finished request.
+func (t *Table) Measured(total time.Duration) { t.speed.Measured(total) }
+
 // Wait estimates how long a request would queue in front of the least loaded
 // target: with load at or above its slots, one leaves every total/slots. It is
 // 0 while any target has a free slot or nothing is known, so a wrong average
@@ -35,7 +53,7 @@
 	}
 	shortest, found := time.Duration(0), false
 	for _, e := range t.tier(now, Request{}, false) {
-		w := t.queue(now, e)
+		w := t.speed.Queue(e.load(now), t.slotsOf(now, e))
 		if !found || w < shortest {
 			shortest, found = w, true
 		}
@@ -43,18 +61,6 @@
 	return shortest
 }
 
-func (t *Table) queue(now time.Time, e *entry) time.Duration {
-	slots := t.slotsOf(now, e)
-	if slots <= 0 {
-		return 0
-	}
-	ahead := e.load(now) - float64(slots) + 1
-	if ahead <= 0 {
-		return 0
-	}
-	return time.Duration(ahead / float64(slots) * float64(t.speed.total))
-}
-
 // Admit refuses a request that could not start before its deadline: a truthful
 // early no is worth more to the caller than a late one, and keeps the queue at
 // the engines short for those that can still make it.
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -43,7 +43,7 @@
 	slots   int
 	order   []string
 	entries map[string]*entry
-	speed   speed
+	speed   Speed
 }
 
 // entry is what is known of one target.
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -114,7 +114,7 @@
 		return Grant{Verdict: None}
 	}
 	best := from[0]
-	wait := best.wait(g.speed)
+	wait := g.speed.Queue(float64(best.online), best.Slots)
 	if wait > a.Patience {
 		return Grant{Verdict: Overloaded, Wait: wait}
 	}
@@ -130,16 +130,6 @@
 	online, taken int
 }
 
-// wait estimates how long a request would queue there: with every slot taken, one
-// gets free each speed/Slots.
-func (c candidate) wait(speed time.Duration) time.Duration {
-	ahead := c.online - c.Slots + 1
-	if ahead <= 0 || c.Slots <= 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / float64(c.Slots) * float64(speed))
-}
-
 // candidates lists the targets that the asker can use, the least taken first and
 // equal ones in the order of the seed: those that are trusted, and those in doubt.
 // Targets that it can't use come last among these, for want of a better one.
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -34,9 +34,6 @@
 	// yieldTime is how long a batch item that was told to give way may still run. One
 	// that runs on has a holder that did not hear of it.
 	yieldTime = 500 * time.Millisecond
-	// speedWeight is the weight of a new measurement in the running average of a
-	// request's time.
-	speedWeight = 0.1
 )
 
 // Target is where requests run.
@@ -82,8 +79,8 @@
 // group is one target group.
 type group struct {
 	targets []Target
-	// speed is the running average of an online request's time, 0 if unknown.
-	speed time.Duration
+	// speed is that of online requests.
+	speed routing.Speed
 }
 
 // usage is what is known of one target.
@@ -134,12 +131,6 @@
 	}
 }
 
-// Has tells whether the zone has a target of the group.
-func (l *Ledger) Has(group string) bool {
-	g := l.groups[group]
-	return g != nil && len(g.targets) > 0
-}
-
 // Report takes what a holder says of its leases: all that run, and the ends since its
 // last report.
 func (l *Ledger) Report(now time.Time, holder string, running []Running, ended []Ended) {
@@ -233,21 +224,12 @@
 	case routing.SoftFailed, routing.HardFailed:
 		u.doubt.Failed(now, 0)
 	}
-	if le != nil && e.Took > 0 {
-		l.measured(le.group, e.Took)
-	}
-}
-
-func (l *Ledger) measured(group string, took time.Duration) {
-	g := l.groups[group]
-	if g == nil {
+	if le == nil || e.Took <= 0 {
 		return
 	}
-	if g.speed == 0 {
-		g.speed = took
-		return
+	if g := l.groups[le.group]; g != nil {
+		g.speed.Measured(e.Took)
 	}
-	g.speed += time.Duration(speedWeight * float64(took-g.speed))
 }
 
 // Expire drops the leases that were not told again.
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,8 +67,8 @@
 	peerServer *peer.Server
 	pool       *h1.Pool
 	table      atomic.Pointer[route.Table]
-	// waiters are woken by the first configuration.
-	waiters  waiters
+	// routed tells of each configuration.
+	routed   duty.News
 	stopping atomic.Bool
 	// reached is set once every group had a target, or had time for it, after
 	// started.
@@ -127,43 +126,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	woken := n.waiters.add()
+	routed := n.routed.Next()
 	if t := n.table.Load(); t != nil {
-		return t // it came before the waiter was added
+		return t
 	}
 	select {
-	case <-woken:
+	case <-routed:
 	case <-ctx.Done():
 	}
 	return n.table.Load()
 }
 
-// waiters wait for something that happens once. The zero value has none.
-type waiters struct {
-	mu   sync.Mutex
-	news chan struct{}
-}
-
-// add returns a channel that the next wake closes.
-func (w *waiters) add() <-chan struct{} {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.news == nil {
-		w.news = make(chan struct{})
-	}
-	return w.news
-}
-
-// wake wakes all that wait.
-func (w *waiters) wake() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.news != nil {
-		close(w.news)
-		w.news = nil
-	}
-}
-
 // SetRoutes puts a configuration in force. An older one than that in force is
 // left out: a daemon that reads the history again must not go back.
 func (n *Node) SetRoutes(t *route.Table) {
@@ -172,7 +145,7 @@
 		return
 	}
 	n.table.Store(t)
-	n.waiters.wake()
+	n.routed.Tell()
 	n.Logger.Info("configuration_in_force", zap.Int64("version", t.Version))
 }
 
--- a/daemon/jobs/body.go
+++ b/daemon/jobs/body.go
@@ -65,18 +65,9 @@
 // bodyAtHolder asks the daemon that holds the job's partition: a page of the log in
 // which a body stands holds up to 1 MB.
 func (j *Jobs) bodyAtHolder(ctx context.Context, id, item string) ([]byte, bool) {
-	address, found := j.owners.address(ctx, j.part(id))
-	if !found {
-		return nil, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, bodyTime)
-	defer cancel()
 	var reply BodyReply
-	if err := j.Peers.Call(ctx, address, bodyMethod, BodyArgs{id, item}, &reply); err != nil {
-		j.Logger.Info("holder_not_reached", zap.String("job", id), zap.String("peer", address), zap.Error(err))
-		return nil, false
-	}
-	return reply.Body, reply.Held
+	answered := j.askHolder(ctx, id, bodyTime, bodyMethod, BodyArgs{id, item}, &reply)
+	return reply.Body, answered && reply.Held
 }
 
 // list makes sure that the job's items are known: where they stand apart from the
@@ -110,7 +101,7 @@
 	}
 	if change.Job != "" {
 		j.runner.note(change)
-		j.changed()
+		j.news.Tell()
 	}
 	return nil
 }
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -307,7 +307,7 @@
 		v.Results = append(v.Results, r)
 	}
 	v.Next = after + len(v.Results)
-	return v, j.news, nil
+	return v, j.news.Next(), nil
 }
 
 // End ends a job: once it returns nil, no daemon that reads the log starts
--- a/daemon/jobs/handover.go
+++ b/daemon/jobs/handover.go
@@ -71,7 +71,7 @@
 		}
 	}
 	for {
-		news := j.nextNews()
+		news := j.news.Next()
 		if j.allFinished(args.Results) {
 			return true
 		}
@@ -83,12 +83,6 @@
 	}
 }
 
-func (j *Jobs) nextNews() <-chan struct{} {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.news
-}
-
 func (j *Jobs) finished(job string, item int) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/daemon/jobs/holder.go
+++ b/daemon/jobs/holder.go
@@ -71,19 +71,26 @@
 // readAtHolder asks the daemon that holds the job's partition. ok is false if
 // there is none, or it does not answer, or can't be sure: the log decides then.
 func (j *Jobs) readAtHolder(ctx context.Context, id string, after int, wait time.Duration) (View, *outcome.Refusal, bool) {
+	var reply ReadReply
+	args := ReadArgs{Job: id, After: after, WaitMs: wait.Milliseconds()}
+	answered := j.askHolder(ctx, id, wait+holderSlack, readMethod, args, &reply)
+	return reply.View, reply.Refusal, answered && reply.Held && reply.Refusal == nil
+}
+
+// askHolder calls the daemon that holds the job's partition. False tells that there is
+// none, or that it did not answer in time.
+func (j *Jobs) askHolder(ctx context.Context, id string, within time.Duration, method string, args, reply any) bool {
 	address, found := j.owners.address(ctx, j.part(id))
 	if !found {
-		return View{}, nil, false
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+holderSlack)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	var reply ReadReply
-	err := j.Peers.Call(ctx, address, readMethod, ReadArgs{Job: id, After: after, WaitMs: wait.Milliseconds()}, &reply)
-	if err != nil {
+	if err := j.Peers.Call(ctx, address, method, args, reply); err != nil {
 		j.Logger.Info("holder_not_reached", zap.String("job", id), zap.String("peer", address), zap.Error(err))
-		return View{}, nil, false
+		return false
 	}
-	return reply.View, reply.Refusal, reply.Held && reply.Refusal == nil
+	return true
 }
 
 // owners knows which daemon holds which partition.
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -94,8 +94,8 @@
 
 	mu   sync.Mutex
 	book *batch.Book
-	// news is closed and replaced whenever the book changed.
-	news     chan struct{}
+	// news tells of each change of the book.
+	news     duty.News
 	accepted *cursor
 	results  []*cursor
 	writers  []*writer
@@ -107,7 +107,7 @@
 
 // New returns Jobs without any record read.
 func New(o Options) *Jobs {
-	j := &Jobs{Options: o, book: batch.NewBook(), news: make(chan struct{})}
+	j := &Jobs{Options: o, book: batch.NewBook()}
 	j.accepted = j.newCursor(partlog.Partition{Topic: o.Topics.Jobs}, j.book.ApplyJob)
 	for part := range o.Parts {
 		p := partlog.Partition{Topic: o.Topics.Results, Part: part}
@@ -142,12 +142,6 @@
 	return int(h.Sum32() % uint32(parts))
 }
 
-// changed wakes those who wait for news. j.mu is held.
-func (j *Jobs) changed() {
-	close(j.news)
-	j.news = make(chan struct{})
-}
-
 // cursor follows one partition into the book.
 type cursor struct {
 	jobs      *Jobs
@@ -190,7 +184,7 @@
 		c.jobs.Logger.Info("partition_loaded", zap.String("topic", c.partition.Topic), zap.Int("part", c.partition.Part),
 			zap.Int("records", len(records)), zap.Int64("end", end))
 	}
-	c.jobs.changed()
+	c.jobs.news.Tell()
 }
 
 // Take implements partlog.Reader.
@@ -216,7 +210,7 @@
 		any = true
 	}
 	if any {
-		c.jobs.changed()
+		c.jobs.news.Tell()
 	}
 }
 
--- a/daemon/places/take.go
+++ b/daemon/places/take.go
@@ -59,21 +59,25 @@
 
 // takeGranted asks the leaders for a slot. It decides nothing if none answers.
 func (p *Places) takeGranted(ctx context.Context, a Ask) (place Place, refusal *outcome.Refusal, decided bool) {
-	number := p.scheduler.own.next()
-	grant, by, answered := p.scheduler.slot(ctx, slots.Ask{
-		ID: slots.ID{Holder: p.self, Number: number}, Group: a.Group, Exclude: p.useless(a.Group, a.Exclude),
-		LastChance: a.LastChance, Patience: a.Patience,
-	})
+	ask := p.ask(a.Group, a.Exclude)
+	ask.LastChance, ask.Patience = a.LastChance, a.Patience
+	grant, by, answered := p.scheduler.slot(ctx, ask)
 	switch {
 	case !answered || grant.Verdict == slots.None:
 		return Place{}, nil, false
 	case grant.Verdict == slots.Overloaded:
 		return Place{}, routing.TooBusy(a.Group, grant.Wait, a.Patience), true
 	}
-	place, known := p.accept(number, grant, by, false)
+	place, known := p.accept(ask, grant, by)
 	return place, nil, known
 }
 
+// ask begins an ask for a slot of the group.
+func (p *Places) ask(groupName string, tried map[string]bool) slots.Ask {
+	id := slots.ID{Holder: p.self, Number: p.scheduler.own.next()}
+	return slots.Ask{ID: id, Group: groupName, Exclude: p.useless(groupName, tried)}
+}
+
 // useless lists the targets of the group that are of no use to a request: those it
 // has tried, and those that are out for this daemon.
 func (p *Places) useless(groupName string, tried map[string]bool) []string {
@@ -98,15 +102,15 @@
 
 // accept counts a slot that a leader gave, unless the target must get no work by what
 // is known here: the leader may have heard later that it leaves.
-func (p *Places) accept(number uint64, grant slots.Grant, by string, batch bool) (Place, bool) {
+func (p *Places) accept(ask slots.Ask, grant slots.Grant, by string) (Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, known := p.used[roster.Start(grant.Target)]
 	if !known {
-		p.scheduler.own.abandon(number, by)
+		p.scheduler.own.abandon(ask.ID.Number, by)
 		return Place{}, false
 	}
-	place := p.begin(t, number, by, batch)
+	place := p.begin(t, ask.ID.Number, by, ask.Batch)
 	place.Running, place.By = grant.Running, by
 	return place, true
 }
@@ -230,15 +234,13 @@
 	if !p.Scheduled() {
 		return p.takeBatchKnown(groupName, exclude, headroom)
 	}
-	number := p.scheduler.own.next()
-	grant, by, answered := p.scheduler.slot(ctx, slots.Ask{
-		ID: slots.ID{Holder: p.self, Number: number}, Group: groupName, Exclude: p.useless(groupName, exclude),
-		Batch: true, Headroom: headroom,
-	})
+	ask := p.ask(groupName, exclude)
+	ask.Batch, ask.Headroom = true, headroom
+	grant, by, answered := p.scheduler.slot(ctx, ask)
 	if !answered || grant.Verdict != slots.Granted {
 		return Place{}, false
 	}
-	return p.accept(number, grant, by, true)
+	return p.accept(ask, grant, by)
 }
 
 // takeBatchKnown chooses by what is known here.
