Ask callers for their account's key, and follow the configuration through peers

Cause: the platform path knew no accounts: keys went on to targets, unknown and revoked keys were served, and a host that the store turns away went on with an old configuration for as long as that lasts. Ruled out: refusing every unknown key with 401. A daemon that has lost its source does not know whether a key is new; it says 503 with a time to come back until its own source or a peer has told it within 1.5 s that nothing newer is in force. Change: core/accounts holds accounts and decides whose a request is, by digests of keys; 401 before the body is read. Targets are told the account's name, never a key; jobs carry their account, answer other accounts as if they did not exist, and hold no key; records from before still load. A daemon whose source is silent for 1.3 s asks two other daemons four times a second. Waiting tokens are an account's.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -14,6 +14,36 @@
 	"tarragonhollow.example/tarragonhollow/core/batch"
 )
 
+// Jobs were accepted before there were accounts. They stay readable by those who know
+// their IDs; a job that has an account is that account's alone.
+func TestJobsBelongToTheirAccount(t *testing.T) {
+	type before struct {
+		ID, Host, Path, Quota string
+		AcceptedMs            int64
+		Items                 []batch.Item
+	}
+	old, err := batch.Encode(before{ID: "old", Host: "h", Path: "/b/", Quota: "h/b/", Items: []batch.Item{{ID: "x", Tokens: 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	own, err := batch.Encode(batch.JobRecord{ID: "own", Account: "hotel", Items: []batch.Item{{ID: "y", Tokens: 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	book := batch.NewBook()
+	for id, value := range map[string][]byte{"old": old, "own": own} {
+		if _, err := book.ApplyJob(batch.AcceptedKey(id), value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if j := book.Job("old"); !j.BelongsTo("hotel") || !j.BelongsTo("") || book.Waiting("h/b/") != 3 {
+		t.Fatalf("the old job reads %+v", j.JobRecord)
+	}
+	if j := book.Job("own"); !j.BelongsTo("hotel") || j.BelongsTo("") || j.BelongsTo("inn") {
+		t.Fatalf("the account's job reads %+v", j.JobRecord)
+	}
+}
+
 func TestBatch(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "batch")
--- a/core/batch/book.go
+++ b/core/batch/book.go
@@ -21,6 +21,10 @@
 	done     int64
 }
 
+// BelongsTo tells whether a client account may read and end the job. One that was handed
+// in when there were no accounts belongs to whoever knows its ID, as it did then.
+func (j *Job) BelongsTo(account string) bool { return j.Account == "" || j.Account == account }
+
 // Listed tells whether the job's items are known. They are not where their list
 // stands apart from the acceptance and was not read.
 func (j *Job) Listed() bool { return len(j.Items) > 0 }
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -42,9 +42,11 @@
 // JobRecord is a job's acceptance.
 type JobRecord struct {
 	ID string
+	// Account is the client account that handed it in, "" if there were no accounts.
+	Account string
 	// Host and Path are those of the submission; they select the route.
 	Host, Path string
-	// Quota names the account that the waiting tokens count on.
+	// Quota names what the waiting tokens are added up under.
 	Quota string
 	// AcceptedMs is the accepting daemon's clock, Unix milliseconds.
 	AcceptedMs int64
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/accounts"
 )
 
 // Kind tells what may be repeated of a route's requests.
@@ -41,6 +43,10 @@
 	Host   string
 	Prefix string
 	Kind   Kind
+	// Public routes serve callers without a key.
+	Public bool
+	// Priority ranks its requests where the account's own does not; 0 goes first.
+	Priority int
 	// Resumable streams may go on at another target after the last event seen.
 	Resumable bool
 	// Timeout is the longest time that a request may be kept waiting.
@@ -58,8 +64,8 @@
 	Due time.Duration
 	// KeepFor is how long after its acceptance an unfinished item is kept trying.
 	KeepFor time.Duration
-	// TokenCap bounds the tokens of the accepted items that are not finished;
-	// 0 is no bound.
+	// TokenCap bounds, for each client account, the tokens of the accepted items that
+	// are not finished; 0 is no bound.
 	TokenCap int64
 }
 
@@ -68,8 +74,22 @@
 	return r.Kind == Idempotent || r.Kind == Batch || r.Kind == Stream && r.Resumable
 }
 
-// Quota names the account of waiting tokens that the route's jobs count on.
-func (r *Route) Quota() string { return r.Host + r.Prefix }
+// Quota names what the waiting tokens of an account's jobs are added up under; "" is
+// no account.
+func (r *Route) Quota(account string) string {
+	if account == "" {
+		return r.Host + r.Prefix
+	}
+	return r.Host + r.Prefix + " " + account
+}
+
+// Rank is the priority of an account's requests, 0 first; nil is no account.
+func (r *Route) Rank(account *accounts.Account) int {
+	if account == nil {
+		return r.Priority
+	}
+	return account.Priority
+}
 
 // Pick returns a group by weight; random is in [0,1).
 func (r *Route) Pick(random float64) string {
@@ -99,7 +119,12 @@
 type Table struct {
 	Version int64
 	Limits  Limits
-	hosts   map[string][]*Route
+	// Accounts are the client accounts; nil if none are configured. It is set before
+	// the table is used.
+	Accounts *accounts.Set
+	// FaultyAccounts names the accounts whose entries could not be used whole.
+	FaultyAccounts []string
+	hosts          map[string][]*Route
 }
 
 // NewTable returns a table. Of two routes with the same host and prefix the
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -33,15 +33,6 @@
 // some 2 s.
 const targetWait = 4 * time.Second
 
-// startWait is how long after its start a daemon keeps requests until its first
-// configuration is read, which takes 0.1 s, or 0.5 s where all hosts start together.
-//
-// Failure guarded against: all hosts lose power and are back at the same moment. Their
-// callers are back too; refused, they come again at another daemon that does not know
-// the routes either, and give up. Of 1,154 requests refused so after one loss of 304
-// hosts 419 were never served.
-const startWait = time.Second
-
 // Adapter is what the platform's adapter brings.
 type Adapter struct {
 	Log    partlog.Log
@@ -50,26 +41,26 @@
 	Topics jobs.Topics
 	// HostsTopic tells the daemons of each other.
 	HostsTopic string
+	// Decode reads a configuration; see ConfigurationOptions.
+	Decode func(written []byte) (*route.Table, error)
 }
 
 // Node is one daemon.
 type Node struct {
-	Settings *settings.Front
-	Logger   *zap.Logger
-	Metrics  *metrics.Set
-	Places   *places.Places
-	Relay    *relay.Relay
-	Jobs     *jobs.Jobs
+	Settings      *settings.Front
+	Logger        *zap.Logger
+	Metrics       *metrics.Set
+	Configuration *Configuration
+	Places        *places.Places
+	Relay         *relay.Relay
+	Jobs          *jobs.Jobs
 
 	hosts      *hosts
 	suspects   *suspects.Tracker
 	peers      *peer.Client
 	peerServer *peer.Server
 	pool       *h1.Pool
-	table      atomic.Pointer[route.Table]
-	// routed tells of each configuration.
-	routed   duty.News
-	stopping atomic.Bool
+	stopping   atomic.Bool
 	// reached is set once every group had a target, or had time for it, after
 	// started.
 	reached atomic.Bool
@@ -86,6 +77,7 @@
 	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, self, logger)
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
 	n.peerServer = peer.NewServer(peer.ServerOptions{Logger: logger, Metrics: set})
+	n.Configuration = NewConfiguration(ConfigurationOptions{Decode: a.Decode, Peers: n.peers, Others: n.hosts.peers, Logger: logger})
 	n.Places = places.New(places.Options{
 		Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Cores: s.Cores, Fleet: n.hosts.count, Peers: n.peers,
 		Logger: logger, Metrics: set,
@@ -104,55 +96,23 @@
 	})
 	n.Jobs = jobs.New(jobs.Options{
 		Host: s.Host, Zone: s.Zone, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
-		Others: n.hosts.peers, Fleet: n.hosts.count, Topics: a.Topics, Parts: s.LogParts, Routes: n.Routes,
+		Others: n.hosts.peers, Fleet: n.hosts.count, Topics: a.Topics, Parts: s.LogParts, Routes: n.Configuration.Routes,
 		Places: n.Places, Pool: n.pool, Wire: a.Wire, Crashes: crashes, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom,
 		Logger: logger, Metrics: set,
 	})
 	if err := n.Places.Register(n.peerServer); err != nil {
 		return nil, err
 	}
-	return n, n.Jobs.Register(n.peerServer)
-}
-
-// Routes returns the routes in force, nil before the first configuration.
-func (n *Node) Routes() *route.Table { return n.table.Load() }
-
-// AwaitRoutes returns the routes in force. A daemon that has just started waits for
-// them; nil is returned if it has waited for startWait, or ctx is done.
-func (n *Node) AwaitRoutes(ctx context.Context) *route.Table {
-	left := startWait - time.Since(n.started)
-	if t := n.table.Load(); t != nil || left <= 0 {
-		return t
-	}
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	routed := n.routed.Next()
-	if t := n.table.Load(); t != nil {
-		return t
-	}
-	select {
-	case <-routed:
-	case <-ctx.Done():
-	}
-	return n.table.Load()
-}
-
-// SetRoutes puts a configuration in force. An older one than that in force is
-// left out: a daemon that reads the history again must not go back.
-func (n *Node) SetRoutes(t *route.Table) {
-	current := n.table.Load()
-	if current != nil && t.Version <= current.Version {
-		return
+	if err := n.peerServer.Register(newerService, &configurationCalls{n.Configuration}); err != nil {
+		return nil, err
 	}
-	n.table.Store(t)
-	n.routed.Tell()
-	n.Logger.Info("configuration_in_force", zap.Int64("version", t.Version))
+	return n, n.Jobs.Register(n.peerServer)
 }
 
 // Ready tells whether the daemon should get new connections: it knows routes
 // and targets and has read the jobs, and does not stop.
 func (n *Node) Ready() bool {
-	table := n.table.Load()
+	table := n.Configuration.Routes()
 	return !n.stopping.Load() && table != nil && n.Places.Known() && n.Jobs.Loaded() && n.reaches(table, time.Now())
 }
 
@@ -187,6 +147,7 @@
 	})
 	group.Go(n.hosts.announce)
 	group.Go(n.hosts.follow)
+	group.Go(n.Configuration.borrow)
 	group.Go(func(ctx context.Context) { n.Places.Spread(ctx, n.peers, n.hosts.peers) })
 	group.Go(func(ctx context.Context) { n.Places.Lead(ctx, n.hosts.peers) })
 	group.Go(n.Places.Report)
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -21,6 +22,18 @@
 	RunSpecs(t, "front")
 }
 
+// configured is a configuration whose versions are written as their number.
+func configured() *Configuration {
+	return NewConfiguration(ConfigurationOptions{Logger: zap.NewNop(), Decode: func(written []byte) (*route.Table, error) {
+		version, err := strconv.ParseInt(string(written), 10, 64)
+		return table(version), err
+	}})
+}
+
+func (c *Configuration) takeVersion(version int64) {
+	Expect(c.Take([]byte(strconv.FormatInt(version, 10)), "source")).To(Succeed())
+}
+
 func table(version int64) *route.Table {
 	return route.NewTable(version, []route.Route{{Host: "h", Prefix: "/", Groups: []route.Share{{Group: "g", Weight: 1}}}}, route.Limits{})
 }
@@ -29,37 +42,39 @@
 	var n *Node
 	start := time.Unix(1000, 0)
 	BeforeEach(func() {
-		n = &Node{Logger: zap.NewNop(), started: start}
+		n = &Node{Logger: zap.NewNop(), started: start, Configuration: configured()}
 		n.Places = places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()})
 	})
 
 	It("never goes back to an older configuration", func() {
-		n.SetRoutes(table(7))
-		n.SetRoutes(table(5))
-		Expect(n.Routes().Version).To(BeEquivalentTo(7))
-		n.SetRoutes(table(9))
-		Expect(n.Routes().Version).To(BeEquivalentTo(9))
+		c := n.Configuration
+		c.takeVersion(7)
+		c.takeVersion(5)
+		Expect(c.Routes().Version).To(BeEquivalentTo(7))
+		c.takeVersion(9)
+		Expect(c.Routes().Version).To(BeEquivalentTo(9))
 	})
 
 	// All hosts have lost power and start again; callers are there before the routes.
 	It("keeps a request until the first configuration, if it has just started", func() {
-		n.started = time.Now()
+		c := n.Configuration
 		got := make(chan *route.Table)
-		go func() { got <- n.AwaitRoutes(context.Background()) }()
-		n.SetRoutes(table(3))
-		n.SetRoutes(table(4))
+		go func() { got <- c.Await(context.Background()) }()
+		c.takeVersion(3)
+		c.takeVersion(4)
 		Eventually(got).Should(Receive(Not(BeNil())))
-		Expect(n.AwaitRoutes(context.Background()).Version).To(BeEquivalentTo(4))
+		Expect(c.Await(context.Background()).Version).To(BeEquivalentTo(4))
 	})
 
 	// The store is away for longer. What can't be served is refused at once then.
 	It("keeps no request once it has had time to read its configuration", func() {
-		n.started = time.Now().Add(-startWait)
-		Expect(n.AwaitRoutes(context.Background())).To(BeNil())
-		n.started = time.Now()
+		c := n.Configuration
+		c.started = time.Now().Add(-startWait)
+		Expect(c.Await(context.Background())).To(BeNil())
+		c.started = time.Now()
 		left, cancel := context.WithCancel(context.Background())
 		cancel()
-		Expect(n.AwaitRoutes(left)).To(BeNil())
+		Expect(c.Await(left)).To(BeNil())
 	})
 
 	// The store was away and the targets' entries have lapsed when a daemon
--- a/daemon/jobs/body.go
+++ b/daemon/jobs/body.go
@@ -38,9 +38,10 @@
 	return nil
 }
 
-// Body returns the body of an item that has no result yet.
-func (j *Jobs) Body(ctx context.Context, id, item string) ([]byte, *outcome.Refusal) {
-	if refusal := j.known(ctx, id); refusal != nil {
+// Body returns the body of an item that has no result yet. Account is the client account
+// that asks, "" for none.
+func (j *Jobs) Body(ctx context.Context, account, id, item string) ([]byte, *outcome.Refusal) {
+	if refusal := j.knownTo(ctx, account, id); refusal != nil {
 		return nil, refusal
 	}
 	if !j.holds(id) && j.Fleet() > fromLogUpTo {
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -32,7 +32,9 @@
 
 // Submission is a job as a caller hands it in.
 type Submission struct {
-	ID         string
+	ID string
+	// Account is the client account's name, "" if there is none.
+	Account    string
 	Host, Path string
 	Items      []SubmittedItem
 }
@@ -58,9 +60,9 @@
 	if refusal != nil {
 		word = string(refusal.Code)
 	}
-	j.Logger.Info("job_submitted", zap.String("job", s.ID), zap.String("from", from), zap.String("route", r.Name),
+	j.Logger.Info("job_submitted", zap.String("job", s.ID), zap.String("account", s.Account), zap.String("from", from), zap.String("route", r.Name),
 		zap.Int("items", len(s.Items)), zap.String("outcome", word), zap.Bool("log_lost", j.accepted.lost()),
-		zap.Int64("waiting_tokens", j.waiting(r.Quota())), zap.Int64("cap", r.TokenCap))
+		zap.Int64("waiting_tokens", j.waiting(r.Quota(s.Account))), zap.Int64("cap", r.TokenCap))
 }
 
 func (j *Jobs) waiting(quota string) int64 {
@@ -70,7 +72,7 @@
 }
 
 func newRecord(s *Submission, r *route.Route) *batch.JobRecord {
-	record := &batch.JobRecord{ID: s.ID, Host: s.Host, Path: s.Path, Quota: r.Quota(), AcceptedMs: time.Now().UnixMilli()}
+	record := &batch.JobRecord{ID: s.ID, Account: s.Account, Host: s.Host, Path: s.Path, Quota: r.Quota(s.Account), AcceptedMs: time.Now().UnixMilli()}
 	for i := range s.Items {
 		item := s.Items[i].Item
 		item.BodyBytes = len(s.Items[i].Body)
@@ -154,6 +156,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if known := j.book.Job(record.ID); known != nil && (known.Accepted || known.Ended) {
+		if known.Accepted && !known.BelongsTo(record.Account) {
+			return false, outcome.Refuse(outcome.Conflict, "the ID %s can't be used", record.ID)
+		}
 		return true, nil
 	}
 	if j.accepted.position < 0 {
@@ -191,9 +196,10 @@
 	Results []batch.Result
 }
 
-// Read returns results from a position on, waiting up to wait for the first.
-func (j *Jobs) Read(ctx context.Context, id string, after int, wait time.Duration) (View, *outcome.Refusal) {
-	if refusal := j.known(ctx, id); refusal != nil {
+// Read returns results from a position on, waiting up to wait for the first. Account is
+// the client account that asks, "" for none.
+func (j *Jobs) Read(ctx context.Context, account, id string, after int, wait time.Duration) (View, *outcome.Refusal) {
+	if refusal := j.knownTo(ctx, account, id); refusal != nil {
 		return View{}, refusal
 	}
 	if !j.holds(id) && j.Fleet() > fromLogUpTo {
@@ -241,23 +247,34 @@
 // known makes sure that the job is known. "No such job" is said only after the
 // log was read to its end just now.
 func (j *Jobs) known(ctx context.Context, id string) *outcome.Refusal {
-	if j.has(id) {
+	return j.await(ctx, id, func(*batch.Job) bool { return true })
+}
+
+// knownTo is known for a client account. Another account than the job's gets the same
+// answer, after the same work, as if there were no such job.
+func (j *Jobs) knownTo(ctx context.Context, account, id string) *outcome.Refusal {
+	return j.await(ctx, id, func(known *batch.Job) bool { return known.BelongsTo(account) })
+}
+
+// await makes sure that the job is known and fits.
+func (j *Jobs) await(ctx context.Context, id string, fits func(*batch.Job) bool) *outcome.Refusal {
+	if j.has(id, fits) {
 		return nil
 	}
 	if err := j.catchUp(ctx, j.accepted); err != nil {
 		return logOut(err)
 	}
-	if j.has(id) {
+	if j.has(id, fits) {
 		return nil
 	}
 	return outcome.Refuse(outcome.NotFound, "no job %s", id)
 }
 
-func (j *Jobs) has(id string) bool {
+func (j *Jobs) has(id string, fits func(*batch.Job) bool) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	known := j.book.Job(id)
-	return known != nil && known.Accepted
+	return known != nil && known.Accepted && fits(known)
 }
 
 // freshen makes sure that a job's results were read to their end lately, before
@@ -311,19 +328,19 @@
 }
 
 // End ends a job: once it returns nil, no daemon that reads the log starts
-// another of its items.
-func (j *Jobs) End(ctx context.Context, id string) *outcome.Refusal {
-	refusal := j.end(ctx, id)
+// another of its items. Account is the client account that asks, "" for none.
+func (j *Jobs) End(ctx context.Context, account, id string) *outcome.Refusal {
+	refusal := j.end(ctx, account, id)
 	word := "ended"
 	if refusal != nil {
 		word = string(refusal.Code)
 	}
-	j.Logger.Info("job_end", zap.String("job", id), zap.String("outcome", word))
+	j.Logger.Info("job_end", zap.String("job", id), zap.String("account", account), zap.String("outcome", word))
 	return refusal
 }
 
-func (j *Jobs) end(ctx context.Context, id string) *outcome.Refusal {
-	if refusal := j.known(ctx, id); refusal != nil {
+func (j *Jobs) end(ctx context.Context, account, id string) *outcome.Refusal {
+	if refusal := j.knownTo(ctx, account, id); refusal != nil {
 		return refusal
 	}
 	if j.isEnded(id) {
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -115,7 +115,7 @@
 // runOnce sends the item to the target and gathers its events.
 func (r *runner) runOnce(ctx context.Context, c *candidate, run *running, p *progress, body []byte) runEnd {
 	request := &relay.Request{
-		ID: c.item.ID, Route: c.route,
+		ID: c.item.ID, Route: c.route, Account: c.account,
 		HTTP: h1.Request{Method: http.MethodPost, URI: c.item.Path, Host: c.host, Header: itemHeader(c.item.Headers), Body: body},
 	}
 	sender := relay.Sender{Wire: r.jobs.Wire, Pool: r.jobs.Pool}
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -168,7 +168,7 @@
 	all := func(j *jobs.Jobs, id string) []batch.Result {
 		var got []batch.Result
 		Eventually(func(g Gomega) {
-			v, refusal := j.Read(ctx(), id, len(got), 100*time.Millisecond)
+			v, refusal := j.Read(ctx(), "", id, len(got), 100*time.Millisecond)
 			g.Expect(refusal).To(BeNil())
 			got = append(got, v.Results...)
 			g.Expect(got).To(HaveLen(v.Total))
@@ -274,15 +274,15 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(page.Records[0].Value)).To(BeNumerically("<", 200))
 		for _, j := range []*jobs.Jobs{a, b} {
-			body, refusal := j.Body(ctx(), "j", "j-7")
+			body, refusal := j.Body(ctx(), "", "j", "j-7")
 			Expect(refusal).To(BeNil())
 			Expect(string(body)).To(Equal("body of j-7"))
-			_, refusal = j.Body(ctx(), "j", "other")
+			_, refusal = j.Body(ctx(), "", "j", "other")
 			Expect(refusal.Code).To(Equal(outcome.NotFound))
 		}
 		// The holder is out of reach: the log tells the list and the body.
 		peers.setCut(true)
-		body, refusal := b.Body(ctx(), "j", "j-8")
+		body, refusal := b.Body(ctx(), "", "j", "j-8")
 		Expect(refusal).To(BeNil())
 		Expect(string(body)).To(Equal("body of j-8"))
 		peers.setCut(false)
@@ -304,7 +304,7 @@
 		peers.setCut(true)
 		loaded, refused := map[int]bool{}, 0
 		for _, id := range []string{"j1", "j2", "j3", "j4", "j5", "j6"} {
-			_, refusal := b.Read(ctx(), id, 0, 0)
+			_, refusal := b.Read(ctx(), "", id, 0, 0)
 			if refusal == nil {
 				loaded[jobs.Part(id, 4)] = true
 				continue
@@ -336,7 +336,7 @@
 			Expect(r.State).To(Equal(batch.Succeeded))
 			Expect(r.Output).To(Equal(output(r.ID)))
 		}
-		body, refusal := b.Body(ctx(), "j", "j-3")
+		body, refusal := b.Body(ctx(), "", "j", "j-3")
 		Expect(refusal).To(BeNil())
 		Expect(string(body)).To(Equal("body of j-3"))
 	})
@@ -486,7 +486,7 @@
 			id := fmt.Sprint("j", turn)
 			Expect(submit(b, bare(id))).To(BeNil())
 			time.Sleep(700 * time.Millisecond)
-			view, refusal := b.Read(ctx(), id, 0, 0)
+			view, refusal := b.Read(ctx(), "", id, 0, 0)
 			Expect(refusal).To(BeNil())
 			return len(view.Results) == 0
 		}).WithTimeout(limit).Should(BeTrue())
@@ -593,10 +593,10 @@
 		refusal := submit(a, submission("j", 1))
 		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
 		Expect(refusal.Run).To(Equal(outcome.NotRun))
-		_, refusal = a.Read(ctx(), "j", 0, 0)
+		_, refusal = a.Read(ctx(), "", "j", 0, 0)
 		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
 		log.SetDown(false)
-		_, refusal = a.Read(ctx(), "j", 0, 0)
+		_, refusal = a.Read(ctx(), "", "j", 0, 0)
 		Expect(refusal.Code).To(Equal(outcome.NotFound))
 	})
 
@@ -609,7 +609,7 @@
 		b, _ := daemon("b", emptyHanded{log})
 		Expect(submit(a, submission("j", 1))).To(BeNil())
 		shown := all(a, "j")
-		v, refusal := b.Read(ctx(), "j", 0, 10*time.Millisecond)
+		v, refusal := b.Read(ctx(), "", "j", 0, 10*time.Millisecond)
 		Expect(refusal).To(BeNil())
 		Expect(v.Results).To(Equal(shown))
 	})
@@ -660,7 +660,7 @@
 		log.Expire(partlog.Partition{Topic: topics.Jobs})
 		b, _ := daemon("b", log)
 		Expect(all(b, "j")).To(Equal(got))
-		body, refusal := b.Body(ctx(), "j", "j-6")
+		body, refusal := b.Body(ctx(), "", "j", "j-6")
 		Expect(refusal).To(BeNil())
 		Expect(string(body)).To(Equal("body of j-6"))
 	})
@@ -747,9 +747,9 @@
 		b, _ := daemon("b", emptyHanded{log})
 		Expect(submit(a, submission("j", 3))).To(BeNil())
 		Eventually(target.Requests).WithTimeout(limit).Should(HaveLen(3))
-		Expect(b.End(ctx(), "j")).To(BeNil())
+		Expect(b.End(ctx(), "", "j")).To(BeNil())
 		Eventually(target.Open).WithTimeout(limit).Should(BeZero())
-		Expect(b.End(ctx(), "j")).To(BeNil())
+		Expect(b.End(ctx(), "", "j")).To(BeNil())
 		Expect(submit(a, submission("j", 3))).To(BeNil())
 		Expect(acceptances()).To(Equal(1))
 	})
--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -19,6 +19,8 @@
 	key  itemKey
 	item batch.Item
 	host string
+	// account is the client account whose job it is, "" for none.
+	account string
 	// route is nil if none fits.
 	route *route.Route
 	due   time.Time
@@ -149,7 +151,7 @@
 		if p := r.progress[key]; p != nil && now.Before(p.notBefore) {
 			continue
 		}
-		c := candidate{key: key, item: j.Items[i], host: j.Host, age: now.Sub(accepted), due: accepted}
+		c := candidate{key: key, item: j.Items[i], host: j.Host, account: j.Account, age: now.Sub(accepted), due: accepted}
 		if c.route = table.Match(j.Host, j.Items[i].Path); c.route == nil {
 			c.route = table.Match(j.Host, j.Path)
 		}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -39,6 +39,8 @@
 	// ID is the caller's name for the request.
 	ID    string
 	Route *route.Route
+	// Account is the client account's name, "" if there is none.
+	Account string
 	// HTTP is what the caller sent; its header holds no hop-by-hop fields.
 	HTTP h1.Request
 	// Arrived is when the request was read, Deadline when the caller stops
