Count each account's requests over the whole fleet by tokens that the zones' leaders hold

Ruled out: core/limits of the own interface (L + n max(1, L/2n) passes the bound at 79 hosts); a fixed part for each host (an account of ordinary size makes 0.07 requests a second there); counting afterwards by words (what is unseen while hosts are cut off has no bound). Change: core/quota (buckets, votes, the argument for the bound), daemon/quotas; zones of small fleets have leaders too where accounts are counted. 429 from the bucket at once, spread over the tokens to come; 503 where nobody who counts is reached; a request that no target ran gives its token back.

--- a/daemon/front/callers.go
+++ b/daemon/front/callers.go
@@ -99,6 +99,7 @@
 	n.Logger.Info("stopping")
 	n.stopping.Store(true)
 	n.Places.StepDown()
+	n.quotas.StepDown()
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopGrace-stopMargin)
 	defer cancel()
 	drained := make(chan struct{})
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -12,10 +12,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/core/accounts"
+	"tarragonhollow.example/tarragonhollow/core/quota"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/jobs"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/quotas"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
@@ -57,6 +60,7 @@
 
 	hosts      *hosts
 	suspects   *suspects.Tracker
+	quotas     *quotas.Quotas
 	peers      *peer.Client
 	peerServer *peer.Server
 	pool       *h1.Pool
@@ -80,7 +84,8 @@
 	n.Configuration = NewConfiguration(ConfigurationOptions{Decode: a.Decode, Peers: n.peers, Others: n.hosts.peers, Logger: logger})
 	n.Places = places.New(places.Options{
 		Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Cores: s.Cores, Fleet: n.hosts.count, Peers: n.peers,
-		Logger: logger, Metrics: set,
+		Counted: func() bool { return n.accounts().Len() > 0 },
+		Logger:  logger, Metrics: set,
 	})
 	n.Places.OnGone(n.pool.Forget)
 	var err error
@@ -90,9 +95,13 @@
 	if err != nil {
 		return nil, err
 	}
+	n.quotas = quotas.New(quotas.Options{
+		Self: s.PeerAddress, Leaders: n.Places, Fleet: n.hosts.count, Accounts: n.accounts, Peers: n.peers, Logger: logger, Metrics: set,
+		Terms: quota.Terms{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
+	})
 	crashes := relay.NewCrashes(n.suspects, n.pool)
 	n.Relay = relay.New(relay.Options{
-		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Logger: logger, Metrics: set,
+		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Logger: logger, Metrics: set,
 	})
 	n.Jobs = jobs.New(jobs.Options{
 		Host: s.Host, Zone: s.Zone, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
@@ -103,12 +112,23 @@
 	if err := n.Places.Register(n.peerServer); err != nil {
 		return nil, err
 	}
+	if err := n.quotas.Register(n.peerServer); err != nil {
+		return nil, err
+	}
 	if err := n.peerServer.Register(newerService, &configurationCalls{n.Configuration}); err != nil {
 		return nil, err
 	}
 	return n, n.Jobs.Register(n.peerServer)
 }
 
+// accounts returns the client accounts in force, nil for none.
+func (n *Node) accounts() *accounts.Set {
+	if t := n.Configuration.Routes(); t != nil {
+		return t.Accounts
+	}
+	return nil
+}
+
 // Ready tells whether the daemon should get new connections: it knows routes
 // and targets and has read the jobs, and does not stop.
 func (n *Node) Ready() bool {
@@ -151,6 +171,7 @@
 	group.Go(func(ctx context.Context) { n.Places.Spread(ctx, n.peers, n.hosts.peers) })
 	group.Go(func(ctx context.Context) { n.Places.Lead(ctx, n.hosts.peers) })
 	group.Go(n.Places.Report)
+	group.Go(n.quotas.Run)
 	n.suspects.Run(group)
 	n.Jobs.Run(group)
 	return nil
--- a/daemon/places/lead.go
+++ b/daemon/places/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/board"
@@ -32,7 +33,7 @@
 	for duty.Pause(ctx, pace) {
 		pace = election.HeartbeatEvery
 		switch {
-		case !p.Scheduled():
+		case !p.Scheduled() && !p.counted():
 			pace = smallFleetPace
 		case p.leadOnce(time.Now(), peers()):
 			pace = roomEvery
@@ -103,7 +104,46 @@
 			held[holder] = work
 		}
 	}
-	return &Beat{From: s.self, Counts: s.ledger.Counts(), Doubts: s.ledger.Doubts(now), Held: held}
+	return &Beat{From: s.self, Counts: s.ledger.Counts(), Doubts: s.ledger.Doubts(now), Held: held, Leaders: s.otherLeaders(now)}
+}
+
+// otherLeaders lists the leaders of the other zones that this one, a leader, hears.
+// s.mu is held.
+func (s *scheduler) otherLeaders(now time.Time) []string {
+	var list []string
+	for _, z := range s.zones {
+		if now.Sub(z.at) <= election.Silence {
+			list = append(list, z.leader)
+		}
+	}
+	return list
+}
+
+// Leader returns the peer address of the own zone's leader, perhaps this daemon's.
+func (p *Places) Leader() (address string, found bool) {
+	return p.scheduler.currentLeader(time.Now())
+}
+
+// OtherLeaders returns the leaders of the other zones: those that this daemon hears as a
+// leader, or those that its leader told of lately.
+func (p *Places) OtherLeaders() []string {
+	s := p.scheduler
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leads {
+		return s.otherLeaders(now)
+	}
+	if now.Sub(s.toldAt) > zoneLife {
+		return nil
+	}
+	return slices.Clone(s.others)
+}
+
+// NoteCall tells how a call to the own zone's leader ended, about whatever it was; late:
+// it ran out of time.
+func (p *Places) NoteCall(leader string, err error, late bool) {
+	p.scheduler.noteCall(leader, err, late)
 }
 
 // heldInZone gathers the held work of the zone's daemons. s.mu is held.
@@ -208,14 +248,21 @@
 	s.election.Heard(now, b.From)
 	s.noteLeader(now, "its heartbeat")
 	follows := s.leader == b.From
+	if follows {
+		s.others, s.toldAt = b.Leaders, now
+	}
 	s.mu.Unlock()
 	if follows {
 		p.takeBeat(now, b)
 	}
 }
 
-// takeBeat keeps what the leader tells, for when it can't be asked.
+// takeBeat keeps what the leader tells of work, for when it can't be asked. In a small
+// fleet the daemons tell each other of that.
 func (p *Places) takeBeat(now time.Time, b Beat) {
+	if !p.Scheduled() {
+		return
+	}
 	word := board.Word{From: "zone " + p.zone, Zone: p.zone, Doubts: b.Doubts}
 	for holder, work := range b.Held {
 		if holder != p.self {
--- a/daemon/places/messages.go
+++ b/daemon/places/messages.go
@@ -46,6 +46,8 @@
 	Doubts map[string]int
 	// Held is the held work of the whole fleet, by the holder's peer address.
 	Held map[string]HeldWork
+	// Leaders are the leaders of the other zones.
+	Leaders []string
 	// Resigned tells that the leader stops.
 	Resigned bool
 }
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -26,6 +26,9 @@
 	PeerAddress string
 	// Fleet tells how many daemons there are; nil is one.
 	Fleet func() int
+	// Counted tells whether accounts' requests are counted, for which zones need leaders
+	// in a small fleet too; nil is no.
+	Counted func() bool
 	// Peers calls the other daemons; nil in a fleet of one. Cores is the processor
 	// time that this one may use.
 	Peers peer.Caller
@@ -40,10 +43,12 @@
 // Places is safe for concurrent use.
 type Places struct {
 	// self is the own peer address.
-	self   string
-	zone   string
-	fleet  func() int
-	logger *zap.Logger
+	self  string
+	zone  string
+	fleet func() int
+	// counted tells whether a small fleet needs leaders.
+	counted func() bool
+	logger  *zap.Logger
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -86,6 +91,9 @@
 	if o.Fleet == nil {
 		o.Fleet = func() int { return 1 }
 	}
+	if o.Counted == nil {
+		o.Counted = func() bool { return false }
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
@@ -93,7 +101,7 @@
 		o.AskTime = defaultAskTime
 	}
 	p := &Places{
-		self: o.PeerAddress, zone: o.Zone, fleet: o.Fleet, logger: o.Logger,
+		self: o.PeerAddress, zone: o.Zone, fleet: o.Fleet, counted: o.Counted, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host, o.Zone),
 		groups: map[string]*group{}, used: map[roster.Start]roster.Target{}, starts: starts{},
 		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -57,6 +57,9 @@
 	// holders is what the zone's daemons told, zones what the leaders of others did.
 	holders map[string]*holderWord
 	zones   map[string]*zoneWord
+	// others are the leaders of the other zones as the own zone's leader told at toldAt.
+	others []string
+	toldAt time.Time
 
 	own *ownLeases
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -21,6 +21,7 @@
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/quotas"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
@@ -77,12 +78,22 @@
 	Judge(status int, header http.Header) Verdict
 }
 
+// Quotas count the requests of accounts; see quotas.Quotas.
+type Quotas interface {
+	// Take takes a token for a request of the account, "" for none, or tells why not.
+	Take(ctx context.Context, account string) (quotas.Leave, *outcome.Refusal)
+	// Back gives back the token of a request that no target ran.
+	Back(quotas.Leave)
+}
+
 // Options configure a Relay.
 type Options struct {
 	Wire    Wire
 	Pool    *h1.Pool
 	Places  *places.Places
 	Crashes *Crashes
+	// Quotas count the requests of accounts.
+	Quotas  Quotas
 	Logger  *zap.Logger
 	Metrics *metrics.Set
 }
@@ -149,11 +160,25 @@
 	r.mu.Unlock()
 	run := &run{relay: r, request: request, out: newDelivery(w), exclude: map[string]bool{},
 		fingerprint: Fingerprint(&request.HTTP)}
-	result := run.serve(ctx)
+	result := run.serveCounted(ctx)
 	r.end(request, run, result)
 	return result
 }
 
+// serveCounted serves the request if its account's quota has room. It counts once,
+// however many targets it meets, and not at all if none ran it.
+func (u *run) serveCounted(ctx context.Context) Result {
+	leave, refusal := u.relay.Quotas.Take(ctx, u.request.Account)
+	if refusal != nil {
+		return u.refuse(refusal)
+	}
+	result := u.serve(ctx)
+	if u.runs == 0 && (result.Left || result.Refusal != nil) {
+		u.relay.Quotas.Back(leave)
+	}
+	return result
+}
+
 // Result is how Serve ended.
 type Result struct {
 	// Refusal is the answer that is still to be written; nil if one was.
@@ -369,7 +394,7 @@
 	}
 	r.meter.ended(request.Route.Kind, word, took, u.firstByte)
 	fields := []zap.Field{
-		zap.String("id", request.ID), zap.String("route", request.Route.Name), zap.String("group", u.groupName),
+		zap.String("id", request.ID), zap.String("account", request.Account), zap.String("route", request.Route.Name), zap.String("group", u.groupName),
 		zap.Int64("objective_ms", request.Route.Objective.Milliseconds()), zap.String("outcome", word),
 		zap.Int("status", u.out.status), zap.Int("runs", u.runs), zap.Int("refusals", u.refusals),
 		zap.String("target", u.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/quotas"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
 	"tarragonhollow.example/tarragonhollow/daemon/relay/fakewire"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects/fakesuspects"
@@ -56,6 +57,22 @@
 	return lines.FilterMessage("target_silent").FilterField(zap.String("target", target)).All()
 }
 
+// fakeQuotas counts the tokens that requests take and give back.
+type fakeQuotas struct {
+	taken, back int
+	refusal     *outcome.Refusal
+}
+
+func (f *fakeQuotas) Take(_ context.Context, account string) (quotas.Leave, *outcome.Refusal) {
+	if f.refusal != nil {
+		return quotas.Leave{}, f.refusal
+	}
+	f.taken++
+	return quotas.Leave{}, nil
+}
+
+func (f *fakeQuotas) Back(quotas.Leave) { f.back++ }
+
 var _ = Describe("The relay", func() {
 	var (
 		view     *places.Places
@@ -63,6 +80,7 @@
 		targets  []*rawtarget.Target
 		request  *relay.Request
 		suspects *fakesuspects.Tracker
+		counted  *fakeQuotas
 	)
 
 	BeforeEach(func() {
@@ -71,7 +89,8 @@
 		pool := h1.NewPool(func() {})
 		DeferCleanup(pool.Close)
 		suspects = fakesuspects.New(2)
-		r = relay.New(relay.Options{Wire: fakewire.Wire{}, Pool: pool, Places: view, Crashes: relay.NewCrashes(suspects, pool), Logger: zap.NewNop(), Metrics: metrics.NewSet()})
+		counted = &fakeQuotas{}
+		r = relay.New(relay.Options{Wire: fakewire.Wire{}, Pool: pool, Places: view, Crashes: relay.NewCrashes(suspects, pool), Quotas: counted, Logger: zap.NewNop(), Metrics: metrics.NewSet()})
 		request = &relay.Request{
 			ID:      "r",
 			Route:   &route.Route{Kind: route.Idempotent, MaxAttempts: 3, Groups: []route.Share{{Group: "g", Weight: 1}}, Timeout: limit},
@@ -107,6 +126,39 @@
 		}
 		return all
 	}
+	// An account is over its quota. Its request must reach no target, and the caller is
+	// told when to come back.
+	It("sends nothing of an account that is over its quota", func() {
+		with(1, func(_ int, _ *rawtarget.Request, c net.Conn) { rawtarget.Write(c, rawtarget.Whole(200, "x", idHeader)) })
+		counted.refusal = outcome.Refuse(outcome.CallerLimit, "over").After(70)
+		result := r.Serve(context.Background(), request, httptest.NewRecorder())
+		Expect(result.Refusal).To(Equal(counted.refusal))
+		Expect(sent()).To(BeEmpty())
+	})
+
+	// Each caller's attempt counts once on its account's quota, however many targets it
+	// meets, and not at all if none of them ran it.
+	DescribeTable("counts a request that ran once and one that did not run not at all",
+		func(answers []string, back int) {
+			with(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				answer := answers[min(turn, len(answers)-1)]
+				if answer == "" {
+					rawtarget.Reset(c)
+					return
+				}
+				rawtarget.Write(c, answer)
+			})
+			r.Serve(context.Background(), request, httptest.NewRecorder())
+			Expect(counted.taken).To(Equal(1))
+			Expect(counted.back).To(Equal(back))
+		},
+		Entry("answered", []string{rawtarget.Whole(200, "x", idHeader)}, 0),
+		Entry("answered by the second", []string{rawtarget.Whole(503, "", idHeader, "Not-Run: 1"), rawtarget.Whole(200, "x", idHeader)}, 0),
+		Entry("failed", []string{rawtarget.Whole(500, "", idHeader)}, 0),
+		Entry("broken off everywhere", []string{""}, 0),
+		Entry("turned away everywhere", []string{rawtarget.Whole(503, "", idHeader, "Not-Run: 1")}, 1),
+	)
+
 	serve := func() (*httptest.ResponseRecorder, relay.Result) {
 		w := httptest.NewRecorder()
 		return w, r.Serve(context.Background(), request, w)
--- a/settings/front.go
+++ b/settings/front.go
@@ -32,6 +32,12 @@
 	JobsReadable time.Duration
 	// BatchHeadroom is how many places of each target batch leaves free.
 	BatchHeadroom int
+	// QuotaWindow is the span in which an account's requests are bounded by its quota;
+	// QuotaOvershoot is a part of that bound, and QuotaSlack a number of requests, by
+	// which it may be passed in one.
+	QuotaWindow    time.Duration
+	QuotaOvershoot float64
+	QuotaSlack     float64
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -44,12 +50,16 @@
 	leastCores   = 0.01
 	mostCores    = 1024
 	mostHeadroom = 1024
+	leastWindow  = 100 * time.Millisecond
+	mostWindow   = time.Hour
+	mostSlack    = 1e6
 )
 
 // DefaultFront returns the values in force where a file says nothing.
 func DefaultFront() Front {
 	return Front{
 		MemoryMB: 256, Cores: 1, StopGrace: 8 * time.Second, JobsReadable: 2 * time.Minute, LogLevel: "info",
+		QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1,
 	}
 }
 
@@ -71,6 +81,10 @@
 	v.section("jobs")
 	v.duration("readable", &f.JobsReadable, time.Second, 30*24*time.Hour)
 	v.number("headroom", &f.BatchHeadroom, 0, mostHeadroom)
+	v.section("quotas")
+	v.duration("window", &f.QuotaWindow, leastWindow, mostWindow)
+	v.fraction("overshoot", &f.QuotaOvershoot, 0, 1)
+	v.fraction("slack", &f.QuotaSlack, 0, mostSlack)
 	v.section("log")
 	v.word("level", &f.LogLevel, "debug", "info", "warn", "error")
 }
