--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -162,7 +162,9 @@
 	now    time.Time
 	zones  int
 	// swell is a fault for the check itself: by it all weights are multiplied.
-	swell   float64
+	swell float64
+	// oneZone tells that all callers of the account are in one zone.
+	oneZone bool
 	daemons []*modelDaemon
 	passed  []time.Time
 	refused int
@@ -267,6 +269,9 @@
 // send sends one request of the account to some daemon.
 func (f *fleet) send(a *accounts.Account) {
 	i := f.random.IntN(len(f.daemons))
+	for f.oneZone && f.daemons[i].zone != 0 {
+		i = f.random.IntN(len(f.daemons))
+	}
 	if !f.lives(i) {
 		return
 	}
@@ -384,6 +389,7 @@
 	for _, n := range []int{13, 79, 300} {
 		for _, rate := range []float64{1.6, 9, 64} {
 			f := newFleet(7, n, 4)
+			f.oneZone = true
 			a := account(rate, rate)
 			f.play(a, 0, 10, false)
 			for range 10 {
