Serve more while all start again: hold requests for tokens, weigh votes at once

Change: 0.6 of the spare at the start, not cut down to a bucket's size; votes count as they come in a process's first second, in which a daemon looks for its leader every 20 ms; until then no account is told that it is over its quota, its requests are kept instead. Others are asked again after 50 ms in place of 100.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -13,11 +13,11 @@
 //
 //   - Each vote is held by one participant at a time, so the weights add up to 1 at
 //     most, and all buckets together refill at R at most, whoever is cut off from whom,
-//     and hold B and half of the spare e = o (R T + B) + s at most.
+//     and hold B and a part (1 - f) of the spare e = o (R T + B) + s at most.
 //   - A token that moves is taken off before it is sent. A lost one is lost.
-//   - A process that starts has no tokens but its weight's part of the other half of e,
-//     once, so that a fleet that starts again gives out half of e and no burst. A
-//     participant that was frozen has none.
+//   - A process that starts has no tokens but its weight's part of f e, once, so that a
+//     fleet that starts again gives out f e and no burst. A participant that was frozen
+//     has none.
 //
 // So at most R T + B + e requests are let through. A daemon that starts again votes at
 // once, though its last vote may still be held; that, and the buckets below one token
@@ -43,9 +43,12 @@
 	ahead   = 300 * time.Millisecond
 	reserve = 200 * time.Millisecond
 	// dryFor is how long after the others had nothing they are not asked again.
-	dryFor = 100 * time.Millisecond
+	dryFor = 50 * time.Millisecond
 	// longestRetry bounds the time after which a refused caller is told to return.
 	longestRetry = 2 * time.Second
+	// startPart is the part f of the spare that is given out at the start. More serves
+	// more of what comes while all start again; less lets buckets hold more.
+	startPart = 0.6
 	// startedFor is how long after its start a process gives its part of the spare.
 	startedFor = 3 * time.Second
 	// rateOver is the time over which the rate of requests is averaged.
@@ -137,8 +140,8 @@
 		}
 	}
 	b.filled += b.weight * now.Sub(b.settled).Seconds()
-	if weight < b.weight/2 {
-		b.filled = 0 // what a bucket held went with the votes
+	if weight < b.weight {
+		b.shrink(weight / b.weight)
 	}
 	frozen := now.Sub(b.settled) > frozenAfter
 	b.weight, b.settled = weight, now
@@ -147,6 +150,14 @@
 	}
 }
 
+// shrink takes the tokens that go with votes that were lost.
+func (b *Book) shrink(to float64) {
+	b.filled *= to
+	for _, c := range b.buckets {
+		c.level *= to
+	}
+}
+
 // Weight returns the part of the fleet that follows.
 func (b *Book) Weight() float64 { return b.weight }
 
@@ -208,14 +219,27 @@
 	c := b.buckets[account.Name]
 	if c == nil {
 		// One that nobody asked for has been filling all the while.
-		c = &bucket{level: b.filled * account.Quota.Rate, filled: b.settled, asked: now, rounding: rounding(b.self, account.Name)}
+		c = &bucket{filled: b.settled, asked: now, rounding: rounding(b.self, account.Name)}
 		b.buckets[account.Name] = c
 	}
-	c.quota = account.Quota
+	if c.quota != account.Quota {
+		b.requota(c, account.Quota)
+	}
 	b.settle(now, c)
 	return c
 }
 
+// requota puts another quota in force. A new bucket, or one that grows, holds no more
+// than came in since it can have been used.
+func (b *Book) requota(c *bucket, q accounts.Quota) {
+	known := c.quota.Bounded()
+	c.quota = q
+	if !known {
+		c.level = b.filled * q.Rate
+	}
+	c.level = min(c.level, b.size(c))
+}
+
 // rounding spreads evenly over participants and accounts: a size of a tenth of a token
 // is one token at a tenth of the participants.
 func rounding(self, account string) float64 {
@@ -225,17 +249,17 @@
 // settle refills a bucket, and gives it its part of the spare once.
 func (b *Book) settle(now time.Time, c *bucket) {
 	if b.weight > c.minted && now.Sub(b.started) < startedFor {
-		c.level += (b.weight - c.minted) * b.terms.spare(c.quota) / 2
+		c.level += (b.weight - c.minted) * b.terms.spare(c.quota) * startPart
 		c.minted = b.weight
 	}
-	c.level += b.weight * c.quota.Rate * max(0, now.Sub(c.filled).Seconds())
-	c.level = min(c.level, b.size(c))
+	refill := b.weight * c.quota.Rate * max(0, now.Sub(c.filled).Seconds())
+	c.level += min(refill, max(0, b.size(c)-c.level))
 	c.filled = now
 }
 
 // size is how many tokens the bucket holds.
 func (b *Book) size(c *bucket) float64 {
-	size := b.weight * (c.quota.Burst + b.terms.spare(c.quota)/2)
+	size := b.weight * (c.quota.Burst + b.terms.spare(c.quota)*(1-startPart))
 	if size < 1 {
 		return math.Floor(size + c.rounding)
 	}
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -32,8 +32,10 @@
 	// has just started has startWait for it, since all may have started together.
 	leaderWait = 150 * time.Millisecond
 	startWait  = time.Second
-	// leaderLook is the pace at which it looks.
+	// leaderLook is the pace at which it looks, unsureLook that at which it asks a leader
+	// again that does not know enough to refuse it.
 	leaderLook = 20 * time.Millisecond
+	unsureLook = 100 * time.Millisecond
 	// noLeaderRetryMs tells callers when to come back to a zone without a leader: one
 	// comes forward within some 0.5 s, and other daemons may reach one.
 	noLeaderRetryMs = 300
@@ -157,31 +159,43 @@
 	}
 }
 
-// ask asks the zone's leader, waiting a moment for one, and else another zone's. by is
-// who answered.
+// ask asks for a token until somebody knows, for a moment at most. by is who answered.
 func (q *Quotas) ask(ctx context.Context, account *accounts.Account) (reply TakeReply, by string, answered bool) {
 	until := time.Now().Add(leaderWait)
 	if started := q.started.Add(startWait); started.After(until) {
 		until = started
 	}
 	for {
-		if leader, found := q.Leaders.Leader(); found {
-			if reply, answered = q.askLeader(ctx, leader, account); answered {
-				return reply, leader, true
-			}
+		reply, by, answered = q.askOnce(ctx, account)
+		if answered && !reply.Unsure {
+			return reply, by, true
 		}
-		if others := q.Leaders.OtherLeaders(); len(others) > 0 {
-			other := others[rand.IntN(len(others))]
-			if reply, answered = q.call(ctx, other, account.Name); answered {
-				return reply, other, true
-			}
+		pause := leaderLook
+		if answered {
+			pause = unsureLook
 		}
-		if time.Now().After(until) || !duty.Pause(ctx, leaderLook) {
-			return TakeReply{}, "", false
+		if time.Now().Add(pause).After(until) || !duty.Pause(ctx, pause) {
+			return reply, by, answered
 		}
 	}
 }
 
+// askOnce asks the zone's leader, and else another zone's.
+func (q *Quotas) askOnce(ctx context.Context, account *accounts.Account) (reply TakeReply, by string, answered bool) {
+	if leader, found := q.Leaders.Leader(); found {
+		if reply, answered = q.askLeader(ctx, leader, account); answered {
+			return reply, leader, true
+		}
+	}
+	others := q.Leaders.OtherLeaders()
+	if len(others) == 0 {
+		return TakeReply{}, "", false
+	}
+	other := others[rand.IntN(len(others))]
+	reply, answered = q.call(ctx, other, account.Name)
+	return reply, other, answered
+}
+
 // askLeader asks the zone's leader, this daemon perhaps.
 func (q *Quotas) askLeader(ctx context.Context, leader string, account *accounts.Account) (TakeReply, bool) {
 	if leader == q.Self {
--- a/daemon/quotas/tokens.go
+++ b/daemon/quotas/tokens.go
@@ -117,8 +117,13 @@
 	q := s.quotas
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.stopping {
-		q.votes[args.From] = time.Now()
+	if q.stopping {
+		return nil
+	}
+	now := time.Now()
+	q.votes[args.From] = now
+	if now.Sub(q.started) < startWait {
+		q.weigh(now) // requests wait for these votes
 	}
 	return nil
 }
@@ -153,12 +158,17 @@
 		q.mu.Unlock()
 	}
 	q.meter.decided(answer.Verdict)
-	return TakeReply{Taken: answer.Verdict == quota.Taken, RetryAfterMs: answer.RetryAfter.Milliseconds(), Unsure: q.lone()}
+	taken := answer.Verdict == quota.Taken
+	return TakeReply{Taken: taken, RetryAfterMs: answer.RetryAfter.Milliseconds(), Unsure: !taken && q.unsure(time.Now())}
 }
 
-// lone tells whether this daemon leads a small part of the fleet and knows no other
-// leader: it has most likely been cut off, and the accounts' tokens are elsewhere.
-func (q *Quotas) lone() bool {
+// unsure tells whether an account that finds no token here may be within its quota: this
+// daemon has just started, and its votes are still to come, or it leads a small part of
+// the fleet and knows no other leader, and is most likely cut off.
+func (q *Quotas) unsure(now time.Time) bool {
+	if now.Sub(q.started) < startWait {
+		return true
+	}
 	if len(q.Leaders.OtherLeaders()) > 0 {
 		return false
 	}
