Wait for a leader before a daemon votes for itself, and for the fleet before it weighs

A daemon that had not read the list of the others took itself for the whole fleet. Change: a daemon counts by itself 0.7 s after it last knew a leader, and weighs nothing before the others are known. Spec fails first.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	n.quotas = quotas.New(quotas.Options{
-		Self: s.PeerAddress, Leaders: n.Places, Fleet: n.hosts.count, Accounts: n.accounts, Peers: n.peers, Logger: logger, Metrics: set,
+		Self: s.PeerAddress, Leaders: n.Places, Fleet: n.hosts.knownCount, Accounts: n.accounts, Peers: n.peers, Logger: logger, Metrics: set,
 		Terms: quota.Terms{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
 	})
 	crashes := relay.NewCrashes(n.suspects, n.pool)
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -104,6 +104,15 @@
 // count returns the number of daemons, this one included.
 func (h *hosts) count() int { return len(h.peers()) + 1 }
 
+// knownCount returns the number of daemons, this one included, and 0 before the others were
+// read.
+func (h *hosts) knownCount() int {
+	if h.Position() < 0 {
+		return 0
+	}
+	return h.count()
+}
+
 // addressOf returns a daemon's peer address.
 func (h *hosts) addressOf(host string) (string, bool) {
 	h.mu.Lock()
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -62,7 +62,7 @@
 	// Self is the own peer address.
 	Self    string
 	Leaders Leaders
-	// Fleet tells how many daemons there are.
+	// Fleet tells how many daemons there are, 0 while that is not known.
 	Fleet func() int
 	// Accounts returns the accounts in force, nil for none.
 	Accounts func() *accounts.Set
@@ -86,14 +86,16 @@
 	// told to whom.
 	ticked, renewed time.Time
 	told            string
-	stopping        bool
+	// led is when a leader was last known, or when this daemon started.
+	led      time.Time
+	stopping bool
 }
 
 // New returns the quotas of a daemon that starts now.
 func New(o Options) *Quotas {
 	now := time.Now()
 	q := &Quotas{Options: o, meter: newMeter(o.Metrics), started: now, book: quota.NewBook(now, o.Self, o.Terms),
-		votes: quota.Votes{}, ticked: now}
+		votes: quota.Votes{}, ticked: now, led: now}
 	o.Metrics.GetOrCreateGauge("tarragonhollow_quota_weight", func() float64 {
 		q.mu.Lock()
 		defer q.mu.Unlock()
--- a/daemon/quotas/quotas_test.go
+++ b/daemon/quotas/quotas_test.go
@@ -124,6 +124,8 @@
 		fleet []*quotas.Quotas
 		sets  []*metrics.Set
 		set   atomic.Pointer[accounts.Set]
+		// count is how many daemons there are as far as known.
+		count atomic.Int64
 	)
 	// limited has the hotel's quota changed to a rate, and a burst of 30.
 	limited := func(rate float64) {
@@ -138,12 +140,13 @@
 		w = &wire{daemons: map[string]any{}}
 		views, fleet, sets = nil, nil, nil
 		limited(0.01)
+		count.Store(6)
 		for i := range 6 {
 			self := fmt.Sprint("d", i)
 			sets = append(sets, metrics.NewSet())
 			v := &view{}
 			v.set(fmt.Sprint("d", i/3*3), fmt.Sprint("d", 3-i/3*3))
-			q := quotas.New(quotas.Options{Self: self, Leaders: v, Fleet: func() int { return 6 }, Accounts: set.Load,
+			q := quotas.New(quotas.Options{Self: self, Leaders: v, Fleet: func() int { return int(count.Load()) }, Accounts: set.Load,
 				Peers: from{w, self}, Terms: quota.Terms{Window: time.Second, Slack: 12}, Logger: zap.NewNop(), Metrics: sets[i]})
 			Expect(q.Register(from{w, self})).To(Succeed())
 			views, fleet = append(views, v), append(fleet, q)
@@ -248,6 +251,27 @@
 		Expect(refusal.RetryAfterMs).To(BeNumerically(">", 0))
 	})
 
+	// All daemons start at once. None knows a leader yet, nor the others. One that took
+	// itself for the leader, or for the whole fleet, would give out what is not its part,
+	// or bind its vote, which the leader that comes forward then lacks.
+	It("wait for a leader before a daemon counts by itself", func() {
+		known := [6]string{}
+		for i, v := range views {
+			known[i], _ = v.Leader()
+			v.set("")
+		}
+		count.Store(0)
+		run()
+		Consistently(func() float64 { return weight(0) + weight(1) }, "300ms").Should(BeZero())
+		count.Store(6)
+		for i, v := range views {
+			v.set(known[i], "d0", "d3")
+		}
+		for _, i := range []int{0, 3} {
+			Eventually(func() float64 { return weight(i) }).WithTimeout(quota.VoteEvery).Should(Equal(0.5))
+		}
+	})
+
 	It("give votes back when a leader stops, so that the next one has them at once", func() {
 		whole()
 		fleet[0].StepDown()
--- a/daemon/quotas/votes.go
+++ b/daemon/quotas/votes.go
@@ -13,6 +13,9 @@
 	// that of a daemon that has just started.
 	tickEvery = 100 * time.Millisecond
 	startTick = 20 * time.Millisecond
+	// aloneAfter is how long after a leader was last known a daemon counts itself as one:
+	// its vote is bound then, and the next leader would lack it.
+	aloneAfter = 700 * time.Millisecond
 	// suspendedAfter is by how much more the time of day may have moved on than the
 	// steady clock, which stands still while a host is suspended.
 	suspendedAfter = time.Second
@@ -35,11 +38,15 @@
 // tick looks at who leads, lends the vote and sets the weight.
 func (q *Quotas) tick(now time.Time) {
 	leader, found := q.Leaders.Leader()
-	if !found {
-		leader = q.Self
-	}
 	q.mu.Lock()
-	tell := q.lend(now, leader)
+	tell := false
+	switch {
+	case found:
+		q.led = now
+		tell = q.lend(now, leader)
+	case now.Sub(q.led) > aloneAfter:
+		q.lend(now, q.Self)
+	}
 	if now.Round(0).Sub(q.ticked.Round(0))-now.Sub(q.ticked) > suspendedAfter {
 		q.book.Frozen()
 	}
@@ -51,9 +58,16 @@
 }
 
 // weigh sets the weight by the votes. q.mu is held.
+//
+// Failure guarded against: a daemon that has just started and knows of no other would
+// take itself for the whole fleet.
 func (q *Quotas) weigh(now time.Time) {
-	held := q.votes.Count(now)
-	q.book.SetWeight(now, float64(held)/float64(max(1, q.Fleet(), held)))
+	held, fleet := q.votes.Count(now), q.Fleet()
+	weight := 0.0
+	if fleet > 0 {
+		weight = float64(held) / float64(max(fleet, held))
+	}
+	q.book.SetWeight(now, weight)
 	q.ticked = now
 }
 
