--- a/daemon/places/lead.go
+++ b/daemon/places/lead.go
@@ -19,6 +19,10 @@
 	// smallFleetPace is the pace at which a daemon of a small fleet looks whether it has
 	// grown.
 	smallFleetPace = 500 * time.Millisecond
+	// startPace is the pace of the election while a daemon that has just started, for at
+	// most startFor, knows no leader: where all start together, requests wait for one.
+	startPace = 25 * time.Millisecond
+	startFor  = time.Second
 	// zoneLife is how long what another zone's leader told counts.
 	zoneLife = 1500 * time.Millisecond
 	// strangers is how many daemons of a zone are told where its leader is not known;
@@ -29,18 +33,28 @@
 // Lead takes part in the election of the zone's leader, and does a leader's work while
 // this daemon leads, until ctx is done.
 func (p *Places) Lead(ctx context.Context, peers func() []Peer) {
-	pace := election.HeartbeatEvery
+	started := time.Now()
+	pace := startPace
 	for duty.Pause(ctx, pace) {
 		pace = election.HeartbeatEvery
 		switch {
+		case time.Since(started) < startFor && !p.follows():
+			pace = startPace
 		case !p.Scheduled() && !p.counted():
 			pace = smallFleetPace
-		case p.leadOnce(time.Now(), peers()):
-			pace = roomEvery
+		}
+		if (p.Scheduled() || p.counted()) && p.leadOnce(time.Now(), peers()) {
+			pace = min(pace, roomEvery)
 		}
 	}
 }
 
+// follows tells whether a leader is known.
+func (p *Places) follows() bool {
+	_, known := p.Leader()
+	return known
+}
+
 // StepDown ends this daemon's part in the election.
 func (p *Places) StepDown() {
 	s := p.scheduler
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -35,7 +35,7 @@
 	// leaderLook is the pace at which it looks, unsureLook that at which it asks a leader
 	// again that does not know enough to refuse it.
 	leaderLook = 20 * time.Millisecond
-	unsureLook = 100 * time.Millisecond
+	unsureLook = 50 * time.Millisecond
 	// noLeaderRetryMs tells callers when to come back to a zone without a leader: one
 	// comes forward within some 0.5 s, and other daemons may reach one.
 	noLeaderRetryMs = 300
