--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -69,9 +69,9 @@
 // where that stands apart, nil where it doesn't.
 //
 // Failure guarded against: every daemon reads every acceptance. With the items in
-// them, 295 daemons that start again after a loss of power read 1 GB of a log that
-// gives 80 MB a second; none of them learned the routes for 50 s. A list is read by
-// the daemon that runs its items.
+// them, hundreds of daemons that start again after a loss of power take all that the
+// log gives, and none of them learns the routes meanwhile. A list is read by the daemon
+// that runs its items.
 func (r *JobRecord) Split() (acceptance JobRecord, list []byte, err error) {
 	acceptance = *r
 	acceptance.tally()
--- a/daemon/jobs/holder.go
+++ b/daemon/jobs/holder.go
@@ -15,11 +15,9 @@
 const (
 	// fromLogUpTo is the size of the fleet, in daemons, up to which every daemon
 	// reads the results that its callers ask for from the log. Each result then
-	// crosses the log once per daemon; asked at its holder it crosses the zones
-	// once per read, which costs some twelve times as much a byte and is read one
-	// to two times. On 13 daemons holders cost 0.019 GB between zones a day in
-	// place of 0.008 GB; on 61, reading all from the log took the log's whole
-	// rate after a loss of power.
+	// crosses the log once per daemon; asked at its holder it crosses the zones once
+	// per read, which is dearer a byte. In a larger fleet that starts again, reading
+	// all from the log takes the log's whole rate.
 	fromLogUpTo = 24
 	// readMethod is the call that reads results at the daemon that holds them.
 	readMethod = "Jobs.Read"
--- a/daemon/online/options.go
+++ b/daemon/online/options.go
@@ -3,8 +3,8 @@
 // whose target died, and keeps the answers of keyed requests by the ledger. It
 // shares no queue, lock or ring with batch.
 //
-// Hedging (a second attempt beside a slow first one) is left out: it has not
-// been measured to help here, and it costs target capacity at the worst moment.
+// There is no hedging (a second attempt beside a slow first one): it costs target
+// capacity at the worst moment.
 package online
 
 import (
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -16,9 +16,8 @@
 	"tarragonhollow.example/tarragonhollow/peer"
 )
 
-// defaultAskTime bounds the asking for one slot. An answer takes 0.3 ms between idle hosts;
-// a request waits no longer than that for a leader that is frozen or cut off, a small
-// part of the shortest objective of 250 ms.
+// defaultAskTime bounds the asking for one slot: a request waits no longer than that for
+// a leader that is frozen or cut off, a small part of its objective.
 const defaultAskTime = 40 * time.Millisecond
 
 var (
--- a/daemon/places/spread.go
+++ b/daemon/places/spread.go
@@ -16,8 +16,7 @@
 	// that a request spends at a target, so that the fleet's view is off by few requests.
 	gatherFor = 10 * time.Millisecond
 	// gatherPerPeer is added for each peer: a word goes to every one of them, and so the
-	// messages of one daemon stay under 1/gatherPerPeer a second. At 11 daemons half of
-	// both made no difference.
+	// messages of one daemon stay under 1/gatherPerPeer a second.
 	gatherPerPeer = 700 * time.Microsecond
 	// smallFleet is the number of daemons up to which all hear every word: each
 	// then sends at most some 800 messages a second.
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -25,8 +25,7 @@
 )
 
 const (
-	// askTime bounds the asking for one token. It takes 1 ms, and some 3 ms where the
-	// leader has to ask another one.
+	// askTime bounds the asking for one token, in which the leader may ask others.
 	askTime = 50 * time.Millisecond
 	// leaderWait is how long a request waits for a leader to come forward; a daemon that
 	// has just started has startWait for it, since all may have started together.
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -20,9 +20,7 @@
 	// idleRepeatable bounds how long a kept connection may have been idle before it
 	// carries a request that may be repeated. One that may not gets a new
 	// connection: a target may have forgotten a kept one without a sign, and what
-	// is sent on it is lost. On a day with such targets 33 of 3,668 orders failed
-	// on connections idle for up to 3 s and none on new ones, for 5% to 11% more
-	// connections.
+	// is sent on it is lost.
 	idleRepeatable = time.Minute
 	onlyNew        = time.Duration(0)
 	// firstPatience is how long a repeatable request waits for the next bytes of an
--- a/daemon/steward/prefill.go
+++ b/daemon/steward/prefill.go
@@ -9,8 +9,8 @@
 
 const (
 	// smallPrefill is how many prompt tokens a target may have to take in for a
-	// batch item that starts beside online work: on the engines measured 64 of
-	// them lengthen one step by 6.4 ms, as a guest's own question does.
+	// batch item that starts beside online work: as many as a guest's own question
+	// has, which lengthens one step as much.
 	smallPrefill = 64
 	// rememberedPrefixes bounds the prefixes remembered of one target; engines
 	// keep at least as many.
