--- a/core/routing/admit.go
+++ b/core/routing/admit.go
@@ -73,6 +73,22 @@
 	return TooBusy(t.group, wait, left)
 }
 
+// longestQueue bounds the expected wait in front of a target with which a request is
+// still taken: callers leave a stream that is silent for 2 s.
+const longestQueue = time.Second
+
+// QueuePatience is how long a request may be expected to queue: left is the time until
+// its deadline, rank its priority, 0 first. A caller that would leave before its first
+// event, or be answered after its deadline, is better told at once, while another attempt
+// can still succeed.
+//
+// Load pattern answered: fewer slots than requests for seconds. Targets know no
+// priorities, so the less urgent a request is, the shorter the queue in front of it may
+// be, and the rest of the queue is left to the urgent ones.
+func QueuePatience(left time.Duration, rank int) time.Duration {
+	return min(left/2, longestQueue) / time.Duration(1+max(0, rank))
+}
+
 // TooBusy refuses a request that would queue for wait and has only left.
 func TooBusy(group string, wait, left time.Duration) *outcome.Refusal {
 	refusal := outcome.Refuse(outcome.Overloaded,
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -30,7 +30,7 @@
 	// leaderWait is how long a request waits for a leader to come forward; a daemon that
 	// has just started has startWait for it, since all may have started together.
 	leaderWait = 150 * time.Millisecond
-	startWait  = time.Second
+	startWait  = 1500 * time.Millisecond
 	// leaderLook is the pace at which it looks, unsureLook that at which it asks a leader
 	// again that does not know enough to refuse it.
 	leaderLook = 20 * time.Millisecond
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -34,9 +34,6 @@
 	longestGap = 800 * time.Millisecond
 	// leastPatience is left for the first event after a head that came late.
 	leastPatience = 20 * time.Millisecond
-	// longestQueue bounds the expected wait in front of a target with which a
-	// request is still taken: callers leave a stream that is silent for 2 s.
-	longestQueue = time.Second
 	// maxBuffered bounds an answer that is read whole before it is passed on.
 	maxBuffered = 16 << 20
 	// readSize is the most that is read of an answer at once.
@@ -73,14 +70,6 @@
 	return 0
 }
 
-// queuePatience is how long a request may be expected to queue. A caller that
-// would leave before its first event, or be answered after its deadline, is
-// better told at once, while another attempt can still succeed.
-func (u *run) queuePatience() time.Duration {
-	left := time.Until(u.request.Deadline)
-	return min(left/2, longestQueue)
-}
-
 // repeats tells whether another attempt would be allowed after one more run.
 func (u *run) repeats() bool {
 	return u.request.Route.Repeatable() && u.runs+1 < u.request.Route.MaxAttempts
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -19,6 +19,7 @@
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/core/routing"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
@@ -42,6 +43,8 @@
 	Route *route.Route
 	// Account is the client account's name, "" if there is none.
 	Account string
+	// Rank is the request's priority; 0 goes first.
+	Rank int
 	// HTTP is what the caller sent; its header holds no hop-by-hop fields.
 	HTTP h1.Request
 	// Arrived is when the request was read, Deadline when the caller stops
@@ -219,7 +222,7 @@
 			return u.refuse(refusal)
 		}
 		place, refusal := u.relay.Places.Take(ctx, places.Ask{
-			Group: u.group(), Exclude: u.exclude, Patience: u.queuePatience(), Alone: u.alone,
+			Group: u.group(), Exclude: u.exclude, Patience: routing.QueuePatience(time.Until(u.request.Deadline), u.request.Rank), Alone: u.alone,
 			LastChance: !u.repeats(),
 		})
 		if refusal != nil {
