--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -229,8 +229,8 @@
 	return c
 }
 
-// requota puts another quota in force. A new bucket, or one that grows, holds no more
-// than came in since it can have been used.
+// requota puts a quota in force. A bucket that bounded nothing so far holds what has come
+// in unused; one that did keeps what it has, up to its new size.
 func (b *Book) requota(c *bucket, q accounts.Quota) {
 	known := c.quota.Bounded()
 	c.quota = q
--- a/daemon/front/configuration.go
+++ b/daemon/front/configuration.go
@@ -32,10 +32,10 @@
 	borrowEvery = 250 * time.Millisecond
 	borrowFrom  = 2
 	// borrowTime bounds one call.
-	borrowTime = 400 * time.Millisecond
-	// newerMethod is the call that asks a peer for a newer configuration.
+	borrowTime   = 400 * time.Millisecond
 	newerService = "Configuration"
-	newerMethod  = newerService + ".Newer"
+	// newerMethod asks a peer for a newer configuration.
+	newerMethod = newerService + ".Newer"
 )
 
 // ConfigurationOptions configure a Configuration.
