Let a vote itself say when it is due

Cause: daemon/quotas kept whom the vote was told to and when, which quota.Vote holds already; and the condition on which zones need leaders stood twice in one loop. Change: Vote.Due in place of the two fields; Places.led.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -433,6 +433,15 @@
 		Expect(v.Lend(at, "old")).To(BeFalse())
 	})
 
+	It("is due at its pace, and at once for another participant", func() {
+		var v quota.Vote
+		Expect(v.Due(start, "a")).To(BeTrue())
+		Expect(v.Lend(start, "a")).To(BeTrue())
+		Expect(v.Due(start.Add(quota.VoteEvery-1), "a")).To(BeFalse())
+		Expect(v.Due(start.Add(quota.VoteEvery), "a")).To(BeTrue())
+		Expect(v.Due(start, "b")).To(BeTrue())
+	})
+
 	It("is free at once when its holder returns it", func() {
 		var v quota.Vote
 		Expect(v.Lend(start, "old")).To(BeTrue())
--- a/core/quota/vote.go
+++ b/core/quota/vote.go
@@ -22,6 +22,11 @@
 	lent   time.Time
 }
 
+// Due tells whether the vote is to be lent to a participant now: to another one, or again.
+func (v *Vote) Due(now time.Time, to string) bool {
+	return v.holder != to || now.Sub(v.lent) >= VoteEvery
+}
+
 // Lend lends the vote to a participant, or renews that. It tells whether the vote is that
 // participant's now.
 func (v *Vote) Lend(now time.Time, to string) bool {
--- a/daemon/places/lead.go
+++ b/daemon/places/lead.go
@@ -40,15 +40,18 @@
 		switch {
 		case time.Since(started) < startFor && !p.follows():
 			pace = startPace
-		case !p.Scheduled() && !p.counted():
+		case !p.led():
 			pace = smallFleetPace
 		}
-		if (p.Scheduled() || p.counted()) && p.leadOnce(time.Now(), peers()) {
+		if p.led() && p.leadOnce(time.Now(), peers()) {
 			pace = min(pace, roomEvery)
 		}
 	}
 }
 
+// led tells whether zones need leaders.
+func (p *Places) led() bool { return p.Scheduled() || p.counted() }
+
 // follows tells whether a leader is known.
 func (p *Places) follows() bool {
 	_, known := p.Leader()
--- a/daemon/quotas/quotas.go
+++ b/daemon/quotas/quotas.go
@@ -81,10 +81,8 @@
 	book  *quota.Book
 	vote  quota.Vote
 	votes quota.Votes
-	// ticked is when the weight was last set, renewed when the vote was last told, and
-	// told to whom.
-	ticked, renewed time.Time
-	told            string
+	// ticked is when the weight was last set.
+	ticked time.Time
 	// led is when a leader was last known, or when this daemon started.
 	led      time.Time
 	stopping bool
--- a/daemon/quotas/votes.go
+++ b/daemon/quotas/votes.go
@@ -73,13 +73,9 @@
 
 // lend lends the vote, and tells whether another daemon is to be told. q.mu is held.
 func (q *Quotas) lend(now time.Time, to string) (tell bool) {
-	if q.stopping && to == q.Self || q.told == to && now.Sub(q.renewed) < quota.VoteEvery {
+	if q.stopping && to == q.Self || !q.vote.Due(now, to) || !q.vote.Lend(now, to) {
 		return false
 	}
-	if !q.vote.Lend(now, to) {
-		return false
-	}
-	q.told, q.renewed = to, now
 	if to == q.Self {
 		q.votes[q.Self] = now
 		return false
