Refuse an unknown route for good only where nothing newer can be in force

Keys have had the bound on the configuration's age since accounts came; routes did not. Ruled out: a wrong match, the tables were right for their versions. Change: Table.Find takes the age; the bound is shared with the accounts. Without it the new spec fails.

--- a/core/accounts/accounts.go
+++ b/core/accounts/accounts.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// sureFor is how old the last word about the configuration may be for a key that
-	// it does not hold to be refused for good. A reading that waits for news answers
-	// at least every second.
-	sureFor = 1500 * time.Millisecond
-	// unsureRetryMs tells callers when to come back to a daemon that may have missed a
+	// SureFor is how old the last word about the configuration may be for what it does
+	// not hold, a key or a route, to be refused for good. A reading that waits for news
+	// answers at least every second.
+	SureFor = 1500 * time.Millisecond
+	// UnsureRetryMs tells callers when to come back to a daemon that may have missed a
 	// change. Another daemon, or this one once it has asked its peers, knows more.
-	unsureRetryMs = 250
+	UnsureRetryMs = 250
 	// bearer is the scheme of the credentials, in lower case.
 	bearer = "bearer "
 )
@@ -125,8 +125,8 @@
 		return account, nil
 	case refusal != nil:
 		return nil, refusal
-	case age > sureFor:
-		return nil, outcome.Refuse(outcome.NotReady, "the key may be newer than the configuration known here").After(unsureRetryMs)
+	case age > SureFor:
+		return nil, outcome.Refuse(outcome.NotReady, "the key may be newer than the configuration known here").After(UnsureRetryMs)
 	default:
 		return nil, outcome.Refuse(outcome.Unauthorized, "no client account holds the key")
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/accounts"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
 
 // Kind tells what may be repeated of a route's requests.
@@ -153,6 +154,22 @@
 	return nil
 }
 
+// Find is Match for a request. age is how old the last word about the configuration is.
+//
+// Failure guarded against: a daemon that is cut off from the configuration does not know
+// a route that was added meanwhile. Refused for good, the caller gives up, though any
+// other daemon would serve it. While the daemon can't be sure, it tells the caller to come
+// back.
+func (t *Table) Find(host, path string, age time.Duration) (*Route, *outcome.Refusal) {
+	if r := t.Match(host, path); r != nil {
+		return r, nil
+	}
+	if age > accounts.SureFor {
+		return nil, outcome.Refuse(outcome.NotReady, "the route may be newer than version %d", t.Version).After(accounts.UnsureRetryMs)
+	}
+	return nil, outcome.Refuse(outcome.NotFound, "no route of version %d", t.Version)
+}
+
 // Used returns the names of the groups that routes send requests to, sorted.
 func (t *Table) Used() []string {
 	var names []string
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tarragonhollow.example/tarragonhollow/core/accounts"
+	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/route"
 )
 
@@ -21,6 +24,19 @@
 		{Name: "other", Host: "b.example", Prefix: "/x/"},
 	}, route.Limits{})
 
+	// A daemon that is cut off from the configuration refuses a new route for good.
+	It("refuses what it does not hold for good only if nothing newer can be in force", func() {
+		found, refusal := table.Find("b.example", "/x/1", time.Hour)
+		Expect(refusal).To(BeNil())
+		Expect(found.Name).To(Equal("other"))
+		_, refusal = table.Find("b.example", "/new/1", accounts.SureFor)
+		Expect(refusal.Code).To(Equal(outcome.NotFound))
+		_, refusal = table.Find("b.example", "/new/1", accounts.SureFor+1)
+		Expect(refusal.Code).To(Equal(outcome.NotReady))
+		Expect(refusal.Run).To(Equal(outcome.NotRun))
+		Expect(refusal.RetryAfterMs).To(BeNumerically(">", 0))
+	})
+
 	DescribeTable("matches the longest prefix of the host",
 		func(host, path, name string) {
 			r := table.Match(host, path)
