--- a/core/batch/book.go
+++ b/core/batch/book.go
@@ -254,6 +254,17 @@
 	return Change{Job: id, Forgotten: true}
 }
 
+// Retain forgets the accepted jobs that are not among the kept ones.
+func (b *Book) Retain(kept map[string]bool) []Change {
+	var changes []Change
+	for id, j := range b.jobs {
+		if j.Accepted && !kept[id] {
+			changes = append(changes, b.forget(id))
+		}
+	}
+	return changes
+}
+
 // Forgettable lists the accepted jobs that nobody may ask for any more: closed
 // and accepted longer ago than keep.
 func (b *Book) Forgettable(now time.Time, keep time.Duration) []string {
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -125,6 +125,11 @@
 // AcceptedKey is the key of a job's acceptance.
 func AcceptedKey(job string) string { return acceptedPrefix + job }
 
+// ParseAcceptedKey returns the job of an acceptance's key.
+func ParseAcceptedKey(key string) (job string, ok bool) {
+	return strings.CutPrefix(key, acceptedPrefix)
+}
+
 // EndedKey is the key of a job's end.
 func EndedKey(job string) string { return endedPrefix + job }
 
--- a/core/election/election.go
+++ b/core/election/election.go
@@ -51,7 +51,9 @@
 	started    time.Time
 	members    []Member
 	order      map[string]int
-	peers      map[string]*peer
+	// ordered lists the members' addresses in their order.
+	ordered []string
+	peers   map[string]*peer
 	// vacant is when a leader was last known to have gone.
 	vacant time.Time
 	// leads tells whether this daemon led when it was last asked.
@@ -83,8 +85,10 @@
 		return cmp.Or(cmp.Compare(b.Room, a.Room), cmp.Compare(e.rank(a), e.rank(b)), cmp.Compare(a.Address, b.Address))
 	})
 	clear(e.order)
+	e.ordered = make([]string, 0, len(ordered))
 	for i, m := range ordered {
 		e.order[m.Address] = i
+		e.ordered = append(e.ordered, m.Address)
 	}
 	for address := range e.peers {
 		if _, stays := e.order[address]; !stays {
@@ -93,6 +97,10 @@
 	}
 }
 
+// Ordered lists the members' addresses, those that lead before others first. The slice
+// must not be changed.
+func (e *Election) Ordered() []string { return e.ordered }
+
 // rank spreads the leading of zones over daemons of equal room.
 func (e *Election) rank(m Member) uint64 { return xxhash.Sum64String(e.zone + "\x00" + m.Address) }
 
--- /dev/null
+++ b/core/feed/sample.go
@@ -0,0 +1,66 @@
+package feed
+
+import (
+	"container/heap"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Hash is the hash of a name that Sample mixes.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Sample returns the indexes of at most n of the names, given by their hashes: those
+// that rank first for the holder. Each holder gets others, so that all holders together
+// use all names alike, and a name that comes or goes changes the samples of few.
+func Sample(holder uint64, hashes []uint64, n int) []int {
+	if len(hashes) <= n {
+		all := make([]int, len(hashes))
+		for i := range all {
+			all[i] = i
+		}
+		return all
+	}
+	first := make(lowest, 0, n+1)
+	for i, hash := range hashes {
+		rank := mix(holder ^ hash)
+		if len(first) == n && rank >= first[0].rank {
+			continue
+		}
+		heap.Push(&first, ranked{rank, i})
+		if len(first) > n {
+			heap.Pop(&first)
+		}
+	}
+	list := make([]int, 0, n)
+	for _, r := range first {
+		list = append(list, r.index)
+	}
+	return list
+}
+
+// mix spreads the bits of a hash over all of its bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+type ranked struct {
+	rank  uint64
+	index int
+}
+
+// lowest is a heap whose first element has the highest rank.
+type lowest []ranked
+
+func (l lowest) Len() int           { return len(l) }
+func (l lowest) Less(i, j int) bool { return l[i].rank > l[j].rank }
+func (l lowest) Swap(i, j int)      { l[i], l[j] = l[j], l[i] }
+func (l *lowest) Push(x any)        { *l = append(*l, x.(ranked)) }
+func (l *lowest) Pop() any {
+	last := (*l)[len(*l)-1]
+	*l = (*l)[:len(*l)-1]
+	return last
+}
--- /dev/null
+++ b/core/feed/standby.go
@@ -0,0 +1,53 @@
+package feed
+
+import "time"
+
+// Standby is the leader's choice of the daemon that holds all targets of the zone beside
+// it, so that the zone has a leader soon after this one has gone.
+type Standby struct {
+	self, named string
+	// since is when the daemon was named, seen when it last asked for all targets.
+	since, seen time.Time
+	// passedOver holds until when daemons that did not ask are left out.
+	passedOver map[string]time.Time
+}
+
+// NewStandby returns the choice of the daemon at the peer address self.
+func NewStandby(self string) *Standby {
+	return &Standby{self: self, passedOver: map[string]time.Time{}}
+}
+
+// Seen notes that a daemon has asked for all targets.
+func (s *Standby) Seen(now time.Time, address string) {
+	if address == s.named {
+		s.seen = now
+	}
+}
+
+// Select returns the standby, "" for none. members are the daemons of the zone in order
+// of preference.
+func (s *Standby) Select(now time.Time, members []string) string {
+	heard := s.seen
+	if s.since.After(heard) {
+		heard = s.since
+	}
+	if s.named != "" && now.Sub(heard) <= reportWithin {
+		return s.named
+	}
+	if s.named != "" {
+		s.passedOver[s.named] = now.Add(passOverFor)
+		s.named = ""
+	}
+	for _, address := range members {
+		if address != s.self && !now.Before(s.passedOver[address]) {
+			s.named, s.since = address, now
+			break
+		}
+	}
+	for address, until := range s.passedOver {
+		if !now.Before(until) {
+			delete(s.passedOver, address)
+		}
+	}
+	return s.named
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -64,6 +64,12 @@
 	aside     map[string]waiting
 	heard     time.Time
 	graceEnds time.Time
+	// sampled tells that the entries are a sample that another daemon chose.
+	sampled bool
+	// version counts the changes of what Usable returns, other than those by time; due
+	// is when the next one by time comes, zero for never.
+	version uint64
+	due     time.Time
 }
 
 // waiting is a target of which something changes at a moment.
@@ -84,6 +90,7 @@
 	if !r.heard.IsZero() && now.Sub(r.heard) > AwayAfter {
 		r.graceEnds = now.Add(ReturnGrace)
 		clear(r.vanished)
+		r.version++
 	}
 	r.heard = now
 }
@@ -98,15 +105,23 @@
 // the target's clock has gone back, and the log's order is right.
 func (r *Roster) Set(now time.Time, t Target) {
 	t.Start = StartOf(t.ID, t.Born)
-	if known, had := r.entries[t.ID]; had && t.Born < known.Born {
+	known, had := r.entries[t.ID]
+	if had && t.Born < known.Born {
 		if _, waits := r.aside[t.ID]; !waits {
 			r.aside[t.ID] = waiting{t, now.Add(LateFor)}
+			r.version++
 		}
 		return
 	}
+	_, lapsed := r.lapsed[t.ID]
+	_, aside := r.aside[t.ID]
+	if had && known == t && !lapsed && !aside {
+		return // a heartbeat without news
+	}
 	r.entries[t.ID] = t
 	delete(r.lapsed, t.ID)
 	delete(r.aside, t.ID)
+	r.version++
 }
 
 // Remove takes the end of an entry. Within the grace after a silence of the store
@@ -124,6 +139,7 @@
 		return
 	}
 	delete(r.entries, id)
+	r.version++
 	if now.Before(r.graceEnds) && !t.Draining {
 		r.lapsed[id] = waiting{t, r.graceEnds}
 		r.vanished[id] = t.Group
@@ -134,6 +150,7 @@
 // counts, without any grace: somebody else has written there, and the target, if it
 // lives, writes its own entry again with its next heartbeat.
 func (r *Roster) Spoil(id string) {
+	r.version++
 	delete(r.entries, id)
 	delete(r.lapsed, id)
 	delete(r.aside, id)
@@ -142,6 +159,10 @@
 // Replace takes all entries at once, as read after a gap in the changes. spoiled
 // lists the IDs whose entry names no usable target.
 func (r *Roster) Replace(now time.Time, all []Target, spoiled ...string) {
+	if r.sampled {
+		r.sampled = false
+		r.version++
+	}
 	next := make(map[string]bool, len(all))
 	for _, t := range all {
 		next[t.ID] = true
@@ -159,9 +180,57 @@
 	}
 }
 
+// Adopt takes targets that another daemon uses, true as of the moment at: a sample of
+// them, or whole all that matter here. That daemon has judged what lapsed, so nothing is
+// kept beside them.
+func (r *Roster) Adopt(at time.Time, list []Target, whole bool) {
+	r.entries = make(map[string]Target, len(list))
+	for _, t := range list {
+		t.Start = StartOf(t.ID, t.Born)
+		r.entries[t.ID] = t
+	}
+	clear(r.lapsed)
+	clear(r.aside)
+	clear(r.vanished)
+	r.heard = at
+	r.sampled = !whole
+	r.version++
+}
+
+// Confirm notes that what was adopted was still true at the moment at.
+func (r *Roster) Confirm(at time.Time) {
+	if at.After(r.heard) {
+		r.heard = at
+	}
+}
+
 // Known tells whether the store was heard at all.
 func (r *Roster) Known() bool { return !r.heard.IsZero() }
 
+// Age is how old the last word of the store is; it is meaningless before the first.
+func (r *Roster) Age(now time.Time) time.Duration { return now.Sub(r.heard) }
+
+// Complete tells whether all targets that matter here are known, and not only a sample.
+func (r *Roster) Complete() bool { return r.Known() && !r.sampled }
+
+// Len returns the number of entries.
+func (r *Roster) Len() int { return len(r.entries) }
+
+// Entry returns a target's entry.
+func (r *Roster) Entry(id string) (Target, bool) {
+	t, known := r.entries[id]
+	return t, known
+}
+
+// Version changes whenever what Usable returns may have changed; now is the present.
+func (r *Roster) Version(now time.Time) uint64 {
+	if !r.due.IsZero() && !now.Before(r.due) {
+		r.version++
+		r.due = time.Time{}
+	}
+	return r.version
+}
+
 // Current returns the start that the target has now, "" if none is known.
 func (r *Roster) Current(id string) Start { return r.entries[id].Start }
 
@@ -169,6 +238,7 @@
 // answer changes by time alone (zero: never).
 func (r *Roster) Usable(now time.Time) ([]Target, time.Time) {
 	until := r.pass(now)
+	r.due = until
 	list := make([]Target, 0, len(r.entries)+len(r.lapsed))
 	for _, t := range r.entries {
 		if !t.Draining {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -33,6 +33,50 @@
 		return r
 	}
 
+	// Ten thousand targets write their entries all the time. A daemon that works its groups
+	// out anew at each of them spends its processor on nothing.
+	It("counts changes, and no heartbeats", func() {
+		r := fresh()
+		version := r.Version(at(0))
+		r.Heard(at(time.Second))
+		r.Set(at(time.Second), roster.Target{ID: "a"})
+		Expect(r.Version(at(time.Second))).To(Equal(version))
+		r.Set(at(time.Second), roster.Target{ID: "a", Draining: true})
+		Expect(r.Version(at(time.Second))).NotTo(Equal(version))
+		version = r.Version(at(time.Second))
+		r.Remove(at(2*time.Second), "b")
+		Expect(r.Version(at(2 * time.Second))).NotTo(Equal(version))
+	})
+
+	It("counts what time alone changes", func() {
+		r := fresh()
+		back := at(6 * time.Second)
+		r.Heard(back)
+		r.Replace(back, nil)
+		_, until := r.Usable(back)
+		version := r.Version(back)
+		Expect(r.Version(until.Add(-1))).To(Equal(version))
+		Expect(r.Version(until)).NotTo(Equal(version))
+	})
+
+	// A daemon of a large zone holds a sample that a reader of the log chose.
+	It("adopts a sample as it is, and is whole again after a list of all", func() {
+		r := fresh()
+		Expect(r.Complete()).To(BeTrue())
+		r.Adopt(at(10*time.Second), []roster.Target{{ID: "b"}, {ID: "z"}}, false)
+		Expect(ids(r, at(10*time.Second))).To(Equal([]string{"b", "z"}))
+		Expect(r.Complete()).To(BeFalse())
+		r.Confirm(at(9 * time.Second))
+		Expect(r.Age(at(11 * time.Second))).To(Equal(time.Second))
+		r.Adopt(at(12*time.Second), []roster.Target{{ID: "z"}}, true)
+		Expect(ids(r, at(12*time.Second))).To(Equal([]string{"z"}), "no grace for what the reader dropped")
+		Expect(r.Complete()).To(BeTrue())
+		r.Adopt(at(13*time.Second), nil, false)
+		r.Heard(at(13 * time.Second))
+		r.Replace(at(13*time.Second), []roster.Target{{ID: "a"}})
+		Expect(r.Complete()).To(BeTrue())
+	})
+
 	It("uses what is listed and does not drain", func() {
 		r := fresh()
 		Expect(ids(r, at(0))).To(Equal([]string{"a", "b"}))
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -11,6 +11,8 @@
 	// spareFar is how many free slots another zone must have had to be sent a
 	// request: the last one may have been taken since it was heard of.
 	spareFar = 2
+	// firstLook is how many targets of a large group are looked at first.
+	firstLook = 64
 	// RoomLife is how long another zone's word of its free slots counts; its leader
 	// tells them several times in that time.
 	RoomLife = 400 * time.Millisecond
@@ -59,8 +61,10 @@
 // Grant is what an Ask got.
 type Grant struct {
 	Verdict Verdict
-	// Target is the start of the target that was chosen, Running what ran there.
+	// Target is the start of the target that was chosen, At the whole of it, and Running
+	// what ran there.
 	Target  string
+	At      Target
 	Running int
 	// Zone is the zone to ask, Leader its leader's peer address.
 	Zone, Leader string
@@ -76,12 +80,21 @@
 // taken. A free slot anywhere in the zone is found; then one that batch gives back,
 // then another zone's, since bytes between zones are dear; then a short queue; and
 // what would queue for longer than it may is refused at once.
+//
+// In a large group a few targets are looked at first, so that a grant costs the same
+// however many there are while most have free slots.
 func (l *Ledger) Grant(now time.Time, a Ask, seed uint64) Grant {
 	g := l.groups[a.Group]
 	if g == nil || len(g.targets) == 0 {
 		return l.elsewhere(now, a)
 	}
-	trusted, doubted := l.candidates(now, g, a, seed)
+	if len(g.targets) > firstLook {
+		trusted, _ := l.candidates(now, g, a, seed, firstLook)
+		if c, ok := first(trusted, func(c candidate) bool { return c.empty(a) }); ok {
+			return l.lease(now, a, c)
+		}
+	}
+	trusted, doubted := l.candidates(now, g, a, seed, len(g.targets))
 	if a.Batch {
 		return l.grantBatch(now, a, trusted)
 	}
@@ -130,13 +143,19 @@
 	online, taken int
 }
 
-// candidates lists the targets that the asker can use, the least taken first and
-// equal ones in the order of the seed: those that are trusted, and those in doubt.
-// Targets that it can't use come last among these, for want of a better one.
-func (l *Ledger) candidates(now time.Time, g *group, a Ask, seed uint64) (trusted, doubted []candidate) {
+// empty tells whether nothing runs at the target, so that none is better for the asker.
+func (c candidate) empty(a Ask) bool {
+	return c.taken == 0 && c.usage.batch == 0 && (c.Slots > a.Headroom || !a.Batch)
+}
+
+// candidates looks at so many targets from a place in the list that the seed gives. It
+// lists those that the asker can use, the least taken first and equal ones in the order
+// of the seed: those that are trusted, and those in doubt. Targets that it can't use
+// come last among these, for want of a better one.
+func (l *Ledger) candidates(now time.Time, g *group, a Ask, seed uint64, look int) (trusted, doubted []candidate) {
 	var excluded []candidate
 	n := len(g.targets)
-	for i := range n {
+	for i := range look {
 		t := g.targets[(int(seed%uint64(n))+i)%n]
 		u := l.of(t.Start)
 		c := candidate{Target: t, usage: u, online: u.online, taken: u.online + u.standing(now)}
@@ -200,7 +219,7 @@
 func (l *Ledger) lease(now time.Time, a Ask, c candidate) Grant {
 	le := l.add(now, a.ID, Running{Number: a.ID.Number, Target: c.Start, Batch: a.Batch})
 	le.group = a.Group
-	grant := Grant{Verdict: Granted, Target: c.Start, Running: c.taken}
+	grant := Grant{Verdict: Granted, Target: c.Start, At: c.Target, Running: c.taken}
 	if !a.Batch {
 		grant.Yield = c.usage.yield(now, c.taken+1-c.Slots)
 	}
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -15,6 +15,9 @@
 package slots
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/board"
@@ -42,6 +45,11 @@
 	Start string
 	// Slots is how many requests it runs at once.
 	Slots int
+	// ID, Born, Address and Zone tell a holder that does not know the target where it is;
+	// see roster.Target.
+	ID            string
+	Born          int64
+	Address, Zone string
 }
 
 // ID names a lease: its holder's peer address, and a number that the holder never
@@ -254,6 +262,21 @@
 	return counts
 }
 
+// Fullest returns the counts of at most so many targets, those that the most runs at.
+func (l *Ledger) Fullest(most int) map[string]board.Count {
+	counts := l.Counts()
+	if len(counts) <= most {
+		return counts
+	}
+	starts := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b].Online+counts[b].Batch, counts[a].Online+counts[a].Batch), cmp.Compare(a, b))
+	})
+	for _, start := range starts[most:] {
+		delete(counts, start)
+	}
+	return counts
+}
+
 // Doubts gives the failures in a row of the targets that are in doubt.
 func (l *Ledger) Doubts(now time.Time) map[string]int {
 	doubts := map[string]int{}
--- a/daemon/front/configuration.go
+++ b/daemon/front/configuration.go
@@ -61,6 +61,8 @@
 	mu sync.Mutex
 	// written is the configuration in force as the operator wrote it.
 	written []byte
+	// packed is written, compressed, nil until it is asked for.
+	packed []byte
 	// heard is when it was last known that nothing newer is in force; zero is never.
 	heard time.Time
 }
@@ -86,7 +88,7 @@
 	if current := c.table.Load(); current != nil && table.Version <= current.Version {
 		return nil
 	}
-	c.written = written
+	c.written, c.packed = written, nil
 	c.table.Store(table)
 	c.routed.Tell()
 	c.Logger.Info("configuration_in_force", zap.Int64("version", table.Version), zap.String("from", from),
@@ -106,6 +108,45 @@
 	}
 }
 
+// Version is the version in force, negative before the first.
+func (c *Configuration) Version() int64 {
+	if t := c.table.Load(); t != nil {
+		return t.Version
+	}
+	return unversioned
+}
+
+// Routed returns a channel that the next configuration closes.
+func (c *Configuration) Routed() <-chan struct{} { return c.routed.Next() }
+
+// Packed returns what a daemon that holds a version lacks: the newer configuration,
+// compressed, or nothing. known tells that the version here is as new at least, and age
+// how old the last word about it is.
+func (c *Configuration) Packed(version int64) (packed []byte, known bool, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.Version()
+	if c.heard.IsZero() || held < version {
+		return nil, false, 0
+	}
+	if held > version {
+		if c.packed == nil {
+			c.packed = pack(c.written)
+		}
+		packed = c.packed
+	}
+	return packed, true, time.Since(c.heard)
+}
+
+// TakePacked is Take for what Packed returned.
+func (c *Configuration) TakePacked(packed []byte, from string) error {
+	written, err := unpack(packed)
+	if err != nil {
+		return err
+	}
+	return c.Take(written, from)
+}
+
 // Age is how old the last word about the configuration is.
 func (c *Configuration) Age(now time.Time) time.Duration {
 	c.mu.Lock()
@@ -156,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTime)
 	defer cancel()
 	asked := time.Now()
-	args := NewerArgs{Version: c.version()}
+	args := NewerArgs{Version: c.Version()}
 	var reply NewerReply
 	if err := c.Peers.Call(ctx, address, newerMethod, args, &reply); err != nil {
 		c.Logger.Debug("configuration_not_borrowed", zap.String("peer", address), zap.Error(err))
@@ -173,14 +214,6 @@
 	}
 }
 
-// version is the version in force, unversioned before the first.
-func (c *Configuration) version() int64 {
-	if t := c.table.Load(); t != nil {
-		return t.Version
-	}
-	return unversioned
-}
-
 // unversioned is older than every version.
 const unversioned = -1
 
@@ -206,7 +239,7 @@
 	c := s.configuration
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held := c.version()
+	held := c.Version()
 	if c.heard.IsZero() || held < args.Version {
 		return nil
 	}
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -16,6 +16,7 @@
 	"tarragonhollow.example/tarragonhollow/core/quota"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/feed"
 	"tarragonhollow.example/tarragonhollow/daemon/jobs"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
@@ -58,6 +59,9 @@
 	Relay         *relay.Relay
 	Jobs          *jobs.Jobs
 
+	// Feed supplies the configuration and the targets.
+	Feed *feed.Feed
+
 	hosts      *hosts
 	suspects   *suspects.Tracker
 	quotas     *quotas.Quotas
@@ -78,16 +82,22 @@
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
 	self := places.Peer{Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores}
-	n.hosts = newHosts(a.Log, a.HostsTopic, s.Host, self, logger)
+	n.hosts = newHosts(hostsOptions{Log: a.Log, Topic: a.HostsTopic, Parts: s.LogParts, Host: s.Host, Own: self, Zones: s.Zones, Logger: logger})
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
 	n.peerServer = peer.NewServer(peer.ServerOptions{Logger: logger, Metrics: set})
 	n.Configuration = NewConfiguration(ConfigurationOptions{Decode: a.Decode, Peers: n.peers, Others: n.hosts.peers, Logger: logger})
 	n.Places = places.New(places.Options{
 		Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Cores: s.Cores, Fleet: n.hosts.count, Peers: n.peers,
+		Lean:    n.hosts.isLarge,
 		Counted: func() bool { return n.accounts().Len() > 0 },
 		Logger:  logger, Metrics: set,
 	})
 	n.Places.OnGone(n.pool.Forget)
+	n.Feed = feed.New(feed.Options{
+		Host: s.Host, Self: s.PeerAddress, Large: n.hosts.large, Daemons: n.hosts.knownCount,
+		Configuration: n.Configuration, Targets: n.Places, Peers: n.peers, Logger: logger, Metrics: set,
+	})
+	n.hosts.reads, n.hosts.daemons = n.Feed.Reads, n.Places.Daemons
 	var err error
 	n.suspects, err = suspects.New(suspects.Options{
 		View: n.hosts, Peer: n.peers, Registrar: n.peerServer, Limit: func() int { return crashLimit }, Logger: logger, Metrics: set,
@@ -105,13 +115,16 @@
 	})
 	n.Jobs = jobs.New(jobs.Options{
 		Host: s.Host, Zone: s.Zone, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
-		Others: n.hosts.peers, Fleet: n.hosts.count, Topics: a.Topics, Parts: s.LogParts, Routes: n.Configuration.Routes,
+		Others: n.hosts.peers, Fleet: n.hosts.count, Large: n.hosts.isLarge, Roomy: n.hosts.roomy, Topics: a.Topics, Parts: s.LogParts, Routes: n.Configuration.Routes,
 		Places: n.Places, Pool: n.pool, Wire: a.Wire, Crashes: crashes, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom,
 		Logger: logger, Metrics: set,
 	})
 	if err := n.Places.Register(n.peerServer); err != nil {
 		return nil, err
 	}
+	if err := n.Feed.Register(n.peerServer); err != nil {
+		return nil, err
+	}
 	if err := n.quotas.Register(n.peerServer); err != nil {
 		return nil, err
 	}
@@ -136,6 +149,21 @@
 	return !n.stopping.Load() && table != nil && n.Places.Known() && n.Jobs.Loaded() && n.reaches(table, time.Now())
 }
 
+// InLargeZone tells whether few daemons of the own zone read the log for the others.
+func (n *Node) InLargeZone() bool { return n.hosts.isLarge() }
+
+// Await returns the routes in force. A daemon that has just started waits for them, and
+// for its first targets; nil is returned if there are no routes by then, or ctx is done.
+func (n *Node) Await(ctx context.Context) *route.Table {
+	table := n.Configuration.Await(ctx)
+	if left := startWait - time.Since(n.started); table != nil && left > 0 && !n.Places.Known() {
+		ctx, cancel := context.WithTimeout(ctx, left)
+		defer cancel()
+		n.Places.AwaitKnown(ctx)
+	}
+	return table
+}
+
 // reaches tells whether every group that requests are sent to has a target, or
 // has had time to get one.
 //
@@ -154,8 +182,9 @@
 	return true
 }
 
-// Run starts the duties of the parts.
-func (n *Node) Run(group *duty.Group) error {
+// Run starts the duties of the parts. readConfiguration and readTargets follow the log
+// while this daemon reads them itself.
+func (n *Node) Run(group *duty.Group, readConfiguration, readTargets feed.Read) error {
 	listener, err := net.Listen("tcp", n.Settings.PeerAddress)
 	if err != nil {
 		return err
@@ -165,8 +194,8 @@
 			n.Logger.Error("peer_listener_ended", zap.Error(err))
 		}
 	})
-	group.Go(n.hosts.announce)
-	group.Go(n.hosts.follow)
+	group.Go(n.hosts.run)
+	n.Feed.Run(group, readConfiguration, readTargets)
 	group.Go(n.Configuration.borrow)
 	group.Go(func(ctx context.Context) { n.Places.Spread(ctx, n.peers, n.hosts.peers) })
 	group.Go(func(ctx context.Context) { n.Places.Lead(ctx, n.hosts.peers) })
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -34,6 +34,11 @@
 	Expect(c.Take([]byte(strconv.FormatInt(version, 10)), "source")).To(Succeed())
 }
 
+// hostsOf are the options of a daemon of a fleet in the zones z1 and z2.
+func hostsOf(log partlog.Log, host, address, zone string) hostsOptions {
+	return hostsOptions{Log: log, Topic: "hosts", Parts: 4, Host: host, Own: places.Peer{Address: address, Zone: zone}, Zones: []string{"z1", "z2"}, Logger: zap.NewNop()}
+}
+
 func table(version int64) *route.Table {
 	return route.NewTable(version, []route.Route{{Host: "h", Prefix: "/", Groups: []route.Share{{Group: "g", Weight: 1}}}}, route.Limits{})
 }
@@ -96,18 +101,24 @@
 
 	It("finds the others by their records, and not itself", func() {
 		log := fakepartlog.New(1)
-		a := newHosts(log, "hosts", "a", places.Peer{Address: "1:1", Zone: "z1"}, zap.NewNop())
-		b := newHosts(log, "hosts", "b", places.Peer{Address: "2:2", Zone: "z2"}, zap.NewNop())
+		a := newHosts(hostsOf(log, "a", "1:1", "z1"))
+		b := newHosts(hostsOf(log, "b", "2:2", "z2"))
 		a.announce(GinkgoT().Context())
 		b.announce(GinkgoT().Context())
-		Expect(partlog.Load(GinkgoT().Context(), log, a.partition, a)).To(Succeed())
+		load := func() {
+			for _, part := range append(a.otherParts(), a.part("z1")) {
+				l := a.list(part)
+				Expect(partlog.Load(GinkgoT().Context(), log, l.partition, l)).To(Succeed())
+			}
+		}
+		load()
 		Expect(a.peers()).To(Equal([]places.Peer{{Address: "2:2", Zone: "z2"}}))
 		Expect(a.count()).To(Equal(2))
 		address, known := a.addressOf("b")
 		Expect(known).To(BeTrue())
 		Expect(address).To(Equal("2:2"))
 		b.leave(GinkgoT().Context())
-		Expect(partlog.Load(GinkgoT().Context(), log, a.partition, a)).To(Succeed())
+		load()
 		Expect(a.peers()).To(BeEmpty())
 	})
 
@@ -115,8 +126,8 @@
 	// cost the daemons that wrote properly nothing.
 	It("passes over records of its topic that name no peer", func() {
 		log := fakepartlog.New(1)
-		a := newHosts(log, "hosts", "a", places.Peer{Address: "1:1", Zone: "z1"}, zap.NewNop())
-		a.apply([]partlog.Kept{
+		a := newHosts(hostsOf(log, "a", "1:1", "z1"))
+		a.ownList().apply([]partlog.Kept{
 			{Record: partlog.Record{Key: "b", Value: encodeEntry(places.Peer{Address: "2:2", Zone: "z2"})}},
 			{Record: partlog.Record{Key: "c", Value: []byte("3:3")}},
 			{Record: partlog.Record{Key: "d", Value: []byte("somewhere z2")}},
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/membership"
@@ -16,35 +18,104 @@
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 )
 
-// announcePause is the pause before an announcement that failed is repeated.
-const announcePause = 300 * time.Millisecond
+const (
+	// announcePause is the pause before an announcement or a first load that failed is
+	// repeated.
+	announcePause = 300 * time.Millisecond
+	// smallZone is the number of daemons of a zone up to which each of them follows the
+	// whole fleet and reads everything from the log.
+	smallZone = 24
+	// gatherZone is how long a daemon that was not in the list before waits for the other
+	// daemons of its zone to announce themselves: all may start for the first time.
+	gatherZone = 500 * time.Millisecond
+	// choosePace is the pace at which a daemon looks which lists it has to follow.
+	choosePace = 100 * time.Millisecond
+	// roomyShare is the part of the cores of the zone's roomiest host from which on a host
+	// counts as roomy.
+	roomyShare = 0.5
+)
 
-// hostsPace: a new daemon's counts may be missing for as long as a read takes.
-var hostsPace = partlog.Pace{Wait: 8 * time.Second, Gather: 100 * time.Millisecond}
+// hostsPace is the pace of a small zone: a new daemon's counts may be missing for as
+// long as a read takes.
+var (
+	hostsPace = partlog.Pace{Wait: 8 * time.Second, Gather: 100 * time.Millisecond}
+	// largeZonePace: every daemon of a large zone reads each change of its list, and a
+	// daemon that is missing there for some seconds lacks nothing.
+	largeZonePace = partlog.Pace{Wait: 8 * time.Second, Gather: 2 * time.Second}
+)
 
-// hosts tells the daemons of each other through a keyed topic: each one writes
-// its name and peer address once, at its start. An entry of a daemon that died
-// stays; calls to it fail by themselves.
+// hostsOptions configure hosts.
+type hostsOptions struct {
+	Log   partlog.Log
+	Topic string
+	// Parts is the number of partitions of the topic.
+	Parts int
+	Host  string
+	Own   places.Peer
+	// Zones are all availability zones.
+	Zones  []string
+	Logger *zap.Logger
+}
+
+// hosts tells the daemons of each other through a keyed topic: each one writes its name
+// and peer address once, at its start, to the partition of its zone. An entry of a
+// daemon that died stays; calls to it fail by themselves.
+//
+// In a large zone a daemon reads the list of its own zone alone, unless it is needed for
+// more, so that what a start of the fleet reads does not grow with its square.
 type hosts struct {
-	log       partlog.Log
-	partition partlog.Partition
-	host      string
-	self      places.Peer
-	logger    *zap.Logger
+	hostsOptions
 	// incarnation differs at every start.
 	incarnation uint64
+	// reads tells whether this daemon reads the log for its zone, and so follows the
+	// whole fleet; daemons is the fleet's size as the zone's leader told it, 0 for
+	// unknown.
+	reads   func() bool
+	daemons func() int
 
-	mu       sync.Mutex
+	mu    sync.Mutex
+	lists map[int]*hostList
+	all   []places.Peer
+	// near counts the other daemons of the own zone.
+	near int
+	// loaded is when the own zone's list was first loaded; known tells that this daemon
+	// was in it, from an earlier run.
+	loaded time.Time
+	known  bool
+}
+
+// hostList is the list in one partition.
+type hostList struct {
+	hosts     *hosts
+	partition partlog.Partition
+	// position is the next offset, negative before the first load; guarded by hosts.mu,
+	// like known.
 	position int64
 	known    map[string]places.Peer
-	list     []places.Peer
 }
 
-func newHosts(log partlog.Log, topic, host string, self places.Peer, logger *zap.Logger) *hosts {
-	return &hosts{log: log, partition: partlog.Partition{Topic: topic}, host: host, self: self, logger: logger,
-		incarnation: uint64(time.Now().UnixNano()), position: -1, known: map[string]places.Peer{}}
+func newHosts(o hostsOptions) *hosts {
+	h := &hosts{hostsOptions: o, incarnation: uint64(time.Now().UnixNano()), lists: map[int]*hostList{},
+		reads: func() bool { return false }, daemons: func() int { return 0 }}
+	h.list(h.part(o.Own.Zone))
+	return h
+}
+
+// part returns the partition of a zone's list. Zones may share one.
+func (h *hosts) part(zone string) int { return int(xxhash.Sum64String(zone) % uint64(h.Parts)) }
+
+// list returns the list of a partition.
+func (h *hosts) list(part int) *hostList {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lists[part] == nil {
+		h.lists[part] = &hostList{hosts: h, partition: partlog.Partition{Topic: h.Topic, Part: part}, position: -1, known: map[string]places.Peer{}}
+	}
+	return h.lists[part]
 }
 
+func (h *hosts) ownList() *hostList { return h.list(h.part(h.Own.Zone)) }
+
 // encodeEntry is the value of a daemon's record: its peer address, its zone and the
 // cores that it may use.
 func encodeEntry(p places.Peer) []byte {
@@ -69,119 +140,273 @@
 	return places.Peer{Address: fields[0], Zone: fields[1], Cores: cores}, true
 }
 
+// run loads the own zone's list, announces this daemon and follows the lists that it
+// needs, until ctx is done.
+func (h *hosts) run(ctx context.Context) {
+	own := h.ownList()
+	for partlog.Load(ctx, h.Log, own.partition, own) != nil {
+		if !duty.Pause(ctx, announcePause) {
+			return
+		}
+	}
+	group := duty.NewGroup(ctx)
+	group.Go(h.announce)
+	group.Go(h.follow)
+	group.Wait()
+}
+
 // announce writes the own entry.
 func (h *hosts) announce(ctx context.Context) {
-	entry := []partlog.Record{{Key: h.host, Value: encodeEntry(h.self)}}
+	entry := []partlog.Record{{Key: h.Host, Value: encodeEntry(h.Own)}}
 	for ctx.Err() == nil {
-		_, err := h.log.Append(ctx, h.partition, entry, partlog.Anywhere)
+		_, err := h.Log.Append(ctx, h.ownList().partition, entry, partlog.Anywhere)
 		if err == nil {
-			h.logger.Info("announced", zap.String("address", h.self.Address))
+			h.Logger.Info("announced", zap.String("address", h.Own.Address))
 			return
 		}
-		h.logger.Info("not_announced", zap.Error(err))
+		h.Logger.Info("not_announced", zap.Error(err))
 		duty.Pause(ctx, announcePause)
 	}
 }
 
 // leave removes the own entry.
 func (h *hosts) leave(ctx context.Context) {
-	if _, err := h.log.Append(ctx, h.partition, []partlog.Record{{Key: h.host}}, partlog.Anywhere); err != nil {
-		h.logger.Info("entry_not_removed", zap.Error(err))
+	if _, err := h.Log.Append(ctx, h.ownList().partition, []partlog.Record{{Key: h.Host}}, partlog.Anywhere); err != nil {
+		h.Logger.Info("entry_not_removed", zap.Error(err))
 	}
 }
 
+// follow follows the own zone's list, and those of the other zones while they are needed.
 func (h *hosts) follow(ctx context.Context) {
-	partlog.Follow(ctx, h.log, h.partition, hostsPace, h)
+	readings := map[int]*duty.Switch{}
+	own, large := h.part(h.Own.Zone), h.isLarge()
+	for {
+		if now := h.isLarge(); now != large {
+			large = now
+			stopAll(readings) // they go on at another pace
+		}
+		h.reading(readings, own, large).Set(ctx, true)
+		all := h.needsAll()
+		for _, part := range h.otherParts() {
+			if h.reading(readings, part, large).Set(ctx, all) && !all {
+				h.drop(part)
+			}
+		}
+		if !duty.Pause(ctx, choosePace) {
+			break
+		}
+	}
+	stopAll(readings)
+}
+
+// reading returns the following of a partition's list.
+func (h *hosts) reading(readings map[int]*duty.Switch, part int, large bool) *duty.Switch {
+	if readings[part] == nil {
+		pace := hostsPace
+		if large {
+			pace = largeZonePace
+		}
+		readings[part] = &duty.Switch{Loop: func(ctx context.Context) {
+			l := h.list(part)
+			partlog.Follow(ctx, h.Log, l.partition, pace, l)
+		}}
+	}
+	return readings[part]
 }
 
-// peers returns the other daemons.
+func stopAll(readings map[int]*duty.Switch) {
+	for part, reading := range readings {
+		reading.Stop()
+		delete(readings, part)
+	}
+}
+
+// needsAll tells whether this daemon follows the whole fleet.
+func (h *hosts) needsAll() bool {
+	large, known := h.large()
+	return known && (!large || h.reads())
+}
+
+// otherParts lists the partitions of the other zones.
+func (h *hosts) otherParts() []int {
+	var parts []int
+	for _, zone := range h.Zones {
+		if part := h.part(zone); part != h.part(h.Own.Zone) && !slices.Contains(parts, part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// drop forgets the list of a partition that is no longer followed.
+func (h *hosts) drop(part int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.lists, part)
+	h.gather()
+}
+
+// large tells whether the own zone has so many daemons that most of them leave the
+// reading of the log to few. It is not known before the zone's list was read.
+func (h *hosts) large() (large, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.loaded.IsZero() {
+		return false, false
+	}
+	large = h.near+1 > smallZone
+	return large, large || h.known || time.Since(h.loaded) > gatherZone
+}
+
+// isLarge is large where a zone that is not known counts as small.
+func (h *hosts) isLarge() bool {
+	large, _ := h.large()
+	return large
+}
+
+// peers returns the other daemons as far as they are followed here.
 func (h *hosts) peers() []places.Peer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.list
+	return h.all
 }
 
-// count returns the number of daemons, this one included.
-func (h *hosts) count() int { return len(h.peers()) + 1 }
+// count returns the number of daemons as far as known, this one included.
+func (h *hosts) count() int { return max(len(h.peers())+1, h.daemons()) }
 
-// knownCount returns the number of daemons, this one included, and 0 before the others were
-// read.
+// knownCount returns the number of daemons, this one included, and 0 while that is not
+// known.
 func (h *hosts) knownCount() int {
-	if h.Position() < 0 {
+	large, known := h.large()
+	switch {
+	case !known:
+		return 0
+	case h.readAll():
+		return len(h.peers()) + 1
+	case large:
+		return h.daemons()
+	default:
 		return 0
 	}
-	return h.count()
+}
+
+// readAll tells whether the lists of all zones were read.
+func (h *hosts) readAll() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, zone := range append([]string{h.Own.Zone}, h.Zones...) {
+		l := h.lists[h.part(zone)]
+		if l == nil || l.position < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// roomy tells whether this host has much of what the roomiest one of its zone has.
+func (h *hosts) roomy() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	most := 0.0
+	for _, p := range h.all {
+		if p.Zone == h.Own.Zone {
+			most = max(most, p.Cores)
+		}
+	}
+	return h.Own.Cores >= roomyShare*most
 }
 
 // addressOf returns a daemon's peer address.
 func (h *hosts) addressOf(host string) (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p, known := h.known[host]
-	return p.Address, known
+	for _, l := range h.lists {
+		if p, known := l.known[host]; known {
+			return p.Address, true
+		}
+	}
+	return "", false
 }
 
 // Self implements suspects.Fleet.
 func (h *hosts) Self() membership.Member {
-	return membership.Member{Host: h.host, Zone: h.self.Zone, PeerAddress: h.self.Address, Incarnation: h.incarnation}
+	return membership.Member{Host: h.Host, Zone: h.Own.Zone, PeerAddress: h.Own.Address, Incarnation: h.incarnation}
 }
 
 // Members implements suspects.Fleet.
 func (h *hosts) Members() []membership.Member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := make([]membership.Member, 0, len(h.known))
-	for host, p := range h.known {
-		list = append(list, membership.Member{Host: host, Zone: p.Zone, PeerAddress: p.Address})
+	var list []membership.Member
+	for _, l := range h.lists {
+		for host, p := range l.known {
+			list = append(list, membership.Member{Host: host, Zone: p.Zone, PeerAddress: p.Address})
+		}
 	}
 	return list
 }
 
 // Position implements partlog.Reader.
-func (h *hosts) Position() int64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.position
+func (l *hostList) Position() int64 {
+	l.hosts.mu.Lock()
+	defer l.hosts.mu.Unlock()
+	return l.position
 }
 
 // Load implements partlog.Reader.
-func (h *hosts) Load(records []partlog.Kept, end int64) {
+func (l *hostList) Load(records []partlog.Kept, end int64) {
+	h := l.hosts
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.known = map[string]places.Peer{}
-	h.apply(records)
-	h.position = end
+	l.known = map[string]places.Peer{}
+	l.apply(records)
+	l.position = end
+	if h.loaded.IsZero() && l == h.lists[h.part(h.Own.Zone)] {
+		h.loaded = time.Now()
+		_, h.known = l.known[h.Host]
+	}
 }
 
 // Take implements partlog.Reader.
-func (h *hosts) Take(page partlog.Page) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.apply(page.Records)
-	h.position = page.Next
+func (l *hostList) Take(page partlog.Page) {
+	l.hosts.mu.Lock()
+	defer l.hosts.mu.Unlock()
+	l.apply(page.Records)
+	l.position = page.Next
 }
 
 // Heard implements partlog.Reader; the jobs tell of outages of the log.
-func (h *hosts) Heard(error) {}
+func (l *hostList) Heard(error) {}
 
-func (h *hosts) apply(records []partlog.Kept) {
+// apply takes records of the list. hosts.mu is held.
+func (l *hostList) apply(records []partlog.Kept) {
 	for _, k := range records {
-		delete(h.known, k.Key)
+		delete(l.known, k.Key)
 		if len(k.Value) == 0 && !k.Unreadable {
 			continue
 		}
 		p, ok := decodeEntry(k.Value)
 		if k.Unreadable || !ok {
-			h.logger.Warn("peer_unreadable", zap.String("peer", k.Key), zap.Int64("offset", k.Offset))
+			l.hosts.Logger.Warn("peer_unreadable", zap.String("peer", k.Key), zap.Int64("offset", k.Offset))
 			continue
 		}
-		h.known[k.Key] = p
+		l.known[k.Key] = p
 	}
-	// A new slice: the last one may be in use.
-	h.list = make([]places.Peer, 0, len(h.known))
-	for host, p := range h.known {
-		if host != h.host && p.Address != h.self.Address {
-			h.list = append(h.list, p)
+	l.hosts.gather()
+}
+
+// gather lists the other daemons. It makes a new slice, since the last one may be in
+// use. h.mu is held.
+func (h *hosts) gather() {
+	h.all, h.near = nil, 0
+	for _, l := range h.lists {
+		for host, p := range l.known {
+			if host != h.Host && p.Address != h.Own.Address {
+				h.all = append(h.all, p)
+				if p.Zone == h.Own.Zone {
+					h.near++
+				}
+			}
 		}
 	}
 }
--- a/daemon/jobs/body.go
+++ b/daemon/jobs/body.go
@@ -20,7 +20,8 @@
 
 // BodyArgs asks for the body of an item.
 type BodyArgs struct {
-	Job, Item string
+	// Account is the client account that asks, "" for none.
+	Account, Job, Item string
 }
 
 // BodyReply is the body. Held is false if the daemon does not have it in memory.
@@ -31,6 +32,9 @@
 
 // Body is called by peers.
 func (s *service) Body(args BodyArgs, reply *BodyReply) error {
+	if !s.jobs.has(args.Job, func(known *batch.Job) bool { return known.BelongsTo(args.Account) }) {
+		return nil
+	}
 	index, size := s.jobs.findItem(args.Job, args.Item)
 	if index >= 0 {
 		reply.Body, reply.Held = s.jobs.bodies.have(args.Job, index, size)
@@ -41,11 +45,17 @@
 // Body returns the body of an item that has no result yet. Account is the client account
 // that asks, "" for none.
 func (j *Jobs) Body(ctx context.Context, account, id, item string) ([]byte, *outcome.Refusal) {
+	forwards := j.forwards(id)
+	if forwards {
+		if body, ok := j.bodyAtHolder(ctx, account, id, item); ok {
+			return body, nil
+		}
+	}
 	if refusal := j.knownTo(ctx, account, id); refusal != nil {
 		return nil, refusal
 	}
-	if !j.holds(id) && j.Fleet() > fromLogUpTo {
-		if body, ok := j.bodyAtHolder(ctx, id, item); ok {
+	if !forwards && !j.holds(id) && j.Fleet() > fromLogUpTo {
+		if body, ok := j.bodyAtHolder(ctx, account, id, item); ok {
 			return body, nil
 		}
 	}
@@ -65,9 +75,9 @@
 
 // bodyAtHolder asks the daemon that holds the job's partition: a page of the log in
 // which a body stands holds up to 1 MB.
-func (j *Jobs) bodyAtHolder(ctx context.Context, id, item string) ([]byte, bool) {
+func (j *Jobs) bodyAtHolder(ctx context.Context, account, id, item string) ([]byte, bool) {
 	var reply BodyReply
-	answered := j.askHolder(ctx, id, bodyTime, bodyMethod, BodyArgs{id, item}, &reply)
+	answered := j.askHolder(ctx, id, bodyTime, bodyMethod, BodyArgs{account, id, item}, &reply)
 	return reply.Body, answered && reply.Held
 }
 
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -82,6 +82,11 @@
 }
 
 func (j *Jobs) submit(ctx context.Context, s *Submission, r *route.Route, record *batch.JobRecord) *outcome.Refusal {
+	if !j.following.running() {
+		if err := j.catchUpAccepted(ctx); err != nil {
+			return logOut(err)
+		}
+	}
 	if known, refusal := j.lookAtAll(ctx, record, r); known || refusal != nil {
 		return refusal
 	}
@@ -199,17 +204,32 @@
 // Read returns results from a position on, waiting up to wait for the first. Account is
 // the client account that asks, "" for none.
 func (j *Jobs) Read(ctx context.Context, account, id string, after int, wait time.Duration) (View, *outcome.Refusal) {
+	if j.forwards(id) {
+		if view, refusal, ok := j.readAtHolder(ctx, account, id, after, wait); ok {
+			return view, refusal
+		}
+	}
 	if refusal := j.knownTo(ctx, account, id); refusal != nil {
 		return View{}, refusal
 	}
 	if !j.holds(id) && j.Fleet() > fromLogUpTo {
-		if view, refusal, ok := j.readAtHolder(ctx, id, after, wait); ok {
-			return view, refusal
+		if view, refusal, ok := j.readAtHolder(ctx, account, id, after, wait); ok && refusal == nil {
+			return view, nil
 		}
 	}
 	return j.readHere(ctx, id, after, wait)
 }
 
+// forwards tells whether calls about the job go to the holder of its partition before
+// anything else: this daemon does not follow the jobs, and that one is known.
+func (j *Jobs) forwards(id string) bool {
+	if j.following.running() || j.holds(id) {
+		return false
+	}
+	_, known := j.holderOf(id)
+	return known
+}
+
 // holds tells whether this daemon holds the job's partition.
 func (j *Jobs) holds(id string) bool {
 	j.mu.Lock()
@@ -261,7 +281,7 @@
 	if j.has(id, fits) {
 		return nil
 	}
-	if err := j.catchUp(ctx, j.accepted); err != nil {
+	if err := j.catchUpAccepted(ctx); err != nil {
 		return logOut(err)
 	}
 	if j.has(id, fits) {
@@ -340,6 +360,15 @@
 }
 
 func (j *Jobs) end(ctx context.Context, account, id string) *outcome.Refusal {
+	if j.forwards(id) {
+		if refusal, answered := j.endAtHolder(ctx, account, id); answered {
+			return refusal
+		}
+	}
+	return j.endHere(ctx, account, id)
+}
+
+func (j *Jobs) endHere(ctx context.Context, account, id string) *outcome.Refusal {
 	if refusal := j.knownTo(ctx, account, id); refusal != nil {
 		return refusal
 	}
--- a/daemon/jobs/detour.go
+++ b/daemon/jobs/detour.go
@@ -31,6 +31,9 @@
 	detourAfter = 100 * time.Millisecond
 	// detourEvery is the pause before the next daemon is asked.
 	detourEvery = 80 * time.Millisecond
+	// forwardEvery is that pause for a daemon that does not follow the jobs: a job with its
+	// bodies takes this long to a holder over the link of a small host.
+	forwardEvery = 300 * time.Millisecond
 	// detourMost bounds the daemons that are asked, so that a log that is slow for all
 	// gets three times the submissions at most.
 	detourMost = 2
@@ -60,7 +63,7 @@
 
 func (j *Jobs) submitForPeer(ctx context.Context, s *Submission) *outcome.Refusal {
 	table := j.Routes()
-	if table == nil || j.accepted.lost() {
+	if table == nil || j.accepted.lost() || !j.following.running() {
 		return outcome.Refuse(outcome.LogUnavailable, "%s does not reach the log either", j.Host).After(retryAfterMs)
 	}
 	r := table.Match(s.Host, s.Path)
@@ -98,10 +101,13 @@
 func (j *Jobs) handIn(ctx context.Context, s *Submission, r *route.Route, record *batch.JobRecord) *outcome.Refusal {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h := &handing{jobs: j, ctx: ctx, job: s, record: record, route: r, others: j.detours(),
+	h := &handing{jobs: j, ctx: ctx, job: s, record: record, route: r, others: j.detours(s.ID),
 		ended: make(chan *outcome.Refusal, 1+detourMost)}
-	wait := detourAfter
-	if j.accepted.lost() && len(h.others) > 0 {
+	wait, pause := detourAfter, detourEvery
+	if !j.following.running() {
+		pause = forwardEvery
+	}
+	if (j.accepted.lost() || !j.following.running()) && len(h.others) > 0 {
 		wait = 0
 	} else {
 		h.goDirect()
@@ -121,7 +127,7 @@
 			next.Reset(0)
 		case <-next.C:
 			if h.detour() {
-				next.Reset(detourEvery)
+				next.Reset(pause)
 			}
 		}
 		if !h.ways.Open() && len(h.others) == 0 {
@@ -181,9 +187,13 @@
 // jobTime bounds a submission whose caller names no time.
 const jobTime = 4 * time.Second
 
-// detours picks the daemons that may be asked: one of the own zone, which costs no
-// bytes between zones, and others by chance.
-func (j *Jobs) detours() []places.Peer {
+// detours picks the daemons that may be asked about a job: one of the own zone, which
+// costs no bytes between zones, and others by chance; in a large zone those that hold
+// partitions.
+func (j *Jobs) detours(job string) []places.Peer {
+	if j.Large() {
+		return j.holders(job)
+	}
 	if j.Others == nil {
 		return nil
 	}
--- a/daemon/jobs/handover.go
+++ b/daemon/jobs/handover.go
@@ -58,7 +58,7 @@
 
 // writeForPeer writes the results and returns once they are in the book.
 func (j *Jobs) writeForPeer(ctx context.Context, args WriteArgs) bool {
-	if args.Part < 0 || args.Part >= len(j.writers) || j.accepted.lost() {
+	if args.Part < 0 || args.Part >= len(j.writers) || j.accepted.lost() || !j.following.running() {
 		return false
 	}
 	c := j.results[args.Part]
@@ -114,7 +114,7 @@
 		return
 	}
 	args, keys := handOverArgs(w.cursor.partition.Part, waiting)
-	for _, other := range j.detours() {
+	for _, other := range j.detours(waiting[0].job) {
 		if j.askToWrite(ctx, other, args) {
 			w.remove(keys)
 			return
--- a/daemon/jobs/holder.go
+++ b/daemon/jobs/holder.go
@@ -21,6 +21,9 @@
 	fromLogUpTo = 24
 	// readMethod is the call that reads results at the daemon that holds them.
 	readMethod = "Jobs.Read"
+	// endMethod is the call that ends a job there, and endTime bounds it.
+	endMethod = "Jobs.End"
+	endTime   = 1500 * time.Millisecond
 	// holderSlack is how long a holder may take beyond the wait that it was
 	// asked for, before the log is read instead.
 	holderSlack = 300 * time.Millisecond
@@ -31,9 +34,11 @@
 
 // ReadArgs asks for results of a job.
 type ReadArgs struct {
-	Job    string
-	After  int
-	WaitMs int64
+	// Account is the client account that asks, "" for none.
+	Account string
+	Job     string
+	After   int
+	WaitMs  int64
 }
 
 // ReadReply is a view, or why there is none.
@@ -57,28 +62,65 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait+holderSlack)
 	defer cancel()
 	reply.Held = true
-	if reply.Refusal = j.known(ctx, args.Job); reply.Refusal == nil {
+	if reply.Refusal = j.knownTo(ctx, args.Account, args.Job); reply.Refusal == nil {
 		reply.View, reply.Refusal = j.readHere(ctx, args.Job, args.After, wait)
 	}
 	return nil
 }
 
+// EndArgs asks for the end of a job.
+type EndArgs struct{ Account, Job string }
+
+// EndReply tells how that went; no refusal is an end. Held is false if the daemon does
+// not hold the job's partition.
+type EndReply struct {
+	Refusal *outcome.Refusal
+	Held    bool
+}
+
+// End is called by peers.
+func (s *service) End(args EndArgs, reply *EndReply) error {
+	if !s.jobs.holds(args.Job) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
+	defer cancel()
+	reply.Held = true
+	reply.Refusal = s.jobs.endHere(ctx, args.Account, args.Job)
+	return nil
+}
+
 // Register adds the service that peers call.
 func (j *Jobs) Register(r peer.Registrar) error { return r.Register("Jobs", &service{j}) }
 
-// readAtHolder asks the daemon that holds the job's partition. ok is false if
-// there is none, or it does not answer, or can't be sure: the log decides then.
-func (j *Jobs) readAtHolder(ctx context.Context, id string, after int, wait time.Duration) (View, *outcome.Refusal, bool) {
+// readAtHolder asks the daemon that holds the job's partition. ok is false if there is
+// none, or it does not answer, or can't be sure: the log decides then.
+func (j *Jobs) readAtHolder(ctx context.Context, account, id string, after int, wait time.Duration) (view View, refusal *outcome.Refusal, ok bool) {
 	var reply ReadReply
-	args := ReadArgs{Job: id, After: after, WaitMs: wait.Milliseconds()}
+	args := ReadArgs{Account: account, Job: id, After: after, WaitMs: wait.Milliseconds()}
 	answered := j.askHolder(ctx, id, wait+holderSlack, readMethod, args, &reply)
-	return reply.View, reply.Refusal, answered && reply.Held && reply.Refusal == nil
+	return reply.View, reply.Refusal, answered && reply.Held && certain(reply.Refusal)
+}
+
+// endAtHolder asks the daemon that holds the job's partition to end the job.
+func (j *Jobs) endAtHolder(ctx context.Context, account, id string) (refusal *outcome.Refusal, answered bool) {
+	var reply EndReply
+	reached := j.askHolder(ctx, id, endTime, endMethod, EndArgs{account, id}, &reply)
+	return reply.Refusal, reached && reply.Held && certain(reply.Refusal)
+}
+
+// certain tells whether a holder's answer is final: it knew of no reason to ask the log.
+func certain(refusal *outcome.Refusal) bool {
+	return refusal == nil || refusal.Code != outcome.LogUnavailable
 }
 
 // askHolder calls the daemon that holds the job's partition. False tells that there is
 // none, or that it did not answer in time.
 func (j *Jobs) askHolder(ctx context.Context, id string, within time.Duration, method string, args, reply any) bool {
-	address, found := j.owners.address(ctx, j.part(id))
+	address, found := j.holderOf(id)
+	if !found {
+		address, found = j.owners.address(ctx, j.part(id))
+	}
 	if !found {
 		return false
 	}
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -1,7 +1,8 @@
 // Package jobs keeps batch jobs on the partitioned log and runs their items.
 //
 // Every daemon reads all acceptances, so each can accept a job; none is a
-// leader. What has to be agreed is decided by the log: an append that demands
+// leader. In a large zone only the daemons that hold a partition do, and the others
+// forward calls to these; see follow.go. What has to be agreed is decided by the log: an append that demands
 // where its partition ends succeeds only if the appender had read everything
 // before. So a job is accepted once and within its quota, and an item has one
 // result at one position, whoever wrote them and however late an append took
@@ -58,8 +59,11 @@
 	// Others lists the other daemons; nil is none.
 	Others func() []places.Peer
 	// Fleet tells how many daemons there are.
-	Fleet  func() int
-	Topics Topics
+	Fleet func() int
+	// Large tells whether the own zone is so large that few of its daemons hold
+	// partitions, and Roomy whether this host is one of them; nil is a small zone.
+	Large, Roomy func() bool
+	Topics       Topics
 	// Parts is the number of partitions of each topic.
 	Parts int
 	// Routes returns the routes in force, nil before the first.
@@ -92,6 +96,9 @@
 type Jobs struct {
 	Options
 
+	// following is the reading of the acceptances; see follow.go.
+	following following
+
 	mu   sync.Mutex
 	book *batch.Book
 	// news tells of each change of the book.
@@ -107,8 +114,15 @@
 
 // New returns Jobs without any record read.
 func New(o Options) *Jobs {
+	if o.Large == nil {
+		o.Large = func() bool { return false }
+	}
+	if o.Roomy == nil {
+		o.Roomy = func() bool { return true }
+	}
 	j := &Jobs{Options: o, book: batch.NewBook()}
 	j.accepted = j.newCursor(partlog.Partition{Topic: o.Topics.Jobs}, j.book.ApplyJob)
+	j.following.duty.Loop = func(ctx context.Context) { partlog.Follow(ctx, j.Log, j.accepted.partition, jobsPace, j.accepted) }
 	for part := range o.Parts {
 		p := partlog.Partition{Topic: o.Topics.Results, Part: part}
 		c := j.newCursor(p, j.book.ApplyResult)
@@ -123,7 +137,7 @@
 
 // Run starts the duties.
 func (j *Jobs) Run(group *duty.Group) {
-	group.Go(func(ctx context.Context) { partlog.Follow(ctx, j.Log, j.accepted.partition, jobsPace, j.accepted) })
+	group.Go(j.followAccepted)
 	for _, w := range j.writers {
 		group.Go(w.run)
 	}
@@ -178,6 +192,9 @@
 	for _, k := range records {
 		c.applyOne(k)
 	}
+	if c == c.jobs.accepted && c.position < end {
+		c.jobs.forgetAllBut(records)
+	}
 	c.position = max(c.position, end)
 	c.read = time.Now()
 	if first {
@@ -307,5 +324,5 @@
 	c.take(kept)
 }
 
-// Loaded tells whether the jobs were read at all.
-func (j *Jobs) Loaded() bool { return j.accepted.Position() >= 0 }
+// Loaded tells whether the jobs were read at all, where this daemon keeps any.
+func (j *Jobs) Loaded() bool { return j.accepted.Position() >= 0 || !j.needsAccepted() }
--- a/daemon/jobs/membership.go
+++ b/daemon/jobs/membership.go
@@ -31,6 +31,13 @@
 	generation := int64(0)
 	forgot := time.Now()
 	for !r.isStopping() {
+		if r.jobs.Large() && !r.jobs.Roomy() {
+			r.leave(ctx)
+			if !duty.Pause(ctx, renewEvery) {
+				return
+			}
+			continue
+		}
 		claim, err := r.jobs.Groups.Join(ctx, groupName, r.jobs.Host, []string{r.jobs.Topics.Results}, memberTTL, generation)
 		if err == nil {
 			generation = claim.Generation
@@ -50,6 +57,22 @@
 	}
 }
 
+// leave gives back the partitions of a daemon that has found its zone to be large and its
+// host to be small.
+func (r *runner) leave(ctx context.Context) {
+	r.mu.Lock()
+	held := len(r.owned)
+	r.mu.Unlock()
+	if held == 0 {
+		return
+	}
+	if err := r.jobs.Groups.Leave(ctx, groupName, r.jobs.Host); err != nil {
+		r.jobs.Logger.Info("group_not_left", zap.Error(err))
+		return
+	}
+	r.hold(ctx, partlog.Claim{})
+}
+
 func (r *runner) isStopping() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/places/lead.go
+++ b/daemon/places/lead.go
@@ -23,11 +23,19 @@
 	// most startFor, knows no leader: where all start together, requests wait for one.
 	startPace = 25 * time.Millisecond
 	startFor  = time.Second
+	// partHolderLife is how long a daemon counts as the holder of a partition without being
+	// told again. A wrong one costs a call.
+	partHolderLife = 3 * time.Second
 	// zoneLife is how long what another zone's leader told counts.
 	zoneLife = 1500 * time.Millisecond
 	// strangers is how many daemons of a zone are told where its leader is not known;
 	// they pass it on.
 	strangers = 2
+	// wholeFor is the number of a zone's daemons for which each further heartbeat tells
+	// nothing of work: what a daemon receives then hardly grows with its zone.
+	wholeFor = 64
+	// mostCounts bounds the targets whose counts a heartbeat tells.
+	mostCounts = 64
 )
 
 // Lead takes part in the election of the zone's leader, and does a leader's work while
@@ -72,7 +80,7 @@
 	s.mu.Lock()
 	led := s.leads
 	s.election.SetMembers(now, s.members(peers))
-	s.leads = s.election.Lead(now, s.able && !s.stopping)
+	s.leads = s.election.Lead(now, s.able && !s.stopping && !s.cutOff)
 	s.noteLeader(now, "the election")
 	leads := s.leads
 	var room Room
@@ -112,16 +120,21 @@
 
 // beat gathers what the zone's daemons are told. s.mu is held.
 func (s *scheduler) beat(now time.Time) *Beat {
-	held := s.heldInZone(now)
+	b := &Beat{From: s.self, Leaders: s.otherLeaders(now), Roles: s.roles}
+	s.beats++
+	if b.Brief = s.beats%(1+len(s.election.Ordered())/wholeFor) != 0; b.Brief {
+		return b
+	}
+	b.Counts, b.Doubts, b.Held = s.ledger.Fullest(mostCounts), s.ledger.Doubts(now), s.heldInZone(now)
 	for _, z := range s.zones {
 		if now.Sub(z.at) > zoneLife {
 			continue
 		}
 		for holder, work := range z.held {
-			held[holder] = work
+			b.Held[holder] = work
 		}
 	}
-	return &Beat{From: s.self, Counts: s.ledger.Counts(), Doubts: s.ledger.Doubts(now), Held: held, Leaders: s.otherLeaders(now)}
+	return b
 }
 
 // otherLeaders lists the leaders of the other zones that this one, a leader, hears.
@@ -266,7 +279,8 @@
 	s.noteLeader(now, "its heartbeat")
 	follows := s.leader == b.From
 	if follows {
-		s.others, s.toldAt = b.Leaders, now
+		s.others, s.roles, s.toldAt = b.Leaders, b.Roles, now
+		s.daemons.Store(int64(b.Daemons))
 	}
 	s.mu.Unlock()
 	if follows {
@@ -274,12 +288,95 @@
 	}
 }
 
+// Zone is what a daemon knows of the daemons of its zone.
+type Zone struct {
+	// Leads tells that this daemon leads it; Leader is who does, "" for nobody.
+	Leads  bool
+	Leader string
+	// Roles are as the leader told at Told.
+	Roles
+	Told time.Time
+	// Members are the zone's daemons, those that lead before others first.
+	Members []string
+}
+
+// OwnZone returns what is known of the own zone.
+func (p *Places) OwnZone() Zone {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leader, _ := s.election.Leader(time.Now())
+	return Zone{Leads: s.leads, Leader: leader, Roles: s.roles, Told: s.toldAt, Members: s.election.Ordered()}
+}
+
+// SetRoles takes the roles that this daemon, as the leader, gives.
+func (p *Places) SetRoles(r Roles) {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leads {
+		s.roles, s.toldAt = r, time.Now()
+		s.daemons.Store(int64(r.Daemons))
+	}
+}
+
+// Daemons returns the size of the fleet as a leader of the zone told it, 0 for unknown.
+func (p *Places) Daemons() int { return int(p.scheduler.daemons.Load()) }
+
+// SetCutOff tells whether this daemon does not reach the log while another daemon of its
+// zone does. It leaves the lead to that one.
+//
+// Failure guarded against: the leader goes on to give out targets that have left, since
+// their entries no longer reach it.
+func (p *Places) SetCutOff(cutOff bool) {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutOff = cutOff
+}
+
+// PartHolder returns the peer address of the daemon that held a partition of batch work
+// for certain a moment ago, this one perhaps.
+func (p *Places) PartHolder(part int) (string, bool) {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, known := s.partHolders[part]
+	return h.address, known && time.Since(h.at) < partHolderLife
+}
+
+// PartHolders lists the daemons that held any partition a moment ago.
+func (p *Places) PartHolders() []string {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for _, h := range s.partHolders {
+		if time.Since(h.at) < partHolderLife && !slices.Contains(list, h.address) {
+			list = append(list, h.address)
+		}
+	}
+	return list
+}
+
+// noteHolders takes who holds which partitions. s.mu is held.
+func (s *scheduler) noteHolders(now time.Time, held map[string]HeldWork) {
+	for holder, work := range held {
+		for _, part := range work.Parts {
+			s.partHolders[part] = partHolder{holder, now}
+		}
+	}
+}
+
 // takeBeat keeps what the leader tells of work, for when it can't be asked. In a small
 // fleet the daemons tell each other of that.
 func (p *Places) takeBeat(now time.Time, b Beat) {
-	if !p.Scheduled() {
+	if !p.Scheduled() || b.Brief {
 		return
 	}
+	p.scheduler.mu.Lock()
+	p.scheduler.noteHolders(now, b.Held)
+	p.scheduler.mu.Unlock()
 	word := board.Word{From: "zone " + p.zone, Zone: p.zone, Doubts: b.Doubts}
 	for holder, work := range b.Held {
 		if holder != p.self {
--- a/daemon/places/messages.go
+++ b/daemon/places/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/core/feed"
 	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
@@ -46,12 +47,25 @@
 	Doubts map[string]int
 	// Held is the held work of the whole fleet, by the holder's peer address.
 	Held map[string]HeldWork
+	// Brief tells that the heartbeat says nothing of work.
+	Brief bool
 	// Leaders are the leaders of the other zones.
 	Leaders []string
+	Roles
 	// Resigned tells that the leader stops.
 	Resigned bool
 }
 
+// Roles are the parts that the leader of a large zone has given to daemons of the zone.
+type Roles struct {
+	// Readers read the log, the leader first; Standby holds all targets of the zone, ""
+	// for nobody.
+	Readers []feed.Reader
+	Standby string
+	// Daemons is the size of the fleet, 0 for unknown.
+	Daemons int
+}
+
 // Report is what a daemon tells a leader of its leases.
 type Report struct {
 	// Holder is the daemon's peer address, Incarnation one run of its process.
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -3,6 +3,8 @@
 package places
 
 import (
+	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,9 @@
 	PeerAddress string
 	// Fleet tells how many daemons there are; nil is one.
 	Fleet func() int
+	// Lean tells whether the zone is so large that most of its daemons hold only a sample
+	// of the targets, chosen by a daemon that knows all; nil is no.
+	Lean func() bool
 	// Counted tells whether accounts' requests are counted, for which zones need leaders
 	// in a small fleet too; nil is no.
 	Counted func() bool
@@ -46,6 +51,7 @@
 	self  string
 	zone  string
 	fleet func() int
+	lean  func() bool
 	// counted tells whether a small fleet needs leaders.
 	counted func() bool
 	logger  *zap.Logger
@@ -56,8 +62,15 @@
 	// beats numbers the heartbeats of the zone's leader.
 	beats  uint64
 	groups map[string]*group
-	// used holds the targets that may get work.
+	// used holds the targets that may get work: all of them, or a sample.
 	used map[roster.Start]roster.Target
+	// pool is what samples for other daemons are taken from, nil unless all targets of a
+	// large zone are known. built is the version of the roster that it and used are made
+	// from.
+	pool  *pool
+	built uint64
+	// known tells of the first list of targets, listed of each change of used.
+	known, listed duty.News
 	// starts holds those where own work runs, used or not.
 	starts starts
 	// expiry wakes the view when lapsed targets count as gone.
@@ -80,6 +93,9 @@
 	scheduler *scheduler
 }
 
+// neverBuilt is no version of a roster.
+const neverBuilt = math.MaxUint64
+
 // group is one target group.
 type group struct {
 	table   *routing.Table
@@ -91,6 +107,9 @@
 	if o.Fleet == nil {
 		o.Fleet = func() int { return 1 }
 	}
+	if o.Lean == nil {
+		o.Lean = func() bool { return false }
+	}
 	if o.Counted == nil {
 		o.Counted = func() bool { return false }
 	}
@@ -101,11 +120,11 @@
 		o.AskTime = defaultAskTime
 	}
 	p := &Places{
-		self: o.PeerAddress, zone: o.Zone, fleet: o.Fleet, counted: o.Counted, logger: o.Logger,
+		self: o.PeerAddress, zone: o.Zone, fleet: o.Fleet, lean: o.Lean, counted: o.Counted, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host, o.Zone),
 		groups: map[string]*group{}, used: map[roster.Start]roster.Target{}, starts: starts{},
 		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		gone: func(string) {},
+		gone: func(string) {}, built: neverBuilt,
 	}
 	p.scheduler = newScheduler(o, p.Scheduled, p.changed)
 	return p
@@ -120,28 +139,54 @@
 	now := time.Now()
 	p.mu.Lock()
 	change(now, p.roster)
+	if p.roster.Version(now) == p.built {
+		p.mu.Unlock()
+		return // heartbeats without news
+	}
 	left := p.rebuild(now)
 	replaced := p.starts.replaced(p.roster.Current)
 	p.mu.Unlock()
 	for _, t := range left {
 		p.gone(t.Address)
 	}
+	p.endReplaced(replaced)
+	p.known.Tell()
+	p.listed.Tell()
+	duty.Wake(p.changed)
+}
+
+// endReplaced ends the work at targets that have started again.
+func (p *Places) endReplaced(replaced []*runningStart) {
 	for _, at := range replaced {
 		p.logger.Info("target_started_again", zap.String("target", at.id), zap.Int("work_ended", at.work))
 		at.end()
 	}
-	duty.Wake(p.changed)
 }
 
 // rebuild works the groups out and returns the targets that are no longer used.
 func (p *Places) rebuild(now time.Time) []roster.Target {
 	usable, until := p.roster.Usable(now)
+	p.built = p.roster.Version(now)
+	p.pool = nil
+	held := usable
+	if p.lean() && p.roster.Complete() {
+		p.pool = newPool(p.zone, usable)
+		held = p.pool.sample(p.board.Self())
+	}
+	left := p.hold(held)
+	p.scheduler.setTargets(p.zoneTargets(usable), len(usable) > 0 && p.roster.Complete())
+	p.armExpiry(now, until)
+	return left
+}
+
+// hold takes the targets that may get work, and returns those that may no longer.
+func (p *Places) hold(held []roster.Target) []roster.Target {
 	// A first list is told in one line a group: with thousands of targets a line for
 	// each would keep a small host from serving when it starts.
 	first := len(p.used) == 0
 	members := map[string][]roster.Target{}
-	next := make(map[roster.Start]roster.Target, len(usable))
-	for _, t := range usable {
+	next := make(map[roster.Start]roster.Target, len(held))
+	for _, t := range held {
 		members[t.Group] = append(members[t.Group], t)
 		next[t.Start] = t
 		if _, known := p.used[t.Start]; !known && !first {
@@ -163,8 +208,6 @@
 		}
 	}
 	p.setGroups(members)
-	p.scheduler.setTargets(p.zoneTargets(), len(p.used) > 0)
-	p.armExpiry(now, until)
 	return left
 }
 
@@ -193,13 +236,11 @@
 }
 
 // zoneTargets lists the targets of the own zone by group.
-func (p *Places) zoneTargets() map[string][]slots.Target {
+func (p *Places) zoneTargets(usable []roster.Target) map[string][]slots.Target {
 	list := map[string][]slots.Target{}
-	for name, g := range p.groups {
-		for _, t := range g.targets {
-			if t.Zone == p.zone {
-				list[name] = append(list[name], slots.Target{Start: string(t.Start), Slots: t.Slots})
-			}
+	for _, t := range usable {
+		if t.Zone == p.zone {
+			list[t.Group] = append(list[t.Group], slots.Target{Start: string(t.Start), Slots: t.Slots, ID: t.ID, Born: t.Born, Address: t.Address, Zone: t.Zone})
 		}
 	}
 	return list
@@ -216,6 +257,9 @@
 	p.expiry = time.AfterFunc(until.Sub(now), func() { p.Update(func(time.Time, *roster.Roster) {}) })
 }
 
+// Address returns the own peer address.
+func (p *Places) Address() string { return p.self }
+
 // Known tells whether the list of targets was read at all.
 func (p *Places) Known() bool {
 	p.mu.Lock()
@@ -223,6 +267,21 @@
 	return p.roster.Known()
 }
 
+// AwaitKnown waits until the list of targets was read, or ctx is done.
+func (p *Places) AwaitKnown(ctx context.Context) {
+	for {
+		known := p.known.Next()
+		if p.Known() {
+			return
+		}
+		select {
+		case <-known:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Has tells whether the group has any usable target.
 func (p *Places) Has(group string) bool {
 	p.mu.Lock()
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -49,16 +50,24 @@
 	// told; "" is none.
 	leads  bool
 	leader string
-	// able tells whether targets are known; stopping that this daemon leaves.
-	able, stopping bool
-	// beaten is when the last heartbeat was sent.
+	// able tells whether the zone's targets are known; stopping that this daemon leaves;
+	// cutOff that it does not reach the log while another daemon of the zone does.
+	able, stopping, cutOff bool
+	// beaten is when the last heartbeat was sent, beats counts them.
 	beaten time.Time
+	beats  int
 	// holders is what the zone's daemons told, zones what the leaders of others did.
 	holders map[string]*holderWord
 	zones   map[string]*zoneWord
-	// others are the leaders of the other zones as the own zone's leader told at toldAt.
+	// others are the leaders of the other zones, and roles the part that daemons of the
+	// zone have, as the own zone's leader told at toldAt.
 	others []string
+	roles  Roles
 	toldAt time.Time
+	// daemons is the size of the fleet as a leader told it, 0 for unknown.
+	daemons atomic.Int64
+	// partHolders are the daemons that hold the partitions of batch work.
+	partHolders map[int]partHolder
 
 	own *ownLeases
 }
@@ -70,6 +79,12 @@
 	at                  time.Time
 }
 
+// partHolder is a daemon that held a partition for certain at the moment at.
+type partHolder struct {
+	address string
+	at      time.Time
+}
+
 // zoneWord is what another zone's leader told last.
 type zoneWord struct {
 	leader string
@@ -83,7 +98,7 @@
 	return &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, askTime: o.AskTime, logger: o.Logger, set: o.Metrics,
 		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedger(),
-		holders: map[string]*holderWord{}, zones: map[string]*zoneWord{}, own: newOwnLeases(scheduled, yielding),
+		holders: map[string]*holderWord{}, zones: map[string]*zoneWord{}, partHolders: map[int]partHolder{}, own: newOwnLeases(scheduled, yielding),
 	}
 }
 
@@ -104,7 +119,7 @@
 // grantHere gives a slot out of this daemon's own ledger.
 func (s *scheduler) grantHere(now time.Time, a slots.Ask) (slots.Grant, error) {
 	s.mu.Lock()
-	if !s.able || s.stopping {
+	if !s.able || s.stopping || s.cutOff {
 		s.mu.Unlock()
 		return slots.Grant{}, errNotReady.New("%s gives out no slots", s.self)
 	}
--- a/daemon/places/take.go
+++ b/daemon/places/take.go
@@ -101,11 +101,14 @@
 }
 
 // accept counts a slot that a leader gave, unless the target must get no work by what
-// is known here: the leader may have heard later that it leaves.
+// is known here: the leader may hear later that it leaves.
 func (p *Places) accept(ask slots.Ask, grant slots.Grant, by string) (Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, known := p.used[roster.Start(grant.Target)]
+	if !known {
+		t, known = p.granted(ask.Group, grant)
+	}
 	if !known {
 		p.scheduler.own.abandon(ask.ID.Number, by)
 		return Place{}, false
@@ -115,6 +118,22 @@
 	return place, true
 }
 
+// granted returns a target that is in no sample held here, as the leader told it. What
+// is known of it here goes before that. p.mu is held.
+func (p *Places) granted(group string, grant slots.Grant) (roster.Target, bool) {
+	at := grant.At
+	entry, known := p.roster.Entry(at.ID)
+	switch {
+	case at.Address == "" || !p.lean():
+		return roster.Target{}, false
+	case known:
+		return entry, string(entry.Start) == grant.Target && !entry.Draining
+	case at.Zone == p.zone && p.roster.Complete():
+		return roster.Target{}, false
+	}
+	return roster.Target{ID: at.ID, Born: at.Born, Start: roster.Start(at.Start), Group: group, Address: at.Address, Zone: at.Zone, Slots: at.Slots}, true
+}
+
 // begin counts work at the target. p.mu is held.
 func (p *Places) begin(t roster.Target, number uint64, by string, batch bool) Place {
 	now := time.Now()
--- a/inifile/values.go
+++ b/inifile/values.go
@@ -49,6 +49,21 @@
 	return e.value
 }
 
+// Idents returns a list of names, separated by commas.
+func (s *Section) Idents(key string) []string {
+	e, ok := s.lookup(key)
+	if !ok || e.value == "" {
+		return nil
+	}
+	list := SplitList(e.value)
+	for _, name := range list {
+		if !validName(name, ".-") {
+			s.Fail(key, fmt.Sprintf("%q is not a name", name), "names of letters, digits, '_', '.' and '-', separated by commas")
+		}
+	}
+	return list
+}
+
 // Enum returns one of the allowed words.
 func (s *Section) Enum(key, fallback string, allowed ...string) string {
 	e, ok := s.lookup(key)
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -22,6 +22,7 @@
 
 func (r *rows) section(name string)               { r.lines = append(r.lines, "### ["+name+"]") }
 func (r *rows) name(key string, _ *string)        { r.row(key, "required", "letters, digits, `_`, `.`, `-`") }
+func (r *rows) names(key string, _ *[]string)     { r.row(key, "", "names, separated by commas") }
 func (r *rows) address(key string, _ *string)     { r.row(key, "required", "`IP:PORT`") }
 func (r *rows) addresses(key string, _ *[]string) { r.row(key, "", "`IP:PORT, IP:PORT, ...`") }
 func (r *rows) optionalAddress(key string, _ *string) {
--- a/settings/encode.go
+++ b/settings/encode.go
@@ -34,6 +34,8 @@
 
 func (w *writer) name(key string, field *string) { w.set(key, *field) }
 
+func (w *writer) names(key string, field *[]string) { w.set(key, strings.Join(*field, ", ")) }
+
 func (w *writer) address(key string, field *string) { w.set(key, *field) }
 
 func (w *writer) optionalAddress(key string, field *string) { w.set(key, *field) }
--- a/settings/front.go
+++ b/settings/front.go
@@ -12,6 +12,8 @@
 type Front struct {
 	// Host is the daemon's name, Zone its availability zone.
 	Host, Zone string
+	// Zones are all availability zones of the fleet.
+	Zones []string
 	// CallersAddress is the IP:PORT that serves callers, ReadyAddress the one
 	// where the platform asks for readiness.
 	CallersAddress, ReadyAddress string
@@ -67,6 +69,7 @@
 	v.section("host")
 	v.name("name", &f.Host)
 	v.name("zone", &f.Zone)
+	v.names("zones", &f.Zones)
 	v.address("callers_address", &f.CallersAddress)
 	v.address("ready_address", &f.ReadyAddress)
 	v.address("peer_address", &f.PeerAddress)
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -20,6 +20,12 @@
 	*field = r.current.Ident(key, *field)
 }
 
+func (r *reader) names(key string, field *[]string) {
+	if r.current.Has(key) {
+		*field = r.current.Idents(key)
+	}
+}
+
 func (r *reader) address(key string, field *string) {
 	r.current.Require(key, "IP:PORT, like 127.0.0.1:8080")
 	*field = r.current.Address(key, *field, true)
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -16,6 +16,7 @@
 type visitor interface {
 	section(name string)
 	name(key string, field *string)
+	names(key string, field *[]string)
 	address(key string, field *string)
 	optionalAddress(key string, field *string)
 	addresses(key string, field *[]string)
