Bound what a daemon holds of bodies; a fleet of large zones in one process as a test

- Failure: hundreds of callers send bodies of 4 MB a byte at a time; hosts have 144 to 184 MB.
The bound of the own interface (a caller's half, a quarter for small bodies) moves from api/ to bodymemory/ and serves the platform's face and the answers that are read whole; bodies_mb sets it, a fifth of memory_mb by default.
The spec fails before: all bodies are held.
- daemon/front/zone_test.go: 60 daemons, 600 targets, a log that counts calls: one reader a zone, a storm of configurations, the leader lost, turned away, the log out.

--- a/api/admin.go
+++ b/api/admin.go
@@ -22,6 +22,9 @@
 	operator = "operator"
 )
 
+// operators is whose bodies /admin reads; a caller's name holds no slash.
+const operators = "/operators"
+
 // adminRoutes binds the operators' paths.
 func (s *Server) adminRoutes(g *echo.Group) {
 	g.GET("/config", s.getConfig)
--- a/api/body.go
+++ b/api/body.go
@@ -106,38 +106,14 @@
 	}
 }
 
-// bodyStep is how much memory a body reserves ahead of its bytes, so that a
-// stated length alone holds nothing.
-const bodyStep = 32 << 10
-
 // readBody reads a whole online body. release must be called when the body is
 // no longer used; it is never nil.
 func (s *Server) readBody(c echo.Context, caller string, limit int64, until time.Time) (body []byte, release func(), err error) {
-	claim := s.bodies.claim(caller)
+	claim := s.bodies.Claim(caller)
 	reader, err := s.newBodyReader(c, limit, until)
 	if err != nil {
-		return nil, claim.release, err
-	}
-	if n := c.Request().ContentLength; n >= 0 && n < bodyStep {
-		body = make([]byte, 0, n+1)
-	}
-	for {
-		if more := int64(cap(body)) - claim.held; more > 0 {
-			if refusal := claim.grow(more); refusal != nil {
-				return nil, claim.release, refusal
-			}
-		}
-		if len(body) == cap(body) {
-			body = append(body, make([]byte, max(bodyStep, cap(body)))...)[:len(body)]
-			continue
-		}
-		n, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, claim.release, nil
-		}
-		if err != nil {
-			return nil, claim.release, err
-		}
+		return nil, claim.Release, err
 	}
+	body, err = claim.ReadAll(reader, c.Request().ContentLength)
+	return body, claim.Release, err
 }
--- a/api/call.go
+++ b/api/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
@@ -117,7 +118,7 @@
 func (s *Server) settled() (*config.Config, error) {
 	cfg := s.opts.Backend.Config()
 	if cfg == nil || cfg.Version == 0 {
-		return nil, outcome.Refuse(outcome.NotReady, "no configuration is in force here yet").After(busyRetryMs)
+		return nil, outcome.Refuse(outcome.NotReady, "no configuration is in force here yet").After(bodymemory.BusyRetryMs)
 	}
 	return cfg, nil
 }
--- a/api/idset.go
+++ b/api/idset.go
@@ -1,6 +1,10 @@
 package api
 
-import "hash/maphash"
+import (
+	"hash/maphash"
+
+	"tarragonhollow.example/tarragonhollow/bodymemory"
+)
 
 const (
 	// idBytes is the most that one hash costs in the map.
@@ -17,11 +21,11 @@
 type idSet struct {
 	seed  maphash.Seed
 	seen  map[uint64]struct{}
-	claim *claim
+	claim *bodymemory.Claim
 }
 
 // newIDSet returns an empty set that reserves its memory by the claim.
-func newIDSet(claim *claim) *idSet {
+func newIDSet(claim *bodymemory.Claim) *idSet {
 	return &idSet{seed: maphash.MakeSeed(), seen: make(map[uint64]struct{}), claim: claim}
 }
 
@@ -32,7 +36,7 @@
 		return false, nil
 	}
 	if len(s.seen)%idStep == 0 {
-		if refusal := s.claim.grow(idStep * idBytes); refusal != nil {
+		if refusal := s.claim.Grow(idStep * idBytes); refusal != nil {
 			return false, refusal
 		}
 	}
@@ -41,4 +45,4 @@
 }
 
 // release gives the memory back.
-func (s *idSet) release() { s.claim.release() }
+func (s *idSet) release() { s.claim.Release() }
--- a/api/inflight.go
+++ b/api/inflight.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
 
@@ -27,7 +28,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if most > 0 && f.callers[caller] >= most {
-		return outcome.Refuse(outcome.CallerLimit, "%d requests of this caller are in flight here", most).After(busyRetryMs)
+		return outcome.Refuse(outcome.CallerLimit, "%d requests of this caller are in flight here", most).After(bodymemory.BusyRetryMs)
 	}
 	f.callers[caller]++
 	return nil
@@ -48,7 +49,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.running >= most {
-		return outcome.Refuse(outcome.Overloaded, "%d requests are in flight here", most).After(busyRetryMs)
+		return outcome.Refuse(outcome.Overloaded, "%d requests are in flight here", most).After(bodymemory.BusyRetryMs)
 	}
 	f.running++
 	return nil
--- a/api/observe.go
+++ b/api/observe.go
@@ -176,7 +176,7 @@
 	}
 	set.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(s.openConnections()) })
 	set.GetOrCreateGauge("tarragonhollow_http_requests_in_flight", func() float64 { return float64(s.inFlight.count()) })
-	set.GetOrCreateGauge("tarragonhollow_http_body_memory_bytes", func() float64 { return float64(s.bodies.total()) })
+	set.GetOrCreateGauge("tarragonhollow_http_body_memory_bytes", func() float64 { return float64(s.bodies.Total()) })
 	return m
 }
 
--- a/api/server.go
+++ b/api/server.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/callerconns"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 )
@@ -26,7 +27,7 @@
 	http     *http.Server
 	listener atomic.Pointer[callerconns.Listener]
 	inFlight *inFlight
-	bodies   *bodyMemory
+	bodies   *bodymemory.Memory
 	uploads  chan struct{}
 	draining atomic.Bool
 	metrics  *httpMetrics
@@ -42,7 +43,7 @@
 		opts:     opts,
 		echo:     echo.New(),
 		inFlight: newInFlight(),
-		bodies:   newBodyMemory(opts.MaxBodyMemory),
+		bodies:   bodymemory.New(opts.MaxBodyMemory),
 		uploads:  make(chan struct{}, opts.MaxUploads),
 	}
 	s.metrics = newHTTPMetrics(opts.Metrics, s)
--- a/api/upload.go
+++ b/api/upload.go
@@ -13,6 +13,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/core/config"
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
@@ -78,7 +79,7 @@
 		return func() { <-s.uploads; free() }, nil
 	default:
 		free()
-		return nil, outcome.Refuse(outcome.Overloaded, "%d jobs are being uploaded here", cap(s.uploads)).After(busyRetryMs)
+		return nil, outcome.Refuse(outcome.Overloaded, "%d jobs are being uploaded here", cap(s.uploads)).After(bodymemory.BusyRetryMs)
 	}
 }
 
@@ -104,10 +105,10 @@
 		return nil, err
 	}
 	u := &upload{
-		lines:     bufio.NewReaderSize(reader, bodyStep),
+		lines:     bufio.NewReaderSize(reader, bodymemory.Step),
 		lineBytes: orDefault(limits.LineBytes, defaultLineBytes),
 		mostItems: orDefault(limits.ItemsPerJob, defaultItemsPerJob),
-		ids:       newIDSet(s.bodies.claim(caller)),
+		ids:       newIDSet(s.bodies.Claim(caller)),
 		hash:      sha256.New(),
 	}
 	u.add([]byte(profile))
--- /dev/null
+++ b/bodymemory/bodymemory_test.go
@@ -0,0 +1,68 @@
+package bodymemory
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+)
+
+// Four callers with slow, large bodies would leave nothing for a fifth: a quarter
+// stays for small ones, and no caller takes more than its half.
+func TestBodyMemoryKeepsRoomForOthers(t *testing.T) {
+	const most = 32 * SmallClaim
+	memory := New(most)
+	for _, caller := range []string{"a", "b", "c", "d"} {
+		for memory.Claim(caller).Grow(2*SmallClaim) == nil {
+		}
+		if memory.callers[caller] > most/CallerShare {
+			t.Fatalf("caller %s holds %d bytes of %d", caller, memory.callers[caller], most)
+		}
+	}
+	if memory.used != most-most/smallReserve {
+		t.Fatalf("large claims hold %d bytes of %d", memory.used, most)
+	}
+	if refusal := memory.Claim("a").Grow(1); refusal == nil || refusal.Code != outcome.CallerLimit {
+		t.Fatalf("a caller at its share got %v", refusal)
+	}
+	small := memory.Claim("guest")
+	if refusal := small.Grow(SmallClaim); refusal != nil {
+		t.Fatalf("a small claim got %v", refusal)
+	}
+	if refusal := small.Grow(1); refusal == nil || refusal.Code != outcome.Overloaded {
+		t.Fatalf("a claim that grew large got %v", refusal)
+	}
+}
+
+// Hundreds of callers begin bodies of megabytes at once. What a host of 144 MB can't hold
+// is refused, and what was reserved for it is free again.
+func TestReadAllStopsWhereTheMemoryIsFull(t *testing.T) {
+	memory := New(8 * Step)
+	claim := memory.Claim("a")
+	body, err := claim.ReadAll(strings.NewReader(strings.Repeat("x", Step)), Step)
+	if err != nil || len(body) != Step {
+		t.Fatalf("%d bytes, %v", len(body), err)
+	}
+	other := memory.Claim("b")
+	_, err = other.ReadAll(strings.NewReader(strings.Repeat("x", 9*Step)), -1)
+	var refusal *outcome.Refusal
+	if !errors.As(err, &refusal) || refusal.Run != outcome.NotRun || refusal.RetryAfterMs == 0 {
+		t.Fatalf("a body beyond the memory got %v", err)
+	}
+	other.Release()
+	claim.Release()
+	if memory.Total() != 0 {
+		t.Fatalf("%d bytes are still reserved", memory.Total())
+	}
+	if _, err := memory.Claim("c").ReadAll(io.MultiReader(strings.NewReader("ab"), &broken{}), 10); !errors.Is(err, errBroken) {
+		t.Fatalf("a body that broke off gave %v", err)
+	}
+}
+
+var errBroken = errors.New("broken off")
+
+type broken struct{}
+
+func (*broken) Read([]byte) (int, error) { return 0, errBroken }
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -210,6 +210,21 @@
 		Expect(b.Waiting(quota)).To(BeEquivalentTo(1))
 	})
 
+	// A daemon has not read for a while, and a job was dropped meanwhile. Its tokens must not
+	// wait for ever: jobs that fit would be refused.
+	It("forgets the accepted jobs that the log no longer holds", func() {
+		job(batch.AcceptedKey("j"), accepted("j", 5))
+		job(batch.AcceptedKey("open"), accepted("open", 1))
+		Expect(b.Retain(map[string]bool{"open": true})).To(Equal([]batch.Change{{Job: "j", Forgotten: true}}))
+		Expect(b.Job("j")).To(BeNil())
+		Expect(b.Waiting(quota)).To(BeEquivalentTo(1))
+		id, ok := batch.ParseAcceptedKey(batch.AcceptedKey("a/b"))
+		Expect(ok).To(BeTrue())
+		Expect(id).To(Equal("a/b"))
+		_, ok = batch.ParseAcceptedKey(batch.EndedKey("a/b"))
+		Expect(ok).To(BeFalse())
+	})
+
 	It("refuses what it can't read, and changes nothing", func() {
 		_, err := b.ApplyJob("job/x", []byte{0xff})
 		Expect(err).To(HaveOccurred())
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/core/accounts"
 	"tarragonhollow.example/tarragonhollow/core/quota"
 	"tarragonhollow.example/tarragonhollow/core/route"
@@ -61,6 +62,8 @@
 
 	// Feed supplies the configuration and the targets.
 	Feed *feed.Feed
+	// Bodies bounds what is held of callers' requests and targets' answers.
+	Bodies *bodymemory.Memory
 
 	hosts      *hosts
 	suspects   *suspects.Tracker
@@ -78,7 +81,8 @@
 
 // New returns a daemon that does nothing yet.
 func New(s *settings.Front, a Adapter, logger *zap.Logger, set *metrics.Set) (*Node, error) {
-	n := &Node{Settings: s, Logger: logger, Metrics: set, started: time.Now()}
+	n := &Node{Settings: s, Logger: logger, Metrics: set, started: time.Now(), Bodies: bodymemory.New(s.BodyBytes())}
+	set.GetOrCreateGauge("tarragonhollow_body_memory_bytes", func() float64 { return float64(n.Bodies.Total()) })
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
 	self := places.Peer{Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores}
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -40,8 +40,9 @@
 var (
 	hostsPace = partlog.Pace{Wait: 8 * time.Second, Gather: 100 * time.Millisecond}
 	// largeZonePace: every daemon of a large zone reads each change of its list, and a
-	// daemon that is missing there for some seconds lacks nothing.
-	largeZonePace = partlog.Pace{Wait: 8 * time.Second, Gather: 2 * time.Second}
+	// daemon that is missing there for some seconds lacks nothing. A log that is out must
+	// not be asked all the time by all of them.
+	largeZonePace = partlog.Pace{Wait: 8 * time.Second, Gather: 2 * time.Second, LongestPause: 8 * time.Second}
 )
 
 // hostsOptions configure hosts.
--- /dev/null
+++ b/daemon/front/zone_test.go
@@ -0,0 +1,434 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/daemon/feed"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
+	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
+	"tarragonhollow.example/tarragonhollow/peer"
+)
+
+const (
+	largeZones   = 2
+	zoneDaemons  = 30
+	fleetTargets = 600
+	zoneLimit    = 60 * time.Second
+)
+
+var (
+	configurations = partlog.Partition{Topic: "configurations"}
+	entries        = partlog.Partition{Topic: "entries"}
+)
+
+// meteredLog is the log as one daemon reaches it. It counts the calls and may turn the
+// daemon away.
+type meteredLog struct {
+	partlog.Log
+	calls  atomic.Int64
+	turned atomic.Bool
+}
+
+func (l *meteredLog) reach() error {
+	l.calls.Add(1)
+	if l.turned.Load() {
+		return partlog.Unavailable.New("not this daemon")
+	}
+	return nil
+}
+
+func (l *meteredLog) Append(ctx context.Context, p partlog.Partition, records []partlog.Record, at int64) (int64, error) {
+	if err := l.reach(); err != nil {
+		return 0, err
+	}
+	return l.Log.Append(ctx, p, records, at)
+}
+
+func (l *meteredLog) Read(ctx context.Context, p partlog.Partition, from int64, wait time.Duration) (partlog.Page, error) {
+	if err := l.reach(); err != nil {
+		return partlog.Page{}, err
+	}
+	return l.Log.Read(ctx, p, from, wait)
+}
+
+func (l *meteredLog) Newest(ctx context.Context, p partlog.Partition, after string) (partlog.NewestPage, error) {
+	if err := l.reach(); err != nil {
+		return partlog.NewestPage{}, err
+	}
+	return l.Log.Newest(ctx, p, after)
+}
+
+// network hands the calls of daemons to each other; calls of dead ones and to them fail.
+type network struct {
+	mu        sync.Mutex
+	receivers map[string]map[string]any
+	dead      map[string]bool
+}
+
+func (n *network) kill(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead[address] = true
+}
+
+// end is one daemon's end of the network.
+type end struct {
+	network *network
+	address string
+}
+
+// Register implements peer.Registrar.
+func (e end) Register(service string, receiver any) error {
+	e.network.mu.Lock()
+	defer e.network.mu.Unlock()
+	if e.network.receivers[e.address] == nil {
+		e.network.receivers[e.address] = map[string]any{}
+	}
+	e.network.receivers[e.address][service] = receiver
+	return nil
+}
+
+// Call implements peer.Caller.
+func (e end) Call(ctx context.Context, address, method string, args, reply any) error {
+	service, name, _ := strings.Cut(method, ".")
+	e.network.mu.Lock()
+	receiver := e.network.receivers[address][service]
+	cut := e.network.dead[address] || e.network.dead[e.address]
+	e.network.mu.Unlock()
+	if receiver == nil || cut {
+		return peer.Unreachable.New("%s", address)
+	}
+	called := reflect.ValueOf(receiver).MethodByName(name)
+	if reply == nil {
+		reply = reflect.New(called.Type().In(1).Elem()).Interface()
+	}
+	// The answer of a call that was given up must not be written into the caller's reply.
+	answer := reflect.New(called.Type().In(1).Elem())
+	ended := make(chan error, 1)
+	go func() {
+		err, _ := called.Call([]reflect.Value{reflect.ValueOf(args), answer})[0].Interface().(error)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if err != nil {
+			return peer.RemoteError.Wrap(err, "%s", method)
+		}
+		reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		return nil
+	case <-ctx.Done():
+		return peer.NoReply.Wrap(ctx.Err(), "%s", method)
+	}
+}
+
+// Notify implements peer.Caller.
+func (e end) Notify(address, method string, args any) {
+	go func() { _ = e.Call(context.Background(), address, method, args, nil) }() // one way
+}
+
+// member is one daemon of a large fleet: its lists, its targets and its configuration.
+type member struct {
+	name          string
+	log           *meteredLog
+	hosts         *hosts
+	places        *places.Places
+	configuration *Configuration
+	feed          *feed.Feed
+	stop          func()
+}
+
+// configurationLog reads configurations that are written as their number.
+type configurationLog struct {
+	*Configuration
+	position int64
+}
+
+func (c *configurationLog) Position() int64 { return c.position }
+
+func (c *configurationLog) Load(records []partlog.Kept, end int64) {
+	for _, k := range records {
+		_ = c.Configuration.Take(k.Value, "log")
+	}
+	c.position = end
+}
+
+func (c *configurationLog) Take(page partlog.Page) { c.Load(page.Records, page.Next) }
+
+func (c *configurationLog) Heard(err error) {
+	if err == nil {
+		c.Hear(time.Now())
+	}
+}
+
+// entryLog reads targets; the value is the zone, and a prefix of one that drains.
+type entryLog struct {
+	places   *places.Places
+	position int64
+}
+
+func (e *entryLog) Position() int64 { return e.position }
+
+func (e *entryLog) Load(records []partlog.Kept, end int64) {
+	var all []roster.Target
+	for _, k := range records {
+		all = append(all, targetOf(k))
+	}
+	e.places.Update(func(now time.Time, r *roster.Roster) {
+		r.Heard(now)
+		r.Replace(now, all)
+	})
+	e.position = end
+}
+
+func (e *entryLog) Take(page partlog.Page) {
+	e.places.Update(func(now time.Time, r *roster.Roster) {
+		r.Heard(now)
+		for _, k := range page.Records {
+			r.Set(now, targetOf(k))
+		}
+	})
+	e.position = page.Next
+}
+
+func (e *entryLog) Heard(error) {}
+
+const drains = "draining "
+
+func targetOf(k partlog.Kept) roster.Target {
+	zone, draining := strings.CutPrefix(string(k.Value), drains)
+	return roster.Target{ID: k.Key, Group: "g", Address: k.Key, Zone: zone, Slots: 4, Draining: draining}
+}
+
+// zoneFleet is a fleet whose zones are large, in one process.
+type zoneFleet struct {
+	log     *fakepartlog.Log
+	network *network
+	members []*member
+}
+
+func newZoneFleet() *zoneFleet {
+	f := &zoneFleet{log: fakepartlog.New(4), network: &network{receivers: map[string]map[string]any{}, dead: map[string]bool{}}}
+	f.log.SetPageSize(200)
+	for i := range fleetTargets {
+		f.put(entries, fmt.Sprint("t", i), fmt.Sprint("z", i%largeZones+1))
+	}
+	f.put(configurations, "config", "1")
+	// The fleet ran before: its daemons stand in the lists.
+	var all []*member
+	for i := range largeZones * zoneDaemons {
+		m := f.newMember(i)
+		all = append(all, m)
+		f.put(m.hosts.ownList().partition, m.name, string(encodeEntry(m.hosts.Own)))
+	}
+	for _, m := range all {
+		f.start(m)
+	}
+	f.members = all
+	return f
+}
+
+func (f *zoneFleet) put(p partlog.Partition, key, value string) {
+	_, err := f.log.Append(context.Background(), p, []partlog.Record{{Key: key, Value: []byte(value)}}, partlog.Anywhere)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (f *zoneFleet) newMember(i int) *member {
+	m := &member{name: fmt.Sprintf("%d:%d", i/largeZones+1, i%largeZones+1), log: &meteredLog{Log: f.log}}
+	own := places.Peer{Address: m.name, Zone: fmt.Sprint("z", i%largeZones+1), Cores: 0.2}
+	set := metrics.NewSet()
+	caller := end{f.network, m.name}
+	o := hostsOf(m.log, m.name, m.name, own.Zone)
+	o.Own = own
+	m.hosts = newHosts(o)
+	m.configuration = configured()
+	m.configuration.Peers, m.configuration.Others = caller, m.hosts.peers
+	m.places = places.New(places.Options{Host: m.name, Zone: own.Zone, PeerAddress: m.name, Cores: own.Cores, Fleet: m.hosts.count,
+		Lean: m.hosts.isLarge, Peers: caller, AskTime: zoneLimit, Logger: zap.NewNop()})
+	m.feed = feed.New(feed.Options{Host: m.name, Self: m.name, Large: m.hosts.large, Daemons: m.hosts.knownCount, Configuration: m.configuration,
+		Targets: m.places, Peers: caller, Logger: zap.NewNop(), Metrics: set})
+	m.hosts.reads, m.hosts.daemons = m.feed.Reads, m.places.Daemons
+	Expect(m.places.Register(caller)).To(Succeed())
+	Expect(m.feed.Register(caller)).To(Succeed())
+	return m
+}
+
+func (f *zoneFleet) start(m *member) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group := duty.NewGroup(ctx)
+	group.Go(m.hosts.run)
+	group.Go(func(ctx context.Context) { m.places.Lead(ctx, m.hosts.peers) })
+	group.Go(m.places.Report)
+	pace := partlog.Pace{Wait: 300 * time.Millisecond}
+	m.feed.Run(group,
+		func(ctx context.Context) {
+			partlog.Follow(ctx, m.log, configurations, pace, &configurationLog{m.configuration, -1})
+		},
+		func(ctx context.Context) { partlog.Follow(ctx, m.log, entries, pace, &entryLog{m.places, -1}) })
+	m.stop = sync.OnceFunc(func() {
+		f.network.kill(m.name)
+		cancel()
+		group.Wait()
+	})
+}
+
+// stop stops all daemons together.
+func (f *zoneFleet) stop() {
+	var stopping sync.WaitGroup
+	for _, m := range f.members {
+		stopping.Go(m.stop)
+	}
+	stopping.Wait()
+}
+
+// leader returns the daemon that leads a zone, nil for none.
+func (f *zoneFleet) leader(zone string) *member {
+	for _, m := range f.members {
+		if m.hosts.Own.Zone == zone && m.places.OwnZone().Leads {
+			return m
+		}
+	}
+	return nil
+}
+
+// reading counts the daemons that read the targets.
+func (f *zoneFleet) reading() int {
+	n := 0
+	for _, m := range f.members {
+		if m.feed.Reads() {
+			n++
+		}
+	}
+	return n
+}
+
+// supplied waits until all daemons but the given ones hold a version and know targets.
+func (f *zoneFleet) supplied(version int, but ...*member) {
+	GinkgoHelper()
+	for _, m := range f.members {
+		if len(but) > 0 && m == but[0] {
+			continue
+		}
+		Eventually(m.configuration.Version).WithTimeout(zoneLimit).Should(BeEquivalentTo(version), m.name)
+		Eventually(func() bool { return m.places.Has("g") }).WithTimeout(zoneLimit).Should(BeTrue(), m.name)
+	}
+}
+
+// served takes a place at a member and gives it back.
+func (m *member) served() string {
+	place, refusal := m.places.Take(context.Background(), places.Ask{Group: "g", Patience: time.Second})
+	if refusal != nil {
+		return ""
+	}
+	m.places.Release(place, routing.Neutral, 0)
+	return place.ID
+}
+
+var _ = Describe("A fleet of large zones", func() {
+	var f *zoneFleet
+	BeforeEach(func() {
+		f = newZoneFleet()
+		DeferCleanup(f.stop)
+		f.supplied(1)
+	})
+
+	// Each host reads everything: at a thousand hosts the log serves a part of the calls,
+	// and hosts keep old routes and know few targets.
+	It("reads the log at one daemon of each zone", func() {
+		Eventually(f.reading).WithTimeout(zoneLimit).Should(Equal(largeZones))
+		before := map[*member]int64{}
+		for _, m := range f.members {
+			before[m] = m.log.calls.Load()
+		}
+		for version := 2; version <= 13; version++ {
+			f.put(configurations, "config", strconv.Itoa(version))
+		}
+		f.supplied(13)
+		calls := int64(0)
+		for _, m := range f.members {
+			if !m.feed.Reads() {
+				calls += m.log.calls.Load() - before[m]
+			}
+		}
+		// A subscriber renews the reading of its zone's list, and no more.
+		Expect(calls).To(BeNumerically("<", 2*len(f.members)))
+	})
+
+	It("uses every target, though each daemon holds few", func() {
+		Eventually(f.reading).WithTimeout(zoneLimit).Should(Equal(largeZones))
+		got := map[string]bool{}
+		for range 4 {
+			for _, m := range f.members {
+				got[m.served()] = true
+			}
+		}
+		Expect(len(got)).To(BeNumerically(">", 3*len(f.members)), "each request goes to an empty target")
+	})
+
+	// The leader's host is lost. Its zone must not be left with old routes.
+	It("goes on when the leader of a zone is lost", func() {
+		Eventually(func() *member { return f.leader("z1") }).WithTimeout(zoneLimit).ShouldNot(BeNil())
+		lost := f.leader("z1")
+		lost.stop()
+		f.put(configurations, "config", "2")
+		f.supplied(2, lost)
+		Eventually(f.reading).WithTimeout(zoneLimit).Should(Equal(largeZones))
+	})
+
+	// The platform turns the leader's host away and serves the others. It would go on to
+	// give out targets that have left, and pass no change on.
+	It("goes on when the log turns the leader of a zone away", func() {
+		Eventually(func() *member { return f.leader("z1") }).WithTimeout(zoneLimit).ShouldNot(BeNil())
+		turned := f.leader("z1")
+		turned.log.turned.Store(true)
+		f.put(configurations, "config", "2")
+		for i := range fleetTargets / 2 {
+			f.put(entries, fmt.Sprint("t", i), drains+fmt.Sprint("z", i%largeZones+1))
+		}
+		f.supplied(2)
+		Eventually(func() bool { return f.leader("z1") != turned }).WithTimeout(zoneLimit).Should(BeTrue())
+		drained := func(id string) bool {
+			n, err := strconv.Atoi(strings.TrimPrefix(id, "t"))
+			return err != nil || n < fleetTargets/2
+		}
+		Eventually(func() bool {
+			for _, m := range f.members {
+				if drained(m.served()) {
+					return false
+				}
+			}
+			return true
+		}).WithTimeout(zoneLimit).Should(BeTrue())
+	})
+
+	// The log is out for all. When it is back it must not be met by refused calls of the
+	// whole fleet.
+	It("has few daemons ask a log that is out, and follows it when it is back", func() {
+		Eventually(f.reading).WithTimeout(zoneLimit).Should(Equal(largeZones))
+		f.log.SetDown(true)
+		most := 0
+		for range 40 {
+			most = max(most, f.reading())
+			duty.Pause(context.Background(), 50*time.Millisecond)
+		}
+		Expect(most).To(BeNumerically("<=", 5*largeZones))
+		f.log.SetDown(false)
+		f.put(configurations, "config", "2")
+		f.supplied(2)
+	})
+})
--- a/daemon/jobs/fakes_test.go
+++ b/daemon/jobs/fakes_test.go
@@ -21,6 +21,7 @@
 	Submit(jobs.SubmitArgs, *jobs.SubmitReply) error
 	Write(jobs.WriteArgs, *jobs.WriteReply) error
 	Body(jobs.BodyArgs, *jobs.BodyReply) error
+	End(jobs.EndArgs, *jobs.EndReply) error
 }
 
 // fakePeers calls the daemons of a spec directly. A daemon's address is its name.
@@ -94,6 +95,9 @@
 	if method == "Jobs.Body" {
 		return to.Body(args.(jobs.BodyArgs), reply.(*jobs.BodyReply))
 	}
+	if method == "Jobs.End" {
+		return to.End(args.(jobs.EndArgs), reply.(*jobs.EndReply))
+	}
 	return to.Read(args.(jobs.ReadArgs), reply.(*jobs.ReadReply))
 }
 
@@ -241,3 +245,17 @@
 	}
 	return nil
 }
+
+// namedHolder says that one daemon holds all partitions, "" for nobody.
+type namedHolder struct{ self, holder string }
+
+func (h namedHolder) Address() string { return h.self }
+
+func (h namedHolder) PartHolder(int) (string, bool) { return h.holder, h.holder != "" }
+
+func (h namedHolder) PartHolders() []string {
+	if h.holder == "" {
+		return nil
+	}
+	return []string{h.holder}
+}
--- a/daemon/jobs/follow.go
+++ b/daemon/jobs/follow.go
@@ -18,6 +18,16 @@
 // holds partitions. What jobs cost the log then follows the number of partitions and not
 // that of the daemons.
 
+// Holders names the daemons that hold partitions, by their peer addresses.
+type Holders interface {
+	// Address is this daemon's.
+	Address() string
+	// PartHolder returns the daemon that held a partition for certain a moment ago, and
+	// PartHolders those that held any.
+	PartHolder(part int) (string, bool)
+	PartHolders() []string
+}
+
 // followLook is the pace at which a daemon looks whether it has to follow the
 // acceptances.
 const followLook = 50 * time.Millisecond
@@ -79,8 +89,8 @@
 // holderOf returns the peer address of another daemon that holds the job's partition, as
 // the zone's leader told.
 func (j *Jobs) holderOf(job string) (string, bool) {
-	address, known := j.Places.PartHolder(j.part(job))
-	return address, known && address != j.Places.Address()
+	address, known := j.Holders.PartHolder(j.part(job))
+	return address, known && address != j.Holders.Address()
 }
 
 // holders lists other daemons that hold partitions, that of the job's partition first.
@@ -90,10 +100,10 @@
 	if known {
 		list = append(list, places.Peer{Address: first})
 	}
-	others := j.Places.PartHolders()
+	others := j.Holders.PartHolders()
 	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
 	for _, address := range others {
-		if address != first && address != j.Places.Address() {
+		if address != first && address != j.Holders.Address() {
 			list = append(list, places.Peer{Address: address})
 		}
 	}
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -63,7 +63,9 @@
 	// Large tells whether the own zone is so large that few of its daemons hold
 	// partitions, and Roomy whether this host is one of them; nil is a small zone.
 	Large, Roomy func() bool
-	Topics       Topics
+	// Holders names the daemons that hold partitions, in a large zone; nil is Places.
+	Holders Holders
+	Topics  Topics
 	// Parts is the number of partitions of each topic.
 	Parts int
 	// Routes returns the routes in force, nil before the first.
@@ -117,6 +119,9 @@
 	if o.Large == nil {
 		o.Large = func() bool { return false }
 	}
+	if o.Holders == nil {
+		o.Holders = o.Places
+	}
 	if o.Roomy == nil {
 		o.Roomy = func() bool { return true }
 	}
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -97,6 +97,9 @@
 		peers  *fakePeers
 		// fleet is how many daemons there are said to be.
 		fleet int
+		// holder is who holds all partitions of a large zone, "" for a small zone; only it
+		// is roomy.
+		holder string
 		// views holds what each daemon knows of the targets.
 		views map[string]*places.Places
 		// reach holds how a host reaches the log, where it does not as the others do.
@@ -107,6 +110,7 @@
 
 	BeforeEach(func() {
 		fleet = 2
+		holder = ""
 		views = map[string]*places.Places{}
 		reach = map[string]*hostLog{}
 		logger = zap.NewNop()
@@ -133,7 +137,12 @@
 		if own := reach[name]; own != nil {
 			reached = own
 		}
+		var holders jobs.Holders
+		if holder != "" {
+			holders = namedHolder{name, holder}
+		}
 		j := jobs.New(jobs.Options{
+			Large: func() bool { return holder != "" }, Roomy: func() bool { return name == holder }, Holders: holders,
 			Host: name, Zone: "z", Log: reached, Groups: groups, Others: func() []places.Peer { return peers.list(name) }, Peers: peers, Address: peers.address, Fleet: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
 			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashes(noSuspects{}, pool), KeepFor: time.Hour, Logger: logger, Metrics: metrics.NewSet(),
 		})
@@ -187,6 +196,56 @@
 		return n
 	}
 
+	// Thousands of hosts that all read the acceptances take the log's whole rate, and jobs
+	// are refused. In a large zone a host without partitions reads nothing of jobs and still
+	// serves every call about them.
+	It("serves jobs at a host of a large zone that reads nothing of them", func() {
+		holder = "a"
+		reach["b"] = newHostLog(log)
+		reach["b"].set(turnedAway)
+		daemon("a", log)
+		b, _ := daemon("b", log)
+		Eventually(func() *outcome.Refusal { return submit(b, submission("j", 3)) }).WithTimeout(limit).Should(BeNil())
+		Expect(submit(b, submission("j", 3))).To(BeNil(), "the same job comes again")
+		Expect(acceptances()).To(Equal(1))
+		Expect(all(b, "j")).To(HaveLen(3))
+		_, refusal := b.Read(ctx(), "", "unknown", 0, 0)
+		Expect(refusal.Code).To(Equal(outcome.NotFound))
+		Expect(b.End(ctx(), "", "j")).To(BeNil())
+		Expect(b.End(ctx(), "", "unknown").Code).To(Equal(outcome.NotFound))
+	})
+
+	It("shows the body of a waiting item, and ends a job, through the holder", func() {
+		holder = "a"
+		hung := make(chan struct{})
+		script = func(*rawtarget.Request, net.Conn) { <-hung }
+		DeferCleanup(func() { close(hung) })
+		reach["b"] = newHostLog(log)
+		reach["b"].set(turnedAway)
+		daemon("a", log)
+		b, _ := daemon("b", log)
+		Eventually(func() *outcome.Refusal { return submit(b, submission("j", 1)) }).WithTimeout(limit).Should(BeNil())
+		Eventually(func() string {
+			body, _ := b.Body(ctx(), "", "j", "j-0")
+			return string(body)
+		}).WithTimeout(limit).Should(Equal("body of j-0"))
+		Expect(b.End(ctx(), "", "j")).To(BeNil())
+	})
+
+	// The holder is dead and no other one is known: what can't be said is refused for now,
+	// and no job is denied that may exist.
+	It("denies no job while nobody is reached that follows the jobs", func() {
+		holder = "gone"
+		reach["b"] = newHostLog(log)
+		reach["b"].set(turnedAway)
+		b, _ := daemon("b", log)
+		_, refusal := b.Read(ctx(), "", "j", 0, 0)
+		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
+		refusal = submit(b, submission("j", 1))
+		Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
+		Expect(refusal.Run).To(Equal(outcome.NotRun))
+	})
+
 	// A target crashes behind a cut with items under way and starts again under its
 	// ID. Nothing comes on their connections any more; the items must not wait for
 	// that to be noticed.
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
@@ -136,6 +137,9 @@
 	buffer := make([]byte, readSize)
 	for {
 		n, err := answer.Read(buffer, u.bodyPatience())
+		if refusal := u.request.hold(n); refusal != nil {
+			return attempt{reached: true, detail: refusal.Message, health: routing.Neutral}
+		}
 		body = append(body, buffer[:n]...)
 		if err == io.EOF {
 			break
@@ -159,6 +163,15 @@
 	return attempt{done: true, health: routing.Succeeded}
 }
 
+// hold reserves the memory for n more bytes of the answer. What earlier attempts reserved
+// is used again by none, so that a request never holds more than it reserved.
+func (r *Request) hold(n int) *outcome.Refusal {
+	if r.Memory == nil || n == 0 {
+		return nil
+	}
+	return r.Memory.Grow(int64(n))
+}
+
 func (u *run) bodyPatience() time.Duration {
 	if u.repeats() {
 		return firstPatience
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/roster"
@@ -50,6 +51,8 @@
 	// Arrived is when the request was read, Deadline when the caller stops
 	// waiting.
 	Arrived, Deadline time.Time
+	// Memory bounds what is held of the answer; nil is no bound.
+	Memory *bodymemory.Claim
 }
 
 // Verdict is what an answer's head says of the request.
--- a/extern/partlog/fakepartlog/fakepartlog.go
+++ b/extern/partlog/fakepartlog/fakepartlog.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	parts  map[partlog.Partition]*partition
 	groups map[string]*group
+	// pageSize bounds the records of a page of newest ones.
+	pageSize int
 	// count is the number of partitions that a group deals out per topic.
 	count int
 	news  chan struct{}
@@ -58,7 +60,7 @@
 
 // New returns an empty log whose groups deal out count partitions of a topic.
 func New(count int) *Log {
-	return &Log{parts: map[partlog.Partition]*partition{}, groups: map[string]*group{}, count: count, news: make(chan struct{})}
+	return &Log{parts: map[partlog.Partition]*partition{}, groups: map[string]*group{}, count: count, news: make(chan struct{}), pageSize: smallPage}
 }
 
 // SetDown makes every call fail with nothing done.
@@ -208,8 +210,11 @@
 	return partlog.Page{Next: from + int64(len(records)), End: at.end(), Records: records}, news, nil
 }
 
-// pageSize is small, so that tests meet several pages.
-const pageSize = 3
+// smallPage is the size of a page unless it is set, so that tests meet several pages.
+const smallPage = 3
+
+// SetPageSize sets how many newest records a page holds.
+func (l *Log) SetPageSize(n int) { l.set(func() { l.pageSize = n }) }
 
 // Newest implements partlog.Log.
 func (l *Log) Newest(_ context.Context, p partlog.Partition, after string) (partlog.NewestPage, error) {
@@ -230,8 +235,8 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b partlog.Kept) int { return cmp.Compare(a.Key, b.Key) })
-	page := partlog.NewestPage{End: at.end(), More: len(all) > pageSize}
-	page.Records = all[:min(pageSize, len(all))]
+	page := partlog.NewestPage{End: at.end(), More: len(all) > l.pageSize}
+	page.Records = all[:min(l.pageSize, len(all))]
 	return page, nil
 }
 
--- a/extern/partlog/follow.go
+++ b/extern/partlog/follow.go
@@ -38,6 +38,9 @@
 	// Gather is the pause after each read that brought records, so that a busy
 	// partition is read in few calls.
 	Gather time.Duration
+	// LongestPause bounds the pause after failed calls; 0 stands for a pause within which
+	// a change has to be seen.
+	LongestPause time.Duration
 	// Patience bounds a read beyond its wait; 0 leaves that to the log. A host whose
 	// link to the log was cut silently learns what it missed no sooner.
 	Patience time.Duration
@@ -46,6 +49,9 @@
 // Follow loads the partition and then keeps the reader up to date until ctx is
 // done.
 func Follow(ctx context.Context, log Log, p Partition, pace Pace, r Reader) {
+	if pace.LongestPause <= 0 {
+		pace.LongestPause = longestPause
+	}
 	f := follower{log: log, partition: p, pace: pace, reader: r}
 	pause := firstPause
 	for ctx.Err() == nil {
@@ -58,7 +64,7 @@
 		switch {
 		case err != nil:
 			sleep(ctx, pause/2+rand.N(pause/2+1))
-			pause = min(2*pause, longestPause)
+			pause = min(2*pause, pace.LongestPause)
 		case news:
 			pause = firstPause
 			sleep(ctx, pace.Gather)
--- a/settings/front.go
+++ b/settings/front.go
@@ -26,6 +26,9 @@
 	LogParts   int
 	// MemoryMB bounds the process.
 	MemoryMB int
+	// BodiesMB bounds what is held of requests and answers together, which are copied once
+	// more while they are sent; 0 stands for a part of MemoryMB.
+	BodiesMB int
 	// Cores is the processor time that the process may use, in cores.
 	Cores float64
 	// StopGrace is how long after the signal to stop the process may live.
@@ -65,6 +68,17 @@
 	}
 }
 
+// bodiesPart is the part of the memory, 1/bodiesPart, that bodies take by default.
+const bodiesPart = 5
+
+// BodyBytes bounds what is held of requests and answers together, in bytes.
+func (f *Front) BodyBytes() int64 {
+	if f.BodiesMB > 0 {
+		return int64(f.BodiesMB) * mib
+	}
+	return int64(f.MemoryMB) * mib / bodiesPart
+}
+
 func (f *Front) walk(v visitor) {
 	v.section("host")
 	v.name("name", &f.Host)
@@ -79,6 +93,7 @@
 	v.number("partitions", &f.LogParts, 1, mostParts)
 	v.section("limits")
 	v.number("memory_mb", &f.MemoryMB, leastMemory, mostMemory)
+	v.number("bodies_mb", &f.BodiesMB, 0, mostMemory)
 	v.fraction("cores", &f.Cores, leastCores, mostCores)
 	v.duration("stop_grace", &f.StopGrace, time.Second, time.Hour)
 	v.section("jobs")
