--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -194,7 +194,7 @@
 	if len(zone.Readers) > 0 {
 		f.source.SetReaders(zone.Readers)
 	}
-	if slices.ContainsFunc(zone.Readers, func(r feed.Reader) bool { return r.Address == f.Self }) && now.Sub(zone.Told) < roleFor {
+	if slices.ContainsFunc(zone.Readers, func(r feed.Reader) bool { return r.Address == f.Self }) && now.Sub(zone.ReceivedAt) < roleFor {
 		f.chosen = now
 	}
 	if now.Sub(f.chosen) < roleFor && !f.chosen.IsZero() {
@@ -224,7 +224,7 @@
 // outdone tells whether this daemon does not reach the log while a reader that the
 // leader named lately does. f.mu is held.
 func (f *Feed) outdone(now time.Time, zone places.Zone) bool {
-	if now.Sub(zone.Told) > roleFor || (feed.Reader{Age: f.logAge(now)}).Fresh() {
+	if now.Sub(zone.ReceivedAt) > roleFor || (feed.Reader{Age: f.logAge(now)}).Fresh() {
 		return false
 	}
 	return slices.ContainsFunc(zone.Readers, func(r feed.Reader) bool { return r.Address != f.Self && r.Fresh() })
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -33,6 +33,9 @@
 // crash may be anybody's fault, a second one at another target hardly is.
 const crashLimit = 2
 
+// sweepEvery is the pace at which old connections to targets are closed.
+const sweepEvery = 2 * time.Second
+
 // targetWait is how long after its start a daemon waits for a target of every
 // group before it calls itself ready without: entries that lapsed are back within
 // some 2 s.
@@ -85,6 +88,7 @@
 	set.GetOrCreateGauge("tarragonhollow_body_memory_bytes", func() float64 { return float64(n.Bodies.Total()) })
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
+	set.GetOrCreateGauge("tarragonhollow_target_connections_idle", func() float64 { return float64(n.pool.Idle()) })
 	self := places.Peer{Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores}
 	n.hosts = newHosts(hostsOptions{Log: a.Log, Topic: a.HostsTopic, Parts: s.LogParts, Host: s.Host, Own: self, Zones: s.Zones, Logger: logger})
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
@@ -201,6 +205,7 @@
 	group.Go(n.hosts.run)
 	n.Feed.Run(group, readConfiguration, readTargets)
 	group.Go(n.Configuration.borrow)
+	group.Go(func(ctx context.Context) { duty.Every(ctx, sweepEvery, n.pool.Sweep) })
 	group.Go(func(ctx context.Context) { n.Places.Spread(ctx, n.peers, n.hosts.peers) })
 	group.Go(func(ctx context.Context) { n.Places.Lead(ctx, n.hosts.peers) })
 	group.Go(n.Places.Report)
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -19,9 +20,10 @@
 )
 
 const (
-	// announcePause is the pause before an announcement or a first load that failed is
-	// repeated.
-	announcePause = 300 * time.Millisecond
+	// firstPause and longestPause bound the pause before an announcement or a first load
+	// that failed is repeated.
+	firstPause   = 300 * time.Millisecond
+	longestPause = 1200 * time.Millisecond
 	// smallZone is the number of daemons of a zone up to which each of them follows the
 	// whole fleet and reads everything from the log.
 	smallZone = 24
@@ -145,10 +147,9 @@
 // needs, until ctx is done.
 func (h *hosts) run(ctx context.Context) {
 	own := h.ownList()
-	for partlog.Load(ctx, h.Log, own.partition, own) != nil {
-		if !duty.Pause(ctx, announcePause) {
-			return
-		}
+	h.retry(ctx, func() error { return partlog.Load(ctx, h.Log, own.partition, own) })
+	if ctx.Err() != nil {
+		return
 	}
 	group := duty.NewGroup(ctx)
 	group.Go(h.announce)
@@ -156,17 +157,27 @@
 	group.Wait()
 }
 
-// announce writes the own entry.
-func (h *hosts) announce(ctx context.Context) {
-	entry := []partlog.Record{{Key: h.Host, Value: encodeEntry(h.Own)}}
-	for ctx.Err() == nil {
-		_, err := h.Log.Append(ctx, h.ownList().partition, entry, partlog.Anywhere)
+// retry repeats a call of the log until it succeeds or ctx is done.
+func (h *hosts) retry(ctx context.Context, call func() error) {
+	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, longestPause) {
+		err := call()
 		if err == nil {
-			h.Logger.Info("announced", zap.String("address", h.Own.Address))
 			return
 		}
 		h.Logger.Info("not_announced", zap.Error(err))
-		duty.Pause(ctx, announcePause)
+		duty.Pause(ctx, pause/2+rand.N(pause/2))
+	}
+}
+
+// announce writes the own entry.
+func (h *hosts) announce(ctx context.Context) {
+	entry := []partlog.Record{{Key: h.Host, Value: encodeEntry(h.Own)}}
+	h.retry(ctx, func() error {
+		_, err := h.Log.Append(ctx, h.ownList().partition, entry, partlog.Anywhere)
+		return err
+	})
+	if ctx.Err() == nil {
+		h.Logger.Info("announced", zap.String("address", h.Own.Address))
 	}
 }
 
--- a/daemon/places/lead.go
+++ b/daemon/places/lead.go
@@ -164,7 +164,7 @@
 	if s.leads {
 		return s.otherLeaders(now)
 	}
-	if now.Sub(s.toldAt) > zoneLife {
+	if now.Sub(s.rolesAt) > zoneLife {
 		return nil
 	}
 	return slices.Clone(s.others)
@@ -279,8 +279,8 @@
 	s.noteLeader(now, "its heartbeat")
 	follows := s.leader == b.From
 	if follows {
-		s.others, s.roles, s.toldAt = b.Leaders, b.Roles, now
-		s.daemons.Store(int64(b.Daemons))
+		s.others, s.roles, s.rolesAt = b.Leaders, b.Roles, now
+		s.noteDaemons(b.Daemons)
 	}
 	s.mu.Unlock()
 	if follows {
@@ -293,9 +293,9 @@
 	// Leads tells that this daemon leads it; Leader is who does, "" for nobody.
 	Leads  bool
 	Leader string
-	// Roles are as the leader told at Told.
+	// Roles are as the leader gave them at ReceivedAt.
 	Roles
-	Told time.Time
+	ReceivedAt time.Time
 	// Members are the zone's daemons, those that lead before others first.
 	Members []string
 }
@@ -306,7 +306,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	leader, _ := s.election.Leader(time.Now())
-	return Zone{Leads: s.leads, Leader: leader, Roles: s.roles, Told: s.toldAt, Members: s.election.Ordered()}
+	return Zone{Leads: s.leads, Leader: leader, Roles: s.roles, ReceivedAt: s.rolesAt, Members: s.election.Ordered()}
 }
 
 // SetRoles takes the roles that this daemon, as the leader, gives.
@@ -315,8 +315,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leads {
-		s.roles, s.toldAt = r, time.Now()
-		s.daemons.Store(int64(r.Daemons))
+		s.roles, s.rolesAt = r, time.Now()
+		s.noteDaemons(r.Daemons)
+	}
+}
+
+// noteDaemons takes the size of the fleet. A leader that has just come forward does not
+// know it yet.
+func (s *scheduler) noteDaemons(n int) {
+	if n > 0 {
+		s.daemons.Store(int64(n))
 	}
 }
 
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -60,10 +60,10 @@
 	holders map[string]*holderWord
 	zones   map[string]*zoneWord
 	// others are the leaders of the other zones, and roles the part that daemons of the
-	// zone have, as the own zone's leader told at toldAt.
-	others []string
-	roles  Roles
-	toldAt time.Time
+	// zone have, as the own zone's leader told at rolesAt.
+	others  []string
+	roles   Roles
+	rolesAt time.Time
 	// daemons is the size of the fleet as a leader told it, 0 for unknown.
 	daemons atomic.Int64
 	// partHolders are the daemons that hold the partitions of batch work.
--- a/target/h1/h1_test.go
+++ b/target/h1/h1_test.go
@@ -93,6 +93,27 @@
 	// A target sends a second answer to a request it has answered. It waits on
 	// the kept connection and would be read as the answer to the next request:
 	// a caller would get another caller's answer.
+	// Guards against descriptors that are held for targets which are not used again.
+	It("closes kept connections that are too old to be used, and no others", func() {
+		exchange := func(headers ...string) {
+			t := start(func(_ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, rawtarget.Whole(200, "x", append(headers, "Id: r")...))
+			})
+			answer, err := pool.Do(context.Background(), t.Address, request("r"), options("r"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = read(answer)
+			Expect(err).NotTo(HaveOccurred())
+			answer.Close()
+		}
+		exchange("Keep-Alive: timeout=3600")
+		exchange("Keep-Alive: timeout=1")
+		Expect(pool.Idle()).To(Equal(2))
+		Eventually(func() int {
+			pool.Sweep()
+			return pool.Idle()
+		}).WithTimeout(limit).Should(Equal(1))
+	})
+
 	It("does not keep a connection behind whose answer more bytes lie", func() {
 		t := start(func(r *rawtarget.Request, c net.Conn) {
 			id := r.Header.Get("Id")
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -12,6 +12,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -145,6 +146,41 @@
 	p.idle[c.address] = append(list, c)
 }
 
+// Sweep closes the kept connections that have been idle for too long to be used again.
+//
+// Failure guarded against: a daemon sends each request to another one of thousands of
+// targets. Connections that their targets have closed would hold descriptors until the
+// same target is used again.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		fresh := slices.DeleteFunc(list, func(c *conn) bool {
+			old := time.Since(c.since) > c.keep
+			if old {
+				_ = c.Close()
+			}
+			return old
+		})
+		if len(fresh) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = fresh
+	}
+}
+
+// Idle returns the number of kept connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
 // Forget closes the kept connections to an address, whose target has gone.
 func (p *Pool) Forget(address string) {
 	p.mu.Lock()
