Lead a zone by who reaches the log; follow jobs while begun items are left

The age of the standby's list was that of what the leader had passed on, so it passed for a reader that the log serves, and the two of them took the lead by turns from the daemon that the log did serve: 4 s in which a target that drains was given out. Now a reading's age is that of the log's own answers to it, and a daemon that the log does not answer leaves the lead while any other reader reached the log in the last 3 s. A leader that is lost no longer counts there: before, its standby waited those 3 s. - UNASKED: a daemon that had lost its partitions finished items that it had begun, but no longer read the ends of jobs; an item ran 5.4 s after its job's end was acknowledged. Ruled out: old lists at members (they take what the leader grants), a late heartbeat.

--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -6,7 +6,7 @@
 // itself.
 //
 // Files: feed.go decides what this daemon reads, subscribe.go asks a reader, serve.go
-// answers subscribers.
+// answers subscribers, reading.go reads one list from the log.
 package feed
 
 import (
@@ -67,8 +67,9 @@
 	Rebuild()
 }
 
-// Read follows a list on the log until ctx is done.
-type Read func(ctx context.Context)
+// Read follows a list on the log until ctx is done. It calls answered whenever the log has
+// told it that what it holds is whole and new.
+type Read func(ctx context.Context, answered func())
 
 // Options configure a Feed.
 type Options struct {
@@ -95,8 +96,11 @@
 	source  *feed.Source
 	backup  *feed.Fallback
 	// leads tells whether this daemon led the zone when it last looked, large whether the
-	// zone was large.
+	// zone was large; leader is who led it, "" for nobody.
 	leads, large bool
+	leader       string
+	// reached holds when each other reader was last known to reach the log.
+	reached map[string]time.Time
 	// chosen is when a leader last named this daemon as a reader.
 	chosen time.Time
 	// targets is the number of targets as a reader last told.
@@ -105,12 +109,12 @@
 	// adopted is the digest of the sample that this daemon holds, 0 for none.
 	adopted uint64
 
-	configurationReading, targetReading duty.Switch
+	configurationReading, targetReading reading
 }
 
 // New returns a feed that does nothing yet.
 func New(o Options) *Feed {
-	f := &Feed{Options: o, readers: feed.NewReaders(o.Self), standby: feed.NewStandby(o.Self), source: feed.NewSource(o.Self), backup: feed.NewFallback(time.Now())}
+	f := &Feed{Options: o, readers: feed.NewReaders(o.Self), standby: feed.NewStandby(o.Self), reached: map[string]time.Time{}, source: feed.NewSource(o.Self), backup: feed.NewFallback(time.Now())}
 	o.Metrics.GetOrCreateGauge("tarragonhollow_feed_reads_log", func() float64 {
 		if f.Reads() {
 			return 1
@@ -130,7 +134,8 @@
 // Run keeps the daemon supplied until the group's context is done: readConfiguration and
 // readTargets follow the log.
 func (f *Feed) Run(group *duty.Group, readConfiguration, readTargets Read) {
-	f.configurationReading.Loop, f.targetReading.Loop = readConfiguration, readTargets
+	f.configurationReading.use(readConfiguration)
+	f.targetReading.use(readTargets)
 	group.Go(f.decide)
 	group.Go(f.subscribe)
 }
@@ -190,7 +195,8 @@
 		return true, true
 	}
 	f.leads = false
-	f.Targets.SetCutOff(f.outdone(now, zone))
+	f.noteReached(now, zone)
+	f.Targets.SetCutOff(f.outdone(now))
 	if len(zone.Readers) > 0 {
 		f.source.SetReaders(zone.Readers)
 	}
@@ -218,50 +224,63 @@
 	list := f.readers.Select(now, own, zone.Members)
 	f.Targets.SetRoles(places.Roles{Readers: list, Standby: f.standby.Select(now, zone.Members), Daemons: f.Daemons()})
 	f.source.SetReaders(list)
-	f.Targets.SetCutOff(!list[0].Fresh() && slices.ContainsFunc(list[1:], feed.Reader.Fresh))
+	zone.Leader, zone.Readers, zone.ReceivedAt = f.Self, list, now
+	f.noteReached(now, zone)
+	f.Targets.SetCutOff(f.outdone(now))
 }
 
-// outdone tells whether this daemon does not reach the log while a reader that the
-// leader named lately does. f.mu is held.
-func (f *Feed) outdone(now time.Time, zone places.Zone) bool {
-	if now.Sub(zone.ReceivedAt) > roleFor || (feed.Reader{Age: f.logAge(now)}).Fresh() {
+// noteReached notes which readers reach the log, as the zone's leader knows. f.mu is held.
+//
+// A leader that was lost no longer counts: it may have been the only one that reached the
+// log, and its standby leads next.
+func (f *Feed) noteReached(now time.Time, zone places.Zone) {
+	if zone.Leader != f.leader {
+		delete(f.reached, f.leader)
+		f.leader = zone.Leader
+	}
+	if now.Sub(zone.ReceivedAt) > feed.StaleAfter {
+		return
+	}
+	for i, r := range zone.Readers {
+		lost := i == 0 && r.Address != zone.Leader
+		if r.Fresh() && r.Address != f.Self && !lost {
+			f.reached[r.Address] = now
+		}
+	}
+}
+
+// outdone tells whether this daemon does not reach the log while another reader did a
+// moment ago. f.mu is held.
+func (f *Feed) outdone(now time.Time) bool {
+	if (feed.Reader{Age: f.logAge(now)}).Fresh() {
 		return false
 	}
-	return slices.ContainsFunc(zone.Readers, func(r feed.Reader) bool { return r.Address != f.Self && r.Fresh() })
+	outdone := false
+	for address, at := range f.reached {
+		if now.Sub(at) > roleFor {
+			delete(f.reached, address)
+			continue
+		}
+		outdone = true
+	}
+	return outdone
 }
 
 // logAge is how long ago the log last answered this daemon's own readings, of the two the
 // longer time; feed.Never if one of them was not answered. f.mu is held.
 func (f *Feed) logAge(now time.Time) time.Duration {
-	configuration, targets := f.configurationAge(now), f.targetsAge(now)
+	configuration, targets := f.configurationReading.age(now), f.targetReading.age(now)
 	if configuration == feed.Never || targets == feed.Never {
 		return feed.Never
 	}
 	return max(configuration, targets)
 }
 
-// configurationAge is the age of the configuration as read from the log. f.mu is held.
-func (f *Feed) configurationAge(now time.Time) time.Duration {
-	if !f.configurationReading.Running() || f.Configuration.Version() < 0 {
-		return feed.Never
-	}
-	return f.Configuration.Age(now)
-}
-
-// targetsAge is the age of the targets as read from the log. f.mu is held.
-func (f *Feed) targetsAge(now time.Time) time.Duration {
-	age, complete := f.Targets.TargetsAge(now)
-	if !f.targetReading.Running() || !complete {
-		return feed.Never
-	}
-	return age
-}
-
 // situation is what the fallback goes by. f.mu is held.
 func (f *Feed) situation(now time.Time, zone places.Zone) feed.Situation {
 	turn := max(0, slices.Index(zone.Members, f.Self))
 	return feed.Situation{Turn: turn, Members: len(zone.Members), Targets: f.targets,
-		ConfigurationAge: f.configurationAge(now), TargetsAge: f.targetsAge(now)}
+		ConfigurationAge: f.configurationReading.age(now), TargetsAge: f.targetReading.age(now)}
 }
 
 // set starts and ends the readings. f.mu is held.
@@ -278,10 +297,10 @@
 }
 
 // reportDue returns the report to the leader if it is due. f.mu is held.
-func (f *Feed) reportDue(now time.Time, zone places.Zone, reads bool) *Report {
+func (f *Feed) reportDue(now time.Time, zone places.Zone, reads bool) *ReaderReport {
 	if !f.large || !reads || zone.Leads || zone.Leader == "" || now.Sub(f.reported) < reportEvery {
 		return nil
 	}
 	f.reported = now
-	return &Report{From: f.Self, Age: f.logAge(now)}
+	return &ReaderReport{From: f.Self, Age: f.logAge(now)}
 }
--- a/daemon/feed/serve.go
+++ b/daemon/feed/serve.go
@@ -64,9 +64,9 @@
 	HeldMs int64
 }
 
-// Report tells the leader that a daemon reads the log, and how long ago the log last
+// ReaderReport tells the leader that a daemon reads the log, and how long ago the log last
 // answered it; see feed.Reader.
-type Report struct {
+type ReaderReport struct {
 	From string
 	Age  time.Duration
 }
@@ -81,7 +81,7 @@
 func (f *Feed) Register(r peer.Registrar) error { return r.Register(service, &calls{f}) }
 
 // Report is called by the readers of the zone.
-func (s *calls) Report(r Report, _ *Ack) error {
+func (s *calls) Report(r ReaderReport, _ *Ack) error {
 	s.feed.mu.Lock()
 	defer s.feed.mu.Unlock()
 	s.feed.readers.Report(time.Now(), r.From, r.Age)
--- a/daemon/front/zone_test.go
+++ b/daemon/front/zone_test.go
@@ -157,6 +157,7 @@
 type configurationLog struct {
 	*Configuration
 	position int64
+	answered func()
 }
 
 func (c *configurationLog) Position() int64 { return c.position }
@@ -173,6 +174,7 @@
 func (c *configurationLog) Heard(err error) {
 	if err == nil {
 		c.Hear(time.Now())
+		c.answered()
 	}
 }
 
@@ -180,6 +182,7 @@
 type entryLog struct {
 	places   *places.Places
 	position int64
+	answered func()
 }
 
 func (e *entryLog) Position() int64 { return e.position }
@@ -206,7 +209,11 @@
 	e.position = page.Next
 }
 
-func (e *entryLog) Heard(error) {}
+func (e *entryLog) Heard(err error) {
+	if err == nil {
+		e.answered()
+	}
+}
 
 const drains = "draining "
 
@@ -276,10 +283,12 @@
 	group.Go(m.places.Report)
 	pace := partlog.Pace{Wait: 300 * time.Millisecond}
 	m.feed.Run(group,
-		func(ctx context.Context) {
-			partlog.Follow(ctx, m.log, configurations, pace, &configurationLog{m.configuration, -1})
+		func(ctx context.Context, answered func()) {
+			partlog.Follow(ctx, m.log, configurations, pace, &configurationLog{m.configuration, -1, answered})
 		},
-		func(ctx context.Context) { partlog.Follow(ctx, m.log, entries, pace, &entryLog{m.places, -1}) })
+		func(ctx context.Context, answered func()) {
+			partlog.Follow(ctx, m.log, entries, pace, &entryLog{m.places, -1, answered})
+		})
 	m.stop = sync.OnceFunc(func() {
 		f.network.kill(m.name)
 		cancel()
--- a/daemon/jobs/fakes_test.go
+++ b/daemon/jobs/fakes_test.go
@@ -259,3 +259,16 @@
 	}
 	return []string{h.holder}
 }
+
+// taken deals everything out until it is taken away.
+type taken struct {
+	everything
+	away atomic.Bool
+}
+
+func (t *taken) Join(ctx context.Context, group, member string, names []string, ttl time.Duration, generation int64) (partlog.Claim, error) {
+	if t.away.Load() {
+		return partlog.Claim{Generation: 2}, nil
+	}
+	return t.everything.Join(ctx, group, member, names, ttl, generation)
+}
--- a/daemon/jobs/follow.go
+++ b/daemon/jobs/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,15 +62,29 @@
 	j.following.set(ctx, false)
 }
 
-// needsAccepted tells whether this daemon follows the acceptances.
+// needsAccepted tells whether this daemon follows the acceptances: it holds a partition,
+// or finishes what it began while it held one. The ends of jobs come with them.
 func (j *Jobs) needsAccepted() bool {
-	if !j.Large() {
-		return true
-	}
+	return !j.Large() || j.holdsAny() || j.runner.finishing(time.Now()) || !j.written()
+}
+
+// holdsAny tells whether this daemon holds a partition.
+func (j *Jobs) holdsAny() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for _, c := range j.results {
-		if c.unfollow != nil {
+	return slices.ContainsFunc(j.results, func(c *cursor) bool { return c.unfollow != nil })
+}
+
+// finishing tells whether items run here, or may still be started that were begun here
+// while their partition was held.
+func (r *runner) finishing(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.active) > 0 {
+		return true
+	}
+	for _, at := range r.gaveUp {
+		if now.Sub(at) < finishFor {
 			return true
 		}
 	}
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -215,6 +215,31 @@
 		Expect(b.End(ctx(), "", "unknown").Code).To(Equal(outcome.NotFound))
 	})
 
+	// Guards against items of an ended job that go on at a daemon which has lost their
+	// partition, and so no longer reads the ends of jobs.
+	It("ends the items that it began when their job ends, after its partition has gone", func() {
+		holder = "a"
+		hung := make(chan struct{})
+		running := make(chan struct{}, 10)
+		script = func(*rawtarget.Request, net.Conn) {
+			running <- struct{}{}
+			<-hung
+		}
+		DeferCleanup(func() { close(hung) })
+		core, lines := observer.New(zap.InfoLevel)
+		logger = zap.New(core)
+		groups := &taken{everything: everything{log}}
+		a, _ := daemon("a", groups)
+		Eventually(func() *outcome.Refusal { return submit(a, submission("j", 1)) }).WithTimeout(limit).Should(BeNil())
+		Eventually(running).WithTimeout(limit).Should(Receive())
+		groups.away.Store(true)
+		Eventually(func() int { return lines.FilterMessage("partition_given_up").Len() }).WithTimeout(limit).Should(Equal(4))
+		_, err := log.Append(ctx(), partlog.Partition{Topic: topics.Jobs}, []partlog.Record{{Key: batch.EndedKey("j"), Value: []byte{1}}}, partlog.Anywhere)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return lines.FilterMessage("item_run_ended").Len() }).WithTimeout(limit).Should(Equal(1))
+		Expect(lines.FilterMessage("item_run_ended").All()[0].ContextMap()).To(HaveKeyWithValue("cause", "the item or its job is over"))
+	})
+
 	It("shows the body of a waiting item, and ends a job, through the holder", func() {
 		holder = "a"
 		hung := make(chan struct{})
