--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -264,14 +264,9 @@
 	}
 }
 
-// known makes sure that the job is known. "No such job" is said only after the
-// log was read to its end just now.
-func (j *Jobs) known(ctx context.Context, id string) *outcome.Refusal {
-	return j.await(ctx, id, func(*batch.Job) bool { return true })
-}
-
-// knownTo is known for a client account. Another account than the job's gets the same
-// answer, after the same work, as if there were no such job.
+// knownTo makes sure that the job is known and a client account's. "No such job" is said
+// only after the log was read to its end just now. Another account than the job's gets the
+// same answer, after the same work, as if there were no such job.
 func (j *Jobs) knownTo(ctx context.Context, account, id string) *outcome.Refusal {
 	return j.await(ctx, id, func(known *batch.Job) bool { return known.BelongsTo(account) })
 }
