Forget the lists of zones that are no longer followed, once the zone is large

Found in the last reading of the change: where a zone turned large, the followings were stopped and made anew for another pace, and a list that was not followed any more was dropped only if its following was stopped at that moment. It stayed, as old as it was, and counted in the size of the fleet by which quotas of accounts are shared out. The spec fails before (2 in place of unknown after 60 s) and passes after. Beside it: a failed load of the list has an event of its own, three comments.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -7,9 +7,8 @@
 // zones, and what a subscriber holds follows nothing at all.
 //
 // Files: readers.go is the leader's choice of readers, standby.go that of who is to lead
-// after it, source.go the subscriber's choice
-// of a reader, fallback.go what a daemon does that no reader serves, sample.go the
-// targets that it holds.
+// after it, source.go the subscriber's choice of a reader, fallback.go what a daemon does
+// that no reader serves, sample.go the targets that it holds.
 package feed
 
 import "time"
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,6 +124,38 @@
 		Expect(a.peers()).To(BeEmpty())
 	})
 
+	// Guards against an old size of the fleet, by which quotas of accounts are shared out.
+	It("forgets the lists of other zones that it no longer follows, once its zone is large", func() {
+		log := fakepartlog.New(1)
+		put := func(h *hosts) {
+			_, err := log.Append(context.Background(), h.ownList().partition, []partlog.Record{{Key: h.Host, Value: encodeEntry(h.Own)}}, partlog.Anywhere)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		a := newHosts(hostsOf(log, "a", "1:1", "z1"))
+		// Zones may share a partition; these two must not.
+		other := "z2"
+		for n := 3; a.part(other) == a.part("z1"); n++ {
+			other = fmt.Sprint("z", n)
+		}
+		a.Zones = []string{"z1", other}
+		put(a)
+		put(newHosts(hostsOf(log, "b", "2:2", other)))
+		ctx, cancel := context.WithCancel(context.Background())
+		var ended sync.WaitGroup
+		ended.Go(func() { a.run(ctx) })
+		DeferCleanup(func() {
+			cancel()
+			ended.Wait()
+		})
+		Eventually(a.knownCount).WithTimeout(zoneLimit).Should(Equal(2))
+		for n := range smallZone {
+			put(newHosts(hostsOf(log, fmt.Sprint("n", n), fmt.Sprint("3:", n+1), "z1")))
+		}
+		Eventually(a.isLarge).WithTimeout(zoneLimit).Should(BeTrue())
+		Eventually(func() int { return len(a.peers()) }).WithTimeout(zoneLimit).Should(Equal(smallZone))
+		Expect(a.knownCount()).To(BeZero())
+	})
+
 	// Somebody writes into the topic where the daemons tell of each other. It must
 	// cost the daemons that wrote properly nothing.
 	It("passes over records of its topic that name no peer", func() {
--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -147,7 +147,7 @@
 // needs, until ctx is done.
 func (h *hosts) run(ctx context.Context) {
 	own := h.ownList()
-	h.retry(ctx, func() error { return partlog.Load(ctx, h.Log, own.partition, own) })
+	h.retry(ctx, "hosts_not_loaded", func() error { return partlog.Load(ctx, h.Log, own.partition, own) })
 	if ctx.Err() != nil {
 		return
 	}
@@ -157,14 +157,15 @@
 	group.Wait()
 }
 
-// retry repeats a call of the log until it succeeds or ctx is done.
-func (h *hosts) retry(ctx context.Context, call func() error) {
+// retry repeats a call of the log until it succeeds or ctx is done; event names the line
+// that each failure writes.
+func (h *hosts) retry(ctx context.Context, event string, call func() error) {
 	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, longestPause) {
 		err := call()
 		if err == nil {
 			return
 		}
-		h.Logger.Info("not_announced", zap.Error(err))
+		h.Logger.Info(event, zap.Error(err))
 		duty.Pause(ctx, pause/2+rand.N(pause/2))
 	}
 }
@@ -172,7 +173,7 @@
 // announce writes the own entry.
 func (h *hosts) announce(ctx context.Context) {
 	entry := []partlog.Record{{Key: h.Host, Value: encodeEntry(h.Own)}}
-	h.retry(ctx, func() error {
+	h.retry(ctx, "not_announced", func() error {
 		_, err := h.Log.Append(ctx, h.ownList().partition, entry, partlog.Anywhere)
 		return err
 	})
@@ -200,7 +201,8 @@
 		h.reading(readings, own, large).Set(ctx, true)
 		all := h.needsAll()
 		for _, part := range h.otherParts() {
-			if h.reading(readings, part, large).Set(ctx, all) && !all {
+			h.reading(readings, part, large).Set(ctx, all)
+			if !all {
 				h.drop(part)
 			}
 		}
@@ -254,6 +256,9 @@
 func (h *hosts) drop(part int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.lists[part] == nil {
+		return
+	}
 	delete(h.lists, part)
 	h.gather()
 }
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -2,7 +2,9 @@
 //
 // Every daemon reads all acceptances, so each can accept a job; none is a
 // leader. In a large zone only the daemons that hold a partition do, and the others
-// forward calls to these; see follow.go. What has to be agreed is decided by the log: an append that demands
+// forward calls to these; see follow.go.
+//
+// What has to be agreed is decided by the log: an append that demands
 // where its partition ends succeeds only if the appender had read everything
 // before. So a job is accepted once and within its quota, and an item has one
 // result at one position, whoever wrote them and however late an append took
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -163,8 +163,8 @@
 	return attempt{done: true, health: routing.Succeeded}
 }
 
-// hold reserves the memory for n more bytes of the answer. What earlier attempts reserved
-// is used again by none, so that a request never holds more than it reserved.
+// hold reserves the memory for n more bytes of an answer. Attempts add up: what a failed
+// one reserved is free when the request ends.
 func (r *Request) hold(n int) *outcome.Refusal {
 	if r.Memory == nil || n == 0 {
 		return nil
