--- a/daemon/front/configuration.go
+++ b/daemon/front/configuration.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/route"
@@ -32,8 +33,10 @@
 	borrowEvery = 250 * time.Millisecond
 	borrowFrom  = 2
 	// borrowTime bounds one call.
-	borrowTime   = 400 * time.Millisecond
-	newerService = "Configuration"
+	borrowTime = 400 * time.Millisecond
+	// reportSilenceEvery is the pace of the lines while the source stays silent.
+	reportSilenceEvery = 5 * time.Second
+	newerService       = "Configuration"
 	// newerMethod asks a peer for a newer configuration.
 	newerMethod = newerService + ".Newer"
 )
@@ -46,6 +49,8 @@
 	Peers  peer.Caller
 	Others func() []places.Peer
 	Logger *zap.Logger
+	// Metrics receives the counters; nil counts nothing that is shown.
+	Metrics *metrics.Set
 }
 
 // Configuration is the operator's configuration as this daemon holds it. It is safe for
@@ -53,6 +58,9 @@
 type Configuration struct {
 	ConfigurationOptions
 	started time.Time
+	// asked and notAnswered count the calls to other daemons, borrowedBytes what they
+	// brought.
+	asked, notAnswered, borrowedBytes *metrics.Counter
 
 	table atomic.Pointer[route.Table]
 	// routed tells of each configuration.
@@ -69,7 +77,14 @@
 
 // NewConfiguration returns one without any version, of a daemon that starts now.
 func NewConfiguration(o ConfigurationOptions) *Configuration {
-	return &Configuration{ConfigurationOptions: o, started: time.Now()}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	c := &Configuration{ConfigurationOptions: o, started: time.Now()}
+	c.asked = o.Metrics.GetOrCreateCounter("tarragonhollow_configuration_peer_calls_total")
+	c.notAnswered = o.Metrics.GetOrCreateCounter("tarragonhollow_configuration_peer_calls_failed_total")
+	c.borrowedBytes = o.Metrics.GetOrCreateCounter("tarragonhollow_configuration_peer_bytes_total")
+	return c
 }
 
 // Routes returns the routes in force, nil before the first configuration.
@@ -79,10 +94,12 @@
 // where it came from. Errors are those of Decode. An older one than that in force is left out: a
 // daemon that reads the history again, or asks one that lags, must not go back.
 func (c *Configuration) Take(written []byte, from string) error {
+	began := time.Now()
 	table, err := c.Decode(written)
 	if err != nil {
 		return err
 	}
+	decodeTime := time.Since(began)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if current := c.table.Load(); current != nil && table.Version <= current.Version {
@@ -92,7 +109,7 @@
 	c.table.Store(table)
 	c.routed.Tell()
 	c.Logger.Info("configuration_in_force", zap.Int64("version", table.Version), zap.String("from", from),
-		zap.Int("accounts", table.Accounts.Len()))
+		zap.Int("accounts", table.Accounts.Len()), zap.Int("bytes", len(written)), zap.Int64("decode_ms", decodeTime.Milliseconds()))
 	if len(table.FaultyAccounts) > 0 {
 		c.Logger.Warn("accounts_faulty", zap.Int64("version", table.Version), zap.Strings("accounts", table.FaultyAccounts))
 	}
@@ -181,8 +198,12 @@
 // there, while keys are taken away. Callers still reach it, and it would go on to serve
 // those keys.
 func (c *Configuration) borrow(ctx context.Context) {
+	silence := silence{configuration: c}
 	duty.Every(ctx, borrowEvery, func() {
-		if c.Age(time.Now()) < silentAfter {
+		now := time.Now()
+		age := c.Age(now)
+		silence.observe(now, age)
+		if age < silentAfter {
 			return
 		}
 		others := c.Others()
@@ -197,13 +218,16 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTime)
 	defer cancel()
 	asked := time.Now()
+	c.asked.Inc()
 	args := NewerArgs{Version: c.Version()}
 	var reply NewerReply
 	if err := c.Peers.Call(ctx, address, newerMethod, args, &reply); err != nil {
+		c.notAnswered.Inc()
 		c.Logger.Debug("configuration_not_borrowed", zap.String("peer", address), zap.Error(err))
 		return
 	}
 	if len(reply.Written) > 0 {
+		c.borrowedBytes.Add(len(reply.Written))
 		if err := c.Take(reply.Written, address); err != nil {
 			c.Logger.Error("configuration_unreadable", zap.String("peer", address), zap.Error(err))
 			return
@@ -214,6 +238,50 @@
 	}
 }
 
+// silence tells in the log of the times in which the source is silent: when one begins,
+// every reportSilenceEvery, and when it ends, with what was asked of other daemons
+// meanwhile.
+type silence struct {
+	configuration *Configuration
+	// since is when the source was last heard, zero while it speaks; reported is when
+	// the last line was written.
+	since, reported time.Time
+	// asked, notAnswered and bytes are the counters when the silence began.
+	asked, notAnswered, bytes uint64
+}
+
+// observe notes how old the last word about the configuration is.
+func (s *silence) observe(now time.Time, age time.Duration) {
+	silent := age >= silentAfter
+	switch {
+	case silent && s.since.IsZero():
+		s.begin(now, age)
+	case silent && now.Sub(s.reported) >= reportSilenceEvery:
+		s.tell("configuration_silent", now)
+	case !silent && !s.since.IsZero():
+		s.tell("configuration_heard", now)
+		s.since = time.Time{}
+	}
+}
+
+func (s *silence) begin(now time.Time, age time.Duration) {
+	c := s.configuration
+	s.since = now.Add(-age)
+	if s.since.Before(c.started) {
+		s.since = c.started // nothing was heard since the start
+	}
+	s.asked, s.notAnswered, s.bytes = c.asked.Get(), c.notAnswered.Get(), c.borrowedBytes.Get()
+	s.tell("configuration_silent", now)
+}
+
+func (s *silence) tell(event string, now time.Time) {
+	c := s.configuration
+	s.reported = now
+	c.Logger.Info(event, zap.Int64("version", c.Version()), zap.Int64("silent_ms", now.Sub(s.since).Milliseconds()),
+		zap.Uint64("asked", c.asked.Get()-s.asked), zap.Uint64("not_answered", c.notAnswered.Get()-s.notAnswered),
+		zap.Uint64("peer_bytes", c.borrowedBytes.Get()-s.bytes))
+}
+
 // unversioned is older than every version.
 const unversioned = -1
 
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -93,7 +93,7 @@
 	n.hosts = newHosts(hostsOptions{Log: a.Log, Topic: a.HostsTopic, Parts: s.LogParts, Host: s.Host, Own: self, Zones: s.Zones, Logger: logger})
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
 	n.peerServer = peer.NewServer(peer.ServerOptions{Logger: logger, Metrics: set})
-	n.Configuration = NewConfiguration(ConfigurationOptions{Decode: a.Decode, Peers: n.peers, Others: n.hosts.peers, Logger: logger})
+	n.Configuration = NewConfiguration(ConfigurationOptions{Decode: a.Decode, Peers: n.peers, Others: n.hosts.peers, Logger: logger, Metrics: set})
 	n.Places = places.New(places.Options{
 		Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Cores: s.Cores, Fleet: n.hosts.count, Peers: n.peers,
 		Lean:    n.hosts.isLarge,
