--- a/daemon/front/configuration_test.go
+++ b/daemon/front/configuration_test.go
@@ -104,6 +104,31 @@
 		Expect(cut.Age(time.Now())).To(BeNumerically(">=", time.Minute))
 	})
 
+	// Guards against a daemon that stays behind because answers it has given up fill its link.
+	It("takes a configuration that its link carries slowly", func() {
+		link := &slowLink{bytesPerSecond: 1 << 20}
+		cut.takeVersion(7)
+		var addresses []string
+		for range 4 {
+			holder := configured()
+			holder.takePadded(8, 600<<10)
+			holder.Hear(time.Now().Add(time.Hour))
+			addresses = append(addresses, link.serve(holder))
+		}
+		client := peer.NewClient(peer.ClientOptions{})
+		DeferCleanup(client.Close)
+		cut.Peers = client
+		cut.Others = func() []places.Peer {
+			var list []places.Peer
+			for _, a := range addresses {
+				list = append(list, places.Peer{Address: a})
+			}
+			return list
+		}
+		borrow()
+		Eventually(func() int64 { return cut.Routes().Version }).WithTimeout(limit).Should(BeEquivalentTo(8))
+	})
+
 	It("asks nobody while its source speaks", func() {
 		cut.takeVersion(7)
 		cut.Hear(time.Now().Add(time.Hour))
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -24,14 +26,23 @@
 	RunSpecs(t, "front")
 }
 
-// configured is a configuration whose versions are written as their number.
+// configured is a configuration whose versions are written as their number, and anything
+// behind a line's end.
 func configured() *Configuration {
 	return NewConfiguration(ConfigurationOptions{Logger: zap.NewNop(), Decode: func(written []byte) (*route.Table, error) {
-		version, err := strconv.ParseInt(string(written), 10, 64)
+		number, _, _ := strings.Cut(string(written), "\n")
+		version, err := strconv.ParseInt(number, 10, 64)
 		return table(version), err
 	}})
 }
 
+// takePadded takes a version that is written with size bytes that don't compress.
+func (c *Configuration) takePadded(version int64, size int) {
+	padding := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(padding) // never fails
+	Expect(c.Take(append([]byte(strconv.FormatInt(version, 10)+"\n"), padding...), "source")).To(Succeed())
+}
+
 func (c *Configuration) takeVersion(version int64) {
 	Expect(c.Take([]byte(strconv.FormatInt(version, 10)), "source")).To(Succeed())
 }
