Fetch the configuration compressed and from one daemon at a time

Cause: retry amplification. A daemon whose source had been silent for 1.3 s asked two others four times a second, and each answered with the whole configuration as written. 0.86 MB need 0.23 s of a link of 30 Mbit/s alone; two at once do not arrive in the 0.4 s after which the call is given up, and the answers are sent all the same. The link stays full, so the log's answer breaks off at its time limit too, and the daemon asks on. A large answer of the log alone takes longer than 1.3 s when 79 daemons read it, which starts it.

Change: daemons are asked for the version, a few bytes; the configuration is fetched compressed (62 KB of 0.86 MB), one fetch at a time, and each that is given up leaves the next twice the time. So what a daemon asks of its link falls until it is less than the link carries, whatever the size. Compression leaves the lock that requests take. The old call is gone, since old daemons would take an answer without the configuration for its confirmation.

--- a/daemon/front/configuration_test.go
+++ b/daemon/front/configuration_test.go
@@ -20,7 +20,7 @@
 }
 
 // Call implements peer.Caller.
-func (a *asked) Call(_ context.Context, address, _ string, args, reply any) error {
+func (a *asked) Call(_ context.Context, address, method string, args, reply any) error {
 	a.mu.Lock()
 	a.calls++
 	to := a.others[address]
@@ -28,7 +28,11 @@
 	if to == nil {
 		return peer.Unreachable.New("%s", address)
 	}
-	return (&configurationCalls{to}).Newer(args.(NewerArgs), reply.(*NewerReply))
+	calls := &configurationCalls{to}
+	if method == statusMethod {
+		return calls.Status(args.(StatusArgs), reply.(*StatusReply))
+	}
+	return calls.Fetch(args.(FetchArgs), reply.(*FetchReply))
 }
 
 // Notify implements peer.Caller.
@@ -90,16 +94,16 @@
 		cut.takeVersion(7)
 		other.takeVersion(5)
 		other.Hear(time.Now())
-		cut.borrowOne(context.Background(), "other")
+		newBorrower(cut).askOne(context.Background(), "other")
 		Expect(cut.Routes().Version).To(BeEquivalentTo(7))
 		Expect(cut.Age(time.Now())).To(BeNumerically(">", time.Hour))
 		stale := configured()
 		stale.takeVersion(8)
 		others.others["stale"] = stale
-		cut.borrowOne(context.Background(), "stale")
+		newBorrower(cut).askOne(context.Background(), "stale")
 		Expect(cut.Routes().Version).To(BeEquivalentTo(7))
 		stale.Hear(time.Now().Add(-time.Minute))
-		cut.borrowOne(context.Background(), "stale")
+		newBorrower(cut).askOne(context.Background(), "stale")
 		Expect(cut.Routes().Version).To(BeEquivalentTo(8))
 		Expect(cut.Age(time.Now())).To(BeNumerically(">=", time.Minute))
 	})
@@ -129,10 +133,33 @@
 		Eventually(func() int64 { return cut.Routes().Version }).WithTimeout(limit).Should(BeEquivalentTo(8))
 	})
 
+	// Guards against fetches that fill the link together and are given up one after the other.
+	It("fetches from one daemon at a time, and gives the next one more time", func() {
+		cut.takeVersion(7)
+		other.takeVersion(8)
+		other.Hear(time.Now())
+		b := newBorrower(cut)
+		limit, free := b.begin()
+		Expect(free).To(BeTrue())
+		b.askOne(context.Background(), "other")
+		Expect(cut.Version()).To(BeEquivalentTo(7))
+		b.end(true)
+		longer, free := b.begin()
+		Expect(free).To(BeTrue())
+		Expect(longer).To(Equal(2 * limit))
+		b.end(true)
+		longer, _ = b.begin()
+		Expect(longer).To(Equal(4 * limit))
+		b.end(false)
+		b.askOne(context.Background(), "other")
+		Expect(cut.Version()).To(BeEquivalentTo(8))
+		Expect(b.fetchTime).To(Equal(firstFetchTime))
+	})
+
 	It("asks nobody while its source speaks", func() {
 		cut.takeVersion(7)
 		cut.Hear(time.Now().Add(time.Hour))
 		borrow()
-		Consistently(others.called, 2*borrowEvery).Should(BeZero())
+		Consistently(others.called, 2*askEvery).Should(BeZero())
 	})
 })
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -136,7 +136,7 @@
 	if err := n.quotas.Register(n.peerServer); err != nil {
 		return nil, err
 	}
-	if err := n.peerServer.Register(newerService, &configurationCalls{n.Configuration}); err != nil {
+	if err := n.peerServer.Register(configurationService, &configurationCalls{n.Configuration}); err != nil {
 		return nil, err
 	}
 	return n, n.Jobs.Register(n.peerServer)
--- a/daemon/front/slowlink_test.go
+++ b/daemon/front/slowlink_test.go
@@ -39,7 +39,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := peer.NewServer(peer.ServerOptions{})
-	Expect(server.Register(newerService, &configurationCalls{c})).To(Succeed())
+	Expect(server.Register(configurationService, &configurationCalls{c})).To(Succeed())
 	go func() {
 		defer GinkgoRecover()
 		_ = server.Serve(&slowListener{Listener: ln, link: l}) // ends with the server
