--- a/daemon/steward/report.go
+++ b/daemon/steward/report.go
@@ -74,7 +74,7 @@
 	if len(again) == 0 {
 		return
 	}
-	s.log.Debug("ends_undelivered", zap.Int("ends", len(again)), zap.Error(err))
+	s.log.Info("ends_undelivered", zap.Int("ends", len(again)), zap.String("job", again[0].end.Ref.Job), zap.Error(err))
 	s.group.Go(func(ctx context.Context) { s.retryEnds(ctx, again) })
 }
 
--- a/test/fleet/call.go
+++ b/test/fleet/call.go
@@ -179,13 +179,49 @@
 	return d.Client.Job(ctx, caller.Options{}, name)
 }
 
-// WaitJob waits until the job has ended as the daemon sees it.
+// WaitJob waits until the job has ended as the daemon sees it. Its failure tells how far
+// the job has come, and how far some seconds later.
 func (f *Fleet) WaitJob(d *Daemon, j Job) {
 	GinkgoHelper()
 	Eventually(func() (string, error) {
 		job, err := f.JobState(d, j.Name)
 		return job.State, err
-	}, 2*Bound, Poll).Should(Equal("ended"), "job %s at %s", j.Name, d.Name)
+	}, 2*Bound, Poll).Should(Equal("ended"), func() string {
+		first := f.progress(j)
+		time.Sleep(laterProgress)
+		return fmt.Sprintf("job %s at %s\n%sand %s later\n%s", j.Name, d.Name, first, laterProgress, f.progress(j))
+	})
+}
+
+// laterProgress is how long after a wait has failed a job's progress is looked at again: it
+// tells a slow job from one that is stuck.
+const laterProgress = 5 * time.Second
+
+// progress tells, as each running daemon sees it, the counts of a job, the items that have
+// not ended, and what the daemon itself holds of any job.
+func (f *Fleet) progress(j Job) string {
+	var b strings.Builder
+	for _, d := range f.Running() {
+		job, err := f.JobState(d, j.Name)
+		fmt.Fprintf(&b, "%s: %+v, left %v, holds %d items, %v\n", d.Name, job.Counts, f.left(d, j), d.Status().Batch.Held, err)
+	}
+	return b.String()
+}
+
+// left lists the items of the job that the daemon has no end of.
+func (f *Fleet) left(d *Daemon, j Job) []string {
+	results, _ := f.Results(d, j.Name) // what can't be read is listed as left
+	ended := make(map[string]bool)
+	for _, r := range results {
+		ended[r.CustomID] = true
+	}
+	var left []string
+	for i := range j.Texts {
+		if !ended[ItemID(i)] {
+			left = append(left, ItemID(i))
+		}
+	}
+	return left
 }
 
 // Results reads the job's results from a daemon.
--- a/test/fleet/daemon.go
+++ b/test/fleet/daemon.go
@@ -202,6 +202,10 @@
 			Term  uint64 `json:"term"`
 		} `json:"shards"`
 	} `json:"shards"`
+	Batch struct {
+		// Held is the number of batch items in the daemon's hands.
+		Held int `json:"held"`
+	} `json:"batch"`
 }
 
 // Status returns the operators' view; an unreachable daemon has an empty one.
