Date what was read of the log by the answer, and by its last page

A large version arrives for seconds; what was published meanwhile, or stands on the next page of the log, is the next reading, and for 1.5 s the daemon refused its routes and keys for good.

Cause: Follow told its reader that a call had ended, not what the answer vouches for. Change: a page says when it began to arrive; Reader.Heard is told the moment as of which nothing more was known to follow, none after a page that is not the last. Configurations go by it. Ruled out: answering 404 later everywhere, which would only make the wrong answers rarer.

--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -393,7 +393,7 @@
 }
 
 // Heard implements partlog.Reader; the jobs tell of outages of the log.
-func (l *hostList) Heard(error) {}
+func (l *hostList) Heard(time.Time, error) {}
 
 // apply takes records of the list. hosts.mu is held.
 func (l *hostList) apply(records []partlog.Kept) {
--- a/daemon/front/zone_test.go
+++ b/daemon/front/zone_test.go
@@ -171,9 +171,11 @@
 
 func (c *configurationLog) Take(page partlog.Page) { c.Load(page.Records, page.Next) }
 
-func (c *configurationLog) Heard(err error) {
+func (c *configurationLog) Heard(asOf time.Time, err error) {
+	if !asOf.IsZero() {
+		c.Hear(asOf)
+	}
 	if err == nil {
-		c.Hear(time.Now())
 		c.answered()
 	}
 }
@@ -209,7 +211,7 @@
 	e.position = page.Next
 }
 
-func (e *entryLog) Heard(err error) {
+func (e *entryLog) Heard(_ time.Time, err error) {
 	if err == nil {
 		e.answered()
 	}
--- a/daemon/jobs/bodies.go
+++ b/daemon/jobs/bodies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
@@ -200,7 +201,7 @@
 }
 
 // Heard implements partlog.Reader; the results of the partition tell of outages.
-func (r *bodyReader) Heard(error) {}
+func (r *bodyReader) Heard(time.Time, error) {}
 
 // keep holds the chunks of items that have not ended.
 func (r *bodyReader) keep(records []partlog.Kept) {
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -253,7 +253,7 @@
 }
 
 // Heard implements partlog.Reader.
-func (c *cursor) Heard(err error) {
+func (c *cursor) Heard(_ time.Time, err error) {
 	c.jobs.mu.Lock()
 	defer c.jobs.mu.Unlock()
 	failing := err != nil
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -215,7 +215,7 @@
 func (pr *progressReader) Position() int64 { return noEvent }
 
 // Heard implements partlog.Reader.
-func (pr *progressReader) Heard(error) {}
+func (pr *progressReader) Heard(time.Time, error) {}
 
 // Take implements partlog.Reader.
 func (pr *progressReader) Take(partlog.Page) {}
--- a/extern/partlog/fakepartlog/fakepartlog.go
+++ b/extern/partlog/fakepartlog/fakepartlog.go
@@ -207,7 +207,7 @@
 	if l.deaf {
 		news = nil
 	}
-	return partlog.Page{Next: from + int64(len(records)), End: at.end(), Records: records}, news, nil
+	return partlog.Page{Next: from + int64(len(records)), End: at.end(), Records: records, At: time.Now()}, news, nil
 }
 
 // smallPage is the size of a page unless it is set, so that tests meet several pages.
@@ -235,7 +235,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b partlog.Kept) int { return cmp.Compare(a.Key, b.Key) })
-	page := partlog.NewestPage{End: at.end(), More: len(all) > l.pageSize}
+	page := partlog.NewestPage{End: at.end(), More: len(all) > l.pageSize, At: time.Now()}
 	page.Records = all[:min(l.pageSize, len(all))]
 	return page, nil
 }
--- a/extern/partlog/follow.go
+++ b/extern/partlog/follow.go
@@ -27,8 +27,10 @@
 	Load(records []Kept, end int64)
 	// Take takes the records that follow.
 	Take(page Page)
-	// Heard is told how each call ended.
-	Heard(err error)
+	// Heard is told how each call ended. What lies before Position is all that the
+	// partition held at the moment asOf, which is zero if the call failed or more is
+	// known to follow.
+	Heard(asOf time.Time, err error)
 }
 
 // Pace sets how often a partition is read.
@@ -52,11 +54,11 @@
 	f := follower{log: log, partition: p, pace: pace, reader: r}
 	pause := firstPause
 	for ctx.Err() == nil {
-		news, err := f.step(ctx)
+		news, asOf, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		r.Heard(err)
+		r.Heard(asOf, err)
 		f.failed = err != nil
 		switch {
 		case err != nil:
@@ -85,20 +87,25 @@
 
 // step makes one call, or loads the partition. What a first load gave may be
 // seconds old, so it counts as no news and no pause follows it.
-func (f *follower) step(ctx context.Context) (news bool, err error) {
+func (f *follower) step(ctx context.Context) (news bool, asOf time.Time, err error) {
 	from := f.reader.Position()
 	if from < 0 || f.loading != nil {
-		return false, f.load(ctx)
+		asOf, err = f.load(ctx)
+		return false, asOf, err
 	}
 	page, err := f.read(ctx, from)
 	if IsExpired(err) {
-		return true, f.load(ctx)
+		asOf, err = f.load(ctx)
+		return true, asOf, err
 	}
 	if err != nil {
-		return false, err
+		return false, time.Time{}, err
 	}
 	f.reader.Take(page)
-	return len(page.Records) > 0, nil
+	if page.Next >= page.End {
+		asOf = page.At
+	}
+	return len(page.Records) > 0, asOf, nil
 }
 
 // read reads what follows. After a failed call it does not wait for records: that
@@ -116,16 +123,16 @@
 }
 
 // load begins a load or goes on with the interrupted one.
-func (f *follower) load(ctx context.Context) error {
+func (f *follower) load(ctx context.Context) (asOf time.Time, err error) {
 	if f.loading == nil {
 		f.loading = newLoader(f.partition)
 	}
 	if err := f.loading.run(ctx, f.log); err != nil {
-		return err
+		return time.Time{}, err
 	}
 	f.loading.give(f.reader)
-	f.loading = nil
-	return nil
+	asOf, f.loading = f.loading.at, nil
+	return asOf, nil
 }
 
 // Load reads the newest record of every key into the reader.
@@ -148,9 +155,11 @@
 // from the others: run goes on behind the last page that was read.
 type loader struct {
 	partition Partition
-	end       int64
-	after     string
-	records   []Kept
+	// end is the partition's end as the first page told, and at when that page came.
+	end     int64
+	at      time.Time
+	after   string
+	records []Kept
 }
 
 func newLoader(p Partition) *loader { return &loader{partition: p, end: -1} }
@@ -174,7 +183,7 @@
 
 func (l *loader) add(page NewestPage) {
 	if l.end < 0 {
-		l.end = page.End
+		l.end, l.at = page.End, page.At
 	}
 	for _, k := range page.Records {
 		if k.Offset < l.end {
--- a/extern/partlog/follow_test.go
+++ b/extern/partlog/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 	values   map[string]string
 	order    []string
 	lost     bool
+	// whole are the positions at which nothing more was known to follow.
+	whole []int64
 }
 
 func (r *recorder) Position() int64 {
@@ -56,10 +59,30 @@
 	}
 }
 
-func (r *recorder) Heard(err error) {
+func (r *recorder) Heard(asOf time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lost = err != nil
+	if !asOf.IsZero() && !slices.Contains(r.whole, r.position) {
+		r.whole = append(r.whole, r.position)
+	}
+}
+
+func (r *recorder) wholeAt() []int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.whole)
+}
+
+// shortPages is a log whose reads return one record.
+type shortPages struct{ *fakepartlog.Log }
+
+func (l shortPages) Read(ctx context.Context, p partlog.Partition, from int64, wait time.Duration) (partlog.Page, error) {
+	page, err := l.Log.Read(ctx, p, from, wait)
+	if len(page.Records) > 1 {
+		page.Records, page.Next = page.Records[:1], from+1
+	}
+	return page, err
 }
 
 func (r *recorder) value(key string) string {
@@ -104,6 +127,22 @@
 		pace.Gather = 0
 	})
 
+	// Guards against a reader that takes what it has read for all there is, while more follows.
+	It("is not up to date while more is known to follow", func() {
+		put("k", "0")
+		reading, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go partlog.Follow(reading, shortPages{log}, p, pace, r)
+		Eventually(r.wholeAt).WithTimeout(limit).Should(Equal([]int64{1}))
+		var records []partlog.Record
+		for i := range 3 {
+			records = append(records, partlog.Record{Key: "k", Value: []byte(fmt.Sprint(i))})
+		}
+		_, err := log.Append(context.Background(), p, records, partlog.Anywhere)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(r.wholeAt).WithTimeout(limit).Should(Equal([]int64{1, 4}))
+	})
+
 	// A long list takes seconds to load, and a target that left meanwhile is in it.
 	// Requests go to that target until the reader looks at what came since.
 	It("reads on at once after the first load", func() {
--- a/extern/partlog/partlog.go
+++ b/extern/partlog/partlog.go
@@ -43,6 +43,8 @@
 	End int64
 	// Records are in log order.
 	Records []Kept
+	// At is when the answer began to arrive: the log may have grown since.
+	At time.Time
 }
 
 // NewestPage is one page of the newest records of each key. Pages are read one
@@ -53,6 +55,8 @@
 	More bool
 	// End is the partition's end when the page was read.
 	End int64
+	// At is when the answer began to arrive.
+	At time.Time
 }
 
 // Log is the partitioned log. Every call has a time limit of its own, below
