Test, failing: a job stands still if its targets' daemon cannot reach its owner

The new message and the logs say: 119 of 120 items waiting, none running, the same five seconds later; entry-1 holds 56 items whose ends are undelivered; entry-2 and entry-3 lost every target of the group to entry-1 two seconds after their start (steward_lost). So the four engines all had entry-1 as the daemon that starts batch work there, entry-2 owned the job, and the line from entry-1 to entry-2 was cut.

The spec gives the group one engine, so that one daemon is alone in starting work there, and puts the job on another one's shard. Failed for reset and for silent lines: 30 of 30 items waiting after 60 s. Also: specs' listeners get ports below those that the kernel gives out.

--- a/test/fleet/call.go
+++ b/test/fleet/call.go
@@ -236,7 +236,13 @@
 // can do it.
 func (f *Fleet) CheckJob(j Job) {
 	GinkgoHelper()
-	for _, d := range f.Running() {
+	f.CheckJobAt(f.Running(), j)
+}
+
+// CheckJobAt is CheckJob at some of the daemons.
+func (f *Fleet) CheckJobAt(daemons []*Daemon, j Job) {
+	GinkgoHelper()
+	for _, d := range daemons {
 		var results []caller.Result
 		Eventually(func() (err error) {
 			results, err = f.Results(d, j.Name)
--- a/test/fleet/daemon.go
+++ b/test/fleet/daemon.go
@@ -205,9 +205,27 @@
 	Batch struct {
 		// Held is the number of batch items in the daemon's hands.
 		Held int `json:"held"`
+		// Targets are those whose batch work the daemon starts, or just started.
+		Targets []struct {
+			Group   string `json:"group"`
+			Steward bool   `json:"steward"`
+		} `json:"targets"`
 	} `json:"batch"`
 }
 
+// Stewards returns the daemons that start batch work of a target group.
+func (f *Fleet) Stewards(group string) []*Daemon {
+	var out []*Daemon
+	for _, d := range f.Running() {
+		for _, t := range d.Status().Batch.Targets {
+			if t.Group == group && t.Steward && !slices.Contains(out, d) {
+				out = append(out, d)
+			}
+		}
+	}
+	return out
+}
+
 // Status returns the operators' view; an unreachable daemon has an empty one.
 func (d *Daemon) Status() Status {
 	ctx, cancel := callContext()
--- a/test/fleet/partition.go
+++ b/test/fleet/partition.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"regexp"
@@ -71,13 +72,20 @@
 }
 
 // freePort finds the daemon's listener a port: its proxy is told the address
-// before the daemon starts.
+// before the daemon starts. The port lies below those that the kernel gives out, so
+// that none of these takes it before the daemon does.
 func freePort(ip string) string {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", ip+":0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	var address string
+	Eventually(func() error {
+		address = fmt.Sprintf("%s:%d", ip, 20_000+rand.IntN(12_000))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		return listener.Close()
+	}, Bound, Poll).Should(Succeed())
+	return address
 }
 
 // list puts the proxies on the host list in place of the listeners, and waits
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/standin/deployment"
 	"tarragonhollow.example/tarragonhollow/standin/faultproxy"
 	"tarragonhollow.example/tarragonhollow/test/fleet"
 )
@@ -132,6 +133,31 @@
 		Entry("by reset connections", resetLine),
 		Entry("by silence", silentLine),
 	)
+
+	// Guards against a job that stands still: the only daemon that starts work at its targets
+	// cannot reach the job's owner.
+	DescribeTable("one way end a job whose targets are another's", func(line faultproxy.Faults) {
+		f, network := fleet.StartApart(fleet.Options{Shape: func(s *deployment.Shape) {
+			slowEngines(s)
+			s.Engines = 1
+		}})
+		var stewards []*fleet.Daemon
+		Eventually(func() []*fleet.Daemon {
+			stewards = f.Stewards(f.Shape.Model)
+			return stewards
+		}, bound, poll).Should(HaveLen(1))
+		steward := stewards[0]
+		others := f.Others(steward)
+		job := fleet.NewJob(f.KeyOwnedBy(others[0], "prep"), 30, -1)
+		f.MustPut(others[1], job)
+		batchRuns(f, job, 3)
+		network.Cut([]*fleet.Daemon{steward}, others[:1], line)
+		f.WaitJob(others[1], job)
+		f.CheckJobAt(others, job)
+	},
+		Entry("by reset connections", resetLine),
+		Entry("by silence", silentLine),
+	)
 })
 
 // expectView waits until each of the daemons sees exactly the others.
