Pass pulls and ends of batch items on through another daemon

Cause: one daemon is steward of all targets of the group, another one owns the job, and the line from the first to the second is cut. Nobody is dead, so both keep their roles, and nobody else may run the items. Evidence: docs/incidents/job-still-accepted.md; 119 of 120 items waiting, nothing moves.

One hop, to members only. Both calls may reach an owner twice as it is; a pull takes one way or the other, never both, so the argument of takeBackUnseen on the order of pulls holds. Left: giving the targets to another daemon, since views of who is reached differ.

That the first sighting had this cause is likely, its logs are gone.

--- a/daemon/shards/client.go
+++ b/daemon/shards/client.go
@@ -70,8 +70,7 @@
 			return Word[R]{NotOwner: true}, false
 		}
 	}
-	if err := s.opt.Peer.Call(ctx, holder.PeerAddress, method, req, &w); err != nil {
-		s.doubt(holder.PeerAddress, err)
+	if err := s.call(ctx, holder.PeerAddress, method, req, &w); err != nil {
 		return Word[R]{NotOwner: true}, !peer.IsUnreachable(err)
 	}
 	return w, false
@@ -220,8 +219,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var w Word[ledger.PullReply]
-	if err := s.opt.Peer.Call(ctx, owner, methodPull, req, &w); err != nil {
-		s.doubt(owner, err)
+	if err := s.call(ctx, owner, methodPull, req, &w); err != nil {
 		return ledger.PullReply{}, noOwner(!peer.IsUnreachable(err))
 	}
 	return w.Value, nil
--- a/daemon/shards/options.go
+++ b/daemon/shards/options.go
@@ -26,6 +26,7 @@
 	// DrainTimeout: shards were still held when the time for handing over ended.
 	DrainTimeout = Errors.NewType("drain_timeout", errorx.Timeout())
 	errReplay    = Errors.NewType("replay")
+	errNoMember  = Errors.NewType("no_member")
 )
 
 const (
--- a/daemon/shards/service.go
+++ b/daemon/shards/service.go
@@ -25,6 +25,9 @@
 	methodPull        = ServiceName + ".Pull"
 	methodFinishItems = ServiceName + ".FinishItems"
 	methodTakeOver    = ServiceName + ".TakeOver"
+
+	methodRelayPull        = ServiceName + ".RelayPull"
+	methodRelayFinishItems = ServiceName + ".RelayFinishItems"
 )
 
 // serveTimeout bounds a served call; owners answer before, by limits of their own.
