--- a/daemon/shards/detour_test.go
+++ b/daemon/shards/relay_test.go
@@ -49,38 +49,38 @@
 	return slices.Clone(b.calls)
 }
 
-var _ = Describe("A detour", func() {
+var _ = Describe("Relaying", func() {
 	now := time.Unix(1000, 0)
-	active := func(d *detours) bool {
-		detour, _ := d.active(now, "b")
-		return detour
+	active := func(r *relaying) bool {
+		relayed, _ := r.active(now, "b")
+		return relayed
 	}
 
 	It("lasts longer with each direct call that fails after it, and ends with the first that succeeds", func() {
-		d := &detours{}
-		Expect(active(d)).To(BeFalse())
-		Expect(d.note(now, "b", false)).To(BeTrue())
-		for _, length := range []time.Duration{firstDetour, 2 * firstDetour, 4 * firstDetour} {
-			Expect(active(d)).To(BeTrue())
-			Expect(d.note(now, "b", false)).To(BeFalse()) // a call that was on its way
+		r := &relaying{}
+		Expect(active(r)).To(BeFalse())
+		Expect(r.note(now, "b", false)).To(BeTrue())
+		for _, length := range []time.Duration{firstRelayPeriod, 2 * firstRelayPeriod, 4 * firstRelayPeriod} {
+			Expect(active(r)).To(BeTrue())
+			Expect(r.note(now, "b", false)).To(BeFalse()) // a call that was under way
 			now = now.Add(length - 1)
-			Expect(active(d)).To(BeTrue())
+			Expect(active(r)).To(BeTrue())
 			now = now.Add(1)
-			Expect(active(d)).To(BeFalse())
-			Expect(d.note(now, "b", false)).To(BeFalse())
+			Expect(active(r)).To(BeFalse())
+			Expect(r.note(now, "b", false)).To(BeFalse())
 		}
-		now = now.Add(8 * firstDetour)
-		d.note(now, "b", true)
-		Expect(d.note(now, "b", false)).To(BeTrue())
-		now = now.Add(firstDetour)
-		Expect(active(d)).To(BeFalse())
+		now = now.Add(8 * firstRelayPeriod)
+		r.note(now, "b", true)
+		Expect(r.note(now, "b", false)).To(BeTrue())
+		now = now.Add(firstRelayPeriod)
+		Expect(active(r)).To(BeFalse())
 	})
 
 	It("forgets daemons that left", func() {
-		d := &detours{}
-		d.note(now, "b", false)
-		d.forget(func(string) bool { return false })
-		Expect(active(d)).To(BeFalse())
+		r := &relaying{}
+		r.note(now, "b", false)
+		r.forget(func(string) bool { return false })
+		Expect(active(r)).To(BeFalse())
 	})
 
 	// Guards against items without anybody to run them: the daemon of their targets cannot
@@ -117,7 +117,7 @@
 
 	It("leads to members only", func() {
 		f := newFleet("a", "b")
-		err := f.nodes["a"].shards.passOn("127.0.0.1:1", methodPull, ledger.PullRequest{}, &Word[ledger.PullReply]{})
+		err := f.nodes["a"].shards.relay("127.0.0.1:1", methodPull, ledger.PullRequest{}, &Word[ledger.PullReply]{})
 		Expect(err).To(MatchError(ContainSubstring("is no member")))
 	})
 })
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -45,8 +45,8 @@
 	// looks joins calls of OnLog, looking bounds the readings.
 	looks   singleflight.Group
 	looking chan struct{}
-	// detours are the daemons that could not be reached lately.
-	detours detours
+	// relaying knows the daemons that could not be reached lately.
+	relaying relaying
 	// lastMove is when a shard was last released for balance, or was without a
 	// holder; claimLoop's own.
 	lastMove time.Time
