One splitmix64 in core for all that mix hashes or draw choices

core/feed had brought a third copy of the finalizer, beside core/routing and core/membership, which also had a generator each.

--- a/core/feed/sample.go
+++ b/core/feed/sample.go
@@ -4,6 +4,8 @@
 	"container/heap"
 
 	"github.com/cespare/xxhash/v2"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
 )
 
 // Hash is the hash of a name that Sample mixes.
@@ -22,7 +24,7 @@
 	}
 	first := make(lowest, 0, n+1)
 	for i, hash := range hashes {
-		rank := mix(holder ^ hash)
+		rank := splitmix.Mix(holder ^ hash)
 		if len(first) == n && rank >= first[0].rank {
 			continue
 		}
@@ -38,15 +40,6 @@
 	return list
 }
 
-// mix spreads the bits of a hash over all of its bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 type ranked struct {
 	rank  uint64
 	index int
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
 )
 
 const (
@@ -48,7 +50,7 @@
 // Machine holds one daemon's view. It is not safe for concurrent use.
 type Machine struct {
 	opt     Options
-	rng     rng
+	random  splitmix.Generator
 	self    Member
 	members map[string]*entry
 	order   []string // hosts still to be probed in this round, shuffled
@@ -104,7 +106,7 @@
 	o.Self.FactsVersion = max(o.Self.FactsVersion, 1)
 	return &Machine{
 		opt:     o,
-		rng:     rng{state: o.Seed},
+		random:  splitmix.Generator(o.Seed),
 		self:    o.Self,
 		members: make(map[string]*entry),
 		rounds:  make(map[string]*round),
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -140,7 +140,7 @@
 	m.spread.addMember(u.Host)
 	// A random place in the running order: a joiner waits half a round on average
 	// for its first probe instead of a whole one.
-	m.order = slices.Insert(m.order, m.rng.below(len(m.order)+1), u.Host)
+	m.order = slices.Insert(m.order, m.random.Below(len(m.order)+1), u.Host)
 }
 
 // replace takes newer word about a known member. It is a sign of life later than
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -41,7 +41,7 @@
 	}
 	if len(m.order) == 0 {
 		m.order = m.hosts(func(e *entry) bool { return e.member.State != Dead })
-		m.rng.shuffle(m.order)
+		shuffle(&m.random, m.order)
 	}
 	for len(m.order) > 0 {
 		host := m.order[len(m.order)-1]
@@ -245,7 +245,7 @@
 	others := m.hosts(func(e *entry) bool {
 		return e.member.Host != p.Host && (e.member.State == Live || e.member.State == Leaving)
 	})
-	m.rng.shuffle(others)
+	shuffle(&m.random, others)
 	var probes []Probe
 	for _, host := range others[:min(len(others), indirectProbes)] {
 		address := m.members[host].member.PeerAddress
--- a/core/membership/rank.go
+++ b/core/membership/rank.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
 )
 
 // Rank returns hosts in rendezvous order for the key, best first. All daemons
@@ -32,15 +34,7 @@
 
 // score mixes two hashes by the finalizer of splitmix64, so that a host's hash
 // is computed once for all keys.
-func score(keyHash, hostHash uint64) uint64 { return mix(keyHash ^ mix(hostHash)) }
-
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
+func score(keyHash, hostHash uint64) uint64 { return splitmix.Mix(keyHash ^ splitmix.Mix(hostHash)) }
 
 func sortScored(s []scored, host func(i int) string) {
 	slices.SortFunc(s, func(a, b scored) int {
--- a/core/routing/doubt_test.go
+++ b/core/routing/doubt_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
 )
 
 // zoneFleet is a zone's daemons and targets: words travel for wordDelay, and some
@@ -56,7 +58,7 @@
 			spreadAt = now
 		}
 		order := i%4 == 0
-		ask := Request{Zone: "z", LastChance: order, Exclude: map[string]bool{}, SeedValue: mix(uint64(i))}
+		ask := Request{Zone: "z", LastChance: order, Exclude: map[string]bool{}, SeedValue: splitmix.Mix(uint64(i))}
 		if f.attempt(now, i%len(f.tables), &ask) {
 			continue
 		}
--- a/core/routing/fill_test.go
+++ b/core/routing/fill_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
 )
 
 // crowd plays a zone whose places are nearly all taken: requests come at the rate
@@ -21,7 +23,7 @@
 	now := time.Unix(1000, 0)
 	spreadAt := now
 	gap := time.Duration(float64(serviceTime) / (share * targets * fleetSlots))
-	random := splitmix(1)
+	random := splitmix.Generator(1)
 	for i := range requests {
 		now = now.Add(gap)
 		for len(f.answers) > 0 && !f.answers[0].at.After(now) {
@@ -33,8 +35,8 @@
 			f.spread(now)
 			spreadAt = now
 		}
-		daemon := random.below(daemons)
-		choice, _ := f.tables[daemon].PickLeast(now, Request{Zone: "z", WordAge: age, SeedValue: random.next()})
+		daemon := random.Below(daemons)
+		choice, _ := f.tables[daemon].PickLeast(now, Request{Zone: "z", WordAge: age, SeedValue: random.Next()})
 		f.tables[daemon].Start(now, choice.Address, false)
 		if running[choice.Address] >= fleetSlots && len(f.answers) < targets*fleetSlots && i > requests/10 {
 			misplaced++
--- a/core/routing/least.go
+++ b/core/routing/least.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
+)
 
 // PickLeast chooses among the least loaded targets that are not out and were not
 // tried. It serves groups whose loads are known nearly at once, where comparing two
@@ -15,7 +19,7 @@
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
-	random := splitmix(r.SeedValue)
+	random := splitmix.Generator(r.SeedValue)
 	unheard := t.unheard(now, r)
 	if r.FarIsStale {
 		if e := t.nearFirst(now, usable, r, unheard, &random); e != nil {
@@ -38,14 +42,14 @@
 // waiting for a place at home would be late while others have places. The last
 // places at home are for as many requests as there are places: of those that the
 // zone's daemons start at the same time the others go on at once.
-func (t *Table) nearFirst(now time.Time, usable []*entry, r Request, unheard float64, random *splitmix) *entry {
+func (t *Table) nearFirst(now time.Time, usable []*entry, r Request, unheard float64, random *splitmix.Generator) *entry {
 	home, far := t.byZone(now, usable, r.Zone)
 	near, room := t.withRoom(now, home, r)
 	switch {
-	case len(near) > 0 && random.fraction()*(unheard+1) < float64(room):
+	case len(near) > 0 && random.Fraction()*(unheard+1) < float64(room):
 		return t.least(now, near, r, unheard, random)
 	case len(far) > 0:
-		return far[random.below(len(far))]
+		return far[random.Below(len(far))]
 	case len(home) > 0:
 		return t.least(now, home, r, unheard, random)
 	default:
@@ -102,7 +106,7 @@
 }
 
 // least chooses among the least loaded of some targets.
-func (t *Table) least(now time.Time, from []*entry, r Request, unheard float64, random *splitmix) *entry {
+func (t *Table) least(now time.Time, from []*entry, r Request, unheard float64, random *splitmix.Generator) *entry {
 	loads := make([]float64, len(from))
 	for i, e := range from {
 		loads[i] = e.load(now)
@@ -116,7 +120,7 @@
 			loads[i] += float64(t.slotsOf(now, e))
 		}
 	}
-	return fill(from, loads, unheard, random.fraction())
+	return fill(from, loads, unheard, random.Fraction())
 }
 
 // fullMargin puts every target that batch work fills behind every target with a
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -1,8 +1,9 @@
 package routing
 
 import (
-	"math"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
 )
 
 const (
@@ -270,7 +271,7 @@
 // byLoad is the choice of two, made in the own zone and over all zones; the
 // own zone's winner is kept unless it is worse by more than ZoneMargin.
 func byLoad(now time.Time, usable []*entry, r Request) *entry {
-	random := splitmix(r.SeedValue)
+	random := splitmix.Generator(r.SeedValue)
 	anywhere := lighter(now, usable, &random)
 	var near []*entry
 	for _, e := range usable {
@@ -289,12 +290,12 @@
 }
 
 // lighter compares two different random targets.
-func lighter(now time.Time, from []*entry, random *splitmix) *entry {
-	first := random.below(len(from))
+func lighter(now time.Time, from []*entry, random *splitmix.Generator) *entry {
+	first := random.Below(len(from))
 	if len(from) < choices {
 		return from[first]
 	}
-	second := (first + 1 + random.below(len(from)-1)) % len(from)
+	second := (first + 1 + random.Below(len(from)-1)) % len(from)
 	a, b := from[first], from[second]
 	if b.load(now) < a.load(now) {
 		return b
@@ -307,7 +308,7 @@
 	var best []*entry
 	var weights []uint64
 	for _, e := range from {
-		w := mix(e.hash ^ key)
+		w := splitmix.Mix(e.hash ^ key)
 		at := len(best)
 		for at > 0 && weights[at-1] < w {
 			at--
@@ -320,25 +321,3 @@
 	}
 	return best
 }
-
-// splitmix is a small deterministic random generator.
-type splitmix uint64
-
-func (s *splitmix) next() uint64 {
-	*s += 0x9e3779b97f4a7c15
-	return mix(uint64(*s))
-}
-
-func (s *splitmix) below(n int) int {
-	return int(s.next() % uint64(min(n, math.MaxInt32)))
-}
-
-// fraction returns a number in [0,1).
-func (s *splitmix) fraction() float64 { return float64(s.next()>>11) / (1 << 53) }
-
-// mix spreads the bits of x over the whole word.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"tarragonhollow.example/tarragonhollow/core/splitmix"
 )
 
 func TestMain(m *testing.M) {
@@ -123,10 +125,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const targets, requests = 10, 400
 		table := tableOf(targets)
-		random := splitmix(rapid.Uint64().Draw(t, "seed"))
+		random := splitmix.Generator(rapid.Uint64().Draw(t, "seed"))
 		worst := 0
 		for range requests {
-			choice, _ := table.Pick(epoch, Request{SeedValue: random.next()})
+			choice, _ := table.Pick(epoch, Request{SeedValue: random.Next()})
 			table.Start(epoch, choice.Address, false)
 			worst = max(worst, table.Own(choice.Address))
 		}
