--- a/core/feed/fallback.go
+++ b/core/feed/fallback.go
@@ -78,10 +78,7 @@
 	if now.Before(a.due) {
 		return false
 	}
-	if a.until.IsZero() {
-		a.until = now.Add(tryFor)
-	}
-	if fresh(age) {
+	if a.until.IsZero() || fresh(age) {
 		a.until = now.Add(tryFor)
 	}
 	if now.After(a.until) {
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -8,7 +8,8 @@
 //
 // Files: readers.go is the leader's choice of readers, standby.go that of who is to lead
 // after it, source.go the subscriber's choice of a reader, fallback.go what a daemon does
-// that no reader serves, sample.go the targets that it holds.
+// that no reader serves, sample.go the targets that it holds. passedover.go keeps who
+// did not fill a role.
 package feed
 
 import "time"
--- a/core/feed/readers.go
+++ b/core/feed/readers.go
@@ -19,16 +19,14 @@
 	reportWithin = 1500 * time.Millisecond
 	// loadTime is how long an appointed daemon has to load what the log holds.
 	loadTime = 4 * time.Second
-	// passOverFor is how long a daemon that did not serve as a reader is left out.
-	passOverFor = 10 * time.Second
 )
 
 // Readers is the leader's choice of the zone's readers. The zero value is not usable.
 type Readers struct {
 	self      string
 	appointed map[string]*appointee
-	// passedOver holds until when daemons are left out.
-	passedOver map[string]time.Time
+	// passedOver are the daemons that did not serve as readers.
+	passedOver passedOver
 	last       time.Time
 }
 
@@ -42,7 +40,7 @@
 // NewReaders returns the choice of the daemon at the peer address self, without any
 // other reader.
 func NewReaders(self string) *Readers {
-	return &Readers{self: self, appointed: map[string]*appointee{}, passedOver: map[string]time.Time{}}
+	return &Readers{self: self, appointed: map[string]*appointee{}, passedOver: passedOver{}}
 }
 
 // Adopt takes over the readers of an earlier leader.
@@ -101,19 +99,11 @@
 // dismissSilent drops the readers that have left the zone or no longer report.
 func (r *Readers) dismissSilent(now time.Time, members []string) {
 	for address, a := range r.appointed {
-		heard := a.reported
-		if a.since.After(heard) {
-			heard = a.since
-		}
-		if !slices.Contains(members, address) || now.Sub(heard) > reportWithin {
+		if !slices.Contains(members, address) || now.Sub(later(a.reported, a.since)) > reportWithin {
 			r.dismiss(now, address)
 		}
 	}
-	for address, until := range r.passedOver {
-		if !now.Before(until) {
-			delete(r.passedOver, address)
-		}
-	}
+	r.passedOver.expire(now)
 }
 
 // dismissExcess drops readers that are not needed: those that do not reach the log while
@@ -138,7 +128,7 @@
 
 func (r *Readers) dismiss(now time.Time, address string) {
 	delete(r.appointed, address)
-	r.passedOver[address] = now.Add(passOverFor)
+	r.passedOver.add(now, address)
 }
 
 func (r *Readers) freshCount(now time.Time, ownAge time.Duration) int {
@@ -160,8 +150,7 @@
 		return
 	}
 	for _, address := range members {
-		_, left := r.passedOver[address]
-		if address == r.self || left || r.appointed[address] != nil {
+		if address == r.self || r.passedOver.has(now, address) || r.appointed[address] != nil {
 			continue
 		}
 		r.appointed[address] = &appointee{since: now}
--- a/core/feed/standby.go
+++ b/core/feed/standby.go
@@ -8,13 +8,13 @@
 	self, named string
 	// since is when the daemon was named, seen when it last asked for all targets.
 	since, seen time.Time
-	// passedOver holds until when daemons that did not ask are left out.
-	passedOver map[string]time.Time
+	// passedOver are the daemons that did not ask.
+	passedOver passedOver
 }
 
 // NewStandby returns the choice of the daemon at the peer address self.
 func NewStandby(self string) *Standby {
-	return &Standby{self: self, passedOver: map[string]time.Time{}}
+	return &Standby{self: self, passedOver: passedOver{}}
 }
 
 // Seen notes that a daemon has asked for all targets.
@@ -27,27 +27,19 @@
 // Select returns the standby, "" for none. members are the daemons of the zone in order
 // of preference.
 func (s *Standby) Select(now time.Time, members []string) string {
-	heard := s.seen
-	if s.since.After(heard) {
-		heard = s.since
-	}
-	if s.named != "" && now.Sub(heard) <= reportWithin {
+	if s.named != "" && now.Sub(later(s.seen, s.since)) <= reportWithin {
 		return s.named
 	}
 	if s.named != "" {
-		s.passedOver[s.named] = now.Add(passOverFor)
+		s.passedOver.add(now, s.named)
 		s.named = ""
 	}
 	for _, address := range members {
-		if address != s.self && !now.Before(s.passedOver[address]) {
+		if address != s.self && !s.passedOver.has(now, address) {
 			s.named, s.since = address, now
 			break
 		}
 	}
-	for address, until := range s.passedOver {
-		if !now.Before(until) {
-			delete(s.passedOver, address)
-		}
-	}
+	s.passedOver.expire(now)
 	return s.named
 }
