--- a/daemon/front/configuration.go
+++ b/daemon/front/configuration.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -95,6 +96,9 @@
 // where it came from. Errors are those of Decode. An older one than that in force is left out: a
 // daemon that reads the history again, or asks one that lags, must not go back.
 func (c *Configuration) Take(written []byte, from string) error {
+	if held := c.inForce.Load(); held != nil && bytes.Equal(held.written, written) {
+		return nil // the source and a peer bring the same version
+	}
 	began := time.Now()
 	table, err := c.Decode(written)
 	if err != nil {
--- a/daemon/front/front_test.go
+++ b/daemon/front/front_test.go
@@ -73,6 +73,22 @@
 		Expect(c.Routes().Version).To(BeEquivalentTo(9))
 	})
 
+	// Guards against a small host that decodes a large configuration once for each way by
+	// which it comes.
+	It("decodes a configuration once, however often it comes", func() {
+		decoded := 0
+		c := NewConfiguration(ConfigurationOptions{Logger: zap.NewNop(), Decode: func([]byte) (*route.Table, error) {
+			decoded++
+			return table(7), nil
+		}})
+		for range 3 {
+			Expect(c.Take([]byte("7"), "source")).To(Succeed())
+		}
+		Expect(decoded).To(Equal(1))
+		Expect(c.Take([]byte("7 "), "source")).To(Succeed())
+		Expect(decoded).To(Equal(2))
+	})
+
 	// All hosts have lost power and start again; callers are there before the routes.
 	It("keeps a request until the first configuration, if it has just started", func() {
 		c := n.Configuration
