--- a/test/fleet/partition.go
+++ b/test/fleet/partition.go
@@ -63,7 +63,7 @@
 		return l
 	}
 	l := &link{ip: fmt.Sprintf("127.0.0.%d", firstIP+len(n.links))}
-	l.listener = freePort(l.ip)
+	l.listener = FreeAddress(l.ip) // the proxy is told it before the daemon starts
 	var err error
 	l.proxy, err = faultproxy.New(faultproxy.Options{Listen: l.ip + ":0", Target: l.listener})
 	Expect(err).NotTo(HaveOccurred())
@@ -71,10 +71,10 @@
 	return l
 }
 
-// freePort finds the daemon's listener a port: its proxy is told the address
-// before the daemon starts. The port lies below those that the kernel gives out, so
-// that none of these takes it before the daemon does.
-func freePort(ip string) string {
+// FreeAddress returns an address at the IP that nobody listens on, for a listener that
+// starts later. Its port lies below those that the kernel gives out, so that none of these
+// takes it before.
+func FreeAddress(ip string) string {
 	GinkgoHelper()
 	var address string
 	Eventually(func() error {
