One fake of calls between daemons in one process

The specs of daemon/front and daemon/places each looked receivers up and called them by reflection; what they cut, count and give up stays theirs. Assertions are unchanged. Also the words of one comment.

--- a/core/batch/order.go
+++ b/core/batch/order.go
@@ -136,8 +136,8 @@
 	s.places += weight * (float64(places) - s.places)
 }
 
-// Places returns how many places items had on average lately. known is false before
-// that was measured for long enough.
+// Places returns how many places items had on average lately. known is false until the
+// average covers placesTime.
 func (s *Speed) Places() (places float64, known bool) {
 	return max(leastPlaces, s.places), s.placesFor >= placesTime
 }
--- a/daemon/front/zone_test.go
+++ b/daemon/front/zone_test.go
@@ -23,6 +23,7 @@
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
 	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/peer/fakepeer"
 )
 
 const (
@@ -76,9 +77,10 @@
 
 // network hands the calls of daemons to each other; calls of dead ones and to them fail.
 type network struct {
-	mu        sync.Mutex
-	receivers map[string]map[string]any
-	dead      map[string]bool
+	fakepeer.Receivers
+
+	mu   sync.Mutex
+	dead map[string]bool
 }
 
 func (n *network) kill(address string) {
@@ -87,51 +89,37 @@
 	n.dead[address] = true
 }
 
+// cut tells whether one of the daemons is dead.
+func (n *network) cut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead[from] || n.dead[to]
+}
+
 // end is one daemon's end of the network.
 type end struct {
 	network *network
 	address string
 }
 
-// Register implements peer.Registrar.
-func (e end) Register(service string, receiver any) error {
-	e.network.mu.Lock()
-	defer e.network.mu.Unlock()
-	if e.network.receivers[e.address] == nil {
-		e.network.receivers[e.address] = map[string]any{}
-	}
-	e.network.receivers[e.address][service] = receiver
-	return nil
-}
-
 // Call implements peer.Caller.
 func (e end) Call(ctx context.Context, address, method string, args, reply any) error {
-	service, name, _ := strings.Cut(method, ".")
-	e.network.mu.Lock()
-	receiver := e.network.receivers[address][service]
-	cut := e.network.dead[address] || e.network.dead[e.address]
-	e.network.mu.Unlock()
-	if receiver == nil || cut {
+	if e.network.cut(e.address, address) {
 		return peer.Unreachable.New("%s", address)
 	}
-	called := reflect.ValueOf(receiver).MethodByName(name)
-	if reply == nil {
-		reply = reflect.New(called.Type().In(1).Elem()).Interface()
+	var answer any
+	if reply != nil {
+		// The answer of a call that was given up must not be written into the caller's reply.
+		answer = reflect.New(reflect.TypeOf(reply).Elem()).Interface()
 	}
-	// The answer of a call that was given up must not be written into the caller's reply.
-	answer := reflect.New(called.Type().In(1).Elem())
 	ended := make(chan error, 1)
-	go func() {
-		err, _ := called.Call([]reflect.Value{reflect.ValueOf(args), answer})[0].Interface().(error)
-		ended <- err
-	}()
+	go func() { ended <- e.network.Invoke(address, method, args, answer) }()
 	select {
 	case err := <-ended:
-		if err != nil {
-			return peer.RemoteError.Wrap(err, "%s", method)
+		if err == nil && reply != nil {
+			reflect.ValueOf(reply).Elem().Set(reflect.ValueOf(answer).Elem())
 		}
-		reflect.ValueOf(reply).Elem().Set(answer.Elem())
-		return nil
+		return err
 	case <-ctx.Done():
 		return peer.NoReply.Wrap(ctx.Err(), "%s", method)
 	}
@@ -232,7 +220,7 @@
 }
 
 func newZoneFleet() *zoneFleet {
-	f := &zoneFleet{log: fakepartlog.New(4), network: &network{receivers: map[string]map[string]any{}, dead: map[string]bool{}}}
+	f := &zoneFleet{log: fakepartlog.New(4), network: &network{dead: map[string]bool{}}}
 	f.log.SetPageSize(200)
 	for i := range fleetTargets {
 		f.put(entries, fmt.Sprint("t", i), fmt.Sprint("z", i%largeZones+1))
@@ -272,8 +260,8 @@
 	m.feed = feed.New(feed.Options{Host: m.name, Self: m.name, Large: m.hosts.large, Daemons: m.hosts.knownCount, Configuration: m.configuration,
 		Targets: m.places, Peers: caller, Logger: zap.NewNop(), Metrics: set})
 	m.hosts.reads, m.hosts.daemons = m.feed.Reads, m.places.Daemons
-	Expect(m.places.Register(caller)).To(Succeed())
-	Expect(m.feed.Register(caller)).To(Succeed())
+	Expect(m.places.Register(f.network.At(m.name))).To(Succeed())
+	Expect(m.feed.Register(f.network.At(m.name))).To(Succeed())
 	return m
 }
 
--- a/daemon/places/places_test.go
+++ b/daemon/places/places_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"reflect"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +15,7 @@
 	"tarragonhollow.example/tarragonhollow/core/routing"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/peer/fakepeer"
 )
 
 func TestPlaces(t *testing.T) {
@@ -29,8 +28,9 @@
 // wire hands the calls of daemons to each other. It takes no time, but for what the
 // test cuts.
 type wire struct {
-	mu        sync.Mutex
-	receivers map[string]map[string]any
+	fakepeer.Receivers
+
+	mu sync.Mutex
 	// calls counts the calls by method.
 	calls map[string]int
 	// cut tells whether calls to an address are lost.
@@ -38,44 +38,20 @@
 }
 
 func newWire() *wire {
-	return &wire{receivers: map[string]map[string]any{}, calls: map[string]int{}, cut: map[string]bool{}}
-}
-
-type registrar struct {
-	wire *wire
-	name string
-}
-
-// Register implements peer.Registrar.
-func (r registrar) Register(service string, receiver any) error {
-	r.wire.mu.Lock()
-	defer r.wire.mu.Unlock()
-	if r.wire.receivers[r.name] == nil {
-		r.wire.receivers[r.name] = map[string]any{}
-	}
-	r.wire.receivers[r.name][service] = receiver
-	return nil
+	return &wire{calls: map[string]int{}, cut: map[string]bool{}}
 }
 
 // Call implements peer.Caller.
 func (w *wire) Call(ctx context.Context, address, method string, args, reply any) error {
-	service, name, _ := strings.Cut(method, ".")
 	w.mu.Lock()
 	w.calls[method]++
-	receiver, cut := w.receivers[address][service], w.cut[address]
+	cut := w.cut[address]
 	w.mu.Unlock()
 	if cut {
 		<-ctx.Done()
 		return peer.NoReply.Wrap(ctx.Err(), "%s", address)
 	}
-	if receiver == nil {
-		return peer.Unreachable.New("%s", address)
-	}
-	results := reflect.ValueOf(receiver).MethodByName(name).Call([]reflect.Value{reflect.ValueOf(args), reflect.ValueOf(reply)})
-	if err, failed := results[0].Interface().(error); failed {
-		return peer.RemoteError.Wrap(err, "%s", method)
-	}
-	return nil
+	return w.Invoke(address, method, args, reply)
 }
 
 // Notify implements peer.Caller.
@@ -232,8 +208,8 @@
 	It("counts what other daemons run", func() {
 		w := newWire()
 		a, b := view("a", "z1", target("t", "z1")), view("b", "z1", target("t", "z1"))
-		Expect(a.Register(registrar{w, "a"})).To(Succeed())
-		Expect(b.Register(registrar{w, "b"})).To(Succeed())
+		Expect(a.Register(w.At("a"))).To(Succeed())
+		Expect(b.Register(w.At("b"))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
@@ -261,7 +237,7 @@
 		bad, good := target("bad", "z1"), target("good", "z1")
 		a, near, far := view("a", "z1", bad), view("near", "z1", bad, good), view("far", "z2", bad, good)
 		for name, p := range map[string]*places.Places{"a": a, "near": near, "far": far} {
-			Expect(p.Register(registrar{w, name})).To(Succeed())
+			Expect(p.Register(w.At(name))).To(Succeed())
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/daemon/places/scheduler_test.go
+++ b/daemon/places/scheduler_test.go
@@ -59,7 +59,7 @@
 			r.Heard(now)
 			r.Replace(now, targets)
 		})
-		Expect(v.Register(registrar{f.wire, p.Address})).To(Succeed())
+		Expect(v.Register(f.wire.At(p.Address))).To(Succeed())
 		f.views = append(f.views, v)
 		f.run(i)
 	}
