Scheduler split by concept, and the keys of its optional parts

Cause: two customers with hard load need decisions that the scheduler does not make; several developers build them side by side in core/slots. Change: core/slots has a file for each concept, slots.Policy and the section [scheduling] of the settings switch the parts on, and requests for slots carry what the parts decide by. Nothing decides differently yet. Result: specs of core/slots, settings, daemon/places, daemon/relay and daemon/jobs pass.

--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -78,6 +78,7 @@
 
 // Ledger holds the leases of one zone's targets.
 type Ledger struct {
+	policy  Policy
 	groups  map[string]*group
 	holders map[string]map[uint64]*lease
 	usage   map[string]*usage
@@ -107,13 +108,19 @@
 	// granted is when the lease was granted or first reported, renewed when it was last
 	// reported.
 	granted, renewed time.Time
+	// work and slack are those of the request, 0 if the lease was learned from a report.
+	work  float64
+	slack time.Duration
 	// preemptUntil is until when the item is expected to end after its preemption.
 	preemptUntil time.Time
 }
 
-// NewLedger returns a ledger without targets.
-func NewLedger() *Ledger {
-	return &Ledger{groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{}, remote: map[string]*remoteFree{}}
+// NewLedger returns a ledger without targets and without optional parts.
+func NewLedger() *Ledger { return NewLedgerWith(Policy{}) }
+
+// NewLedgerWith returns a ledger without targets.
+func NewLedgerWith(policy Policy) *Ledger {
+	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{}, remote: map[string]*remoteFree{}}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
@@ -239,6 +246,7 @@
 	if g := l.groups[le.group]; g != nil {
 		g.serviceTime.Observe(e.Took)
 	}
+	l.observeRate(now, le, e.Took)
 }
 
 // Expire drops the leases that were not renewed within LeaseTTL.
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -16,6 +16,7 @@
 	"tarragonhollow.example/tarragonhollow/core/accounts"
 	"tarragonhollow.example/tarragonhollow/core/quota"
 	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/feed"
 	"tarragonhollow.example/tarragonhollow/daemon/jobs"
@@ -89,6 +90,9 @@
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
 	set.GetOrCreateGauge("tarragonhollow_target_connections_idle", func() float64 { return float64(n.pool.Idle()) })
+	logger.Info("scheduling", zap.Bool("queue", s.Scheduling.Queue), zap.Bool("zone_balance", s.Scheduling.ZoneBalance),
+		zap.Bool("batch_reserve", s.Scheduling.BatchReserve), zap.Bool("fair_shares", s.Scheduling.FairShares),
+		zap.Bool("paced_return", s.Scheduling.PacedReturn), zap.Bool("target_rates", s.Scheduling.TargetRates))
 	self := places.Peer{Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores}
 	n.hosts = newHosts(hostsOptions{Log: a.Log, Topic: a.HostsTopic, Parts: s.LogPartitions, Host: s.Host, Local: self, Zones: s.Zones, Logger: logger})
 	n.peers = peer.NewClient(peer.ClientOptions{Logger: logger, Metrics: set})
@@ -97,6 +101,7 @@
 	n.Places = places.New(places.Options{
 		Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Cores: s.Cores, FleetSize: n.hosts.fleetSize, Peers: n.peers,
 		LargeZone:   n.hosts.isLarge,
+		Policy:      slots.Policy(s.Scheduling),
 		QuotasInUse: func() bool { return n.accounts().Len() > 0 },
 		Logger:      logger, Metrics: set,
 	})
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -238,7 +238,10 @@
 		r.fetchBody(ctx, c, p)
 		return
 	}
-	slot, ok := r.jobs.Places.AcquireBatch(ctx, group, map[string]bool{p.avoidTarget: true}, r.jobs.Headroom)
+	slot, ok := r.jobs.Places.AcquireBatch(ctx, places.BatchRequest{
+		Group: group, Exclude: map[string]bool{p.avoidTarget: true}, Headroom: r.jobs.Headroom,
+		Work: float64(c.item.Tokens), Slack: c.slack, ShortOfTime: c.shortOfTime,
+	})
 	if !ok {
 		startsLeft[group] = 0
 		return
--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -27,6 +27,10 @@
 	age   time.Duration
 	// late is set if the item can't finish by its due time.
 	late bool
+	// slack is how much time the item would have left if it ran now without interruption;
+	// shortOfTime is set if this is too little to wait for a slot.
+	slack       time.Duration
+	shortOfTime bool
 }
 
 // routeName returns the route's name, "" without a route.
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -29,6 +29,28 @@
 	LastChance bool
 	// MaxWait is how long the request may queue in front of a target.
 	MaxWait time.Duration
+	// Rank, Share, Weight, Work and Content describe the request; see slots.Request.
+	Rank    int
+	Share   string
+	Weight  float64
+	Work    float64
+	Content uint64
+	// Arrived is when the request was read, Objective when its latency objective is
+	// missed, Deadline when its caller stops waiting. Zero times mean unknown.
+	Arrived, Objective, Deadline time.Time
+}
+
+// BatchRequest describes a batch item for the choice of a target.
+type BatchRequest struct {
+	Group string
+	// Exclude holds the starts of targets that the item must not use, Headroom is the
+	// number of slots of each target that stay free.
+	Exclude  map[string]bool
+	Headroom int
+	// Work, Slack and ShortOfTime describe the item; see slots.Request.
+	Work        float64
+	Slack       time.Duration
+	ShortOfTime bool
 }
 
 // Slot is a slot at a target that was chosen for a request, and the leader that chose it.
@@ -62,17 +84,36 @@
 func (p *Places) acquireGranted(ctx context.Context, r Request) (slot Slot, refusal *outcome.Refusal, decided bool) {
 	request := p.newSlotRequest(r.Group, r.Exclude)
 	request.LastChance, request.Patience = r.LastChance, r.MaxWait
+	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
+	request.Work, request.Content = r.Work, r.Content
+	setTimes(&request, r, time.Now())
 	grant, by, answered := p.scheduler.requestSlot(ctx, request)
 	switch {
 	case !answered || grant.Verdict == slots.None:
 		return Slot{}, nil, false
 	case grant.Verdict == slots.Overloaded:
-		return Slot{}, routing.TooBusy(r.Group, grant.Wait, r.MaxWait), true
+		refusal := routing.TooBusy(r.Group, grant.Wait, r.MaxWait)
+		if grant.RetryAfter > 0 {
+			refusal = refusal.After(max(1, grant.RetryAfter.Milliseconds()))
+		}
+		return Slot{}, refusal, true
 	}
 	slot, known := p.acceptGrant(request, grant, by)
 	return slot, nil, known
 }
 
+// setTimes sets the durations of a slot request as of now.
+func setTimes(request *slots.Request, r Request, now time.Time) {
+	if r.Arrived.IsZero() || r.Deadline.IsZero() {
+		return
+	}
+	request.Waited, request.DeadlineLeft = now.Sub(r.Arrived), r.Deadline.Sub(now)
+	request.ObjectiveLeft = request.DeadlineLeft
+	if !r.Objective.IsZero() {
+		request.ObjectiveLeft = r.Objective.Sub(now)
+	}
+}
+
 // newSlotRequest returns a request for a slot of the group.
 func (p *Places) newSlotRequest(groupName string, tried map[string]bool) slots.Request {
 	id := slots.ID{Holder: p.self, Number: p.scheduler.leases.next()}
@@ -252,12 +293,13 @@
 // AcquireBatch chooses the target with the least work that keeps headroom slots free
 // beside the new item, and counts a batch item there; ReleaseBatch must follow. It returns
 // false if no target has such a slot.
-func (p *Places) AcquireBatch(ctx context.Context, groupName string, exclude map[string]bool, headroom int) (Slot, bool) {
+func (p *Places) AcquireBatch(ctx context.Context, r BatchRequest) (Slot, bool) {
 	if !p.Scheduled() {
-		return p.acquireBatchLocally(groupName, exclude, headroom)
+		return p.acquireBatchLocally(r.Group, r.Exclude, r.Headroom)
 	}
-	request := p.newSlotRequest(groupName, exclude)
-	request.Batch, request.Headroom = true, headroom
+	request := p.newSlotRequest(r.Group, r.Exclude)
+	request.Batch, request.Headroom = true, r.Headroom
+	request.Work, request.Slack, request.ShortOfTime = r.Work, r.Slack, r.ShortOfTime
 	grant, by, answered := p.scheduler.requestSlot(ctx, request)
 	if !answered || grant.Verdict != slots.Granted {
 		return Slot{}, false
--- a/daemon/places/messages.go
+++ b/daemon/places/messages.go
@@ -87,6 +87,8 @@
 	Zone, Leader string
 	// Free counts the zone's free slots by group.
 	Free map[string]int
+	// Load is the zone's load by group, nil unless zones are balanced.
+	Load map[string]slots.ZoneLoad
 	// Held is the held work of the zone's daemons.
 	Held map[string]HeldWork
 	// Forwarded reports that the daemon that received it first has forwarded it to its
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -40,7 +40,9 @@
 	Cores float64
 	// SlotTimeout bounds one call to a leader for a slot; default 40 ms.
 	SlotTimeout time.Duration
-	Logger      *zap.Logger
+	// Policy states which optional parts of the scheduler are in force.
+	Policy slots.Policy
+	Logger *zap.Logger
 	// Metrics receives the counters; may be nil.
 	Metrics *metrics.Set
 }
--- a/daemon/places/places_test.go
+++ b/daemon/places/places_test.go
@@ -124,7 +124,7 @@
 	It("sends online requests to free slots before those taken by batch", func() {
 		p := view("d", "z1", target("a", "z1"), target("b", "z1"))
 		for range 4 {
-			t, ok := p.AcquireBatch(context.Background(), "g", map[string]bool{string(roster.StartOf("b", 0)): true}, 0)
+			t, ok := p.AcquireBatch(context.Background(), places.BatchRequest{Group: "g", Exclude: map[string]bool{string(roster.StartOf("b", 0)): true}})
 			Expect(ok).To(BeTrue())
 			Expect(t.ID).To(Equal("a"))
 		}
@@ -141,14 +141,14 @@
 		var last places.Slot
 		for range 3 {
 			var ok bool
-			last, ok = p.AcquireBatch(context.Background(), "g", nil, 1)
+			last, ok = p.AcquireBatch(context.Background(), places.BatchRequest{Group: "g", Headroom: 1})
 			Expect(ok).To(BeTrue())
 		}
-		_, ok := p.AcquireBatch(context.Background(), "g", nil, 1)
+		_, ok := p.AcquireBatch(context.Background(), places.BatchRequest{Group: "g", Headroom: 1})
 		Expect(ok).To(BeFalse())
 		Expect(p.FreeSlots("g", 0)).To(Equal(1))
 		p.ReleaseBatch(last, routing.HardFailed)
-		_, ok = p.AcquireBatch(context.Background(), "g", nil, 0)
+		_, ok = p.AcquireBatch(context.Background(), places.BatchRequest{Group: "g"})
 		Expect(ok).To(BeFalse())
 	})
 
@@ -185,7 +185,7 @@
 	It("cancels the work at a target that drained and has restarted", func() {
 		first := target("a", "z1")
 		p := view("d", "z1", first)
-		slot, ok := p.AcquireBatch(context.Background(), "g", nil, 0)
+		slot, ok := p.AcquireBatch(context.Background(), places.BatchRequest{Group: "g"})
 		Expect(ok).To(BeTrue())
 		drains := first
 		drains.Draining = true
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -101,7 +101,7 @@
 func newScheduler(o Options, scheduled func() bool, preempting chan<- struct{}) *scheduler {
 	return &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, slotTimeout: o.SlotTimeout, logger: o.Logger, set: o.Metrics,
-		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedger(),
+		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
 		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting),
 	}
 }
--- a/daemon/places/scheduler_test.go
+++ b/daemon/places/scheduler_test.go
@@ -254,7 +254,7 @@
 	It("are preempted from batch where online work needs them, at the holder of the item", func() {
 		var items []places.Slot
 		for {
-			slot, ok := f.views[8].AcquireBatch(context.Background(), "g", nil, 0)
+			slot, ok := f.views[8].AcquireBatch(context.Background(), places.BatchRequest{Group: "g"})
 			if !ok || slot.Zone != "z0" {
 				break
 			}
--- a/daemon/relay/crashes.go
+++ b/daemon/relay/crashes.go
@@ -64,11 +64,16 @@
 
 // Fingerprint identifies a request by its content: a caller that resends a request may give
 // it another ID.
-func Fingerprint(r *h1.Request) string {
+func Fingerprint(r *h1.Request) string { return formatFingerprint(contentHash(r)) }
+
+func formatFingerprint(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
+// contentHash identifies a request's content across attempts.
+func contentHash(r *h1.Request) uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(r.Method + " " + r.Host + " " + r.URI + "\n")
 	_, _ = h.Write(r.Body)
-	return strconv.FormatUint(h.Sum64(), 16)
+	return h.Sum64()
 }
 
 // Watch calls run, which sends a request to the target and reports whether the target broke
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -21,6 +21,7 @@
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
@@ -45,6 +46,11 @@
 	Account string
 	// Rank is the request's priority; 0 is the highest.
 	Rank int
+	// Weight is the account's weight among those that compete for slots, 0 for 1.
+	Weight float64
+	// PromptTokens and OutputTokens are the tokens of the prompt and the maximum number of
+	// generated tokens, 0 for unknown.
+	PromptTokens, OutputTokens int64
 	// HTTP is the request as the caller sent it, without hop-by-hop headers.
 	HTTP h1.Request
 	// Arrived is when the request was read, Deadline when the caller stops waiting.
@@ -166,8 +172,9 @@
 	r.mu.Lock()
 	r.budget.CountFirst()
 	r.mu.Unlock()
+	content := contentHash(&request.HTTP)
 	state := &requestState{relay: r, request: request, delivery: newDelivery(w), excluded: map[string]bool{},
-		fingerprint: Fingerprint(&request.HTTP)}
+		content: content, fingerprint: formatFingerprint(content)}
 	result := state.serveWithQuota(ctx)
 	r.recordEnd(request, state, result)
 	return result
@@ -203,8 +210,9 @@
 	request  *Request
 	delivery *delivery
 	excluded map[string]bool
-	// fingerprint identifies the request's content; alone requests a target where as little
+	// content and fingerprint identify the request's content; alone requests a target where as little
 	// else as possible runs.
+	content     uint64
 	fingerprint string
 	alone       bool
 	// runs counts the attempts that a target may have run, rejections the others.
@@ -226,10 +234,7 @@
 		if refusal := s.checkQuarantine(ctx); refusal != nil {
 			return s.refuse(refusal)
 		}
-		slot, refusal := s.relay.Places.Acquire(ctx, places.Request{
-			Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(s.request.Deadline), s.request.Rank), Alone: s.alone,
-			LastChance: !s.mayRetry(),
-		})
+		slot, refusal := s.relay.Places.Acquire(ctx, s.placesRequest())
 		if refusal != nil {
 			return s.refuse(refusal)
 		}
@@ -251,6 +256,24 @@
 	}
 }
 
+// placesRequest describes the request for the choice of a target.
+func (s *requestState) placesRequest() places.Request {
+	r := s.request
+	share := r.Account
+	if share == "" {
+		share = r.Route.Name
+	}
+	p := places.Request{
+		Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
+		LastChance: !s.mayRetry(), Rank: r.Rank, Share: share, Weight: r.Weight, Work: slots.Work(r.PromptTokens, r.OutputTokens), Content: s.content,
+		Arrived: r.Arrived, Deadline: r.Deadline,
+	}
+	if r.Route.Objective > 0 {
+		p.Objective = r.Arrived.Add(r.Route.Objective)
+	}
+	return p
+}
+
 // degradeWhenSilent marks the target degraded if it sends no first byte within
 // firstByteTimeout to a request that got a free slot. A non-repeatable request keeps
 // waiting beyond that time, but no other request should be sent to the target meanwhile.
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -55,6 +55,10 @@
 	r.row(key, f(*field), f(low)+" to "+f(high))
 }
 
+func (r *rows) toggle(key string, field *bool) {
+	r.row(key, toggleText(*field), toggleOn+", "+toggleOff)
+}
+
 func (r *rows) fraction(key string, field *float64, low, high float64) {
 	r.row(key, fmt.Sprint(*field), fmt.Sprintf("%v to %v", low, high))
 }
--- a/settings/encode.go
+++ b/settings/encode.go
@@ -59,3 +59,18 @@
 func (w *writer) fraction(key string, field *float64, _, _ float64) {
 	w.set(key, strconv.FormatFloat(*field, 'g', -1, 64))
 }
+
+// The values of a toggle.
+const (
+	toggleOn  = "on"
+	toggleOff = "off"
+)
+
+func toggleText(on bool) string {
+	if on {
+		return toggleOn
+	}
+	return toggleOff
+}
+
+func (w *writer) toggle(key string, field *bool) { w.set(key, toggleText(*field)) }
--- a/settings/front.go
+++ b/settings/front.go
@@ -37,6 +37,9 @@
 	JobsReadable time.Duration
 	// BatchHeadroom is the number of slots of each target that batch leaves free.
 	BatchHeadroom int
+	// Scheduling states which optional parts of the scheduler are in force; see
+	// slots.Policy.
+	Scheduling Scheduling
 	// QuotaWindow is the window in which an account's requests are bounded by its quota.
 	// The bound may be exceeded in one window by QuotaOvershoot, a fraction of the bound,
 	// and by QuotaSlack, a number of requests.
@@ -47,6 +50,21 @@
 	LogLevel string
 }
 
+// Scheduling switches the optional parts of the scheduler on and off.
+type Scheduling struct {
+	Queue, ZoneBalance, BatchReserve, FairShares, PacedReturn, TargetRates bool
+}
+
+func (s *Scheduling) walk(v visitor) {
+	v.section("scheduling")
+	v.toggle("queue", &s.Queue)
+	v.toggle("zone_balance", &s.ZoneBalance)
+	v.toggle("batch_reserve", &s.BatchReserve)
+	v.toggle("fair_shares", &s.FairShares)
+	v.toggle("paced_return", &s.PacedReturn)
+	v.toggle("target_rates", &s.TargetRates)
+}
+
 // Bounds of the values of Front.
 const (
 	maxPartitions = 4096
@@ -101,6 +119,7 @@
 	v.section("jobs")
 	v.duration("readable", &f.JobsReadable, time.Second, 30*24*time.Hour)
 	v.number("headroom", &f.BatchHeadroom, 0, maxHeadroom)
+	f.Scheduling.walk(v)
 	v.section("quotas")
 	v.duration("window", &f.QuotaWindow, minWindow, maxWindow)
 	v.fraction("overshoot", &f.QuotaOvershoot, 0, 1)
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -71,3 +71,7 @@
 func (r *reader) fraction(key string, field *float64, low, high float64) {
 	*field = r.current.Float(key, *field, low, high)
 }
+
+func (r *reader) toggle(key string, field *bool) {
+	*field = r.current.Enum(key, toggleText(*field), toggleOn, toggleOff) == toggleOn
+}
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -26,6 +26,8 @@
 	duration(key string, field *time.Duration, low, high time.Duration)
 	size(key string, field *int64, low, high int64)
 	fraction(key string, field *float64, low, high float64)
+	// toggle is a key with the values on and off.
+	toggle(key string, field *bool)
 }
 
 // walk calls v for every section and key of s.
