Slots: balancing between zones behind zone_balance

Cause: leaders exchange only free slots, so no load moves between zones once all are full, and batch in another zone is never preempted for online work. Change: ZoneReport carries the load by group; the leader sends a request to a zone that has free slots, slots that batch holds, or a queue in which it starts 50 ms earlier. A report without a load is used by its free slots as before.

--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -21,12 +21,19 @@
 	// Patience is the maximum time for which the request may queue at a target.
 	Patience time.Duration
 	// Visiting is set if the holder's own zone is full: the request gets a free slot or
-	// none.
+	// none, unless Preempts is set.
 	Visiting bool
 	// Stay requires a slot of this zone, even if other zones have free ones.
 	Stay bool
 	// Preempts lets a visiting request preempt batch items and wait.
 	Preempts bool
+	// HomeWait is how long a visiting request is expected to wait in the holder's zone. It
+	// joins no queue in which it would wait longer.
+	HomeWait time.Duration
+	// FailedZone names the zone that did not serve this request, "" for none; Unanswered
+	// reports that the leader of that zone did not answer.
+	FailedZone string
+	Unanswered bool
 	// MayWait reports that the holder understands the verdict Waiting.
 	MayWait bool
 	// Rank is the request's priority; 0 is the highest.
@@ -90,6 +97,8 @@
 	Running int
 	// Zone is the zone to request a slot from, Leader the peer address of its leader.
 	Zone, Leader string
+	// Reason states why the request is sent to that zone.
+	Reason OverflowReason
 	// Wait is how long the request would queue.
 	Wait time.Duration
 	// RetryAfter is when a refused caller should return, 0 for unknown.
@@ -108,6 +117,7 @@
 // In a large group only some targets are examined first, so that the cost of a grant does
 // not depend on the group's size while most targets have free slots.
 func (l *Ledger) Grant(now time.Time, r Request, seed uint64) Grant {
+	l.recordFailedZone(now, r)
 	g := l.groups[r.Group]
 	if g == nil || len(g.targets) == 0 {
 		return l.otherZone(now, r)
@@ -125,7 +135,7 @@
 	if c, ok := firstMatch(healthy, func(c candidate) bool { return c.taken < c.Slots }); ok {
 		return l.grantLease(now, r, c)
 	}
-	if r.Visiting && !r.Preempts {
+	if !l.mayPreempt(r) {
 		return Grant{Verdict: None}
 	}
 	if c, ok := firstMatch(healthy, func(c candidate) bool { return c.online < c.Slots }); ok {
@@ -134,6 +144,9 @@
 	if grant := l.otherZone(now, r); grant.Verdict == Elsewhere {
 		return grant
 	}
+	if !l.mayQueue(now, r) {
+		return Grant{Verdict: None}
+	}
 	return l.queue(now, r, g, append(healthy, degraded...))
 }
 
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -82,18 +82,25 @@
 	groups  map[string]*group
 	holders map[string]map[uint64]*lease
 	usage   map[string]*usage
-	remote  map[string]*remoteFree
+	remote  map[string]*remoteZone
+	// failed holds until when a zone is not used for a group.
+	failed map[zoneGroup]time.Time
+	// zoneRule decides whether a request is sent to a zone that has no slot either.
+	zoneRule func(home, other ZoneLoad) (gain float64, sends bool)
 }
 
 type group struct {
 	targets []Target
 	// serviceTime is that of online requests.
 	serviceTime routing.ServiceTime
+	drain       drain
 }
 
 // usage is the state of one target.
 type usage struct {
 	online, batch int
+	// group is the target's group, "" if the target may get no work.
+	group string
 	// leases holds the leases of the target.
 	leases      map[*lease]bool
 	degradation routing.Degradation
@@ -120,27 +127,30 @@
 
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
-	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{}, remote: map[string]*remoteFree{}}
+	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{},
+		remote: map[string]*remoteZone{}, failed: map[zoneGroup]time.Time{}, zoneRule: byEarliestStart}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
 // targets that remain is kept, and leases at removed targets continue.
 func (l *Ledger) SetTargets(targets map[string][]Target) {
 	groups := make(map[string]*group, len(targets))
-	remaining := map[string]bool{}
+	for _, u := range l.usage {
+		u.group = ""
+	}
 	for name, list := range targets {
 		g := &group{targets: list}
 		if known := l.groups[name]; known != nil {
-			g.serviceTime = known.serviceTime
+			g.serviceTime, g.drain = known.serviceTime, known.drain
 		}
 		groups[name] = g
 		for _, t := range list {
-			remaining[t.Start] = true
+			l.usageOf(t.Start).group = name
 		}
 	}
 	l.groups = groups
 	for start, u := range l.usage {
-		if !remaining[start] && len(u.leases) == 0 {
+		if u.group == "" && len(u.leases) == 0 {
 			delete(l.usage, start)
 		}
 	}
@@ -234,6 +244,7 @@
 		return
 	}
 	u := l.usageOf(e.Target)
+	l.countFreed(now, le, u)
 	switch e.Outcome {
 	case routing.Succeeded:
 		u.degradation = routing.Degradation{}
@@ -249,6 +260,15 @@
 	l.observeRate(now, le, e.Took)
 }
 
+// countFreed counts the slot that the end of a lease frees. The slot of a preempted item
+// already belongs to the request that preempted it, and that of a removed target is of no
+// use.
+func (l *Ledger) countFreed(now time.Time, le *lease, u *usage) {
+	if g := l.groups[u.group]; g != nil && le != nil && le.preemptUntil.IsZero() {
+		g.drain.add(now, 1)
+	}
+}
+
 // Expire drops the leases that were not renewed within LeaseTTL.
 func (l *Ledger) Expire(now time.Time) {
 	for _, held := range l.holders {
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -1,17 +1,30 @@
 package slots
 
 import (
+	"cmp"
 	"maps"
 	"time"
 )
 
 const (
-	// remoteMinFree is how many free slots another zone must have reported before a
-	// request is sent there: the last one may have been taken since the report.
+	// remoteMinFree is how many free slots another zone that reports no load must have
+	// reported before a request is sent there: the last one may have been taken since.
 	remoteMinFree = 2
-	// FreeSlotsTTL is how long another zone's report of its free slots is valid; its
-	// leader sends several in that time.
+	// FreeSlotsTTL is how long another zone's report is valid; its leader sends several
+	// in that time.
 	FreeSlotsTTL = 400 * time.Millisecond
+	// crossingMargin is by how much earlier a request must start in another zone's queue:
+	// traffic between zones is expensive.
+	crossingMargin = 50 * time.Millisecond
+	// failedZoneTime is for how long a zone is not used after it did not answer a request
+	// or gave it no slot.
+	failedZoneTime = 500 * time.Millisecond
+	// sentWeight is how much a request that was sent to another zone counts there until
+	// that zone reports again. With 2, a zone uses half of what another one offers, and
+	// leaves the other half to the remaining zones.
+	sentWeight = 2
+	// allGroups is the group of a failure that concerns the whole zone.
+	allGroups = ""
 )
 
 // ZoneLoad is the load of a group's targets in one zone, as its leader reports it to the
@@ -27,13 +40,38 @@
 	PerSecond float64
 }
 
-// remoteFree is another zone's report of its free slots.
-type remoteFree struct {
+// OverflowReason states why a request is sent to another zone.
+type OverflowReason int
+
+const (
+	// FreeSlot: the other zone has a free slot.
+	FreeSlot OverflowReason = iota
+	// BatchSlot: the other zone has a slot from which batch is preempted.
+	BatchSlot
+	// ShorterQueue: the request starts earlier in the other zone's queue.
+	ShorterQueue
+)
+
+// String returns the reason's name for logs and metrics.
+func (r OverflowReason) String() string {
+	return [...]string{"free", "batch", "queue"}[min(max(FreeSlot, r), ShorterQueue)]
+}
+
+// remoteZone is another zone's last report.
+type remoteZone struct {
 	leader string
-	free   map[string]int
 	at     time.Time
+	// free is used if load is nil: the other leader runs an earlier build, or does not
+	// balance zones.
+	free map[string]int
+	load map[string]ZoneLoad
+	// sent counts the requests sent there since the report.
+	sent map[string]int
 }
 
+// zoneGroup is a group of targets in another zone.
+type zoneGroup struct{ zone, group string }
+
 // FreeSlots counts the free slots of the zone's healthy targets, by group.
 func (l *Ledger) FreeSlots(now time.Time) map[string]int {
 	free := map[string]int{}
@@ -48,32 +86,232 @@
 	return free
 }
 
+// Load returns the load of the zone's targets by group, for the leaders of other zones. It
+// is nil unless zones are balanced.
+func (l *Ledger) Load(now time.Time) map[string]ZoneLoad {
+	if !l.policy.ZoneBalance {
+		return nil
+	}
+	loads := make(map[string]ZoneLoad, len(l.groups))
+	for name, g := range l.groups {
+		load := ZoneLoad{Waiting: l.waiting(name, g), PerSecond: l.perSecond(now, g)}
+		for _, t := range g.targets {
+			u := l.usageOf(t.Start)
+			if u.degraded(now, false) {
+				continue
+			}
+			batch := u.notPreempted(now)
+			load.Free += max(0, t.Slots-u.online-batch)
+			load.Batch += max(0, min(batch, t.Slots-u.online))
+		}
+		loads[name] = load
+	}
+	return loads
+}
+
+// waiting counts the online requests of the group that wait for a slot: those beyond the
+// slots of each target.
+func (l *Ledger) waiting(_ string, g *group) int {
+	n := 0
+	for _, t := range g.targets {
+		n += max(0, l.usageOf(t.Start).online-t.Slots)
+	}
+	return n
+}
+
+// perSecond returns how many slots of the group become free a second, 0 for unknown.
+func (l *Ledger) perSecond(now time.Time, g *group) float64 {
+	if rate, known := g.drain.perSecond(now); known && rate > 0 {
+		return rate
+	}
+	slots := 0
+	for _, t := range g.targets {
+		if !l.usageOf(t.Start).degraded(now, false) {
+			slots += t.Slots
+		}
+	}
+	mean := g.serviceTime.Wait(1, 1) // the wait for the only slot of a target
+	if mean <= 0 {
+		return 0
+	}
+	return float64(slots) / mean.Seconds()
+}
+
 // ApplyRemoteFree records the free slots that the leader of another zone reports.
 func (l *Ledger) ApplyRemoteFree(now time.Time, zone, leader string, free map[string]int) {
-	l.remote[zone] = &remoteFree{leader: leader, free: maps.Clone(free), at: now}
+	l.ApplyRemoteLoad(now, zone, leader, free, nil)
 }
 
-// otherZone chooses the zone with the most free slots. Requests sent there are subtracted
-// until that zone reports again, so that the requests that this zone sends between two
-// reports do not compete for the same slots.
+// ApplyRemoteLoad records the report of another zone's leader. load is nil if that leader
+// runs an earlier build or does not balance zones; its free slots are then used as they
+// are without balancing.
+func (l *Ledger) ApplyRemoteLoad(now time.Time, zone, leader string, free map[string]int, load map[string]ZoneLoad) {
+	if !l.policy.ZoneBalance {
+		load = nil
+	}
+	l.remote[zone] = &remoteZone{leader: leader, at: now, free: maps.Clone(free), load: load, sent: map[string]int{}}
+}
+
+// RemoteLoad returns the load that another zone reported for the group, less what was sent
+// there since.
+func (l *Ledger) RemoteLoad(zone, group string) ZoneLoad {
+	if to := l.remote[zone]; to != nil {
+		return to.loadOf(group, 1)
+	}
+	return ZoneLoad{}
+}
+
+// loadOf returns the zone's load, less the requests sent there since its report, each
+// counted weight times: against free slots first, then against those that batch holds, then
+// as waiting ones.
+func (z *remoteZone) loadOf(group string, weight int) ZoneLoad {
+	load := z.load[group]
+	if z.load == nil {
+		load.Free = z.free[group]
+		weight = 1
+	}
+	left := weight * z.sent[group]
+	free := min(left, load.Free)
+	batch := min(left-free, load.Batch)
+	load.Free, load.Batch, load.Waiting = load.Free-free, load.Batch-batch, load.Waiting+left-free-batch
+	return load
+}
+
+// visit is a zone that may get a request.
+type visit struct {
+	zone   string
+	reason OverflowReason
+	// gain orders the zones of equal reason.
+	gain float64
+}
+
+// better reports whether the request goes to v rather than to other.
+func (v visit) better(other visit) bool {
+	return cmp.Or(cmp.Compare(v.reason, other.reason), cmp.Compare(other.gain, v.gain), cmp.Compare(v.zone, other.zone)) < 0
+}
+
+// otherZone chooses another zone for a request that gets no slot here. Requests sent there
+// are subtracted until that zone reports again, so that the requests that this zone sends
+// between two reports do not compete for the same slots.
 func (l *Ledger) otherZone(now time.Time, r Request) Grant {
+	return l.otherZoneBefore(now, r, l.localLoad(now, r.Group))
+}
+
+// otherZoneBefore chooses another zone for a request that would find the load home here.
+func (l *Ledger) otherZoneBefore(now time.Time, r Request, home ZoneLoad) Grant {
 	if r.Visiting || r.Stay {
 		return Grant{Verdict: None}
 	}
-	name, most := "", remoteMinFree-1
+	best, found := visit{}, false
 	for zone, report := range l.remote {
-		if now.Sub(report.at) > FreeSlotsTTL {
+		if now.Sub(report.at) > FreeSlotsTTL || l.failedRecently(now, zone, r.Group) {
 			continue
 		}
-		free := report.free[r.Group]
-		if free > most || free == most && name != "" && zone < name {
-			name, most = zone, free
+		v, ok := l.visit(r, zone, report, home)
+		if ok && (!found || v.better(best)) {
+			best, found = v, true
 		}
 	}
-	if name == "" {
+	if !found {
 		return Grant{Verdict: None}
 	}
-	to := l.remote[name]
-	to.free[r.Group]--
-	return Grant{Verdict: Elsewhere, Zone: name, Leader: to.leader}
+	to := l.remote[best.zone]
+	to.sent[r.Group]++
+	grant := Grant{Verdict: Elsewhere, Zone: best.zone, Leader: to.leader}
+	if l.policy.ZoneBalance {
+		grant.Reason, grant.Wait = best.reason, min(home.start(), r.Patience)
+	}
+	return grant
+}
+
+// visit reports whether the request may be sent to the zone.
+func (l *Ledger) visit(r Request, zone string, report *remoteZone, home ZoneLoad) (visit, bool) {
+	load := report.loadOf(r.Group, sentWeight)
+	if report.load == nil {
+		return visit{zone, FreeSlot, float64(load.Free)}, load.Free >= remoteMinFree
+	}
+	switch {
+	case load.Free >= sentWeight:
+		return visit{zone, FreeSlot, float64(load.Free)}, true
+	case r.Batch:
+		return visit{}, false
+	case load.Free+load.Batch >= sentWeight:
+		return visit{zone, BatchSlot, float64(load.Batch)}, true
+	}
+	if reported := report.load[r.Group]; reported.Free+reported.Batch >= sentWeight {
+		return visit{}, false // it offered slots, and this zone has used its half of them
+	}
+	gain, ok := l.zoneRule(home, load)
+	return visit{zone, ShorterQueue, gain}, ok && load.start() <= r.Patience
+}
+
+// byEarliestStart sends a request to the zone that starts it earlier by more than the
+// crossing is worth.
+func byEarliestStart(home, other ZoneLoad) (gain float64, sends bool) {
+	earlier := home.start() - other.start()
+	return earlier.Seconds(), earlier > crossingMargin
+}
+
+// maxStart is the expected wait where no slot becomes free.
+const maxStart = time.Hour
+
+// start returns how long one more request is expected to wait in the zone.
+func (z ZoneLoad) start() time.Duration {
+	if z.Free+z.Batch > 0 {
+		return 0
+	}
+	if z.PerSecond <= 0 {
+		return maxStart
+	}
+	return min(maxStart, time.Duration(float64(z.Waiting+1)/z.PerSecond*float64(time.Second)))
+}
+
+// localLoad returns the load of this zone for a request of the group that finds neither a
+// free slot nor one that batch holds. If it is not known yet how fast slots become free,
+// the request is expected to start at once, so that a new leader does not send its zone's
+// requests away.
+func (l *Ledger) localLoad(now time.Time, name string) ZoneLoad {
+	g := l.groups[name]
+	if !l.policy.ZoneBalance || g == nil || len(g.targets) == 0 {
+		return ZoneLoad{}
+	}
+	load := ZoneLoad{Waiting: l.waiting(name, g), PerSecond: l.perSecond(now, g)}
+	if load.PerSecond <= 0 {
+		load.Free = 1
+	}
+	return load
+}
+
+// mayPreempt reports whether a request may preempt batch items and queue here.
+func (l *Ledger) mayPreempt(r Request) bool {
+	return !r.Visiting || r.Preempts && l.policy.ZoneBalance
+}
+
+// mayQueue reports whether a request may queue here. One of another zone does so only if it
+// waits no longer than there: that zone's leader decided by a report that may be outdated.
+func (l *Ledger) mayQueue(now time.Time, r Request) bool {
+	return !r.Visiting || l.localLoad(now, r.Group).start() <= r.HomeWait
+}
+
+// recordFailedZone records the zone that did not serve the request.
+func (l *Ledger) recordFailedZone(now time.Time, r Request) {
+	if r.FailedZone == "" || !l.policy.ZoneBalance {
+		return
+	}
+	for key, until := range l.failed {
+		if !now.Before(until) {
+			delete(l.failed, key)
+		}
+	}
+	key := zoneGroup{r.FailedZone, r.Group}
+	if r.Unanswered {
+		key.group = allGroups
+	}
+	l.failed[key] = now.Add(failedZoneTime)
+}
+
+// failedRecently reports whether the zone did not answer, or gave a request of the group no
+// slot, within failedZoneTime.
+func (l *Ledger) failedRecently(now time.Time, zone, group string) bool {
+	return now.Before(l.failed[zoneGroup{zone, group}]) || now.Before(l.failed[zoneGroup{zone, allGroups}])
 }
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -74,6 +74,10 @@
 	partHolders map[int]partHolder
 
 	leases *localLeases
+	// balanced reports whether the load of zones is balanced; overflowLogged is when a
+	// request sent to another zone was last logged, by zone and group.
+	balanced       bool
+	overflowLogged map[[2]string]time.Time
 }
 
 // holderState is the state last reported by a daemon of the zone.
@@ -103,6 +107,7 @@
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, slotTimeout: o.SlotTimeout, logger: o.Logger, set: o.Metrics,
 		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
 		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting),
+		balanced: o.Policy.ZoneBalance, overflowLogged: map[[2]string]time.Time{},
 	}
 }
 
@@ -132,6 +137,7 @@
 		s.ledger.Expire(now) // not the leader, which does this at each heartbeat
 	}
 	grant := s.ledger.Grant(now, request, rand.Uint64())
+	s.logOverflow(now, request, grant)
 	s.mu.Unlock()
 	s.notifyPreempted(grant.Yield)
 	return grant, nil
@@ -165,18 +171,7 @@
 	if !answered || grant.Verdict != slots.Elsewhere {
 		return grant, leader, answered
 	}
-	remoteRequest := request
-	remoteRequest.Visiting = true
-	remote, ok := s.callLeader(ctx, grant.Leader, remoteRequest)
-	if ok && remote.Verdict == slots.Granted {
-		return remote, grant.Leader, true
-	}
-	if request.Batch {
-		return slots.Grant{}, leader, true
-	}
-	request.Stay = true
-	grant, answered = s.callLeader(ctx, leader, request)
-	return grant, leader, answered
+	return s.overflow(ctx, leader, request, grant)
 }
 
 // callLeader requests a slot from one leader.
