--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -83,9 +83,9 @@
 	holders map[string]map[uint64]*lease
 	usage   map[string]*usage
 	remote  map[string]*remoteZone
-	// failed holds until when a zone is not used for a group.
-	failed map[zoneGroup]time.Time
-	// zoneRule decides whether a request is sent to a zone that has no slot either.
+	// failed holds the zones that did not serve a request, by group.
+	failed map[zoneGroup]failedZone
+	// zoneRule decides whether a request that gets no slot here is sent to another zone.
 	zoneRule func(home, other ZoneLoad) (gain float64, sends bool)
 }
 
@@ -128,7 +128,7 @@
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
 	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{},
-		remote: map[string]*remoteZone{}, failed: map[zoneGroup]time.Time{}, zoneRule: byEarliestStart}
+		remote: map[string]*remoteZone{}, failed: map[zoneGroup]failedZone{}, zoneRule: byEarliestStart}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -23,6 +23,10 @@
 	// that zone reports again. With 2, a zone uses half of what another one offers, and
 	// leaves the other half to the remaining zones.
 	sentWeight = 2
+	// probeTime is for how long only one request is sent to a zone that did not answer
+	// before: longer than a call for a slot, so that one that is lost again is the only
+	// one to wait for the answer.
+	probeTime = 100 * time.Millisecond
 	// allGroups is the group of a failure that concerns the whole zone.
 	allGroups = ""
 )
@@ -72,6 +76,13 @@
 // zoneGroup is a group of targets in another zone.
 type zoneGroup struct{ zone, group string }
 
+// failedZone is a zone that did not serve a request.
+type failedZone struct {
+	// until is until when it is not used; probed reports that it has got one request since.
+	until  time.Time
+	probed bool
+}
+
 // FreeSlots counts the free slots of the zone's healthy targets, by group.
 func (l *Ledger) FreeSlots(now time.Time) map[string]int {
 	free := map[string]int{}
@@ -119,10 +130,15 @@
 	return n
 }
 
-// perSecond returns how many slots of the group become free a second, 0 for unknown.
+// perSecond returns how many slots of the group become free a second, 0 for unknown: the
+// larger of those counted in the last second and of the number of slots divided by the mean
+// service time. Both are lower bounds once all slots are taken: the first still contains
+// the time before, and the second the time that requests queued at a target.
 func (l *Ledger) perSecond(now time.Time, g *group) float64 {
-	if rate, known := g.drain.perSecond(now); known && rate > 0 {
-		return rate
+	counted, _ := g.drain.perSecond(now)
+	mean := g.serviceTime.Wait(1, 1) // the wait for the only slot of a target
+	if mean <= 0 {
+		return counted
 	}
 	slots := 0
 	for _, t := range g.targets {
@@ -130,11 +146,7 @@
 			slots += t.Slots
 		}
 	}
-	mean := g.serviceTime.Wait(1, 1) // the wait for the only slot of a target
-	if mean <= 0 {
-		return 0
-	}
-	return float64(slots) / mean.Seconds()
+	return max(counted, float64(slots)/mean.Seconds())
 }
 
 // ApplyRemoteFree records the free slots that the leader of another zone reports.
@@ -217,6 +229,7 @@
 	}
 	to := l.remote[best.zone]
 	to.sent[r.Group]++
+	l.probe(now, best.zone)
 	grant := Grant{Verdict: Elsewhere, Zone: best.zone, Leader: to.leader}
 	if l.policy.ZoneBalance {
 		grant.Reason, grant.Wait = best.reason, min(home.start(), r.Patience)
@@ -230,26 +243,29 @@
 	if report.load == nil {
 		return visit{zone, FreeSlot, float64(load.Free)}, load.Free >= remoteMinFree
 	}
+	if r.Batch {
+		return visit{zone, FreeSlot, float64(load.Free)}, load.Free >= sentWeight
+	}
+	gain, sends := l.zoneRule(home, load)
 	switch {
 	case load.Free >= sentWeight:
-		return visit{zone, FreeSlot, float64(load.Free)}, true
-	case r.Batch:
-		return visit{}, false
-	case load.Free+load.Batch >= sentWeight:
-		return visit{zone, BatchSlot, float64(load.Batch)}, true
+		return visit{zone, FreeSlot, float64(load.Free)}, sends
+	case load.offersSlots():
+		return visit{zone, BatchSlot, float64(load.Batch)}, sends
+	case report.load[r.Group].offersSlots():
+		return visit{}, false // this zone has used its half of the offer
 	}
-	if reported := report.load[r.Group]; reported.Free+reported.Batch >= sentWeight {
-		return visit{}, false // it offered slots, and this zone has used its half of them
-	}
-	gain, ok := l.zoneRule(home, load)
-	return visit{zone, ShorterQueue, gain}, ok && load.start() <= r.Patience
+	return visit{zone, ShorterQueue, gain}, sends && load.start() <= r.Patience
 }
 
-// byEarliestStart sends a request to the zone that starts it earlier by more than the
-// crossing is worth.
+// offersSlots reports whether a request may be sent for a slot of the zone.
+func (z ZoneLoad) offersSlots() bool { return z.Free+z.Batch >= sentWeight }
+
+// byEarliestStart sends a request to a zone that has a slot for it, or starts it earlier by
+// more than the crossing is worth.
 func byEarliestStart(home, other ZoneLoad) (gain float64, sends bool) {
 	earlier := home.start() - other.start()
-	return earlier.Seconds(), earlier > crossingMargin
+	return earlier.Seconds(), other.offersSlots() || earlier > crossingMargin
 }
 
 // maxStart is the expected wait where no slot becomes free.
@@ -298,20 +314,28 @@
 	if r.FailedZone == "" || !l.policy.ZoneBalance {
 		return
 	}
-	for key, until := range l.failed {
-		if !now.Before(until) {
-			delete(l.failed, key)
-		}
-	}
 	key := zoneGroup{r.FailedZone, r.Group}
 	if r.Unanswered {
 		key.group = allGroups
 	}
-	l.failed[key] = now.Add(failedZoneTime)
+	l.failed[key] = failedZone{until: now.Add(failedZoneTime)}
+}
+
+// probe records that a request is sent to a zone. One that did not answer before gets no
+// other request until this one must have been answered.
+func (l *Ledger) probe(now time.Time, zone string) {
+	key := zoneGroup{zone, allGroups}
+	failed, known := l.failed[key]
+	switch {
+	case failed.probed:
+		delete(l.failed, key)
+	case known:
+		l.failed[key] = failedZone{until: now.Add(probeTime), probed: true}
+	}
 }
 
 // failedRecently reports whether the zone did not answer, or gave a request of the group no
 // slot, within failedZoneTime.
 func (l *Ledger) failedRecently(now time.Time, zone, group string) bool {
-	return now.Before(l.failed[zoneGroup{zone, group}]) || now.Before(l.failed[zoneGroup{zone, allGroups}])
+	return now.Before(l.failed[zoneGroup{zone, group}].until) || now.Before(l.failed[zoneGroup{zone, allGroups}].until)
 }
