Places: a stronger test of a stale leader

Cause: the test did not show where the request ran, nor that the zone is left out afterwards. Change: zone 1 is full of online work; the request must return to zone 0, and the reported slots are tried once in 500 ms.

--- a/daemon/places/overflow_test.go
+++ b/daemon/places/overflow_test.go
@@ -23,9 +23,11 @@
 		logs  *observer.ObservedLogs
 		set   *metrics.Set
 		keyed func(zone int) bool
+		// timeout is the slot timeout if it is not 0.
+		timeout time.Duration
 	)
 	BeforeEach(func() {
-		set, keyed = metrics.NewSet(), func(int) bool { return true }
+		set, keyed, timeout = metrics.NewSet(), func(int) bool { return true }, 0
 	})
 	// start starts a fleet in which batch takes all slots of the zones 1 to 3 and online
 	// requests those of zone 0.
@@ -36,6 +38,9 @@
 		f = newLargeFleet(func(i int, o *places.Options) {
 			o.Policy.ZoneBalance = keyed(i % fleetZones)
 			o.Metrics = set
+			if timeout > 0 {
+				o.SlotTimeout = timeout
+			}
 			if i == fleetZones {
 				o.Logger = zap.New(core)
 			}
@@ -104,6 +109,7 @@
 	// Leaders' reports arrive, but calls to them are lost: each request would wait for the
 	// slot timeout.
 	It("sends no further requests to leaders that do not answer", func() {
+		timeout = slotTimeout / 4
 		start()
 		for i := 5; i < 8; i++ {
 			f.network.setCut(fmt.Sprint("p", i), true)
@@ -139,15 +145,33 @@
 		Expect(f.network.count("Slots.Grant") - before).To(BeNumerically("<=", requests))
 	})
 
-	// A stale leader reports slots that it does not have.
-	It("returns to the local zone after a zone without the slots that it reported", func() {
+	// A stale leader reports slots that it does not have. Each request would be sent there
+	// first.
+	It("returns to the local zone after a zone without the slots that it reported, and leaves that out", func() {
 		start()
-		Eventually(func() uint64 {
-			report := places.ZoneReport{Zone: "z1", Leader: "p5", Free: map[string]int{"g": 50}, Load: map[string]slots.ZoneLoad{"g": {Free: 50}}}
+		measured := f.acquire(1)
+		f.views[1].Release(measured, routing.Succeeded, time.Second)
+		f.awaitReports()
+		for range zoneTargets * targetSlots {
+			Expect(f.acquire(1).Zone).To(Equal("z1"))
+		}
+		report := places.ZoneReport{Zone: "z1", Leader: "p5", Free: map[string]int{"g": 50}, Load: map[string]slots.ZoneLoad{"g": {Free: 50}}}
+		none := func() uint64 { return overflows("free", "none") }
+		acquire := func() uint64 {
+			before := none()
 			Expect(f.network.Call(context.Background(), "p4", "Slots.Room", report, &places.Ack{})).To(Succeed())
-			f.acquire(0)
-			return overflows("free", "granted") + overflows("free", "none")
-		}).WithTimeout(limit).Should(BeNumerically(">=", 1))
+			slot := f.acquire(0)
+			if none() > before {
+				Expect(slot.Zone).To(Equal("z0"))
+			}
+			return none()
+		}
+		began := time.Now()
+		Eventually(acquire).WithTimeout(limit).Should(BeNumerically(">=", 1))
+		for range 20 {
+			acquire()
+		}
+		Expect(none()).To(BeNumerically("<=", 1+time.Since(began)/(500*time.Millisecond)))
 	})
 
 	// During a rolling upgrade, leaders of the previous build report free slots only, and
