Learned rates of targets, and the choice by finishing time

Cause: requests are placed by counts, so an engine that takes 2.2 times as long as another gets as many requests and holds them longer (item 5 of docs/design/0015). Change: with target_rates the ledger learns for each target how long it takes for a unit of work as a multiple of the group's mean, and chooses the free target with the lowest (requests + 1) x rate, for online requests and batch items. Rates return to 1 without observations. Runs over three times their expected time count while they are running. Requests that queued at the target and leases learned from a report do not count. With the key off nothing changes.

--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -114,7 +114,7 @@
 	}
 	if len(g.targets) > sampleSize {
 		healthy, _ := l.candidates(now, g, r, seed, sampleSize)
-		if c, ok := firstMatch(healthy, func(c candidate) bool { return c.empty(r) }); ok {
+		if c, ok := l.choiceFromSample(r, healthy); ok {
 			return l.grantLease(now, r, c)
 		}
 	}
@@ -122,7 +122,7 @@
 	if r.Batch {
 		return l.grantBatch(now, r, g, healthy)
 	}
-	if c, ok := firstMatch(healthy, func(c candidate) bool { return c.taken < c.Slots }); ok {
+	if c, ok := firstMatch(healthy, candidate.free); ok {
 		return l.grantLease(now, r, c)
 	}
 	if r.Visiting && !r.Preempts {
@@ -143,7 +143,7 @@
 	if held := l.reserved(now, g, r); held > 0 && held >= freeSlots(from) {
 		return l.otherZone(now, r)
 	}
-	if c, ok := firstMatch(from, func(c candidate) bool { return c.online+c.usage.batch+r.Headroom < c.Slots }); ok {
+	if c, ok := firstMatch(from, func(c candidate) bool { return c.fits(r) }); ok {
 		return l.grantLease(now, r, c)
 	}
 	return l.otherZone(now, r)
@@ -154,6 +154,7 @@
 func (l *Ledger) grantLease(now time.Time, r Request, c candidate) Grant {
 	le := l.add(now, r.ID, Running{Number: r.ID.Number, Target: c.Start, Batch: r.Batch})
 	le.group, le.work, le.slack = r.Group, r.Work, r.Slack
+	le.timed = !r.Batch && c.online+c.usage.batch < c.Slots
 	grant := Grant{Verdict: Granted, Target: c.Start, At: c.Target, Running: c.taken}
 	if !r.Batch {
 		grant.Yield = c.usage.preempt(now, c.taken+1-c.Slots)
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -89,6 +89,7 @@
 	targets []Target
 	// serviceTime is that of online requests.
 	serviceTime routing.ServiceTime
+	pace        pace
 }
 
 // usage is the state of one target.
@@ -97,6 +98,7 @@
 	// leases holds the leases of the target.
 	leases      map[*lease]bool
 	degradation routing.Degradation
+	rate        targetRate
 }
 
 // lease is one taken slot.
@@ -111,6 +113,9 @@
 	// work and slack are those of the request, 0 if the lease was learned from a report.
 	work  float64
 	slack time.Duration
+	// timed reports whether the time until its end is the target's service time: it is an
+	// online request that got a free slot. slow reports whether it counted as a slow run.
+	timed, slow bool
 	// preemptUntil is until when the item is expected to end after its preemption.
 	preemptUntil time.Time
 }
@@ -131,7 +136,7 @@
 	for name, list := range targets {
 		g := &group{targets: list}
 		if known := l.groups[name]; known != nil {
-			g.serviceTime = known.serviceTime
+			g.serviceTime, g.pace = known.serviceTime, known.pace
 		}
 		groups[name] = g
 		for _, t := range list {
@@ -249,7 +254,8 @@
 	l.observeRate(now, le, e.Took)
 }
 
-// Expire drops the leases that were not renewed within LeaseTTL.
+// Expire drops the leases that were not renewed within LeaseTTL, and records the requests
+// that take unexpectedly long.
 func (l *Ledger) Expire(now time.Time) {
 	for _, held := range l.holders {
 		for _, le := range held {
@@ -258,6 +264,7 @@
 			}
 		}
 	}
+	l.observeSlowRuns(now)
 }
 
 // Counts returns the number of requests at each target that has leases.
