--- a/daemon/places/leader.go
+++ b/daemon/places/leader.go
@@ -90,6 +90,7 @@
 	var heartbeat *Heartbeat
 	if leads {
 		s.ledger.Expire(now)
+		s.logRates(now)
 		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Held: s.heldInZone(now)}
 		if now.Sub(s.lastHeartbeat) >= election.HeartbeatInterval {
 			s.lastHeartbeat = now
