The Retry-After of a refused job follows the age of the log's outage

Cause: a job that is submitted while the log is out is told 500 ms for as long as the outage lasts, and returns again and again (item 6 of docs/design/0015). Change: with paced_return the Retry-After is the age of the outage, 0.5 to 2 s, spread by a quarter, and at most a third of the caller's time left (core/batch.OutagePause). daemon/jobs records since when calls to the acceptances fail. Nothing else of a refusal changes.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -129,7 +129,7 @@
 	n.Jobs = jobs.New(jobs.Options{
 		Host: s.Host, Zone: s.Zone, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
 		ListPeers: n.hosts.peers, FleetSize: n.hosts.fleetSize, LargeZone: n.hosts.isLarge, CanHoldPartitions: n.hosts.hasAmpleCores, Topics: a.Topics, Parts: s.LogPartitions, Routes: n.Configuration.Routes,
-		Places: n.Places, Pool: n.pool, Wire: a.Wire, Crashes: crashes, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom,
+		Places: n.Places, Pool: n.pool, Wire: a.Wire, Crashes: crashes, KeepFor: s.JobsReadable, Headroom: s.BatchHeadroom, PacedReturn: s.Scheduling.PacedReturn,
 		Logger: logger, Metrics: set,
 	})
 	if err := n.Places.Register(n.peerServer); err != nil {
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -49,6 +49,8 @@
 // final for this call: nothing that could accept the job was sent.
 func (j *Jobs) Submit(ctx context.Context, s *Submission, r *route.Route) *outcome.Refusal {
 	refusal := j.submitWithFallback(ctx, s, r, newRecord(s, r))
+	j.recordRefusal(refusal)
+	refusal = j.paced(ctx, refusal)
 	j.logSubmitted(s, r, refusal, "caller")
 	return refusal
 }
@@ -372,6 +374,7 @@
 	records := []partlog.Record{{Key: batch.EndedKey(id), Value: []byte{1}}}
 	for {
 		offset, err := j.Log.Append(ctx, j.accepted.partition, records, partlog.AnyOffset)
+		j.recordCall(ctx, j.accepted, err)
 		if err == nil {
 			j.applyAppended(j.accepted, offset, records)
 			return nil
--- a/daemon/jobs/fallback.go
+++ b/daemon/jobs/fallback.go
@@ -175,6 +175,9 @@
 	var reply SubmitReply
 	err := p.jobs.Peers.Call(p.ctx, to.Address, submitMethod, SubmitArgs{*p.job, timeLeft.Milliseconds()}, &reply)
 	if err == nil {
+		if reply.Refusal == nil {
+			p.jobs.outage.record(time.Now(), nil) // the log has answered the peer
+		}
 		return reply.Refusal, true
 	}
 	p.jobs.Logger.Info("job_detour_failed", zap.String("job", p.job.ID), zap.String("peer", to.Address), zap.Error(err))
--- a/daemon/jobs/jobs.go
+++ b/daemon/jobs/jobs.go
@@ -80,8 +80,11 @@
 	KeepFor time.Duration
 	// Headroom is the number of slots of each target that batch leaves free.
 	Headroom int
-	Logger   *zap.Logger
-	Metrics  *metrics.Set
+	// PacedReturn makes the Retry-After of a refused submission follow the age of the log's
+	// outage.
+	PacedReturn bool
+	Logger      *zap.Logger
+	Metrics     *metrics.Set
 }
 
 // Read intervals of the partitions. A read that waits may miss new records for its whole
@@ -100,6 +103,8 @@
 
 	// following is the loop that reads the acceptances; see follow.go.
 	following following
+	// outage is what is known of an outage of the acceptances; see outage.go.
+	outage outageRecord
 
 	mu    sync.Mutex
 	store *batch.Store
@@ -252,6 +257,7 @@
 
 // CallEnded implements partlog.Reader.
 func (c *cursor) CallEnded(_ time.Time, err error) {
+	c.jobs.recordCall(context.Background(), c, err)
 	c.jobs.mu.Lock()
 	defer c.jobs.mu.Unlock()
 	failing := err != nil
@@ -264,6 +270,12 @@
 
 // catchUp reads the partition to its end now.
 func (j *Jobs) catchUp(ctx context.Context, c *cursor) error {
+	err := j.readToEnd(ctx, c)
+	j.recordCall(ctx, c, err)
+	return err
+}
+
+func (j *Jobs) readToEnd(ctx context.Context, c *cursor) error {
 	for {
 		from := c.Position()
 		if from < 0 {
@@ -298,6 +310,7 @@
 func (j *Jobs) appendAt(ctx context.Context, c *cursor, at int64, records []partlog.Record) (unresolved bool, err error) {
 	for {
 		offset, err := j.Log.Append(ctx, c.partition, records, at)
+		j.recordCall(ctx, c, err)
 		if err == nil {
 			j.applyAppended(c, offset, records)
 			return false, nil
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -106,6 +106,8 @@
 		reach map[string]*hostLog
 		// logger is the logger of all daemons.
 		logger *zap.Logger
+		// pacedReturn is the daemons' setting.
+		pacedReturn bool
 	)
 
 	BeforeEach(func() {
@@ -114,6 +116,7 @@
 		views = map[string]*places.Places{}
 		reach = map[string]*hostLog{}
 		logger = zap.NewNop()
+		pacedReturn = false
 		log = fakepartlog.New(4)
 		peers = &fakePeers{daemons: map[string]peerService{}}
 		script = answer
@@ -144,7 +147,7 @@
 		j := jobs.New(jobs.Options{
 			LargeZone: func() bool { return holder != "" }, CanHoldPartitions: func() bool { return name == holder }, Holders: holders,
 			Host: name, Zone: "z", Log: reached, Groups: groups, ListPeers: func() []places.Peer { return peers.list(name) }, Peers: peers, Address: peers.address, FleetSize: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
-			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashDetector(noSuspects{}, pool), KeepFor: time.Hour, Logger: logger, Metrics: metrics.NewSet(),
+			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashDetector(noSuspects{}, pool), KeepFor: time.Hour, PacedReturn: pacedReturn, Logger: logger, Metrics: metrics.NewSet(),
 		})
 		Expect(j.Register(peers.registrar(name))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -517,6 +520,46 @@
 		Expect(acceptances()).To(BeZero())
 	})
 
+	// Callers that are told the same short time throughout a long outage submit a job again
+	// and again.
+	It("tells callers to return later the longer the log is out, and soon again after it", func() {
+		pacedReturn = true
+		a := alone()
+		daemon("b", noPartitions{log})
+		retryAfter := func(timeLeft time.Duration) int64 {
+			GinkgoHelper()
+			limited, cancel := context.WithTimeout(context.Background(), timeLeft)
+			defer cancel()
+			r := batchRoute(0)
+			refusal := a.Submit(limited, withoutBodies("j"), &r)
+			Expect(refusal.Code).To(Equal(outcome.LogUnavailable))
+			Expect(refusal.Run).To(Equal(outcome.NotRun))
+			return refusal.RetryAfterMs
+		}
+		log.SetDown(true)
+		Eventually(func() int64 { return retryAfter(time.Minute) }).WithTimeout(limit).WithPolling(50*time.Millisecond).
+			Should(BeNumerically(">=", 1500), "the least value of an outage of 2 s and more")
+		Consistently(func() int64 { return retryAfter(time.Minute) }).WithTimeout(200 * time.Millisecond).Should(BeNumerically("<=", 2500))
+		Expect(retryAfter(3*time.Second)).To(BeNumerically("<=", 1000), "more than a third of the time left")
+		log.SetDown(false)
+		Eventually(func() *outcome.Refusal { return submit(a, withoutBodies("j")) }).WithTimeout(limit).Should(BeNil())
+		log.SetDown(true)
+		r := batchRoute(0)
+		refusal := a.Submit(ctx(), withoutBodies("k"), &r)
+		Expect(refusal.RetryAfterMs).To(BeNumerically("<", 1500), "the age of the earlier outage")
+	})
+
+	// The pace of the return must not change what a refusal says about the job.
+	It("paces the return of a caller whose job may have been accepted, and still says so", func() {
+		pacedReturn = true
+		a := alone()
+		log.LoseAnswers(1)
+		log.SetReadsDown(true)
+		refusal := submit(a, withoutBodies("j"))
+		Expect(refusal.Run).To(Equal(outcome.MayHaveRun))
+		Expect(refusal.RetryAfterMs).To(BeNumerically(">=", 375))
+	})
+
 	// The other daemon that was called may have submitted the job, but its reply was lost.
 	It("does not say that a job was not accepted when another daemon may have submitted it", func() {
 		reach["a"] = newHostLog(log)
