--- a/core/slots/candidates.go
+++ b/core/slots/candidates.go
@@ -42,11 +42,15 @@
 // one.
 func (l *Ledger) candidates(now time.Time, g *group, r Request, seed uint64, sample int) (healthy, degraded []candidate) {
 	var excluded []candidate
+	healthy = make([]candidate, 0, sample)
 	n := len(g.targets)
 	for i := range sample {
 		t := g.targets[(int(seed%uint64(n))+i)%n]
 		u := l.usageOf(t.Start)
-		c := candidate{Target: t, usage: u, online: u.online, taken: u.online + u.notPreempted(now), rate: l.rateOf(now, u)}
+		c := candidate{Target: t, usage: u, online: u.online, taken: u.online, rate: l.rateOf(now, u)}
+		if u.batch > 0 {
+			c.taken += u.notPreempted(now)
+		}
 		switch {
 		case slices.Contains(r.Exclude, t.Start):
 			excluded = append(excluded, c)
@@ -56,39 +60,59 @@
 			healthy = append(healthy, c)
 		}
 	}
-	l.order(healthy)
-	l.order(degraded)
-	l.order(excluded)
-	return healthy, append(degraded, excluded...)
+	return l.order(healthy), append(l.order(degraded), l.order(excluded)...)
 }
 
-// order sorts candidates, the preferred ones first: the least taken, or with TargetRates
-// those with a free slot, and among these the one that would end one more request first
-// (weighted least connections). Targets without a free slot are always compared by what
-// they have: the wait there is estimated from the group's mean time and not from rates.
-func (l *Ledger) order(list []candidate) {
+// order returns the candidates in the order of preference, equal ones in their given order:
+// the least taken first, or with TargetRates those with a free slot first, and among these
+// the one that would end one more request first (weighted least connections).
+func (l *Ledger) order(list []candidate) []candidate {
 	if l.policy.TargetRates {
-		slices.SortStableFunc(list, byCost)
-		return
+		return byCost(list)
 	}
-	slices.SortStableFunc(list, byTaken)
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.taken, b.taken), cmp.Compare(a.online, b.online))
+	})
+	return list
 }
 
-func byTaken(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.taken, b.taken), cmp.Compare(a.online, b.online))
+// costKey determines a candidate's position in the order by cost. In a group of 2,000
+// targets, sorting keys takes about half the time of sorting candidates, which are large.
+type costKey struct {
+	full          bool
+	cost          float64
+	taken, online int
+	index         int
 }
 
-func byCost(a, b candidate) int {
+func (a costKey) compare(b costKey) int {
 	switch {
-	case a.free() && b.free():
-		return cmp.Or(cmp.Compare(a.cost(), b.cost()), byTaken(a, b))
-	case a.free():
+	case a.full != b.full && b.full:
 		return -1
-	case b.free():
+	case a.full != b.full:
 		return 1
 	default:
-		return byTaken(a, b)
+		return cmp.Or(cmp.Compare(a.cost, b.cost), a.taken-b.taken, a.online-b.online, a.index-b.index)
+	}
+}
+
+// byCost orders candidates by cost. Those without a free slot are compared by the number of
+// their requests: the wait there is estimated from the group's mean time and not from rates.
+func byCost(list []candidate) []candidate {
+	keys := make([]costKey, len(list))
+	for i := range list {
+		c := &list[i]
+		keys[i] = costKey{full: !c.free(), taken: c.taken, online: c.online, index: i}
+		if c.free() {
+			keys[i].cost = c.cost()
+		}
+	}
+	slices.SortFunc(keys, costKey.compare)
+	ordered := make([]candidate, len(list))
+	for i, k := range keys {
+		ordered[i] = list[k.index]
 	}
+	return ordered
 }
 
 // choiceFromSample returns the choice among a sample of healthy candidates if that needs
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -83,6 +83,8 @@
 	holders map[string]map[uint64]*lease
 	usage   map[string]*usage
 	remote  map[string]*remoteFree
+	// slowRunsAt is when the runs were last examined for slow ones.
+	slowRunsAt time.Time
 }
 
 type group struct {
--- a/core/slots/rates.go
+++ b/core/slots/rates.go
@@ -25,6 +25,9 @@
 	// minSlowRun is the shortest time of such a run: the end of a request reaches the
 	// ledger some 10 ms later, which is long compared with the run of a short one.
 	minSlowRun = 100 * time.Millisecond
+	// slowRunInterval is the interval at which the runs are examined. It takes some 0.4 ms
+	// with 14,400 runs.
+	slowRunInterval = 100 * time.Millisecond
 	// maxUnreported is how old the last report of a run may be. An older one says that its
 	// holder is lost, and nothing about the target.
 	maxUnreported = ReportInterval + maxGrantDelay
@@ -111,9 +114,10 @@
 // Failure guarded against: a target becomes slow or hangs. Its requests end late or never,
 // and it would get its usual load until they time out.
 func (l *Ledger) observeSlowRuns(now time.Time) {
-	if !l.policy.TargetRates {
+	if !l.policy.TargetRates || now.Sub(l.slowRunsAt) < slowRunInterval {
 		return
 	}
+	l.slowRunsAt = now
 	for _, u := range l.usage {
 		rate := u.rate.at(now)
 		for le := range u.leases {
