Join target rates and the return of jobs during log outages

Cause: targets counted as equal, and a refused job returned every 500 ms for as long as the log was out.

--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -87,6 +87,8 @@
 	failed map[zoneGroup]failedZone
 	// zoneRule decides whether a request that gets no slot here is sent to another zone.
 	zoneRule func(home, other ZoneLoad) (gain float64, sends bool)
+	// slowRunsAt is when the runs were last examined for slow ones.
+	slowRunsAt time.Time
 }
 
 type group struct {
@@ -94,6 +96,7 @@
 	// serviceTime is that of online requests.
 	serviceTime routing.ServiceTime
 	drain       drain
+	pace        pace
 }
 
 // usage is the state of one target.
@@ -104,6 +107,7 @@
 	// leases holds the leases of the target.
 	leases      map[*lease]bool
 	degradation routing.Degradation
+	rate        targetRate
 }
 
 // lease is one taken slot.
@@ -118,6 +122,9 @@
 	// work and slack are those of the request, 0 if the lease was learned from a report.
 	work  float64
 	slack time.Duration
+	// timed reports whether the time until its end is the target's service time: it is an
+	// online request that got a free slot. slow reports whether it counted as a slow run.
+	timed, slow bool
 	// preemptUntil is until when the item is expected to end after its preemption.
 	preemptUntil time.Time
 }
@@ -141,7 +148,7 @@
 	for name, list := range targets {
 		g := &group{targets: list}
 		if known := l.groups[name]; known != nil {
-			g.serviceTime, g.drain = known.serviceTime, known.drain
+			g.serviceTime, g.drain, g.pace = known.serviceTime, known.drain, known.pace
 		}
 		groups[name] = g
 		for _, t := range list {
@@ -269,7 +276,8 @@
 	}
 }
 
-// Expire drops the leases that were not renewed within LeaseTTL.
+// Expire drops the leases that were not renewed within LeaseTTL, and records the requests
+// that take unexpectedly long.
 func (l *Ledger) Expire(now time.Time) {
 	for _, held := range l.holders {
 		for _, le := range held {
@@ -278,6 +286,7 @@
 			}
 		}
 	}
+	l.observeSlowRuns(now)
 }
 
 // Counts returns the number of requests at each target that has leases.
