Queue at the zone's leader: the queue and its place in the ledger

Cause: a request that finds no free slot waits in a target's queue, where its priority and deadline have no effect and a slot freed elsewhere is not used. Change: core/waitqueue orders waiting requests; with Policy.Queue the ledger keeps them and gives each freed slot to the first that can use it.

--- a/core/routing/admit.go
+++ b/core/routing/admit.go
@@ -26,6 +26,9 @@
 	s.mean += time.Duration(change)
 }
 
+// Mean returns the average, 0 while there is no measurement.
+func (s ServiceTime) Mean() time.Duration { return s.mean }
+
 // Wait estimates how long one more request would queue at a target that runs slots
 // requests at once and has load requests already: with all slots taken, one becomes free
 // every total/slots.
--- /dev/null
+++ b/core/slots/dispatch.go
@@ -0,0 +1,131 @@
+package slots
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Dispatch gives slots that have become free to waiting requests, and ends the wait of
+// those whose patience has passed. It is called after each change that may free a slot.
+func (l *Ledger) Dispatch(now time.Time) []Delivery {
+	l.dispatch(now)
+	ended := l.waiting.ended
+	l.waiting.ended = nil
+	return ended
+}
+
+// dispatch collects the deliveries.
+func (l *Ledger) dispatch(now time.Time) {
+	for _, start := range slices.Sorted(maps.Keys(l.waiting.vacated)) {
+		delete(l.waiting.vacated, start)
+		if at, known := l.waiting.placed[start]; known {
+			l.fill(now, l.groups[at.group], at.Target)
+		}
+	}
+	for _, name := range l.groupsWithWaiting() {
+		g := l.groups[name]
+		l.expireWaits(now, g)
+		if g.line.length() > 0 && now.Sub(g.line.scanned) >= scanInterval {
+			g.line.scanned = now
+			l.scan(now, g)
+		}
+	}
+}
+
+func (l *Ledger) groupsWithWaiting() []string {
+	if len(l.waiting.entries) == 0 {
+		return nil
+	}
+	var names []string
+	for name, g := range l.groups {
+		if g.line.length() > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// expireWaits ends the waits whose patience has passed, and removes requests that were not
+// renewed.
+func (l *Ledger) expireWaits(now time.Time, g *group) {
+	for e := g.line.queue.Expired(now); e != nil; e = g.line.queue.Expired(now) {
+		w := e.Value
+		if !w.until.After(now) {
+			l.deliver(e, l.refuse(now, g, w.request, e, now.Sub(e.Arrived)))
+		}
+		l.remove(g, e)
+	}
+}
+
+// scan examines all targets of a group for room. If none is healthy, the requests wait at
+// targets instead, as without a queue.
+func (l *Ledger) scan(now time.Time, g *group) {
+	healthy, degraded := l.candidates(now, g, Request{}, 0, len(g.targets))
+	for _, c := range healthy {
+		if c.online < c.Slots+g.ahead() {
+			l.fill(now, g, c.Target)
+		}
+	}
+	if len(healthy) > 0 {
+		return
+	}
+	for e := g.line.queue.First(now); e != nil; e = g.line.queue.First(now) {
+		r := e.Value.request
+		i := max(0, slices.IndexFunc(degraded, func(c candidate) bool { return !slices.Contains(r.Exclude, c.Start) }))
+		grant := l.queueAtTarget(now, r, g, degraded[i:])
+		if grant.Verdict != Granted {
+			l.remove(g, e)
+			l.deliver(e, grant)
+			continue
+		}
+		l.grantWaiting(now, g, e, grant)
+		degraded[i] = l.candidateAt(now, degraded[i].Target)
+		byTaken(degraded)
+	}
+}
+
+// candidateAt returns the present state of a target.
+func (l *Ledger) candidateAt(now time.Time, t Target) candidate {
+	u := l.usageOf(t.Start)
+	return candidate{Target: t, usage: u, online: u.online, taken: u.online + u.notPreempted(now)}
+}
+
+// fill grants the room of a target to the first waiting requests that can use it.
+func (l *Ledger) fill(now time.Time, g *group, t Target) {
+	for g.line.length() > 0 {
+		c := l.candidateAt(now, t)
+		if c.online >= c.Slots+g.ahead() {
+			return
+		}
+		e := l.firstFor(now, g, c)
+		if e == nil {
+			return
+		}
+		l.grantWaiting(now, g, e, l.grantLease(now, e.Value.request, c))
+	}
+}
+
+// firstFor returns the first waiting request that can use the target, nil for none.
+func (l *Ledger) firstFor(now time.Time, g *group, c candidate) *entry {
+	var found *entry
+	passed := 0
+	g.line.queue.Each(now, func(e *entry) bool {
+		r := e.Value.request
+		if !e.Value.until.After(now) || slices.Contains(r.Exclude, c.Start) || c.usage.degraded(now, r.LastChance) {
+			passed++
+			return passed < maxPassed
+		}
+		found = e
+		return false
+	})
+	return found
+}
+
+// grantWaiting ends the wait of a request that has got a slot.
+func (l *Ledger) grantWaiting(now time.Time, g *group, e *entry, grant Grant) {
+	g.line.queue.Grant(now, e)
+	delete(l.waiting.entries, e.Value.request.ID)
+	l.deliver(e, grant)
+}
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -90,8 +90,10 @@
 	Running int
 	// Zone is the zone to request a slot from, Leader the peer address of its leader.
 	Zone, Leader string
-	// Wait is how long the request would queue.
-	Wait time.Duration
+	// Wait is how long the request would queue; Queued is the length of the queue in which
+	// it waits.
+	Wait   time.Duration
+	Queued int
 	// RetryAfter is when a refused caller should return, 0 for unknown.
 	RetryAfter time.Duration
 	// Yield lists the batch leases that must be preempted.
@@ -108,10 +110,16 @@
 // In a large group only some targets are examined first, so that the cost of a grant does
 // not depend on the group's size while most targets have free slots.
 func (l *Ledger) Grant(now time.Time, r Request, seed uint64) Grant {
+	if grant, known := l.renewWait(now, r); known {
+		return grant
+	}
 	g := l.groups[r.Group]
 	if g == nil || len(g.targets) == 0 {
 		return l.otherZone(now, r)
 	}
+	if g.line.length() > 0 && !r.Batch {
+		return l.join(now, r, g, seed)
+	}
 	if len(g.targets) > sampleSize {
 		healthy, _ := l.candidates(now, g, r, seed, sampleSize)
 		if c, ok := firstMatch(healthy, func(c candidate) bool { return c.empty(r) }); ok {
@@ -134,7 +142,7 @@
 	if grant := l.otherZone(now, r); grant.Verdict == Elsewhere {
 		return grant
 	}
-	return l.queue(now, r, g, append(healthy, degraded...))
+	return l.queue(now, r, g, healthy, degraded)
 }
 
 // grantBatch grants a batch item the emptiest target that leaves the headroom free. A
@@ -155,6 +163,10 @@
 	le := l.add(now, r.ID, Running{Number: r.ID.Number, Target: c.Start, Batch: r.Batch})
 	le.group, le.work, le.slack = r.Group, r.Work, r.Slack
 	grant := Grant{Verdict: Granted, Target: c.Start, At: c.Target, Running: c.taken}
+	if r.MayWait {
+		kept := grant
+		le.grant = &kept
+	}
 	if !r.Batch {
 		grant.Yield = c.usage.preempt(now, c.taken+1-c.Slots)
 	}
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -83,12 +83,17 @@
 	holders map[string]map[uint64]*lease
 	usage   map[string]*usage
 	remote  map[string]*remoteFree
+	waiting waiting
 }
 
 type group struct {
 	targets []Target
+	// slots is the number of slots of all targets.
+	slots int
 	// serviceTime is that of online requests.
 	serviceTime routing.ServiceTime
+	// line holds the group's waiting requests.
+	line line
 }
 
 // usage is the state of one target.
@@ -111,6 +116,9 @@
 	// work and slack are those of the request, 0 if the lease was learned from a report.
 	work  float64
 	slack time.Duration
+	// grant is the answer to the request, for a holder that did not receive it and asks
+	// again; nil unless the holder does so.
+	grant *Grant
 	// preemptUntil is until when the item is expected to end after its preemption.
 	preemptUntil time.Time
 }
@@ -120,7 +128,7 @@
 
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
-	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{}, remote: map[string]*remoteFree{}}
+	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{}, remote: map[string]*remoteFree{}, waiting: newWaiting()}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
@@ -131,14 +139,15 @@
 	for name, list := range targets {
 		g := &group{targets: list}
 		if known := l.groups[name]; known != nil {
-			g.serviceTime = known.serviceTime
+			g.serviceTime, g.line = known.serviceTime, known.line
 		}
 		groups[name] = g
 		for _, t := range list {
+			g.slots += t.Slots
 			remaining[t.Start] = true
 		}
 	}
-	l.groups = groups
+	l.replaceGroups(groups)
 	for start, u := range l.usage {
 		if !remaining[start] && len(u.leases) == 0 {
 			delete(l.usage, start)
@@ -184,6 +193,9 @@
 
 func (l *Ledger) add(now time.Time, id ID, r Running) *lease {
 	le := &lease{id: id, target: r.Target, batch: r.Batch, granted: now, renewed: now}
+	if old := l.holders[id.Holder][id.Number]; old != nil {
+		l.drop(old)
+	}
 	if l.holders[id.Holder] == nil {
 		l.holders[id.Holder] = map[uint64]*lease{}
 	}
@@ -211,6 +223,7 @@
 	u := l.usageOf(le.target)
 	delete(u.leases, le)
 	u.count(le, -1)
+	l.slotFreed(le.target)
 }
 
 // usageOf returns the state of the target and creates it if necessary.
@@ -226,8 +239,10 @@
 // end applies the end of a lease. If the lease is not known here, the outcome still
 // counts for the target.
 func (l *Ledger) end(now time.Time, id ID, e Ended) {
+	l.leave(id)
 	le := l.holders[id.Holder][id.Number]
 	if le != nil {
+		l.observeFree(now, le)
 		l.drop(le)
 	}
 	if e.Target == "" {
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -1,6 +1,30 @@
 package slots
 
-import "time"
+import (
+	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/waitqueue"
+)
+
+const (
+	// RenewWaitInterval is the interval at which holders renew waiting requests.
+	RenewWaitInterval = 100 * time.Millisecond
+	// waitTTL is how long a request stays in the queue without being renewed: its holder
+	// may have died, or follow another leader. It survives the loss of two renewals.
+	waitTTL = 300 * time.Millisecond
+	// minQueue and maxQueue bound the bound of a queue's length.
+	minQueue, maxQueue = 16, 10_000
+	// scanInterval is the interval at which all targets are examined for slots that became
+	// free without the end of a lease, for example because a target recovered.
+	scanInterval = 100 * time.Millisecond
+	// maxPassed is how many waiting requests that can't use a free slot are passed over
+	// for one that can. It bounds the cost of a dispatch.
+	maxPassed = 64
+	// shortService is the mean service time below which a target may hold one request
+	// beyond its slots: the hand-over of a slot takes some milliseconds, in which a target
+	// of short requests would idle.
+	shortService = 200 * time.Millisecond
+)
 
 // Delivery is the end of the wait of a request in the queue.
 type Delivery struct {
@@ -8,19 +32,328 @@
 	Grant Grant
 }
 
-// Dispatch gives slots that have become free to waiting requests, and ends the wait of
-// those whose patience has passed. It is called after each change that may free a slot.
-func (l *Ledger) Dispatch(time.Time) []Delivery { return nil }
+// entry is a waiting request in its group's queue.
+type entry = waitqueue.Entry[*waiter]
+
+// waiter is a waiting request.
+type waiter struct {
+	request Request
+	// until is when the request's patience ends.
+	until time.Time
+}
+
+// line is the state of a group's queue.
+type line struct {
+	// queue is nil until a request waits. since is when it last became non-empty.
+	queue *waitqueue.Queue[*waiter]
+	since time.Time
+	freed freeRate
+	// scanned is when all targets were last examined.
+	scanned time.Time
+}
+
+func (q *line) length() int {
+	if q.queue == nil {
+		return 0
+	}
+	return q.queue.Len()
+}
+
+// waiting is the part of a ledger that concerns waiting requests.
+type waiting struct {
+	entries map[ID]*entry
+	// ended holds the deliveries that the next Dispatch returns.
+	ended []Delivery
+	// placed says where each target is, vacated holds the targets at which a lease has
+	// ended since the last Dispatch.
+	placed  map[string]placement
+	vacated map[string]bool
+}
+
+// placement is a target and its group.
+type placement struct {
+	Target
+	group string
+}
+
+func newWaiting() waiting {
+	return waiting{entries: map[ID]*entry{}, placed: map[string]placement{}, vacated: map[string]bool{}}
+}
+
+// Waiting returns the number of waiting requests by group.
+func (l *Ledger) Waiting() map[string]int {
+	lengths := map[string]int{}
+	for name, g := range l.groups {
+		lengths[name] = g.line.length()
+	}
+	return lengths
+}
+
+// newQueue returns an empty queue of a group.
+func (l *Ledger) newQueue() *waitqueue.Queue[*waiter] { return waitqueue.New[*waiter](nil) }
+
+// returning reports whether the request is one that was refused and came back when it was
+// told to.
+func (l *Ledger) returning(time.Time, Request) bool { return false }
+
+// refuse returns the refusal of a request that would wait for longer than its patience, or
+// has. e is its entry, nil for a request that never entered the queue.
+func (l *Ledger) refuse(_ time.Time, _ *group, _ Request, _ *entry, wait time.Duration) Grant {
+	return Grant{Verdict: Overloaded, Wait: wait}
+}
+
+// replaceGroups replaces the groups. The wait of requests of removed groups ends.
+func (l *Ledger) replaceGroups(groups map[string]*group) {
+	for name, g := range l.groups {
+		if next := groups[name]; g.line.length() > 0 && (next == nil || len(next.targets) == 0) {
+			l.endAll(g, Grant{Verdict: None})
+		}
+	}
+	l.groups = groups
+	if !l.policy.Queue {
+		return
+	}
+	l.waiting.placed = map[string]placement{}
+	for name, g := range groups {
+		g.line.scanned = time.Time{}
+		for _, t := range g.targets {
+			l.waiting.placed[t.Start] = placement{t, name}
+		}
+	}
+}
+
+// endAll ends the wait of all requests of a group.
+func (l *Ledger) endAll(g *group, grant Grant) {
+	var all []*entry
+	g.line.queue.Each(time.Time{}, func(e *entry) bool {
+		all = append(all, e)
+		return true
+	})
+	for _, e := range all {
+		l.remove(g, e)
+		l.deliver(e, grant)
+	}
+}
+
+func (l *Ledger) deliver(e *entry, grant Grant) {
+	l.waiting.ended = append(l.waiting.ended, Delivery{ID: e.Value.request.ID, Grant: grant})
+}
+
+// remove removes a request that gets no slot from its queue.
+func (l *Ledger) remove(g *group, e *entry) {
+	g.line.queue.Remove(e)
+	delete(l.waiting.entries, e.Value.request.ID)
+}
+
+// slotFreed records that a lease at the target has ended.
+func (l *Ledger) slotFreed(target string) {
+	if at, known := l.waiting.placed[target]; known && l.groups[at.group].line.length() > 0 {
+		l.waiting.vacated[target] = true
+	}
+}
+
+// observeFree counts a lease that ends for the rate at which slots become free. Batch items
+// don't count: while requests wait, all of them have been preempted.
+func (l *Ledger) observeFree(now time.Time, le *lease) {
+	if at, known := l.waiting.placed[le.target]; known && !le.batch {
+		l.groups[at.group].line.freed.observe(now)
+	}
+}
+
+// leave removes a request whose caller left from the queue.
+func (l *Ledger) leave(id ID) {
+	e := l.waiting.entries[id]
+	if e == nil {
+		return
+	}
+	l.remove(l.groups[e.Value.request.Group], e)
+}
+
+// renewWait answers a request whose number is known: one that waits, or one that has got a
+// slot meanwhile. known is false for a new request.
+func (l *Ledger) renewWait(now time.Time, r Request) (grant Grant, known bool) {
+	if !r.MayWait {
+		return Grant{}, false
+	}
+	if le := l.holders[r.ID.Holder][r.ID.Number]; le != nil && le.grant != nil {
+		le.renewed = now
+		return *le.grant, true
+	}
+	e := l.waiting.entries[r.ID]
+	if e == nil {
+		return Grant{}, false
+	}
+	g := l.groups[r.Group]
+	w := e.Value
+	w.request = r
+	w.until = earlier(w.until, now.Add(r.Patience))
+	g.line.queue.Renew(e, earlier(w.until, now.Add(waitTTL)))
+	if other := l.otherZone(now, r); other.Verdict == Elsewhere {
+		return other, true
+	}
+	return l.waitingGrant(now, g, e), true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
 
-// queue grants the target with the shortest queue if that is short enough.
-func (l *Ledger) queue(now time.Time, r Request, g *group, from []candidate) Grant {
+// join decides for a request of a group in which others wait: it gets a free slot that
+// these can't use, a slot in another zone, or a place in the queue. Nearly all slots are
+// known to be taken, and so only some targets are examined.
+func (l *Ledger) join(now time.Time, r Request, g *group, seed uint64) Grant {
+	l.dispatch(now)
+	healthy, _ := l.candidates(now, g, r, seed, min(sampleSize, len(g.targets)))
+	fits := func(c candidate) bool { return c.taken < c.Slots }
+	if !r.Visiting || r.Preempts {
+		fits = func(c candidate) bool { return c.online < c.Slots }
+	}
+	for _, c := range healthy {
+		if !fits(c) {
+			continue
+		}
+		l.fill(now, g, c.Target)
+		if left := l.candidateAt(now, c.Target); fits(left) {
+			return l.grantLease(now, r, left)
+		}
+	}
+	if r.Visiting && !r.Preempts {
+		return Grant{Verdict: None}
+	}
+	if grant := l.otherZone(now, r); grant.Verdict == Elsewhere {
+		return grant
+	}
+	if len(healthy) > 0 && l.mayWait(r) {
+		return l.enqueue(now, r, g)
+	}
+	healthy, degraded := l.candidates(now, g, r, seed, len(g.targets))
+	return l.queue(now, r, g, healthy, degraded)
+}
+
+// mayWait reports whether the request may wait in the queue.
+func (l *Ledger) mayWait(r Request) bool { return l.policy.Queue && r.MayWait && !r.Batch }
+
+// queue decides for a request that finds no slot. It waits in the queue, or, if it or its
+// holder can't, at the target with the shortest queue if that is short enough. The same
+// holds if the request can use no healthy target: it is then uncertain whether a slot that
+// becomes free is of use to it.
+func (l *Ledger) queue(now time.Time, r Request, g *group, healthy, degraded []candidate) Grant {
+	if l.mayWait(r) && len(healthy) > 0 {
+		if c, ok := firstMatch(healthy, func(c candidate) bool { return c.online < c.Slots+g.ahead() }); ok && g.line.length() == 0 {
+			return l.grantLease(now, r, c)
+		}
+		return l.enqueue(now, r, g)
+	}
+	return l.queueAtTarget(now, r, g, append(healthy, degraded...))
+}
+
+// queueAtTarget grants the target with the shortest queue if that is short enough.
+func (l *Ledger) queueAtTarget(now time.Time, r Request, g *group, from []candidate) Grant {
 	if len(from) == 0 {
 		return Grant{Verdict: None}
 	}
 	best := from[0]
 	wait := g.serviceTime.Wait(float64(best.online), best.Slots)
 	if wait > r.Patience {
-		return Grant{Verdict: Overloaded, Wait: wait}
+		return l.refuse(now, g, r, nil, wait)
 	}
 	return l.grantLease(now, r, best)
 }
+
+// ahead returns how many requests a target of the group may hold beyond its slots.
+func (g *group) ahead() int {
+	if mean := g.serviceTime.Mean(); mean > 0 && mean < shortService {
+		return 1
+	}
+	return 0
+}
+
+// enqueue puts a request into the queue unless it would wait for too long there.
+func (l *Ledger) enqueue(now time.Time, r Request, g *group) Grant {
+	q := &g.line
+	if q.queue == nil {
+		q.queue = l.newQueue()
+	}
+	if q.queue.Len() == 0 {
+		q.since = now
+	}
+	e := newEntry(now, r)
+	e.Returning = l.returning(now, r)
+	q.queue.Add(now, e, earlier(e.Value.until, now.Add(waitTTL)))
+	l.waiting.entries[r.ID] = e
+	grant := l.waitingGrant(now, g, e)
+	if r.Patience <= 0 || grant.Wait > r.Patience {
+		l.remove(g, e)
+		return l.refuse(now, g, r, e, grant.Wait)
+	}
+	if q.queue.Len() <= l.lengthBound(now, g) {
+		return grant
+	}
+	last := q.queue.Last(now)
+	refusal := l.refuse(now, g, last.Value.request, last, l.expectedWait(now, g, q.queue.Len()))
+	l.remove(g, last)
+	if last == e {
+		return refusal
+	}
+	l.deliver(last, refusal)
+	return grant
+}
+
+// newEntry returns the entry of a request. A holder that doesn't know the caller's times
+// states its patience only.
+func newEntry(now time.Time, r Request) *entry {
+	objective, deadline := r.ObjectiveLeft, r.DeadlineLeft
+	if deadline <= 0 {
+		objective, deadline = r.Patience, r.Patience
+	}
+	return &entry{
+		Value: &waiter{request: r, until: now.Add(r.Patience)},
+		Rank:  r.Rank, Share: r.Share, Work: r.Work, Weight: r.Weight,
+		Arrived: now.Add(-r.Waited), LatestStart: now.Add(objective), Deadline: now.Add(deadline),
+	}
+}
+
+// waitingGrant returns the answer to a request in the queue.
+func (l *Ledger) waitingGrant(now time.Time, g *group, e *entry) Grant {
+	ahead := g.line.queue.Ahead(now, e)
+	return Grant{Verdict: Waiting, Wait: l.expectedWait(now, g, ahead), Queued: g.line.queue.Len()}
+}
+
+// expectedWait returns how long a request with others ahead of it will wait. It is 0 while
+// the rate at which slots become free is not known.
+func (l *Ledger) expectedWait(now time.Time, g *group, ahead int) time.Duration {
+	rate := l.perSecond(now, g)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// lengthBound returns how many requests of the group may wait.
+func (l *Ledger) lengthBound(now time.Time, g *group) int {
+	rate := l.perSecond(now, g)
+	if rate <= 0 {
+		return maxQueue
+	}
+	return min(max(int(rate), minQueue), maxQueue)
+}
+
+// perSecond returns how many slots of the group become free a second while all are taken, 0
+// for unknown. Those of the last second are counted only if requests waited throughout: in
+// a second that began with free slots, fewer become free than under overload.
+func (l *Ledger) perSecond(now time.Time, g *group) float64 {
+	q := &g.line
+	if q.length() > 0 && now.Sub(q.since) >= rateWindow {
+		if rate := q.freed.perSecond(now); rate > 0 {
+			return rate
+		}
+	}
+	mean := g.serviceTime.Mean()
+	if mean <= 0 {
+		return 0
+	}
+	return float64(g.slots) / mean.Seconds()
+}
