Queue at the zone's leader: the protocol between holder and leader

Cause: the ledger can keep requests that wait, but no daemon asks it to. A request whose caller leaves while it waits ends at once.

--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -38,8 +38,8 @@
 // waiter is a waiting request.
 type waiter struct {
 	request Request
-	// until is when the request's patience ends.
-	until time.Time
+	// entered is when the request entered the queue, until when its patience ends.
+	entered, until time.Time
 }
 
 // line is the state of a group's queue.
@@ -310,7 +310,7 @@
 		objective, deadline = r.Patience, r.Patience
 	}
 	return &entry{
-		Value: &waiter{request: r, until: now.Add(r.Patience)},
+		Value: &waiter{request: r, entered: now, until: now.Add(r.Patience)},
 		Rank:  r.Rank, Share: r.Share, Work: r.Work, Weight: r.Weight,
 		Arrived: now.Add(-r.Waited), LatestStart: now.Add(objective), Deadline: now.Add(deadline),
 	}
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -20,6 +20,8 @@
 
 // Request describes an online request for the choice of a target.
 type Request struct {
+	// ID names the request in log lines.
+	ID    string
 	Group string
 	// Exclude holds the starts of targets already tried.
 	Exclude map[string]bool
@@ -87,8 +89,11 @@
 	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
 	request.Work, request.Content = r.Work, r.Content
 	setTimes(&request, r, time.Now())
-	grant, by, answered := p.scheduler.requestSlot(ctx, request)
+	grant, by, answered, finish := p.scheduler.requestOrWait(ctx, request, r.ID)
+	defer finish()
 	switch {
+	case answered && grant.Verdict == slots.Waiting:
+		return Slot{}, outcome.Refuse(outcome.Cancelled, "the caller left, or the deadline passed, while the request waited for a slot"), true
 	case !answered || grant.Verdict == slots.None:
 		return Slot{}, nil, false
 	case grant.Verdict == slots.Overloaded:
--- a/daemon/places/leader.go
+++ b/daemon/places/leader.go
@@ -90,13 +90,17 @@
 	var heartbeat *Heartbeat
 	if leads {
 		s.ledger.Expire(now)
+		s.recordLengths()
 		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Held: s.heldInZone(now)}
 		if now.Sub(s.lastHeartbeat) >= election.HeartbeatInterval {
 			s.lastHeartbeat = now
 			heartbeat = s.newHeartbeat(now)
 		}
 	}
+	// A daemon that no longer leads still ends the waits in its queue.
+	notify := s.dispatch(now)
 	s.mu.Unlock()
+	notify()
 	switch {
 	case leads:
 		s.sendZoneReport(now, report, peers)
@@ -250,24 +254,6 @@
 	}
 }
 
-// applyLeaseReport applies a daemon's leases.
-func (s *scheduler) applyLeaseReport(now time.Time, r LeaseReport) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	last := s.holderStates[r.Holder]
-	if last == nil || last.incarnation != r.Incarnation {
-		last = &holderState{incarnation: r.Incarnation}
-		s.holderStates[r.Holder] = last
-	}
-	if r.Number < last.number {
-		// A later report was applied before: only the ended leases are new.
-		s.ledger.End(now, r.Holder, r.Ended)
-		return
-	}
-	last.number, last.held, last.at = r.Number, r.Held, now
-	s.ledger.Report(now, r.Holder, r.Running, r.Ended)
-}
-
 // applyHeartbeat applies a leader's heartbeat.
 func (p *Places) applyHeartbeat(now time.Time, heartbeat Heartbeat) {
 	s := p.scheduler
--- a/daemon/places/leases.go
+++ b/daemon/places/leases.go
@@ -131,6 +131,14 @@
 	l.queueEnd(localEnd{Ended: slots.Ended{Number: number}, grantedBy: grantedBy})
 }
 
+// runs reports whether the lease runs and the leader granted it.
+func (l *localLeases) runs(number uint64, grantedBy string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lease, known := l.running[number]
+	return known && lease.grantedBy == grantedBy
+}
+
 // setHeldWork sets the work that others must not run; see Places.SetHeldWork.
 func (l *localLeases) setHeldWork(held HeldWork) {
 	l.mu.Lock()
@@ -250,3 +258,28 @@
 		s.caller.Notify(address, reportMethod, *r)
 	}
 }
+
+// applyLeaseReport applies a daemon's leases.
+func (s *scheduler) applyLeaseReport(now time.Time, r LeaseReport) {
+	s.mu.Lock()
+	s.recordLeaseReport(now, r)
+	notify := s.dispatch(now)
+	s.mu.Unlock()
+	notify()
+}
+
+// recordLeaseReport records a daemon's leases in the ledger. s.mu is held.
+func (s *scheduler) recordLeaseReport(now time.Time, r LeaseReport) {
+	last := s.holderStates[r.Holder]
+	if last == nil || last.incarnation != r.Incarnation {
+		last = &holderState{incarnation: r.Incarnation}
+		s.holderStates[r.Holder] = last
+	}
+	if r.Number < last.number {
+		// A later report was applied before: only the ended leases are new.
+		s.ledger.End(now, r.Holder, r.Ended)
+		return
+	}
+	last.number, last.held, last.at = r.Number, r.Held, now
+	s.ledger.Report(now, r.Holder, r.Running, r.Ended)
+}
--- a/daemon/places/messages.go
+++ b/daemon/places/messages.go
@@ -19,6 +19,8 @@
 	// to it.
 	grantMethod  = slotsService + ".Grant"
 	reportMethod = slotsService + ".Report"
+	// deliveryMethod notifies a holder that the wait of its request has ended.
+	deliveryMethod = slotsService + ".Deliver"
 	// heartbeatMethod is a leader's heartbeat, preemptionMethod its notice that batch items
 	// are preempted, zoneReportMethod its report to the leaders of other zones.
 	heartbeatMethod  = slotsService + ".Beat"
@@ -138,6 +140,12 @@
 	return nil
 }
 
+// Deliver is called by the leader in whose queue the request waited.
+func (s *slotsHandler) Deliver(end WaitEnd, _ *Ack) error {
+	s.places.scheduler.deliver(end)
+	return nil
+}
+
 // Room is called by the leaders of other zones.
 func (s *slotsHandler) Room(r ZoneReport, _ *Ack) error {
 	s.places.scheduler.applyZoneReport(time.Now(), r)
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -74,6 +74,9 @@
 	partHolders map[int]partHolder
 
 	leases *localLeases
+
+	policy slots.Policy
+	waits  waits
 }
 
 // holderState is the state last reported by a daemon of the zone.
@@ -102,7 +105,7 @@
 	return &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, slotTimeout: o.SlotTimeout, logger: o.Logger, set: o.Metrics,
 		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
-		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting),
+		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting), policy: o.Policy,
 	}
 }
 
@@ -116,9 +119,11 @@
 // slots.
 func (s *scheduler) setTargets(targets map[string][]slots.Target, known bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.targetsKnown = known
 	s.ledger.SetTargets(targets)
+	notify := s.dispatch(time.Now())
+	s.mu.Unlock()
+	notify()
 }
 
 // grantLocally grants a slot from this daemon's ledger.
@@ -132,7 +137,9 @@
 		s.ledger.Expire(now) // not the leader, which does this at each heartbeat
 	}
 	grant := s.ledger.Grant(now, request, rand.Uint64())
+	notify := s.dispatch(now)
 	s.mu.Unlock()
+	notify()
 	s.notifyPreempted(grant.Yield)
 	return grant, nil
 }
@@ -198,10 +205,13 @@
 	if err != nil {
 		s.countOutcome("unanswered")
 		s.logger.Info("slot_not_answered", zap.String("leader", leader), zap.String("group", request.Group), zap.Error(err))
-		// The slot may have been granted all the same.
-		s.leases.abandon(request.ID.Number, leader)
+		if !s.waits.record(request.ID.Number, leader, false, slots.None) || !s.isLocal(leader) {
+			// The slot may have been granted all the same.
+			s.leases.abandon(request.ID.Number, leader)
+		}
 		return slots.Grant{}, false
 	}
+	s.waits.record(request.ID.Number, leader, true, grant.Verdict)
 	s.countOutcome(grant.Verdict.String())
 	return grant, true
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -235,6 +235,9 @@
 			return s.refuse(refusal)
 		}
 		slot, refusal := s.relay.Places.Acquire(ctx, s.placesRequest())
+		if refusal != nil && refusal.Code == outcome.Cancelled {
+			return s.endEarly(ctx)
+		}
 		if refusal != nil {
 			return s.refuse(refusal)
 		}
@@ -264,7 +267,7 @@
 		share = r.Route.Name
 	}
 	p := places.Request{
-		Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
+		ID: r.ID, Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
 		LastChance: !s.mayRetry(), Rank: r.Rank, Share: share, Weight: r.Weight, Work: slots.Work(r.PromptTokens, r.OutputTokens), Content: s.content,
 		Arrived: r.Arrived, Deadline: r.Deadline,
 	}
