--- a/core/retry/wait.go
+++ b/core/retry/wait.go
@@ -20,6 +20,9 @@
 	// timeoutFactor is what a timeout counts as, in multiples of the wait: the answer may
 	// have been about to arrive.
 	timeoutFactor = 2
+	// usualDeviations is by how many mean deviations nearly all answers exceed the mean at
+	// most.
+	usualDeviations = 2
 )
 
 // WaitEstimator learns how long targets take to the first sign of an answer, and returns
@@ -54,6 +57,13 @@
 // TimedOut records a request that was given up after the wait.
 func (e *WaitEstimator) TimedOut(wait time.Duration) { e.Answered(timeoutFactor * wait) }
 
+// Usual returns the time within which nearly all answers begin, 0 if nothing is learned
+// yet.
+func (e *WaitEstimator) Usual() time.Duration {
+	usual := time.Duration((e.mean + usualDeviations*e.deviation) * float64(time.Second))
+	return min(usual, LongestWait)
+}
+
 // MaxWait returns how long to wait for the first sign of an answer where the request has
 // a slot of its own.
 func (e *WaitEstimator) MaxWait() time.Duration {
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -41,6 +41,9 @@
 	// latency objective is missed, negative once it is, and DeadlineLeft the time until its
 	// deadline. They are durations because the clocks of hosts differ.
 	Waited, ObjectiveLeft, DeadlineLeft time.Duration
+	// FirstByte is the time that a target usually takes to the first event of an answer, 0
+	// for unknown: a request that starts later than that before its objective misses it.
+	FirstByte time.Duration
 	// Content identifies the request's content across attempts, 0 for unknown.
 	Content uint64
 	// Slack is how much of its time a batch item would have left if it ran now without
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -312,7 +312,7 @@
 	return &entry{
 		Value: &waiter{request: r, entered: now, until: now.Add(r.Patience)},
 		Rank:  r.Rank, Share: r.Share, Work: r.Work, Weight: r.Weight,
-		Arrived: now.Add(-r.Waited), LatestStart: now.Add(objective), Deadline: now.Add(deadline),
+		Arrived: now.Add(-r.Waited), LatestStart: now.Add(objective - r.FirstByte), Deadline: now.Add(deadline),
 	}
 }
 
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -40,6 +40,9 @@
 	// Arrived is when the request was read, Objective when its latency objective is
 	// missed, Deadline when its caller stops waiting. Zero times mean unknown.
 	Arrived, Objective, Deadline time.Time
+	// FirstByte is the time that a target of the group usually takes to the first event of
+	// an answer, 0 for unknown.
+	FirstByte time.Duration
 }
 
 // BatchRequest describes a batch item for the choice of a target.
@@ -87,7 +90,7 @@
 	request := p.newSlotRequest(r.Group, r.Exclude)
 	request.LastChance, request.Patience = r.LastChance, r.MaxWait
 	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
-	request.Work, request.Content = r.Work, r.Content
+	request.Work, request.Content, request.FirstByte = r.Work, r.Content, r.FirstByte
 	setTimes(&request, r, time.Now())
 	grant, by, answered, finish := p.scheduler.requestOrWait(ctx, request, r.ID)
 	defer finish()
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -137,6 +137,14 @@
 	return r.groupFirstByteStats(group).MaxWait()
 }
 
+// usualFirstByte returns the time within which nearly all answers of a group begin, 0 for
+// unknown.
+func (r *Relay) usualFirstByte(group string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.groupFirstByteStats(group).Usual()
+}
+
 // noteFirstByte records the time to the first byte of an answer.
 func (r *Relay) noteFirstByte(group string, took time.Duration) {
 	r.mu.Lock()
@@ -269,7 +277,7 @@
 	p := places.Request{
 		ID: r.ID, Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
 		LastChance: !s.mayRetry(), Rank: r.Rank, Share: share, Weight: r.Weight, Work: slots.Work(r.PromptTokens, r.OutputTokens), Content: s.content,
-		Arrived: r.Arrived, Deadline: r.Deadline,
+		Arrived: r.Arrived, Deadline: r.Deadline, FirstByte: s.relay.usualFirstByte(s.group()),
 	}
 	if r.Route.Objective > 0 {
 		p.Objective = r.Arrived.Add(r.Route.Objective)
