Tests of the queue's protocol, one for each failure

Cause: nothing showed what happens when a leader, a holder, a caller or a delivery is lost while a request waits. The ledger examines the targets of a waiting group without sorting all of them.

--- a/core/slots/dispatch.go
+++ b/core/slots/dispatch.go
@@ -63,15 +63,30 @@
 // scan examines all targets of a group for room. If none is healthy, the requests wait at
 // targets instead, as without a queue.
 func (l *Ledger) scan(now time.Time, g *group) {
-	healthy, degraded := l.candidates(now, g, Request{}, 0, len(g.targets))
-	for _, c := range healthy {
-		if c.online < c.Slots+g.ahead() {
-			l.fill(now, g, c.Target)
+	healthy := false
+	var room []candidate
+	for _, t := range g.targets {
+		u := l.usageOf(t.Start)
+		if u.degraded(now, false) {
+			continue
+		}
+		healthy = true
+		if u.online < t.Slots+g.ahead() {
+			room = append(room, l.candidateAt(now, t))
 		}
 	}
-	if len(healthy) > 0 {
-		return
+	byTaken(room)
+	for _, c := range room {
+		l.fill(now, g, c.Target)
+	}
+	if !healthy {
+		l.waitAtTargets(now, g)
 	}
+}
+
+// waitAtTargets ends the waits in the queue of a group without healthy targets.
+func (l *Ledger) waitAtTargets(now time.Time, g *group) {
+	_, degraded := l.candidates(now, g, Request{}, 0, len(g.targets))
 	for e := g.line.queue.First(now); e != nil; e = g.line.queue.First(now) {
 		r := e.Value.request
 		i := max(0, slices.IndexFunc(degraded, func(c candidate) bool { return !slices.Contains(r.Exclude, c.Start) }))
--- a/daemon/places/places_test.go
+++ b/daemon/places/places_test.go
@@ -35,17 +35,19 @@
 	calls map[string]int
 	// cut holds the addresses to which calls are lost.
 	cut map[string]bool
+	// lost holds the methods whose calls are lost.
+	lost map[string]bool
 }
 
 func newNetwork() *network {
-	return &network{calls: map[string]int{}, cut: map[string]bool{}}
+	return &network{calls: map[string]int{}, cut: map[string]bool{}, lost: map[string]bool{}}
 }
 
 // Call implements peer.Caller.
 func (n *network) Call(ctx context.Context, address, method string, args, reply any) error {
 	n.mu.Lock()
 	n.calls[method]++
-	cut := n.cut[address]
+	cut := n.cut[address] || n.lost[method]
 	n.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -69,6 +71,12 @@
 	n.cut[address] = cut
 }
 
+func (n *network) lose(method string, lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost[method] = lost
+}
+
 func (n *network) count(method string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/daemon/places/scheduler_test.go
+++ b/daemon/places/scheduler_test.go
@@ -14,6 +14,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 )
 
@@ -38,13 +39,18 @@
 // newLargeFleet starts a fleet. Daemon i is in zone i%fleetZones; daemon 4 has the most
 // cores of zone 0.
 func newLargeFleet() *largeFleet {
-	f := &largeFleet{network: newNetwork()}
 	var targets []roster.Target
 	for i := range fleetZones * zoneTargets {
 		id := fmt.Sprint("t", i)
 		targets = append(targets, roster.Target{ID: id, Start: roster.StartOf(id, 0), Group: "g", Address: id,
 			Zone: fmt.Sprint("z", i%fleetZones), Slots: targetSlots})
 	}
+	return newFleetOf(targets, slots.Policy{}, zap.NewNop())
+}
+
+// newFleetOf starts a fleet with the given targets.
+func newFleetOf(targets []roster.Target, policy slots.Policy, logger *zap.Logger) *largeFleet {
+	f := &largeFleet{network: newNetwork()}
 	for i := range fleetSize {
 		p := places.Peer{Address: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i%fleetZones), Cores: 0.2}
 		if i/fleetZones == 1 {
@@ -54,7 +60,7 @@
 	}
 	for i, p := range f.peers {
 		v := places.New(places.Options{Host: p.Address, Zone: p.Zone, PeerAddress: p.Address, Cores: p.Cores, Peers: f.network, SlotTimeout: slotTimeout,
-			FleetSize: func() int { return fleetSize }, Logger: zap.NewNop()})
+			FleetSize: func() int { return fleetSize }, Policy: policy, Logger: logger})
 		v.Update(func(now time.Time, r *roster.Roster) {
 			r.StoreAnswered(now)
 			r.Replace(now, targets)
