A wait never exceeds the maximum wait, also at a target

Cause: a request that falls back to its daemon's view after a wait could queue for its whole maximum wait again, and one near its end could get the room that targets of short requests hold beyond their slots. A renewal that a leader of the previous build does not answer would be repeated there under the same number, which takes a second slot in that build. Change: the fallback gets what remains of the maximum wait, room beyond the slots goes only to requests that can wait for it, and a request keeps its place only at leaders that have put it into their queue.

--- a/core/slots/dispatch.go
+++ b/core/slots/dispatch.go
@@ -89,6 +89,7 @@
 	_, degraded := l.candidates(now, g, Request{}, 0, len(g.targets))
 	for e := g.line.queue.First(now); e != nil; e = g.line.queue.First(now) {
 		r := e.Value.request
+		r.Patience = e.Value.until.Sub(now)
 		i := max(0, slices.IndexFunc(degraded, func(c candidate) bool { return !slices.Contains(r.Exclude, c.Start) }))
 		grant := l.queueAtTarget(now, r, g, degraded[i:])
 		if grant.Verdict != Granted {
@@ -129,7 +130,7 @@
 	passed := 0
 	g.line.queue.Each(now, func(e *entry) bool {
 		r := e.Value.request
-		if !e.Value.until.After(now) || slices.Contains(r.Exclude, c.Start) || c.usage.degraded(now, r.LastChance) {
+		if !e.Value.until.After(now.Add(g.waitAt(c))) || slices.Contains(r.Exclude, c.Start) || c.usage.degraded(now, r.LastChance) {
 			passed++
 			return passed < maxPassed
 		}
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -242,7 +242,8 @@
 // becomes free is of use to it.
 func (l *Ledger) queue(now time.Time, r Request, g *group, healthy, degraded []candidate) Grant {
 	if l.mayWait(r) && len(healthy) > 0 {
-		if c, ok := firstMatch(healthy, func(c candidate) bool { return c.online < c.Slots+g.ahead() }); ok && g.line.length() == 0 {
+		fits := func(c candidate) bool { return c.online < c.Slots+g.ahead() && g.waitAt(c) <= r.Patience }
+		if c, ok := firstMatch(healthy, fits); ok && g.line.length() == 0 {
 			return l.grantLease(now, r, c)
 		}
 		return l.enqueue(now, r, g)
@@ -256,13 +257,18 @@
 		return Grant{Verdict: None}
 	}
 	best := from[0]
-	wait := g.serviceTime.Wait(float64(best.online), best.Slots)
+	wait := g.waitAt(best)
 	if wait > r.Patience {
 		return l.refuse(now, g, r, nil, wait)
 	}
 	return l.grantLease(now, r, best)
 }
 
+// waitAt returns how long a request would queue at a target.
+func (g *group) waitAt(c candidate) time.Duration {
+	return g.serviceTime.Wait(float64(c.online), c.Slots)
+}
+
 // ahead returns how many requests a target of the group may hold beyond its slots.
 func (g *group) ahead() int {
 	if mean := g.serviceTime.Mean(); mean > 0 && mean < shortService {
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -77,9 +77,13 @@
 // must follow. A refusal means that nothing was sent to any target.
 func (p *Places) Acquire(ctx context.Context, r Request) (Slot, *outcome.Refusal) {
 	if p.Scheduled() && !r.Alone {
+		asked := time.Now()
 		if slot, refusal, decided := p.acquireGranted(ctx, r); decided {
 			return slot, refusal
 		}
+		if p.scheduler.policy.Queue {
+			r.MaxWait = max(0, r.MaxWait-time.Since(asked))
+		}
 	}
 	return p.acquireLocally(r)
 }
--- a/daemon/places/waiting.go
+++ b/daemon/places/waiting.go
@@ -43,10 +43,8 @@
 	// ended receives the ends of the wait that leaders send.
 	ended chan WaitEnd
 
-	// waiting reports whether a leader has put the request into its queue; leaders are
-	// those that may have it in their queue or may have granted it a slot. Both are
-	// protected by waits.mu.
-	waiting bool
+	// leaders are those that have put the request into their queue, and may have granted it
+	// a slot. It is protected by waits.mu.
 	leaders []string
 }
 
@@ -84,8 +82,10 @@
 	}
 }
 
-// record records how a leader answered a request. It reports whether the request keeps its
-// place at a leader that did not answer, because it will be sent there again.
+// record records how a leader answered a request. It reports whether the request has a
+// place in the leader's queue, which it keeps if a renewal is not answered. A leader that
+// has not answered before may be of a build without queues, where a repeated lease number
+// would take a second slot.
 func (w *waits) record(number uint64, leader string, answered bool, verdict slots.Verdict) (keeps bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -93,11 +93,10 @@
 	if entry == nil {
 		return false
 	}
-	entry.waiting = entry.waiting || answered && verdict == slots.Waiting
-	if entry.waiting && (!answered || verdict == slots.Waiting) {
+	if answered && verdict == slots.Waiting {
 		entry.add(leader)
 	}
-	return entry.waiting
+	return slices.Contains(entry.leaders, leader)
 }
 
 // deliver passes the end of a wait on. It reports whether the request is known.
