--- a/core/slots/waiting_test.go
+++ b/core/slots/waiting_test.go
@@ -186,6 +186,21 @@
 	}
 }
 
+// Guards against a request that gets room beyond the slots of a target, where it would wait
+// past its maximum wait: 4 slots of 160 ms become free every 40 ms.
+func TestRoomBeyondTheSlotsGoesToRequestsThatCanWait(t *testing.T) {
+	z := newWaitZone(t, 1)
+	taken := z.fill(1)
+	z.end(taken["t0"][0], "t0", 160*time.Millisecond)
+	z.ask()
+	z.ask()
+	z.queued(func(r *slots.Request) { r.Patience = 39 * time.Millisecond })
+	patient := z.queued(ranked(1))
+	got := z.end(taken["t0"][1], "t0", 160*time.Millisecond)
+	z.Expect(got).To(HaveLen(1))
+	z.Expect(got[0].ID).To(Equal(patient.ID))
+}
+
 // Guards against requests that wait here while another zone has free slots, and against
 // daemons of the previous build, or the old behaviour, being given the new verdict.
 func TestOthersDoNotWait(t *testing.T) {
