Test of the usual time to the first event

Cause: the queue's latest useful start depends on it, and only its use was tested. Change: a test of the estimate's coverage and bound. Result: core/retry passes.

--- a/core/retry/wait_test.go
+++ b/core/retry/wait_test.go
@@ -41,6 +41,26 @@
 		Expect(s.MaxWait()).To(BeNumerically(">=", retry.ShortestWait))
 	})
 
+	// A waiting request that starts later than this before its objective misses it. An
+	// estimate without a spread is too short for half of the answers.
+	It("comes with the time within which nearly all answers begin", func() {
+		var none retry.WaitEstimator
+		Expect(none.Usual()).To(BeZero())
+		r := rand.New(rand.NewPCG(1, 2))
+		s := learned(r, 30*time.Millisecond)
+		within := 0
+		for range 1000 {
+			if around(r, 30*time.Millisecond) <= s.Usual() {
+				within++
+			}
+		}
+		Expect(within).To(BeNumerically(">", 900))
+		for range 5 {
+			s.TimedOut(retry.LongestWait)
+		}
+		Expect(s.Usual()).To(BeNumerically("<=", retry.LongestWait))
+	})
+
 	// All targets become slow together. A maximum wait that gives up requests that would
 	// still have been answered doubles their load.
 	It("gives up few requests when all targets become slow together", func() {
