With queue off, no field and no metric of the queue

Cause: the usual time to the first event was sent, and the length of the queue exported, also with queue off; messages must then be the same as before. Change: both only with queue on. Result: tests of core/slots, daemon/places, daemon/relay and daemon/front pass.

--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -94,7 +94,10 @@
 	request := p.newSlotRequest(r.Group, r.Exclude)
 	request.LastChance, request.Patience = r.LastChance, r.MaxWait
 	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
-	request.Work, request.Content, request.FirstByte = r.Work, r.Content, r.FirstByte
+	request.Work, request.Content = r.Work, r.Content
+	if p.scheduler.policy.Queue {
+		request.FirstByte = r.FirstByte
+	}
 	setTimes(&request, r, time.Now())
 	grant, by, answered, finish := p.scheduler.requestOrWait(ctx, request, r.ID)
 	defer finish()
--- a/daemon/places/waiting.go
+++ b/daemon/places/waiting.go
@@ -269,6 +269,9 @@
 
 // recordLengths updates the metrics of the queues. s.mu is held.
 func (s *scheduler) recordLengths() {
+	if !s.policy.Queue {
+		return
+	}
 	for group, length := range s.ledger.Waiting() {
 		s.set.GetOrCreateGauge(`tarragonhollow_queue_length{group="`+group+`"}`, nil).Set(float64(length))
 	}
