Join the queue at the zone's leader

Cause: requests without a slot waited in the queues of targets, where nothing can order them. The join keeps one measure of the slots that become free (core/slots/drain.go), checks the other zones with the number of requests ahead at each renewal, and counts the queue in the load of the zone. Specs of core/slots, core/waitqueue and daemon/places pass.

--- a/core/slots/candidates.go
+++ b/core/slots/candidates.go
@@ -35,6 +35,16 @@
 	return c.free()
 }
 
+// candidateAt returns the present state of a target.
+func (l *Ledger) candidateAt(now time.Time, t Target) candidate {
+	u := l.usageOf(t.Start)
+	c := candidate{Target: t, usage: u, online: u.online, taken: u.online, rate: l.rateOf(now, u)}
+	if u.batch > 0 {
+		c.taken += u.notPreempted(now)
+	}
+	return c
+}
+
 // candidates examines sample targets, beginning at a position in the list that seed
 // determines. It returns those that the request can use, the preferred ones first (see
 // order) and equal ones in the order given by seed: the healthy ones, and the degraded ones. Targets that
@@ -46,15 +56,11 @@
 	n := len(g.targets)
 	for i := range sample {
 		t := g.targets[(int(seed%uint64(n))+i)%n]
-		u := l.usageOf(t.Start)
-		c := candidate{Target: t, usage: u, online: u.online, taken: u.online, rate: l.rateOf(now, u)}
-		if u.batch > 0 {
-			c.taken += u.notPreempted(now)
-		}
+		c := l.candidateAt(now, t)
 		switch {
 		case slices.Contains(r.Exclude, t.Start):
 			excluded = append(excluded, c)
-		case u.degraded(now, r.LastChance):
+		case c.usage.degraded(now, r.LastChance):
 			degraded = append(degraded, c)
 		default:
 			healthy = append(healthy, c)
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -48,6 +48,9 @@
 	// latency objective is missed, negative once it is, and DeadlineLeft the time until its
 	// deadline. They are durations because the clocks of hosts differ.
 	Waited, ObjectiveLeft, DeadlineLeft time.Duration
+	// FirstByte is the time that a target usually takes to the first event of an answer, 0
+	// for unknown: a request that starts later than that before its objective misses it.
+	FirstByte time.Duration
 	// Content identifies the request's content across attempts, 0 for unknown.
 	Content uint64
 	// Slack is how much of its time a batch item would have left if it ran now without
@@ -99,8 +102,10 @@
 	Zone, Leader string
 	// Reason states why the request is sent to that zone.
 	Reason OverflowReason
-	// Wait is how long the request would queue.
-	Wait time.Duration
+	// Wait is how long the request would queue; Queued is the length of the queue in which
+	// it waits.
+	Wait   time.Duration
+	Queued int
 	// RetryAfter is when a refused caller should return, 0 for unknown.
 	RetryAfter time.Duration
 	// Yield lists the batch leases that must be preempted.
@@ -118,10 +123,16 @@
 // not depend on the group's size while most targets have free slots.
 func (l *Ledger) Grant(now time.Time, r Request, seed uint64) Grant {
 	l.recordFailedZone(now, r)
+	if grant, known := l.renewWait(now, r); known {
+		return grant
+	}
 	g := l.groups[r.Group]
 	if g == nil || len(g.targets) == 0 {
 		return l.otherZone(now, r)
 	}
+	if g.line.length() > 0 && !r.Batch {
+		return l.join(now, r, g, seed)
+	}
 	if len(g.targets) > sampleSize {
 		healthy, _ := l.candidates(now, g, r, seed, sampleSize)
 		if c, ok := l.choiceFromSample(r, healthy); ok {
@@ -147,7 +158,7 @@
 	if !l.mayQueue(now, r) {
 		return Grant{Verdict: None}
 	}
-	return l.queue(now, r, g, append(healthy, degraded...))
+	return l.queue(now, r, g, healthy, degraded)
 }
 
 // grantBatch grants a batch item the emptiest target that leaves the headroom free. A
@@ -169,6 +180,10 @@
 	le.group, le.work, le.slack = r.Group, r.Work, r.Slack
 	le.timed = !r.Batch && c.online+c.usage.batch < c.Slots
 	grant := Grant{Verdict: Granted, Target: c.Start, At: c.Target, Running: c.taken}
+	if r.MayWait {
+		kept := grant
+		le.grant = &kept
+	}
 	if !r.Batch {
 		grant.Yield = c.usage.preempt(now, c.taken+1-c.Slots)
 	}
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -89,6 +89,7 @@
 	zoneRule func(home, other ZoneLoad) (gain float64, sends bool)
 	// slowRunsAt is when the runs were last examined for slow ones.
 	slowRunsAt time.Time
+	waiting    waiting
 }
 
 type group struct {
@@ -97,6 +98,8 @@
 	serviceTime routing.ServiceTime
 	drain       drain
 	pace        pace
+	// line holds the group's waiting requests.
+	line line
 }
 
 // usage is the state of one target.
@@ -125,6 +128,9 @@
 	// timed reports whether the time until its end is the target's service time: it is an
 	// online request that got a free slot. slow reports whether it counted as a slow run.
 	timed, slow bool
+	// grant is the answer to the request, for a holder that did not receive it and asks
+	// again; nil unless the holder does so.
+	grant *Grant
 	// preemptUntil is until when the item is expected to end after its preemption.
 	preemptUntil time.Time
 }
@@ -135,7 +141,7 @@
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
 	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{},
-		remote: map[string]*remoteZone{}, failed: map[zoneGroup]failedZone{}, zoneRule: byEarliestStart}
+		remote: map[string]*remoteZone{}, failed: map[zoneGroup]failedZone{}, zoneRule: byEarliestStart, waiting: newWaiting()}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
@@ -148,14 +154,14 @@
 	for name, list := range targets {
 		g := &group{targets: list}
 		if known := l.groups[name]; known != nil {
-			g.serviceTime, g.drain, g.pace = known.serviceTime, known.drain, known.pace
+			g.serviceTime, g.drain, g.pace, g.line = known.serviceTime, known.drain, known.pace, known.line
 		}
 		groups[name] = g
 		for _, t := range list {
 			l.usageOf(t.Start).group = name
 		}
 	}
-	l.groups = groups
+	l.replaceGroups(groups)
 	for start, u := range l.usage {
 		if u.group == "" && len(u.leases) == 0 {
 			delete(l.usage, start)
@@ -201,6 +207,9 @@
 
 func (l *Ledger) add(now time.Time, id ID, r Running) *lease {
 	le := &lease{id: id, target: r.Target, batch: r.Batch, granted: now, renewed: now}
+	if old := l.holders[id.Holder][id.Number]; old != nil {
+		l.drop(old)
+	}
 	if l.holders[id.Holder] == nil {
 		l.holders[id.Holder] = map[uint64]*lease{}
 	}
@@ -228,6 +237,7 @@
 	u := l.usageOf(le.target)
 	delete(u.leases, le)
 	u.count(le, -1)
+	l.slotFreed(le.target)
 }
 
 // usageOf returns the state of the target and creates it if necessary.
@@ -243,6 +253,7 @@
 // end applies the end of a lease. If the lease is not known here, the outcome still
 // counts for the target.
 func (l *Ledger) end(now time.Time, id ID, e Ended) {
+	l.leave(id)
 	le := l.holders[id.Holder][id.Number]
 	if le != nil {
 		l.drop(le)
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -105,7 +105,7 @@
 	}
 	loads := make(map[string]ZoneLoad, len(l.groups))
 	for name, g := range l.groups {
-		load := ZoneLoad{Waiting: l.waiting(name, g), PerSecond: l.perSecond(now, g)}
+		load := ZoneLoad{Waiting: l.waitingCount(g), PerSecond: l.perSecond(now, g)}
 		for _, t := range g.targets {
 			u := l.usageOf(t.Start)
 			if u.degraded(now, false) {
@@ -120,10 +120,10 @@
 	return loads
 }
 
-// waiting counts the online requests of the group that wait for a slot: those beyond the
-// slots of each target.
-func (l *Ledger) waiting(_ string, g *group) int {
-	n := 0
+// waitingCount counts the online requests of the group that wait for a slot: those in the
+// queue, and those beyond the slots of each target.
+func (l *Ledger) waitingCount(g *group) int {
+	n := g.line.length()
 	for _, t := range g.targets {
 		n += max(0, l.usageOf(t.Start).online-t.Slots)
 	}
@@ -291,7 +291,7 @@
 	if !l.policy.ZoneBalance || g == nil || len(g.targets) == 0 {
 		return ZoneLoad{}
 	}
-	load := ZoneLoad{Waiting: l.waiting(name, g), PerSecond: l.perSecond(now, g)}
+	load := ZoneLoad{Waiting: l.waitingCount(g), PerSecond: l.perSecond(now, g)}
 	if load.PerSecond <= 0 {
 		load.Free = 1
 	}
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -20,6 +20,8 @@
 
 // Request describes an online request for the choice of a target.
 type Request struct {
+	// ID names the request in log lines.
+	ID    string
 	Group string
 	// Exclude holds the starts of targets already tried.
 	Exclude map[string]bool
@@ -38,6 +40,9 @@
 	// Arrived is when the request was read, Objective when its latency objective is
 	// missed, Deadline when its caller stops waiting. Zero times mean unknown.
 	Arrived, Objective, Deadline time.Time
+	// FirstByte is the time that a target of the group usually takes to the first event of
+	// an answer, 0 for unknown.
+	FirstByte time.Duration
 }
 
 // BatchRequest describes a batch item for the choice of a target.
@@ -72,9 +77,13 @@
 // must follow. A refusal means that nothing was sent to any target.
 func (p *Places) Acquire(ctx context.Context, r Request) (Slot, *outcome.Refusal) {
 	if p.Scheduled() && !r.Alone {
+		asked := time.Now()
 		if slot, refusal, decided := p.acquireGranted(ctx, r); decided {
 			return slot, refusal
 		}
+		if p.scheduler.policy.Queue {
+			r.MaxWait = max(0, r.MaxWait-time.Since(asked))
+		}
 	}
 	return p.acquireLocally(r)
 }
@@ -86,9 +95,15 @@
 	request.LastChance, request.Patience = r.LastChance, r.MaxWait
 	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
 	request.Work, request.Content = r.Work, r.Content
+	if p.scheduler.policy.Queue {
+		request.FirstByte = r.FirstByte
+	}
 	setTimes(&request, r, time.Now())
-	grant, by, answered := p.scheduler.requestSlot(ctx, request)
+	grant, by, answered, finish := p.scheduler.requestOrWait(ctx, request, r.ID)
+	defer finish()
 	switch {
+	case answered && grant.Verdict == slots.Waiting:
+		return Slot{}, outcome.Refuse(outcome.Cancelled, "the caller left, or the deadline passed, while the request waited for a slot"), true
 	case !answered || grant.Verdict == slots.None:
 		return Slot{}, nil, false
 	case grant.Verdict == slots.Overloaded:
--- a/daemon/places/overflow.go
+++ b/daemon/places/overflow.go
@@ -25,7 +25,7 @@
 		return slots.Grant{}, leader, true
 	}
 	request.Stay = true
-	if s.balanced {
+	if s.policy.ZoneBalance {
 		request.FailedZone, request.Unanswered = referral.Zone, !ok
 	}
 	grant, answered = s.callLeader(ctx, leader, request)
@@ -35,7 +35,7 @@
 // remoteRequest returns the request as it is sent to another zone's leader.
 func (s *scheduler) remoteRequest(request slots.Request, referral slots.Grant) slots.Request {
 	request.Visiting = true
-	if s.balanced && !request.Batch {
+	if s.policy.ZoneBalance && !request.Batch {
 		request.Preempts, request.HomeWait = true, referral.Wait
 	}
 	return request
@@ -43,7 +43,7 @@
 
 // countOverflow counts a request that was sent to another zone.
 func (s *scheduler) countOverflow(request slots.Request, referral, remote slots.Grant, answered bool) {
-	if !s.balanced || request.Batch {
+	if !s.policy.ZoneBalance || request.Batch {
 		return
 	}
 	outcome := "unanswered"
@@ -56,7 +56,7 @@
 // logOverflow logs that this daemon, a leader, sent an online request to another zone, with
 // the loads that were compared. s.mu is held.
 func (s *scheduler) logOverflow(now time.Time, request slots.Request, grant slots.Grant) {
-	if !s.balanced || request.Batch || grant.Verdict != slots.Elsewhere {
+	if !s.policy.ZoneBalance || request.Batch || grant.Verdict != slots.Elsewhere {
 		return
 	}
 	key := [2]string{grant.Zone, request.Group}
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -76,9 +76,10 @@
 	partHolders map[int]partHolder
 
 	leases *localLeases
-	// balanced reports whether the load of zones is balanced; overflowLogged is when a
-	// request sent to another zone was last logged, by zone and group.
-	balanced       bool
+	policy slots.Policy
+	// waits are the requests that wait at a leader. overflowLogged is when a request sent
+	// to another zone was last logged, by zone and group.
+	waits          waits
 	overflowLogged map[[2]string]time.Time
 }
 
@@ -108,8 +109,8 @@
 	s := &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, slotTimeout: o.SlotTimeout, logger: o.Logger, set: o.Metrics,
 		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
-		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting),
-		balanced: o.Policy.ZoneBalance, overflowLogged: map[[2]string]time.Time{},
+		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting), policy: o.Policy,
+		overflowLogged: map[[2]string]time.Time{},
 	}
 	if o.Policy.TargetRates {
 		s.set.RegisterMetricsWriter(s.writeRates)
@@ -127,9 +128,11 @@
 // slots.
 func (s *scheduler) setTargets(targets map[string][]slots.Target, known bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.targetsKnown = known
 	s.ledger.SetTargets(targets)
+	notify := s.dispatch(time.Now())
+	s.mu.Unlock()
+	notify()
 }
 
 // grantLocally grants a slot from this daemon's ledger.
@@ -144,7 +147,9 @@
 	}
 	grant := s.ledger.Grant(now, request, rand.Uint64())
 	s.logOverflow(now, request, grant)
+	notify := s.dispatch(now)
 	s.mu.Unlock()
+	notify()
 	s.notifyPreempted(grant.Yield)
 	return grant, nil
 }
@@ -199,10 +204,13 @@
 	if err != nil {
 		s.countOutcome("unanswered")
 		s.logger.Info("slot_not_answered", zap.String("leader", leader), zap.String("group", request.Group), zap.Error(err))
-		// The slot may have been granted all the same.
-		s.leases.abandon(request.ID.Number, leader)
+		if !s.waits.record(request.ID.Number, leader, false, slots.None) || !s.isLocal(leader) {
+			// The slot may have been granted all the same.
+			s.leases.abandon(request.ID.Number, leader)
+		}
 		return slots.Grant{}, false
 	}
+	s.waits.record(request.ID.Number, leader, true, grant.Verdict)
 	s.countOutcome(grant.Verdict.String())
 	return grant, true
 }
--- a/daemon/places/scheduler_test.go
+++ b/daemon/places/scheduler_test.go
@@ -38,13 +38,18 @@
 // newLargeFleet starts a fleet. Daemon i is in zone i%fleetZones; daemons 4 to 7 have the
 // most cores of their zones. change, if given, changes the options of a daemon.
 func newLargeFleet(change ...func(i int, o *places.Options)) *largeFleet {
-	f := &largeFleet{network: newNetwork()}
 	var targets []roster.Target
 	for i := range fleetZones * zoneTargets {
 		id := fmt.Sprint("t", i)
 		targets = append(targets, roster.Target{ID: id, Start: roster.StartOf(id, 0), Group: "g", Address: id,
 			Zone: fmt.Sprint("z", i%fleetZones), Slots: targetSlots})
 	}
+	return newFleetOf(targets, change...)
+}
+
+// newFleetOf starts a fleet with the given targets.
+func newFleetOf(targets []roster.Target, change ...func(i int, o *places.Options)) *largeFleet {
+	f := &largeFleet{network: newNetwork()}
 	for i := range fleetSize {
 		p := places.Peer{Address: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i%fleetZones), Cores: 0.2}
 		if i/fleetZones == 1 {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -137,6 +137,14 @@
 	return r.groupFirstByteStats(group).MaxWait()
 }
 
+// usualFirstByte returns the time within which nearly all answers of a group begin, 0 for
+// unknown.
+func (r *Relay) usualFirstByte(group string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.groupFirstByteStats(group).Usual()
+}
+
 // noteFirstByte records the time to the first byte of an answer.
 func (r *Relay) noteFirstByte(group string, took time.Duration) {
 	r.mu.Lock()
@@ -235,6 +243,9 @@
 			return s.refuse(refusal)
 		}
 		slot, refusal := s.relay.Places.Acquire(ctx, s.placesRequest())
+		if refusal != nil && refusal.Code == outcome.Cancelled {
+			return s.endEarly(ctx)
+		}
 		if refusal != nil {
 			return s.refuse(refusal)
 		}
@@ -264,9 +275,9 @@
 		share = r.Route.Name
 	}
 	p := places.Request{
-		Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
+		ID: r.ID, Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
 		LastChance: !s.mayRetry(), Rank: r.Rank, Share: share, Weight: r.Weight, Work: slots.Work(r.PromptTokens, r.OutputTokens), Content: s.content,
-		Arrived: r.Arrived, Deadline: r.Deadline,
+		Arrived: r.Arrived, Deadline: r.Deadline, FirstByte: s.relay.usualFirstByte(s.group()),
 	}
 	if r.Route.Objective > 0 {
 		p.Objective = r.Arrived.Add(r.Route.Objective)
