Start-time fair queueing of waiting requests

Cause: nothing divides scarce slots between accounts: while an account floods, the others are late as often as it is (docs/design/0015, item 3). Change: core/fairshare gives waiting requests tags by start-time fair queueing. The virtual time never passes a start tag that still waits, and an unused share keeps a credit of six requests; leaders exchange cumulative counters of the shares that are beyond their share.

--- /dev/null
+++ b/core/fairshare/fairshare_test.go
@@ -0,0 +1,241 @@
+package fairshare_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragonhollow.example/tarragonhollow/core/fairshare"
+)
+
+// flood lets n requests of the share begin to wait and returns their tags.
+func flood(s *fairshare.Shares, now time.Time, share string, n int) []float64 {
+	var tags []float64
+	for range n {
+		tags = append(tags, s.Enter(now, share, 1, 1))
+	}
+	return tags
+}
+
+// Guards against requests that were refused or whose caller left and that push the later
+// requests of their account behind others.
+func TestWorkOfARequestThatLeftDoesNotCount(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	first := s.Enter(start, "a", 1, 1)
+	tags := flood(s, start, "a", 50)
+	g.Expect(s.Within(tags[49])).To(BeFalse())
+	for _, tag := range tags {
+		s.Left("a", tag)
+	}
+	g.Expect(s.Within(s.Enter(start, "a", 1, 1))).To(BeTrue())
+	s.Granted(start, "a", first)
+}
+
+// Guards against a report that moves a finish tag twice, because it is repeated, overtaken
+// or follows one that was lost.
+func TestRemoteWorkCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	remote := fairshare.New()
+	tags := flood(remote, start, "a", 100)
+	granted := 0
+	grant := func(now time.Time, n int) fairshare.Report {
+		for range n {
+			remote.Granted(now, "a", tags[granted])
+			granted++
+		}
+		return remote.Report(now, 16)
+	}
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	first, second, lost, last := grant(at(1), 5), grant(at(2), 5), grant(at(3), 7), grant(at(4), 3)
+	g.Expect(lost.Used).To(HaveLen(1))
+
+	local := fairshare.New()
+	for _, r := range []fairshare.Report{first, first, second, second, last, second, last} {
+		local.ApplyRemote(at(5), "leader", r)
+	}
+	// The first counter sets the base. A share without use begins with its credit of 6.
+	moved := local.Enter(at(5), "a", 1, 1) - local.Enter(at(5), "b", 1, 1)
+	g.Expect(moved).To(BeNumerically("~", 15+6, 1e-9))
+}
+
+// Guards against a leader that is replaced: the counters of the new one begin again.
+func TestCountersOfANewLeaderAreNotCompared(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	apply := func(leader string, number int64, used float64) {
+		s.ApplyRemote(start, leader, fairshare.Report{Number: number, Used: map[string]float64{"a": used}})
+	}
+	apply("old", 1, 1e6)
+	apply("new", 1, 500)
+	apply("new", 2, 400) // the share was dropped there and began again
+	g.Expect(s.Within(s.Enter(start, "a", 1, 1))).To(BeTrue())
+	apply("new", 3, 450)
+	g.Expect(s.Within(s.Enter(start, "a", 1, 1))).To(BeFalse())
+}
+
+// Guards against accounts of which each zone serves a part and that are pushed behind
+// others although they do not flood.
+func TestOnlySharesBeyondTheirShareAreReported(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	for i := range 40 {
+		flood(s, start, fmt.Sprint("calm-", i), 1)
+		flood(s, start, fmt.Sprint("flooding-", i), 20+i)
+	}
+	used := s.Report(start, 16).Used
+	g.Expect(used).To(HaveLen(16))
+	g.Expect(used).To(HaveKey("flooding-39"))
+	g.Expect(used).To(HaveKey("flooding-24"))
+}
+
+// Guards against a log line for each request of an account that floods.
+func TestChangesAreReportedOnceASecond(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	tags := flood(s, start, "a", 20)
+	g.Expect(s.Changes(start)).To(ConsistOf(fairshare.Change{Share: "a", Beyond: true, Waiting: 20}))
+	for _, tag := range tags {
+		s.Left("a", tag)
+	}
+	g.Expect(s.Changes(start.Add(500 * time.Millisecond))).To(BeEmpty())
+	g.Expect(s.Changes(start.Add(time.Second))).To(ConsistOf(fairshare.Change{Share: "a"}))
+	g.Expect(s.Changes(start.Add(2 * time.Second))).To(BeEmpty())
+	flood(s, start.Add(2*time.Second), "a", 20)
+	g.Expect(s.Changes(start.Add(2 * time.Second))).To(HaveLen(1))
+	s.Expire(start.Add(30 * time.Second))
+	g.Expect(s.Len()).To(Equal(1), "the share is kept for its time after its requests were dropped")
+	s.Expire(start.Add(60 * time.Second))
+	g.Expect(s.Changes(start.Add(60 * time.Second))).To(ConsistOf(fairshare.Change{Share: "a"}))
+}
+
+// Guards against names of accounts without end that fill the leader's memory.
+func TestMemoryIsBoundedAndReleased(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	tags := map[string]float64{}
+	for i := range 3000 {
+		name := fmt.Sprint("account-", i)
+		tags[name] = s.Enter(start, name, 1, 1)
+	}
+	g.Expect(s.Len()).To(BeNumerically("<=", 1001))
+	for name, tag := range tags {
+		s.Granted(start, name, tag)
+	}
+	for i := range 3000 {
+		s.ApplyRemote(start, fmt.Sprint("leader-", i), fairshare.Report{Number: 1, Used: map[string]float64{"x": 1}})
+	}
+	s.Expire(start.Add(11 * time.Second))
+	g.Expect(s.Len()).To(BeZero())
+}
+
+// backlog is the waiting requests of accounts that always have some waiting.
+type backlog struct {
+	shares *fairshare.Shares
+	list   []queued
+}
+
+type queued struct {
+	account    int
+	tag, order float64
+	cost       float64
+}
+
+// next removes the request that gets the next slot: within their shares in any order,
+// else by tag.
+func (b *backlog) next() queued {
+	first := 0
+	for i, q := range b.list {
+		p := b.list[first]
+		within, before := b.shares.Within(q.tag), b.shares.Within(p.tag)
+		if within != before && within || within == before && (within && q.order < p.order || !within && q.tag < p.tag) {
+			first = i
+		}
+	}
+	q := b.list[first]
+	b.list = append(b.list[:first], b.list[first+1:]...)
+	return q
+}
+
+// Guards against an account that has requests waiting all the time and gets less than its
+// weighted part, whatever the order of the requests that are within their shares.
+func TestEachAccountGetsItsWeightedShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := fairshare.New()
+		b := &backlog{shares: s}
+		weights := rapid.SliceOfN(rapid.Float64Range(0.5, 8), 2, 8).Draw(t, "weights")
+		depth := rapid.IntRange(1, 12).Draw(t, "depth")
+		work := rapid.Float64Range(1, 50)
+		now, largest := start, 0.0
+		enter := func(account int) {
+			size := work.Draw(t, "work")
+			largest = max(largest, size/weights[account])
+			tag := s.Enter(now, fmt.Sprint(account), size, weights[account])
+			b.list = append(b.list, queued{account, tag, rapid.Float64().Draw(t, "order"), size / weights[account]})
+		}
+		for account := range weights {
+			for range depth {
+				enter(account)
+			}
+		}
+		got := make([]float64, len(weights))
+		for range 300 {
+			now = now.Add(time.Millisecond)
+			q := b.next()
+			s.Granted(now, fmt.Sprint(q.account), q.tag)
+			got[q.account] += q.cost
+			enter(q.account)
+		}
+		for i := range got {
+			for j := range got {
+				// Credit, slack and the request that gets the slot.
+				if got[i]-got[j] > (6+2+1+1)*largest {
+					t.Fatalf("account %d got %.1f and account %d %.1f of normalized work, largest request %.1f", i, got[i], j, got[j], largest)
+				}
+			}
+		}
+	})
+}
+
+// Guards against state that remains after the queue has drained, whatever happened before.
+func TestADrainedQueueLeavesNoState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := fairshare.New()
+		now := start
+		waiting := map[string][]float64{}
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "share")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				tag := s.Enter(now, name, rapid.Float64().Draw(t, "work"), rapid.Float64().Draw(t, "weight"))
+				waiting[name] = append(waiting[name], tag)
+			case 2:
+				if list := waiting[name]; len(list) > 0 {
+					s.Granted(now, name, list[0])
+					waiting[name] = list[1:]
+				}
+			case 3:
+				if list := waiting[name]; len(list) > 0 {
+					s.Left(name, list[0])
+					waiting[name] = list[1:]
+				}
+			}
+		}
+		for name, list := range waiting {
+			for _, tag := range list {
+				s.Left(name, tag)
+			}
+		}
+		s.Expire(now.Add(11 * time.Second))
+		if s.Len() != 0 {
+			t.Fatalf("%d shares remain", s.Len())
+		}
+		if a, b := s.Enter(now, "a", 1, 1), fairshare.New().Enter(now, "a", 1, 1); a != b {
+			t.Fatalf("tags begin at %v, in a new state at %v", a, b)
+		}
+	})
+}
