Fair shares and paced returns at the ledger and between leaders

Cause: core/fairshare and core/returns decide nothing until the ledger calls them. Change: core/slots/fairness.go keeps their state by group, offers what the queue of the leader calls, and a refusal for overload carries the announced return time. With the keys off nothing changes.

--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -83,6 +83,8 @@
 	holders map[string]map[uint64]*lease
 	usage   map[string]*usage
 	remote  map[string]*remoteFree
+	// fairness is the state of fair shares and paced returns.
+	fairness fairness
 }
 
 type group struct {
@@ -120,7 +122,7 @@
 
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
-	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{}, remote: map[string]*remoteFree{}}
+	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{}, remote: map[string]*remoteFree{}, fairness: newFairness()}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
@@ -251,6 +253,7 @@
 
 // Expire drops the leases that were not renewed within LeaseTTL.
 func (l *Ledger) Expire(now time.Time) {
+	l.expireFairness(now)
 	for _, held := range l.holders {
 		for _, le := range held {
 			if now.Sub(le.renewed) > LeaseTTL {
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -20,7 +20,7 @@
 	best := from[0]
 	wait := g.serviceTime.Wait(float64(best.online), best.Slots)
 	if wait > r.Patience {
-		return Grant{Verdict: Overloaded, Wait: wait}
+		return Grant{Verdict: Overloaded, Wait: wait, RetryAfter: l.retryAfter(now, r, l.beyondShare(r), wait)}
 	}
 	return l.grantLease(now, r, best)
 }
--- a/daemon/places/leader.go
+++ b/daemon/places/leader.go
@@ -90,7 +90,8 @@
 	var heartbeat *Heartbeat
 	if leads {
 		s.ledger.Expire(now)
-		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Held: s.heldInZone(now)}
+		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Held: s.heldInZone(now), Shares: s.shareReports(now)}
+		s.logShareChanges(now)
 		if now.Sub(s.lastHeartbeat) >= election.HeartbeatInterval {
 			s.lastHeartbeat = now
 			heartbeat = s.newHeartbeat(now)
@@ -242,6 +243,7 @@
 	if s.leads {
 		s.zoneStates[r.Zone] = &zoneState{leader: r.Leader, held: r.Held, at: now}
 		s.ledger.ApplyRemoteFree(now, r.Zone, r.Leader, r.Free)
+		s.ledger.ApplyShareReports(now, r.Leader, r.Shares)
 		return
 	}
 	if leader, found := s.election.Leader(now); found && !r.Forwarded {
--- a/daemon/places/messages.go
+++ b/daemon/places/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/board"
+	"tarragonhollow.example/tarragonhollow/core/fairshare"
 	"tarragonhollow.example/tarragonhollow/core/feed"
 	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/peer"
@@ -89,6 +90,9 @@
 	Free map[string]int
 	// Load is the zone's load by group, nil unless zones are balanced.
 	Load map[string]slots.ZoneLoad
+	// Shares are the shares beyond their share of the slots by group, nil unless slots are
+	// divided fairly.
+	Shares map[string]fairshare.Report
 	// Held is the held work of the zone's daemons.
 	Held map[string]HeldWork
 	// Forwarded reports that the daemon that received it first has forwarded it to its
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -59,6 +59,8 @@
 	// lastHeartbeat is when the last heartbeat was sent, heartbeats counts them.
 	lastHeartbeat time.Time
 	heartbeats    int
+	// lastShareReport is when the shares were last reported to the other zones.
+	lastShareReport time.Time
 	// holderStates holds the last reported state of each of the zone's daemons,
 	// zoneStates that of each other zone's leader.
 	holderStates map[string]*holderState
@@ -99,11 +101,15 @@
 // newScheduler returns a daemon's scheduler; scheduled reports whether leaders grant
 // slots, preempting gets a token when local batch work is preempted.
 func newScheduler(o Options, scheduled func() bool, preempting chan<- struct{}) *scheduler {
-	return &scheduler{
+	s := &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, slotTimeout: o.SlotTimeout, logger: o.Logger, set: o.Metrics,
 		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
 		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting),
 	}
+	if o.Policy.FairShares {
+		s.set.RegisterMetricsWriter(s.writeShareMetrics)
+	}
+	return s
 }
 
 // countOutcome counts the outcome of a call for a slot.
