Infinite work of a request is bounded before it is divided by the weight

Cause: infinite work divided by an infinite weight is NaN, which min and max pass on. A NaN tag is never found again, and when the request was dropped after 10 s, the removal of its entry dereferenced nil. Infinite work with a usual weight made the counter of work infinite as long as the share was known. Change: work is bounded by maxWork before the cost is computed.

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -48,6 +48,9 @@
 	// rebaseTag is the virtual time from which tags begin at 0 again when nothing waits:
 	// up to there, a float64 distinguishes tags that differ by minCost.
 	rebaseTag = 1e9
+	// maxWork bounds the work of a request: an infinite size must not make a counter
+	// infinite, and divided by an infinite weight it is not a number.
+	maxWork = 1e10
 	// maxCost and minCost bound a cost: a wrong size or weight must not
 	// make a tag infinite, or so small that it disappears in rounding.
 	maxCost, minCost = 1e8, 1e-6
@@ -124,6 +127,7 @@
 	if !(weight > 0) {
 		weight = 1
 	}
+	work = min(work, maxWork)
 	cost := min(max(work/weight, minCost), maxCost)
 	a := s.obtain(name)
 	a.observe(cost)
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -265,3 +266,26 @@
 		}
 	})
 }
+
+// Guards against a wrong size or weight of a request that stops the leader, fills the
+// counters of its account for good or puts all its later requests behind the others.
+func TestWrongWorkAndWeightsAreBounded(t *testing.T) {
+	values := []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0, math.MaxFloat64, math.SmallestNonzeroFloat64, 1}
+	for _, work := range values {
+		for _, weight := range values {
+			g := NewWithT(t)
+			s := fairshare.New()
+			tag := s.Enter(start, "a", work, weight)
+			g.Expect(math.Abs(tag)).To(BeNumerically("<", 1e10), fmt.Sprint(work, weight))
+			s.Granted(start, "a", tag)
+			s.Left("a", s.Enter(start, "a", work, weight))
+			for _, use := range s.Uses(16) {
+				g.Expect(use.Work).To(BeNumerically("<=", 1e12), fmt.Sprint(work, weight))
+			}
+			s.Enter(start, "a", work, weight)
+			s.Expire(start.Add(11 * time.Second))
+			s.Expire(start.Add(22 * time.Second))
+			g.Expect(s.Len()).To(BeZero(), fmt.Sprint(work, weight))
+		}
+	}
+}
