An idle share has no waiting cost left over from rounding

Cause: the waiting cost of a share is a sum to which costs are added and from which they are subtracted. Rounding leaves a small positive rest, with which a share that has nothing waiting was reported to the other zones. Change: the sum is set to 0 when nothing waits. Result: the test with ten requests of cost 0.1 failed before.

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -273,6 +273,7 @@
 		a.element = nil
 	}
 	if a.count == 0 {
+		a.cost = 0 // the sum of costs added and subtracted may differ from 0
 		a.element = s.idle.PushBack(a)
 	}
 	s.updateBeyond(a)
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -289,3 +289,20 @@
 		}
 	}
 }
+
+// Guards against an idle account that is reported to the other zones because the sum of
+// its waiting work is not 0 after rounding.
+func TestAnIdleShareIsNotReported(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	s.Enter(start, "b", 1, 1)
+	var tags []float64
+	for range 10 {
+		tags = append(tags, s.Enter(start, "a", 0.1, 1))
+	}
+	for _, tag := range tags {
+		s.Granted(start, "a", tag)
+	}
+	g.Expect(s.Beyond("a")).To(BeTrue())
+	g.Expect(s.Report(start, 16).Used).To(BeEmpty())
+}
