Work in other zones does not count for the overflow share

Cause: with 1,000 shares that all have requests waiting, the work that a flooding account got in another zone moved the finish tag of the share which all further accounts use. Change: such work is not counted. Result: the test with 1,001 accounts failed before.

--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -306,3 +306,18 @@
 	g.Expect(s.Beyond("a")).To(BeTrue())
 	g.Expect(s.Report(start, 16).Used).To(BeEmpty())
 }
+
+// Guards against work of an account in another zone that counts for all accounts without a
+// share of their own here.
+func TestRemoteWorkDoesNotCountForOtherShares(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	for i := range 1001 {
+		s.Enter(start, fmt.Sprint("account-", i), 1, 1)
+	}
+	g.Expect(s.Beyond("new")).To(BeFalse())
+	for i, used := range []float64{1, 1000} {
+		s.ApplyRemote(start, "leader", fairshare.Report{Number: int64(1 + i), Used: map[string]float64{"flooding": used}})
+	}
+	g.Expect(s.Beyond("new")).To(BeFalse())
+}
--- a/core/fairshare/remote.go
+++ b/core/fairshare/remote.go
@@ -80,10 +80,13 @@
 	}
 }
 
-// use moves the finish tag of a share by work that it got elsewhere.
+// use moves the finish tag of a share by work that it got elsewhere. Work of accounts that
+// have no share of their own here is not counted: it would count for all of them.
 func (s *Shares) use(name string, cost float64) {
 	a := s.obtain(name)
-	a.finish = max(a.finish, s.virtual) + min(cost, maxCost)
+	if a.name != overflow {
+		a.finish = max(a.finish, s.virtual) + min(cost, maxCost)
+	}
 	s.touch(a)
 }
 
