The shares of a removed group are dropped

Cause: the ledger kept an empty state for each group that ever had a request waiting, also after the configuration had removed the group. Change: Expire deletes the state of a group without targets once it holds no share.

--- a/core/slots/fairness.go
+++ b/core/slots/fairness.go
@@ -104,10 +104,14 @@
 	return g.serviceTime.Wait(float64(total), total)
 }
 
-// expireFairness drops shares without requests and return times that have passed.
+// expireFairness drops shares without requests, also the empty state of groups that are no
+// longer configured, and return times that have passed.
 func (l *Ledger) expireFairness(now time.Time) {
-	for _, s := range l.fairness.shares {
+	for group, s := range l.fairness.shares {
 		s.Expire(now)
+		if s.Len() == 0 && l.groups[group] == nil {
+			delete(l.fairness.shares, group)
+		}
 	}
 	l.fairness.returns.Expire(now)
 }
--- a/core/slots/fairness_internal_test.go
+++ b/core/slots/fairness_internal_test.go
@@ -161,3 +161,17 @@
 	g.Expect(l.fairness.returns.Len()).To(BeZero())
 	g.Expect(l.fairness.shares["g"].Len()).To(BeZero())
 }
+
+// Guards against the state of groups that are configured and removed again and again.
+func TestSharesOfARemovedGroupAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	l := overloadedLedger(now, Policy{FairShares: true})
+	tag := l.shares("g").Enter(now, "a", 1, 1)
+	l.SetTargets(nil)
+	l.Expire(now)
+	g.Expect(l.fairness.shares).To(HaveKey("g"), "a request waits")
+	l.shares("g").Left("a", tag)
+	l.Expire(now.Add(11 * time.Second))
+	g.Expect(l.fairness.shares).To(BeEmpty())
+}
