Only a leader writes the metrics of shares

Cause: shares expire in the leader's round. A daemon that had stepped down reported the work of its time as a leader for good, although docs/OPERATIONS.md says that the metric is that of a zone's leader. Change: a daemon that does not lead writes none. Result: the test fails without the condition.

--- a/daemon/places/shares.go
+++ b/daemon/places/shares.go
@@ -40,11 +40,17 @@
 }
 
 // writeShareMetrics writes the work that the largest shares received while they waited.
-func (s *scheduler) writeShareMetrics(w io.Writer) {
+func (s *scheduler) writeShareMetrics(w io.Writer) { formatShareMetrics(w, s.shareUses()) }
+
+// shareUses returns the work of the largest shares by group, nil on a daemon that does not
+// lead: it expires no shares, so that those of its time as a leader would remain.
+func (s *scheduler) shareUses() map[string][]fairshare.Use {
 	s.mu.Lock()
-	uses := s.ledger.ShareUses()
-	s.mu.Unlock()
-	formatShareMetrics(w, uses)
+	defer s.mu.Unlock()
+	if !s.leads {
+		return nil
+	}
+	return s.ledger.ShareUses()
 }
 
 func formatShareMetrics(w io.Writer, uses map[string][]fairshare.Use) {
--- a/daemon/places/shares_internal_test.go
+++ b/daemon/places/shares_internal_test.go
@@ -75,3 +75,16 @@
 	g.Expect(strings.Count(b.String(), "\n")).To(Equal(16))
 	g.Expect(b.String()).To(HavePrefix("tarragonhollow_share_work_total{group=\"g\",share=\"a99\"} 100\n"))
 }
+
+// Guards against a daemon that has stepped down and reports the shares of its time as a
+// leader for good.
+func TestOnlyALeaderWritesShareMetrics(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Options{Host: "h", Zone: "z", PeerAddress: "h", Logger: zap.NewNop(), Policy: slots.Policy{FairShares: true, Queue: true}}).scheduler
+	now := time.Unix(1000, 0)
+	s.setTargets(map[string][]slots.Target{"g": {{Start: "t", Slots: 1}}}, true)
+	s.ledger.ApplyShareReports(now, "l", map[string]fairshare.Report{"g": {Number: 1}})
+	for _, s.leads = range []bool{true, false} {
+		g.Expect(len(s.shareUses()) > 0).To(Equal(s.leads))
+	}
+}
