Work in other zones moves a share to a bounded distance from the virtual time

Cause: the receiver added all work of another zone to the finish tag. An account that was alone in one zone, and so got all its slots, lay beyond its share in a zone with a queue until the others there had received as much. Change: that work moves the start tag of the share's next request, to at most 64 mean costs beyond the virtual time.

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -95,6 +95,8 @@
 	newest  float64
 	count   int
 	cost    float64
+	// remoteCost is the cost of work in other zones since the last request here; see next.
+	remoteCost float64
 	// used is the work that got slots, usedCost that work divided by the weight.
 	used, usedCost float64
 	lastUse        time.Time
@@ -132,7 +134,7 @@
 	a := s.obtain(name)
 	a.observe(cost)
 	start := s.next(a)
-	a.finish = start + cost
+	a.finish, a.remoteCost = start+cost, 0
 	tag = start - slack*a.mean
 	a.newest = tag
 	e := &entry{share: a, start: start, tag: tag, work: work, cost: cost, at: now, next: a.waiting[tag]}
@@ -205,8 +207,15 @@
 // Len returns the number of shares that are known.
 func (s *Shares) Len() int { return len(s.shares) }
 
-// next returns the start tag of the share's next request.
-func (s *Shares) next(a *share) float64 { return max(s.virtual-credit*a.mean, a.finish) }
+// next returns the start tag of the share's next request. Work in other zones moves it to at
+// most maxRemoteLead beyond the virtual time.
+func (s *Shares) next(a *share) float64 {
+	start := max(s.virtual-credit*a.mean, a.finish)
+	if a.remoteCost > 0 {
+		start = max(start, min(max(s.virtual, a.finish)+a.remoteCost, s.virtual+maxRemoteLead*a.mean))
+	}
+	return start
+}
 
 // observe adds a request to the mean cost.
 func (a *share) observe(cost float64) {
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -321,3 +321,31 @@
 	}
 	g.Expect(s.Beyond("new")).To(BeFalse())
 }
+
+// Guards against an account that got the idle slots of one zone for a minute and then gets
+// none in a zone with a queue until the others there have received as much.
+func TestWorkInAnotherZoneDelaysAShareForABoundedTime(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	b := &backlog{shares: s}
+	enter := func(account int) {
+		b.list = append(b.list, queued{account: account, tag: s.Enter(start, fmt.Sprint(account), 1, 1)})
+	}
+	enter(1)
+	for i := range 120 {
+		s.ApplyRemote(start, "leader", fairshare.Report{Number: int64(1 + i), Used: map[string]float64{"0": float64(1 + 100*i)}})
+	}
+	enter(0)
+	before := 0
+	for ; before < 1000; before++ {
+		q := b.next()
+		s.Granted(start, fmt.Sprint(q.account), q.tag)
+		if q.account == 0 {
+			break
+		}
+		enter(q.account)
+	}
+	// 64 requests, and 10 as between accounts in one zone.
+	g.Expect(before).To(BeNumerically("<=", 64+10))
+	g.Expect(before).To(BeNumerically(">=", 64-10), "the work is counted")
+}
--- a/core/fairshare/remote.go
+++ b/core/fairshare/remote.go
@@ -9,6 +9,10 @@
 	reportTTL = 3 * time.Second
 	// maxLeaders bounds the leaders whose reports are kept.
 	maxLeaders = 64
+	// maxRemoteLead is how far beyond the virtual time work in other zones moves a share,
+	// in mean costs of the share. Without a bound, an account that got the idle slots of one
+	// zone for a minute gets none in a zone with a queue for minutes after that.
+	maxRemoteLead = 64
 )
 
 // Report is what a leader tells the leaders of other zones about the shares that are
@@ -52,7 +56,7 @@
 	return r
 }
 
-// ApplyRemote moves the finish tags of shares by the work that they got in another zone
+// ApplyRemote moves the next start tags of shares by the work that they got in another zone
 // since the last report of that zone's leader. The first counter of a share only sets the
 // value from which the next ones count.
 func (s *Shares) ApplyRemote(now time.Time, leader string, r Report) {
@@ -80,12 +84,12 @@
 	}
 }
 
-// use moves the finish tag of a share by work that it got elsewhere. Work of accounts that
+// use adds work that a share got elsewhere to the start tag of its next request. Work of accounts that
 // have no share of their own here is not counted: it would count for all of them.
 func (s *Shares) use(name string, cost float64) {
 	a := s.obtain(name)
 	if a.name != overflow {
-		a.finish = max(a.finish, s.virtual) + min(cost, maxCost)
+		a.remoteCost = min(a.remoteCost+cost, maxCost)
 	}
 	s.touch(a)
 }
