Tests for bounds of fair shares and paced returns that no test covered

Cause: with one of these rules broken in a scratch copy, all tests passed: the time for which counters of other leaders are kept, the number of those leaders, a counter that is lower than before, tags that begin at 0 again, the time of the first refusal, the number of groups with a schedule. Change: a test for each. Result: each of these mutations fails a test.

--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -71,7 +71,7 @@
 	g := NewWithT(t)
 	s := fairshare.New()
 	apply := func(leader string, number int64, used float64) {
-		s.ApplyRemote(start, leader, fairshare.Report{Number: number, Used: map[string]float64{"a": used}})
+		s.ApplyRemote(start, leader, fairshare.Report{Number: number, Used: map[string]float64{"a": used, "b": used}})
 	}
 	apply("old", 1, 1e6)
 	apply("new", 1, 500)
@@ -79,6 +79,7 @@
 	g.Expect(s.Within(s.Enter(start, "a", 1, 1))).To(BeTrue())
 	apply("new", 3, 450)
 	g.Expect(s.Within(s.Enter(start, "a", 1, 1))).To(BeFalse())
+	g.Expect(s.Within(s.Enter(start, "b", 1, 1))).To(BeFalse(), "the lower counter subtracts nothing")
 }
 
 // Guards against accounts of which each zone serves a part and that are pushed behind
@@ -349,3 +350,42 @@
 	g.Expect(before).To(BeNumerically("<=", 64+10))
 	g.Expect(before).To(BeNumerically(">=", 64-10), "the work is counted")
 }
+
+// Guards against counters that are compared with those of a leader that has been silent
+// for longer than its shares may have been known, and against leaders without end.
+func TestCountersOfOtherLeadersAreBoundedAndForgotten(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	apply := func(now time.Time, leader int, share string, number int64, used float64) {
+		s.ApplyRemote(now, fmt.Sprint("leader-", leader), fairshare.Report{Number: number, Used: map[string]float64{share: used}})
+	}
+	counts := func(now time.Time, share string) bool { return !s.Within(s.Enter(now, share, 1, 1)) }
+	for i := range 65 {
+		apply(start, i, fmt.Sprint("share-", i), 1, 1)
+		apply(start, i, fmt.Sprint("share-", i), 2, 100)
+	}
+	g.Expect(counts(start, "share-63")).To(BeTrue())
+	g.Expect(counts(start, "share-64")).To(BeFalse(), "64 leaders are known")
+
+	apply(start, 0, "silent", 3, 1)
+	apply(start.Add(2*time.Second), 0, "other", 4, 1)
+	later := start.Add(3*time.Second + time.Millisecond)
+	apply(later, 0, "silent", 5, 1000)
+	g.Expect(counts(later, "silent")).To(BeFalse(), "the counter is a new base")
+	apply(later, 64, "share-64", 3, 1)
+	apply(later, 64, "share-64", 4, 100)
+	g.Expect(counts(later, "share-64")).To(BeTrue(), "leaders without reports are forgotten")
+}
+
+// Guards against tags that grow until costs disappear in their rounding, and against
+// shares that move to each other when tags begin at 0 again.
+func TestTagsBeginAgainWhenNothingWaits(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	// The first tag is 6 costs before 0, the 17th reaches 1e9.
+	for range 17 {
+		s.Granted(start, "a", s.Enter(start, "a", 1e8, 1))
+	}
+	g.Expect(s.Enter(start, "b", 1, 1)).To(BeNumerically("~", -6-2, 1e-6))
+	g.Expect(s.Enter(start, "a", 1e8, 1)).To(BeNumerically("~", (1-2)*1e8, 1), "one cost ahead, as before")
+}
--- a/core/returns/returns_test.go
+++ b/core/returns/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -158,3 +159,26 @@
 	g.Expect(r.Len()).To(BeNumerically("<=", 4096+1))
 	g.Expect(r.Returning(start.Add(2*time.Second), 10_000)).To(BeTrue(), "the latest are kept")
 }
+
+// Guards against a caller that is refused again and again and precedes new ones for good.
+func TestACallerThatIsRefusedAgainKeepsTheTimeOfItsFirstRefusal(t *testing.T) {
+	g := NewWithT(t)
+	r := returns.New()
+	refusal := returns.Refusal{Group: "g", Content: 7, QueueTime: queueTime, Interval: interval, Left: left}
+	r.Refuse(start, refusal)
+	again := start.Add(3 * time.Second)
+	due := again.Add(r.Refuse(again, refusal))
+	g.Expect(r.Returning(due.Add(-101*time.Millisecond), 7)).To(BeFalse(), "the second return time counts")
+	g.Expect(r.Returning(due, 7)).To(BeTrue())
+	g.Expect(r.Returning(start.Add(5001*time.Millisecond), 7)).To(BeFalse())
+}
+
+// Guards against names of groups without end that fill the leader's memory.
+func TestSchedulesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	r := returns.New()
+	for i := range 1000 {
+		r.Refuse(start, returns.Refusal{Group: fmt.Sprint("g", i), QueueTime: queueTime, Interval: interval, Left: left})
+	}
+	g.Expect(r.Len()).To(Equal(256))
+}
