A report of shares computes the rank of each share once

Cause: the sort of all shares computed the value of both sides at each comparison, each with a map lookup, while the leader's lock is held.

--- a/core/fairshare/changes.go
+++ b/core/fairshare/changes.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -89,9 +88,20 @@
 
 // top returns the shares with the highest positive values.
 func (s *Shares) top(most int, value func(*share) float64) []*share {
-	list := slices.DeleteFunc(slices.Collect(maps.Values(s.shares)), func(a *share) bool { return !(value(a) > 0) })
-	slices.SortFunc(list, func(a, b *share) int {
-		return cmp.Or(cmp.Compare(value(b), value(a)), cmp.Compare(a.name, b.name))
-	})
-	return list[:min(most, len(list))]
+	type valued struct {
+		*share
+		value float64
+	}
+	var list []valued
+	for _, a := range s.shares {
+		if v := value(a); v > 0 {
+			list = append(list, valued{a, v})
+		}
+	}
+	slices.SortFunc(list, func(a, b valued) int { return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.name, b.name)) })
+	var top []*share
+	for _, v := range list[:min(most, len(list))] {
+		top = append(top, v.share)
+	}
+	return top
 }
--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -9,9 +9,9 @@
 // flooding share has waiting lie ever further beyond it.
 //
 // The virtual time is the largest start tag that got a slot, but never beyond the smallest
-// one that waited at the last grant. Requests within their share get slots in the order of their
-// objectives, not of their tags. Without the second condition a flooding share advances the
-// virtual time by its own grants, and its next requests are always within its share.
+// one that waited at the last grant. Requests within their share get slots in the order of
+// their objectives, not of their tags. Without the second condition a flooding share advances
+// the virtual time by its own grants, and its next requests are always within its share.
 //
 // A share that has not used its part keeps a credit of a few requests: the virtual time
 // counts for it as that much earlier. Independent callers of a small account come in bursts,
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -389,3 +389,15 @@
 	g.Expect(s.Enter(start, "b", 1, 1)).To(BeNumerically("~", -6-2, 1e-6))
 	g.Expect(s.Enter(start, "a", 1e8, 1)).To(BeNumerically("~", (1-2)*1e8, 1), "one cost ahead, as before")
 }
+
+// BenchmarkReport measures a report with as many shares as are known, all beyond theirs.
+func BenchmarkReport(b *testing.B) {
+	s := fairshare.New()
+	s.Enter(start, "calm", 1, 1)
+	for i := range 999 {
+		flood(s, start, fmt.Sprint("flooding-", i), 10+i%17)
+	}
+	for b.Loop() {
+		s.Report(start, 16)
+	}
+}
--- a/core/fairshare/remote.go
+++ b/core/fairshare/remote.go
@@ -20,9 +20,10 @@
 type Report struct {
 	// Number orders the reports of one leader; it is the time of the report on its clock.
 	Number int64
-	// Used is the cost (work divided by weight) of the requests of each share that got slots,
-	// counted since the leader knows the share. Counters, unlike amounts for an interval, let each piece of
-	// work be counted once whichever reports are lost or repeated.
+	// Used is the cost (work divided by weight) of the requests of each share that got
+	// slots, counted since the leader knows the share. Counters, unlike amounts for an
+	// interval, let each piece of work be counted once whichever reports are lost or
+	// repeated.
 	Used map[string]float64
 }
 
