Tests for the refusal beyond a share and for the overflow share in reports

Cause: all tests passed in a scratch copy in which refusals ignored whether the request was beyond its share, and in one that reported the overflow share to other zones. Change: a test for each. Result: both mutations fail a test.

--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -390,6 +390,18 @@
 	g.Expect(s.Enter(start, "a", 1e8, 1)).To(BeNumerically("~", (1-2)*1e8, 1), "one cost ahead, as before")
 }
 
+// Guards against a report of the share that stands for all accounts beyond 1,000: it
+// stands for other accounts in each zone.
+func TestTheOverflowShareIsNotReported(t *testing.T) {
+	g := NewWithT(t)
+	s := fairshare.New()
+	for i := range 1020 {
+		s.Enter(start, fmt.Sprint("account-", i), 1, 1)
+	}
+	g.Expect(s.Beyond("new")).To(BeTrue())
+	g.Expect(s.Report(start, 16).Used).To(BeEmpty())
+}
+
 // BenchmarkReport measures a report with as many shares as are known, all beyond theirs.
 func BenchmarkReport(b *testing.B) {
 	s := fairshare.New()
--- a/core/slots/fairness_internal_test.go
+++ b/core/slots/fairness_internal_test.go
@@ -175,3 +175,24 @@
 	l.Expire(now.Add(11 * time.Second))
 	g.Expect(l.fairness.shares).To(BeEmpty())
 }
+
+// Guards against refused callers of an account that floods whose return times push back
+// those of the others.
+func TestRefusedCallersBeyondTheirShareUseNoPlaceOfTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	l := overloadedLedger(now, Policy{FairShares: true, PacedReturn: true})
+	waiting := l.shares("g")
+	waiting.Enter(now, "calm", 1, 1)
+	for range 50 {
+		waiting.Enter(now, "flooder", 1, 1)
+	}
+	refuse := func(share string, n uint64) time.Duration {
+		return l.Grant(now, Request{ID: ID{"h", n}, Group: "g", Share: share, Patience: 100 * time.Millisecond, DeadlineLeft: 5 * time.Second}, n).RetryAfter
+	}
+	first := refuse("calm", 100)
+	for n := range uint64(10) {
+		g.Expect(refuse("flooder", 101+n)).To(BeNumerically(">=", first))
+	}
+	g.Expect(refuse("calm", 200)).To(Equal(first + 50*time.Millisecond))
+}
