Join fair queueing and paced returns

Cause: an account that floods took the slots of all others, and refused callers returned together. Change: fair_shares and paced_return, see docs/design/0019-fair-shares-and-paced-return.md; off by default. The join connects them to the leader's queue: its order, its refusals and the rate at which slots become free.

--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -90,6 +90,8 @@
 	// slowRunsAt is when the runs were last examined for slow ones.
 	slowRunsAt time.Time
 	waiting    waiting
+	// fairness is the state of fair shares and paced returns.
+	fairness fairness
 }
 
 type group struct {
@@ -141,7 +143,7 @@
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
 	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{},
-		remote: map[string]*remoteZone{}, failed: map[zoneGroup]failedZone{}, zoneRule: byEarliestStart, waiting: newWaiting()}
+		remote: map[string]*remoteZone{}, failed: map[zoneGroup]failedZone{}, zoneRule: byEarliestStart, waiting: newWaiting(), fairness: newFairness()}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
@@ -290,6 +292,7 @@
 // Expire drops the leases that were not renewed within LeaseTTL, and records the requests
 // that take unexpectedly long.
 func (l *Ledger) Expire(now time.Time) {
+	l.expireFairness(now)
 	for _, held := range l.holders {
 		for _, le := range held {
 			if now.Sub(le.renewed) > LeaseTTL {
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -88,16 +88,18 @@
 }
 
 // newQueue returns an empty queue of a group.
-func (l *Ledger) newQueue() *waitqueue.Queue[*waiter] { return waitqueue.New[*waiter](nil) }
-
-// returning reports whether the request is one that was refused and came back when it was
-// told to.
-func (l *Ledger) returning(time.Time, Request) bool { return false }
+func (l *Ledger) newQueue(group string) *waitqueue.Queue[*waiter] {
+	return waitqueue.New[*waiter](l.shares(group))
+}
 
 // refuse returns the refusal of a request that would wait for longer than its patience, or
 // has. e is its entry, nil for a request that never entered the queue.
-func (l *Ledger) refuse(_ time.Time, _ *group, _ Request, _ *entry, wait time.Duration) Grant {
-	return Grant{Verdict: Overloaded, Wait: wait}
+func (l *Ledger) refuse(now time.Time, g *group, r Request, e *entry, wait time.Duration) Grant {
+	beyond := l.beyondShare(r)
+	if e != nil {
+		beyond = !g.line.queue.Within(e)
+	}
+	return Grant{Verdict: Overloaded, Wait: wait, RetryAfter: l.retryAfter(now, r, beyond, wait)}
 }
 
 // replaceGroups replaces the groups. The wait of requests of removed groups ends.
@@ -281,7 +283,7 @@
 func (l *Ledger) enqueue(now time.Time, r Request, g *group) Grant {
 	q := &g.line
 	if q.queue == nil {
-		q.queue = l.newQueue()
+		q.queue = l.newQueue(r.Group)
 	}
 	e := newEntry(now, r)
 	e.Returning = l.returning(now, r)
--- a/daemon/places/leader.go
+++ b/daemon/places/leader.go
@@ -92,7 +92,9 @@
 		s.ledger.Expire(now)
 		s.logRates(now)
 		s.recordLengths()
-		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Load: s.ledger.Load(now), Held: s.heldInZone(now)}
+		s.logShareChanges(now)
+		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Load: s.ledger.Load(now), Held: s.heldInZone(now),
+			Shares: s.shareReports(now)}
 		if now.Sub(s.lastHeartbeat) >= election.HeartbeatInterval {
 			s.lastHeartbeat = now
 			heartbeat = s.newHeartbeat(now)
@@ -247,6 +249,7 @@
 	if s.leads {
 		s.zoneStates[r.Zone] = &zoneState{leader: r.Leader, held: r.Held, at: now}
 		s.ledger.ApplyRemoteLoad(now, r.Zone, r.Leader, r.Free, r.Load)
+		s.ledger.ApplyShareReports(now, r.Leader, r.Shares)
 		return
 	}
 	if leader, found := s.election.Leader(now); found && !r.Forwarded {
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -61,6 +61,8 @@
 	heartbeats    int
 	// ratesLoggedAt is when changes of targets' rates were last logged.
 	ratesLoggedAt time.Time
+	// lastShareReport is when the shares were last reported to the other zones.
+	lastShareReport time.Time
 	// holderStates holds the last reported state of each of the zone's daemons,
 	// zoneStates that of each other zone's leader.
 	holderStates map[string]*holderState
@@ -115,6 +117,9 @@
 	if o.Policy.TargetRates {
 		s.set.RegisterMetricsWriter(s.writeRates)
 	}
+	if o.Policy.FairShares {
+		s.set.RegisterMetricsWriter(s.writeShareMetrics)
+	}
 	return s
 }
 
