Batch items that are short of time

Cause: with batch_reserve an item must know whether it can leave a free slot to online work. Change: batch.Work.Slack and batch.ShortOfTime: less than half of the whole time would be left after the run. An item that can't finish on time any more is not short of time.

--- /dev/null
+++ b/core/batch/short.go
@@ -0,0 +1,18 @@
+package batch
+
+import "time"
+
+// Slack returns how much of an item's time would be left if it ran now without
+// interruption. It is negative if the item can't finish by its due time.
+func (w Work) Slack() time.Duration { return w.Due - w.Left }
+
+// ShortOfTime reports whether an item must not wait any longer for a slot that is held back
+// for online work: less than half of its whole time, from its acceptance to its due time,
+// would be left after it has run. While its run time is not known, Left is 0 and less than
+// half of the whole time must be left now.
+//
+// An item that can't finish on time is not short of time: a slot that is held back would
+// not make it punctual, and online work would lose it.
+func ShortOfTime(w Work, whole time.Duration) bool {
+	return w.Due > 0 && w.Slack() >= 0 && w.Slack() < whole/2
+}
