Batch reserve in the ledger of a zone

Change: the ledger samples, by group, the slots that online requests take, and holds back from items with time the difference between the 90% quantile of 12 s and the present use. Such items also wait 300 ms after a preemption: at the peak of the load the reserve is 0, and each freed slot went to an item that the next request preempted. The items with the most slack are preempted first, and a notice is repeated while its item still runs. With the key off nothing changes.

--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -44,7 +44,8 @@
 	// Content identifies the request's content across attempts, 0 for unknown.
 	Content uint64
 	// Slack is how much of its time a batch item would have left if it ran now without
-	// interruption; ShortOfTime reports that this is too little to wait for a slot.
+	// interruption, 0 for unknown; ShortOfTime reports that this is too little to wait for
+	// a slot.
 	Slack       time.Duration
 	ShortOfTime bool
 }
@@ -96,6 +97,8 @@
 	RetryAfter time.Duration
 	// Yield lists the batch leases that must be preempted.
 	Yield []ID
+	// Reserve is how many free slots were held back from a batch item that got none.
+	Reserve int
 }
 
 // Grant assigns a slot. seed makes the choice among equal targets reproducible.
@@ -108,11 +111,12 @@
 // In a large group only some targets are examined first, so that the cost of a grant does
 // not depend on the group's size while most targets have free slots.
 func (l *Ledger) Grant(now time.Time, r Request, seed uint64) Grant {
+	l.sample(now)
 	g := l.groups[r.Group]
 	if g == nil || len(g.targets) == 0 {
 		return l.otherZone(now, r)
 	}
-	if len(g.targets) > sampleSize {
+	if len(g.targets) > sampleSize && !l.holdsBack(now, g, r) {
 		healthy, _ := l.candidates(now, g, r, seed, sampleSize)
 		if c, ok := firstMatch(healthy, func(c candidate) bool { return c.empty(r) }); ok {
 			return l.grantLease(now, r, c)
@@ -140,13 +144,18 @@
 // grantBatch grants a batch item the emptiest target that leaves the headroom free. A
 // slot whose item is being preempted counts as taken until that item has ended.
 func (l *Ledger) grantBatch(now time.Time, r Request, g *group, from []candidate) Grant {
-	if held := l.reserved(now, g, r); held > 0 && held >= freeSlots(from) {
-		return l.otherZone(now, r)
-	}
-	if c, ok := firstMatch(from, func(c candidate) bool { return c.online+c.usage.batch+r.Headroom < c.Slots }); ok {
-		return l.grantLease(now, r, c)
+	held := l.reserved(now, g, r)
+	if (held == 0 || held < freeSlots(from)) && !l.recentlyPreempted(now, g, r) {
+		wait := l.requestsWait(g)
+		if c, ok := firstMatch(from, func(c candidate) bool {
+			return c.online+c.usage.batch+r.Headroom+c.usage.heldForOnline(now, wait) < c.Slots
+		}); ok {
+			return l.grantLease(now, r, c)
+		}
 	}
-	return l.otherZone(now, r)
+	grant := l.otherZone(now, r)
+	grant.Reserve = held
+	return grant
 }
 
 // grantLease begins a lease at the target and preempts as many batch items there as then
@@ -157,6 +166,7 @@
 	grant := Grant{Verdict: Granted, Target: c.Start, At: c.Target, Running: c.taken}
 	if !r.Batch {
 		grant.Yield = c.usage.preempt(now, c.taken+1-c.Slots)
+		c.usage.use.recordPreemption(now, len(grant.Yield))
 	}
 	return grant
 }
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -83,10 +83,14 @@
 	holders map[string]map[uint64]*lease
 	usage   map[string]*usage
 	remote  map[string]*remoteFree
+	// nextSample is when the use by online work is sampled next; see reserve.go.
+	nextSample time.Time
 }
 
 type group struct {
 	targets []Target
+	// use is the use of the targets by online requests.
+	use *onlineUse
 	// serviceTime is that of online requests.
 	serviceTime routing.ServiceTime
 }
@@ -97,6 +101,14 @@
 	// leases holds the leases of the target.
 	leases      map[*lease]bool
 	degradation routing.Degradation
+	// slots is the number of the target's slots and use that of its group's online
+	// requests, 0 and nil while the target is not listed.
+	slots int
+	use   *onlineUse
+	// freed holds when online requests ended here within onlineHold.
+	freed []time.Time
+	// bySlack selects the victims of a preemption by their slack; see preempt.go.
+	bySlack bool
 }
 
 // lease is one taken slot.
@@ -129,9 +141,9 @@
 	groups := make(map[string]*group, len(targets))
 	remaining := map[string]bool{}
 	for name, list := range targets {
-		g := &group{targets: list}
+		g := &group{targets: list, use: &onlineUse{}}
 		if known := l.groups[name]; known != nil {
-			g.serviceTime = known.serviceTime
+			g.serviceTime, g.use = known.serviceTime, known.use
 		}
 		groups[name] = g
 		for _, t := range list {
@@ -139,6 +151,7 @@
 		}
 	}
 	l.groups = groups
+	l.assignUse()
 	for start, u := range l.usage {
 		if !remaining[start] && len(u.leases) == 0 {
 			delete(l.usage, start)
@@ -149,6 +162,7 @@
 // Report applies a holder's report of its leases: all that run, and the ends since its
 // last report.
 func (l *Ledger) Report(now time.Time, holder string, running []Running, ended []Ended) {
+	l.sample(now)
 	l.End(now, holder, ended)
 	named := make(map[uint64]bool, len(running))
 	for _, r := range running {
@@ -164,6 +178,7 @@
 
 // End applies ends of a holder's leases without a full report.
 func (l *Ledger) End(now time.Time, holder string, ended []Ended) {
+	l.sample(now)
 	for _, e := range ended {
 		l.end(now, ID{holder, e.Number}, e)
 	}
@@ -191,6 +206,9 @@
 	u := l.usageOf(r.Target)
 	u.leases[le] = true
 	u.count(le, 1)
+	if !le.batch {
+		u.reuse()
+	}
 	return le
 }
 
@@ -199,6 +217,7 @@
 		u.batch += by
 		return
 	}
+	u.use.change(u.slots, u.online, u.online+by)
 	u.online += by
 }
 
@@ -217,7 +236,7 @@
 func (l *Ledger) usageOf(start string) *usage {
 	u := l.usage[start]
 	if u == nil {
-		u = &usage{leases: map[*lease]bool{}}
+		u = &usage{leases: map[*lease]bool{}, bySlack: l.policy.BatchReserve}
 		l.usage[start] = u
 	}
 	return u
@@ -229,6 +248,7 @@
 	le := l.holders[id.Holder][id.Number]
 	if le != nil {
 		l.drop(le)
+		l.recordFreed(now, le)
 	}
 	if e.Target == "" {
 		return
@@ -251,6 +271,7 @@
 
 // Expire drops the leases that were not renewed within LeaseTTL.
 func (l *Ledger) Expire(now time.Time) {
+	l.sample(now)
 	for _, held := range l.holders {
 		for _, le := range held {
 			if now.Sub(le.renewed) > LeaseTTL {
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -31,7 +31,9 @@
 type remoteFree struct {
 	leader string
 	free   map[string]int
-	at     time.Time
+	// reserved counts the free slots that are held back from batch, by group.
+	reserved map[string]int
+	at       time.Time
 }
 
 // FreeSlots counts the free slots of the zone's healthy targets, by group.
@@ -65,7 +67,7 @@
 		if now.Sub(report.at) > FreeSlotsTTL {
 			continue
 		}
-		free := report.free[r.Group]
+		free := report.freeFor(r)
 		if free > most || free == most && name != "" && zone < name {
 			name, most = zone, free
 		}
