The holder of batch work stops the runs that a notice names

Cause: the zone's leader chooses which items are preempted, but the holder stopped the youngest run at the target, whatever the notice named. Change: with batch_reserve, the lease numbers of a notice reach the runner, which stops exactly these runs. The runner states slack and shortness of time with each request for a slot, and goes on requesting for items short of time after one with time was denied. Leaders report their reserves to each other, so that items are not sent to zones that deny them. batch_waits gains the reserve; metrics for the reserve by group and the length of cancelled runs.

--- a/daemon/jobs/meter.go
+++ b/daemon/jobs/meter.go
@@ -12,6 +12,8 @@
 	// retries counts runs that did not end their item, preemptions those of them that
 	// were preempted by online work.
 	retries, preemptions *metrics.Counter
+	// cancelledSeconds is how long runs lasted that were preempted.
+	cancelledSeconds *metrics.Histogram
 }
 
 func newMeter(set *metrics.Set) *meter {
@@ -20,6 +22,8 @@
 		errored:     set.GetOrCreateCounter(`tarragonhollow_items_total{state="errored"}`),
 		retries:     set.GetOrCreateCounter("tarragonhollow_item_runs_again_total"),
 		preemptions: set.GetOrCreateCounter("tarragonhollow_item_yields_total"),
+
+		cancelledSeconds: set.GetOrCreateHistogram("tarragonhollow_item_cancelled_run_seconds"),
 	}
 }
 
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -154,9 +153,9 @@
 	}
 	r.publishHeld()
 	waiting := r.waiting(table)
-	startsLeft := map[string]int{}
+	limits := newStartLimits()
 	for i := range waiting {
-		r.start(ctx, &waiting[i], startsLeft)
+		r.start(ctx, &waiting[i], limits)
 	}
 	r.logWaiting(waiting)
 }
@@ -177,11 +176,15 @@
 			late++
 		}
 	}
-	free := 0
+	free, reserve := 0, zap.Skip()
 	if first.route != nil {
-		free = r.jobs.Places.FreeSlots(first.route.Groups[0].Group, r.jobs.Headroom)
+		group := first.route.Groups[0].Group
+		free = r.jobs.Places.FreeSlots(group, r.jobs.Headroom)
+		if r.jobs.Places.BatchReserve() {
+			reserve = zap.Int("reserve", r.jobs.Places.Reserve(group))
+		}
 	}
-	r.jobs.Logger.Info("batch_waits", zap.Int("waiting", len(waiting)), zap.Int("behind", late), zap.Int("running", active), zap.Int("free_places", free),
+	r.jobs.Logger.Info("batch_waits", zap.Int("waiting", len(waiting)), zap.Int("behind", late), zap.Int("running", active), zap.Int("free_places", free), reserve,
 		zap.String("first_job", first.key.job), zap.Int64("first_due_in_ms", time.Until(first.due).Milliseconds()))
 }
 
@@ -192,45 +195,18 @@
 	return h.Sum64()
 }
 
-// preempt stops the items with the least progress at targets that online work fills. They
-// resume later after the last event received, so only the processing of their prompt is
-// lost.
-func (r *runner) preempt() {
-	preemptions := r.jobs.Places.Preemptions()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for target, n := range preemptions {
-		for _, run := range r.latestRuns(target, n) {
-			r.meter.preemptions.Inc()
-			run.stop("gives way to online work")
-		}
-	}
-}
-
-// latestRuns returns the n runs at the target that were started last.
-func (r *runner) latestRuns(target roster.Start, n int) []*itemRun {
-	var runs []*itemRun
-	for _, run := range r.active {
-		if run.target.Start == target {
-			runs = append(runs, run)
-		}
-	}
-	slices.SortFunc(runs, func(a, b *itemRun) int { return b.startedAt.Compare(a.startedAt) })
-	return runs[:min(n, len(runs))]
-}
-
-// start runs the item if its target group has a free slot. startsLeft holds how many
-// items of each group may still start in this step.
-func (r *runner) start(ctx context.Context, c *candidate, startsLeft map[string]int) {
+// start runs the item if its target group has a free slot and the limits of the step allow
+// it.
+func (r *runner) start(ctx context.Context, c *candidate, limits *startLimits) {
 	p := r.progressOf(c.key)
 	if r.giveUpInfeasible(c, p) || c.route == nil {
 		return
 	}
 	group := c.route.Pick(rand.Float64())
-	if _, known := startsLeft[group]; !known {
-		startsLeft[group] = r.allowance(group)
+	if _, known := limits.left[group]; !known {
+		limits.left[group] = r.allowance(group)
 	}
-	if startsLeft[group] == 0 {
+	if !limits.allow(group, c) {
 		return
 	}
 	body, ok := r.jobs.bodies.cached(c.key.job, c.key.item, c.item.BodyBytes)
@@ -243,10 +219,10 @@
 		Work: float64(c.item.Tokens), Slack: c.slack, ShortOfTime: c.shortOfTime,
 	})
 	if !ok {
-		startsLeft[group] = 0
+		limits.denied(group, c, r.jobs.Places.BatchReserve())
 		return
 	}
-	startsLeft[group]--
+	limits.left[group]--
 	itemCtx, cancel := context.WithCancel(ctx)
 	run := &itemRun{key: c.key, target: slot.Target, slot: slot, startedAt: time.Now(), due: c.due, tokens: c.item.Tokens, cancel: cancel}
 	r.mu.Lock()
--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -74,21 +74,23 @@
 // batch.OnTime. r.mu is held.
 func (r *runner) sortByDue(now time.Time, list []candidate) {
 	r.estimator.ObserveSlots(now, len(r.active))
-	slots, known := r.estimator.Slots()
-	if known {
-		work := make([]batch.Work, 0, len(list)+len(r.active))
-		for i := range list {
-			c := &list[i]
-			work = append(work, batch.Work{Due: c.due.Sub(now), Left: r.remaining(c.key, c.item.Tokens)})
-		}
-		for _, run := range r.active {
-			work = append(work, batch.Work{Due: run.due.Sub(now), Left: r.remaining(run.key, run.tokens)})
-		}
+	work := make([]batch.Work, 0, len(list)+len(r.active))
+	for i := range list {
+		c := &list[i]
+		work = append(work, batch.Work{Due: c.due.Sub(now), Left: r.remaining(c.key, c.item.Tokens)})
+	}
+	for _, run := range r.active {
+		work = append(work, batch.Work{Due: run.due.Sub(now), Left: r.remaining(run.key, run.tokens)})
+	}
+	if slots, known := r.estimator.Slots(); known {
 		onTime := batch.OnTime(work, slots)
 		for i := range list {
 			list[i].late = !onTime[i]
 		}
 	}
+	if r.jobs.Places.BatchReserve() {
+		setSlack(list, work)
+	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(compareBool(a.late, b.late), a.due.Compare(b.due),
 			cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -298,9 +298,9 @@
 		return p.acquireBatchLocally(r.Group, r.Exclude, r.Headroom)
 	}
 	request := p.newSlotRequest(r.Group, r.Exclude)
-	request.Batch, request.Headroom = true, r.Headroom
-	request.Work, request.Slack, request.ShortOfTime = r.Work, r.Slack, r.ShortOfTime
+	describeItem(&request, r)
 	grant, by, answered := p.scheduler.requestSlot(ctx, request)
+	p.recordReserve(r.Group, grant.Reserve)
 	if !answered || grant.Verdict != slots.Granted {
 		return Slot{}, false
 	}
--- a/daemon/places/leader.go
+++ b/daemon/places/leader.go
@@ -90,15 +90,17 @@
 	var heartbeat *Heartbeat
 	if leads {
 		s.ledger.Expire(now)
-		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Held: s.heldInZone(now)}
+		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Reserved: s.ledger.Reserves(now), Held: s.heldInZone(now)}
 		if now.Sub(s.lastHeartbeat) >= election.HeartbeatInterval {
 			s.lastHeartbeat = now
 			heartbeat = s.newHeartbeat(now)
 		}
 	}
+	s.publishReserves(report.Reserved)
 	s.mu.Unlock()
 	switch {
 	case leads:
+		s.repeatPreemptions(now)
 		s.sendZoneReport(now, report, peers)
 		if heartbeat != nil {
 			p.recordHeartbeat(now, *heartbeat)
@@ -241,7 +243,7 @@
 	}
 	if s.leads {
 		s.zoneStates[r.Zone] = &zoneState{leader: r.Leader, held: r.Held, at: now}
-		s.ledger.ApplyRemoteFree(now, r.Zone, r.Leader, r.Free)
+		s.applyRemoteFree(now, r)
 		return
 	}
 	if leader, found := s.election.Leader(now); found && !r.Forwarded {
--- a/daemon/places/leases.go
+++ b/daemon/places/leases.go
@@ -50,19 +50,22 @@
 	running map[uint64]localLease
 	ended   []localEnd
 	held    HeldWork
-	// preemptions counts the preempted batch items by target start.
+	// preemptions counts the preempted batch items by target start; preempted holds their
+	// leases instead if byLease is set.
 	preemptions map[roster.Start]int
+	preempted   map[uint64]bool
+	byLease     bool
 	// reports numbers the reports; reportedWork reports whether the last one to the
 	// zone's leader named any lease or held work.
 	reports      uint64
 	reportedWork bool
 }
 
-func newLocalLeases(scheduled func() bool, preempting chan<- struct{}) *localLeases {
+func newLocalLeases(scheduled func() bool, preempting chan<- struct{}, byLease bool) *localLeases {
 	// Numbers start at a random value: a restarted daemon must not reuse a number that
 	// may still count.
 	return &localLeases{scheduled: scheduled, reportDue: make(chan struct{}, 1), preempting: preempting, last: rand.Uint64() >> 1,
-		running: map[uint64]localLease{}, preemptions: map[roster.Start]int{}}
+		running: map[uint64]localLease{}, preemptions: map[roster.Start]int{}, preempted: map[uint64]bool{}, byLease: byLease}
 }
 
 func (l *localLeases) wake() { duty.Wake(l.reportDue) }
@@ -147,10 +150,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, number := range numbers {
-		if lease, runs := l.running[number]; runs {
+		lease, runs := l.running[number]
+		if !runs {
+			continue
+		}
+		if l.byLease {
+			l.preempted[number] = true
+		} else {
 			l.preemptions[lease.target.Start]++
-			duty.Wake(l.preempting)
 		}
+		duty.Wake(l.preempting)
 	}
 }
 
--- a/daemon/places/messages.go
+++ b/daemon/places/messages.go
@@ -87,6 +87,9 @@
 	Zone, Leader string
 	// Free counts the zone's free slots by group.
 	Free map[string]int
+	// Reserved counts the free slots that are held back from batch items that have time,
+	// by group; nil without the batch reserve.
+	Reserved map[string]int
 	// Load is the zone's load by group, nil unless zones are balanced.
 	Load map[string]slots.ZoneLoad
 	// Held is the held work of the zone's daemons.
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -42,6 +42,8 @@
 	slotTimeout time.Duration
 	logger      *zap.Logger
 	set         *metrics.Set
+	// batchReserve reports whether the batch reserve is on.
+	batchReserve bool
 	// incarnation identifies this run of the process.
 	incarnation uint64
 
@@ -72,6 +74,8 @@
 	leaderFleetSize atomic.Int64
 	// partHolders are the daemons that hold the partitions of batch work.
 	partHolders map[int]partHolder
+	// reserves are the zone's batch reserves by group as last published.
+	reserves map[string]int
 
 	leases *localLeases
 }
@@ -101,8 +105,9 @@
 func newScheduler(o Options, scheduled func() bool, preempting chan<- struct{}) *scheduler {
 	return &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, slotTimeout: o.SlotTimeout, logger: o.Logger, set: o.Metrics,
-		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
-		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting),
+		batchReserve: o.Policy.BatchReserve,
+		incarnation:  rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
+		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting, o.Policy.BatchReserve),
 	}
 }
 
@@ -172,7 +177,7 @@
 		return remote, grant.Leader, true
 	}
 	if request.Batch {
-		return slots.Grant{}, leader, true
+		return slots.Grant{Reserve: grant.Reserve}, leader, true
 	}
 	request.Stay = true
 	grant, answered = s.callLeader(ctx, leader, request)
