--- /dev/null
+++ b/daemon/jobs/reserve_internal_test.go
@@ -0,0 +1,81 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+)
+
+// The holder used to stop the youngest run at the target, whatever the notice named: the
+// item with the least time was stopped in place of the one that the leader had chosen.
+func TestANoticeStopsExactlyTheRunsThatItNames(t *testing.T) {
+	p := places.New(places.Options{Host: "d", Zone: "z", PeerAddress: "d", Logger: zap.NewNop()})
+	target := roster.Target{ID: "t", Start: roster.StartOf("t", 0), Group: "g", Address: "t", Zone: "z", Slots: 4}
+	p.Update(func(now time.Time, r *roster.Roster) { r.Replace(now, []roster.Target{target}) })
+	r := &runner{active: map[itemKey]*itemRun{}, meter: newMeter(metrics.NewSet())}
+	for i := range 3 {
+		slot, ok := p.AcquireBatch(t.Context(), places.BatchRequest{Group: "g"})
+		if !ok {
+			t.Fatal("no slot")
+		}
+		r.active[itemKey{"j", i}] = &itemRun{slot: slot, target: slot.Target, startedAt: time.Now().Add(time.Duration(i)), cancel: func() {}}
+	}
+	named := map[uint64]bool{r.active[itemKey{"j", 0}].slot.Lease(): true, 0: true}
+	for range 2 { // the notice is repeated
+		r.preemptNamed(named)
+	}
+	for key, run := range r.active {
+		if stopped := run.reason != ""; stopped != (key.item == 0) {
+			t.Errorf("item %d: stopped is %t", key.item, stopped)
+		}
+	}
+	if n := r.meter.preemptions.Get(); n != 1 {
+		t.Errorf("%d preemptions are counted", n)
+	}
+}
+
+// An item with time that is denied a slot must not keep the items behind it waiting that
+// have none: they may have another whole time, and get any free slot.
+func TestAnItemWithTimeThatIsDeniedDoesNotStopItemsShortOfTime(t *testing.T) {
+	withTime, short := &candidate{}, &candidate{shortOfTime: true}
+	l := newStartLimits()
+	l.left["g"] = maxStartsPerStep
+	l.denied("g", withTime, true)
+	if l.allow("g", withTime) || !l.allow("g", short) {
+		t.Fatal("after an item with time was denied")
+	}
+	l.denied("g", short, true)
+	if l.allow("g", short) {
+		t.Fatal("after an item short of time was denied")
+	}
+	// Without the batch reserve, a denial means that no slot is free.
+	l = newStartLimits()
+	l.left["g"] = maxStartsPerStep
+	l.denied("g", withTime, false)
+	if l.allow("g", short) {
+		t.Fatal("without the batch reserve")
+	}
+}
+
+// A slack of 0 means that the holder does not compute it: the leader would give the item
+// any free slot.
+func TestAKnownSlackIsNeverZero(t *testing.T) {
+	list := []candidate{{age: time.Second}, {age: 10 * time.Second, late: true}, {age: 10 * time.Second}}
+	setSlack(list, []batch.Work{{Due: 5 * time.Second, Left: 5 * time.Second}, {Due: 8 * time.Second, Left: 5 * time.Second},
+		{Due: 8 * time.Second, Left: 5 * time.Second}})
+	if list[0].slack == 0 {
+		t.Error("the slack of an item that is just in time is unknown")
+	}
+	if list[1].shortOfTime || list[1].slack != 3*time.Second {
+		t.Error("an item that is put behind is short of time")
+	}
+	if !list[2].shortOfTime {
+		t.Error("an item with a sixth of its time left is not short of time")
+	}
+}
--- a/daemon/places/scheduler_test.go
+++ b/daemon/places/scheduler_test.go
@@ -14,6 +14,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 )
 
@@ -37,7 +38,7 @@
 
 // newLargeFleet starts a fleet. Daemon i is in zone i%fleetZones; daemon 4 has the most
 // cores of zone 0.
-func newLargeFleet() *largeFleet {
+func newLargeFleet(policy ...slots.Policy) *largeFleet {
 	f := &largeFleet{network: newNetwork()}
 	var targets []roster.Target
 	for i := range fleetZones * zoneTargets {
@@ -54,7 +55,7 @@
 	}
 	for i, p := range f.peers {
 		v := places.New(places.Options{Host: p.Address, Zone: p.Zone, PeerAddress: p.Address, Cores: p.Cores, Peers: f.network, SlotTimeout: slotTimeout,
-			FleetSize: func() int { return fleetSize }, Logger: zap.NewNop()})
+			FleetSize: func() int { return fleetSize }, Policy: firstPolicy(policy), Logger: zap.NewNop()})
 		v.Update(func(now time.Time, r *roster.Roster) {
 			r.StoreAnswered(now)
 			r.Replace(now, targets)
@@ -71,6 +72,14 @@
 	return f
 }
 
+// firstPolicy returns the given policy, or else the one without optional parts.
+func firstPolicy(policy []slots.Policy) slots.Policy {
+	if len(policy) == 0 {
+		return slots.Policy{}
+	}
+	return policy[0]
+}
+
 func (f *largeFleet) run(i int) {
 	v := f.views[i]
 	others := slices.Delete(slices.Clone(f.peers), i, i+1)
