--- a/core/batch/short.go
+++ b/core/batch/short.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Slack returns how much of an item's time would be left if it ran now without
 // interruption. It is negative if the item can't finish by its due time.
@@ -16,3 +20,19 @@
 func ShortOfTime(w Work, whole time.Duration) bool {
 	return w.Due > 0 && w.Slack() >= 0 && w.Slack() < whole/2
 }
+
+// Needed returns how many slots the items need to finish on time: the largest, over all
+// due times, of the run time due by then divided by the time that is left. Items that can't
+// finish on time are ignored.
+func Needed(works []Work) float64 {
+	byDue := slices.Clone(works)
+	slices.SortFunc(byDue, func(a, b Work) int { return cmp.Compare(a.Due, b.Due) })
+	sum, needed := time.Duration(0), 0.0
+	for _, w := range byDue {
+		if w.Due > 0 && w.Slack() >= 0 {
+			sum += w.Left
+			needed = max(needed, float64(sum)/float64(w.Due))
+		}
+	}
+	return needed
+}
--- a/core/batch/short_test.go
+++ b/core/batch/short_test.go
@@ -31,3 +31,25 @@
 		}
 	}
 }
+
+// Items that each have time may together have none: if the number of slots that they need
+// is too low, the reserve keeps slots from a backlog until it is too late for all of it.
+func TestNeededIsTheNumberOfSlotsThatFinishesAllItemsOnTime(t *testing.T) {
+	const s = time.Second
+	for _, c := range []struct {
+		name  string
+		works []batch.Work
+		want  float64
+	}{
+		{"none", nil, 0},
+		{"one", []batch.Work{{Due: 10 * s, Left: 5 * s}}, 0.5},
+		{"the last due time binds", []batch.Work{{Due: 10 * s, Left: 5 * s}, {Due: 12 * s, Left: 19 * s / 2}, {Due: 12 * s, Left: 19 * s / 2}}, 2},
+		{"the first due time binds", []batch.Work{{Due: 20 * s, Left: 5 * s}, {Due: 5 * s, Left: 5 * s}}, 1},
+		{"overdue and impossible items are ignored", []batch.Work{{Due: -s, Left: 5 * s}, {Due: 4 * s, Left: 5 * s}, {Due: 10 * s, Left: 5 * s}}, 0.5},
+		{"run times not known", []batch.Work{{Due: 5 * s}}, 0},
+	} {
+		if got := batch.Needed(c.works); got != c.want {
+			t.Errorf("%s: %v slots, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -48,6 +48,8 @@
 	// a slot.
 	Slack       time.Duration
 	ShortOfTime bool
+	// Needed is how many slots the holder's batch items of the group need to finish on time.
+	Needed float64
 }
 
 // outputTokenWork is the work of a generated token relative to a token of the prompt:
@@ -116,6 +118,7 @@
 	if g == nil || len(g.targets) == 0 {
 		return l.otherZone(now, r)
 	}
+	l.recordNeed(now, g, r)
 	if len(g.targets) > sampleSize && !l.holdsBack(now, g, r) {
 		healthy, _ := l.candidates(now, g, r, seed, sampleSize)
 		if c, ok := firstMatch(healthy, func(c candidate) bool { return c.empty(r) }); ok {
--- a/core/slots/reserve.go
+++ b/core/slots/reserve.go
@@ -23,6 +23,9 @@
 	// work takes more than the quantile, the reserve is 0; without this pause each slot that
 	// became free went to an item that the next request preempted at once.
 	preemptHold = 300 * time.Millisecond
+	// needTTL is how long a holder's statement of what its items need is valid. A holder with
+	// waiting items makes one in each step, at least every 200 ms.
+	needTTL = 500 * time.Millisecond
 	// onlineHold is how long a slot that an online request has used is not given to batch
 	// while other requests wait.
 	onlineHold = 50 * time.Millisecond
@@ -36,7 +39,9 @@
 	slots, taken, beyond int
 	// preemptedAt is when online work last preempted batch.
 	preemptedAt time.Time
-	samples     sampleWindow
+	// needed is what the holders of batch items last stated that their items need.
+	needed  map[string]need
+	samples sampleWindow
 }
 
 // change records a change of the online requests at a target with the given slots.
@@ -48,6 +53,38 @@
 	o.beyond += max(0, after-slots) - max(0, before-slots)
 }
 
+// need is how many slots a holder's batch items need to finish on time, as of at.
+type need struct {
+	slots float64
+	at    time.Time
+}
+
+// recordNeed records what a holder's batch items need.
+func (l *Ledger) recordNeed(now time.Time, g *group, r Request) {
+	if !l.policy.BatchReserve || !r.Batch {
+		return
+	}
+	if g.use.needed == nil {
+		g.use.needed = map[string]need{}
+	}
+	g.use.needed[r.ID.Holder] = need{r.Needed, now}
+}
+
+// backlog reports whether all batch items together are short of time: they need more than
+// half of the slots that online work leaves in the mean, and so would use more than half of
+// their time.
+func (o *onlineUse) backlog(now time.Time) bool {
+	sum := 0.0
+	for holder, n := range o.needed {
+		if now.Sub(n.at) > needTTL {
+			delete(o.needed, holder)
+			continue
+		}
+		sum += n.slots
+	}
+	return sum > (float64(o.slots)-o.samples.mean())/2
+}
+
 // reserve is how many free slots online work is expected to need soon: the difference
 // between the 90% quantile of its recent use and its present use, at most half of the
 // slots.
@@ -65,17 +102,20 @@
 	arrived []int32
 	oldest  int
 	sorted  []int32
+	sum     int
 }
 
 func (w *sampleWindow) len() int { return len(w.sorted) }
 
 func (w *sampleWindow) add(value int) {
 	v := int32(value)
+	w.sum += value
 	if len(w.arrived) < sampleCount {
 		w.arrived = append(w.arrived, v)
 	} else {
 		i, _ := slices.BinarySearch(w.sorted, w.arrived[w.oldest])
 		w.sorted = slices.Delete(w.sorted, i, i+1)
+		w.sum -= int(w.arrived[w.oldest])
 		w.arrived[w.oldest] = v
 		w.oldest = (w.oldest + 1) % sampleCount
 	}
@@ -83,6 +123,9 @@
 	w.sorted = slices.Insert(w.sorted, i, v)
 }
 
+// mean returns the mean of the samples, 0 without any.
+func (w *sampleWindow) mean() float64 { return float64(w.sum) / float64(max(1, len(w.sorted))) }
+
 // quantile returns the smallest sample that at least the share q of the samples do not
 // exceed. There must be a sample.
 func (w *sampleWindow) quantile(q float64) int {
@@ -132,13 +175,19 @@
 }
 
 // reserved returns how many free slots of the group are held back from a batch item.
-func (l *Ledger) reserved(_ time.Time, g *group, r Request) int {
-	if !l.policy.BatchReserve || !r.hasTime() {
+func (l *Ledger) reserved(now time.Time, g *group, r Request) int {
+	if !l.mustWait(now, g, r) {
 		return 0
 	}
 	return g.use.reserve()
 }
 
+// mustWait reports whether the batch item leaves free slots to online work: neither itself
+// nor all items together are short of time.
+func (l *Ledger) mustWait(now time.Time, g *group, r Request) bool {
+	return l.policy.BatchReserve && r.hasTime() && !g.use.backlog(now)
+}
+
 // hasTime reports whether a batch item can wait. An item whose slack is not known comes
 // from a holder that does not compute it, and gets any free slot.
 func (r Request) hasTime() bool { return r.Batch && !r.ShortOfTime && r.Slack != 0 }
@@ -146,7 +195,7 @@
 // recentlyPreempted reports whether the item must wait because online work has just
 // preempted others of the group.
 func (l *Ledger) recentlyPreempted(now time.Time, g *group, r Request) bool {
-	return l.policy.BatchReserve && r.hasTime() && now.Sub(g.use.preemptedAt) < preemptHold
+	return l.mustWait(now, g, r) && now.Sub(g.use.preemptedAt) < preemptHold
 }
 
 // holdsBack reports whether any free slot may be held back from the request.
--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// A large job arrives at many holders. Each of its items has time, but together they need
+// all slots; if they waited until each is short of time, many would finish late.
+func TestABacklogThatIsShortOfTimeAsAWholeGetsAnyFreeSlot(t *testing.T) {
+	l := reserving(4)
+	now := burst(l, start, 5, 2*time.Second)
+	backlog := func(holder string) func(*slots.Request) {
+		return func(r *slots.Request) { r.ID.Holder, r.Batch, r.Slack, r.Needed = holder, true, 10*time.Second, 4 }
+	}
+	// 16 slots less about 5 that online work takes in the mean: half of that is 5.5.
+	if _, denied := grantedBefore(l, now, backlog("a")); denied.Reserve != 5 {
+		t.Fatalf("%d slots are reserved with 4 slots needed", denied.Reserve)
+	}
+	if n, _ := grantedBefore(l, now, backlog("b")); n != 5 {
+		t.Fatalf("%d items got a slot with 8 slots needed, want 5", n)
+	}
+	// A holder that has died, or has no waiting items any more, needs nothing.
+	now = now.Add(501 * time.Millisecond)
+	l = reserving(4)
+	now = burst(l, now, 5, 2*time.Second)
+	l.Grant(now, request(backlog("a")), 0)
+	if _, denied := grantedBefore(l, now.Add(501*time.Millisecond), backlog("b")); denied.Reserve != 5 {
+		t.Fatalf("%d slots are reserved after a holder's need has expired", denied.Reserve)
+	}
+}
+
 // While online work takes more than ever before, nothing is reserved. Each slot that
 // becomes free would go to an item that the next request preempts.
 func TestItemsWithTimeGetNoSlotDirectlyAfterAPreemption(t *testing.T) {
--- a/daemon/jobs/reserve.go
+++ b/daemon/jobs/reserve.go
@@ -15,6 +15,29 @@
 	}
 }
 
+// neededByGroup returns how many slots of each group the waiting and running items need to
+// finish on time. works describes them in this order. An item whose route uses several
+// groups counts in each of them until it runs.
+func neededByGroup(waiting []candidate, running []*itemRun, works []batch.Work) map[string]float64 {
+	byGroup := map[string][]batch.Work{}
+	for i := range waiting {
+		if route := waiting[i].route; route != nil {
+			for _, share := range route.Groups {
+				byGroup[share.Group] = append(byGroup[share.Group], works[i])
+			}
+		}
+	}
+	for i, run := range running {
+		group := run.target.Group
+		byGroup[group] = append(byGroup[group], works[len(waiting)+i])
+	}
+	needed := make(map[string]float64, len(byGroup))
+	for group, list := range byGroup {
+		needed[group] = batch.Needed(list)
+	}
+	return needed
+}
+
 // startLimits states how many items may still start in a step.
 type startLimits struct {
 	// left is the number by group.
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -87,6 +87,9 @@
 	lastLogged time.Time
 	// pacers limit, by group, how many items may start.
 	pacers map[string]*batch.Pacer
+	// needed is how many slots of each group the items need to finish on time, for the batch
+	// reserve. Only the runner's loop uses it.
+	needed map[string]float64
 }
 
 func newRunner(j *Jobs) *runner {
@@ -216,7 +219,7 @@
 	}
 	slot, ok := r.jobs.Places.AcquireBatch(ctx, places.BatchRequest{
 		Group: group, Exclude: map[string]bool{p.avoidTarget: true}, Headroom: r.jobs.Headroom,
-		Work: float64(c.item.Tokens), Slack: c.slack, ShortOfTime: c.shortOfTime,
+		Work: float64(c.item.Tokens), Slack: c.slack, ShortOfTime: c.shortOfTime, Needed: r.needed[group],
 	})
 	if !ok {
 		limits.denied(group, c, r.jobs.Places.BatchReserve())
--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -79,7 +80,8 @@
 		c := &list[i]
 		work = append(work, batch.Work{Due: c.due.Sub(now), Left: r.remaining(c.key, c.item.Tokens)})
 	}
-	for _, run := range r.active {
+	running := slices.Collect(maps.Values(r.active))
+	for _, run := range running {
 		work = append(work, batch.Work{Due: run.due.Sub(now), Left: r.remaining(run.key, run.tokens)})
 	}
 	if slots, known := r.estimator.Slots(); known {
@@ -90,6 +92,7 @@
 	}
 	if r.jobs.Places.BatchReserve() {
 		setSlack(list, work)
+		r.needed = neededByGroup(list, running, work)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(compareBool(a.late, b.late), a.due.Compare(b.due),
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -47,10 +47,12 @@
 	// number of slots of each target that stay free.
 	Exclude  map[string]bool
 	Headroom int
-	// Work, Slack and ShortOfTime describe the item; see slots.Request.
+	// Work, Slack, ShortOfTime and Needed describe the item and its group's other items; see
+	// slots.Request.
 	Work        float64
 	Slack       time.Duration
 	ShortOfTime bool
+	Needed      float64
 }
 
 // Slot is a slot at a target that was chosen for a request, and the leader that chose it.
--- a/daemon/places/reserve.go
+++ b/daemon/places/reserve.go
@@ -81,4 +81,5 @@
 func describeItem(request *slots.Request, r BatchRequest) {
 	request.Batch, request.Headroom = true, r.Headroom
 	request.Work, request.Slack, request.ShortOfTime = r.Work, r.Slack, r.ShortOfTime
+	request.Needed = r.Needed
 }
