Slots held back do not put batch items behind for good

Change: for the shortness of time, the slots that leaders held back within the last second count as available.

--- a/daemon/jobs/reserve.go
+++ b/daemon/jobs/reserve.go
@@ -3,15 +3,24 @@
 import "tarragonhollow.example/tarragonhollow/core/batch"
 
 // setSlack computes the slack of the waiting items and which of them are short of time.
-// works describes them in the same order. r.mu is held.
-func setSlack(list []candidate, works []batch.Work) {
+// works describes them in the same order, and then the running items. slots is the average
+// number of slots available to all of them if slotsKnown is set.
+//
+// An item that batch.OnTime puts behind is not short of time. Here slots includes those
+// that are held back: while they are, the items occupy fewer slots than they could, and
+// items that could be on time would be put behind for good.
+func setSlack(list []candidate, works []batch.Work, slots float64, slotsKnown bool) {
+	var onTime []bool
+	if slotsKnown {
+		onTime = batch.OnTime(works, slots)
+	}
 	for i := range list {
 		c, w := &list[i], works[i]
 		// A slack of 0 means that it is not known.
 		if c.slack = w.Slack(); c.slack == 0 {
 			c.slack = 1
 		}
-		c.shortOfTime = !c.late && batch.ShortOfTime(w, c.age+w.Due)
+		c.shortOfTime = (!slotsKnown || onTime[i]) && batch.ShortOfTime(w, c.age+w.Due)
 	}
 }
 
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -181,11 +181,10 @@
 	}
 	free, reserve := 0, zap.Skip()
 	if first.route != nil {
-		group := first.route.Groups[0].Group
-		free = r.jobs.Places.FreeSlots(group, r.jobs.Headroom)
-		if r.jobs.Places.BatchReserve() {
-			reserve = zap.Int("reserve", r.jobs.Places.Reserve(group))
-		}
+		free = r.jobs.Places.FreeSlots(first.route.Groups[0].Group, r.jobs.Headroom)
+	}
+	if r.jobs.Places.BatchReserve() {
+		reserve = zap.Int("reserve", r.jobs.Places.HeldBack())
 	}
 	r.jobs.Logger.Info("batch_waits", zap.Int("waiting", len(waiting)), zap.Int("behind", late), zap.Int("running", active), zap.Int("free_places", free), reserve,
 		zap.String("first_job", first.key.job), zap.Int64("first_due_in_ms", time.Until(first.due).Milliseconds()))
--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -84,14 +84,18 @@
 	for _, run := range running {
 		work = append(work, batch.Work{Due: run.due.Sub(now), Left: r.remaining(run.key, run.tokens)})
 	}
-	if slots, known := r.estimator.Slots(); known {
+	slots, known := r.estimator.Slots()
+	if known {
 		onTime := batch.OnTime(work, slots)
 		for i := range list {
 			list[i].late = !onTime[i]
 		}
 	}
 	if r.jobs.Places.BatchReserve() {
-		setSlack(list, work)
+		if known {
+			slots = max(slots, float64(len(r.active)+r.jobs.Places.HeldBack()))
+		}
+		setSlack(list, work, slots, known)
 		r.needed = neededByGroup(list, running, work)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -302,7 +302,7 @@
 	request := p.newSlotRequest(r.Group, r.Exclude)
 	describeItem(&request, r)
 	grant, by, answered := p.scheduler.requestSlot(ctx, request)
-	p.recordReserve(r.Group, grant.Reserve)
+	p.recordHeldBack(r.Group, grant.Reserve)
 	if !answered || grant.Verdict != slots.Granted {
 		return Slot{}, false
 	}
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -83,9 +83,9 @@
 	// this daemon certainly holds; both are part of the load report (see package board).
 	heldItems []uint64
 	heldParts []int
-	// reserves holds, by group, how many slots were last held back from this daemon's
+	// heldBack holds, by group, how many slots were last held back from this daemon's
 	// batch items.
-	reserves map[string]int
+	heldBack map[string]heldBack
 
 	// loadReportAge is the maximum age, in nanoseconds, of the load reports of daemons
 	// that report each change.
@@ -128,7 +128,7 @@
 	p := &Places{
 		self: o.PeerAddress, zone: o.Zone, fleetSize: o.FleetSize, largeZone: o.LargeZone, quotasInUse: o.QuotasInUse, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host, o.Zone),
-		groups: map[string]*group{}, eligible: map[roster.Start]roster.Target{}, starts: starts{}, reserves: map[string]int{},
+		groups: map[string]*group{}, eligible: map[roster.Start]roster.Target{}, starts: starts{}, heldBack: map[string]heldBack{},
 		dirty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		onRemoved: func(string) {}, builtVersion: noVersion,
 	}
--- a/daemon/places/reserve.go
+++ b/daemon/places/reserve.go
@@ -30,19 +30,41 @@
 // Lease returns the number of the slot's lease, as preemption notices name it.
 func (s Slot) Lease() uint64 { return s.lease }
 
-// Reserve returns how many free slots were held back in the last denial of a slot to a
-// batch item of the group; 0 if the last request was granted.
-func (p *Places) Reserve(group string) int {
+// heldBackTTL is how long a denial because of the reserve counts. A holder with waiting
+// items requests a slot at least every 200 ms.
+const heldBackTTL = time.Second
+
+// heldBack is how many slots were held back from a batch item at the time at.
+type heldBack struct {
+	slots int
+	at    time.Time
+}
+
+// HeldBack returns how many free slots of all groups leaders have lately held back from
+// this daemon's batch items.
+func (p *Places) HeldBack() int {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.reserves[group]
+	sum := 0
+	for group, h := range p.heldBack {
+		if now.Sub(h.at) > heldBackTTL {
+			delete(p.heldBack, group)
+			continue
+		}
+		sum += h.slots
+	}
+	return sum
 }
 
-// recordReserve records how many slots were held back from a batch item.
-func (p *Places) recordReserve(group string, reserve int) {
+// recordHeldBack records how many slots a leader held back from a batch item.
+func (p *Places) recordHeldBack(group string, slots int) {
+	if slots == 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reserves[group] = reserve
+	p.heldBack[group] = heldBack{slots, time.Now()}
 }
 
 // repeatPreemptions notifies the holders of preempted items that have not ended again.
