Join the batch reserve

Cause: batch runs were started in the low steps of the load and cancelled in the high ones. Change: batch_reserve, see docs/design/0018-batch-reserve.md; off by default. The join lets items that have time leave reserved slots of other zones alone under zone_balance too, and counts the leader's queue as waiting requests.

--- a/core/slots/rates_test.go
+++ b/core/slots/rates_test.go
@@ -29,14 +29,14 @@
 
 // withFreeSlots returns the samples in which every target has a free slot: in the others
 // the choice of a target was constrained.
-func withFreeSlots(samples [][replayTargets]int) [][replayTargets]int {
-	var free [][replayTargets]int
+func withFreeSlots(samples [][rateReplayTargets]int) [][rateReplayTargets]int {
+	var free [][rateReplayTargets]int
 	for _, sample := range samples {
 		most := 0
 		for _, c := range sample {
 			most = max(most, c)
 		}
-		if most < replaySlots {
+		if most < rateReplaySlots {
 			free = append(free, sample)
 		}
 	}
@@ -51,13 +51,13 @@
 		earlier := replay.run()
 		replay.policy = withRates
 		now := replay.run()
-		finishing := func(r replayResult) float64 {
+		finishing := func(r rateReplayResult) float64 {
 			samples := withFreeSlots(r.samples)
 			return meanRequests(samples, isSlow) * 2.2 / meanRequests(samples, isFast)
 		}
 		Expect(finishing(now)).To(And(BeNumerically(">", 0.75), BeNumerically("<", 1.25)))
 		Expect(finishing(earlier)).To(BeNumerically(">", 1.25), "the replay does not show the fault")
-		share := func(r replayResult) float64 { return float64(r.highFree) / float64(r.high) }
+		share := func(r rateReplayResult) float64 { return float64(r.highFree) / float64(r.high) }
 		Expect(share(now)).To(BeNumerically(">", share(earlier)))
 		Expect(now.meanRun).To(BeNumerically("<", earlier.meanRun))
 	})
--- a/core/slots/ratesreplay_test.go
+++ b/core/slots/ratesreplay_test.go
@@ -26,26 +26,26 @@
 }
 
 const (
-	replayTargets  = 20
-	replaySlots    = 8
-	replayLowStep  = 3400 * time.Millisecond
-	replayHighStep = 2400 * time.Millisecond
-	endReportDelay = 4 * time.Millisecond
-	expireEvery    = 50 * time.Millisecond
+	rateReplayTargets = 20
+	rateReplaySlots   = 8
+	replayLowStep     = 3400 * time.Millisecond
+	replayHighStep    = 2400 * time.Millisecond
+	endReportDelay    = 4 * time.Millisecond
+	expireEvery       = 50 * time.Millisecond
 	// replaySample is the interval at which the numbers of requests are sampled.
 	replaySample   = 10 * time.Millisecond
 	replayLowLoad  = 0.38
 	replayHighLoad = 1.87
 )
 
-// replayResult is what a replay has measured.
-type replayResult struct {
+// rateReplayResult is what a replay has measured.
+type rateReplayResult struct {
 	// high counts the requests of the high steps, highFree those of them that started at
 	// once.
 	high, highFree int
 	meanRun        time.Duration
 	// samples holds the number of requests at each target over time.
-	samples [][replayTargets]int
+	samples [][rateReplayTargets]int
 	ledger  *slots.Ledger
 	end     time.Time
 }
@@ -72,7 +72,7 @@
 }
 
 // meanRequests returns the mean number of requests at each target that include selects.
-func meanRequests(samples [][replayTargets]int, include func(target int) bool) float64 {
+func meanRequests(samples [][rateReplayTargets]int, include func(target int) bool) float64 {
 	sum, n := 0, 0
 	for _, sample := range samples {
 		for i, c := range sample {
@@ -102,23 +102,23 @@
 	fleetReplay
 	random  *rand.Rand
 	ledger  *slots.Ledger
-	targets [replayTargets]replayTarget
+	targets [rateReplayTargets]replayTarget
 	events  replayEvents
 	runs    time.Duration
 	ended   int
 }
 
 // run replays the load.
-func (f fleetReplay) run() replayResult {
+func (f fleetReplay) run() rateReplayResult {
 	s := &replayState{fleetReplay: f, random: rand.New(rand.NewPCG(f.seed, 17)), ledger: slots.NewLedgerWith(f.policy)}
 	var list []slots.Target
 	capacity := 0.0 // requests a second
-	for i := range replayTargets {
-		list = append(list, slots.Target{Start: fmt.Sprintf("t%02d", i), Slots: replaySlots})
-		capacity += replaySlots / (f.unit.Seconds() * f.slowness(i, 0))
+	for i := range rateReplayTargets {
+		list = append(list, slots.Target{Start: fmt.Sprintf("t%02d", i), Slots: rateReplaySlots})
+		capacity += rateReplaySlots / (f.unit.Seconds() * f.slowness(i, 0))
 	}
 	s.ledger.SetTargets(map[string][]slots.Target{"g": list})
-	var result replayResult
+	var result rateReplayResult
 	nextSample, nextExpiry := time.Duration(0), time.Duration(0)
 	for now, number := time.Duration(0), uint64(1); now < f.duration; number++ {
 		high := now%(replayLowStep+replayHighStep) >= replayLowStep
@@ -160,7 +160,7 @@
 	}
 	t := &s.targets[target]
 	q := queued{number, work, now}
-	if t.running >= replaySlots {
+	if t.running >= rateReplaySlots {
 		t.queue = append(t.queue, q)
 		return false
 	}
@@ -211,7 +211,7 @@
 }
 
 // counts returns the number of requests at each target.
-func (s *replayState) counts() (n [replayTargets]int) {
+func (s *replayState) counts() (n [rateReplayTargets]int) {
 	for i, t := range s.targets {
 		n[i] = t.running + len(t.queue)
 	}
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -69,6 +69,8 @@
 	// balance zones.
 	free map[string]int
 	load map[string]ZoneLoad
+	// reserved counts the free slots that are held back from batch, by group.
+	reserved map[string]int
 	// sent counts the requests sent there since the report.
 	sent map[string]int
 }
@@ -240,11 +242,12 @@
 // visit reports whether the request may be sent to the zone.
 func (l *Ledger) visit(r Request, zone string, report *remoteZone, home ZoneLoad) (visit, bool) {
 	load := report.loadOf(r.Group, sentWeight)
+	free := load.Free - report.reservedFor(r)
 	if report.load == nil {
-		return visit{zone, FreeSlot, float64(load.Free)}, load.Free >= remoteMinFree
+		return visit{zone, FreeSlot, float64(free)}, free >= remoteMinFree
 	}
 	if r.Batch {
-		return visit{zone, FreeSlot, float64(load.Free)}, load.Free >= sentWeight
+		return visit{zone, FreeSlot, float64(free)}, free >= sentWeight
 	}
 	gain, sends := l.zoneRule(home, load)
 	switch {
--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -74,21 +75,29 @@
 // batch.OnTime. r.mu is held.
 func (r *runner) sortByDue(now time.Time, list []candidate) {
 	r.estimator.ObserveSlots(now, len(r.active))
+	work := make([]batch.Work, 0, len(list)+len(r.active))
+	for i := range list {
+		c := &list[i]
+		work = append(work, batch.Work{Due: c.due.Sub(now), Left: r.remaining(c.key, c.item.Tokens)})
+	}
+	running := slices.Collect(maps.Values(r.active))
+	for _, run := range running {
+		work = append(work, batch.Work{Due: run.due.Sub(now), Left: r.remaining(run.key, run.tokens)})
+	}
 	slots, known := r.estimator.Slots()
 	if known {
-		work := make([]batch.Work, 0, len(list)+len(r.active))
-		for i := range list {
-			c := &list[i]
-			work = append(work, batch.Work{Due: c.due.Sub(now), Left: r.remaining(c.key, c.item.Tokens)})
-		}
-		for _, run := range r.active {
-			work = append(work, batch.Work{Due: run.due.Sub(now), Left: r.remaining(run.key, run.tokens)})
-		}
 		onTime := batch.OnTime(work, slots)
 		for i := range list {
 			list[i].late = !onTime[i]
 		}
 	}
+	if r.jobs.Places.BatchReserve() {
+		if known {
+			slots = max(slots, float64(len(r.active)+r.jobs.Places.HeldBack()))
+		}
+		setSlack(list, work, slots, known)
+		r.needed = neededByGroup(list, running, work)
+	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(compareBool(a.late, b.late), a.due.Compare(b.due),
 			cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.item, b.key.item))
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -52,10 +52,12 @@
 	// number of slots of each target that stay free.
 	Exclude  map[string]bool
 	Headroom int
-	// Work, Slack and ShortOfTime describe the item; see slots.Request.
+	// Work, Slack, ShortOfTime and Needed describe the item and its group's other items; see
+	// slots.Request.
 	Work        float64
 	Slack       time.Duration
 	ShortOfTime bool
+	Needed      float64
 }
 
 // Slot is a slot at a target that was chosen for a request, and the leader that chose it.
@@ -313,9 +315,9 @@
 		return p.acquireBatchLocally(r.Group, r.Exclude, r.Headroom)
 	}
 	request := p.newSlotRequest(r.Group, r.Exclude)
-	request.Batch, request.Headroom = true, r.Headroom
-	request.Work, request.Slack, request.ShortOfTime = r.Work, r.Slack, r.ShortOfTime
+	describeItem(&request, r)
 	grant, by, answered := p.scheduler.requestSlot(ctx, request)
+	p.recordHeldBack(r.Group, grant.Reserve)
 	if !answered || grant.Verdict != slots.Granted {
 		return Slot{}, false
 	}
--- a/daemon/places/leader.go
+++ b/daemon/places/leader.go
@@ -94,18 +94,20 @@
 		s.recordLengths()
 		s.logShareChanges(now)
 		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Load: s.ledger.Load(now), Held: s.heldInZone(now),
-			Shares: s.shareReports(now)}
+			Reserved: s.ledger.Reserves(now), Shares: s.shareReports(now)}
 		if now.Sub(s.lastHeartbeat) >= election.HeartbeatInterval {
 			s.lastHeartbeat = now
 			heartbeat = s.newHeartbeat(now)
 		}
 	}
+	s.publishReserves(report.Reserved)
 	// A daemon that no longer leads still ends the waits in its queue.
 	notify := s.dispatch(now)
 	s.mu.Unlock()
 	notify()
 	switch {
 	case leads:
+		s.repeatPreemptions(now)
 		s.sendZoneReport(now, report, peers)
 		if heartbeat != nil {
 			p.recordHeartbeat(now, *heartbeat)
@@ -250,6 +252,7 @@
 		s.zoneStates[r.Zone] = &zoneState{leader: r.Leader, held: r.Held, at: now}
 		s.ledger.ApplyRemoteLoad(now, r.Zone, r.Leader, r.Free, r.Load)
 		s.ledger.ApplyShareReports(now, r.Leader, r.Shares)
+		s.ledger.ApplyRemoteReserves(r.Zone, r.Reserved)
 		return
 	}
 	if leader, found := s.election.Leader(now); found && !r.Forwarded {
--- a/daemon/places/overflow.go
+++ b/daemon/places/overflow.go
@@ -22,7 +22,7 @@
 		return remote, referral.Leader, true
 	}
 	if request.Batch {
-		return slots.Grant{}, leader, true
+		return slots.Grant{Reserve: referral.Reserve}, leader, true
 	}
 	request.Stay = true
 	if s.policy.ZoneBalance {
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -76,6 +76,8 @@
 	leaderFleetSize atomic.Int64
 	// partHolders are the daemons that hold the partitions of batch work.
 	partHolders map[int]partHolder
+	// reserves are the zone's batch reserves by group as last published.
+	reserves map[string]int
 
 	leases *localLeases
 	policy slots.Policy
@@ -111,7 +113,7 @@
 	s := &scheduler{
 		self: o.PeerAddress, zone: o.Zone, cores: o.Cores, caller: o.Peers, slotTimeout: o.SlotTimeout, logger: o.Logger, set: o.Metrics,
 		incarnation: rand.Uint64(), election: election.New(o.Zone, o.PeerAddress, time.Now()), ledger: slots.NewLedgerWith(o.Policy),
-		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting), policy: o.Policy,
+		holderStates: map[string]*holderState{}, zoneStates: map[string]*zoneState{}, partHolders: map[int]partHolder{}, leases: newLocalLeases(scheduled, preempting, o.Policy.BatchReserve), policy: o.Policy,
 		overflowLogged: map[[2]string]time.Time{},
 	}
 	if o.Policy.TargetRates {
