Slots: count freed slots by elapsed time

Cause: the steps of the drain were numbered by the wall clock. After that was set back, all counts went into one step until it had caught up: the rate grew without bound, so the zone kept its requests and attracted those of others. Change: steps are numbered by the time since the observation began, which is monotonic; the observation begins anew if the time given goes back by more than the window. Result: the rate is right a second after the clock goes back.

--- a/core/slots/drain.go
+++ b/core/slots/drain.go
@@ -15,7 +15,7 @@
 type drain struct {
 	// since is when the observation began.
 	since time.Time
-	// steps counts by time, modulo the window; last is the step counted last.
+	// steps counts by time since then, modulo the window; last is the current step.
 	steps [drainSteps]int
 	last  int64
 }
@@ -29,8 +29,8 @@
 // perSecond returns how many slots became free in the last second. known is false until a
 // full second has been observed.
 func (d *drain) perSecond(now time.Time) (rate float64, known bool) {
-	d.advance(now)
-	if now.Sub(d.since) < drainWindow {
+	elapsed := d.advance(now)
+	if elapsed < drainWindow {
 		return 0, false
 	}
 	sum := 0
@@ -38,18 +38,25 @@
 		sum += n
 	}
 	// The current step has only begun.
-	span := drainWindow - drainStep + time.Duration(now.UnixNano()%int64(drainStep))
+	span := drainWindow - drainStep + elapsed%drainStep
 	return float64(sum) / span.Seconds(), true
 }
 
-// advance clears the steps that have left the window.
-func (d *drain) advance(now time.Time) {
-	if d.since.IsZero() {
-		d.since = now
+// advance clears the steps that have left the window and returns the time since the
+// observation began. Steps are numbered by that time, not by the wall clock, which may be
+// set back: one step would then collect all counts until the clock has caught up. If now
+// itself goes back by more than concurrent calls explain, the observation begins anew.
+func (d *drain) advance(now time.Time) time.Duration {
+	elapsed := now.Sub(d.since)
+	if d.since.IsZero() || elapsed < time.Duration(d.last-drainSteps)*drainStep {
+		*d = drain{since: now}
+		return 0
 	}
-	step := now.UnixNano() / int64(drainStep)
+	elapsed = max(elapsed, time.Duration(d.last)*drainStep)
+	step := int64(elapsed / drainStep)
 	for at := max(d.last+1, step-drainSteps+1); at <= step; at++ {
 		d.steps[at%drainSteps] = 0
 	}
-	d.last = max(d.last, step)
+	d.last = step
+	return elapsed
 }
--- a/core/slots/zones_test.go
+++ b/core/slots/zones_test.go
@@ -267,4 +267,36 @@
 		// Only the estimate remains: 4 slots, 10 s each.
 		Expect(rate()).To(BeNumerically("~", 0.4, 0.01))
 	})
+
+	// The rate would be wrong until the clock has caught up.
+	It("are counted from the beginning after the clock has gone back", func() {
+		l, now := slots.NewLedgerWith(balancing), start
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: 1}}})
+		run := func(tenths int) {
+			for range tenths {
+				r := request()
+				Expect(l.Grant(now, r, 0).Verdict).To(Equal(slots.Granted))
+				l.End(now, "h", []slots.Ended{{Number: r.ID.Number, Target: "t0", Outcome: routing.Succeeded}})
+				now = now.Add(100 * time.Millisecond)
+			}
+		}
+		run(20)
+		now = now.Add(-time.Hour)
+		run(30)
+		Expect(l.Load(now)["g"].PerSecond).To(BeNumerically("~", 10, 1))
+	})
+
+	// The slot already belongs to the request that preempted the item.
+	It("do not contain those of preempted items", func() {
+		l, now := slots.NewLedgerWith(balancing), start
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: 1}}})
+		for range 20 {
+			item, r := request(batch), request()
+			Expect(l.Grant(now, item, 0).Verdict).To(Equal(slots.Granted))
+			Expect(l.Grant(now, r, 0).Yield).To(HaveLen(1))
+			l.End(now, "h", []slots.Ended{{Number: item.ID.Number, Target: "t0"}, {Number: r.ID.Number, Target: "t0"}})
+			now = now.Add(100 * time.Millisecond)
+		}
+		Expect(l.Load(now)["g"].PerSecond).To(BeNumerically("~", 10, 1))
+	})
 })
