Slots: do not take failing targets for a new leader

Cause: a zone of which all targets are degraded frees no slots a second. This was taken for an unknown service time, with which requests are expected to start at once: they stayed at the failing targets, and visiting requests were let into their queue. Change: the load is unknown only if the service time is. Result: such requests go to the queue of another zone.

--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -292,7 +292,7 @@
 		return ZoneLoad{}
 	}
 	load := ZoneLoad{Waiting: l.waiting(name, g), PerSecond: l.perSecond(now, g)}
-	if load.PerSecond <= 0 {
+	if load.PerSecond <= 0 && g.serviceTime.Wait(1, 1) <= 0 {
 		load.Free = 1
 	}
 	return load
--- a/core/slots/zones_test.go
+++ b/core/slots/zones_test.go
@@ -108,6 +108,14 @@
 		Expect(grant().Verdict).To(Equal(slots.Granted))
 	})
 
+	// Targets that fail all requests free no slots. Their zone's requests would queue there.
+	It("sends the requests of a zone with degraded targets alone to another queue", func() {
+		full(balancing, 0)
+		l.End(now, "h", []slots.Ended{{Number: numbers, Target: "t0", Outcome: routing.HardFailed}})
+		remote(slots.ZoneLoad{Waiting: 1, PerSecond: 100})
+		Expect(grant().Verdict).To(Equal(slots.Elsewhere))
+	})
+
 	It("sends the requests of a zone without targets to another queue", func() {
 		l = slots.NewLedgerWith(balancing)
 		remote(slots.ZoneLoad{Waiting: 1, PerSecond: 100})
