Slots: no walk of the targets for requests that stay

Cause: the load of the zone was computed, by two walks of all its targets, also for requests that are not sent elsewhere or not by that load: visiting ones, those that stay, and batch items. Change: it is computed only for the others.

--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -206,6 +206,9 @@
 // are subtracted until that zone reports again, so that the requests that this zone sends
 // between two reports do not compete for the same slots.
 func (l *Ledger) otherZone(now time.Time, r Request) Grant {
+	if r.Visiting || r.Stay || r.Batch {
+		return l.otherZoneBefore(now, r, ZoneLoad{}) // the load here does not matter
+	}
 	return l.otherZoneBefore(now, r, l.localLoad(now, r.Group))
 }
 
