Slots: allow for holders that do not balance zones

Cause: a leader with the key on sent requests of every holder to slots of batch and to queues of other zones. Holders of an earlier build, or with the key off, ask there for free slots only: each such request made three calls in vain. Neither they nor holders of batch items report a zone that fails, yet their requests counted as the probe of one that did not answer. Without a report, all requests went there again 100 ms later. Change: a holder that balances zones sets Preempts in each online request, also to its own leader. Other requests go to free slots only, and are no probes.

--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -25,7 +25,9 @@
 	Visiting bool
 	// Stay requires a slot of this zone, even if other zones have free ones.
 	Stay bool
-	// Preempts lets a visiting request preempt batch items and wait.
+	// Preempts lets a visiting request preempt batch items and wait. A holder that balances
+	// zones sets it in each online request, also to its own leader: a request of another
+	// holder could use no more than a free slot of another zone.
 	Preempts bool
 	// HomeWait is how long a visiting request is expected to wait in the holder's zone. It
 	// joins no queue in which it would wait longer.
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -232,7 +232,9 @@
 	}
 	to := l.remote[best.zone]
 	to.sent[r.Group]++
-	l.probe(now, best.zone)
+	if r.Preempts {
+		l.probe(now, best.zone)
+	}
 	grant := Grant{Verdict: Elsewhere, Zone: best.zone, Leader: to.leader}
 	if l.policy.ZoneBalance {
 		grant.Reason, grant.Wait = best.reason, min(home.start(), r.Patience)
@@ -246,7 +248,7 @@
 	if report.load == nil {
 		return visit{zone, FreeSlot, float64(load.Free)}, load.Free >= remoteMinFree
 	}
-	if r.Batch {
+	if !r.Preempts {
 		return visit{zone, FreeSlot, float64(load.Free)}, load.Free >= sentWeight
 	}
 	gain, sends := l.zoneRule(home, load)
@@ -325,7 +327,8 @@
 }
 
 // probe records that a request is sent to a zone. One that did not answer before gets no
-// other request until this one must have been answered.
+// other request until this one must have been answered. Batch items, and requests of holders
+// that do not balance zones, are no probes: their holders do not report the failure.
 func (l *Ledger) probe(now time.Time, zone string) {
 	key := zoneGroup{zone, allGroups}
 	failed, known := l.failed[key]
--- a/daemon/places/overflow.go
+++ b/daemon/places/overflow.go
@@ -34,10 +34,7 @@
 
 // remoteRequest returns the request as it is sent to another zone's leader.
 func (s *scheduler) remoteRequest(request slots.Request, referral slots.Grant) slots.Request {
-	request.Visiting = true
-	if s.balanced && !request.Batch {
-		request.Preempts, request.HomeWait = true, referral.Wait
-	}
+	request.Visiting, request.HomeWait = true, referral.Wait
 	return request
 }
 
