Places: do not take a cancelled visit for a failed zone

Cause: a request whose caller gave up while it visited another zone was reported to the own leader as unanswered (where that is the same daemon, the report always arrives). The zone was then not used for 500 ms by any request. Change: a cancelled request names no failed zone.

--- a/daemon/places/overflow.go
+++ b/daemon/places/overflow.go
@@ -25,7 +25,8 @@
 		return slots.Grant{}, leader, true
 	}
 	request.Stay = true
-	if s.balanced {
+	// A cancelled request says nothing about the zone.
+	if s.balanced && ctx.Err() == nil {
 		request.FailedZone, request.Unanswered = referral.Zone, !ok
 	}
 	grant, answered = s.callLeader(ctx, leader, request)
--- a/daemon/places/overflow_test.go
+++ b/daemon/places/overflow_test.go
@@ -127,6 +127,30 @@
 		Expect(unanswered() - before).To(BeNumerically("<=", 3*(1+time.Since(began)/(500*time.Millisecond))))
 	})
 
+	// A caller that gives up while its request visits another zone would keep all requests
+	// from that zone.
+	It("goes on sending requests to a zone after a caller has given up", func() {
+		timeout = 200 * time.Millisecond
+		start()
+		setCut := func(cut bool) {
+			for i := 5; i < 8; i++ {
+				f.network.setCut(fmt.Sprint("p", i), cut)
+			}
+		}
+		// Reports are lost too while the leaders are cut off, but remain valid.
+		const requests = 3 // one for each zone
+		setCut(true)
+		for range requests {
+			cancelled, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			slot, _ := f.views[4].Acquire(cancelled, places.Request{Group: "g", MaxWait: time.Second})
+			cancel()
+			f.views[4].Release(slot, routing.Neutral, 0)
+		}
+		setCut(false)
+		Expect(unanswered()).To(BeNumerically("==", requests))
+		Expect(f.acquire(4).Zone).NotTo(Equal("z0"))
+	})
+
 	// A leader has died: its last report offers slots that nobody grants.
 	It("sends no requests to a zone whose leader's reports have ended", func() {
 		start()
