Slots: forget failures of zones that have expired

Cause: a failure recorded for a zone and a group was never removed, although groups come and go while a leader runs. Change: expired ones are removed when the next one is recorded.

--- a/core/slots/export_test.go
+++ b/core/slots/export_test.go
@@ -4,3 +4,6 @@
 func (l *Ledger) SetZoneRule(rule func(home, other ZoneLoad) (gain float64, sends bool)) {
 	l.zoneRule = rule
 }
+
+// FailedZones returns how many failures of zones are recorded.
+func (l *Ledger) FailedZones() int { return len(l.failed) }
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -323,6 +323,8 @@
 	if r.Unanswered {
 		key.group = allGroups
 	}
+	// Entries of a zone are kept for the probe, and are as few as the zones.
+	maps.DeleteFunc(l.failed, func(old zoneGroup, f failedZone) bool { return old.group != allGroups && !now.Before(f.until) })
 	l.failed[key] = failedZone{until: now.Add(failedZoneTime)}
 }
 
--- a/core/slots/zones_test.go
+++ b/core/slots/zones_test.go
@@ -104,6 +104,15 @@
 		Expect(got.Wait).To(Equal(second / 4))
 	})
 
+	// It would be refused there, and the zone not used for its group.
+	It("sends no request to a queue in which it would wait longer than it may", func() {
+		full(balancing, 100)
+		for patience, verdict := range map[time.Duration]slots.Verdict{second / 2: slots.Elsewhere, second/2 - 1: slots.Overloaded} {
+			remote(slots.ZoneLoad{Waiting: 4, PerSecond: 10})
+			Expect(grant(func(r *slots.Request) { r.Patience = patience }).Verdict).To(Equal(verdict))
+		}
+	})
+
 	// A new leader knows no service time. It must not send its zone's requests away.
 	It("keeps a request whose wait here is not known", func() {
 		l = slots.NewLedgerWith(balancing)
@@ -167,6 +176,16 @@
 		Expect(sent()).To(Equal(5))
 	})
 
+	// Groups come and go while a leader runs.
+	It("forgets that a zone gave no slot for a group", func() {
+		full(balancing, 0)
+		for i := range 10 {
+			grant(staysAfter("x", false), func(r *slots.Request) { r.Group = fmt.Sprint("g", i) })
+			now = now.Add(halfSecond)
+		}
+		Expect(l.FailedZones()).To(Equal(1))
+	})
+
 	// A leader whose reports arrive but that can't be reached would cost a slot timeout for
 	// each request.
 	It("sends one request at a time to a zone that did not answer, after 500 ms", func() {
