Places: forget when overflow to a zone was logged

Cause: the time of the last log line was kept for each zone and group for ever. Change: times older than the interval between lines are removed when the next line is logged.

--- a/daemon/places/overflow.go
+++ b/daemon/places/overflow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,6 +62,7 @@
 	if now.Sub(s.overflowLogged[key]) < overflowLogInterval {
 		return
 	}
+	maps.DeleteFunc(s.overflowLogged, func(_ [2]string, at time.Time) bool { return now.Sub(at) >= overflowLogInterval })
 	s.overflowLogged[key] = now
 	local, remote := s.ledger.Load(now)[request.Group], s.ledger.RemoteLoad(grant.Zone, request.Group)
 	s.logger.Info("zone_overflow", zap.String("zone", s.zone), zap.String("to", grant.Zone), zap.String("group", request.Group),
