Slots: queue no visiting request where the wait is not known

Cause: where the service time is not known, the expected wait is 0, so that a new leader keeps its own requests. By this it also let visiting requests into its queue, however long that was. Change: a visiting request queues only where the wait is known. Result: the new test fails without the change.

--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -310,8 +310,13 @@
 
 // mayQueue reports whether a request may queue here. One of another zone does so only if it
 // waits no longer than there: that zone's leader decided by a report that may be outdated.
+// Where the wait is not known, it does not queue.
 func (l *Ledger) mayQueue(now time.Time, r Request) bool {
-	return !r.Visiting || l.localLoad(now, r.Group).start() <= r.HomeWait
+	if !r.Visiting {
+		return true
+	}
+	load := l.localLoad(now, r.Group)
+	return load.PerSecond > 0 && load.start() <= r.HomeWait
 }
 
 // recordFailedZone records the zone that did not serve the request.
--- a/core/slots/zones_test.go
+++ b/core/slots/zones_test.go
@@ -161,6 +161,14 @@
 		Expect(grant(visits(600 * time.Millisecond)).Verdict).To(Equal(slots.Granted))
 	})
 
+	// A new leader knows no service time. Its queue may be the longest of all.
+	It("queues no visiting request where the wait is not known", func() {
+		l = slots.NewLedgerWith(balancing)
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: 1}}})
+		grant()
+		Expect(grant(visits(second)).Verdict).To(Equal(slots.None))
+	})
+
 	// A stale leader reports free slots that it does not have.
 	It("does not use a zone that gave no slot for 500 ms, for that group", func() {
 		full(balancing, 0)
