Slots, places: tests of overflow to a queue and of degraded targets

Cause: no test failed when the holder did not name the expected wait at home, or when the load of a zone contained slots of degraded targets. Change: a test of a fleet in which the queue of another zone is shorter, and one of the reported load.

--- a/core/slots/zones_test.go
+++ b/core/slots/zones_test.go
@@ -69,6 +69,16 @@
 		Expect(l.Load(now)["g"]).To(Equal(slots.ZoneLoad{Free: perTarget - 2, Batch: 1}))
 	})
 
+	// Other zones would send requests to a target that fails them.
+	It("reports no slots of degraded targets", func() {
+		full(balancing, 0)
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: perTarget}, {Start: "t1", Slots: perTarget}}})
+		Expect(grant(batch).Target).To(Equal("t1"))
+		Expect(l.Load(now)["g"]).To(Equal(slots.ZoneLoad{Free: perTarget - 1, Batch: 1, PerSecond: 2 * perTarget}))
+		l.End(now, "h", []slots.Ended{{Target: "t1", Outcome: routing.HardFailed}})
+		Expect(l.Load(now)["g"]).To(Equal(slots.ZoneLoad{PerSecond: perTarget}))
+	})
+
 	// Several zones would otherwise send to the same slots.
 	It("uses half of what another zone offers, free slots before those of batch", func() {
 		full(balancing, 0)
--- a/daemon/places/overflow_test.go
+++ b/daemon/places/overflow_test.go
@@ -106,6 +106,26 @@
 			HaveKey("remote_batch"), HaveKey("waiting")))
 	})
 
+	// All zones are full. The other leader refuses a request whose expected wait at home it does
+	// not know.
+	It("lets an online request wait in another zone where it starts earlier", func() {
+		keyed = func(zone int) bool { return zone < 2 }
+		start()
+		measured := f.acquire(1)
+		f.views[1].Release(measured, routing.Succeeded, 10*time.Millisecond)
+		f.awaitReports()
+		for range zoneTargets * targetSlots {
+			Expect(f.acquire(1).Zone).To(Equal("z1"))
+		}
+		f.awaitReports()
+		measured = f.acquire(0)
+		Expect(measured.Zone).To(Equal("z0"))
+		f.views[0].Release(measured, routing.Succeeded, 10*time.Second)
+		f.awaitReports()
+		Expect(overflow().Zone).To(Equal("z1"))
+		Expect(overflows("queue", "granted")).To(BeNumerically(">=", 1))
+	})
+
 	// Leaders' reports arrive, but calls to them are lost: each request would wait for the
 	// slot timeout.
 	It("sends no further requests to leaders that do not answer", func() {
