Places: set Preempts where the leaders are called

Cause: it was set in acquire.go, which is not part of the balancing of zones. Change: requestSlot sets it.

--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -83,7 +83,7 @@
 // grants a usable one.
 func (p *Places) acquireGranted(ctx context.Context, r Request) (slot Slot, refusal *outcome.Refusal, decided bool) {
 	request := p.newSlotRequest(r.Group, r.Exclude)
-	request.LastChance, request.Patience, request.Preempts = r.LastChance, r.MaxWait, p.scheduler.balanced
+	request.LastChance, request.Patience = r.LastChance, r.MaxWait
 	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
 	request.Work, request.Content = r.Work, r.Content
 	setTimes(&request, r, time.Now())
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -167,6 +167,7 @@
 		s.countOutcome("no_leader")
 		return slots.Grant{}, "", false
 	}
+	request.Preempts = s.balanced && !request.Batch
 	grant, answered = s.callLeader(ctx, leader, request)
 	if !answered || grant.Verdict != slots.Elsewhere {
 		return grant, leader, answered
