--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -208,6 +208,9 @@
 // are subtracted until that zone reports again, so that the requests that this zone sends
 // between two reports do not compete for the same slots.
 func (l *Ledger) otherZone(now time.Time, r Request) Grant {
+	if r.Visiting || r.Stay || r.Batch {
+		return l.otherZoneBefore(now, r, ZoneLoad{}) // the load here does not matter
+	}
 	return l.otherZoneBefore(now, r, l.localLoad(now, r.Group))
 }
 
@@ -231,7 +234,9 @@
 	}
 	to := l.remote[best.zone]
 	to.sent[r.Group]++
-	l.probe(now, best.zone)
+	if r.Preempts {
+		l.probe(now, best.zone)
+	}
 	grant := Grant{Verdict: Elsewhere, Zone: best.zone, Leader: to.leader}
 	if l.policy.ZoneBalance {
 		grant.Reason, grant.Wait = best.reason, min(home.start(), r.Patience)
@@ -246,7 +251,7 @@
 	if report.load == nil {
 		return visit{zone, FreeSlot, float64(free)}, free >= remoteMinFree
 	}
-	if r.Batch {
+	if !r.Preempts {
 		return visit{zone, FreeSlot, float64(free)}, free >= sentWeight
 	}
 	gain, sends := l.zoneRule(home, load)
@@ -295,7 +300,7 @@
 		return ZoneLoad{}
 	}
 	load := ZoneLoad{Waiting: l.waitingCount(g), PerSecond: l.perSecond(now, g)}
-	if load.PerSecond <= 0 {
+	if load.PerSecond <= 0 && g.serviceTime.Wait(1, 1) <= 0 {
 		load.Free = 1
 	}
 	return load
@@ -308,8 +313,13 @@
 
 // mayQueue reports whether a request may queue here. One of another zone does so only if it
 // waits no longer than there: that zone's leader decided by a report that may be outdated.
+// Where the wait is not known, it does not queue.
 func (l *Ledger) mayQueue(now time.Time, r Request) bool {
-	return !r.Visiting || l.localLoad(now, r.Group).start() <= r.HomeWait
+	if !r.Visiting {
+		return true
+	}
+	load := l.localLoad(now, r.Group)
+	return load.PerSecond > 0 && load.start() <= r.HomeWait
 }
 
 // recordFailedZone records the zone that did not serve the request.
@@ -321,11 +331,14 @@
 	if r.Unanswered {
 		key.group = allGroups
 	}
+	// Entries of a zone are kept for the probe, and are as few as the zones.
+	maps.DeleteFunc(l.failed, func(old zoneGroup, f failedZone) bool { return old.group != allGroups && !now.Before(f.until) })
 	l.failed[key] = failedZone{until: now.Add(failedZoneTime)}
 }
 
 // probe records that a request is sent to a zone. One that did not answer before gets no
-// other request until this one must have been answered.
+// other request until this one must have been answered. Batch items, and requests of holders
+// that do not balance zones, are no probes: their holders do not report the failure.
 func (l *Ledger) probe(now time.Time, zone string) {
 	key := zoneGroup{zone, allGroups}
 	failed, known := l.failed[key]
--- a/core/slots/zones_test.go
+++ b/core/slots/zones_test.go
@@ -30,7 +30,12 @@
 var _ = Describe("Balancing between zones", func() {
 	var l *slots.Ledger
 	var now time.Time
-	grant := func(change ...func(*slots.Request)) slots.Grant { return l.Grant(now, request(change...), numbers) }
+	// grant requests a slot as a holder does that balances zones.
+	grant := func(change ...func(*slots.Request)) slots.Grant {
+		r := request(change...)
+		r.Preempts = !r.Batch
+		return l.Grant(now, r, numbers)
+	}
 	// full returns a ledger of one target of which all slots are taken for online
 	// requests and, with a mean service time of a second, so many requests wait.
 	full := func(policy slots.Policy, waiting int) {
@@ -64,6 +69,16 @@
 		Expect(l.Load(now)["g"]).To(Equal(slots.ZoneLoad{Free: perTarget - 2, Batch: 1}))
 	})
 
+	// Other zones would send requests to a target that fails them.
+	It("reports no slots of degraded targets", func() {
+		full(balancing, 0)
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: perTarget}, {Start: "t1", Slots: perTarget}}})
+		Expect(grant(batch).Target).To(Equal("t1"))
+		Expect(l.Load(now)["g"]).To(Equal(slots.ZoneLoad{Free: perTarget - 1, Batch: 1, PerSecond: 2 * perTarget}))
+		l.End(now, "h", []slots.Ended{{Target: "t1", Outcome: routing.HardFailed}})
+		Expect(l.Load(now)["g"]).To(Equal(slots.ZoneLoad{PerSecond: perTarget}))
+	})
+
 	// Several zones would otherwise send to the same slots.
 	It("uses half of what another zone offers, free slots before those of batch", func() {
 		full(balancing, 0)
@@ -99,6 +114,15 @@
 		Expect(got.Wait).To(Equal(second / 4))
 	})
 
+	// It would be refused there, and the zone not used for its group.
+	It("sends no request to a queue in which it would wait longer than it may", func() {
+		full(balancing, 100)
+		for patience, verdict := range map[time.Duration]slots.Verdict{second / 2: slots.Elsewhere, second/2 - 1: slots.Overloaded} {
+			remote(slots.ZoneLoad{Waiting: 4, PerSecond: 10})
+			Expect(grant(func(r *slots.Request) { r.Patience = patience }).Verdict).To(Equal(verdict))
+		}
+	})
+
 	// A new leader knows no service time. It must not send its zone's requests away.
 	It("keeps a request whose wait here is not known", func() {
 		l = slots.NewLedgerWith(balancing)
@@ -108,6 +132,14 @@
 		Expect(grant().Verdict).To(Equal(slots.Granted))
 	})
 
+	// Targets that fail all requests free no slots. Their zone's requests would queue there.
+	It("sends the requests of a zone with degraded targets alone to another queue", func() {
+		full(balancing, 0)
+		l.End(now, "h", []slots.Ended{{Number: numbers, Target: "t0", Outcome: routing.HardFailed}})
+		remote(slots.ZoneLoad{Waiting: 1, PerSecond: 100})
+		Expect(grant().Verdict).To(Equal(slots.Elsewhere))
+	})
+
 	It("sends the requests of a zone without targets to another queue", func() {
 		l = slots.NewLedgerWith(balancing)
 		remote(slots.ZoneLoad{Waiting: 1, PerSecond: 100})
@@ -139,6 +171,14 @@
 		Expect(grant(visits(600 * time.Millisecond)).Verdict).To(Equal(slots.Granted))
 	})
 
+	// A new leader knows no service time. Its queue may be the longest of all.
+	It("queues no visiting request where the wait is not known", func() {
+		l = slots.NewLedgerWith(balancing)
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: 1}}})
+		grant()
+		Expect(grant(visits(second)).Verdict).To(Equal(slots.None))
+	})
+
 	// A stale leader reports free slots that it does not have.
 	It("does not use a zone that gave no slot for 500 ms, for that group", func() {
 		full(balancing, 0)
@@ -154,6 +194,16 @@
 		Expect(sent()).To(Equal(5))
 	})
 
+	// Groups come and go while a leader runs.
+	It("forgets that a zone gave no slot for a group", func() {
+		full(balancing, 0)
+		for i := range 10 {
+			grant(staysAfter("x", false), func(r *slots.Request) { r.Group = fmt.Sprint("g", i) })
+			now = now.Add(halfSecond)
+		}
+		Expect(l.FailedZones()).To(Equal(1))
+	})
+
 	// A leader whose reports arrive but that can't be reached would cost a slot timeout for
 	// each request.
 	It("sends one request at a time to a zone that did not answer, after 500 ms", func() {
@@ -169,6 +219,42 @@
 		Expect(sent()).To(Equal(5))
 	})
 
+	// The holder of an item does not report whether the zone answered.
+	It("goes on sending one request at a time after a batch item was sent", func() {
+		full(balancing, 0)
+		grant(staysAfter("x", true))
+		now = now.Add(halfSecond)
+		remote(slots.ZoneLoad{Free: 10})
+		Expect(grant(batch).Verdict).To(Equal(slots.Elsewhere))
+		now = now.Add(100 * time.Millisecond)
+		remote(slots.ZoneLoad{Free: 10})
+		Expect(sent()).To(Equal(1))
+	})
+
+	// During a rolling upgrade, holders of the previous build do not ask the other zone for a
+	// slot of batch or for its queue. Each of their requests would return without a slot.
+	It("sends a request of a holder that does not balance zones to free slots only", func() {
+		full(balancing, 4)
+		remote(slots.ZoneLoad{Batch: 10})
+		Expect(l.Grant(now, request(), 0).Verdict).NotTo(Equal(slots.Elsewhere))
+		remote(slots.ZoneLoad{PerSecond: 1000})
+		Expect(l.Grant(now, request(), 0).Verdict).NotTo(Equal(slots.Elsewhere))
+		remote(slots.ZoneLoad{Free: 2})
+		Expect(l.Grant(now, request(), 0).Verdict).To(Equal(slots.Elsewhere))
+	})
+
+	// A holder that does not balance zones does not report whether the zone answered either.
+	It("goes on sending one request at a time after one of a holder that does not balance", func() {
+		full(balancing, 0)
+		grant(staysAfter("x", true))
+		now = now.Add(halfSecond)
+		remote(slots.ZoneLoad{Free: 10})
+		Expect(l.Grant(now, request(), 0).Verdict).To(Equal(slots.Elsewhere))
+		now = now.Add(100 * time.Millisecond)
+		remote(slots.ZoneLoad{Free: 10})
+		Expect(sent()).To(Equal(1))
+	})
+
 	// During a rolling upgrade, leaders of the previous build report free slots only.
 	It("goes by the free slots of a zone that reports no load", func() {
 		full(balancing, 0)
@@ -208,6 +294,7 @@
 				default:
 					r := request()
 					r.Batch, r.Patience = rapid.Bool().Draw(t, "batch item"), time.Hour
+					r.Preempts = !r.Batch
 					got := l.Grant(now, r, 0)
 					if got.Verdict != slots.Elsewhere {
 						continue
@@ -267,4 +354,36 @@
 		// Only the estimate remains: 4 slots, 10 s each.
 		Expect(rate()).To(BeNumerically("~", 0.4, 0.01))
 	})
+
+	// The rate would be wrong until the clock has caught up.
+	It("are counted from the beginning after the clock has gone back", func() {
+		l, now := slots.NewLedgerWith(balancing), start
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: 1}}})
+		run := func(tenths int) {
+			for range tenths {
+				r := request()
+				Expect(l.Grant(now, r, 0).Verdict).To(Equal(slots.Granted))
+				l.End(now, "h", []slots.Ended{{Number: r.ID.Number, Target: "t0", Outcome: routing.Succeeded}})
+				now = now.Add(100 * time.Millisecond)
+			}
+		}
+		run(20)
+		now = now.Add(-time.Hour)
+		run(30)
+		Expect(l.Load(now)["g"].PerSecond).To(BeNumerically("~", 10, 1))
+	})
+
+	// The slot already belongs to the request that preempted the item.
+	It("do not contain those of preempted items", func() {
+		l, now := slots.NewLedgerWith(balancing), start
+		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t0", Slots: 1}}})
+		for range 20 {
+			item, r := request(batch), request()
+			Expect(l.Grant(now, item, 0).Verdict).To(Equal(slots.Granted))
+			Expect(l.Grant(now, r, 0).Yield).To(HaveLen(1))
+			l.End(now, "h", []slots.Ended{{Number: item.ID.Number, Target: "t0"}, {Number: r.ID.Number, Target: "t0"}})
+			now = now.Add(100 * time.Millisecond)
+		}
+		Expect(l.Load(now)["g"].PerSecond).To(BeNumerically("~", 10, 1))
+	})
 })
--- a/daemon/places/overflow.go
+++ b/daemon/places/overflow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,7 +26,8 @@
 		return slots.Grant{Reserve: referral.Reserve}, leader, true
 	}
 	request.Stay = true
-	if s.policy.ZoneBalance {
+	// A cancelled request says nothing about the zone.
+	if s.policy.ZoneBalance && ctx.Err() == nil {
 		request.FailedZone, request.Unanswered = referral.Zone, !ok
 	}
 	grant, answered = s.callLeader(ctx, leader, request)
@@ -34,10 +36,7 @@
 
 // remoteRequest returns the request as it is sent to another zone's leader.
 func (s *scheduler) remoteRequest(request slots.Request, referral slots.Grant) slots.Request {
-	request.Visiting = true
-	if s.policy.ZoneBalance && !request.Batch {
-		request.Preempts, request.HomeWait = true, referral.Wait
-	}
+	request.Visiting, request.HomeWait = true, referral.Wait
 	return request
 }
 
@@ -63,6 +62,7 @@
 	if now.Sub(s.overflowLogged[key]) < overflowLogInterval {
 		return
 	}
+	maps.DeleteFunc(s.overflowLogged, func(_ [2]string, at time.Time) bool { return now.Sub(at) >= overflowLogInterval })
 	s.overflowLogged[key] = now
 	local, remote := s.ledger.Load(now)[request.Group], s.ledger.RemoteLoad(grant.Zone, request.Group)
 	s.logger.Info("zone_overflow", zap.String("zone", s.zone), zap.String("to", grant.Zone), zap.String("group", request.Group),
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -185,6 +185,7 @@
 		s.countOutcome("no_leader")
 		return slots.Grant{}, "", false
 	}
+	request.Preempts = s.policy.ZoneBalance && !request.Batch
 	grant, answered = s.callLeader(ctx, leader, request)
 	if !answered || grant.Verdict != slots.Elsewhere {
 		return grant, leader, answered
