A request that others overtake is refused on arrival

Cause: the expected wait counted only the requests ahead in the queue as it was. Change: the rate at which slots become free is reduced by the arrivals that go ahead of a request (core/slots/overtaking.go), also for the comparison with other zones.

--- a/core/slots/dispatch.go
+++ b/core/slots/dispatch.go
@@ -53,7 +53,7 @@
 	for e := g.line.queue.Expired(now); e != nil; e = g.line.queue.Expired(now) {
 		w := e.Value
 		if !w.until.After(now) {
-			more := l.expectedWait(now, g, g.line.queue.Ahead(now, e))
+			more := l.expectedWait(now, g, e)
 			l.deliver(e, l.refuse(now, g, w.request, e, now.Sub(w.entered)+more))
 		}
 		l.remove(g, e)
--- a/core/slots/drain.go
+++ b/core/slots/drain.go
@@ -8,6 +8,8 @@
 	drainWindow = time.Second
 	drainSteps  = 20
 	drainStep   = drainWindow / drainSteps
+	// minObserved is the shortest observation from which a rate is estimated.
+	minObserved = 200 * time.Millisecond
 )
 
 // drain counts the slots that have become free in the last second. The zero value has
@@ -33,13 +35,28 @@
 	if elapsed < drainWindow {
 		return 0, false
 	}
+	// The current step has only begun.
+	span := drainWindow - drainStep + elapsed%drainStep
+	return float64(d.sum()) / span.Seconds(), true
+}
+
+// soFar is perSecond, but from minObserved on it uses the time observed so far.
+func (d *drain) soFar(now time.Time) float64 {
+	if rate, known := d.perSecond(now); known {
+		return rate
+	}
+	if elapsed := d.advance(now); elapsed >= minObserved {
+		return float64(d.sum()) / elapsed.Seconds()
+	}
+	return 0
+}
+
+func (d *drain) sum() int {
 	sum := 0
 	for _, n := range d.steps {
 		sum += n
 	}
-	// The current step has only begun.
-	span := drainWindow - drainStep + elapsed%drainStep
-	return float64(sum) / span.Seconds(), true
+	return sum
 }
 
 // advance clears the steps that have left the window and returns the time since the
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -46,6 +46,8 @@
 type line struct {
 	// queue is nil until a request waits.
 	queue *waitqueue.Queue[*waiter]
+	// arrivals counts the requests that have entered the queue.
+	arrivals arrivals
 	// scanned is when all targets were last examined.
 	scanned time.Time
 }
@@ -190,6 +192,9 @@
 func (l *Ledger) loadBefore(now time.Time, g *group, e *entry) ZoneLoad {
 	load := l.localLoad(now, e.Value.request.Group)
 	load.Waiting = g.line.queue.Ahead(now, e)
+	if load.PerSecond > 0 {
+		load.PerSecond = l.perSecondFor(now, g, e)
+	}
 	return load
 }
 
@@ -283,7 +288,7 @@
 func (l *Ledger) enqueue(now time.Time, r Request, g *group) Grant {
 	q := &g.line
 	if q.queue == nil {
-		q.queue = l.newQueue(r.Group)
+		q.queue, q.arrivals = l.newQueue(r.Group), arrivals{}
 	}
 	e := newEntry(now, r)
 	e.Returning = l.returning(now, r)
@@ -294,11 +299,12 @@
 		l.remove(g, e)
 		return l.refuse(now, g, r, e, grant.Wait)
 	}
+	q.arrivals.add(now, g.precedenceOf(e))
 	if q.queue.Len() <= l.lengthBound(now, g) {
 		return grant
 	}
 	last := q.queue.Last(now)
-	refusal := l.refuse(now, g, last.Value.request, last, l.expectedWait(now, g, q.queue.Len()))
+	refusal := l.refuse(now, g, last.Value.request, last, l.expectedWait(now, g, last))
 	l.remove(g, last)
 	if last == e {
 		return refusal
@@ -323,18 +329,7 @@
 
 // waitingGrant returns the answer to a request in the queue.
 func (l *Ledger) waitingGrant(now time.Time, g *group, e *entry) Grant {
-	ahead := g.line.queue.Ahead(now, e)
-	return Grant{Verdict: Waiting, Wait: l.expectedWait(now, g, ahead), Queued: g.line.queue.Len()}
-}
-
-// expectedWait returns how long a request with others ahead of it will wait. It is 0 while
-// the rate at which slots become free is not known.
-func (l *Ledger) expectedWait(now time.Time, g *group, ahead int) time.Duration {
-	rate := l.perSecond(now, g)
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return Grant{Verdict: Waiting, Wait: l.expectedWait(now, g, e), Queued: g.line.queue.Len()}
 }
 
 // lengthBound returns how many requests of the group may wait.
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -277,17 +277,14 @@
 }
 
 // maxStart is the expected wait where no slot becomes free.
-const maxStart = time.Hour
+const maxStart = time.Minute
 
 // start returns how long one more request is expected to wait in the zone.
 func (z ZoneLoad) start() time.Duration {
 	if z.Free+z.Batch > 0 {
 		return 0
 	}
-	if z.PerSecond <= 0 {
-		return maxStart
-	}
-	return min(maxStart, time.Duration(float64(z.Waiting+1)/z.PerSecond*float64(time.Second)))
+	return waitBehind(z.Waiting+1, z.PerSecond)
 }
 
 // localLoad returns the load of this zone for a request of the group that finds neither a
