The batch reserve gives way in proportion to what items need

Change: items with time may take twice the slots that all items need to finish on time, and leave the rest of the reserve alone.

--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -243,6 +243,7 @@
 func (u *usage) count(le *lease, by int) {
 	if le.batch {
 		u.batch += by
+		u.use.changeBatch(by)
 		return
 	}
 	u.use.change(u.slots, u.online, u.online+by)
--- a/core/slots/reserve.go
+++ b/core/slots/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -23,6 +24,9 @@
 	// work takes more than the quantile, the reserve is 0; without this pause each slot that
 	// became free went to an item that the next request preempted at once.
 	preemptHold = 300 * time.Millisecond
+	// needFactor is how many slots batch items may take for each one that they need to
+	// finish on time.
+	needFactor = 2
 	// needTTL is how long a holder's statement of what its items need is valid. A holder with
 	// waiting items makes one in each step, at least every 200 ms.
 	needTTL = 500 * time.Millisecond
@@ -37,6 +41,8 @@
 	// slots is the number of slots, taken how many of them online requests take, and beyond
 	// how many online requests are at a target beyond its slots.
 	slots, taken, beyond int
+	// batch is how many slots batch items take.
+	batch int
 	// preemptedAt is when online work last preempted batch.
 	preemptedAt time.Time
 	// needed is what the holders of batch items last stated that their items need.
@@ -53,6 +59,13 @@
 	o.beyond += max(0, after-slots) - max(0, before-slots)
 }
 
+// changeBatch records a change of the batch items at a target.
+func (o *onlineUse) changeBatch(by int) {
+	if o != nil {
+		o.batch += by
+	}
+}
+
 // need is how many slots a holder's batch items need to finish on time, as of at.
 type need struct {
 	slots float64
@@ -70,10 +83,13 @@
 	g.use.needed[r.ID.Holder] = need{r.Needed, now}
 }
 
-// backlog reports whether all batch items together are short of time: they need more than
-// half of the slots that online work leaves in the mean, and so would use more than half of
-// their time.
-func (o *onlineUse) backlog(now time.Time) bool {
+// share is how many slots batch items may take of those that are held back from them: twice
+// what they need to finish on time, so that they use half of their time.
+//
+// Load pattern: batch needs more than the slots that the highest step of online load leaves.
+// A reserve that is either held back or given up would let items run in all slots of each
+// low step, and cancel most of them in the next high one.
+func (o *onlineUse) share(now time.Time) int {
 	sum := 0.0
 	for holder, n := range o.needed {
 		if now.Sub(n.at) > needTTL {
@@ -82,7 +98,7 @@
 		}
 		sum += n.slots
 	}
-	return sum > (float64(o.slots)-o.samples.mean())/2
+	return int(math.Ceil(needFactor * sum))
 }
 
 // reserve is how many free slots online work is expected to need soon: the difference
@@ -102,20 +118,17 @@
 	arrived []int32
 	oldest  int
 	sorted  []int32
-	sum     int
 }
 
 func (w *sampleWindow) len() int { return len(w.sorted) }
 
 func (w *sampleWindow) add(value int) {
 	v := int32(value)
-	w.sum += value
 	if len(w.arrived) < sampleCount {
 		w.arrived = append(w.arrived, v)
 	} else {
 		i, _ := slices.BinarySearch(w.sorted, w.arrived[w.oldest])
 		w.sorted = slices.Delete(w.sorted, i, i+1)
-		w.sum -= int(w.arrived[w.oldest])
 		w.arrived[w.oldest] = v
 		w.oldest = (w.oldest + 1) % sampleCount
 	}
@@ -123,9 +136,6 @@
 	w.sorted = slices.Insert(w.sorted, i, v)
 }
 
-// mean returns the mean of the samples, 0 without any.
-func (w *sampleWindow) mean() float64 { return float64(w.sum) / float64(max(1, len(w.sorted))) }
-
 // quantile returns the smallest sample that at least the share q of the samples do not
 // exceed. There must be a sample.
 func (w *sampleWindow) quantile(q float64) int {
@@ -157,12 +167,13 @@
 		u.slots, u.use = 0, nil
 	}
 	for _, g := range l.groups {
-		g.use.slots, g.use.taken, g.use.beyond = 0, 0, 0
+		g.use.slots, g.use.taken, g.use.beyond, g.use.batch = 0, 0, 0, 0
 		for _, t := range g.targets {
 			u := l.usageOf(t.Start)
 			u.slots, u.use = t.Slots, g.use
 			g.use.slots += t.Slots
 			g.use.change(t.Slots, 0, u.online)
+			g.use.changeBatch(u.batch)
 		}
 	}
 }
@@ -182,10 +193,10 @@
 	return g.use.reserve()
 }
 
-// mustWait reports whether the batch item leaves free slots to online work: neither itself
-// nor all items together are short of time.
+// mustWait reports whether the batch item leaves free slots to online work: it is not short
+// of time, and items have their share of the slots that are held back.
 func (l *Ledger) mustWait(now time.Time, g *group, r Request) bool {
-	return l.policy.BatchReserve && r.hasTime() && !g.use.backlog(now)
+	return l.policy.BatchReserve && r.hasTime() && g.use.batch >= g.use.share(now)
 }
 
 // hasTime reports whether a batch item can wait. An item whose slack is not known comes
--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -131,7 +131,6 @@
 	backlog := func(holder string) func(*slots.Request) {
 		return func(r *slots.Request) { r.ID.Holder, r.Batch, r.Slack, r.Needed = holder, true, 10*time.Second, 4 }
 	}
-	// 16 slots less about 5 that online work takes in the mean: half of that is 5.5.
 	if _, denied := grantedBefore(l, now, backlog("a")); denied.Reserve != 5 {
 		t.Fatalf("%d slots are reserved with 4 slots needed", denied.Reserve)
 	}
