No batch item starts in a slot that online work has just used

Change: as many free slots are held back from all items as online work takes fewer now than at most within 250 ms.

--- a/core/slots/reserve.go
+++ b/core/slots/reserve.go
@@ -20,6 +20,10 @@
 	maxSampleGap = time.Second
 	// reserveQuantile is the quantile of the samples that is kept available to online work.
 	reserveQuantile = 0.9
+	// recentSamples are those of half a second: a run that is cancelled sooner has hardly
+	// recentSamples are those of a quarter of a second. Gaps between online requests are
+	// shorter; after a high step of the load, batch should not lose much of the low one.
+	recentSamples = 5
 	// preemptHold is how long after a preemption items with time get no slot. While online
 	// work takes more than the quantile, the reserve is 0; without this pause each slot that
 	// became free went to an item that the next request preempted at once.
@@ -111,6 +115,14 @@
 	return max(0, min(o.samples.quantile(reserveQuantile)-o.taken, o.slots/2))
 }
 
+// dip returns how many fewer slots online requests take now than at most within the last
+// recentSamples samples.
+//
+// Load pattern: online work that takes nearly all slots, and a few more or less from moment
+// to moment. An item that started in such a gap would be preempted some milliseconds later,
+// and online requests would meet its connection and prompt at the target.
+func (o *onlineUse) dip() int { return max(0, o.samples.recentMax(recentSamples)-o.taken) }
+
 // sampleWindow holds the last sampleCount samples in the order of their arrival and, for
 // the quantile, by size. A sample costs two binary searches and a move of at most 1 KB, a
 // quantile one access.
@@ -136,6 +148,16 @@
 	w.sorted = slices.Insert(w.sorted, i, v)
 }
 
+// recentMax returns the largest of the last n samples, 0 without any.
+func (w *sampleWindow) recentMax(n int) int {
+	largest, count := int32(0), len(w.arrived)
+	for i := range min(n, count) {
+		// The newest sample precedes the oldest one in the ring.
+		largest = max(largest, w.arrived[(w.oldest-1-i+2*count)%count])
+	}
+	return int(largest)
+}
+
 // quantile returns the smallest sample that at least the share q of the samples do not
 // exceed. There must be a sample.
 func (w *sampleWindow) quantile(q float64) int {
@@ -187,10 +209,14 @@
 
 // reserved returns how many free slots of the group are held back from a batch item.
 func (l *Ledger) reserved(now time.Time, g *group, r Request) int {
-	if !l.mustWait(now, g, r) {
+	switch {
+	case !l.policy.BatchReserve || !r.slackKnown():
 		return 0
+	case l.mustWait(now, g, r):
+		return max(g.use.reserve(), g.use.dip())
+	default:
+		return g.use.dip()
 	}
-	return g.use.reserve()
 }
 
 // mustWait reports whether the batch item leaves free slots to online work: it is not short
@@ -199,9 +225,12 @@
 	return l.policy.BatchReserve && r.hasTime() && g.use.batch >= g.use.share(now)
 }
 
-// hasTime reports whether a batch item can wait. An item whose slack is not known comes
-// from a holder that does not compute it, and gets any free slot.
-func (r Request) hasTime() bool { return r.Batch && !r.ShortOfTime && r.Slack != 0 }
+// slackKnown reports whether the holder of a batch item states its slack. An item of one
+// that does not compute it gets any free slot.
+func (r Request) slackKnown() bool { return r.Batch && (r.ShortOfTime || r.Slack != 0) }
+
+// hasTime reports whether a batch item can wait.
+func (r Request) hasTime() bool { return r.slackKnown() && !r.ShortOfTime }
 
 // recentlyPreempted reports whether the item must wait because online work has just
 // preempted others of the group.
--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -71,11 +71,28 @@
 	if n != 4*perTarget-5 || denied.Reserve != 5 {
 		t.Fatalf("%d items got a slot, %d slots are reserved; want %d and 5", n, denied.Reserve, 4*perTarget-5)
 	}
+	now = now.Add(500 * time.Millisecond)
+	if n, _ := grantedBefore(l, now, withTime); n != 0 {
+		t.Fatalf("%d more items with time got a slot later", n)
+	}
 	if n, _ := grantedBefore(l, now, shortOfTime); n != 5 {
 		t.Fatalf("%d items short of time got a slot, want 5", n)
 	}
 }
 
+// Online work takes a few slots more or less from moment to moment. An item that started
+// in such a gap would be preempted at once, even one that is short of time.
+func TestNoItemStartsInASlotThatOnlineWorkHasJustUsed(t *testing.T) {
+	l := reserving(4)
+	now := burst(l, start, 5, 2*time.Second)
+	if n, denied := grantedBefore(l, now.Add(200*time.Millisecond), shortOfTime); n != 4*perTarget-5 || denied.Reserve != 5 {
+		t.Fatalf("%d items got a slot, %d slots are reserved; want %d and 5", n, denied.Reserve, 4*perTarget-5)
+	}
+	if n, _ := grantedBefore(l, now.Add(300*time.Millisecond), shortOfTime); n != 5 {
+		t.Fatalf("%d items got a slot after 300 ms, want 5", n)
+	}
+}
+
 // A high step that lasted ten seconds and is over would keep batch from slots for ever.
 func TestTheReserveEndsWithItsWindow(t *testing.T) {
 	l := reserving(4)
@@ -127,7 +144,7 @@
 // all slots; if they waited until each is short of time, many would finish late.
 func TestABacklogThatIsShortOfTimeAsAWholeGetsAnyFreeSlot(t *testing.T) {
 	l := reserving(4)
-	now := burst(l, start, 5, 2*time.Second)
+	now := burst(l, start, 5, 2*time.Second).Add(300 * time.Millisecond)
 	backlog := func(holder string) func(*slots.Request) {
 		return func(r *slots.Request) { r.ID.Holder, r.Batch, r.Slack, r.Needed = holder, true, 10*time.Second, 4 }
 	}
