Settings: fair_shares without queue is refused

Cause: fair_shares orders the leader's queue; without queue it passed the check and did nothing. Change: the settings are refused with file, section, key and what is allowed. Result: its spec fails before and passes.

--- a/settings/front.go
+++ b/settings/front.go
@@ -145,6 +145,9 @@
 	// No default: daemons with different numbers of partitions would lose jobs.
 	r.decoder.Section("log_service").Require("partitions", "the number of partitions on the platform")
 	f.walk(r)
+	if f.Scheduling.FairShares && !f.Scheduling.Queue {
+		r.decoder.Section("scheduling").Fail("fair_shares", "on without queue", "off, or queue = on")
+	}
 	if problems := r.decoder.Problems(); len(problems) > 0 {
 		return nil, ErrInvalid.Wrap(problems, "the settings are refused").WithProperty(problemsProperty, problems)
 	}
--- a/settings/front_test.go
+++ b/settings/front_test.go
@@ -41,6 +41,10 @@
 			`f.ini:12: [jobs] colour = "red": unknown key; allowed: readable, headroom`),
 		Entry("no memory", "[limits]\nmemory_mb = 0\n",
 			`f.ini:12: [limits] memory_mb = "0": out of range; allowed: whole number from 32 to 1048576`),
+		Entry("fair queueing without the queue", "[scheduling]\nfair_shares = on\n",
+			`f.ini:12: [scheduling] fair_shares = "on": on without queue; allowed: off, or queue = on`),
+		Entry("a toggle with another word", "[scheduling]\nqueue = yes\n",
+			`f.ini:12: [scheduling] queue = "yes": unknown value; allowed: on, off`),
 	)
 
 	It("report every missing key at once", func() {
