Slots: examine a sample first for batch items with the reserve too

Cause: while any slot was held back, and with recent online use one nearly always is, each request of an item examined and sorted all targets of a large group, even if the first 64 had more free slots than are held back or if items had to wait after a preemption. Change: an item gets a target of the sample if the sample alone has more free slots than are held back. An item that must wait after a preemption is denied before targets are examined. The verdicts are the same.

--- a/core/slots/candidates.go
+++ b/core/slots/candidates.go
@@ -47,9 +47,9 @@
 
 // candidates examines sample targets, beginning at a position in the list that seed
 // determines. It returns those that the request can use, the preferred ones first (see
-// order) and equal ones in the order given by seed: the healthy ones, and the degraded ones. Targets that
-// the request excludes come last among the degraded ones, for use if there is no better
-// one.
+// order) and equal ones in the order given by seed: the healthy ones, and the degraded
+// ones. Targets that the request excludes come last among the degraded ones, for use if
+// there is no better one.
 func (l *Ledger) candidates(now time.Time, g *group, r Request, seed uint64, sample int) (healthy, degraded []candidate) {
 	var excluded []candidate
 	healthy = make([]candidate, 0, sample)
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -142,9 +142,12 @@
 		return l.join(now, r, g, seed)
 	}
 	l.recordNeed(now, g, r)
-	if len(g.targets) > sampleSize && !l.holdsBack(now, g, r) {
+	if l.recentlyPreempted(now, g, r) {
+		return l.denyBatch(now, r, l.reserved(now, g, r))
+	}
+	if len(g.targets) > sampleSize {
 		healthy, _ := l.candidates(now, g, r, seed, sampleSize)
-		if c, ok := l.choiceFromSample(r, healthy); ok {
+		if c, ok := l.choiceFromSample(r, healthy); ok && !l.holdsBack(now, g, r, healthy) {
 			return l.grantLease(now, r, c)
 		}
 	}
@@ -174,7 +177,7 @@
 // slot whose item is being preempted counts as taken until that item has ended.
 func (l *Ledger) grantBatch(now time.Time, r Request, g *group, from []candidate) Grant {
 	held := l.reserved(now, g, r)
-	if (held == 0 || held < freeSlots(from)) && !l.recentlyPreempted(now, g, r) {
+	if held == 0 || held < freeSlots(from) {
 		wait := l.requestsWait(g)
 		if c, ok := firstMatch(from, func(c candidate) bool {
 			return c.fits(r) && c.online+c.usage.batch+r.Headroom+c.usage.heldForOnline(now, wait) < c.Slots
@@ -182,6 +185,12 @@
 			return l.grantLease(now, r, c)
 		}
 	}
+	return l.denyBatch(now, r, held)
+}
+
+// denyBatch sends a batch item that gets no slot here to another zone, if that has a free
+// one. held is how many free slots are held back from it here.
+func (l *Ledger) denyBatch(now time.Time, r Request, held int) Grant {
 	grant := l.otherZone(now, r)
 	grant.Reserve = held
 	return grant
--- a/core/slots/reserve.go
+++ b/core/slots/reserve.go
@@ -237,10 +237,14 @@
 	return l.mustWait(now, g, r) && now.Sub(g.use.preemptedAt) < preemptHold
 }
 
-// holdsBack reports whether any free slot may be held back from the request.
-func (l *Ledger) holdsBack(now time.Time, g *group, r Request) bool {
-	return r.Batch && l.policy.BatchReserve &&
-		(l.reserved(now, g, r) > 0 || l.recentlyPreempted(now, g, r) || l.requestsWait(g))
+// holdsBack reports whether a free slot of the sampled targets may be held back from the
+// request. If the sample alone has more free slots than are held back, the group has.
+func (l *Ledger) holdsBack(now time.Time, g *group, r Request, sample []candidate) bool {
+	if !l.policy.BatchReserve || !r.Batch {
+		return false
+	}
+	held := l.reserved(now, g, r)
+	return held > 0 && held >= freeSlots(sample) || l.requestsWait(g)
 }
 
 // requestsWait reports whether online requests of the group wait for a slot, in the queue
--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// In a group of more targets than a grant examines first, an item would get an empty
+// target of the sample although no more slots are free than are held back.
+func TestALargeGroupHoldsBackItsEmptyTargets(t *testing.T) {
+	const targets, online = 100, 50
+	l := slots.NewLedgerWith(slots.Policy{BatchReserve: true})
+	var list []slots.Target
+	for i := range targets {
+		list = append(list, slots.Target{Start: fmt.Sprint("t", i), Slots: 1})
+	}
+	l.SetTargets(map[string][]slots.Target{"g": list})
+	now := burst(l, start, online, 2*time.Second).Add(300 * time.Millisecond)
+	if n, denied := grantedBefore(l, now, withTime); n != targets-online || denied.Reserve != online {
+		t.Fatalf("%d items got a slot, %d slots are reserved; want %d and %d", n, denied.Reserve, targets-online, online)
+	}
+}
+
 // Online work takes a few slots more or less from moment to moment. An item that started
 // in such a gap would be preempted at once, even one that is short of time.
 func TestNoItemStartsInASlotThatOnlineWorkHasJustUsed(t *testing.T) {
