Jobs: an overdue item is short of time before it is given up

Cause: an item that can't finish on time was never short of time, and counts for nothing in what a holder's items need. Where online work takes all slots in each high step, its reserve takes all that are free in the low ones: an overdue item got no slot until it was given up as too old. With the key off it would run in the low steps. Change: batch.NearGivenUp, used by setSlack: such an item is short of time once less than half of its route's retention_s would be left after its run. Result: the item requests a slot like any other that is short of time. The test of setSlack fails without the rule.

--- a/core/batch/short.go
+++ b/core/batch/short.go
@@ -21,6 +21,18 @@
 	return w.Due > 0 && w.Slack() >= 0 && w.Slack() < whole/2
 }
 
+// NearGivenUp reports whether an item that can't finish on time must not wait any longer for
+// a slot that is held back for online work: less than half of the time after which it may
+// be given up would be left after it has run. age is the time since its acceptance, keepFor
+// is 0 if it is never given up.
+//
+// Failure guarded against: online work takes all slots in each high step. Its reserve then
+// takes all that are free in the low steps, and an overdue item would wait until it is
+// given up.
+func NearGivenUp(w Work, age, keepFor time.Duration) bool {
+	return keepFor > 0 && w.Slack() < 0 && keepFor-age-w.Left < keepFor/2
+}
+
 // Needed returns how many slots the items need to finish on time: the largest, over all
 // due times, of the run time due by then divided by the time that is left. Items that can't
 // finish on time are ignored.
--- a/core/batch/short_test.go
+++ b/core/batch/short_test.go
@@ -32,6 +32,30 @@
 	}
 }
 
+// An overdue item that waits for slots that online work always holds back is given up
+// without a result.
+func TestAnOverdueItemIsNearGivenUpAfterHalfOfTheTimeForWhichItIsKept(t *testing.T) {
+	const keep = time.Minute
+	for _, c := range []struct {
+		name string
+		work batch.Work
+		age  time.Duration
+		keep time.Duration
+		want bool
+	}{
+		{"can finish on time", batch.Work{Due: 5 * time.Second, Left: 5 * time.Second}, 55 * time.Second, keep, false},
+		{"exactly half left after its run", batch.Work{Due: -7 * time.Second, Left: 5 * time.Second}, 25 * time.Second, keep, false},
+		{"less than half left after its run", batch.Work{Due: -7 * time.Second, Left: 5 * time.Second}, 25*time.Second + 1, keep, true},
+		{"not overdue, but can't finish on time", batch.Work{Due: time.Second, Left: 5 * time.Second}, 40 * time.Second, keep, true},
+		{"past that time", batch.Work{Due: -50 * time.Second}, 2 * keep, keep, true},
+		{"never given up", batch.Work{Due: -50 * time.Second}, 2 * keep, 0, false},
+	} {
+		if got := batch.NearGivenUp(c.work, c.age, c.keep); got != c.want {
+			t.Errorf("%s: near given up is %t", c.name, got)
+		}
+	}
+}
+
 // Items that each have time may together have none: if the number of slots that they need
 // is too low, the reserve keeps slots from a backlog until it is too late for all of it.
 func TestNeededIsTheNumberOfSlotsThatFinishesAllItemsOnTime(t *testing.T) {
--- a/daemon/jobs/reserve.go
+++ b/daemon/jobs/reserve.go
@@ -8,7 +8,8 @@
 //
 // An item that batch.OnTime puts behind is not short of time. Here slots includes those
 // that are held back: while they are, the items occupy fewer slots than they could, and
-// items that could be on time would be put behind for good.
+// items that could be on time would be put behind for good. An overdue item is short of
+// time once it is near the time at which it is given up.
 func setSlack(list []candidate, works []batch.Work, slots float64, slotsKnown bool) {
 	var onTime []bool
 	if slotsKnown {
@@ -20,7 +21,8 @@
 		if c.slack = w.Slack(); c.slack == 0 {
 			c.slack = 1
 		}
-		c.shortOfTime = (!slotsKnown || onTime[i]) && batch.ShortOfTime(w, c.age+w.Due)
+		c.shortOfTime = (!slotsKnown || onTime[i]) && batch.ShortOfTime(w, c.age+w.Due) ||
+			c.route != nil && batch.NearGivenUp(w, c.age, c.route.KeepFor)
 	}
 }
 
--- a/daemon/jobs/reserve_internal_test.go
+++ b/daemon/jobs/reserve_internal_test.go
@@ -9,6 +9,7 @@
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 )
 
@@ -85,3 +86,18 @@
 		}
 	}
 }
+
+// Online work that takes all slots in each high step holds back all that are free in the
+// low ones. An overdue item that waits for them would end as errored, "too old".
+func TestAnOverdueItemIsShortOfTimeBeforeItIsGivenUp(t *testing.T) {
+	r := &route.Route{Due: 18 * time.Second, KeepFor: time.Minute}
+	for age, want := range map[time.Duration]bool{20 * time.Second: false, 40 * time.Second: true} {
+		for _, slotsKnown := range []bool{false, true} {
+			list := []candidate{{age: age, route: r}}
+			setSlack(list, []batch.Work{{Due: r.Due - age, Left: 5 * time.Second}}, 10, slotsKnown)
+			if list[0].shortOfTime != want {
+				t.Errorf("age %v, slots known %t: short of time is %t", age, slotsKnown, list[0].shortOfTime)
+			}
+		}
+	}
+}
