Slots: forget what holders of batch items need with each sample

Cause: what a holder states was removed only when an item with time requested a slot. Where all items are short of time, or their holders state no slack, an entry for each address that ever asked remained for as long as the daemon led. Result: nothing is kept 501 ms after the last request; the test fails before.

--- a/core/slots/reserve.go
+++ b/core/slots/reserve.go
@@ -93,17 +93,19 @@
 // A reserve that is either held back or given up would let items run in all slots of each
 // low step, and cancel most of them in the next high one.
 func (o *onlineUse) share(now time.Time) int {
+	o.forgetNeeds(now)
 	sum := 0.0
-	for holder, n := range o.needed {
-		if now.Sub(n.at) > needTTL {
-			delete(o.needed, holder)
-			continue
-		}
+	for _, n := range o.needed {
 		sum += n.slots
 	}
 	return int(math.Ceil(needFactor * sum))
 }
 
+// forgetNeeds removes what holders stated more than needTTL ago.
+func (o *onlineUse) forgetNeeds(now time.Time) {
+	maps.DeleteFunc(o.needed, func(_ string, n need) bool { return now.Sub(n.at) > needTTL })
+}
+
 // reserve is how many free slots online work is expected to need soon: the difference
 // between the 90% quantile of its recent use and its present use, at most half of the
 // slots.
@@ -175,6 +177,9 @@
 			g.use.samples = sampleWindow{}
 		}
 	}
+	for _, g := range l.groups {
+		g.use.forgetNeeds(now)
+	}
 	for ; !l.nextSample.After(now); l.nextSample = l.nextSample.Add(sampleInterval) {
 		for _, g := range l.groups {
 			g.use.samples.add(g.use.taken)
--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -180,6 +180,26 @@
 	}
 }
 
+// Daemons are replaced by others with new addresses. Where no item with time requests a
+// slot, what each of them stated would be kept for as long as the daemon leads.
+func TestWhatHoldersNeedIsForgotten(t *testing.T) {
+	l := reserving(1)
+	now := start
+	for _, kind := range []func(*slots.Request){batch, shortOfTime, withTime} {
+		for i := range 100 {
+			l.Grant(now, request(kind, holder(fmt.Sprint("h", i))), 0)
+		}
+		if l.Needs() == 0 {
+			t.Fatal("no need is recorded")
+		}
+		now = now.Add(501 * time.Millisecond)
+		l.Expire(now)
+		if n := l.Needs(); n != 0 {
+			t.Fatalf("what %d holders need is kept", n)
+		}
+	}
+}
+
 // While online work takes more than ever before, nothing is reserved. Each slot that
 // becomes free would go to an item that the next request preempts.
 func TestItemsWithTimeGetNoSlotDirectlyAfterAPreemption(t *testing.T) {
