Jobs: a cancelled submission is no outage of the log

Cause: on a daemon that does not follow the acceptances, each submission refused with log_unavailable counted as a failure of the log, also one that was refused because its caller had gone away. Change: recordRefusal ignores cancelled submissions, as recordCall does.

--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -49,7 +49,7 @@
 // final for this call: nothing that could accept the job was sent.
 func (j *Jobs) Submit(ctx context.Context, s *Submission, r *route.Route) *outcome.Refusal {
 	refusal := j.submitWithFallback(ctx, s, r, newRecord(s, r))
-	j.recordRefusal(refusal)
+	j.recordRefusal(ctx, refusal)
 	refusal = j.paced(ctx, refusal)
 	j.logSubmitted(s, r, refusal, "caller")
 	return refusal
--- a/daemon/jobs/outage.go
+++ b/daemon/jobs/outage.go
@@ -47,9 +47,12 @@
 
 // recordRefusal records a refused submission as a call to the log that failed, on a daemon
 // that does not follow the acceptances and submits jobs through others. One that follows
-// them has seen the failure itself.
-func (j *Jobs) recordRefusal(refusal *outcome.Refusal) {
-	if refusal != nil && refusal.Code == outcome.LogUnavailable && !j.following.running() {
+// them has seen the failure itself. As in recordCall, a cancelled submission says nothing.
+func (j *Jobs) recordRefusal(ctx context.Context, refusal *outcome.Refusal) {
+	if refusal == nil || refusal.Code != outcome.LogUnavailable || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	if !j.following.running() {
 		j.outage.record(time.Now(), refusal)
 	}
 }
