Slots: the test of slow runs shows that a run counts once

Cause: without the check in isSlow that a run has counted, the test still passed: 100 ms later the run was shorter than three times the time that is expected by the rate it had raised. Change: the test waits for 900 ms. Result: it fails without the check.

--- a/core/slots/rates_test.go
+++ b/core/slots/rates_test.go
@@ -178,7 +178,7 @@
 		report(1100 * time.Millisecond)
 		slow := rate("t0")
 		Expect(slow).To(BeNumerically("~", 1.2, 0.05))
-		report(100 * time.Millisecond)
+		report(900 * time.Millisecond) // longer than three times the time expected now
 		Expect(rate("t0")).To(Equal(slow), "one run counts once")
 		ended(r, "t0", 4*time.Second)
 		Expect(rate("t0")).To(Equal(slow), "one run counts once")
