Slots: the test of an expired need counts the items that got a slot

Cause: with needTTL ignored the test still passed: the items then took all slots, and the last one, without a free slot, was told the same reserve. Change: the test also checks how many items got a slot.

--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -175,8 +175,8 @@
 	l = reserving(4)
 	now = burst(l, now, 5, 2*time.Second)
 	l.Grant(now, request(backlog("a")), 0)
-	if _, denied := grantedBefore(l, now.Add(501*time.Millisecond), backlog("b")); denied.Reserve != 5 {
-		t.Fatalf("%d slots are reserved after a holder's need has expired", denied.Reserve)
+	if n, denied := grantedBefore(l, now.Add(501*time.Millisecond), backlog("b")); n != 4*perTarget-5-1 || denied.Reserve != 5 {
+		t.Fatalf("%d items got a slot, %d slots are reserved after a holder's need has expired; want %d and 5", n, denied.Reserve, 4*perTarget-5-1)
 	}
 }
 
