Slots: test that a notified item that still runs is preempted first

Cause: no test failed when victims ignored an earlier notice. Change: add one. Result: without the comparison another item is preempted, and the test fails.

--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -266,6 +266,40 @@
 	}
 }
 
+// A notice was lost. If the next request preempted another item, two would be cancelled for
+// the slots of one.
+func TestAnItemThatWasNotifiedAndStillRunsIsPreemptedFirst(t *testing.T) {
+	l := reserving(1)
+	var ids []slots.ID
+	item := func(now time.Time, slack time.Duration) {
+		r := request(shortOfTime)
+		r.Slack = slack
+		ids = append(ids, r.ID)
+		if got := l.Grant(now, r, 0); got.Verdict != slots.Granted {
+			t.Fatalf("no slot: %v", got)
+		}
+	}
+	for range perTarget {
+		item(start, time.Second)
+	}
+	notified := l.Grant(start, request(), 0).Yield
+	if len(notified) != 1 {
+		t.Fatalf("%v is preempted", notified)
+	}
+	now := start.Add(time.Second)
+	for _, id := range ids {
+		if id != notified[0] {
+			l.End(now, id.Holder, []slots.Ended{{Number: id.Number, Target: "t0", Outcome: routing.Neutral}})
+		}
+	}
+	for range perTarget - 2 {
+		item(now, time.Minute)
+	}
+	if got := l.Grant(now.Add(time.Second/2), request(), 0).Yield; len(got) != 1 || got[0] != notified[0] {
+		t.Fatalf("%v is preempted, want %v", got, notified)
+	}
+}
+
 // Runs that are cancelled a few milliseconds after their start produce nothing. Of items
 // with the same time, and of items learned from reports, those that have run for a while
 // are cancelled.
