Slots: test that no more notices are repeated than slots are lacking

Cause: no test failed when all lost notices were repeated. Change: add one. Result: without the bound in repeat two items are named where one slot is lacking, and the test fails.

--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -353,6 +353,33 @@
 	}
 }
 
+// Two notices are lost and then an item ends by itself. Only one more must be stopped.
+func TestNoMoreNoticesAreRepeatedThanTheTargetLacksSlots(t *testing.T) {
+	l := reserving(1)
+	var ids []slots.ID
+	for range perTarget {
+		r := request(withTime)
+		ids = append(ids, r.ID)
+		l.Grant(start, r, 0)
+	}
+	notified := map[slots.ID]bool{}
+	for range 2 {
+		for _, id := range l.Grant(start, request(), 0).Yield {
+			notified[id] = true
+		}
+	}
+	now := start.Add(500 * time.Millisecond)
+	for _, id := range ids {
+		if !notified[id] {
+			l.End(now, id.Holder, []slots.Ended{{Number: id.Number, Target: "t0", Outcome: routing.Neutral}})
+			break
+		}
+	}
+	if got := l.RepeatPreemptions(now); len(got) != 1 || !notified[got[0]] {
+		t.Fatalf("%v are repeated, want one of %v", got, notified)
+	}
+}
+
 // An item with time is denied in every zone in turn, and each time one free slot less is
 // left in the report of that zone for online requests.
 func TestItemsAreNotSentToAZoneWhoseFreeSlotsAreHeldBack(t *testing.T) {
