--- a/core/slots/reserve_test.go
+++ b/core/slots/reserve_test.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// In a group of more targets than a grant examines first, an item would get an empty
+// target of the sample although no more slots are free than are held back.
+func TestALargeGroupHoldsBackItsEmptyTargets(t *testing.T) {
+	const targets, online = 100, 50
+	l := slots.NewLedgerWith(slots.Policy{BatchReserve: true})
+	var list []slots.Target
+	for i := range targets {
+		list = append(list, slots.Target{Start: fmt.Sprint("t", i), Slots: 1})
+	}
+	l.SetTargets(map[string][]slots.Target{"g": list})
+	now := burst(l, start, online, 2*time.Second).Add(300 * time.Millisecond)
+	if n, denied := grantedBefore(l, now, withTime); n != targets-online || denied.Reserve != online {
+		t.Fatalf("%d items got a slot, %d slots are reserved; want %d and %d", n, denied.Reserve, targets-online, online)
+	}
+}
+
 // Online work takes a few slots more or less from moment to moment. An item that started
 // in such a gap would be preempted at once, even one that is short of time.
 func TestNoItemStartsInASlotThatOnlineWorkHasJustUsed(t *testing.T) {
@@ -159,8 +175,28 @@
 	l = reserving(4)
 	now = burst(l, now, 5, 2*time.Second)
 	l.Grant(now, request(backlog("a")), 0)
-	if _, denied := grantedBefore(l, now.Add(501*time.Millisecond), backlog("b")); denied.Reserve != 5 {
-		t.Fatalf("%d slots are reserved after a holder's need has expired", denied.Reserve)
+	if n, denied := grantedBefore(l, now.Add(501*time.Millisecond), backlog("b")); n != 4*perTarget-5-1 || denied.Reserve != 5 {
+		t.Fatalf("%d items got a slot, %d slots are reserved after a holder's need has expired; want %d and 5", n, denied.Reserve, 4*perTarget-5-1)
+	}
+}
+
+// Daemons are replaced by others with new addresses. Where no item with time requests a
+// slot, what each of them stated would be kept for as long as the daemon leads.
+func TestWhatHoldersNeedIsForgotten(t *testing.T) {
+	l := reserving(1)
+	now := start
+	for _, kind := range []func(*slots.Request){batch, shortOfTime, withTime} {
+		for i := range 100 {
+			l.Grant(now, request(kind, holder(fmt.Sprint("h", i))), 0)
+		}
+		if l.Needs() == 0 {
+			t.Fatal("no need is recorded")
+		}
+		now = now.Add(501 * time.Millisecond)
+		l.Expire(now)
+		if n := l.Needs(); n != 0 {
+			t.Fatalf("what %d holders need is kept", n)
+		}
 	}
 }
 
@@ -230,6 +266,40 @@
 	}
 }
 
+// A notice was lost. If the next request preempted another item, two would be cancelled for
+// the slots of one.
+func TestAnItemThatWasNotifiedAndStillRunsIsPreemptedFirst(t *testing.T) {
+	l := reserving(1)
+	var ids []slots.ID
+	item := func(now time.Time, slack time.Duration) {
+		r := request(shortOfTime)
+		r.Slack = slack
+		ids = append(ids, r.ID)
+		if got := l.Grant(now, r, 0); got.Verdict != slots.Granted {
+			t.Fatalf("no slot: %v", got)
+		}
+	}
+	for range perTarget {
+		item(start, time.Second)
+	}
+	notified := l.Grant(start, request(), 0).Yield
+	if len(notified) != 1 {
+		t.Fatalf("%v is preempted", notified)
+	}
+	now := start.Add(time.Second)
+	for _, id := range ids {
+		if id != notified[0] {
+			l.End(now, id.Holder, []slots.Ended{{Number: id.Number, Target: "t0", Outcome: routing.Neutral}})
+		}
+	}
+	for range perTarget - 2 {
+		item(now, time.Minute)
+	}
+	if got := l.Grant(now.Add(time.Second/2), request(), 0).Yield; len(got) != 1 || got[0] != notified[0] {
+		t.Fatalf("%v is preempted, want %v", got, notified)
+	}
+}
+
 // Runs that are cancelled a few milliseconds after their start produce nothing. Of items
 // with the same time, and of items learned from reports, those that have run for a while
 // are cancelled.
@@ -283,6 +353,33 @@
 	}
 }
 
+// Two notices are lost and then an item ends by itself. Only one more must be stopped.
+func TestNoMoreNoticesAreRepeatedThanTheTargetLacksSlots(t *testing.T) {
+	l := reserving(1)
+	var ids []slots.ID
+	for range perTarget {
+		r := request(withTime)
+		ids = append(ids, r.ID)
+		l.Grant(start, r, 0)
+	}
+	notified := map[slots.ID]bool{}
+	for range 2 {
+		for _, id := range l.Grant(start, request(), 0).Yield {
+			notified[id] = true
+		}
+	}
+	now := start.Add(500 * time.Millisecond)
+	for _, id := range ids {
+		if !notified[id] {
+			l.End(now, id.Holder, []slots.Ended{{Number: id.Number, Target: "t0", Outcome: routing.Neutral}})
+			break
+		}
+	}
+	if got := l.RepeatPreemptions(now); len(got) != 1 || !notified[got[0]] {
+		t.Fatalf("%v are repeated, want one of %v", got, notified)
+	}
+}
+
 // An item with time is denied in every zone in turn, and each time one free slot less is
 // left in the report of that zone for online requests.
 func TestItemsAreNotSentToAZoneWhoseFreeSlotsAreHeldBack(t *testing.T) {
