Grants choose a target without sorting and copying all of them

Cause: each grant copied every target's description into a new list, sorted it to use one entry, looked each target up by name, and counted preempted items by walking all leases of each target. Change: candidates point to their targets, the preferred one is searched for, the list's memory is kept, a group knows its targets' states, and a target its preempted leases.

--- a/core/slots/candidates.go
+++ b/core/slots/candidates.go
@@ -8,7 +8,7 @@
 
 // candidate is a target that may be chosen.
 type candidate struct {
-	Target
+	*Target
 	usage *usage
 	// online counts the online requests there; taken counts those and the batch items
 	// that are not being preempted.
@@ -18,17 +18,17 @@
 }
 
 // cost is proportional to when one more request would end at the target.
-func (c candidate) cost() float64 { return float64(c.taken+1) * c.rate }
+func (c *candidate) cost() float64 { return float64(c.taken+1) * c.rate }
 
-func (c candidate) free() bool { return c.taken < c.Slots }
+func (c *candidate) free() bool { return c.taken < c.Slots }
 
 // empty reports whether nothing runs at the target, so that no other is better for r.
-func (c candidate) empty(r Request) bool {
+func (c *candidate) empty(r Request) bool {
 	return c.taken == 0 && c.usage.batch == 0 && (c.Slots > r.Headroom || !r.Batch)
 }
 
 // fits reports whether the target has a slot for r that needs no preemption.
-func (c candidate) fits(r Request) bool {
+func (c *candidate) fits(r Request) bool {
 	if r.Batch {
 		return c.online+c.usage.batch+r.Headroom < c.Slots
 	}
@@ -36,8 +36,11 @@
 }
 
 // candidateAt returns the present state of a target.
-func (l *Ledger) candidateAt(now time.Time, t Target) candidate {
-	u := l.usageOf(t.Start)
+func (l *Ledger) candidateAt(now time.Time, t *Target) candidate {
+	return l.candidateOf(now, t, l.usageOf(t.Start))
+}
+
+func (l *Ledger) candidateOf(now time.Time, t *Target, u *usage) candidate {
 	c := candidate{Target: t, usage: u, online: u.online, taken: u.online, rate: l.rateOf(now, u)}
 	if u.batch > 0 {
 		c.taken += u.notPreempted(now)
@@ -46,17 +49,18 @@
 }
 
 // candidates examines sample targets, beginning at a position in the list that seed
-// determines. It returns those that the request can use, the preferred ones first (see
-// order) and equal ones in the order given by seed: the healthy ones, and the degraded ones. Targets that
-// the request excludes come last among the degraded ones, for use if there is no better
-// one.
+// determines. It returns those that the request can use, in the order given by seed: the
+// healthy ones, and the degraded ones, these ordered by preference (see order). Targets
+// that the request excludes come last among the degraded ones, for use if there is no
+// better one. The healthy ones are valid until the next call.
 func (l *Ledger) candidates(now time.Time, g *group, r Request, seed uint64, sample int) (healthy, degraded []candidate) {
 	var excluded []candidate
-	healthy = make([]candidate, 0, sample)
+	healthy = l.scratch[:0]
 	n := len(g.targets)
 	for i := range sample {
-		t := g.targets[(int(seed%uint64(n))+i)%n]
-		c := l.candidateAt(now, t)
+		at := (int(seed%uint64(n)) + i) % n
+		t := &g.targets[at]
+		c := l.candidateOf(now, t, g.usages[at])
 		switch {
 		case slices.Contains(r.Exclude, t.Start):
 			excluded = append(excluded, c)
@@ -66,20 +70,27 @@
 			healthy = append(healthy, c)
 		}
 	}
-	return l.order(healthy), append(l.order(degraded), l.order(excluded)...)
+	l.scratch = healthy
+	return healthy, append(l.order(degraded), l.order(excluded)...)
 }
 
 // order returns the candidates in the order of preference, equal ones in their given order:
 // the least taken first, or with TargetRates those with a free slot first, and among these
 // the one that would end one more request first (weighted least connections).
 func (l *Ledger) order(list []candidate) []candidate {
-	if l.policy.TargetRates {
-		return byCost(list)
+	if len(list) < 2 {
+		return list
+	}
+	keys := make([]costKey, len(list))
+	for i := range list {
+		keys[i] = l.costKey(list, i)
+	}
+	slices.SortFunc(keys, costKey.compare)
+	ordered := make([]candidate, len(list))
+	for i, k := range keys {
+		ordered[i] = list[k.index]
 	}
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.taken, b.taken), cmp.Compare(a.online, b.online))
-	})
-	return list
+	return ordered
 }
 
 // costKey determines a candidate's position in the order by cost. In a group of 2,000
@@ -102,33 +113,29 @@
 	}
 }
 
-// byCost orders candidates by cost. Those without a free slot are compared by the number of
-// their requests: the wait there is estimated from the group's mean time and not from rates.
-func byCost(list []candidate) []candidate {
-	keys := make([]costKey, len(list))
-	for i := range list {
-		c := &list[i]
-		keys[i] = costKey{full: !c.free(), taken: c.taken, online: c.online, index: i}
-		if c.free() {
-			keys[i].cost = c.cost()
-		}
+// costKey returns the key of a candidate of the list. With rates, those without a free slot
+// are compared by the number of their requests: the wait there is estimated from the
+// group's mean time and not from rates.
+func (l *Ledger) costKey(list []candidate, i int) costKey {
+	c := &list[i]
+	key := costKey{taken: c.taken, online: c.online, index: i}
+	if !l.policy.TargetRates {
+		return key
 	}
-	slices.SortFunc(keys, costKey.compare)
-	ordered := make([]candidate, len(list))
-	for i, k := range keys {
-		ordered[i] = list[k.index]
+	if key.full = !c.free(); !key.full {
+		key.cost = c.cost()
 	}
-	return ordered
+	return key
 }
 
 // choiceFromSample returns the choice among a sample of healthy candidates if that needs
 // no further search: an empty target, or one of the sample that is preferred to it.
 func (l *Ledger) choiceFromSample(r Request, healthy []candidate) (candidate, bool) {
-	empty, found := firstMatch(healthy, func(c candidate) bool { return c.empty(r) })
+	empty, found := l.preferred(healthy, func(c *candidate) bool { return c.empty(r) })
 	if !found || !l.policy.TargetRates {
 		return empty, found
 	}
-	if c, ok := firstMatch(healthy, func(c candidate) bool { return c.fits(r) }); ok && c.cost() < empty.cost() {
+	if c, ok := l.preferred(healthy, func(c *candidate) bool { return c.fits(r) }); ok && c.cost() < empty.cost() {
 		return c, true
 	}
 	return empty, true
@@ -157,11 +164,21 @@
 	return free
 }
 
-func firstMatch(list []candidate, fits func(candidate) bool) (candidate, bool) {
-	for _, c := range list {
-		if fits(c) {
-			return c, true
+// preferred returns the candidate that fits and comes first by preference (see order). Most
+// grants need no more than this one, and so the list is not sorted.
+func (l *Ledger) preferred(list []candidate, fits func(*candidate) bool) (candidate, bool) {
+	best := -1
+	var bestKey costKey
+	for i := range list {
+		if !fits(&list[i]) {
+			continue
 		}
+		if key := l.costKey(list, i); best < 0 || key.compare(bestKey) < 0 {
+			best, bestKey = i, key
+		}
+	}
+	if best < 0 {
+		return candidate{}, false
 	}
-	return candidate{}, false
+	return list[best], true
 }
--- a/core/slots/dispatch.go
+++ b/core/slots/dispatch.go
@@ -20,7 +20,7 @@
 	for _, start := range slices.Sorted(maps.Keys(l.waiting.vacated)) {
 		delete(l.waiting.vacated, start)
 		if at, known := l.waiting.placed[start]; known {
-			l.fill(now, l.groups[at.group], at.Target)
+			l.fill(now, l.groups[at.group], &at.Target)
 		}
 	}
 	for _, name := range l.groupsWithWaiting() {
@@ -65,14 +65,14 @@
 func (l *Ledger) scan(now time.Time, g *group) {
 	healthy := false
 	var room []candidate
-	for _, t := range g.targets {
-		u := l.usageOf(t.Start)
+	for i := range g.targets {
+		t, u := &g.targets[i], g.usages[i]
 		if u.degraded(now, false) {
 			continue
 		}
 		healthy = true
 		if u.online < t.Slots+g.ahead() {
-			room = append(room, l.candidateAt(now, t))
+			room = append(room, l.candidateOf(now, t, u))
 		}
 	}
 	for _, c := range l.order(room) {
@@ -103,7 +103,7 @@
 }
 
 // fill grants the room of a target to the first waiting requests that can use it.
-func (l *Ledger) fill(now time.Time, g *group, t Target) {
+func (l *Ledger) fill(now time.Time, g *group, t *Target) {
 	for g.line.length() > 0 {
 		c := l.candidateAt(now, t)
 		if c.online >= c.Slots+g.ahead() {
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -152,13 +152,13 @@
 	if r.Batch {
 		return l.grantBatch(now, r, g, healthy)
 	}
-	if c, ok := firstMatch(healthy, candidate.free); ok {
+	if c, ok := l.preferred(healthy, (*candidate).free); ok {
 		return l.grantLease(now, r, c)
 	}
 	if !l.mayPreempt(r) {
 		return Grant{Verdict: None}
 	}
-	if c, ok := firstMatch(healthy, func(c candidate) bool { return c.online < c.Slots }); ok {
+	if c, ok := l.preferred(healthy, func(c *candidate) bool { return c.online < c.Slots }); ok {
 		return l.grantLease(now, r, c)
 	}
 	if grant := l.otherZone(now, r); grant.Verdict == Elsewhere {
@@ -176,7 +176,7 @@
 	held := l.reserved(now, g, r)
 	if (held == 0 || held < freeSlots(from)) && !l.recentlyPreempted(now, g, r) {
 		wait := l.requestsWait(g)
-		if c, ok := firstMatch(from, func(c candidate) bool {
+		if c, ok := l.preferred(from, func(c *candidate) bool {
 			return c.fits(r) && c.online+c.usage.batch+r.Headroom+c.usage.heldForOnline(now, wait) < c.Slots
 		}); ok {
 			return l.grantLease(now, r, c)
@@ -193,7 +193,7 @@
 	le := l.add(now, r.ID, Running{Number: r.ID.Number, Target: c.Start, Batch: r.Batch})
 	le.group, le.work, le.slack = r.Group, r.Work, r.Slack
 	le.timed = !r.Batch && c.online+c.usage.batch < c.Slots
-	grant := Grant{Verdict: Granted, Target: c.Start, At: c.Target, Running: c.taken}
+	grant := Grant{Verdict: Granted, Target: c.Start, At: *c.Target, Running: c.taken}
 	if r.MayWait {
 		kept := grant
 		le.grant = &kept
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -94,10 +94,14 @@
 	fairness fairness
 	// nextSample is when the use by online work is sampled next; see reserve.go.
 	nextSample time.Time
+	// scratch is the memory of candidates.
+	scratch []candidate
 }
 
 type group struct {
 	targets []Target
+	// usages holds the state of each target.
+	usages []*usage
 	// use is the use of the targets by online requests.
 	use *onlineUse
 	// serviceTime is that of online requests.
@@ -114,7 +118,10 @@
 	// group is the target's group, "" if the target may get no work.
 	group string
 	// leases holds the leases of the target.
-	leases      map[*lease]bool
+	leases map[*lease]bool
+	// preempted holds the batch leases of the target that were preempted and have not ended.
+	// Each grant counts them at each target it examines.
+	preempted   []*lease
 	degradation routing.Degradation
 	rate        targetRate
 	// slots is the number of the target's slots and use that of its group's online
@@ -172,7 +179,9 @@
 		}
 		groups[name] = g
 		for _, t := range list {
-			l.usageOf(t.Start).group = name
+			u := l.usageOf(t.Start)
+			u.group = name
+			g.usages = append(g.usages, u)
 		}
 	}
 	l.replaceGroups(groups)
@@ -258,6 +267,9 @@
 	}
 	u := l.usageOf(le.target)
 	delete(u.leases, le)
+	if !le.preemptUntil.IsZero() {
+		u.preempted = slices.DeleteFunc(u.preempted, func(p *lease) bool { return p == le })
+	}
 	u.count(le, -1)
 	l.slotFreed(le.target)
 }
--- a/core/slots/preempt.go
+++ b/core/slots/preempt.go
@@ -14,8 +14,8 @@
 // notPreempted counts the batch items that are not being preempted.
 func (u *usage) notPreempted(now time.Time) int {
 	n := u.batch
-	for le := range u.leases {
-		if le.batch && now.Before(le.preemptUntil) {
+	for _, le := range u.preempted {
+		if now.Before(le.preemptUntil) {
 			n--
 		}
 	}
@@ -30,6 +30,9 @@
 	victims := u.victims(now)
 	var preempted []ID
 	for _, le := range victims[:min(n, len(victims))] {
+		if le.preemptUntil.IsZero() {
+			u.preempted = append(u.preempted, le)
+		}
 		le.preemptUntil = now.Add(preemptTime)
 		preempted = append(preempted, le.id)
 	}
@@ -105,8 +108,8 @@
 func (u *usage) repeat(now time.Time) []ID {
 	excess := u.online + u.notPreempted(now) - u.slots
 	notified := 0
-	for le := range u.leases {
-		if le.batch && !le.preemptUntil.IsZero() && !now.Before(le.preemptUntil) {
+	for _, le := range u.preempted {
+		if !now.Before(le.preemptUntil) {
 			notified++
 		}
 	}
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -211,16 +211,16 @@
 func (l *Ledger) join(now time.Time, r Request, g *group, seed uint64) Grant {
 	l.dispatch(now)
 	healthy, _ := l.candidates(now, g, r, seed, min(sampleSize, len(g.targets)))
-	fits := func(c candidate) bool { return c.taken < c.Slots }
+	fits := (*candidate).free
 	if l.mayPreempt(r) {
-		fits = func(c candidate) bool { return c.online < c.Slots }
+		fits = func(c *candidate) bool { return c.online < c.Slots }
 	}
-	for _, c := range healthy {
-		if !fits(c) {
+	for _, c := range l.order(healthy) {
+		if !fits(&c) {
 			continue
 		}
 		l.fill(now, g, c.Target)
-		if left := l.candidateAt(now, c.Target); fits(left) {
+		if left := l.candidateAt(now, c.Target); fits(&left) {
 			return l.grantLease(now, r, left)
 		}
 	}
@@ -249,13 +249,13 @@
 // becomes free is of use to it.
 func (l *Ledger) queue(now time.Time, r Request, g *group, healthy, degraded []candidate) Grant {
 	if l.mayWait(r) && len(healthy) > 0 {
-		fits := func(c candidate) bool { return c.online < c.Slots+g.ahead() && g.waitAt(c) <= r.Patience }
-		if c, ok := firstMatch(healthy, fits); ok && g.line.length() == 0 {
+		fits := func(c *candidate) bool { return c.online < c.Slots+g.ahead() && g.waitAt(*c) <= r.Patience }
+		if c, ok := l.preferred(healthy, fits); ok && g.line.length() == 0 {
 			return l.grantLease(now, r, c)
 		}
 		return l.enqueue(now, r, g)
 	}
-	return l.queueAtTarget(now, r, g, append(healthy, degraded...))
+	return l.queueAtTarget(now, r, g, append(l.order(healthy), degraded...))
 }
 
 // queueAtTarget grants the target with the shortest queue if that is short enough.
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -89,8 +89,8 @@
 func (l *Ledger) FreeSlots(now time.Time) map[string]int {
 	free := map[string]int{}
 	for name, g := range l.groups {
-		for _, t := range g.targets {
-			u := l.usageOf(t.Start)
+		for i, t := range g.targets {
+			u := g.usages[i]
 			if !u.degraded(now, false) {
 				free[name] += max(0, t.Slots-u.online-u.notPreempted(now))
 			}
@@ -108,8 +108,8 @@
 	loads := make(map[string]ZoneLoad, len(l.groups))
 	for name, g := range l.groups {
 		load := ZoneLoad{Waiting: l.waitingCount(g), PerSecond: l.perSecond(now, g)}
-		for _, t := range g.targets {
-			u := l.usageOf(t.Start)
+		for i, t := range g.targets {
+			u := g.usages[i]
 			if u.degraded(now, false) {
 				continue
 			}
@@ -126,8 +126,8 @@
 // queue, and those beyond the slots of each target.
 func (l *Ledger) waitingCount(g *group) int {
 	n := g.line.length()
-	for _, t := range g.targets {
-		n += max(0, l.usageOf(t.Start).online-t.Slots)
+	for i, t := range g.targets {
+		n += max(0, g.usages[i].online-t.Slots)
 	}
 	return n
 }
@@ -143,8 +143,8 @@
 		return counted
 	}
 	slots := 0
-	for _, t := range g.targets {
-		if !l.usageOf(t.Start).degraded(now, false) {
+	for i, t := range g.targets {
+		if !g.usages[i].degraded(now, false) {
 			slots += t.Slots
 		}
 	}
