Replays of core/slots look only at runs that end

Cause: the models walked all runs, finished items included, in each step of 1 ms, and built the counts of all targets for each online request. Change: they keep when the next run ends, and the counts they need.

--- a/core/slots/replay_test.go
+++ b/core/slots/replay_test.go
@@ -1,7 +1,6 @@
 package slots_test
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -70,6 +69,8 @@
 	// heldBack is how many slots were held back from an item at heldBackAt.
 	heldBack   int
 	heldBackAt time.Time
+	// nextEnd is no later than the first end of a run.
+	nextEnd time.Time
 }
 
 // replayResult is what a reserveReplay counts.
@@ -94,15 +95,18 @@
 	arrivals, random *rand.Rand
 	next             uint64
 	online           map[uint64]slots.Running
-	ends             map[uint64]time.Time
-	holders          []*replayHolder
-	runs             map[slots.ID]*replayItem
-	count            replayResult
+	// ends holds the numbers of the online requests that end at each tick, onlineAt how many
+	// run at each target.
+	ends     map[time.Time][]uint64
+	onlineAt map[string]int
+	holders  []*replayHolder
+	runs     map[slots.ID]*replayItem
+	count    replayResult
 }
 
 func newReplayZone(policy slots.Policy, seed uint64, holders int) *replayZone {
 	z := &replayZone{now: start, policy: policy, ledger: slots.NewLedgerWith(policy), arrivals: rand.New(rand.NewPCG(seed, 18)), random: rand.New(rand.NewPCG(seed, 19)),
-		online: map[uint64]slots.Running{}, ends: map[uint64]time.Time{}, runs: map[slots.ID]*replayItem{}}
+		online: map[uint64]slots.Running{}, ends: map[time.Time][]uint64{}, onlineAt: map[string]int{}, runs: map[slots.ID]*replayItem{}}
 	var list []slots.Target
 	for i := range replayTargets {
 		list = append(list, slots.Target{Start: fmt.Sprint("t", i), Slots: replaySlots})
@@ -170,18 +174,12 @@
 }
 
 func (z *replayZone) endOnline() {
-	var ended []uint64
-	for number, at := range z.ends {
-		if !at.After(z.now) {
-			ended = append(ended, number)
-		}
-	}
-	slices.Sort(ended)
-	for _, number := range ended {
+	for _, number := range z.ends[z.now] {
+		z.onlineAt[z.online[number].Target]--
 		z.ledger.End(z.now, "h", []slots.Ended{{Number: number, Target: z.online[number].Target, Outcome: routing.Succeeded, Took: onlineTime}})
-		delete(z.ends, number)
 		delete(z.online, number)
 	}
+	delete(z.ends, z.now)
 }
 
 // request requests a slot for an online request.
@@ -198,11 +196,14 @@
 	if got.Running < replaySlots {
 		z.count.onlineFree++
 	}
-	if z.ledger.Counts()[got.Target].Online > replaySlots {
+	z.onlineAt[got.Target]++
+	if z.onlineAt[got.Target] > replaySlots {
 		z.count.onlineQueued++
 	}
 	z.online[z.next] = slots.Running{Number: z.next, Target: got.Target}
-	z.ends[z.next] = z.now.Add(took)
+	// Rounded up to the tick at which the end is seen.
+	end := z.now.Add((took + replayTick - 1).Truncate(replayTick))
+	z.ends[end] = append(z.ends[end], z.next)
 	z.stop(got.Yield)
 }
 
@@ -211,6 +212,7 @@
 	for _, id := range leases {
 		if i := z.runs[id]; i != nil && i.stopAt.IsZero() {
 			i.stopAt = z.now.Add(noticeDelay + time.Duration(z.random.Int64N(int64(holderStep))))
+			z.holders[slices.IndexFunc(z.holders, func(h *replayHolder) bool { return h.name == id.Holder })].endsBy(i.stopAt)
 		}
 	}
 }
@@ -218,12 +220,20 @@
 // endItems ends the runs that are complete or cancelled.
 func (z *replayZone) endItems() {
 	for _, h := range z.holders {
+		if z.now.Before(h.nextEnd) {
+			continue
+		}
+		h.nextEnd = z.now.Add(time.Hour)
 		for _, i := range h.items {
 			if i.lease == 0 {
 				continue
 			}
 			ran := z.now.Sub(i.started)
 			if ran < i.left && (i.stopAt.IsZero() || z.now.Before(i.stopAt)) {
+				h.endsBy(i.started.Add(i.left))
+				if !i.stopAt.IsZero() {
+					h.endsBy(i.stopAt)
+				}
 				continue
 			}
 			if ran >= i.left {
@@ -245,6 +255,12 @@
 	}
 }
 
+func (h *replayHolder) endsBy(at time.Time) {
+	if at.Before(h.nextEnd) {
+		h.nextEnd = at
+	}
+}
+
 // submit submits a job.
 func (z *replayZone) submit() {
 	h := z.holders[z.arrivals.IntN(len(z.holders))]
@@ -289,103 +305,3 @@
 	}
 	return list
 }
-
-// replayCandidate is an item that could run.
-type replayCandidate struct {
-	*replayItem
-	work  corebatch.Work
-	late  bool
-	short bool
-}
-
-// step requests slots for a holder's waiting items.
-func (z *replayZone) step(h *replayHolder) {
-	denied := map[bool]bool{}
-	for _, c := range h.candidates(z.now) {
-		short := z.policy.BatchReserve && c.short
-		if denied[true] || denied[short] {
-			continue
-		}
-		z.next++
-		r := slots.Request{ID: slots.ID{Holder: h.name, Number: z.next}, Group: "g", Batch: true}
-		if z.policy.BatchReserve {
-			r.Slack, r.ShortOfTime, r.Needed = c.work.Slack(), short, h.needed
-		}
-		got := z.ledger.Grant(z.now, r, z.random.Uint64())
-		if got.Verdict != slots.Granted {
-			denied[short] = true
-			if got.Reserve > 0 {
-				h.heldBack, h.heldBackAt = got.Reserve, z.now
-			}
-			continue
-		}
-		c.lease, c.target, c.started = z.next, got.Target, z.now
-		z.runs[r.ID] = c.replayItem
-	}
-}
-
-// candidates lists the waiting items in the order in which they start.
-func (h *replayHolder) candidates(now time.Time) []replayCandidate {
-	var list []replayCandidate
-	var work []corebatch.Work
-	active := 0
-	for _, i := range h.items {
-		if !i.finished.IsZero() {
-			continue
-		}
-		w := corebatch.Work{Due: i.due.Sub(now), Left: i.left}
-		if i.lease != 0 {
-			active++
-			w.Left -= now.Sub(i.started)
-		}
-		if h.estimator.Remaining(itemEvents, 0) == 0 {
-			w.Left = 0
-		}
-		work = append(work, w)
-		list = append(list, replayCandidate{replayItem: i, work: w})
-	}
-	h.estimator.ObserveSlots(now, active)
-	if active == len(list) {
-		return nil
-	}
-	h.needed = corebatch.Needed(work)
-	if average, known := h.estimator.Slots(); known {
-		for n, onTime := range corebatch.OnTime(work, average) {
-			list[n].late = !onTime
-		}
-	}
-	kept := corebatch.OnTime(work, h.available(now, active))
-	for n, c := range list {
-		list[n].short = kept[n] && corebatch.ShortOfTime(c.work, itemWhole)
-	}
-	list = slices.DeleteFunc(list, func(c replayCandidate) bool { return c.lease != 0 })
-	slices.SortStableFunc(list, func(a, b replayCandidate) int {
-		return cmp.Or(compareLate(a.late, b.late), a.due.Compare(b.due))
-	})
-	return list
-}
-
-// available returns how many slots the items could have, those that are held back included.
-func (h *replayHolder) available(now time.Time, active int) float64 {
-	average, known := h.estimator.Slots()
-	switch {
-	case !known:
-		return replayTargets * replaySlots
-	case now.Sub(h.heldBackAt) > time.Second:
-		return average
-	default:
-		return max(average, float64(active+h.heldBack))
-	}
-}
-
-// compareLate orders items that are put behind after the others.
-func compareLate(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
--- a/core/slots/zones_model_test.go
+++ b/core/slots/zones_model_test.go
@@ -1,8 +1,9 @@
 package slots_test
 
 import (
+	"cmp"
 	"fmt"
-	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -47,6 +48,8 @@
 	start          string
 	zone           *modelZone
 	running, queue []*modelJob
+	// nextEnd is no later than the first end of a running job.
+	nextEnd time.Duration
 }
 
 // modelZone is a zone with its callers, targets and leader.
@@ -181,11 +184,12 @@
 // renew renews the leases that the zone's leader granted.
 func (m *model) renew(z *modelZone) {
 	var running []slots.Running
-	for _, number := range slices.Sorted(maps.Keys(m.jobs)) {
-		if j := m.jobs[number]; j.by == z.ledger {
+	for _, j := range m.jobs {
+		if j.by == z.ledger {
 			running = append(running, slots.Running{Number: j.number, Target: j.at.start, Batch: j.batch})
 		}
 	}
+	slices.SortFunc(running, func(a, b slots.Running) int { return cmp.Compare(a.Number, b.Number) })
 	z.ledger.Report(m.clock(), "h", running, nil)
 }
 
@@ -267,6 +271,7 @@
 	for _, id := range grant.Yield {
 		if item := m.jobs[id.Number]; item != nil {
 			item.ends = min(item.ends, m.now+cancelTime)
+			item.at.nextEnd = min(item.at.nextEnd, item.ends)
 		}
 	}
 	m.begin(m.byStart[grant.Target], j, z.ledger)
@@ -288,10 +293,14 @@
 			j.home.onTime++
 		}
 		t.running = append(t.running, j)
+		t.nextEnd = min(t.nextEnd, j.ends)
 	}
 }
 
 func (m *model) finish(t *modelTarget) {
+	if t.nextEnd > m.now {
+		return
+	}
 	t.running = slices.DeleteFunc(t.running, func(j *modelJob) bool {
 		if j.ends > m.now {
 			return false
@@ -299,6 +308,10 @@
 		m.release(j, routing.Succeeded, m.now-j.arrived)
 		return true
 	})
+	t.nextEnd = math.MaxInt64
+	for _, j := range t.running {
+		t.nextEnd = min(t.nextEnd, j.ends)
+	}
 	m.startNext(t)
 }
 
