Slots: end expired waits before freed slots are given out

Cause: a dispatch gave freed slots to waiting requests before it removed those that were not renewed for 300 ms. A slot could go to the request of a holder that had died and stayed taken until its lease expired (1.5 s). Expired requests at the head of the queue also counted as passed over. Change: waits end first, then slots are given out. Result: TestFreedSlotDoesNotGoToARequestThatWasNotRenewed fails before and passes now.

--- a/core/slots/dispatch.go
+++ b/core/slots/dispatch.go
@@ -15,17 +15,22 @@
 	return ended
 }
 
-// dispatch collects the deliveries.
+// dispatch collects the deliveries. Waits that have ended get no slot: the holder of a
+// request that was not renewed may be dead, and the slot would stay taken until the lease
+// expires.
 func (l *Ledger) dispatch(now time.Time) {
+	waiting := l.groupsWithWaiting()
+	for _, name := range waiting {
+		l.expireWaits(now, l.groups[name])
+	}
 	for _, start := range slices.Sorted(maps.Keys(l.waiting.vacated)) {
 		delete(l.waiting.vacated, start)
 		if at, known := l.waiting.placed[start]; known {
 			l.fill(now, l.groups[at.group], at.Target)
 		}
 	}
-	for _, name := range l.groupsWithWaiting() {
+	for _, name := range waiting {
 		g := l.groups[name]
-		l.expireWaits(now, g)
 		if g.line.length() > 0 && now.Sub(g.line.scanned) >= scanInterval {
 			g.line.scanned = now
 			l.scan(now, g)
--- a/core/slots/waiting_test.go
+++ b/core/slots/waiting_test.go
@@ -68,6 +68,18 @@
 	return r
 }
 
+// Guards against a freed slot that goes to a request whose holder has died, and stays taken
+// until the lease expires.
+func TestFreedSlotDoesNotGoToARequestThatWasNotRenewed(t *testing.T) {
+	z := newWaitZone(t, 1)
+	taken := z.fill(1)
+	z.queued(func(r *slots.Request) { r.Patience = 2 * time.Second })
+	z.now = z.now.Add(400 * time.Millisecond) // longer than the 300 ms of a place in the queue
+	z.Expect(z.end(taken["t0"][0], "t0", time.Second)).To(BeEmpty())
+	_, grant := z.ask()
+	z.Expect(grant.Verdict).To(Equal(slots.Granted))
+}
+
 // Guards against a freed slot that goes to a target's queue, or to a less urgent request.
 func TestFreedSlotGoesToTheFirstWaitingRequest(t *testing.T) {
 	z := newWaitZone(t, 2)
