Places: try the own zone when another zone ends a wait

Cause: a refusal that the leader of another zone delivered, for example because its queue was full, refused the request. Change: an end without a slot from another zone's leader renews the wait at the own zone's leader at once, without a call to the other zone. Result: TestRefusalOfAnotherZoneLeadsToTheOwnQueue fails before and passes now.

--- a/daemon/places/waiting.go
+++ b/daemon/places/waiting.go
@@ -165,6 +165,7 @@
 	renewal := time.NewTimer(slots.RenewWaitInterval)
 	defer renewal.Stop()
 	unanswered := 0
+	refusedAt := "" // the leader of another zone that ended the wait there without a slot
 	for {
 		select {
 		case <-ctx.Done():
@@ -172,18 +173,25 @@
 		case <-patience.C:
 			return slots.Grant{Verdict: slots.Overloaded, Wait: time.Since(w.asked) + expected}, at, true
 		case end := <-w.ended:
-			if end.Grant.Verdict == slots.Granted || end.From == at {
+			switch {
+			case end.Grant.Verdict == slots.Granted:
 				return end.Grant, end.From, true
+			case end.From != at: // it no longer waits there
+			case s.isLocal(at):
+				return end.Grant, at, true
+			default:
+				refusedAt = at
+				renewal.Reset(0)
 			}
 		case <-renewal.C:
 			var grant slots.Grant
 			next := slots.RenewWaitInterval
-			grant, at, answered = s.renewWait(ctx, w, at)
+			grant, at, answered = s.renewWait(ctx, w, at, at == refusedAt)
 			switch {
 			case answered && grant.Verdict != slots.Waiting:
 				return grant, at, true
 			case answered:
-				unanswered, expected = 0, grant.Wait
+				unanswered, expected, refusedAt = 0, grant.Wait, ""
 			case unanswered+1 >= maxUnanswered:
 				return slots.Grant{}, at, false
 			default:
@@ -196,8 +204,9 @@
 }
 
 // renewWait renews a waiting request, at the leader of another zone if it waits there, and
-// otherwise at the one that leads the local zone now.
-func (s *scheduler) renewWait(ctx context.Context, w *wait, at string) (grant slots.Grant, by string, answered bool) {
+// otherwise at the one that leads the local zone now. refused reports that the other zone's
+// leader has ended the wait.
+func (s *scheduler) renewWait(ctx context.Context, w *wait, at string, refused bool) (grant slots.Grant, by string, answered bool) {
 	now := time.Now()
 	request := w.request
 	request.Patience = w.until.Sub(now)
@@ -209,11 +218,13 @@
 	ctx, cancel := context.WithDeadline(ctx, w.until)
 	defer cancel()
 	if !s.isLocal(at) {
-		remote := request
-		remote.Visiting, remote.Preempts = true, true
-		grant, answered := s.callLeader(ctx, at, remote)
-		if answered && (grant.Verdict == slots.Granted || grant.Verdict == slots.Waiting) {
-			return grant, at, true
+		if !refused {
+			remote := request
+			remote.Visiting, remote.Preempts = true, true
+			grant, answered := s.callLeader(ctx, at, remote)
+			if answered && (grant.Verdict == slots.Granted || grant.Verdict == slots.Waiting) {
+				return grant, at, true
+			}
 		}
 		request.Stay = true
 	}
--- a/daemon/places/waiting_internal_test.go
+++ b/daemon/places/waiting_internal_test.go
@@ -188,3 +188,29 @@
 		g.Expect(abandonedAt(s)).To(Equal([]string{"remote"}))
 	})
 }
+
+// Guards against a request that is refused because the queue of another zone is full,
+// without a try in its own zone.
+func TestRefusalOfAnotherZoneLeadsToTheOwnQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		leaders := &scriptedLeaders{}
+		leaders.answer = func(_ context.Context, leader string, r slots.Request) (slots.Grant, error) {
+			g.Expect(leader).To(Equal("a"))
+			g.Expect(r.Stay).To(BeTrue())
+			return slots.Grant{Verdict: slots.Granted, Target: "t"}, nil
+		}
+		s := waitingScheduler(leaders)
+		go follow(t.Context(), s, "a")
+		synctest.Wait()
+		began := time.Now()
+		w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+		s.waits.record(1, "remote", true, slots.Waiting)
+		s.deliver(WaitEnd{From: "remote", Number: 1, Grant: slots.Grant{Verdict: slots.Overloaded}})
+		grant, by, answered := s.await(t.Context(), w, 0, "remote")
+		g.Expect(answered).To(BeTrue())
+		g.Expect(grant.Verdict).To(Equal(slots.Granted))
+		g.Expect(by).To(Equal("a"))
+		g.Expect(time.Since(began)).To(BeZero())
+	})
+}
