--- a/core/slots/reserve.go
+++ b/core/slots/reserve.go
@@ -20,7 +20,6 @@
 	maxSampleGap = time.Second
 	// reserveQuantile is the quantile of the samples that is kept available to online work.
 	reserveQuantile = 0.9
-	// recentSamples are those of half a second: a run that is cancelled sooner has hardly
 	// recentSamples are those of a quarter of a second. Gaps between online requests are
 	// shorter; after a high step of the load, batch should not lose much of the low one.
 	recentSamples = 5
