Slots: compute the rate of freed slots once for an expected wait

Cause: expectedWait and loadBefore each computed perSecond twice, which walks all targets of the group; a renewal walked them five times. Change: the rate is passed on. Result: no change in decisions.

--- a/core/slots/overtaking.go
+++ b/core/slots/overtaking.go
@@ -40,24 +40,28 @@
 	return precedence{e.Rank, !g.line.queue.Within(e)}
 }
 
-// perSecondFor returns how many slots of the group become free a second for the waiting
-// request and those beside it: not those that go to requests that overtake it, 0 if these
-// get all.
+// perSecondFor returns how many of the slots that become free a second are left for the
+// waiting request and those beside it: not those that go to requests that overtake it, 0 if
+// these get all.
 //
 // Load pattern: more urgent requests than slots for several seconds. A less urgent one
 // that looked only at the queue as it is would wait for its whole patience in vain.
-func (l *Ledger) perSecondFor(now time.Time, g *group, e *entry) float64 {
-	return max(0, l.perSecond(now, g)-g.line.arrivals.overtaking(now, g.precedenceOf(e)))
+func perSecondFor(now time.Time, g *group, e *entry, perSecond float64) float64 {
+	return max(0, perSecond-g.line.arrivals.overtaking(now, g.precedenceOf(e)))
 }
 
 // expectedWait returns how long a waiting request will wait. It is 0 while the rate at which
 // slots become free is not known, and maxStart if no slot is expected.
 func (l *Ledger) expectedWait(now time.Time, g *group, e *entry) time.Duration {
 	ahead := g.line.queue.Ahead(now, e)
-	if ahead == 0 || l.perSecond(now, g) <= 0 {
+	if ahead == 0 {
 		return 0
 	}
-	return waitBehind(ahead, l.perSecondFor(now, g, e))
+	perSecond := l.perSecond(now, g)
+	if perSecond <= 0 {
+		return 0
+	}
+	return waitBehind(ahead, perSecondFor(now, g, e, perSecond))
 }
 
 // waitBehind returns how long requests take to get slots that become free at the rate.
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -193,7 +193,7 @@
 	load := l.localLoad(now, e.Value.request.Group)
 	load.Waiting = g.line.queue.Ahead(now, e)
 	if load.PerSecond > 0 {
-		load.PerSecond = l.perSecondFor(now, g, e)
+		load.PerSecond = perSecondFor(now, g, e, load.PerSecond)
 	}
 	return load
 }
