Slots: test that a renewal only shortens a wait

Cause: no test failed when a renewal's Patience was ignored (mutation of the line in renewWait). Change: TestRenewalOnlyShortensTheWait. Result: it passes, and fails without that line.

--- a/core/slots/waiting_test.go
+++ b/core/slots/waiting_test.go
@@ -114,6 +114,25 @@
 	z.Expect(z.ledger.Counts()["t0"].Online).To(Equal(perTarget))
 }
 
+// Guards against a renewal that prolongs a wait, and against a wait that goes on after the
+// time that the holder states.
+func TestRenewalOnlyShortensTheWait(t *testing.T) {
+	z := newWaitZone(t, 1)
+	z.fill(1)
+	longer := z.queued(func(r *slots.Request) { r.Patience = 200 * time.Millisecond })
+	shorter := z.queued(func(r *slots.Request) { r.Patience = time.Second })
+	longer.Patience, shorter.Patience = time.Second, 100*time.Millisecond
+	z.Expect(z.ledger.Grant(z.now, longer, 1).Verdict).To(Equal(slots.Waiting))
+	z.Expect(z.ledger.Grant(z.now, shorter, 1).Verdict).To(Equal(slots.Waiting))
+	for _, r := range []slots.Request{shorter, longer} {
+		z.now = z.now.Add(100 * time.Millisecond)
+		ended := z.ledger.Dispatch(z.now)
+		z.Expect(ended).To(HaveLen(1))
+		z.Expect(ended[0].ID).To(Equal(r.ID))
+		z.Expect(ended[0].Grant.Verdict).To(Equal(slots.Overloaded))
+	}
+}
+
 // Guards against requests that stay in the queue after their holder died, or wait for
 // longer than their maximum wait.
 func TestWaitsEnd(t *testing.T) {
