Places: a caller that leaves during a renewal gets no target

Cause: when the caller left during the second unanswered renewal, its request went on without a leader and was counted at a target. Change: the wait then ends as for any caller that has left. Result: TestCallerLeavesDuringAnUnansweredRenewal fails before and passes now.

--- a/daemon/places/waiting.go
+++ b/daemon/places/waiting.go
@@ -192,6 +192,7 @@
 				return grant, at, true
 			case answered:
 				unanswered, expected, refusedAt = 0, grant.Wait, ""
+			case ctx.Err() != nil: // the loop ends
 			case unanswered+1 >= maxUnanswered:
 				return slots.Grant{}, at, false
 			default:
--- a/daemon/places/waiting_internal_test.go
+++ b/daemon/places/waiting_internal_test.go
@@ -214,3 +214,24 @@
 		g.Expect(time.Since(began)).To(BeZero())
 	})
 }
+
+// Guards against a request that is sent to a target although its caller has left, because
+// the leader answered no renewal either.
+func TestCallerLeavesDuringAnUnansweredRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		leaders := &scriptedLeaders{}
+		leaders.answer = func(ctx context.Context, _ string, _ slots.Request) (slots.Grant, error) { return noAnswer(ctx) }
+		s := waitingScheduler(leaders)
+		go follow(t.Context(), s, "a")
+		synctest.Wait()
+		w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+		s.waits.record(1, "a", true, slots.Waiting)
+		ctx, leave := context.WithTimeout(t.Context(), slots.RenewWaitInterval+defaultSlotTimeout+retryRenewalAfter+defaultSlotTimeout/2)
+		defer leave()
+		grant, _, answered := s.await(ctx, w, 0, "a")
+		g.Expect(leaders.asked).To(HaveLen(2))
+		g.Expect(answered).To(BeTrue())
+		g.Expect(grant.Verdict).To(Equal(slots.Waiting), "the verdict for a caller that has left")
+	})
+}
