Places: test that an unused delivery is returned

Cause: no test failed when the deliveries that a finished wait has not read were dropped (mutation of waits.finish). Change: TestDeliveryThatIsNotUsedIsReturned. Result: it passes, and fails without the loop in finish.

--- a/daemon/places/waiting_internal_test.go
+++ b/daemon/places/waiting_internal_test.go
@@ -235,3 +235,15 @@
 		g.Expect(grant.Verdict).To(Equal(slots.Waiting), "the verdict for a caller that has left")
 	})
 }
+
+// Guards against a slot that stays taken because its delivery arrives just before the
+// request gets a slot of another leader, and the granting leader's answers were lost.
+func TestDeliveryThatIsNotUsedIsReturned(t *testing.T) {
+	g := NewWithT(t)
+	s := waitingScheduler(&scriptedLeaders{})
+	w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+	s.deliver(WaitEnd{From: "b", Number: 1, Grant: slots.Grant{Verdict: slots.Granted, Target: "t"}})
+	g.Expect(abandonedAt(s)).To(BeEmpty(), "the request may still use it")
+	s.finishWait(w, "a")
+	g.Expect(abandonedAt(s)).To(Equal([]string{"b"}))
+}
