Places: test renewals at another zone's leader

Cause: no test failed when such a renewal did not state the remaining patience, or when an unanswered one did not end the place there (mutations of renewWait and callLeader). Change: TestRequestReturnsFromAnotherZonesQueue checks the patience; TestRequestLeavesAnotherZoneThatDoesNotAnswer is new.

--- a/daemon/places/waiting_internal_test.go
+++ b/daemon/places/waiting_internal_test.go
@@ -168,6 +168,7 @@
 		g := NewWithT(t)
 		leaders := &scriptedLeaders{}
 		leaders.answer = func(_ context.Context, leader string, r slots.Request) (slots.Grant, error) {
+			g.Expect(r.Patience).To(Equal(time.Second - slots.RenewWaitInterval))
 			if leader == "remote" {
 				g.Expect(r.Visiting && r.Preempts).To(BeTrue())
 				return slots.Grant{Verdict: slots.None}, nil
@@ -247,3 +248,28 @@
 	s.finishWait(w, "a")
 	g.Expect(abandonedAt(s)).To(Equal([]string{"b"}))
 }
+
+// Guards against a place in the queue of another zone that stays taken after the leader
+// there has not answered, while the request waits in its own zone.
+func TestRequestLeavesAnotherZoneThatDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		leaders := &scriptedLeaders{}
+		leaders.answer = func(ctx context.Context, leader string, r slots.Request) (slots.Grant, error) {
+			if leader == "remote" {
+				return noAnswer(ctx)
+			}
+			return waitingAnswer(ctx, leader, r)
+		}
+		s := waitingScheduler(leaders)
+		go follow(t.Context(), s, "a")
+		synctest.Wait()
+		w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+		s.waits.record(1, "remote", true, slots.Waiting)
+		ctx, leave := context.WithTimeout(t.Context(), slots.RenewWaitInterval+defaultSlotTimeout+time.Millisecond)
+		defer leave()
+		_, by, _ := s.await(ctx, w, 0, "remote")
+		g.Expect(by).To(Equal("a"))
+		g.Expect(abandonedAt(s)).To(Equal([]string{"remote"}))
+	})
+}
