--- a/daemon/places/waiting_internal_test.go
+++ b/daemon/places/waiting_internal_test.go
@@ -168,6 +168,7 @@
 		g := NewWithT(t)
 		leaders := &scriptedLeaders{}
 		leaders.answer = func(_ context.Context, leader string, r slots.Request) (slots.Grant, error) {
+			g.Expect(r.Patience).To(Equal(time.Second - slots.RenewWaitInterval))
 			if leader == "remote" {
 				g.Expect(r.Visiting && r.Preempts).To(BeTrue())
 				return slots.Grant{Verdict: slots.None}, nil
@@ -188,3 +189,87 @@
 		g.Expect(abandonedAt(s)).To(Equal([]string{"remote"}))
 	})
 }
+
+// Guards against a request that is refused because the queue of another zone is full,
+// without a try in its own zone.
+func TestRefusalOfAnotherZoneLeadsToTheOwnQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		leaders := &scriptedLeaders{}
+		leaders.answer = func(_ context.Context, leader string, r slots.Request) (slots.Grant, error) {
+			g.Expect(leader).To(Equal("a"))
+			g.Expect(r.Stay).To(BeTrue())
+			return slots.Grant{Verdict: slots.Granted, Target: "t"}, nil
+		}
+		s := waitingScheduler(leaders)
+		go follow(t.Context(), s, "a")
+		synctest.Wait()
+		began := time.Now()
+		w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+		s.waits.record(1, "remote", true, slots.Waiting)
+		s.deliver(WaitEnd{From: "remote", Number: 1, Grant: slots.Grant{Verdict: slots.Overloaded}})
+		grant, by, answered := s.await(t.Context(), w, 0, "remote")
+		g.Expect(answered).To(BeTrue())
+		g.Expect(grant.Verdict).To(Equal(slots.Granted))
+		g.Expect(by).To(Equal("a"))
+		g.Expect(time.Since(began)).To(BeZero())
+	})
+}
+
+// Guards against a request that is sent to a target although its caller has left, because
+// the leader answered no renewal either.
+func TestCallerLeavesDuringAnUnansweredRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		leaders := &scriptedLeaders{}
+		leaders.answer = func(ctx context.Context, _ string, _ slots.Request) (slots.Grant, error) { return noAnswer(ctx) }
+		s := waitingScheduler(leaders)
+		go follow(t.Context(), s, "a")
+		synctest.Wait()
+		w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+		s.waits.record(1, "a", true, slots.Waiting)
+		ctx, leave := context.WithTimeout(t.Context(), slots.RenewWaitInterval+defaultSlotTimeout+retryRenewalAfter+defaultSlotTimeout/2)
+		defer leave()
+		grant, _, answered := s.await(ctx, w, 0, "a")
+		g.Expect(leaders.asked).To(HaveLen(2))
+		g.Expect(answered).To(BeTrue())
+		g.Expect(grant.Verdict).To(Equal(slots.Waiting), "the verdict for a caller that has left")
+	})
+}
+
+// Guards against a slot that stays taken because its delivery arrives just before the
+// request gets a slot of another leader, and the granting leader's answers were lost.
+func TestDeliveryThatIsNotUsedIsReturned(t *testing.T) {
+	g := NewWithT(t)
+	s := waitingScheduler(&scriptedLeaders{})
+	w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+	s.deliver(WaitEnd{From: "b", Number: 1, Grant: slots.Grant{Verdict: slots.Granted, Target: "t"}})
+	g.Expect(abandonedAt(s)).To(BeEmpty(), "the request may still use it")
+	s.finishWait(w, "a")
+	g.Expect(abandonedAt(s)).To(Equal([]string{"b"}))
+}
+
+// Guards against a place in the queue of another zone that stays taken after the leader
+// there has not answered, while the request waits in its own zone.
+func TestRequestLeavesAnotherZoneThatDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		leaders := &scriptedLeaders{}
+		leaders.answer = func(ctx context.Context, leader string, r slots.Request) (slots.Grant, error) {
+			if leader == "remote" {
+				return noAnswer(ctx)
+			}
+			return waitingAnswer(ctx, leader, r)
+		}
+		s := waitingScheduler(leaders)
+		go follow(t.Context(), s, "a")
+		synctest.Wait()
+		w := s.waits.begin(slots.Request{ID: slots.ID{Holder: "self", Number: 1}, Group: "g", Patience: time.Second}, "id")
+		s.waits.record(1, "remote", true, slots.Waiting)
+		ctx, leave := context.WithTimeout(t.Context(), slots.RenewWaitInterval+defaultSlotTimeout+time.Millisecond)
+		defer leave()
+		_, by, _ := s.await(ctx, w, 0, "remote")
+		g.Expect(by).To(Equal("a"))
+		g.Expect(abandonedAt(s)).To(Equal([]string{"remote"}))
+	})
+}
