--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -9,6 +9,9 @@
 const (
 	// RenewWaitInterval is the interval at which holders renew waiting requests.
 	RenewWaitInterval = 100 * time.Millisecond
+	// LastRenewal is how long before the end of its patience a request is renewed for the
+	// last time. If it has no slot then, that renewal is answered by the refusal.
+	LastRenewal = 20 * time.Millisecond
 	// waitTTL is how long a request stays in the queue without being renewed: its holder
 	// may have died, or follow another leader. It survives the loss of two renewals.
 	waitTTL = 300 * time.Millisecond
@@ -101,7 +104,9 @@
 	if e != nil {
 		beyond = !g.line.queue.Within(e)
 	}
-	return Grant{Verdict: Overloaded, Wait: wait, RetryAfter: l.retryAfter(now, r, beyond, wait)}
+	// A wait without an expected end is reported as one that is a second too long.
+	reported := min(wait, r.Patience+time.Second)
+	return Grant{Verdict: Overloaded, Wait: reported, RetryAfter: l.retryAfter(now, r, beyond, wait)}
 }
 
 // replaceGroups replaces the groups. The wait of requests of removed groups ends.
@@ -177,14 +182,20 @@
 	if e == nil {
 		return Grant{}, false
 	}
-	g := l.groups[r.Group]
 	w := e.Value
+	r.Group = w.request.Group
+	g := l.groups[r.Group]
 	w.request = r
 	w.until = earlier(w.until, now.Add(r.Patience))
 	g.line.queue.Renew(e, earlier(w.until, now.Add(waitTTL)))
 	if other := l.otherZoneBefore(now, r, l.loadBefore(now, g, e)); other.Verdict == Elsewhere {
 		return other, true
 	}
+	if r.Patience <= LastRenewal {
+		refusal := l.refuse(now, g, r, e, now.Sub(w.entered)+l.expectedWait(now, g, e))
+		l.remove(g, e)
+		return refusal, true
+	}
 	return l.waitingGrant(now, g, e), true
 }
 
--- a/daemon/places/leader.go
+++ b/daemon/places/leader.go
@@ -91,7 +91,6 @@
 	if leads {
 		s.ledger.Expire(now)
 		s.logRates(now)
-		s.recordLengths()
 		s.logShareChanges(now)
 		report = ZoneReport{Zone: s.zone, Leader: s.self, Free: s.ledger.FreeSlots(now), Load: s.ledger.Load(now), Held: s.heldInZone(now),
 			Reserved: s.ledger.Reserves(now), Shares: s.shareReports(now)}
@@ -101,6 +100,7 @@
 		}
 	}
 	s.publishReserves(report.Reserved)
+	s.publishLengths()
 	// A daemon that no longer leads still ends the waits in its queue.
 	notify := s.dispatch(now)
 	s.mu.Unlock()
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -81,9 +81,11 @@
 
 	leases *localLeases
 	policy slots.Policy
-	// waits are the requests that wait at a leader. overflowLogged is when a request sent
+	// waits are the requests that wait at a leader; queueLengths are the lengths by group
+	// that were last published. overflowLogged is when a request sent
 	// to another zone was last logged, by zone and group.
 	waits          waits
+	queueLengths   map[string]int
 	overflowLogged map[[2]string]time.Time
 }
 
--- a/daemon/places/waiting.go
+++ b/daemon/places/waiting.go
@@ -162,6 +162,8 @@
 func (s *scheduler) await(ctx context.Context, w *wait, expected time.Duration, at string) (grant slots.Grant, by string, answered bool) {
 	patience := time.NewTimer(time.Until(w.until))
 	defer patience.Stop()
+	last := time.NewTimer(time.Until(w.until) - slots.LastRenewal)
+	defer last.Stop()
 	renewal := time.NewTimer(slots.RenewWaitInterval)
 	defer renewal.Stop()
 	unanswered := 0
@@ -170,6 +172,11 @@
 		select {
 		case <-ctx.Done():
 			return slots.Grant{Verdict: slots.Waiting}, at, true
+		case <-last.C:
+			// The leader's refusal states when the caller should return.
+			if grant, by, answered := s.renewWait(ctx, w, at, at == refusedAt); answered && grant.Verdict != slots.Waiting {
+				return grant, by, true
+			}
 		case <-patience.C:
 			return slots.Grant{Verdict: slots.Overloaded, Wait: time.Since(w.asked) + expected}, at, true
 		case end := <-w.ended:
@@ -279,12 +286,23 @@
 	}
 }
 
-// recordLengths updates the metrics of the queues. s.mu is held.
-func (s *scheduler) recordLengths() {
+// publishLengths sets the metrics of the queues; they are 0 where this daemon does not lead.
+// s.mu is held.
+func (s *scheduler) publishLengths() {
 	if !s.policy.Queue {
 		return
 	}
-	for group, length := range s.ledger.Waiting() {
+	lengths := map[string]int{}
+	if s.leads {
+		lengths = s.ledger.Waiting()
+	}
+	for group := range s.queueLengths {
+		if _, stays := lengths[group]; !stays {
+			lengths[group] = 0
+		}
+	}
+	s.queueLengths = lengths
+	for group, length := range lengths {
 		s.set.GetOrCreateGauge(`tarragonhollow_queue_length{group="`+group+`"}`, nil).Set(float64(length))
 	}
 }
