--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -18,7 +18,7 @@
 	Exclude []string
 	// LastChance marks a request that gets no further attempt after a failure.
 	LastChance bool
-	// Patience is the maximum time for which the request may queue at a target.
+	// Patience is the maximum time for which the request may queue, here or at a target.
 	Patience time.Duration
 	// Visiting is set if the holder's own zone is full: the request gets a free slot or
 	// none, unless Preempts is set.
@@ -123,8 +123,9 @@
 //
 // Load pattern: steps of load under which nine tenths of the slots are taken. Grant
 // prefers a free slot anywhere in the zone; then a slot from which batch is preempted;
-// then another zone, because traffic between zones is expensive; then a short queue. A
-// request that would queue for longer than its Patience is refused at once.
+// then another zone, because traffic between zones is expensive; then a place in the
+// queue, or in a target's. A request that would queue for longer than its Patience is
+// refused at once.
 //
 // In a large group only some targets are examined first, so that the cost of a grant does
 // not depend on the group's size while most targets have free slots.
