Wording of the new comments

Cause: comments said patience and told where the field says maximum wait and Retry-After. Change: comments only. Result: builds; gofmt clean.

--- a/core/fairshare/remote.go
+++ b/core/fairshare/remote.go
@@ -15,7 +15,7 @@
 	maxRemoteLead = 64
 )
 
-// Report is what a leader tells the leaders of other zones about the shares that are
+// Report is what a leader reports to the leaders of other zones about the shares that are
 // beyond their share in its zone.
 type Report struct {
 	// Number orders the reports of one leader; it is the time of the report on its clock.
--- a/core/returns/returns.go
+++ b/core/returns/returns.go
@@ -1,4 +1,4 @@
-// Package returns tells refused callers when to come back, so that they arrive at the rate
+// Package returns schedules the return of refused callers, so that they arrive at the rate
 // at which slots become free, and recognises them when they do. It does no I/O and reads no
 // clock.
 //
@@ -7,8 +7,8 @@
 // behind that of the others: a caller within its share that is refused later still gets the
 // next place of its schedule, and if that lies among those announced to callers beyond
 // theirs, the next of these returns an interval later, so that both together get what can be
-// served. Only return times within the caller's patience are assigned:
-// a caller for which no slot is expected by then is told its bound and uses no place.
+// served. Only return times within the caller's time left are assigned:
+// a caller for which no slot is expected by then gets its bound and uses no place.
 package returns
 
 import (
@@ -121,7 +121,7 @@
 }
 
 // Returning reports whether a request with this content was refused and arrives when its
-// caller was told to return.
+// caller's Retry-After says.
 func (r *Returns) Returning(now time.Time, content uint64) bool {
 	known := r.refused[content]
 	return known != nil && now.Sub(known.first) <= memoryTime && !now.Before(known.due.Add(-earlyReturn))
--- a/core/slots/dispatch.go
+++ b/core/slots/dispatch.go
@@ -7,7 +7,7 @@
 )
 
 // Dispatch gives slots that have become free to waiting requests, and ends the wait of
-// those whose patience has passed. It is called after each change that may free a slot.
+// those whose maximum wait has passed. It is called after each change that may free a slot.
 func (l *Ledger) Dispatch(now time.Time) []Delivery {
 	l.dispatch(now)
 	ended := l.waiting.ended
@@ -52,7 +52,7 @@
 	return names
 }
 
-// expireWaits ends the waits whose patience has passed, and removes requests that were not
+// expireWaits ends the waits whose maximum has passed, and removes requests that were not
 // renewed.
 func (l *Ledger) expireWaits(now time.Time, g *group) {
 	for e := g.line.queue.Expired(now); e != nil; e = g.line.queue.Expired(now) {
--- a/core/slots/fairness.go
+++ b/core/slots/fairness.go
@@ -54,8 +54,8 @@
 	return s != nil && s.Beyond(r.Share)
 }
 
-// returning reports whether the request was refused before and returns when its caller was
-// told to.
+// returning reports whether the request was refused before and its caller kept to its
+// Retry-After.
 func (l *Ledger) returning(now time.Time, r Request) bool {
 	return l.policy.PacedReturn && l.fairness.returns.Returning(now, r.Content)
 }
--- a/core/slots/fairness_internal_test.go
+++ b/core/slots/fairness_internal_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against refused callers that all return at the same time, and against a change
-// of what callers are told while the key is off.
+// of the Retry-After while the key is off.
 func TestRefusedCallersReturnOneSlotApart(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
@@ -56,7 +56,7 @@
 	}
 }
 
-// Guards against a request without a known deadline whose caller is told to return after
+// Guards against a request without a known deadline whose caller gets a Retry-After beyond
 // it has given up.
 func TestTheReturnTimeOfAnUnknownDeadlineFollowsThePatience(t *testing.T) {
 	g := NewWithT(t)
--- a/core/slots/lastrenewal_test.go
+++ b/core/slots/lastrenewal_test.go
@@ -7,8 +7,8 @@
 	"tarragonhollow.example/tarragonhollow/core/slots"
 )
 
-// Requests wait for their whole patience in vain. Refused without the leader, their callers
-// would not be told when there is room, and would not count as returning ones.
+// Requests wait for their whole maximum wait in vain. Refused without the leader, their callers
+// would get no time of return, and would not count as returning ones.
 func TestTheLastRenewalIsAnsweredWithTheTimeOfReturn(t *testing.T) {
 	l := slots.NewLedgerWith(slots.Policy{Queue: true, PacedReturn: true})
 	l.SetTargets(map[string][]slots.Target{"g": {{Start: "t", Slots: 1}}})
--- a/core/slots/overtaking.go
+++ b/core/slots/overtaking.go
@@ -45,7 +45,7 @@
 // these get all.
 //
 // Load pattern: more urgent requests than slots for several seconds. A less urgent one
-// that looked only at the queue as it is would wait for its whole patience in vain.
+// that looked only at the queue as it is would wait for its whole maximum wait in vain.
 func perSecondFor(now time.Time, g *group, e *entry, perSecond float64) float64 {
 	return max(0, perSecond-g.line.arrivals.overtaking(now, g.precedenceOf(e)))
 }
--- a/core/slots/overtaking_test.go
+++ b/core/slots/overtaking_test.go
@@ -20,7 +20,7 @@
 
 	// Load pattern: for four seconds, requests of rank 0 ask for more than all slots, and
 	// then for half of them. Failure guarded against: requests of rank 1 are held for their
-	// whole patience and refused, although nothing could have become free for them.
+	// whole maximum wait and refused, although nothing could have become free for them.
 	It("is refused on arrival while more urgent ones take every slot, and served afterwards", func() {
 		l := slots.NewLedgerWith(slots.Policy{Queue: true})
 		l.SetTargets(map[string][]slots.Target{"g": {{Start: "t", Slots: slotCount}}})
--- a/core/slots/policy.go
+++ b/core/slots/policy.go
@@ -11,7 +11,7 @@
 	BatchReserve bool
 	// FairShares orders waiting requests by what their accounts have received.
 	FairShares bool
-	// PacedReturn tells refused callers when there will be a slot for them.
+	// PacedReturn gives refused callers the time at which a slot is expected for them.
 	PacedReturn bool
 	// TargetRates prefers the targets that finish a request first.
 	TargetRates bool
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -9,7 +9,7 @@
 const (
 	// RenewWaitInterval is the interval at which holders renew waiting requests.
 	RenewWaitInterval = 100 * time.Millisecond
-	// LastRenewal is how long before the end of its patience a request is renewed for the
+	// LastRenewal is how long before the end of its maximum wait a request is renewed for the
 	// last time. If it has no slot then, that renewal is answered by the refusal.
 	LastRenewal = 20 * time.Millisecond
 	// waitTTL is how long a request stays in the queue without being renewed: its holder
@@ -41,7 +41,7 @@
 // waiter is a waiting request.
 type waiter struct {
 	request Request
-	// entered is when the request entered the queue, until when its patience ends.
+	// entered is when the request entered the queue, until when its maximum wait ends.
 	entered, until time.Time
 }
 
@@ -97,7 +97,7 @@
 	return waitqueue.New[*waiter](l.shares(group))
 }
 
-// refuse returns the refusal of a request that would wait for longer than its patience, or
+// refuse returns the refusal of a request that would wait for longer than its maximum wait, or
 // has. e is its entry, nil for a request that never entered the queue.
 func (l *Ledger) refuse(now time.Time, g *group, r Request, e *entry, wait time.Duration) Grant {
 	beyond := l.beyondShare(r)
@@ -325,7 +325,7 @@
 }
 
 // newEntry returns the entry of a request. A holder that doesn't know the caller's times
-// states its patience only.
+// states its maximum wait only.
 func newEntry(now time.Time, r Request) *entry {
 	objective, deadline := r.ObjectiveLeft, r.DeadlineLeft
 	if deadline <= 0 {
--- a/core/waitqueue/waitqueue.go
+++ b/core/waitqueue/waitqueue.go
@@ -40,8 +40,8 @@
 	// share, Work the size of the request.
 	Share        string
 	Work, Weight float64
-	// Returning marks a request that was refused before and came back when it was told
-	// to.
+	// Returning marks a request that was refused before and came back no earlier than its
+	// Retry-After.
 	Returning bool
 	// Arrived is when the request arrived, LatestStart the last time at which it can start
 	// and still meet its objective, Deadline when its caller stops waiting.
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -520,7 +520,7 @@
 		Expect(acceptances()).To(BeZero())
 	})
 
-	// Callers that are told the same short time throughout a long outage submit a job again
+	// Callers that get the same short Retry-After throughout a long outage submit a job again
 	// and again.
 	It("tells callers to return later the longer the log is out, and soon again after it", func() {
 		pacedReturn = true
--- a/daemon/jobs/outage_internal_test.go
+++ b/daemon/jobs/outage_internal_test.go
@@ -10,7 +10,7 @@
 
 // A caller that goes away has its submission refused, although the log is well. On a daemon
 // that does not follow the acceptances this would begin an outage, and the next caller would
-// be told a time by its age.
+// get a Retry-After by its age.
 func TestACancelledSubmissionIsNoOutage(t *testing.T) {
 	refusal := outcome.Refuse(outcome.LogUnavailable, "the caller is gone")
 	cancelled, cancel := context.WithCancel(context.Background())
--- a/daemon/places/waiting.go
+++ b/daemon/places/waiting.go
@@ -38,7 +38,7 @@
 type wait struct {
 	id      string
 	request slots.Request
-	// asked is when the request was first sent, until when its patience ends.
+	// asked is when the request was first sent, until when its maximum wait ends.
 	asked, until time.Time
 	// ended receives the ends of the wait that leaders send.
 	ended chan WaitEnd
