Logs and metrics: what each target answered

Cause: the last line of a request has the status that the caller got, which may be an earlier target's; no line or counter tells how the target's answer was framed. A stream that ended falsely looked like one that was resumed and completed. Change: answers know their framing; a line attempt_failed for each attempt that did not complete the answer; answer_status, answer_framing and answer_first_event in it and in the last line, the first two in item_run_ended, which now also tells the run that completed an item; the counter tarragonhollow_relay_answers_total{kind,status,framing}. Decisions are as before.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -51,6 +51,13 @@
 	delay  time.Duration
 	cause  string
 	health routing.Outcome
+	// status and framing are those of the target's answer, 0 and "" if there was none.
+	status  int
+	framing h1.Framing
+}
+
+func (e runResult) answerFields() []zap.Field {
+	return []zap.Field{zap.Int("answer_status", e.status), zap.String("answer_framing", string(e.framing))}
 }
 
 // runItem runs the item once and decides what follows.
@@ -72,6 +79,9 @@
 	if end.failed {
 		p.failures++
 	}
+	if end.complete {
+		r.logRun(c, run, p, end)
+	}
 	switch {
 	case end.complete:
 		r.finish(c, batch.Succeeded, p.text(), "")
@@ -107,9 +117,17 @@
 		p.avoidTarget = string(run.target.Start)
 		p.notBefore = time.Now().Add(p.backoff(end.delay))
 	}
-	r.jobs.Logger.Info("item_run_ended", zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
-		zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent), zap.Int("failures", p.failures),
-		zap.Int64("ms", time.Since(run.startedAt).Milliseconds()))
+	r.logRun(c, run, p, end)
+}
+
+// logRun logs how a run of the item ended.
+func (r *runner) logRun(c *candidate, run *itemRun, p *progress, end runResult) {
+	fields := append([]zap.Field{
+		zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
+		zap.Bool("complete", end.complete), zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent),
+		zap.Int("failures", p.failures), zap.Int64("ms", time.Since(run.startedAt).Milliseconds()),
+	}, end.answerFields()...)
+	r.jobs.Logger.Info("item_run_ended", fields...)
 }
 
 // runOnce sends the item to the target and collects its events.
@@ -132,6 +150,12 @@
 		return runResult{cause: "another target has the address", delay: rejectedDelay, health: routing.HardFailed}
 	}
 	defer answer.Close()
+	end := readAnswer(answer, p)
+	end.status, end.framing = answer.Status, answer.Framing
+	return end
+}
+
+func readAnswer(answer *h1.Answer, p *progress) runResult {
 	if answer.Status == http.StatusOK {
 		return collectEvents(answer, p)
 	}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -99,6 +99,7 @@
 		return attemptResult{detail: t.ID + " is no longer at its address", health: routing.HardFailed}
 	}
 	defer answer.Close()
+	s.answer.status, s.answer.framing = answer.Status, answer.Framing
 	if s.request.Route.Kind == route.Stream && answer.Status == http.StatusOK {
 		return s.forwardStream(ctx, answer)
 	}
@@ -234,6 +235,9 @@
 			continue
 		}
 		s.noteFirstByte()
+		if s.answer.firstEvent == NoEvent {
+			s.answer.firstEvent = e.ID
+		}
 		if err := s.delivery.sendEvent(answer, e); err != nil {
 			return err
 		}
--- a/daemon/relay/meter.go
+++ b/daemon/relay/meter.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,3 +29,10 @@
 		m.set.GetOrCreateHistogram(`tarragonhollow_relay_first_byte_seconds{kind="` + kind.String() + `"}`).Update(timeToFirstByte.Seconds())
 	}
 }
+
+// countAnswer counts an answer that callers received as complete, by the status and the
+// framing of the target's last answer.
+func (m *meter) countAnswer(kind route.Kind, a answerSeen) {
+	m.set.GetOrCreateCounter(`tarragonhollow_relay_answers_total{kind="` + kind.String() + `",status="` +
+		strconv.Itoa(a.status) + `",framing="` + string(a.framing) + `"}`).Inc()
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -229,6 +229,8 @@
 	lastTarget       roster.Target
 	timeToFirstByte  time.Duration
 	lastFailure      string
+	// answer is what the current attempt received.
+	answer answerSeen
 	// attemptStart is when the current attempt began, firstByteTimeout how long it waits for
 	// the first byte of the answer; answerStarted reports that it has arrived.
 	attemptStart     time.Time
@@ -254,6 +256,7 @@
 		s.logSent(slot)
 		s.attemptStart, s.firstByteTimeout = time.Now(), s.relay.firstByteTimeout(s.group(), slot)
 		s.answerStarted.Store(false)
+		s.answer = answerSeen{firstEvent: NoEvent}
 		stopWatch := s.degradeWhenSilent(slot)
 		ended := s.runAttempt(ctx, slot)
 		stopWatch()
@@ -356,6 +359,7 @@
 func (s *requestState) afterFailure(ctx context.Context, target roster.Target, failed attemptResult) (Result, bool) {
 	s.lastFailure = failed.detail
 	s.excluded[string(target.Start)] = true
+	s.logFailedAttempt(target, failed)
 	if failed.reached {
 		s.runs++
 	} else {
@@ -436,6 +440,9 @@
 		outcomeLabel = string(result.Refusal.Code)
 	}
 	r.meter.observe(request.Route.Kind, outcomeLabel, took, state.timeToFirstByte)
+	if outcomeLabel == "served" {
+		r.meter.countAnswer(request.Route.Kind, state.answer)
+	}
 	fields := []zap.Field{
 		zap.String("id", request.ID), zap.String("account", request.Account), zap.String("route", request.Route.Name), zap.String("group", state.groupName),
 		zap.Int64("objective_ms", request.Route.Objective.Milliseconds()), zap.String("outcome", outcomeLabel),
@@ -443,6 +450,7 @@
 		zap.String("target", state.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
 		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.lastEvent),
 	}
+	fields = append(fields, state.answer.fields()...)
 	if result.Refusal != nil {
 		fields = append(fields, zap.String("run", string(result.Refusal.Run)), zap.Int64("retry_after_ms", result.Refusal.RetryAfterMs),
 			zap.String("reason", result.Refusal.Message))
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -198,6 +198,31 @@
 		Expect(fields).To(HaveKeyWithValue("running_there", BeEquivalentTo(0)))
 	})
 
+	// A caller reports a wrong answer. The log must say what each target answered, since the
+	// status that the caller got may be another target's.
+	It("logs and counts what each target answered", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		r.Logger = zap.New(core)
+		startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, rawtarget.Whole(500, "", idHeader))
+				return
+			}
+			rawtarget.Write(c, rawtarget.Head(200, idHeader)+"answer")
+			_ = c.Close()
+		})
+		serve()
+		failed := lines.FilterMessage("attempt_failed").All()[0].ContextMap()
+		Expect(failed).To(HaveKeyWithValue("attempt", BeEquivalentTo(1)))
+		Expect(failed).To(HaveKeyWithValue("answer_status", BeEquivalentTo(500)))
+		Expect(failed).To(HaveKeyWithValue("answer_framing", "length"))
+		last := lines.FilterMessage("request").All()[0].ContextMap()
+		Expect(last).To(HaveKeyWithValue("answer_status", BeEquivalentTo(200)))
+		Expect(last).To(HaveKeyWithValue("answer_framing", "none"))
+		answers := r.Metrics.GetOrCreateCounter(`tarragonhollow_relay_answers_total{kind="idempotent",status="200",framing="none"}`)
+		Expect(answers.Get()).To(BeEquivalentTo(1))
+	})
+
 	// A non-repeatable request is sent and its answer is lost. A retry would run it twice; if
 	// it were reported as not run, the caller would send it again.
 	DescribeTable("runs what may not be repeated at most once",
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -51,10 +51,34 @@
 	Matches func(status int, header http.Header) bool
 }
 
+// Framing is how an answer marks the end of its body.
+type Framing string
+
+const (
+	// FramedByLength is an answer with a known length, which may be 0.
+	FramedByLength Framing = "length"
+	// FramedByChunks is an answer in chunks.
+	FramedByChunks Framing = "chunked"
+	// Unframed is an answer that ends with its connection.
+	Unframed Framing = "none"
+)
+
+func framingOf(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return FramedByLength
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	default:
+		return Unframed
+	}
+}
+
 // Answer is an answer whose body is still to be read. Close must be called.
 type Answer struct {
-	Status int
-	Header http.Header
+	Status  int
+	Header  http.Header
+	Framing Framing
 
 	pool     *Pool
 	conn     *conn
@@ -89,7 +113,7 @@
 		return nil, abandon(c, release, err)
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, pool: p, conn: c, body: response.Body,
+		Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), pool: p, conn: c, body: response.Body,
 		deadline: o.Deadline, release: release, written: written,
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
 	}, nil
