--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -22,11 +21,7 @@
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
-	"tarragonhollow.example/tarragonhollow/daemon/quotas"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
-	"tarragonhollow.example/tarragonhollow/daemon/relay/fakewire"
-	"tarragonhollow.example/tarragonhollow/daemon/suspects/fakesuspects"
-	"tarragonhollow.example/tarragonhollow/target/h1"
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
 )
 
@@ -35,97 +30,33 @@
 	RunSpecs(t, "relay")
 }
 
-// timeout bounds the waits for expected events.
-const timeout = 5 * time.Second
-
-const idHeader = "Id: r"
-
-func streamHead() string {
-	return rawtarget.Head(200, idHeader, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-}
-
-func events(from, to int) string {
-	text := ""
-	for i := from; i <= to; i++ {
-		text += rawtarget.Chunk(rawtarget.Event(i, fmt.Sprint("e", i)))
-	}
-	return text
-}
-
 // silenceLogs returns the log lines that report the target as silent.
 func silenceLogs(lines *observer.ObservedLogs, target string) []observer.LoggedEntry {
 	return lines.FilterMessage("target_silent").FilterField(zap.String("target", target)).All()
 }
 
-// fakeQuotas counts the tokens that requests take and return.
-type fakeQuotas struct {
-	taken, refunded int
-	refusal         *outcome.Refusal
-}
-
-func (f *fakeQuotas) Take(_ context.Context, account string) (quotas.Token, *outcome.Refusal) {
-	if f.refusal != nil {
-		return quotas.Token{}, f.refusal
-	}
-	f.taken++
-	return quotas.Token{}, nil
-}
-
-func (f *fakeQuotas) Refund(quotas.Token) { f.refunded++ }
-
 var _ = Describe("The relay", func() {
 	var (
-		view     *places.Places
-		r        *relay.Relay
-		targets  []*rawtarget.Target
-		request  *relay.Request
-		suspects *fakesuspects.Tracker
-		tokens   *fakeQuotas
+		f       *fixture
+		view    *places.Places
+		r       *relay.Relay
+		targets []*rawtarget.Target
+		request *relay.Request
+		tokens  *fakeQuotas
 	)
 
 	BeforeEach(func() {
-		targets = nil
-		view = places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()})
-		pool := h1.NewPool(func() {})
-		DeferCleanup(pool.Close)
-		suspects = fakesuspects.New(2)
-		tokens = &fakeQuotas{}
-		r = relay.New(relay.Options{Wire: fakewire.Wire{}, Pool: pool, Places: view, Crashes: relay.NewCrashDetector(suspects, pool), Quotas: tokens, Logger: zap.NewNop(), Metrics: metrics.NewSet()})
-		request = &relay.Request{
-			ID:      "r",
-			Route:   &route.Route{Kind: route.Idempotent, MaxAttempts: 3, Groups: []route.Share{{Group: "g", Weight: 1}}, Timeout: timeout},
-			HTTP:    h1.Request{Method: "POST", URI: "/x", Host: "h"},
-			Arrived: time.Now(), Deadline: time.Now().Add(timeout),
-		}
+		f = newFixture()
+		view, r, request, tokens = f.view, f.relay, f.request, f.tokens
 	})
 
-	// startTargets starts n targets. The script gets the number of the request counted over
-	// all of them, so that it does not matter which one is used first.
 	startTargets := func(n int, script func(turn int, r *rawtarget.Request, c net.Conn)) {
-		turns := make(chan int, 100)
-		for i := range 100 {
-			turns <- i
-		}
-		var list []roster.Target
-		for i := range n {
-			t, err := rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { script(<-turns, r, c) })
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(t.Close)
-			targets = append(targets, t)
-			list = append(list, roster.Target{ID: fmt.Sprint("t", i), Group: "g", Address: t.Address, Zone: "z", Slots: 2})
-		}
-		view.Update(func(now time.Time, ros *roster.Roster) {
-			ros.StoreAnswered(now)
-			ros.Replace(now, list)
-		})
-	}
-	sent := func() []rawtarget.Request {
-		var all []rawtarget.Request
-		for _, t := range targets {
-			all = append(all, t.Requests()...)
-		}
-		return all
+		f.startTargets(n, script)
+		targets = f.targets
 	}
+	sent := func() []rawtarget.Request { return f.sent() }
+	serve := func() (*httptest.ResponseRecorder, relay.Result) { return f.serve() }
+
 	// An account is over its quota. Its request must reach no target, and the caller is
 	// told when to retry.
 	It("sends no request of an account that is over its quota", func() {
@@ -159,10 +90,6 @@
 		Entry("rejected by every target", []string{rawtarget.Whole(503, "", idHeader, "Not-Run: 1")}, 1),
 	)
 
-	serve := func() (*httptest.ResponseRecorder, relay.Result) {
-		w := httptest.NewRecorder()
-		return w, r.Serve(context.Background(), request, w)
-	}
 	writeAnswer := func(c net.Conn) { rawtarget.Write(c, rawtarget.Whole(200, "answer", idHeader, "Sign: s")) }
 	writeNotRun := func(c net.Conn) { rawtarget.Write(c, rawtarget.Whole(503, "", idHeader, "Not-Run: 1")) }
 
@@ -338,7 +265,7 @@
 		startTargets(4, func(_ int, _ *rawtarget.Request, c net.Conn) { rawtarget.Reset(c) })
 		_, _ = serve()
 		Expect(sent()).To(HaveLen(request.Route.MaxAttempts))
-		Expect(suspects.Verdict(relay.Fingerprint(&request.HTTP))).To(Equal(retry.Clear))
+		Expect(f.suspects.Verdict(relay.Fingerprint(&request.HTTP))).To(Equal(retry.Clear))
 	})
 
 	// restartTarget updates the roster as if target i had restarted at the same address.
@@ -448,7 +375,7 @@
 		Eventually(done).WithTimeout(timeout).Should(Receive(Equal("answer")))
 		ended := lines.FilterMessage("request").All()[0].ContextMap()
 		Expect(ended).To(HaveKeyWithValue("cause", ContainSubstring("started again")))
-		Expect(suspects.Verdict(relay.Fingerprint(&request.HTTP))).To(Equal(retry.Clear))
+		Expect(f.suspects.Verdict(relay.Fingerprint(&request.HTTP))).To(Equal(retry.Clear))
 	})
 
 	It("ends a non-repeatable request at once when its target has restarted, and reports that it may have run", func() {
@@ -490,78 +417,4 @@
 		Expect(result.CallerLeft).To(BeTrue())
 		Eventually(targets[0].Open).WithTimeout(timeout).Should(BeZero())
 	})
-
-	Context("with a stream", func() {
-		BeforeEach(func() {
-			request.Route.Kind = route.Stream
-			request.Route.Resumable = true
-			request.Route.GapObjective = 200 * time.Millisecond
-		})
-		all := func(from, to int) string {
-			text := ""
-			for i := from; i <= to; i++ {
-				text += rawtarget.Event(i, fmt.Sprint("e", i))
-			}
-			return text
-		}
-
-		It("forwards it to its end", func() {
-			startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
-				rawtarget.Write(c, streamHead()+events(0, 4)+rawtarget.LastChunk)
-			})
-			w, result := serve()
-			Expect(result).To(Equal(relay.Result{}))
-			Expect(w.Body.String()).To(Equal(all(0, 4)))
-		})
-
-		// An engine crashes in the middle of an event. The caller must get each event once and
-		// complete: the truncated one is dropped and fetched from another engine.
-		It("resumes at another target after the last complete event", func() {
-			startTargets(2, func(turn int, got *rawtarget.Request, c net.Conn) {
-				if turn == 0 {
-					rawtarget.Write(c, streamHead()+events(0, 2)+rawtarget.Chunk("id: 3\ndata: cu"))
-					rawtarget.Reset(c)
-					return
-				}
-				Expect(got.Header.Get("After")).To(Equal("2"))
-				rawtarget.Write(c, streamHead()+events(2, 5)+rawtarget.LastChunk)
-			})
-			w, result := serve()
-			Expect(result).To(Equal(relay.Result{}))
-			Expect(w.Body.String()).To(Equal(all(0, 5)))
-		})
-
-		It("resumes at another target when its target stops sending", func() {
-			startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
-				if turn == 0 {
-					rawtarget.Write(c, streamHead()+events(0, 1))
-					return
-				}
-				rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
-			})
-			w, _ := serve()
-			Expect(w.Body.String()).To(Equal(all(0, 3)))
-		})
-
-		It("cuts off a stream that it can't complete, so that it does not appear complete", func() {
-			request.Route.Resumable = false
-			startTargets(2, func(_ int, _ *rawtarget.Request, c net.Conn) {
-				rawtarget.Write(c, streamHead()+events(0, 2))
-				rawtarget.Reset(c)
-			})
-			w, result := serve()
-			Expect(result.Aborted).To(BeTrue())
-			Expect(w.Body.String()).To(Equal(all(0, 2)))
-			Expect(sent()).To(HaveLen(1))
-		})
-
-		It("treats a stream that ends within an event as broken", func() {
-			request.Route.MaxAttempts = 1
-			startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
-				rawtarget.Write(c, streamHead()+events(0, 1)+rawtarget.Chunk("id: 2\nda")+rawtarget.LastChunk)
-			})
-			_, result := serve()
-			Expect(result.Aborted).To(BeTrue())
-		})
-	})
 })
--- /dev/null
+++ b/daemon/relay/stream_test.go
@@ -0,0 +1,99 @@
+package relay_test
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/target/rawtarget"
+)
+
+var _ = Describe("The relay of a stream", func() {
+	var (
+		f       *fixture
+		request *relay.Request
+	)
+	startTargets := func(n int, script func(turn int, r *rawtarget.Request, c net.Conn)) { f.startTargets(n, script) }
+	sent := func() []rawtarget.Request { return f.sent() }
+	serve := func() (*httptest.ResponseRecorder, relay.Result) { return f.serve() }
+
+	BeforeEach(func() {
+		f = newFixture()
+		request = f.request
+		request.Route.Kind = route.Stream
+		request.Route.Resumable = true
+		request.Route.GapObjective = 200 * time.Millisecond
+	})
+	all := func(from, to int) string {
+		text := ""
+		for i := from; i <= to; i++ {
+			text += rawtarget.Event(i, fmt.Sprint("e", i))
+		}
+		return text
+	}
+
+	It("forwards it to its end", func() {
+		startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, streamHead()+events(0, 4)+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 4)))
+	})
+
+	// An engine crashes in the middle of an event. The caller must get each event once and
+	// complete: the truncated one is dropped and fetched from another engine.
+	It("resumes at another target after the last complete event", func() {
+		startTargets(2, func(turn int, got *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, streamHead()+events(0, 2)+rawtarget.Chunk("id: 3\ndata: cu"))
+				rawtarget.Reset(c)
+				return
+			}
+			Expect(got.Header.Get("After")).To(Equal("2"))
+			rawtarget.Write(c, streamHead()+events(2, 5)+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 5)))
+	})
+
+	It("resumes at another target when its target stops sending", func() {
+		startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, streamHead()+events(0, 1))
+				return
+			}
+			rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+		})
+		w, _ := serve()
+		Expect(w.Body.String()).To(Equal(all(0, 3)))
+	})
+
+	It("cuts off a stream that it can't complete, so that it does not appear complete", func() {
+		request.Route.Resumable = false
+		startTargets(2, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, streamHead()+events(0, 2))
+			rawtarget.Reset(c)
+		})
+		w, result := serve()
+		Expect(result.Aborted).To(BeTrue())
+		Expect(w.Body.String()).To(Equal(all(0, 2)))
+		Expect(sent()).To(HaveLen(1))
+	})
+
+	It("treats a stream that ends within an event as broken", func() {
+		request.Route.MaxAttempts = 1
+		startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, streamHead()+events(0, 1)+rawtarget.Chunk("id: 2\nda")+rawtarget.LastChunk)
+		})
+		_, result := serve()
+		Expect(result.Aborted).To(BeTrue())
+	})
+})
