Failing test: a stream whose other targets answer with an error appears complete

Cause: a stream breaks off after event 2; the target that is to go on answers 500. The relay writes that answer's body behind the events, and the response ends as complete.

--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -96,4 +96,50 @@
 		_, result := serve()
 		Expect(result.Aborted).To(BeTrue())
 	})
+
+	// A stream breaks off, and the target that is to go on with it answers with an error. The
+	// error's body must not be joined to the stream, and the caller must not receive the stream
+	// as complete.
+	DescribeTable("cuts off a stream whose other targets answer with an error",
+		func(status int, body string) {
+			startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				if turn == 0 {
+					rawtarget.Write(c, streamHead()+events(0, 2))
+					rawtarget.Reset(c)
+					return
+				}
+				rawtarget.Write(c, rawtarget.Whole(status, body, idHeader))
+			})
+			w, result := serve()
+			Expect(w.Body.String()).To(Equal(all(0, 2)))
+			Expect(result.Aborted).To(BeTrue())
+		},
+		Entry("500", 500, "failed"),
+		Entry("500 without a body", 500, ""),
+		Entry("502", 502, "failed"),
+		Entry("504 at the deadline", 504, ""),
+		Entry("422", 422, "no"),
+		Entry("404", 404, "no"),
+		Entry("204", 204, ""),
+		Entry("206", 206, "id: 3\ndata: e3\n\n"),
+	)
+
+	// A stream breaks off, and one of the targets that could go on with it answers with an error.
+	It("resumes at another target after one that answers with an error", func() {
+		startTargets(3, func(turn int, got *rawtarget.Request, c net.Conn) {
+			switch turn {
+			case 0:
+				rawtarget.Write(c, streamHead()+events(0, 2))
+				rawtarget.Reset(c)
+			case 1:
+				rawtarget.Write(c, rawtarget.Whole(500, "failed", idHeader))
+			default:
+				Expect(got.Header.Get("After")).To(Equal("2"))
+				rawtarget.Write(c, streamHead()+events(3, 5)+rawtarget.LastChunk)
+			}
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 5)))
+	})
 })
