A stream is complete only if its target ended it

What callers saw: a stream with a 200 and its first target's signature that ended correctly after a part of its events, sometimes with the body of an error answer behind them. Cause: a resumable stream broke off, and the target that was to go on answered anything but 200 (500, or 504 at its deadline). forwardWhole knew nothing of the events that had been sent: it wrote the error as a whole answer, whose head was left out because one had been sent, and reported the request as done. Each path decided by itself whether an answer was complete. Change: an attempt to go on with an answer that is answered with something else fails, and is followed by another where the route allows it. The delivery alone knows whether an answer is complete: only the end that a target gave sets it, and Serve cuts off whatever was begun and is not complete, by whatever path it ends.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -52,8 +53,9 @@
 
 // attemptResult is the result of one attempt at a target.
 type attemptResult struct {
-	// done reports that the caller has its answer or, if aborted, that its answer was cut off.
-	done, aborted bool
+	// done reports that no further attempt follows: the answer was forwarded, or the caller
+	// can't be written to.
+	done bool
 	// reached is false only if the target certainly did not run the request.
 	reached bool
 	// broken reports that the target broke the connection.
@@ -66,7 +68,7 @@
 
 // serviceTime returns the time since start for an attempt that succeeded, 0 otherwise.
 func (a attemptResult) serviceTime(start time.Time) time.Duration {
-	if a.done && !a.aborted && a.health == routing.Succeeded {
+	if a.done && a.health == routing.Succeeded {
 		return time.Since(start)
 	}
 	return 0
@@ -100,10 +102,21 @@
 	}
 	defer answer.Close()
 	s.answer.status, s.answer.framing = answer.Status, answer.Framing
-	if s.request.Route.Kind == route.Stream && answer.Status == http.StatusOK {
+	switch {
+	case s.request.Route.Kind == route.Stream && answer.Status == http.StatusOK:
 		return s.forwardStream(ctx, answer)
+	case s.delivery.headSent:
+		return rejectRest(t, answer)
+	default:
+		return s.forwardWhole(ctx, t, answer)
 	}
-	return s.forwardWhole(ctx, t, answer)
+}
+
+// rejectRest returns the result of an attempt to go on with an answer that the caller has a
+// part of, where the target answered with anything but the rest.
+func rejectRest(t roster.Target, answer *h1.Answer) attemptResult {
+	answer.Drain(drainTimeout)
+	return attemptResult{reached: true, detail: t.ID + " answered " + strconv.Itoa(answer.Status) + " in place of the rest", health: routing.SoftFailed}
 }
 
 // attemptFailed classifies the error of a failed attempt, and records a timeout if the
@@ -206,7 +219,7 @@
 		n, err := answer.Read(buffer, s.eventReadTimeout())
 		events.Write(buffer[:n])
 		if writeErr := s.forwardEvents(answer, &events); writeErr != nil {
-			return attemptResult{done: true, aborted: true, detail: writeErr.Error(), health: routing.Neutral}
+			return attemptResult{done: true, detail: writeErr.Error(), health: routing.Neutral}
 		}
 		switch {
 		case err == io.EOF && len(events.Rest()) == 0:
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -29,6 +29,9 @@
 type delivery struct {
 	w        http.ResponseWriter
 	headSent bool
+	// complete is set once the answer was written to the end that its target gave it. Only
+	// finish and sendWhole set it.
+	complete bool
 	// status is the HTTP status sent, 0 before the head.
 	status int
 	// lastEvent is the ID of the last event forwarded, or NoEvent.
@@ -73,11 +76,18 @@
 	d.w.WriteHeader(status)
 }
 
-// sendWhole sends a whole answer.
+// cutShort reports whether the caller has a part of an answer that was not completed.
+func (d *delivery) cutShort() bool { return d.headSent && !d.complete }
+
+// sendWhole sends a whole answer. It writes nothing if another answer was begun.
 func (d *delivery) sendWhole(status int, header http.Header, body []byte) {
+	if d.headSent {
+		return
+	}
 	setLength(d.w.Header(), len(body), status)
 	d.sendHead(status, header)
-	_, _ = d.w.Write(body) // a caller that disconnected shows in its context
+	_, err := d.w.Write(body)
+	d.complete = err == nil
 }
 
 // keepFailure stores a target's error answer while another attempt is made.
@@ -106,5 +116,8 @@
 	}
 }
 
-// finish ends a stream. It sends the head if the stream had no event.
-func (d *delivery) finish(answer *h1.Answer) { d.sendHead(answer.Status, answer.Header) }
+// finish ends a stream whose target ended it. It sends the head if the stream had no event.
+func (d *delivery) finish(answer *h1.Answer) {
+	d.sendHead(answer.Status, answer.Header)
+	d.complete = true
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -184,6 +184,7 @@
 	state := &requestState{relay: r, request: request, delivery: newDelivery(w), excluded: map[string]bool{},
 		content: content, fingerprint: formatFingerprint(content)}
 	result := state.serveWithQuota(ctx)
+	result.Aborted = state.delivery.cutShort()
 	r.recordEnd(request, state, result)
 	return result
 }
@@ -262,7 +263,7 @@
 		stopWatch()
 		s.relay.Places.Release(slot, ended.health, ended.serviceTime(s.attemptStart))
 		if ended.done {
-			return Result{Aborted: ended.aborted}
+			return Result{}
 		}
 		if result, final := s.afterFailure(ctx, target, ended); final {
 			return result
@@ -339,7 +340,7 @@
 		result = s.attempt(ctx, slot.Target)
 		return result.broken
 	})
-	if result.done && !result.aborted {
+	if result.done && !s.delivery.cutShort() {
 		s.relay.Crashes.Completed(s.fingerprint)
 	}
 	return result
@@ -401,12 +402,12 @@
 	}, s.relay.budget)
 }
 
-// refuse ends the request without a successful answer. An answer that was begun is cut off;
+// refuse ends the request without a successful answer. An answer that was begun stays cut short;
 // otherwise the last error answer of a target is forwarded if there is one, else the
 // refusal is returned. The refusal never claims that a request did not run if it may have.
 func (s *requestState) refuse(refusal *outcome.Refusal) Result {
 	if s.delivery.headSent {
-		return Result{Aborted: true}
+		return Result{}
 	}
 	if s.delivery.failure != nil {
 		s.delivery.sendFailure()
@@ -421,7 +422,7 @@
 // endEarly ends a request whose caller disconnected or whose deadline has passed.
 func (s *requestState) endEarly(ctx context.Context) Result {
 	if time.Now().Before(s.request.Deadline) {
-		return Result{CallerLeft: true, Aborted: s.delivery.headSent}
+		return Result{CallerLeft: true}
 	}
 	refusal := outcome.Refuse(outcome.DeadlineExceeded, "no answer within %s", s.request.Deadline.Sub(s.request.Arrived))
 	return s.refuse(refusal)
