A stream is not joined to a run that begins after a gap

What callers saw: nothing reported; found while looking for other ways to a stream that ends as complete with pieces missing. Cause: a resumed run was trusted to begin behind the last event; one that begins further on was joined to it, and its end was the stream's. Change: the first event with an ID of a resumed run has to follow the last one or repeat an earlier one, else the attempt fails like a broken one. Where a target's IDs are not consecutive nothing is known of gaps, and the run is joined as before. Result: go test ./daemon/relay, "does not join a run that begins after a gap": failed before, passes.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -48,6 +48,9 @@
 // errAttemptEnded is the type of errors for attempts that this daemon ended.
 var errAttemptEnded = errorNamespace.NewType("ended")
 
+// errGap is the type of errors for runs that do not begin where the caller's part ends.
+var errGap = errorNamespace.NewType("gap")
+
 // errTargetRestarted ends the attempts at a target that has restarted.
 var errTargetRestarted = errAttemptEnded.New("the target has started again")
 
@@ -215,13 +218,16 @@
 func (s *requestState) forwardStream(ctx context.Context, answer *h1.Answer) attemptResult {
 	var events sse.Splitter
 	buffer := make([]byte, readSize)
+	s.delivery.runBegins = true
 	for {
 		n, err := answer.Read(buffer, s.eventReadTimeout())
 		events.Write(buffer[:n])
-		if writeErr := s.forwardEvents(answer, &events); writeErr != nil {
-			return attemptResult{done: true, detail: writeErr.Error(), health: routing.Neutral}
-		}
+		forwardErr := s.forwardEvents(answer, &events)
 		switch {
+		case errorx.IsOfType(forwardErr, errGap):
+			return attemptResult{reached: true, detail: forwardErr.Error(), health: routing.SoftFailed}
+		case forwardErr != nil:
+			return attemptResult{done: true, detail: forwardErr.Error(), health: routing.Neutral}
 		case err == io.EOF && len(events.Rest()) == 0:
 			s.delivery.finish(answer)
 			return attemptResult{done: true, health: routing.Succeeded}
@@ -236,7 +242,7 @@
 }
 
 // forwardEvents forwards the complete events that the splitter holds, and skips those that
-// the caller already has.
+// the caller already has. Its errors are errGap and those of writing to the caller.
 func (s *requestState) forwardEvents(answer *h1.Answer, events *sse.Splitter) error {
 	forwarded := false
 	for {
@@ -244,6 +250,9 @@
 		if !ok {
 			break
 		}
+		if !s.delivery.joins(e) {
+			return errGap.New("event %d came after %d", e.ID, s.delivery.lastEvent)
+		}
 		if e.ID >= 0 && e.ID <= s.delivery.lastEvent {
 			continue
 		}
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -36,6 +36,10 @@
 	status int
 	// lastEvent is the ID of the last event forwarded, or NoEvent.
 	lastEvent int64
+	// stepped reports that the IDs of the events are not consecutive.
+	stepped bool
+	// runBegins is set until the first event with an ID of a target's run.
+	runBegins bool
 	// failure is a target's own error answer (500), forwarded if no attempt gives a better
 	// one.
 	failure *bufferedAnswer
@@ -105,11 +109,22 @@
 		return err
 	}
 	if e.ID >= 0 {
+		d.stepped = d.stepped || d.lastEvent != NoEvent && e.ID != d.lastEvent+1
 		d.lastEvent = e.ID
 	}
 	return nil
 }
 
+// joins reports whether the event may follow those that were forwarded: a run that begins
+// after a gap does not continue the stream.
+func (d *delivery) joins(e sse.Event) bool {
+	if e.ID < 0 || !d.runBegins {
+		return true
+	}
+	d.runBegins = false
+	return d.lastEvent == NoEvent || d.stepped || e.ID <= d.lastEvent+1
+}
+
 func (d *delivery) flush() {
 	if f, ok := d.w.(http.Flusher); ok {
 		f.Flush()
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -142,4 +142,62 @@
 		Expect(result).To(Equal(relay.Result{}))
 		Expect(w.Body.String()).To(Equal(all(0, 5)))
 	})
+
+	// A stream breaks off, and the target that is to go on with it skips events. The caller would
+	// receive a stream with a hole that ends as complete.
+	It("does not join a run that begins after a gap", func() {
+		startTargets(3, func(turn int, got *rawtarget.Request, c net.Conn) {
+			switch turn {
+			case 0:
+				rawtarget.Write(c, streamHead()+events(0, 2))
+				rawtarget.Reset(c)
+			case 1:
+				rawtarget.Write(c, streamHead()+events(5, 7)+rawtarget.LastChunk)
+			default:
+				Expect(got.Header.Get("After")).To(Equal("2"))
+				rawtarget.Write(c, streamHead()+events(3, 7)+rawtarget.LastChunk)
+			}
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 7)))
+	})
+
+	// A target numbers the events of a stream with steps. A resumed stream must not be taken
+	// for one with a gap.
+	It("resumes a stream whose events are not numbered one by one", func() {
+		numbered := func(ids ...int) string {
+			text := ""
+			for _, i := range ids {
+				text += rawtarget.Chunk(rawtarget.Event(i, fmt.Sprint("e", i)))
+			}
+			return text
+		}
+		startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, streamHead()+numbered(10, 20))
+				rawtarget.Reset(c)
+				return
+			}
+			rawtarget.Write(c, streamHead()+numbered(30, 40)+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(rawtarget.Event(10, "e10") + rawtarget.Event(20, "e20") + rawtarget.Event(30, "e30") + rawtarget.Event(40, "e40")))
+	})
+
+	// A comment keeps a connection open. It has no ID and is no part of the stream's content.
+	It("resumes a stream after a comment", func() {
+		startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, streamHead()+events(0, 1)+rawtarget.Chunk(": wait\n\n"))
+				rawtarget.Reset(c)
+				return
+			}
+			rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 1) + ": wait\n\n" + all(2, 3)))
+	})
 })
