A broken stream whose position is unknown is cut off

What callers saw: nothing reported; found while looking for other ways to joined answers. Cause: a stream whose events have no ID breaks off. The next attempt names no last event, its target starts from the first one, and the caller receives the beginning twice in a stream that ends as complete. The same with an event without ID behind the last one that has one. Change: a request that has forwarded data without an ID since the last ID is not sent again. Result: go test ./daemon/relay, "cuts off a broken stream whose last events have no ID": 2 entries failed before, both pass.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -80,7 +80,13 @@
 // mayRetry reports whether another attempt would still be allowed if the current one fails
 // after the target ran the request.
 func (s *requestState) mayRetry() bool {
-	return s.request.Route.Repeatable() && s.runs+1 < s.request.Route.MaxAttempts
+	return s.repeatable() && s.runs+1 < s.request.Route.MaxAttempts
+}
+
+// repeatable reports whether a request that may have run may be sent again. A stream is
+// resumed only if the position in it is known.
+func (s *requestState) repeatable() bool {
+	return s.request.Route.Repeatable() && !s.delivery.unnumbered
 }
 
 // attempt sends the request to the target once.
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -36,6 +36,9 @@
 	status int
 	// lastEvent is the ID of the last event forwarded, or NoEvent.
 	lastEvent int64
+	// unnumbered reports that an event without an ID was forwarded after lastEvent: no target
+	// can be asked for what follows it.
+	unnumbered bool
 	// stepped reports that the IDs of the events are not consecutive.
 	stepped bool
 	// runBegins is set until the first event with an ID of a target's run.
@@ -108,9 +111,13 @@
 	if _, err := d.w.Write(e.Raw); err != nil {
 		return err
 	}
-	if e.ID >= 0 {
+	switch {
+	case e.ID >= 0:
 		d.stepped = d.stepped || d.lastEvent != NoEvent && e.ID != d.lastEvent+1
 		d.lastEvent = e.ID
+		d.unnumbered = false
+	case e.HasData:
+		d.unnumbered = true
 	}
 	return nil
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -393,7 +393,7 @@
 	defer s.relay.mu.Unlock()
 	return retry.Decide(retry.Situation{
 		Failure:       retry.Failure{Reached: failed.reached, Busy: failed.busy, Detail: failed.detail},
-		Repeatable:    s.request.Route.Repeatable(),
+		Repeatable:    s.repeatable(),
 		ReachedBefore: s.runs > 0,
 		Attempts:      s.runs,
 		Retries:       s.request.Route.MaxAttempts - 1,
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -186,6 +186,27 @@
 		Expect(w.Body.String()).To(Equal(rawtarget.Event(10, "e10") + rawtarget.Event(20, "e20") + rawtarget.Event(30, "e30") + rawtarget.Event(40, "e40")))
 	})
 
+	// A stream without event IDs breaks off. No target can be asked for the rest, and a new run
+	// would be joined to the events that the caller has.
+	DescribeTable("cuts off a broken stream whose last events have no ID",
+		func(first string) {
+			startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, streamHead()+rawtarget.Chunk(first+"data: a\n\n"))
+				if turn == 0 {
+					rawtarget.Reset(c)
+					return
+				}
+				rawtarget.Write(c, rawtarget.LastChunk)
+			})
+			w, result := serve()
+			Expect(result.Aborted).To(BeTrue())
+			Expect(w.Body.String()).To(Equal(first + "data: a\n\n"))
+			Expect(sent()).To(HaveLen(1))
+		},
+		Entry("no event has one", ""),
+		Entry("the first event has one", rawtarget.Event(0, "e0")),
+	)
+
 	// A comment keeps a connection open. It has no ID and is no part of the stream's content.
 	It("resumes a stream after a comment", func() {
 		startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
