The end of a connection does not complete an answer that the daemon framed

What callers saw: nothing reported; found while looking for other ways to answers that end as complete. Cause: an answer with neither length nor chunks ends with its connection, and a target that crashes ends it in the same way. The daemon gave it a length or chunks of its own, so that a cut answer became one that is marked as complete. Change: an answer without framing is forwarded without framing: the caller knows as much as the daemon. Where the caller's stream is framed already and its rest comes without framing, the end of that connection completes it only if another target agrees: it sends a framed end, or ends its connection after the same event; else the stream is cut off. Result: go test ./daemon/relay: 5 entries of "adds no framing to an answer that has none" and "does not take the end of a connection for the end of a framed stream" failed before, all pass.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -178,15 +178,16 @@
 			return attemptResult{reached: true, detail: "the answer is too long", health: routing.SoftFailed}
 		}
 	}
+	whole := bufferedAnswer{status: answer.Status, header: answer.Header, framing: answer.Framing, body: body}
 	if answer.Status == http.StatusInternalServerError {
-		s.delivery.keepFailure(answer.Status, answer.Header, body)
+		s.delivery.keepFailure(whole)
 		if s.mayRetry() {
 			return attemptResult{reached: true, detail: "failed at " + t.ID, health: routing.SoftFailed}
 		}
 		s.delivery.sendFailure()
 		return attemptResult{done: true, health: routing.SoftFailed}
 	}
-	s.delivery.sendWhole(answer.Status, answer.Header, body)
+	s.delivery.sendWhole(whole)
 	return attemptResult{done: true, health: routing.Succeeded}
 }
 
@@ -234,9 +235,10 @@
 			return attemptResult{reached: true, detail: forwardErr.Error(), health: routing.SoftFailed}
 		case forwardErr != nil:
 			return attemptResult{done: true, detail: forwardErr.Error(), health: routing.Neutral}
-		case err == io.EOF && len(events.Rest()) == 0:
-			s.delivery.finish(answer)
+		case err == io.EOF && len(events.Rest()) == 0 && s.delivery.finish(answer):
 			return attemptResult{done: true, health: routing.Succeeded}
+		case err == io.EOF && len(events.Rest()) == 0:
+			return attemptResult{reached: true, detail: "the rest ended with its connection", health: routing.Neutral}
 		case err == io.EOF:
 			return attemptResult{reached: true, detail: "the stream ended within an event", health: routing.SoftFailed}
 		case err != nil:
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -32,6 +32,11 @@
 	// complete is set once the answer was written to the end that its target gave it. Only
 	// finish and sendWhole set it.
 	complete bool
+	// unframed reports that the caller's answer ends with its connection, like its target's.
+	unframed bool
+	// endedAfter is the last event before the end of a connection that may have been the
+	// stream's end, or noEnd.
+	endedAfter int64
 	// status is the HTTP status sent, 0 before the head.
 	status int
 	// lastEvent is the ID of the last event forwarded, or NoEvent.
@@ -48,20 +53,24 @@
 	failure *bufferedAnswer
 }
 
+// noEnd means that no connection has ended where the stream may end.
+const noEnd = NoEvent - 1
+
 // bufferedAnswer is an answer that was read whole.
 type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	framing h1.Framing
+	body    []byte
 }
 
 func newDelivery(w http.ResponseWriter) *delivery {
-	return &delivery{w: w, lastEvent: NoEvent}
+	return &delivery{w: w, lastEvent: NoEvent, endedAfter: noEnd}
 }
 
 // sendHead sends the head of the first target that answers. A stream that is resumed at
 // another target keeps it.
-func (d *delivery) sendHead(status int, header http.Header) {
+func (d *delivery) sendHead(status int, header http.Header, framing h1.Framing) {
 	if d.headSent {
 		return
 	}
@@ -70,6 +79,12 @@
 	copied := header.Clone()
 	DropHopByHop(copied)
 	copied.Del("Content-Length")
+	if framing == h1.Unframed {
+		// net/http then adds no framing. A target that crashes ends such an answer like one
+		// that has finished it, so the daemon must not mark the end as that of the answer.
+		d.unframed = true
+		d.w.Header().Set("Transfer-Encoding", "identity")
+	}
 	for name, values := range copied {
 		d.w.Header()[name] = values
 	}
@@ -87,27 +102,27 @@
 func (d *delivery) cutShort() bool { return d.headSent && !d.complete }
 
 // sendWhole sends a whole answer. It writes nothing if another answer was begun.
-func (d *delivery) sendWhole(status int, header http.Header, body []byte) {
+func (d *delivery) sendWhole(a bufferedAnswer) {
 	if d.headSent {
 		return
 	}
-	setLength(d.w.Header(), len(body), status)
-	d.sendHead(status, header)
-	_, err := d.w.Write(body)
+	if a.framing != h1.Unframed {
+		setLength(d.w.Header(), len(a.body), a.status)
+	}
+	d.sendHead(a.status, a.header, a.framing)
+	_, err := d.w.Write(a.body)
 	d.complete = err == nil
 }
 
 // keepFailure stores a target's error answer while another attempt is made.
-func (d *delivery) keepFailure(status int, header http.Header, body []byte) {
-	d.failure = &bufferedAnswer{status, header, body}
-}
+func (d *delivery) keepFailure(a bufferedAnswer) { d.failure = &a }
 
 // sendFailure sends the stored error answer.
-func (d *delivery) sendFailure() { d.sendWhole(d.failure.status, d.failure.header, d.failure.body) }
+func (d *delivery) sendFailure() { d.sendWhole(*d.failure) }
 
 // sendEvent sends one event, preceded by the head if it has not been sent.
 func (d *delivery) sendEvent(answer *h1.Answer, e sse.Event) error {
-	d.sendHead(answer.Status, answer.Header)
+	d.sendHead(answer.Status, answer.Header, answer.Framing)
 	if _, err := d.w.Write(e.Raw); err != nil {
 		return err
 	}
@@ -138,8 +153,13 @@
 	}
 }
 
-// finish ends a stream whose target ended it. It sends the head if the stream had no event.
-func (d *delivery) finish(answer *h1.Answer) {
-	d.sendHead(answer.Status, answer.Header)
-	d.complete = true
+// finish ends a stream after its target's last event, and sends the head if there was none.
+// It returns false if the caller would take for the stream's end what may be a crash: the end
+// of a connection completes an answer only if the caller's own ends so, or if two targets
+// agree on it.
+func (d *delivery) finish(answer *h1.Answer) bool {
+	d.sendHead(answer.Status, answer.Header, answer.Framing)
+	d.complete = answer.Framing != h1.Unframed || d.unframed || d.endedAfter == d.lastEvent
+	d.endedAfter = d.lastEvent
+	return d.complete
 }
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -105,6 +107,33 @@
 		Expect(left).To(BeNumerically("<=", timeout.Milliseconds()))
 	})
 
+	// A target that crashes ends an answer without framing like one that has finished it. The
+	// daemon must not mark the end as that of the answer, by a length or a last chunk.
+	DescribeTable("adds no framing to an answer that has none",
+		func(kind route.Kind) {
+			request.Route.Kind = kind
+			text := rawtarget.Event(0, "e0") + rawtarget.Event(1, "e1")
+			startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, rawtarget.Head(200, idHeader)+text)
+				_ = c.Close()
+			})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				r.Serve(context.Background(), request, w)
+			}))
+			DeferCleanup(server.Close)
+			response, err := http.Get(server.URL)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal(text))
+			Expect(response.ContentLength).To(BeEquivalentTo(-1))
+			Expect(response.TransferEncoding).To(BeEmpty())
+		},
+		Entry("a whole answer", route.Idempotent),
+		Entry("a stream", route.Stream),
+	)
+
 	// A host loses power while requests are in flight, so that none of them gets its final
 	// log line. The operator on call must still be able to find out where each of them was.
 	It("logs the target of a request before it is sent", func() {
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -221,4 +221,31 @@
 		Expect(result).To(Equal(relay.Result{}))
 		Expect(w.Body.String()).To(Equal(all(0, 1) + ": wait\n\n" + all(2, 3)))
 	})
+
+	// A stream breaks off, and the rest comes without framing: where its connection ends, its
+	// target may have crashed. The caller's stream is framed and must not end as complete there.
+	DescribeTable("does not take the end of a connection for the end of a framed stream",
+		func(last string, complete bool, received string) {
+			startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				switch turn {
+				case 0:
+					rawtarget.Write(c, streamHead()+events(0, 1))
+					rawtarget.Reset(c)
+				case 1:
+					rawtarget.Write(c, rawtarget.Head(200, idHeader)+all(2, 3))
+				default:
+					rawtarget.Write(c, last)
+				}
+				_ = c.Close()
+			})
+			w, result := serve()
+			Expect(result.Aborted).To(Equal(!complete))
+			Expect(w.Body.String()).To(Equal(received))
+		},
+		Entry("another target confirms it", streamHead()+rawtarget.LastChunk, true, all(0, 3)),
+		Entry("another target has the rest", streamHead()+events(4, 5)+rawtarget.LastChunk, true, all(0, 5)),
+		Entry("another connection ends there too", rawtarget.Head(200, idHeader), true, all(0, 3)),
+		Entry("another connection ends later", rawtarget.Head(200, idHeader)+all(4, 5), false, all(0, 5)),
+		Entry("no target answers", "", false, all(0, 3)),
+	)
 })
