A replayed answer is not the end of another run's stream

What callers saw: nothing reported; found by reading, while looking for other ways to joined answers. Cause: a keyed chat streams its run's tokens; at its end the ledger has the answer of another daemon's run of the key. Nothing of that answer was sent behind the tokens, but its finish was, and [DONE]. A run that broke off ended like a complete one, with a piece of its own text only. Change: the rest of the kept answer is sent if the tokens that the caller has are its beginning, else the stream fails with run=ran. A run that its target completed keeps its own finish.

--- a/daemon/online/chat.go
+++ b/daemon/online/chat.go
@@ -23,7 +23,7 @@
 )
 
 // Chat runs a chat completion. sink, if not nil, receives every token before Chat
-// returns; a replayed answer is passed to it as a single token.
+// returns; what it has not received of a replayed answer is passed to it as a single token.
 func (o *Online) Chat(ctx context.Context, call api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
 	began := o.opt.Clock()
 	result, refusal := o.chat(ctx, call, sink)
@@ -76,10 +76,8 @@
 		return result, refusal
 	}
 	result.Replayed = replayed
-	if replayed && s.sink != nil && len(s.texts) == 0 {
-		if err := s.sink(target.Token{Index: 0, Text: result.Text}); err != nil {
-			return result, outcome.Refuse(outcome.Cancelled, "the caller left").WithRun(outcome.Ran)
-		}
+	if replayed && s.sink != nil {
+		return s.replay(result)
 	}
 	return result, nil
 }
@@ -111,7 +109,9 @@
 	// attempt resumes after them.
 	texts  []string
 	finish target.Finish
-	lastAt time.Time
+	// complete reports whether a target ended the answer; finish is set then.
+	complete bool
+	lastAt   time.Time
 }
 
 func (o *Online) newStream(call api.ChatCall, g *group, sink func(target.Token) error) *stream {
@@ -153,6 +153,27 @@
 	return api.ChatResult{Text: strings.Join(s.texts, ""), Finish: finish}
 }
 
+// replay completes the caller's stream with the answer of another run of the key. Tokens
+// of this run that the caller already has must be the beginning of that answer, since a
+// stream never mixes two answers. A complete answer of this run remains the stream's.
+func (s *stream) replay(kept api.ChatResult) (api.ChatResult, *outcome.Refusal) {
+	if s.complete {
+		return s.result(), nil
+	}
+	rest, same := strings.CutPrefix(kept.Text, strings.Join(s.texts, ""))
+	if !same {
+		return kept, outcome.Refuse(outcome.TargetFailed, "the stream broke off, and the key's answer is that of another run").
+			WithRun(outcome.Ran)
+	}
+	if rest == "" {
+		return kept, nil
+	}
+	if err := s.sink(target.Token{Index: len(s.texts), Text: rest}); err != nil {
+		return kept, outcome.Refuse(outcome.Cancelled, "the caller left").WithRun(outcome.Ran)
+	}
+	return kept, nil
+}
+
 // try generates at one target, resuming after the tokens already delivered.
 func (s *stream) try(ctx context.Context, address string, last bool) error {
 	attempt, cancel := context.WithCancelCause(ctx)
@@ -176,7 +197,7 @@
 	if err != nil {
 		return stallError(attempt, ctx, err)
 	}
-	s.finish = finish
+	s.finish, s.complete = finish, true
 	return nil
 }
 
--- a/daemon/online/online_test.go
+++ b/daemon/online/online_test.go
@@ -13,7 +13,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tarragonhollow.example/tarragonhollow/chat"
 	"tarragonhollow.example/tarragonhollow/core/config"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/target"
 	"tarragonhollow.example/tarragonhollow/target/faketarget"
@@ -196,6 +198,9 @@
 })
 
 var _ = Describe("a keyed chat", func() {
+	once := &config.Profile{Name: "once", Urgency: config.Online, Repeatable: true}
+	broken := &target.Failure{Reached: true, Crashed: true, Detail: "broke"}
+
 	It("replays the kept answer without running again", func() {
 		b := newBench("a:1")
 		b.start()
@@ -213,6 +218,42 @@
 		Expect(b.engine.Calls()).To(HaveLen(1))
 	})
 
+	// Another daemon's run of the key ends first while this one streams. The caller's stream
+	// must not be the tokens of one run with the end of the other.
+	DescribeTable("joins no stream with the answer of another run",
+		func(ran []string, ranErr *target.Failure, first, wantText, wantReason string) {
+			b := newBench("a:1")
+			b.ledger.first = &ledger.Answer{Status: 200, Body: chat.EncodeAnswer("id", "menu", time.Unix(1, 0),
+				chat.Answer{Text: first, Finish: target.Finish{Reason: "length"}})}
+			b.engine.OnGenerate = func(string, target.GenerateRequest) faketarget.Generation {
+				generation := faketarget.Generation{Tokens: ran}
+				if ranErr != nil {
+					generation.Err = ranErr
+				}
+				return generation
+			}
+			b.start()
+			call, text := chatOf(once, "k1", "hello"), ""
+			result, err := b.online.Chat(context.Background(), call, func(t target.Token) error {
+				text += t.Text
+				return nil
+			})
+			Expect(text).To(Equal(wantText))
+			if wantReason == "" {
+				Expect(refusalOf(err).Code).To(Equal(outcome.TargetFailed))
+				Expect(refusalOf(err).Run).To(Equal(outcome.Ran))
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Finish.Reason).To(Equal(wantReason))
+			Expect(result.Text).To(Equal(wantText))
+		},
+		Entry("this run is complete", []string{"one ", "two"}, nil, "one three four", "one two", "stop"),
+		Entry("this run broke off in another text", []string{"one ", "two"}, broken, "one three four", "one two", ""),
+		Entry("this run broke off in the same text", []string{"one ", "two "}, broken, "one two three", "one two three", "length"),
+		Entry("this run broke off before its first token", nil, broken, "one two three", "one two three", "length"),
+	)
+
 	// The log goes down while a request runs. The caller gets the answer at once; it
 	// becomes durable when the log is back, and Drain waits for that.
 	It("stores its answer when the log comes back", func() {
--- a/daemon/online/suite_test.go
+++ b/daemon/online/suite_test.go
@@ -70,6 +70,9 @@
 	broken   bool
 	finished map[string]ledger.FinishRequest
 	begun    map[string]string
+	// first, if set, is the answer of another daemon's run, which is on the log before
+	// that of any run here.
+	first *ledger.Answer
 }
 
 func (l *fakeLedger) Begin(_ context.Context, r ledger.BeginRequest) (ledger.BeginReply, error) {
@@ -98,6 +101,9 @@
 		return ledger.FinishReply{}, outcome.Refuse(outcome.LogUnavailable, "the log is out")
 	}
 	delete(l.begun, r.Key)
+	if l.first != nil {
+		return ledger.FinishReply{Durable: true, Answer: l.first}, nil
+	}
 	if r.Refusal == nil || r.Refusal.Run != outcome.NotRun {
 		l.finished[r.Key] = r
 	}
