A response that has begun and fails is cut off

What callers saw: nothing reported; found by reading, while looking for other ways to answers framed as complete. Cause: the error handler returned silently once a response had been started, and net/http then ended the body like a complete one: after a panic in the daemon a stream ended without an event, a page of results looked like the last one. The same for a stream whose error event could not be written; that one rested on net/http, which writes nothing more to a connection after a failed write. Change: the error handler cuts the connection of a response that has begun, and a stream whose error event can't be written goes there. Result: go test ./api, "cuts off a response that has begun when its handler panics" (2 entries) and "cuts off a stream whose error event can't be written": 3 failed before, all pass.

--- a/api/chat.go
+++ b/api/chat.go
@@ -62,7 +62,7 @@
 }
 
 // endStream ends a stream that has begun with an error event. If the stream has not
-// begun, it returns err.
+// begun or the event can't be written, it returns err.
 func (s *Server) endStream(c echo.Context, w *eventWriter, err error) error {
 	if !w.begun {
 		return err
@@ -72,6 +72,7 @@
 	st.recordRefusal(refusal)
 	if failed := w.fail(errorBody{Error: fieldsOf(refusal)}); failed != nil {
 		s.metrics.writeErrors.Inc()
+		return err
 	}
 	return nil
 }
--- a/api/faults_test.go
+++ b/api/faults_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/api"
+	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/target"
 )
@@ -169,6 +171,20 @@
 	})
 })
 
+// oneWrite is a ResponseWriter whose first write alone succeeds.
+type oneWrite struct {
+	*httptest.ResponseRecorder
+	written bool
+}
+
+func (w *oneWrite) Write(p []byte) (int, error) {
+	if w.written {
+		return 0, io.ErrClosedPipe
+	}
+	w.written = true
+	return w.ResponseRecorder.Write(p)
+}
+
 var _ = Describe("streams that end early", func() {
 	// The target crashes in the middle of an answer. A stream that simply ended, or ended
 	// with [DONE], would look like the complete answer.
@@ -185,6 +201,45 @@
 		Expect(string(text)).NotTo(ContainSubstring("[DONE]"))
 	})
 
+	// A fault of the daemon itself in the middle of a response. The part that was sent must
+	// not end like a complete body.
+	DescribeTable("cuts off a response that has begun when its handler panics",
+		func(method, path, body string) {
+			d := start(nil)
+			d.chat = func(_ context.Context, _ api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+				Expect(sink(target.Token{Text: "one egg"})).To(Succeed())
+				panic("fault")
+			}
+			d.results = func(r ledger.ResultsRequest) (ledger.ResultsReply, error) {
+				if r.From > 0 {
+					panic("fault")
+				}
+				return ledger.ResultsReply{Results: []ledger.ItemResult{{CustomID: "one egg"}}, Next: 1, Items: 2}, nil
+			}
+			text, err := io.ReadAll(d.send(method, path, body, "Tarragon-Profile", "desk").Body)
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			Expect(string(text)).To(ContainSubstring("one egg"))
+			Expect(d.lines.FilterMessage("request").FilterField(zap.String("code", "internal")).Len()).To(Equal(1))
+		},
+		Entry("a stream", "POST", "/v1/chat/completions", fmt.Sprintf(hello, true)),
+		Entry("results", "GET", "/v1/jobs/j/results", ""),
+	)
+
+	// The target crashes and the error event that would tell it can't be written. Without
+	// it, only the connection shows that the stream broke off.
+	It("cuts off a stream whose error event can't be written", func() {
+		d := start(nil)
+		d.chat = func(_ context.Context, _ api.ChatCall, sink func(target.Token) error) (api.ChatResult, error) {
+			Expect(sink(target.Token{Text: "one egg"})).To(Succeed())
+			return api.ChatResult{}, outcome.Refuse(outcome.TargetFailed, "crashed").WithRun(outcome.Ran)
+		}
+		r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(fmt.Sprintf(hello, true)))
+		r.Header.Set("Tarragon-Profile", "desk")
+		w := &oneWrite{ResponseRecorder: httptest.NewRecorder()}
+		Expect(func() { d.server.Handler().ServeHTTP(w, r) }).To(PanicWith(http.ErrAbortHandler))
+		Expect(w.Body.String()).To(ContainSubstring("one egg"))
+	})
+
 	// A daemon is replaced while a caller reads a stream. The stop must let the stream
 	// complete, make the load balancer stop sending requests, and close kept connections.
 	It("interrupts no stream at a stop", func() {
--- a/api/refusal.go
+++ b/api/refusal.go
@@ -119,14 +119,14 @@
 	}
 }
 
-// handleError is echo's error handler. It writes the refusal, unless a response has
-// already been started.
+// handleError is echo's error handler. It writes the refusal. A response that has been
+// started is cut off instead: returning would end its body like a complete one.
 func (s *Server) handleError(err error, c echo.Context) {
 	st := stateOf(c)
 	refusal := refusalOf(err, st.backendCalled)
 	st.recordRefusal(refusal)
 	if c.Response().Committed {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	fields := fieldsOf(refusal)
 	var conflict *ConfigConflict
