A page of results that does not advance is not the last one

What callers saw: nothing reported; found by reading. Cause: results ended, framed as complete, at a page that says that items follow but does not advance. No owner is known to send one. Change: such a page is an error: a refusal if it is the first one, else the results are cut off. Result: go test ./api, "does not end results at a page that does not advance": 2 entries failed before, both pass.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -235,6 +235,26 @@
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 		Expect(string(text)).To(ContainSubstring(`"code":"no_owner"`))
 	})
+
+	// A page says that items follow, but not from where. Results that ended there would look
+	// like all of the job's.
+	DescribeTable("does not end results at a page that does not advance",
+		func(next []int, check func(*http.Response)) {
+			d := start(nil)
+			d.results = func(r ledger.ResultsRequest) (ledger.ResultsReply, error) {
+				return ledger.ResultsReply{Results: []ledger.ItemResult{{CustomID: "sheet"}}, Next: next[r.From], Items: 3}, nil
+			}
+			check(d.send("GET", "/v1/jobs/j/results", ""))
+		},
+		Entry("the first one", []int{0}, func(resp *http.Response) {
+			Expect(resp.StatusCode).To(Equal(500))
+			Expect(read(resp).Error.Code).To(Equal("internal"))
+		}),
+		Entry("a later one", []int{1, 1}, func(resp *http.Response) {
+			_, err := io.ReadAll(resp.Body)
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		}),
+	)
 })
 
 var _ = Describe("operators", func() {
--- a/api/results.go
+++ b/api/results.go
@@ -64,7 +64,7 @@
 		if err := writePage(c, page); err != nil {
 			return err
 		}
-		if page.Next >= page.Items || page.Next <= from {
+		if page.Next >= page.Items {
 			return nil
 		}
 		from = page.Next
@@ -74,7 +74,8 @@
 	}
 }
 
-// page fetches the page of results that starts at the item with index from.
+// page fetches the page of results that starts at the item with index from. A page that
+// neither advances nor reaches the end of the job is an error.
 func (s *Server) page(c echo.Context, job string, from int) (ledger.ResultsReply, error) {
 	req := ledger.ResultsRequest{Job: job, From: from, MaxBytes: resultsPageBytes}
 	page, err := s.opts.Backend.Results(c.Request().Context(), req)
@@ -84,6 +85,9 @@
 	if page.Refusal != nil {
 		return page, page.Refusal
 	}
+	if page.Next <= from && page.Next < page.Items {
+		return page, outcome.Refuse(outcome.Internal, "a page of results from item %d ends at item %d of %d", from, page.Next, page.Items)
+	}
 	return page, nil
 }
 
