Results that end with an error line are not all results

What callers saw: nothing reported; found by reading. Cause: results that a daemon can't continue end with an error line and a cut connection. The client library took that line for one more result, the command line copied it and ended with success; both relied on the cut alone, which an HTTP/1.0 proxy between them and the daemon turns into a normal end. Change: both fail at an error line; the command line still prints it.

--- a/caller/jobs.go
+++ b/caller/jobs.go
@@ -95,7 +95,8 @@
 	return job, json.Unmarshal(text, &job)
 }
 
-// Results returns the results of the items that have ended so far.
+// Results returns the results of the items that have ended so far. If the daemon could not
+// send all of them, the error is a *Refused.
 func (c *Client) Results(ctx context.Context, o Options, name string) ([]Result, error) {
 	_, text, err := c.do(ctx, http.MethodGet, "/v1/jobs/"+name+"/results", nil, o, nil)
 	if err != nil {
@@ -109,6 +110,9 @@
 		if err := json.Unmarshal(lines.Bytes(), &result); err != nil {
 			return nil, err
 		}
+		if result.CustomID == "" && result.Error != nil {
+			return nil, parseRefusal(http.StatusOK, lines.Bytes())
+		}
 		results = append(results, result)
 	}
 	return results, lines.Err()
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -148,6 +148,17 @@
 		Expect(run(cli.Programs{}, "job", "cancel", "n", "--daemon", server.URL).code).To(Equal(cli.ExitUnreachable))
 	})
 
+	// A daemon cuts off results that it can't continue. Where a proxy hides the cut, the last
+	// line is an error, and a script must not take the lines before it for all results.
+	It("fails if the results end with an error line", func() {
+		lines := `{"custom_id":"one","state":"completed","attempts":1}` + "\n" + `{"error":{"code":"no_owner","message":"moving"}}` + "\n"
+		url, _, _ := daemon(200, lines)
+		r := run(cli.Programs{}, "job", "results", "n", "--daemon", url)
+		Expect(r.code).To(Equal(cli.ExitUnreachable))
+		Expect(r.err).To(ContainSubstring("moving"))
+		Expect(r.out).To(Equal(lines))
+	})
+
 	It("submits a job from the standard input and shows its counts", func() {
 		url, seen, sent := daemon(200, `{"job":"n","profile":"p","state":"accepted","counts":{"items":3,"completed":2,"waiting":1},"due_ms":1000,"forecast_ms":61000}`)
 		r := run(cli.Programs{}, "job", "submit", "n", "-", "--profile", "p", "--daemon", url)
--- a/cli/job.go
+++ b/cli/job.go
@@ -1,6 +1,9 @@
 package cli
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -78,7 +81,7 @@
 }
 
 // results copies the result lines to the output. It returns an error with
-// ExitUnreachable if the stream is interrupted.
+// ExitUnreachable if the stream is interrupted or ends with an error line.
 func (a *app) results(cmd *cobra.Command, name string) error {
 	a.disableDefaultTimeout(cmd)
 	resp, cancel, err := a.do(cmd, call{method: http.MethodGet, path: jobPath(name) + "/results"})
@@ -87,12 +90,33 @@
 	}
 	defer cancel()
 	defer resp.Body.Close()
-	if _, err := io.Copy(a.Out, resp.Body); err != nil {
+	if err := copyResults(a.Out, resp.Body); err != nil {
 		return exitWith(ExitUnreachable, fmt.Errorf("the result stream was interrupted, run the command again: %w", err))
 	}
 	return nil
 }
 
+// copyResults copies result lines. A line that is an error ends results that the daemon
+// could not continue; it is copied too, and returned as an error.
+func copyResults(out io.Writer, body io.Reader) error {
+	lines := bufio.NewReader(body)
+	for {
+		line, readErr := lines.ReadBytes('\n')
+		if _, err := out.Write(line); err != nil {
+			return err
+		}
+		if bytes.HasPrefix(line, []byte(`{"error"`)) {
+			return fmt.Errorf("the daemon ended it: %s", bytes.TrimSpace(line))
+		}
+		if errors.Is(readErr, io.EOF) {
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+	}
+}
+
 // jobPath returns the path of a job.
 func jobPath(name string) string { return "/v1/jobs/" + url.PathEscape(name) }
 
