A response over the client's limit is an error

What callers saw: nothing reported; found by reading. Results of a job that are cut between two lines look like all of them. Change: a longer response is an error. Result: go test ./caller, TestAResponseOverTheLimitIsNotCut failed before (on the reading as it was, moved to a function of its own), passes.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -139,7 +139,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	text, err := readWhole(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return resp.StatusCode, nil, err
 	}
@@ -149,6 +149,15 @@
 	return resp.StatusCode, text, nil
 }
 
+// readWhole reads a body of at most limit bytes. A longer one is an error.
+func readWhole(body io.Reader, limit int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(text)) > limit {
+		err = fmt.Errorf("the response is longer than %d bytes", limit)
+	}
+	return text, err
+}
+
 // Ready returns nil if the daemon is ready to serve callers.
 func (c *Client) Ready(ctx context.Context) error {
 	_, _, err := c.do(ctx, http.MethodGet, "/readyz", nil, Options{}, nil)
