A service's change of protocols is not an answer

What callers saw: nothing reported; found by a trial with raw answers. Cause: net/http gives the connection as the body of a 101, which every client call took for an answer of a status below 400. Whatever came until the connection closed was passed on with a length, and kept under the request's key. Change: a status below 200 is a failure of the protocol. Result: go test ./target, "takes nothing behind a change of protocols for an answer" failed before, passes.

--- a/target/serviceclient.go
+++ b/target/serviceclient.go
@@ -45,6 +45,9 @@
 		return ServiceResponse{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK {
+		return ServiceResponse{}, protocolFailure(address, "%d is not the status of a final answer", resp.StatusCode)
+	}
 	body, err := readAll(ctx, address, resp.Body, c.opts.MaxAnswerBytes)
 	if err != nil {
 		return ServiceResponse{}, err
--- a/target/serviceclient_test.go
+++ b/target/serviceclient_test.go
@@ -96,6 +96,23 @@
 		Expect([]int{resp.Status, calls}).To(Equal([]int{http.StatusTemporaryRedirect, 1}))
 	})
 
+	// A service switches protocols although it was not asked to. What comes until it closes
+	// the connection is no HTTP answer and must not be passed on as a complete one.
+	It("takes nothing behind a change of protocols for an answer", func() {
+		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nhalf")
+			_ = conn.Close()
+		}), func() {})
+		resp, err := client().Call(ctx, address, warmUp)
+		Expect(resp.Body).To(BeEmpty())
+		f := target.FailureOf(err)
+		Expect([]bool{f.Reached, f.Crashed, f.Rejected}).To(Equal([]bool{true, false, false}))
+	})
+
 	It("reports a truncated answer as a crash, never as an answer", func() {
 		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
