An answer is not kept for a request with other content

What callers saw: nothing reported; found by reading. Cause: a repeatable request whose owner can't be reached runs without a grant, and its answer is reported later. If its caller meanwhile uses the key for other content, the owner compared neither and took the late answer for the key's, whichever request it found under it: the second request was answered with the first one's answer, or the first with the second's. Change: the end of a run whose begin has another fingerprint than the key's request is not stored, and gets its own result back. Result: go test ./core/ledger, "keeps no answer of other content that is reported late": 3 entries failed before, all pass; daemon/online and daemon/shards pass.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -137,4 +137,34 @@
 		Expect(s.replies[id].Begin.Refusal.Code).To(Equal(outcome.Conflict))
 		Expect(s.replies[id].Begin.Refusal.Run).To(Equal(outcome.NotRun))
 	})
+
+	// A request runs while its owner can't be reached. Before its answer is reported, the
+	// caller uses the key for other content. Neither request may get the other's answer.
+	ginkgo.DescribeTable("keeps no answer of other content that is reported late",
+		func(second *FinishRequest, settled bool) {
+			s := newSim()
+			o := s.holder("a")
+			id := s.call()
+			o.Begin(s.now, id, keyedRequest("c/k", "n2", "e2"))
+			s.flush(o)
+			Expect(s.replies[id].Begin.Verdict).To(Equal(Granted))
+			if second != nil {
+				o.Finish(s.now, s.call(), *second)
+				s.flush(o)
+			}
+			begin := keyedRequest("c/k", "n1", "e1")
+			begin.Fingerprint = "other"
+			late := s.call()
+			o.Finish(s.now, late, FinishRequest{Key: "c/k", Nonce: "n1", Attempt: AnyAttempt, Answer: answer("tray"), Begin: begin})
+			s.flush(o)
+			Expect(s.replies[late].Finish.Durable).To(BeTrue(), "it would be reported again and again")
+			Expect(body(s.replies[late].Finish.Answer)).To(Equal("tray"))
+			kept, _ := o.Request("c/k")
+			Expect(kept.State == RequestCompleted).To(Equal(settled))
+			Expect(body(kept.Answer)).NotTo(Equal("tray"))
+		},
+		ginkgo.Entry("while the other request runs", nil, false),
+		ginkgo.Entry("after it completed", &FinishRequest{Key: "c/k", Nonce: "n2", Attempt: 1, Answer: answer("menu")}, true),
+		ginkgo.Entry("after it failed", &FinishRequest{Key: "c/k", Nonce: "n2", Attempt: 1, Refusal: unknownOutcome()}, false),
+	)
 })
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -95,7 +95,8 @@
 
 // FinishReply answers a FinishRequest.
 type FinishReply struct {
-	// Durable reports that the end was read back from the log.
+	// Durable reports that the end was read back from the log, or that it will never be
+	// stored: it need not be reported again.
 	Durable bool
 	// Answer is the stored result, which may be that of an earlier attempt.
 	Answer  *Answer
--- a/core/ledger/owner_finish.go
+++ b/core/ledger/owner_finish.go
@@ -31,6 +31,10 @@
 		req.Refusal = unknownOutcome()
 	}
 	req.Answer, req.Refusal = boundAnswer(req.Answer, req.Refusal)
+	if o.otherContent(&req) {
+		o.replyFinished(call, &req, true)
+		return
+	}
 	r := o.runOf(req.Key)
 	if r == nil {
 		r = o.lateRun(call, &req)
@@ -45,6 +49,19 @@
 	o.recordEnd(r, call, &req)
 }
 
+// otherContent reports whether the end is that of a request with other content than the
+// key's: one that ran while no owner could compare them. It is not stored.
+func (o *Owner) otherContent(req *FinishRequest) bool {
+	if req.Begin.Key == "" {
+		return false
+	}
+	if r := o.runOf(req.Key); r != nil {
+		return r.begin.Fingerprint != req.Begin.Fingerprint
+	}
+	kept := o.st.requests[req.Key]
+	return kept != nil && kept.Fingerprint != req.Begin.Fingerprint
+}
+
 func (o *Owner) recordEnd(r *run, call CallID, req *FinishRequest) {
 	if o.queueFull() {
 		o.stats.QueueRefused++
