An item's answer goes to no later job of the same name

What callers saw: nothing reported; found by reading. Cause: an item is known to owners and stewards by its job's name and its line number. A job that has ended is forgotten after its retention time, and its name may be used again. A steward that was cut off that long reports the end of the old job's item, which the owner took for the result of the new one's; a run of the old item went on under the lease of the new one, and ended with the old text. Change: a reference to an item carries when its job was accepted. Owners drop ends and renewals of an earlier job's items; a steward stops such an item and runs the new one. 0, as from a daemon of before this change, is taken for any job. Result: go test ./core/ledger, "takes nothing of an earlier job of the same name", and ./daemon/steward, "is stopped, and the new job's item runs", failed before, both pass; daemon/shards passes.

--- a/core/ledger/jobs_test.go
+++ b/core/ledger/jobs_test.go
@@ -253,6 +253,37 @@
 		Expect(body(r.Answer)).To(Equal("late"))
 	})
 
+	// A dispatcher is cut off with an item of a job that ends without it and is forgotten. Its
+	// caller then sends another job under that name. The late end must not become the result
+	// of the new job's item, nor a late renewal lease it.
+	ginkgo.It("takes nothing of an earlier job of the same name", func() {
+		s := newSim()
+		o := s.holder("a")
+		s.job(o, "c/j", "u1", 1, true)
+		s.flush(o)
+		old := s.pull(o, "s", 1)[0].Ref
+		s.now += 5000
+		o.Tick(s.now)
+		o.FinishItems(s.now, s.call(), FinishItemsRequest{Steward: "s2", Ends: []ItemEnd{{Ref: s.pull(o, "s2", 1)[0].Ref, Answer: answer("old")}}})
+		s.flush(o)
+		kept := o.cfg.Limits
+		o.cfg.Limits = func() Limits { return Limits{KeptResultsMs: 1000} }
+		s.now += 20_000
+		s.flush(o)
+		o.cfg.Limits = kept
+		s.job(o, "c/j", "u2", 1, true)
+		s.flush(o)
+		id := s.call()
+		o.FinishItems(s.now, id, FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: old, Answer: answer("old")}}})
+		s.flush(o)
+		Expect(s.replies[id].Ends.Refusal).To(BeNil(), "it would be reported again and again")
+		r, _ := o.Item("c/j", "0")
+		Expect(r.State).To(Equal(ItemWaiting))
+		renewal := o.Pull(s.now, PullRequest{Steward: "s", Group: "g", Running: []ItemRef{old}})
+		Expect(renewal.Cancelled).To(Equal([]ItemRef{old}))
+		Expect(s.pull(o, "s2", 1)).To(HaveLen(1))
+	})
+
 	// A job of thousands of items is due first. A small job of another caller that is due
 	// much later must still get its share.
 	ginkgo.It("does not let a large urgent job starve others", func() {
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -243,6 +243,16 @@
 	Index int
 	// Attempt is the attempt that was leased, from 1.
 	Attempt int
+	// AcceptedMs is when the job was accepted, Unix milliseconds. It distinguishes the job
+	// from an earlier one of its name, which was forgotten; 0 is unknown.
+	AcceptedMs int64
+}
+
+// SameJob reports whether both items are of the same job, not of two jobs that had the
+// same name one after the other.
+func (r ItemRef) SameJob(other ItemRef) bool {
+	unknown := r.AcceptedMs == 0 || other.AcceptedMs == 0
+	return r.Job == other.Job && (unknown || r.AcceptedMs == other.AcceptedMs)
 }
 
 // LeasedItem is an item handed out to a batch dispatcher.
--- a/core/ledger/owner_items.go
+++ b/core/ledger/owner_items.go
@@ -50,6 +50,9 @@
 	if s == nil || it == nil || it.ended() || s.job.State != JobAccepted {
 		return // ended or cancelled already: the first one on the log is the result
 	}
+	if !e.Ref.SameJob(s.job.ref(key.index, e.Ref.Attempt)) {
+		return
+	}
 	if p := o.pendingEnds[key]; p != nil {
 		b.left++
 		p.batches = append(p.batches, b)
@@ -73,6 +76,11 @@
 	o.proposeEnd(key, o.changeForEnd(s, key, it, e), b)
 }
 
+// ref returns the reference to an attempt at one of the job's items.
+func (j *job) ref(index, attempt int) ItemRef {
+	return ItemRef{Job: j.Job, Index: index, Attempt: attempt, AcceptedMs: j.AcceptedMs}
+}
+
 // handBack returns an item to waiting if that needs no record: it is unfinished,
 // repeatable and has no new tokens to store. It reports whether no record is needed.
 func (o *Owner) handBack(s *sched, key itemKey, it *ItemBody, e *ItemEnd, l *lease) bool {
--- a/core/ledger/owner_lease.go
+++ b/core/ledger/owner_lease.go
@@ -83,7 +83,7 @@
 	key := itemKey{ref.Job, ref.Index}
 	s := o.scheds[ref.Job]
 	_, it := o.st.item(ref.Job, ref.Index)
-	if s == nil || it == nil || it.ended() || s.job.State != JobAccepted {
+	if s == nil || it == nil || it.ended() || s.job.State != JobAccepted || !ref.SameJob(s.job.ref(ref.Index, ref.Attempt)) {
 		return false
 	}
 	l := o.leases[key]
@@ -197,7 +197,7 @@
 func (b *pullBatch) add(s *sched, key itemKey, it *ItemBody, attempt int) {
 	b.bytesLeft -= len(it.Item.Body)
 	b.items = append(b.items, LeasedItem{
-		Ref:  ItemRef{Job: key.job, Index: key.index, Attempt: attempt},
+		Ref:  s.job.ref(key.index, attempt),
 		Item: it.Item, Profile: s.job.Profile, DueMs: s.job.DueMs,
 		Progress: it.Progress, Suspect: it.Suspect, Shard: b.shard, Term: b.term,
 	})
--- a/daemon/steward/pull.go
+++ b/daemon/steward/pull.go
@@ -216,7 +216,7 @@
 	until := p.sentAt.Add(lease - leaseMargin)
 	s.extendLeasesLocked(p.renewing, req.Running, reply.Cancelled, until)
 	for _, ref := range reply.Cancelled {
-		if it := s.held[itemKey{ref.Job, ref.Index}]; it != nil {
+		if it := s.held[itemKey{ref.Job, ref.Index}]; it != nil && it.ref.SameJob(ref) {
 			s.stopItemLocked(it)
 		}
 	}
@@ -254,10 +254,16 @@
 // acceptItemLocked queues a leased item. If the item still runs here, it was leased again
 // because its renewal was lost: the run continues under the new attempt. If its end waits
 // to be delivered, another run would be wasted. An item that was handed back may be leased
-// again before the call that handed it back returns.
+// again before the call that handed it back returns. An item of an earlier job of the same
+// name is stopped.
 func (s *Steward) acceptItemLocked(now time.Time, p *pullCall, leased ledger.LeasedItem, itemPrompt prompt, until time.Time) {
 	key := itemKey{leased.Ref.Job, leased.Ref.Index}
-	if existing := s.held[key]; existing != nil && !existing.handedBack {
+	existing := s.held[key]
+	if existing != nil && !existing.ref.SameJob(leased.Ref) {
+		s.stopItemLocked(existing)
+		existing = nil
+	}
+	if existing != nil && !existing.handedBack {
 		if existing.ended {
 			s.ends.Offer(endedItem{item: existing, end: ledger.ItemEnd{Ref: leased.Ref}})
 			return
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -225,6 +225,31 @@
 	})
 })
 
+var _ = Describe("an item of an earlier job of the same name", func() {
+	// The steward was cut off while the job ended and was forgotten, and its caller sent
+	// another one under that name. The item held here must not run on under the new job's
+	// lease, and its answer must not be reported as the new item's.
+	It("is stopped, and the new job's item runs", func() {
+		b := newBench(2, engineA)
+		gate := make(chan struct{})
+		b.engine.OnGenerate = gated(gate)
+		b.ledger.add("c/j", "night", "old")
+		b.ledger.set(func() { b.ledger.waiting[0].Ref.AcceptedMs = 1 })
+		b.start()
+		Eventually(func() int { return len(b.engine.Calls()) }, eventuallyTimeout).Should(Equal(1))
+		b.ledger.set(func() {
+			clear(b.ledger.leased)
+			b.ledger.lines = 0
+		})
+		b.ledger.add("c/j", "night", "new")
+		b.ledger.set(func() { b.ledger.waiting[0].Ref.AcceptedMs = 2 })
+		Eventually(b.ledger.leases, eventuallyTimeout).Should(Equal(1))
+		close(gate)
+		Eventually(b.ledger.answered, eventuallyTimeout).Should(HaveKey("new"))
+		Expect(content(b.ledger.answered()["new"])).To(HavePrefix("new0 "))
+	})
+})
+
 var _ = Describe("an item from an owner that has been replaced", func() {
 	// The new owner has leased the item to another steward, since this one did not list it.
 	// The old owner, paused until now, answers an earlier pull.
