Results do not go on with another job of the same name

What callers saw: nothing reported; found by reading. Cause: results are read page by page, each by the job's name alone. A job that is forgotten between two pages, and whose name another job takes, is followed by the other one's items. Change: a page tells when its job was accepted; results whose next page tells another time are cut off with not_found. Result: go test ./api, "does not go on with the results of another job of the same name" failed before, passes; core/ledger and daemon/shards pass.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -236,6 +236,18 @@
 		Expect(string(text)).To(ContainSubstring(`"code":"no_owner"`))
 	})
 
+	// A job is forgotten while its results are read, and another one is sent under its name.
+	// The results must not begin with one job's items and go on with the other's.
+	It("does not go on with the results of another job of the same name", func() {
+		d := start(nil)
+		d.results = func(r ledger.ResultsRequest) (ledger.ResultsReply, error) {
+			return ledger.ResultsReply{Results: []ledger.ItemResult{{CustomID: "sheet"}}, Next: r.From + 1, Items: 2, AcceptedMs: int64(1 + r.From)}, nil
+		}
+		text, err := io.ReadAll(d.send("GET", "/v1/jobs/j/results", "").Body)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(string(text)).To(ContainSubstring(`"code":"not_found"`))
+	})
+
 	// A page says that items follow, but not from where. Results that ended there would look
 	// like all of the job's.
 	DescribeTable("does not end results at a page that does not advance",
--- a/api/results.go
+++ b/api/results.go
@@ -68,7 +68,12 @@
 			return nil
 		}
 		from = page.Next
-		if page, err = s.page(c, scopedName, from); err != nil {
+		acceptedMs := page.AcceptedMs
+		page, err = s.page(c, scopedName, from)
+		if err == nil && acceptedMs != 0 && page.AcceptedMs != 0 && page.AcceptedMs != acceptedMs {
+			err = outcome.Refuse(outcome.NotFound, "the job is gone, and another one has its name")
+		}
+		if err != nil {
 			s.cutResults(c, err)
 		}
 	}
--- a/core/ledger/jobs_test.go
+++ b/core/ledger/jobs_test.go
@@ -273,6 +273,8 @@
 		o.cfg.Limits = kept
 		s.job(o, "c/j", "u2", 1, true)
 		s.flush(o)
+		Expect(old.AcceptedMs).To(BeNumerically(">", 0))
+		Expect(o.Results(ResultsRequest{Job: "c/j"}).AcceptedMs).To(BeNumerically(">", old.AcceptedMs))
 		id := s.call()
 		o.FinishItems(s.now, id, FinishItemsRequest{Steward: "s", Ends: []ItemEnd{{Ref: old, Answer: answer("old")}}})
 		s.flush(o)
--- a/core/ledger/messages.go
+++ b/core/ledger/messages.go
@@ -360,9 +360,11 @@
 type ResultsReply struct {
 	Results []ItemResult
 	// Next is the index to continue from; if Next == Items, there are no further items.
-	Next    int
-	Items   int
-	Refusal *outcome.Refusal
+	Next  int
+	Items int
+	// AcceptedMs is when the job was accepted; see ItemRef.
+	AcceptedMs int64
+	Refusal    *outcome.Refusal
 }
 
 // Client is how the rest of a daemon uses the ledger. Every method finds the shard's
--- a/core/ledger/owner_job.go
+++ b/core/ledger/owner_job.go
@@ -106,7 +106,7 @@
 	if j == nil {
 		return ResultsReply{Refusal: noJob()}
 	}
-	reply := ResultsReply{Items: j.Items, Next: max(req.From, 0)}
+	reply := ResultsReply{Items: j.Items, Next: max(req.From, 0), AcceptedMs: j.AcceptedMs}
 	bytesLeft := int64(req.MaxBytes)
 	if bytesLeft <= 0 {
 		bytesLeft = defaultPageBytes
