A response to an HTTP/1.0 caller that is cut off ends with a reset

What callers saw: nothing reported; found while looking for other answers that end as complete. Cause: HTTP/1.0 has no chunks, so a stream ends with its connection. A stream that was cut off, because its target broke it off or this daemon ended with it under way, ended in the same way: as complete. Change: while a request of HTTP/1.0 is handled, its connection is set to be reset when it is closed, and only a handler that returns clears that. The kernel keeps the setting, so the end of the process resets too. Data that the kernel has not sent yet is lost; events that were sent arrive. HTTP/1.1 is unchanged: there a missing last chunk or a length shows the cut.

--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -236,6 +237,47 @@
 	}
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// ConnContext is the server's ConnContext hook for ResetUnlessCompleted.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// ResetUnlessCompleted wraps a handler: an HTTP/1.0 connection that ends before the
+// handler returns, because it panics or the process ends, is reset.
+//
+// Failure guarded against: HTTP/1.0 has no chunks. A response of unknown length ends with
+// its connection, and a caller can't tell the normal end of a connection that was cut from
+// the end of the response.
+func ResetUnlessCompleted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*stallConn)
+		if !ok || r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		conn.resetOnClose(true)
+		next.ServeHTTP(w, r)
+		conn.resetOnClose(false)
+	})
+}
+
+// resetOnClose sets whether closing the connection resets it. The kernel keeps the
+// setting, so it applies to the end of the process too.
+func (c *stallConn) resetOnClose(reset bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	_ = tcp.SetLinger(linger) // fails only on a closed connection
+}
+
 // countStall counts a write that exceeded its deadline.
 func (c *stallConn) countStall(err error) {
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
--- /dev/null
+++ b/callerconns/reset_test.go
@@ -0,0 +1,87 @@
+package callerconns_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/callerconns"
+)
+
+// limit bounds each wait of a caller.
+const limit = 10 * time.Second
+
+var _ = Describe("A response that is not completed", func() {
+	var server *http.Server
+	// serve serves the handler and returns a caller's connection with its request sent.
+	serve := func(protocol string, writeTimeout time.Duration, handler http.HandlerFunc) *net.TCPConn {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		set := metrics.NewSet()
+		l := callerconns.New(inner, 10, writeTimeout, callerconns.Metrics{
+			Evicted: set.NewCounter("evicted_total"), Stalled: set.NewCounter("stalled_total"),
+		})
+		server = &http.Server{Handler: callerconns.ResetUnlessCompleted(handler), ConnState: l.Track, ConnContext: callerconns.ConnContext}
+		go func() { _ = server.Serve(l) }()
+		DeferCleanup(server.Close)
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = conn.Close() })
+		Expect(conn.SetDeadline(time.Now().Add(limit))).To(Succeed())
+		_, err = io.WriteString(conn, "GET / "+protocol+"\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		return conn.(*net.TCPConn)
+	}
+
+	// Guards against a caller of HTTP/1.0 that takes the end of the connection for the end of
+	// its response: there are no chunks in that version.
+	DescribeTable("is cut visibly, and only then",
+		func(protocol string, length, abort bool, ending string, isError bool) {
+			conn := serve(protocol, limit, func(w http.ResponseWriter, _ *http.Request) {
+				if length {
+					w.Header().Set("Content-Length", "8")
+				}
+				w.Header().Set("Connection", "close")
+				_, _ = io.WriteString(w, "part")
+				w.(http.Flusher).Flush()
+				if abort {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, "rest")
+			})
+			received, err := io.ReadAll(conn)
+			_, body, _ := strings.Cut(string(received), "\r\n\r\n")
+			Expect(body).To(Equal(ending))
+			Expect(err != nil).To(Equal(isError), "%v", err)
+		},
+		Entry("in chunks", "HTTP/1.1", false, true, "4\r\npart\r\n", false),
+		Entry("with a length", "HTTP/1.1", true, true, "part", false),
+		Entry("HTTP/1.0", "HTTP/1.0", false, true, "part", true),
+		Entry("HTTP/1.0 with a length", "HTTP/1.0", true, true, "part", true),
+		Entry("in chunks, completed", "HTTP/1.1", false, false, "4\r\npart\r\n4\r\nrest\r\n0\r\n\r\n", false),
+		Entry("HTTP/1.0, completed", "HTTP/1.0", false, false, "partrest", false),
+	)
+
+	// Guards against the same when a stopping daemon ends with the response under way.
+	It("is cut visibly when the server closes its connection", func() {
+		begun, end := make(chan struct{}), make(chan struct{})
+		defer close(end)
+		conn := serve("HTTP/1.0", limit, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			w.(http.Flusher).Flush()
+			close(begun)
+			<-end
+		})
+		Eventually(begun).WithTimeout(limit).Should(BeClosed())
+		Expect(server.Close()).To(Succeed())
+		received, err := io.ReadAll(conn)
+		Expect(string(received)).To(HaveSuffix("part"))
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -49,8 +49,9 @@
 		Stalled: n.Metrics.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
 	})
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
-	server := n.newServer(n.closing(handler))
+	server := n.newServer(callerconns.ResetUnlessCompleted(n.closing(handler)))
 	server.ConnState = listener.Track
+	server.ConnContext = callerconns.ConnContext
 	n.callers = &callerServer{listener, server}
 	go n.serve(server, listener)
 	return nil
