Events are told apart whatever their line endings

What callers saw: nothing reported; found by a test of random streams. Cause: the splitter knew an empty line only behind a line that ended in the same way. Behind a line feed, a carriage return and a line feed did not end an event: it was joined to the next one under that one's ID, and such a stream never ended as complete. Change: any empty line ends an event, of either ending. A second empty line is an event without fields, so a stream that ends with one is complete.

--- a/target/sse/sse.go
+++ b/target/sse/sse.go
@@ -50,17 +50,19 @@
 func (s *Splitter) Overlong() bool { return len(s.buffer) > MaxEventBytes }
 
 // boundary returns the index after the empty line that ends the first event, -1 if
-// there is none.
+// there is none. Each line may end with a line feed or with a carriage return and a line
+// feed.
 func boundary(b []byte) int {
-	lf := bytes.Index(b, []byte("\n\n"))
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf < 0 && crlf < 0:
-		return -1
-	case lf < 0 || crlf >= 0 && crlf < lf:
-		return crlf + len("\r\n\r\n")
-	default:
-		return lf + len("\n\n")
+	for start := 0; ; {
+		length := bytes.IndexByte(b[start:], '\n')
+		if length < 0 {
+			return -1
+		}
+		line := b[start : start+length]
+		start += length + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return start
+		}
 	}
 }
 
