An answer whose status is not a final one is broken

What callers saw: nothing reported; found by reading, with answers no target of ours gives. Cause: a 101 was taken for a whole answer with an empty body and its connection kept, though requests never ask for another protocol and what follows is not HTTP. A status below 100 was skipped like an informational answer, which has no body; the body that it had was read as the request's answer. Change: both are answers that are not valid, so the exchange fails as broken. Result: go test ./target/h1, "is not accepted with ambiguous framing": 2 entries failed before, all pass.

--- a/target/h1/cut_test.go
+++ b/target/h1/cut_test.go
@@ -103,6 +103,8 @@
 		Entry("a chunk size of 17 digits", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n00000000000000003\r\nabc\r\n0\r\n\r\n"),
 		Entry("a chunk that is longer than its size", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n"),
 		Entry("a chunk that is shorter than its size", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabc\r\n0\r\n\r\n"),
+		Entry("a status below 100 whose body is an answer", "HTTP/1.1 099 Odd\r\nContent-Length: 41\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("a change of protocol that was not asked for", "HTTP/1.1 101 Switching Protocols\r\nId: 1\r\nUpgrade: x\r\n\r\nabc"),
 	)
 
 	It("is complete with its head if it has no body", func() {
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -190,7 +190,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
+			// Requests ask for no other protocol. What follows is no HTTP answer.
+			return nil, errors.New("received an answer with status " + strconv.Itoa(response.StatusCode))
+		}
+		if response.StatusCode < 200 {
 			if informational++; informational > maxInformational {
 				return nil, errors.New("too many informational answers")
 			}
