A batch item does not complete without an event that has no ID

What callers saw: nothing reported; found by reading. Cause: an event with data but without a numeric ID was skipped as if it were a comment. The run's end was taken for the item's, and the result was stored as succeeded with a hole in its text. Change: such an event fails the run like a gap; the item is run again after its last event. Result: go test ./daemon/jobs, "runs an item again whose run has an event that can't be placed": 3 of 3 entries failed before (the texts lacked the event), all pass.

--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -836,6 +836,28 @@
 		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
 	})
 
+	// Each of these runs has a correct end, and its text would have a hole.
+	DescribeTable("runs an item again whose run has an event that can't be placed",
+		func(events string) {
+			var once sync.Once
+			script = func(r *rawtarget.Request, c net.Conn) {
+				first := false
+				once.Do(func() { first = true })
+				if !first {
+					answer(r, c)
+					return
+				}
+				rawtarget.Write(c, head(r.Header.Get("Id"))+rawtarget.Chunk(events)+rawtarget.LastChunk)
+			}
+			a := alone()
+			Expect(submit(a, submission("j", 1))).To(BeNil())
+			Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
+		},
+		Entry("without an ID, between two others", rawtarget.Event(0, "j-0.0")+"data: j-0.1\n\n"+rawtarget.Event(1, "j-0.2")),
+		Entry("without an ID, at the end", rawtarget.Event(0, "j-0.0")+"data: j-0.1\n\n"),
+		Entry("with an ID that is no number", rawtarget.Event(0, "j-0.0")+"id: x\ndata: j-0.1\n\n"),
+	)
+
 	DescribeTable("gives up items that can't succeed, after the allowed attempts",
 		func(status, attempts int) {
 			script = func(r *rawtarget.Request, c net.Conn) {
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -55,7 +55,8 @@
 
 func newProgress() *progress { return &progress{lastEvent: noEvent} }
 
-// addEvents adds the complete events; it returns false if there is a gap.
+// addEvents adds the complete events; it returns false if there is a gap, or an event with
+// data whose place is unknown because it has no ID.
 func (p *progress) addEvents(events *sse.Splitter) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -64,7 +65,10 @@
 		if !ok {
 			return true
 		}
-		if e.ID < 0 || e.ID <= p.lastEvent {
+		if e.ID < 0 && e.HasData {
+			return false
+		}
+		if e.ID <= p.lastEvent {
 			continue
 		}
 		if p.lastEvent != noEvent && e.ID != p.lastEvent+1 {
