A batch item does not complete with a run that begins after a gap

What callers saw: nothing reported; found by reading. Cause: before the first event of an item, any event number was accepted. A run after event n goes on with n + 1, so a run that begins further on, as a target's answer to another run of the item would, gave a text without its beginning. Where a target begins with 0, a run that begins with 1 is not recognized. Result: go test ./daemon/jobs, "... an event that can't be placed", "without those before it" and "without the two before it": failed before, pass.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -18,6 +18,9 @@
 
 const (
 	noEvent = relay.NoEvent
+	// maxFirstEvent is the highest number of an item's first event: targets number events
+	// from 0 or from 1.
+	maxFirstEvent = 1
 	// itemTimeout bounds one run of an item; the longest take some ten seconds.
 	itemTimeout = 2 * time.Minute
 	// itemFirstMaxWait is how long an item waits for a target's first bytes. Items are
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -855,6 +855,8 @@
 		},
 		Entry("without an ID, between two others", rawtarget.Event(0, "j-0.0")+"data: j-0.1\n\n"+rawtarget.Event(1, "j-0.2")),
 		Entry("without an ID, at the end", rawtarget.Event(0, "j-0.0")+"data: j-0.1\n\n"),
+		Entry("without those before it", rawtarget.Event(3, "j-0.3")+rawtarget.Event(4, "j-0.4")),
+		Entry("without the two before it", rawtarget.Event(2, "j-0.2")+rawtarget.Event(3, "j-0.3")+rawtarget.Event(4, "j-0.4")),
 		Entry("with an ID that is no number", rawtarget.Event(0, "j-0.0")+"id: x\ndata: j-0.1\n\n"),
 	)
 
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -55,7 +55,7 @@
 
 func newProgress() *progress { return &progress{lastEvent: noEvent} }
 
-// addEvents adds the complete events; it returns false if there is a gap, or an event with
+// addEvents adds the complete events. It returns false if there is a gap, or an event with
 // data whose place is unknown because it has no ID.
 func (p *progress) addEvents(events *sse.Splitter) bool {
 	p.mu.Lock()
@@ -71,7 +71,7 @@
 		if e.ID <= p.lastEvent {
 			continue
 		}
-		if p.lastEvent != noEvent && e.ID != p.lastEvent+1 {
+		if !p.follows(e.ID) {
 			return false
 		}
 		p.lastEvent = e.ID
@@ -80,6 +80,14 @@
 	}
 }
 
+// follows reports whether the event is the one after the last. p.mu is held.
+func (p *progress) follows(id int64) bool {
+	if p.lastEvent == noEvent {
+		return id <= maxFirstEvent
+	}
+	return id == p.lastEvent+1
+}
+
 // eventCount returns how many events of the item were received.
 func (p *progress) eventCount() int64 {
 	p.mu.Lock()
