The end of a connection alone does not complete a batch item

Cause: an answer with neither length nor chunks ends with its connection. A target that crashes ends it just so, and the text up to there was stored for good as the item's whole output. Change: such an end, after a whole event, completes the item only if an earlier run ended so after the same event. Else the item is run again after its last event, at another target where there is one. This is no failure of the target: its health counts a success, the item no failure and no backoff. A framed end completes the item as before. An item whose target frames nothing costs one more run, which is asked for what follows its last event. Open: two targets that crash one after the other after the same event still complete the item. Result: go test ./daemon/jobs, "does not take the end of a connection for that of an item": 4 of 4 entries failed before, all pass.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -37,6 +37,9 @@
 	// rejectedDelay and failureDelay delay an item that was rejected or failed.
 	rejectedDelay = 100 * time.Millisecond
 	failureDelay  = 300 * time.Millisecond
+	// confirmDelay delays an item whose last run may have been complete; it only lets the
+	// next run choose another target.
+	confirmDelay = stepInterval
 	// maxRetryDelay bounds the backoff of an item whose runs are broken off.
 	maxRetryDelay = 10 * time.Second
 )
@@ -202,6 +205,16 @@
 	return delay
 }
 
+// endResult maps the end of an answer to the result of the run. The end of a connection that
+// is not known to be the item's is no failure of the target; another one is asked for what
+// follows.
+func endResult(complete bool) runResult {
+	if complete {
+		return runResult{complete: true, health: routing.Succeeded}
+	}
+	return runResult{cause: "the connection ended, maybe before the item", delay: confirmDelay, health: routing.Succeeded}
+}
+
 // collectEvents adds the events of an answer to the progress. The events must be
 // consecutive: a gap, or a run that does not continue where the last one ended, would
 // leave a hole in the text.
@@ -216,7 +229,7 @@
 		}
 		switch {
 		case err == io.EOF && len(events.Rest()) == 0 && p.lastEvent != noEvent:
-			return runResult{complete: true, health: routing.Succeeded}
+			return endResult(p.endsWith(answer.Framing))
 		case err == io.EOF:
 			return runResult{cause: "the stream ended within an event", delay: failureDelay, health: routing.SoftFailed}
 		case err != nil:
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -80,6 +80,15 @@
 	rawtarget.Write(c, rawtarget.LastChunk)
 }
 
+// events returns the events of the item j-0 from first to last.
+func events(first, last int) string {
+	var text strings.Builder
+	for i := first; i <= last; i++ {
+		text.WriteString(rawtarget.Event(i, fmt.Sprintf("j-0.%d", i)))
+	}
+	return text.String()
+}
+
 func head(id string) string {
 	return rawtarget.Head(200, "Id: "+id, "Transfer-Encoding: chunked")
 }
@@ -836,6 +845,39 @@
 		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
 	})
 
+	// A target that crashes closes the connection of an answer without framing just as one that
+	// has ended it. The text would be stored as complete although it is cut.
+	DescribeTable("does not take the end of a connection for that of an item",
+		func(afters []string, runs ...string) {
+			var mu sync.Mutex
+			script = func(r *rawtarget.Request, c net.Conn) {
+				mu.Lock()
+				defer mu.Unlock()
+				if len(runs) == 0 {
+					answer(r, c)
+					return
+				}
+				rawtarget.Write(c, rawtarget.Head(200, "Id: "+r.Header.Get("Id"))+runs[0])
+				runs = runs[1:]
+				_ = c.Close()
+			}
+			a := alone()
+			Expect(submit(a, submission("j", 1))).To(BeNil())
+			result := all(a, "j")[0]
+			Expect(result.State).To(Equal(batch.Succeeded))
+			Expect(result.Output).To(Equal(output("j-0")))
+			var asked []string
+			for _, r := range target.Requests() {
+				asked = append(asked, r.Header.Get("After"))
+			}
+			Expect(asked).To(Equal(afters))
+		},
+		Entry("which another run continues", []string{"", "1"}, events(0, 1)),
+		Entry("at which another run ends, framed and without an event", []string{"", "4"}, events(0, 4)),
+		Entry("at which another run ends in the same way", []string{"", "4"}, events(0, 4), ""),
+		Entry("again after more events", []string{"", "1", "2", "4"}, events(0, 1), events(2, 2), events(3, 4), ""),
+	)
+
 	// Each of these runs has a correct end, and its text would have a hole.
 	DescribeTable("runs an item again whose run has an event that can't be placed",
 		func(events string) {
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -11,6 +11,7 @@
 	"tarragonhollow.example/tarragonhollow/core/batch"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
+	"tarragonhollow.example/tarragonhollow/target/h1"
 	"tarragonhollow.example/tarragonhollow/target/sse"
 )
 
@@ -38,6 +39,9 @@
 	// saved is the number of events that the log holds.
 	saved int64
 
+	// unframedEnd is the last event at the most recent end of a run that only its connection
+	// marked.
+	unframedEnd int64
 	// failures counts the answers in which the target reported that the item failed.
 	failures int
 	// unsuccessful counts the consecutive runs that were broken off without an event.
@@ -53,7 +57,7 @@
 	bodyMissingSince time.Time
 }
 
-func newProgress() *progress { return &progress{lastEvent: noEvent} }
+func newProgress() *progress { return &progress{lastEvent: noEvent, unframedEnd: noEvent} }
 
 // addEvents adds the complete events. It returns false if there is a gap, or an event with
 // data whose place is unknown because it has no ID.
@@ -88,6 +92,17 @@
 	return id == p.lastEvent+1
 }
 
+// endsWith reports whether a run's end after a whole event is the item's end. A target that
+// crashes ends an answer without framing just as one that has completed it, so such an end
+// counts only if an earlier run ended so after the same event.
+func (p *progress) endsWith(framing h1.Framing) bool {
+	if framing != h1.Unframed || p.unframedEnd == p.lastEvent {
+		return true
+	}
+	p.unframedEnd = p.lastEvent
+	return false
+}
+
 // eventCount returns how many events of the item were received.
 func (p *progress) eventCount() int64 {
 	p.mu.Lock()
@@ -109,7 +124,7 @@
 func (p *progress) clear() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.output, p.bytes, p.lastEvent = nil, 0, noEvent
+	p.output, p.bytes, p.lastEvent, p.unframedEnd = nil, 0, noEvent, noEvent
 }
 
 // restore adopts the progress from the log and returns true if it is ahead of the local
