A body that was read on its own replaces the chunks cached before it

What callers saw: nothing reported; found by reading. Cause: a body that following the partition does not deliver in time is read on its own and was cached as chunk 0, beside later chunks that were cached before: those of a page that ended within the body, or of an earlier, refused submission of the job with a longer body. The chunks joined were longer than the body, so it counted as missing, was read again and cached in the same way. The item never ran at this daemon. Change: the body read takes the place of all chunks cached for the item, cut as on the log.

--- a/daemon/jobs/bodies.go
+++ b/daemon/jobs/bodies.go
@@ -220,18 +220,31 @@
 	}
 }
 
+// cacheBody caches a whole body in place of what was cached of it.
+func (b *bodyStore) cacheBody(job string, item int, body []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.items(job)[item] = chunks(body)
+}
+
 func (b *bodyStore) cacheChunk(job string, item, chunk int, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	items := b.items(job)
+	for len(items[item]) <= chunk {
+		items[item] = append(items[item], nil)
+	}
+	items[item][chunk] = data
+}
+
+// items returns the cached chunks of a job's items, to which the caller may add. b.mu is held.
+func (b *bodyStore) items(job string) map[int][][]byte {
 	items := b.cache[job]
 	if items == nil {
 		items = map[int][][]byte{}
 		b.cache[job] = items
 	}
-	for len(items[item]) <= chunk {
-		items[item] = append(items[item], nil)
-	}
-	items[item][chunk] = data
+	return items
 }
 
 // itemEnded reports whether the item or its job is known to have ended.
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -287,7 +287,7 @@
 			r.jobs.Logger.Warn("body_missing", zap.String("job", c.key.job), zap.Int("item", c.key.item), zap.Error(err))
 			return
 		}
-		r.jobs.bodies.cacheChunk(c.key.job, c.key.item, 0, body)
+		r.jobs.bodies.cacheBody(c.key.job, c.key.item, body)
 		r.wake()
 	}()
 }
