A job that another daemon has accepted is not refused for the quota

What callers saw: nothing reported; found by reading. Cause: a daemon that refuses a job for the quota refreshed its view of the results, but not of the acceptances and ends, which it may have read a second ago. A job was ended and another accepted in its place; sent again to a daemon that had read neither, the accepted job was refused as a job none of whose items run. Change: the acceptances and ends are read to their end before such a refusal: one read more for each.

--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -135,14 +135,18 @@
 	return refusal.WithRun(outcome.MayHaveRun)
 }
 
-// checkSubmissionFresh is checkSubmission, but before it refuses a job for the quota it makes
-// sure that all results were read recently: items whose results were not read here would
-// count as waiting.
+// checkSubmissionFresh is checkSubmission, but before it refuses a job for the quota it reads
+// the acceptances and ends to their end and makes sure that all results were read recently.
+// Otherwise ended jobs and finished items would count as waiting, and a job that another
+// daemon has accepted would be refused.
 func (j *Jobs) checkSubmissionFresh(ctx context.Context, record *batch.JobRecord, r *route.Route) (bool, *outcome.Refusal) {
 	known, refusal := j.checkSubmission(record, r)
 	if refusal == nil || refusal.Code != outcome.CallerLimit {
 		return known, refusal
 	}
+	if err := j.catchUp(ctx, j.accepted); err != nil {
+		return false, refuseUnavailable(err)
+	}
 	for _, c := range j.results {
 		if j.readWithin(c, maxReadAge) {
 			continue
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -770,6 +770,23 @@
 		Expect(b.Submit(ctx(), submission("k", 5), &limited)).To(BeNil())
 	})
 
+	// A caller that lost the answer of one daemon sends its job to another one, which has not
+	// read yet that an earlier job was ended and this one accepted. Its refusal would say that
+	// no item of the job runs.
+	It("does not refuse a job for the quota that another daemon has accepted", func() {
+		log.SetNotificationsLost(true)
+		script = func(*rawtarget.Request, net.Conn) {} // no item ends
+		a := alone()
+		b, _ := daemon("b", noPartitions{log})
+		limited := batchRoute(50)
+		Expect(a.Submit(ctx(), submission("k", 5), &limited)).To(BeNil())
+		Expect(b.Submit(ctx(), submission("k", 5), &limited)).To(BeNil())
+		Expect(a.End(ctx(), "", "k")).To(BeNil())
+		Expect(a.Submit(ctx(), submission("j", 5), &limited)).To(BeNil())
+		Expect(b.Submit(ctx(), submission("j", 5), &limited)).To(BeNil())
+		Expect(acceptances()).To(Equal(2))
+	})
+
 	It("gives an item one result when two daemons both run it", func() {
 		a, _ := daemon("a", allPartitions{log})
 		b, _ := daemon("b", allPartitions{log})
