An answer without framing that is cut off ends with a reset

Cause: an answer without framing ends with its connection. One that the daemon cut off, because its target was reset or its time was up, ended with an orderly close, which is how such an answer ends as complete. Change: as for HTTP/1.0, the connection of a response that the handler sends as "identity" is set to be reset from its head on until the handler returns; the end of the process resets it too.

--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -245,25 +245,66 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// ResetUnlessCompleted wraps a handler: an HTTP/1.0 connection that ends before the
-// handler returns, because it panics or the process ends, is reset.
+// ResetUnlessCompleted wraps a handler: a connection whose end would be the end of the
+// response is reset if it ends before the handler returns, because the handler panics or
+// the process ends. Such are HTTP/1.0 connections and those of responses that the handler
+// sends with the transfer encoding "identity".
 //
-// Failure guarded against: HTTP/1.0 has no chunks. A response of unknown length ends with
-// its connection, and a caller can't tell the normal end of a connection that was cut from
-// the end of the response.
+// Failure guarded against: without chunks a response of unknown length ends with its
+// connection, and a caller can't tell the normal end of a connection that was cut from the
+// end of the response.
 func ResetUnlessCompleted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*stallConn)
-		if !ok || r.ProtoAtLeast(1, 1) {
+		if !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
-		conn.resetOnClose(true)
-		next.ServeHTTP(w, r)
-		conn.resetOnClose(false)
+		guarded := &guardedWriter{ResponseWriter: w, conn: conn}
+		if !r.ProtoAtLeast(1, 1) {
+			guarded.guard()
+		}
+		next.ServeHTTP(guarded, r)
+		guarded.completed()
 	})
 }
 
+// guardedWriter resets the connection of a response without framing unless it is completed.
+type guardedWriter struct {
+	http.ResponseWriter
+	conn    *stallConn
+	guarded bool
+}
+
+func (w *guardedWriter) guard() {
+	w.guarded = true
+	w.conn.resetOnClose(true)
+}
+
+func (w *guardedWriter) completed() {
+	if w.guarded {
+		w.conn.resetOnClose(false)
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *guardedWriter) WriteHeader(status int) {
+	if w.Header().Get("Transfer-Encoding") == "identity" {
+		w.guard()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Flush implements http.Flusher.
+func (w *guardedWriter) Flush() {
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// Unwrap is for http.ResponseController.
+func (w *guardedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // resetOnClose sets whether closing the connection resets it. The kernel keeps the
 // setting, so it applies to the end of the process too.
 func (c *stallConn) resetOnClose(reset bool) {
--- a/callerconns/reset_test.go
+++ b/callerconns/reset_test.go
@@ -39,15 +39,19 @@
 		return conn.(*net.TCPConn)
 	}
 
-	// Guards against a caller of HTTP/1.0 that takes the end of the connection for the end of
-	// its response: there are no chunks in that version.
+	// Guards against a caller that takes the end of the connection for the end of its response:
+	// HTTP/1.0 has no chunks, and a target may send neither chunks nor a length.
 	DescribeTable("is cut visibly, and only then",
-		func(protocol string, length, abort bool, ending string, isError bool) {
+		func(protocol string, length, unframed, abort bool, ending string, isError bool) {
 			conn := serve(protocol, limit, func(w http.ResponseWriter, _ *http.Request) {
 				if length {
 					w.Header().Set("Content-Length", "8")
 				}
 				w.Header().Set("Connection", "close")
+				if unframed {
+					w.Header().Set("Transfer-Encoding", "identity")
+				}
+				w.WriteHeader(http.StatusOK)
 				_, _ = io.WriteString(w, "part")
 				w.(http.Flusher).Flush()
 				if abort {
@@ -60,12 +64,14 @@
 			Expect(body).To(Equal(ending))
 			Expect(err != nil).To(Equal(isError), "%v", err)
 		},
-		Entry("in chunks", "HTTP/1.1", false, true, "4\r\npart\r\n", false),
-		Entry("with a length", "HTTP/1.1", true, true, "part", false),
-		Entry("HTTP/1.0", "HTTP/1.0", false, true, "part", true),
-		Entry("HTTP/1.0 with a length", "HTTP/1.0", true, true, "part", true),
-		Entry("in chunks, completed", "HTTP/1.1", false, false, "4\r\npart\r\n4\r\nrest\r\n0\r\n\r\n", false),
-		Entry("HTTP/1.0, completed", "HTTP/1.0", false, false, "partrest", false),
+		Entry("in chunks", "HTTP/1.1", false, false, true, "4\r\npart\r\n", false),
+		Entry("with a length", "HTTP/1.1", true, false, true, "part", false),
+		Entry("without framing", "HTTP/1.1", false, true, true, "part", true),
+		Entry("HTTP/1.0", "HTTP/1.0", false, false, true, "part", true),
+		Entry("HTTP/1.0 with a length", "HTTP/1.0", true, false, true, "part", true),
+		Entry("in chunks, completed", "HTTP/1.1", false, false, false, "4\r\npart\r\n4\r\nrest\r\n0\r\n\r\n", false),
+		Entry("without framing, completed", "HTTP/1.1", false, true, false, "partrest", false),
+		Entry("HTTP/1.0, completed", "HTTP/1.0", false, false, false, "partrest", false),
 	)
 
 	// Guards against the same when a stopping daemon ends with the response under way.
