Draining an answer takes at most the given time

What callers saw: nothing reported; found by the review. A target that sent the body of an error slowly held a caller for 4 s while another target was ready to go on with its stream. Cause: Drain bounded each read, not the whole.

--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -256,11 +256,12 @@
 const drainSize = 4 << 10
 
 // Drain reads the short body of a refusal to its end, so that the connection can be
-// reused. It waits at most maxWait for the next bytes.
+// reused. It takes at most maxWait.
 func (a *Answer) Drain(maxWait time.Duration) {
 	buffer := make([]byte, drainSize)
-	for {
-		if _, err := a.Read(buffer, maxWait); err != nil {
+	end := time.Now().Add(maxWait)
+	for left := maxWait; left > 0; left = time.Until(end) {
+		if _, err := a.Read(buffer, left); err != nil {
 			return
 		}
 	}
