A stream's position is decided in one place; findings of the review of the relay

What callers saw: nothing reported; found by the review, each with a spec. Causes and changes: - A run that repeats the last event and then skips some was joined: only its first event was compared. Now its first new event is. - A caller that goes on with its stream itself got a run that begins after a gap: its position was not known to the relay. The wire now says what it is. - IDs need only increase; a stream broken after event 10 could not go on with 20. IDs count as consecutive if two were, or if the first known one is 0 or 1. A stream 0, 1, break, 3 is still cut off: whether event 2 exists can't be known. - An event without an ID in the repeated part of a run came twice. - A 200 of another media type completed a broken stream. - Two targets that crash one after the other behind the same event counted as agreement on the end: only a framed end completes a framed stream now. The entry that asserted the agreement asserts the cut. Its price is a complete stream that is cut after its last event where no attempt is left. - A target that may have crashed at the end of an unframed rest was not looked at by crash detection. - The log named no answer_status for a kept 500; a 404 in place of a rest counted against the target. The position has a type of its own, without input or output.

--- a/daemon/relay/answerseen.go
+++ b/daemon/relay/answerseen.go
@@ -28,7 +28,7 @@
 	fields := append([]zap.Field{
 		zap.String("id", s.request.ID), zap.String("target", t.ID), zap.Int("attempt", s.runs+s.rejections+1),
 		zap.Bool("reached", failed.reached), zap.String("cause", failed.detail),
-		zap.Int64("last_event", s.delivery.lastEvent), zap.Int64("ms", time.Since(s.attemptStart).Milliseconds()),
+		zap.Int64("last_event", s.delivery.position.last), zap.Int64("ms", time.Since(s.attemptStart).Milliseconds()),
 	}, s.answer.fields()...)
 	s.relay.Logger.Info("attempt_failed", fields...)
 }
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -86,7 +86,7 @@
 // repeatable reports whether a request that may have run may be sent again. A stream is
 // resumed only if the position in it is known.
 func (s *requestState) repeatable() bool {
-	return s.request.Route.Repeatable() && !s.delivery.unnumbered
+	return s.request.Route.Repeatable() && !s.delivery.position.unnumbered
 }
 
 // attempt sends the request to the target once.
@@ -99,7 +99,7 @@
 		options.MaxWait = s.firstByteTimeout
 	}
 	sender := Sender{s.relay.Wire, s.relay.Pool}
-	answer, verdict, err := sender.Send(ctx, s.request, t, time.Until(s.request.Deadline), s.delivery.lastEvent, options)
+	answer, verdict, err := sender.Send(ctx, s.request, t, time.Until(s.request.Deadline), s.delivery.position.last, options)
 	if err != nil {
 		return s.attemptFailed(ctx, err)
 	}
@@ -112,10 +112,10 @@
 	defer answer.Close()
 	s.answer.status, s.answer.framing = answer.Status, answer.Framing
 	switch {
+	case s.delivery.headSent && !s.delivery.continues(answer):
+		return rejectRest(t, answer)
 	case s.request.Route.Kind == route.Stream && answer.Status == http.StatusOK:
 		return s.forwardStream(ctx, answer)
-	case s.delivery.headSent:
-		return rejectRest(t, answer)
 	default:
 		return s.forwardWhole(ctx, t, answer)
 	}
@@ -125,7 +125,11 @@
 // part of, where the target answered with anything but the rest.
 func rejectRest(t roster.Target, answer *h1.Answer) attemptResult {
 	answer.Drain(drainTimeout)
-	return attemptResult{reached: true, detail: t.ID + " answered " + strconv.Itoa(answer.Status) + " in place of the rest", health: routing.SoftFailed}
+	a := attemptResult{reached: true, detail: t.ID + " answered " + strconv.Itoa(answer.Status) + " in place of the rest", health: routing.Neutral}
+	if answer.Status >= http.StatusInternalServerError {
+		a.health = routing.SoftFailed
+	}
+	return a
 }
 
 // attemptFailed classifies the error of a failed attempt, and records a timeout if the
@@ -225,7 +229,7 @@
 func (s *requestState) forwardStream(ctx context.Context, answer *h1.Answer) attemptResult {
 	var events sse.Splitter
 	buffer := make([]byte, readSize)
-	s.delivery.runBegins = true
+	s.delivery.position.beginRun()
 	for {
 		n, err := answer.Read(buffer, s.eventReadTimeout())
 		events.Write(buffer[:n])
@@ -235,10 +239,8 @@
 			return attemptResult{reached: true, detail: forwardErr.Error(), health: routing.SoftFailed}
 		case forwardErr != nil:
 			return attemptResult{done: true, detail: forwardErr.Error(), health: routing.Neutral}
-		case err == io.EOF && len(events.Rest()) == 0 && s.delivery.finish(answer):
-			return attemptResult{done: true, health: routing.Succeeded}
 		case err == io.EOF && len(events.Rest()) == 0:
-			return attemptResult{reached: true, detail: "the rest ended with its connection", health: routing.Neutral}
+			return s.endStream(answer)
 		case err == io.EOF:
 			return attemptResult{reached: true, detail: "the stream ended within an event", health: routing.SoftFailed}
 		case err != nil:
@@ -249,6 +251,15 @@
 	}
 }
 
+// endStream ends the stream after its target's last event, if the target's end is that of the
+// caller's answer.
+func (s *requestState) endStream(answer *h1.Answer) attemptResult {
+	if s.delivery.finish(answer) {
+		return attemptResult{done: true, health: routing.Succeeded}
+	}
+	return attemptResult{reached: true, broken: true, detail: "the rest ended with its connection", health: routing.Neutral}
+}
+
 // forwardEvents forwards the complete events that the splitter holds, and skips those that
 // the caller already has. Its errors are errGap and those of writing to the caller.
 func (s *requestState) forwardEvents(answer *h1.Answer, events *sse.Splitter) error {
@@ -258,11 +269,11 @@
 		if !ok {
 			break
 		}
-		if !s.delivery.joins(e) {
-			return errGap.New("event %d came after %d", e.ID, s.delivery.lastEvent)
-		}
-		if e.ID >= 0 && e.ID <= s.delivery.lastEvent {
+		switch s.delivery.position.place(e) {
+		case placeRepeated:
 			continue
+		case placeAfterGap:
+			return errGap.New("event %d came after %d", e.ID, s.delivery.position.last)
 		}
 		s.noteFirstByte()
 		if s.answer.firstEvent == NoEvent {
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -29,33 +29,20 @@
 type delivery struct {
 	w        http.ResponseWriter
 	headSent bool
+	// status is the HTTP status sent, 0 before the head.
+	status int
 	// complete is set once the answer was written to the end that its target gave it. Only
 	// finish and sendWhole set it.
 	complete bool
 	// unframed reports that the caller's answer ends with its connection, like its target's.
 	unframed bool
-	// endedAfter is the last event before the end of a connection that may have been the
-	// stream's end, or noEnd.
-	endedAfter int64
-	// status is the HTTP status sent, 0 before the head.
-	status int
-	// lastEvent is the ID of the last event forwarded, or NoEvent.
-	lastEvent int64
-	// unnumbered reports that an event without an ID was forwarded after lastEvent: no target
-	// can be asked for what follows it.
-	unnumbered bool
-	// stepped reports that the IDs of the events are not consecutive.
-	stepped bool
-	// runBegins is set until the first event with an ID of a target's run.
-	runBegins bool
+	// position is how far the caller's stream has come.
+	position position
 	// failure is a target's own error answer (500), forwarded if no attempt gives a better
 	// one.
 	failure *bufferedAnswer
 }
 
-// noEnd means that no connection has ended where the stream may end.
-const noEnd = NoEvent - 1
-
 // bufferedAnswer is an answer that was read whole.
 type bufferedAnswer struct {
 	status  int
@@ -64,8 +51,10 @@
 	body    []byte
 }
 
-func newDelivery(w http.ResponseWriter) *delivery {
-	return &delivery{w: w, lastEvent: NoEvent, endedAfter: noEnd}
+// newDelivery returns the delivery of an answer to a caller that has the events up to last,
+// or NoEvent.
+func newDelivery(w http.ResponseWriter, last int64) *delivery {
+	return &delivery{w: w, position: newPosition(last)}
 }
 
 // sendHead sends the head of the first target that answers. A stream that is resumed at
@@ -126,40 +115,26 @@
 	if _, err := d.w.Write(e.Raw); err != nil {
 		return err
 	}
-	switch {
-	case e.ID >= 0:
-		d.stepped = d.stepped || d.lastEvent != NoEvent && e.ID != d.lastEvent+1
-		d.lastEvent = e.ID
-		d.unnumbered = false
-	case e.HasData:
-		d.unnumbered = true
-	}
+	d.position.forwarded(e)
 	return nil
 }
 
-// joins reports whether the event may follow those that were forwarded: a run that begins
-// after a gap does not continue the stream.
-func (d *delivery) joins(e sse.Event) bool {
-	if e.ID < 0 || !d.runBegins {
-		return true
-	}
-	d.runBegins = false
-	return d.lastEvent == NoEvent || d.stepped || e.ID <= d.lastEvent+1
-}
-
 func (d *delivery) flush() {
 	if f, ok := d.w.(http.Flusher); ok {
 		f.Flush()
 	}
 }
 
+// continues reports whether the answer may hold the rest of the one that was begun.
+func (d *delivery) continues(answer *h1.Answer) bool {
+	return answer.Status == d.status && mediaType(answer.Header) == mediaType(d.w.Header())
+}
+
 // finish ends a stream after its target's last event, and sends the head if there was none.
-// It returns false if the caller would take for the stream's end what may be a crash: the end
-// of a connection completes an answer only if the caller's own ends so, or if two targets
-// agree on it.
+// It returns false if the caller would take for the stream's end what may be a crash: where
+// the caller's answer is framed, the end of a target's connection does not complete it.
 func (d *delivery) finish(answer *h1.Answer) bool {
 	d.sendHead(answer.Status, answer.Header, answer.Framing)
-	d.complete = answer.Framing != h1.Unframed || d.unframed || d.endedAfter == d.lastEvent
-	d.endedAfter = d.lastEvent
+	d.complete = answer.Framing != h1.Unframed || d.unframed
 	return d.complete
 }
--- a/daemon/relay/fixture_test.go
+++ b/daemon/relay/fixture_test.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/callerconns"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
@@ -29,20 +35,47 @@
 
 const idHeader = "Id: r"
 
+// maxCallers bounds the connections of callers.
+const maxCallers = 100
+
 func streamHead() string {
 	return rawtarget.Head(200, idHeader, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
 }
 
-func events(from, to int) string {
+// unframedHead is the head of a stream that ends with its connection.
+func unframedHead() string { return rawtarget.Head(200, idHeader, "Content-Type: text/event-stream") }
+
+// plain returns events as callers receive them, chunked returns them in chunks.
+func plain(ids ...int) string {
+	text := ""
+	for _, i := range ids {
+		text += rawtarget.Event(i, fmt.Sprint("e", i))
+	}
+	return text
+}
+
+func chunked(ids ...int) string {
 	text := ""
-	for i := from; i <= to; i++ {
-		text += rawtarget.Chunk(rawtarget.Event(i, fmt.Sprint("e", i)))
+	for _, i := range ids {
+		text += rawtarget.Chunk(plain(i))
 	}
 	return text
 }
 
+// span returns the numbers from first to last.
+func span(first, last int) []int {
+	var ids []int
+	for i := first; i <= last; i++ {
+		ids = append(ids, i)
+	}
+	return ids
+}
+
+func events(from, to int) string { return chunked(span(from, to)...) }
+
 // fakeQuotas counts the tokens that requests take and return.
 type fakeQuotas struct {
+	mu              sync.Mutex
 	taken, refunded int
 	refusal         *outcome.Refusal
 }
@@ -51,11 +84,17 @@
 	if f.refusal != nil {
 		return quotas.Token{}, f.refusal
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.taken++
 	return quotas.Token{}, nil
 }
 
-func (f *fakeQuotas) Refund(quotas.Token) { f.refunded++ }
+func (f *fakeQuotas) Refund(quotas.Token) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refunded++
+}
 
 // fixture is a relay with targets that tests script.
 type fixture struct {
@@ -88,14 +127,11 @@
 // startTargets starts n targets. The script gets the number of the request counted over
 // all of them, so that it does not matter which one is used first.
 func (f *fixture) startTargets(n int, script func(turn int, r *rawtarget.Request, c net.Conn)) {
-	turns := make(chan int, 100)
-	for i := range 100 {
-		turns <- i
-	}
+	var turns atomic.Int64
 	f.targets = nil
 	var list []roster.Target
 	for i := range n {
-		t, err := rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { script(<-turns, r, c) })
+		t, err := rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { script(int(turns.Add(1))-1, r, c) })
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(t.Close)
 		f.targets = append(f.targets, t)
@@ -116,6 +152,36 @@
 	return all
 }
 
+// listen serves the fixture's request on connections, like the callers' server.
+func (f *fixture) listen() *httptest.Server {
+	return serveOnConnections(func(w http.ResponseWriter, r *http.Request) relay.Result {
+		return f.relay.Serve(r.Context(), f.request, w)
+	})
+}
+
+func serveOnConnections(handler func(w http.ResponseWriter, r *http.Request) relay.Result) *httptest.Server {
+	server := httptest.NewUnstartedServer(callerconns.ResetUnlessCompleted(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		result := handler(w, r)
+		if result.Aborted || result.CallerLeft {
+			panic(http.ErrAbortHandler)
+		}
+		if result.Refusal != nil {
+			w.Header().Set("Run", string(result.Refusal.Run))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})))
+	set := metrics.NewSet()
+	listener := callerconns.New(server.Listener, maxCallers, timeout, callerconns.Metrics{
+		Evicted: set.NewCounter("evicted_total"), Stalled: set.NewCounter("stalled_total"),
+	})
+	server.Listener = listener
+	server.Config.ConnState, server.Config.ConnContext = listener.Track, callerconns.ConnContext
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	DeferCleanup(server.Close)
+	return server
+}
+
 func (f *fixture) serve() (*httptest.ResponseRecorder, relay.Result) {
 	w := httptest.NewRecorder()
 	return w, f.relay.Serve(context.Background(), f.request, w)
--- a/daemon/relay/headers.go
+++ b/daemon/relay/headers.go
@@ -22,3 +22,9 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(length))
 }
+
+// mediaType returns the media type of a body without its parameters, "" if there is none.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
--- /dev/null
+++ b/daemon/relay/position.go
@@ -0,0 +1,83 @@
+package relay
+
+import "tarragonhollow.example/tarragonhollow/target/sse"
+
+// placement is where an event of a target's run belongs in the caller's stream.
+type placement int
+
+const (
+	// placeNext: the event follows the caller's last one.
+	placeNext placement = iota
+	// placeRepeated: the caller has the event.
+	placeRepeated
+	// placeAfterGap: events are missing before this one.
+	placeAfterGap
+)
+
+// maxFirstID is the highest ID of the first event of a stream whose events are taken to be
+// numbered one by one: targets number from 0 or from 1.
+const maxFirstID = 1
+
+// position is how far a caller's stream has come, and how far the current target's run.
+type position struct {
+	// last is the ID of the last event that the caller has, or NoEvent.
+	last int64
+	// first is the first ID known of the stream, or NoEvent.
+	first int64
+	// oneByOne and stepped report that IDs rose by one, and by more than one.
+	oneByOne, stepped bool
+	// unnumbered reports that the caller has an event without an ID after last. No target can
+	// be asked for what follows it.
+	unnumbered bool
+	// runLast is the last ID of the run, or NoEvent.
+	runLast int64
+	// runJoined reports that an event of the run was forwarded.
+	runJoined bool
+}
+
+func newPosition(last int64) position {
+	return position{last: last, first: last, runLast: NoEvent}
+}
+
+// beginRun begins the run of another target.
+func (p *position) beginRun() { p.runLast, p.runJoined = NoEvent, false }
+
+// place returns where the next event of the run belongs, and records its ID as the run's last.
+func (p *position) place(e sse.Event) placement {
+	if e.ID < 0 {
+		if p.runLast != NoEvent && p.runLast < p.last {
+			return placeRepeated
+		}
+		return placeNext
+	}
+	p.runLast = e.ID
+	switch {
+	case e.ID <= p.last:
+		return placeRepeated
+	case p.last != NoEvent && !p.runJoined && p.numberedOneByOne() && e.ID != p.last+1:
+		return placeAfterGap
+	default:
+		return placeNext
+	}
+}
+
+// numberedOneByOne reports whether a missing ID is a missing event, as far as the IDs up to
+// now tell. IDs need only increase.
+func (p *position) numberedOneByOne() bool {
+	return !p.stepped && (p.oneByOne || p.first <= maxFirstID)
+}
+
+// forwarded records that the caller has the event.
+func (p *position) forwarded(e sse.Event) {
+	if e.ID < 0 {
+		p.unnumbered = p.unnumbered || e.HasData
+		return
+	}
+	if p.last == NoEvent {
+		p.first = e.ID
+	} else {
+		p.oneByOne = p.oneByOne || e.ID == p.last+1
+		p.stepped = p.stepped || e.ID > p.last+1
+	}
+	p.last, p.unnumbered, p.runJoined = e.ID, false, true
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -83,6 +83,9 @@
 	// Prepare returns the request for a target. left is the time that the target has, or
 	// NoDeadline; after is the ID of the last event already delivered, or NoEvent.
 	Prepare(r *Request, t roster.Target, left time.Duration, after int64) *h1.Request
+	// ResumePosition returns the ID of the last event that the caller of a stream already has, or
+	// NoEvent.
+	ResumePosition(r *Request) int64
 	// Matches reports whether an answer belongs to the request with the ID.
 	Matches(id string, status int, header http.Header) bool
 	// Classify returns the verdict that an answer's head implies.
@@ -181,7 +184,7 @@
 	r.budget.CountFirst()
 	r.mu.Unlock()
 	content := contentHash(&request.HTTP)
-	state := &requestState{relay: r, request: request, delivery: newDelivery(w), excluded: map[string]bool{},
+	state := &requestState{relay: r, request: request, delivery: newDelivery(w, r.Wire.ResumePosition(request)), excluded: map[string]bool{},
 		content: content, fingerprint: formatFingerprint(content)}
 	result := state.serveWithQuota(ctx)
 	result.Aborted = state.delivery.cutShort()
@@ -410,6 +413,7 @@
 		return Result{}
 	}
 	if s.delivery.failure != nil {
+		s.answer = answerSeen{status: s.delivery.failure.status, framing: s.delivery.failure.framing, firstEvent: NoEvent}
 		s.delivery.sendFailure()
 		return Result{}
 	}
@@ -449,7 +453,7 @@
 		zap.Int64("objective_ms", request.Route.Objective.Milliseconds()), zap.String("outcome", outcomeLabel),
 		zap.Int("status", state.delivery.status), zap.Int("runs", state.runs), zap.Int("refusals", state.rejections),
 		zap.String("target", state.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
-		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.lastEvent),
+		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.position.last),
 	}
 	fields = append(fields, state.answer.fields()...)
 	if result.Refusal != nil {
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -1,8 +1,9 @@
 package relay_test
 
 import (
-	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"time"
 
@@ -30,13 +31,7 @@
 		request.Route.Resumable = true
 		request.Route.GapObjective = 200 * time.Millisecond
 	})
-	all := func(from, to int) string {
-		text := ""
-		for i := from; i <= to; i++ {
-			text += rawtarget.Event(i, fmt.Sprint("e", i))
-		}
-		return text
-	}
+	all := func(from, to int) string { return plain(span(from, to)...) }
 
 	It("forwards it to its end", func() {
 		startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
@@ -163,27 +158,119 @@
 		Expect(w.Body.String()).To(Equal(all(0, 7)))
 	})
 
+	// A run repeats the last event and then skips some.
+	It("does not join a run with a gap behind an event that it repeats", func() {
+		startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			switch turn {
+			case 0:
+				rawtarget.Write(c, streamHead()+events(0, 2))
+				rawtarget.Reset(c)
+			case 1:
+				rawtarget.Write(c, streamHead()+chunked(2, 5, 6)+rawtarget.LastChunk)
+			default:
+				rawtarget.Write(c, streamHead()+events(3, 6)+rawtarget.LastChunk)
+			}
+		})
+		w, _ := serve()
+		Expect(w.Body.String()).To(Equal(all(0, 6)))
+	})
+
+	// A caller goes on with a stream after event 1, and its run begins after a gap.
+	It("does not begin after a gap behind the caller's last event", func() {
+		request.HTTP.Header = http.Header{"After": {"1"}}
+		startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, streamHead()+events(4, 5)+rawtarget.LastChunk)
+				return
+			}
+			rawtarget.Write(c, streamHead()+events(1, 5)+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(2, 5)))
+	})
+
 	// A target numbers the events of a stream with steps. A resumed stream must not be taken
 	// for one with a gap.
-	It("resumes a stream whose events are not numbered one by one", func() {
-		numbered := func(ids ...int) string {
-			text := ""
-			for _, i := range ids {
-				text += rawtarget.Chunk(rawtarget.Event(i, fmt.Sprint("e", i)))
-			}
-			return text
-		}
+	DescribeTable("resumes a stream whose events are not numbered one by one",
+		func(before, after []int) {
+			startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				if turn == 0 {
+					rawtarget.Write(c, streamHead()+chunked(before...))
+					rawtarget.Reset(c)
+					return
+				}
+				rawtarget.Write(c, streamHead()+chunked(after...)+rawtarget.LastChunk)
+			})
+			w, result := serve()
+			Expect(result).To(Equal(relay.Result{}))
+			Expect(w.Body.String()).To(Equal(plain(before...) + plain(after...)))
+		},
+		Entry("broken after two events", []int{10, 20}, []int{30, 40}),
+		Entry("broken after the first event", []int{10}, []int{20, 30}),
+	)
+
+	// A run repeats earlier events, one of which has no ID.
+	It("does not repeat an event without ID", func() {
+		first := chunked(0) + rawtarget.Chunk("data: x\n\n") + chunked(1)
 		startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, streamHead()+first)
 			if turn == 0 {
-				rawtarget.Write(c, streamHead()+numbered(10, 20))
 				rawtarget.Reset(c)
 				return
 			}
-			rawtarget.Write(c, streamHead()+numbered(30, 40)+rawtarget.LastChunk)
+			rawtarget.Write(c, chunked(2)+rawtarget.LastChunk)
 		})
 		w, result := serve()
 		Expect(result).To(Equal(relay.Result{}))
-		Expect(w.Body.String()).To(Equal(rawtarget.Event(10, "e10") + rawtarget.Event(20, "e20") + rawtarget.Event(30, "e30") + rawtarget.Event(40, "e40")))
+		Expect(w.Body.String()).To(Equal(plain(0) + "data: x\n\n" + plain(1, 2)))
+	})
+
+	// The target that is to go on answers 200 with something that is not the rest.
+	DescribeTable("cuts off a stream whose other targets answer 200 without events",
+		func(answer string) {
+			startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				if turn == 0 {
+					rawtarget.Write(c, streamHead()+events(0, 1))
+					rawtarget.Reset(c)
+					return
+				}
+				rawtarget.Write(c, answer)
+			})
+			w, result := serve()
+			Expect(w.Body.String()).To(Equal(all(0, 1)))
+			Expect(result.Aborted).To(BeTrue())
+		},
+		Entry("an error page", rawtarget.Whole(200, "{\"error\":\"failed\"}\n\n", idHeader, "Content-Type: application/json")),
+		Entry("no body, not a stream", rawtarget.Whole(200, "", idHeader, "Content-Type: application/json")),
+	)
+
+	// The target that is to go on sends the body of an error slowly. Another target is ready.
+	It("does not wait for the whole body of an error in place of the rest", func() {
+		request.Deadline = time.Now().Add(time.Minute)
+		ended := make(chan struct{})
+		startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			switch turn {
+			case 0:
+				rawtarget.Write(c, streamHead()+events(0, 1))
+				rawtarget.Reset(c)
+			case 1:
+				rawtarget.Write(c, rawtarget.Head(500, idHeader, "Transfer-Encoding: chunked"))
+				for {
+					if _, err := c.Write([]byte(rawtarget.Chunk("failed"))); err != nil {
+						break
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				close(ended)
+			default:
+				rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+			}
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 3)))
+		Eventually(ended).WithTimeout(timeout).Should(BeClosed())
 	})
 
 	// A stream without event IDs breaks off. No target can be asked for the rest, and a new run
@@ -232,7 +319,7 @@
 					rawtarget.Write(c, streamHead()+events(0, 1))
 					rawtarget.Reset(c)
 				case 1:
-					rawtarget.Write(c, rawtarget.Head(200, idHeader)+all(2, 3))
+					rawtarget.Write(c, unframedHead()+all(2, 3))
 				default:
 					rawtarget.Write(c, last)
 				}
@@ -244,8 +331,39 @@
 		},
 		Entry("another target confirms it", streamHead()+rawtarget.LastChunk, true, all(0, 3)),
 		Entry("another target has the rest", streamHead()+events(4, 5)+rawtarget.LastChunk, true, all(0, 5)),
-		Entry("another connection ends there too", rawtarget.Head(200, idHeader), true, all(0, 3)),
-		Entry("another connection ends later", rawtarget.Head(200, idHeader)+all(4, 5), false, all(0, 5)),
+		Entry("another connection ends there too", unframedHead(), false, all(0, 3)),
+		Entry("another connection ends later", unframedHead()+all(4, 5), false, all(0, 5)),
 		Entry("no target answers", "", false, all(0, 3)),
 	)
+
+	// A target sends no framing, and the daemon sees that the answer breaks off. The caller's
+	// answer has no framing either, so that an orderly close would end it as complete.
+	DescribeTable("cuts off an unframed stream visibly",
+		func(prepare func(), broken func(c net.Conn)) {
+			prepare()
+			startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				if turn == 0 {
+					rawtarget.Write(c, unframedHead()+all(0, 1))
+					broken(c)
+					return
+				}
+				rawtarget.Reset(c)
+			})
+			response, err := http.Get(f.listen().URL)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			Expect(string(body)).To(Equal(all(0, 1)))
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("reset, and no other target goes on with it", func() {}, func(c net.Conn) { time.Sleep(50 * time.Millisecond); rawtarget.Reset(c) }),
+		Entry("reset, on a route that may not be resumed", func() { request.Route.Resumable = false },
+			func(c net.Conn) { time.Sleep(50 * time.Millisecond); rawtarget.Reset(c) }),
+		Entry("ended within an event", func() { request.Route.Resumable = false },
+			func(c net.Conn) { rawtarget.Write(c, "id: 2\nda"); _ = c.Close() }),
+		Entry("unfinished at the deadline", func() {
+			request.Route.Resumable = false
+			request.Deadline = time.Now().Add(300 * time.Millisecond)
+		}, func(net.Conn) { time.Sleep(time.Second) }),
+	)
 })
