A response to an HTTP/1.0 caller whose last bytes can't be written ends with a reset

What callers saw: nothing reported; found by reading. Cause: a caller stops reading until a write times out. net/http reports no error of a flush, and writes the last bytes after the handler has returned; the handler has then cleared the reset of its connection, whose normal end is the end of the response for a caller of HTTP/1.0 that reads on. Change: once a write has failed on such a connection, it stays set to be reset. The functions for that have a file of their own.

--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -5,7 +5,6 @@
 
 import (
 	"container/list"
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -180,6 +179,9 @@
 	usedAt time.Time
 	// closing reports whether the connection is being closed because it was unused.
 	closing bool
+	// endsResponse reports that the end of the connection is the end of its response, and
+	// writeFailed that not all of the response was written.
+	endsResponse, writeFailed bool
 }
 
 // markUsed records a use of the connection. It returns false if the connection is being
@@ -229,6 +231,7 @@
 		written += n
 		if err != nil {
 			c.countStall(err)
+			c.noteWriteFailed()
 			return written, err
 		}
 		if written == len(p) {
@@ -237,88 +240,6 @@
 	}
 }
 
-// connKey is the context key of a request's connection.
-type connKey struct{}
-
-// ConnContext is the server's ConnContext hook for ResetUnlessCompleted.
-func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
-// ResetUnlessCompleted wraps a handler: a connection whose end would be the end of the
-// response is reset if it ends before the handler returns, because the handler panics or
-// the process ends. Such are HTTP/1.0 connections and those of responses that the handler
-// sends with the transfer encoding "identity".
-//
-// Failure guarded against: without chunks a response of unknown length ends with its
-// connection, and a caller can't tell the normal end of a connection that was cut from the
-// end of the response.
-func ResetUnlessCompleted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, ok := r.Context().Value(connKey{}).(*stallConn)
-		if !ok {
-			next.ServeHTTP(w, r)
-			return
-		}
-		guarded := &guardedWriter{ResponseWriter: w, conn: conn}
-		if !r.ProtoAtLeast(1, 1) {
-			guarded.guard()
-		}
-		next.ServeHTTP(guarded, r)
-		guarded.completed()
-	})
-}
-
-// guardedWriter resets the connection of a response without framing unless it is completed.
-type guardedWriter struct {
-	http.ResponseWriter
-	conn    *stallConn
-	guarded bool
-}
-
-func (w *guardedWriter) guard() {
-	w.guarded = true
-	w.conn.resetOnClose(true)
-}
-
-func (w *guardedWriter) completed() {
-	if w.guarded {
-		w.conn.resetOnClose(false)
-	}
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *guardedWriter) WriteHeader(status int) {
-	if w.Header().Get("Transfer-Encoding") == "identity" {
-		w.guard()
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Flush implements http.Flusher.
-func (w *guardedWriter) Flush() {
-	if f, ok := w.ResponseWriter.(http.Flusher); ok {
-		f.Flush()
-	}
-}
-
-// Unwrap is for http.ResponseController.
-func (w *guardedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// resetOnClose sets whether closing the connection resets it. The kernel keeps the
-// setting, so it applies to the end of the process too.
-func (c *stallConn) resetOnClose(reset bool) {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	linger := -1
-	if reset {
-		linger = 0
-	}
-	_ = tcp.SetLinger(linger) // fails only on a closed connection
-}
-
 // countStall counts a write that exceeded its deadline.
 func (c *stallConn) countStall(err error) {
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
--- /dev/null
+++ b/callerconns/reset.go
@@ -0,0 +1,111 @@
+package callerconns
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// ConnContext is the server's ConnContext hook for ResetUnlessCompleted.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// ResetUnlessCompleted wraps a handler: a connection whose end would be the end of the
+// response is reset if it ends before the handler returns, because the handler panics or
+// the process ends. Such are HTTP/1.0 connections and those of responses that the handler
+// sends with the transfer encoding "identity".
+//
+// Failure guarded against: without chunks a response of unknown length ends with its
+// connection, and a caller can't tell the normal end of a connection that was cut from the
+// end of the response.
+func ResetUnlessCompleted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*stallConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		guarded := &guardedWriter{ResponseWriter: w, conn: conn}
+		if !r.ProtoAtLeast(1, 1) {
+			guarded.guard()
+		}
+		next.ServeHTTP(guarded, r)
+		if guarded.guarded {
+			conn.responseHandled()
+		}
+	})
+}
+
+// guardedWriter has the connection of a response without framing reset unless the response
+// is completed.
+type guardedWriter struct {
+	http.ResponseWriter
+	conn    *stallConn
+	guarded bool
+}
+
+func (w *guardedWriter) guard() {
+	w.guarded = true
+	w.conn.responseBegins()
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *guardedWriter) WriteHeader(status int) {
+	if w.Header().Get("Transfer-Encoding") == "identity" {
+		w.guard()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Flush implements http.Flusher.
+func (w *guardedWriter) Flush() {
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// Unwrap is for http.ResponseController.
+func (w *guardedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// responseBegins has the connection reset when it is closed. The kernel keeps the setting,
+// so it applies to the end of the process too.
+func (c *stallConn) responseBegins() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endsResponse = true
+	c.setReset(true)
+}
+
+// responseHandled undoes responseBegins, unless a write has failed: net/http does not report
+// all such errors to the handler.
+func (c *stallConn) responseHandled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReset(c.writeFailed)
+}
+
+// noteWriteFailed has the connection reset when it is closed, if its end would be the end
+// of the response. net/http writes the last bytes after the handler has returned.
+func (c *stallConn) noteWriteFailed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeFailed = true
+	c.setReset(c.endsResponse)
+}
+
+// setReset sets whether closing the connection resets it.
+func (c *stallConn) setReset(reset bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	_ = tcp.SetLinger(linger) // fails only on a closed connection
+}
--- a/callerconns/reset_test.go
+++ b/callerconns/reset_test.go
@@ -90,4 +90,20 @@
 		Expect(string(received)).To(HaveSuffix("part"))
 		Expect(err).To(HaveOccurred())
 	})
+
+	// Guards against the same when the last bytes can't be written, which the handler does not
+	// see: net/http reports no errors of its flushes.
+	It("is cut visibly when the caller has stopped reading", func() {
+		returned := make(chan struct{})
+		conn := serve("HTTP/1.0", 100*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+			defer close(returned)
+			for r.Context().Err() == nil {
+				_, _ = w.Write(make([]byte, 1<<10))
+				w.(http.Flusher).Flush()
+			}
+		})
+		Eventually(returned).WithTimeout(limit).Should(BeClosed())
+		_, err := io.Copy(io.Discard, conn)
+		Expect(err).To(HaveOccurred())
+	})
 })
