A request that its target would read as two is not sent

What callers saw: nothing reported; found by reading. Cause: the path, the ID and the headers of a job's item were written to targets as they came. A line end in them makes a second request on the connection, or another body, and its answer is one more than was asked for: it can be read as that of the next request there, if the item gives it that ID.

--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -37,6 +39,34 @@
 	Body   []byte
 }
 
+// Check returns an error if the request can't be sent as it is: a line end or a space within
+// a field would end it early, and the target would read the rest as another field or as a
+// second request, whose answer belongs to nobody.
+func (r *Request) Check() error {
+	if !httpguts.ValidHeaderFieldName(r.Method) { // a method is a token, as a name is
+		return errors.New("invalid method")
+	}
+	if r.URI == "" || strings.ContainsFunc(r.URI, isSpaceOrControl) {
+		return errors.New("invalid request target")
+	}
+	if strings.ContainsFunc(r.Host, isSpaceOrControl) {
+		return errors.New("invalid host")
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.New("invalid header name")
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return errors.New("invalid value of the header " + name)
+			}
+		}
+	}
+	return nil
+}
+
+func isSpaceOrControl(c rune) bool { return c <= ' ' || c == 0x7f }
+
 // Options are the limits of an exchange.
 type Options struct {
 	// MaxIdle is the maximum time that a reused connection may have been idle; 0
@@ -94,6 +124,9 @@
 // Errors are of the types NotSent, Broken and Silent. When ctx ends, the connection
 // is closed.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, o Options) (*Answer, error) {
+	if err := r.Check(); err != nil {
+		return nil, NotSent.Wrap(err, "%s", address)
+	}
 	c, _, err := p.get(ctx, address, o.MaxIdle)
 	if err != nil {
 		return nil, err
--- a/target/h1/h1_test.go
+++ b/target/h1/h1_test.go
@@ -242,6 +242,25 @@
 		Expect(opened.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against two requests in one: an item of a job contains any text, and the second
+	// answer would be read as the one to the next request on the connection.
+	DescribeTable("does not send a request that its target would read as another one",
+		func(change func(r *h1.Request)) {
+			t := start(echo)
+			r := request("1")
+			change(r)
+			_, err := pool.Do(context.Background(), t.Address, r, options("1"))
+			Expect(errorx.IsOfType(err, h1.NotSent)).To(BeTrue(), "%v", err)
+			Expect(t.Requests()).To(BeEmpty())
+		},
+		Entry("in its method", func(r *h1.Request) { r.Method = "GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST" }),
+		Entry("in its target", func(r *h1.Request) { r.URI = "/a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\nPOST /b" }),
+		Entry("without a target", func(r *h1.Request) { r.URI = "" }),
+		Entry("in its host", func(r *h1.Request) { r.Host = "h\r\n\r\nGET / HTTP/1.1\r\nHost: h" }),
+		Entry("in the value of a header", func(r *h1.Request) { r.Header.Set("A", "b\r\n\r\nGET / HTTP/1.1\r\nHost: h") }),
+		Entry("in the name of a header", func(r *h1.Request) { r.Header["A: b\r\nContent-Length"] = []string{"0"} }),
+	)
+
 	It("distinguishes an unreachable target from one that does not answer", func() {
 		closed := start(echo)
 		closed.Close()
