OPTIONS * is answered by the routes like any other request

What callers saw: nothing reported; found while looking for answers that no target gave. Cause: net/http answers OPTIONS * with an empty 200 by itself. Change: its handler for that is switched off; no route matches such a request. Result: go test ./platform, "is given one answer whatever the method", about the server: 200 before, 404 now.

--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -70,7 +70,8 @@
 func (n *Node) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(n.Logger.Named("http")),
+		DisableGeneralOptionsHandler: true, // it answers OPTIONS * with an empty 200
+		ErrorLog:                     zap.NewStdLog(n.Logger.Named("http")),
 	}
 }
 
