An exchange ends with its context also between two reads

What callers saw: nothing; found by reading. A target went on with a request whose caller had left. Cause: the end of the context interrupts a read by a deadline in the past. A deadline set for the next read, or for the head, replaced it, and nothing ended the exchange before its time was over. Change: the context is checked after each deadline is set; the error is that of an interrupted read. Result: go test ./target/h1, "also between two reads": the read waited on before (test ended at 2.5 s), ends at once now; all pass with the race detector. daemon/relay and daemon/jobs pass.

--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -110,6 +110,7 @@
 	Header  http.Header
 	Framing Framing
 
+	ctx      context.Context
 	pool     *Pool
 	conn     *conn
 	body     io.ReadCloser
@@ -138,7 +139,7 @@
 		return nil, NotSent.Wrap(err, "%s", address)
 	}
 	written := p.write(c, r)
-	if err := setReadTimeout(c, o.Deadline, o.MaxWait); err != nil {
+	if err := setReadTimeout(ctx, c, o.Deadline, o.MaxWait); err != nil {
 		return nil, abandon(c, release, err)
 	}
 	response, err := readHead(c, r, o)
@@ -146,7 +147,7 @@
 		return nil, abandon(c, release, err)
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), pool: p, conn: c, body: response.Body,
+		Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), ctx: ctx, pool: p, conn: c, body: response.Body,
 		deadline: o.Deadline, release: release, written: written,
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
 	}, nil
@@ -256,22 +257,29 @@
 	return err
 }
 
-func setReadTimeout(c *conn, deadline time.Time, maxWait time.Duration) error {
-	if maxWait <= 0 {
-		return nil
+// setReadTimeout sets the deadline of the next read. If ctx has ended it returns the error
+// of an interrupted read: the deadline may have replaced the one that interrupts reads.
+func setReadTimeout(ctx context.Context, c *conn, deadline time.Time, maxWait time.Duration) error {
+	if maxWait > 0 {
+		limit := time.Now().Add(maxWait)
+		if limit.After(deadline) {
+			limit = deadline
+		}
+		if err := c.SetReadDeadline(limit); err != nil {
+			return err
+		}
 	}
-	limit := time.Now().Add(maxWait)
-	if limit.After(deadline) {
-		limit = deadline
+	if ctx.Err() != nil {
+		return os.ErrDeadlineExceeded
 	}
-	return c.SetReadDeadline(limit)
+	return nil
 }
 
 // Read reads the body, waiting at most maxWait for the next bytes. io.EOF means that
 // the answer is complete according to its framing. A body without framing ends with
 // its connection; if that was reset, the error is Broken.
 func (a *Answer) Read(buffer []byte, maxWait time.Duration) (int, error) {
-	if err := setReadTimeout(a.conn, a.deadline, maxWait); err != nil {
+	if err := setReadTimeout(a.ctx, a.conn, a.deadline, maxWait); err != nil {
 		return 0, classify(a.conn.address, err)
 	}
 	n, err := a.body.Read(buffer)
--- a/target/h1/h1_test.go
+++ b/target/h1/h1_test.go
@@ -275,6 +275,28 @@
 		Eventually(silent.Open).WithTimeout(limit).Should(BeZero())
 	})
 
+	// Guards against a request that goes on for a caller that has left: each read sets a new
+	// deadline and undid the one by which the end of the context interrupts reads.
+	It("ends with its context, also between two reads", func() {
+		t := start(func(_ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, rawtarget.Head(200, "Id: 1", "Content-Length: 4"))
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		a, err := pool.Do(ctx, t.Address, request("1"), options("1"))
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Close()
+		cancel()
+		done := make(chan error, 1)
+		go func() {
+			time.Sleep(20 * time.Millisecond) // the context's end has set its deadline by now
+			_, err := a.Read(make([]byte, 4), time.Hour)
+			done <- err
+		}()
+		var ended error
+		Eventually(done).WithTimeout(limit / 2).Should(Receive(&ended))
+		Expect(errorx.IsOfType(ended, h1.Silent)).To(BeTrue(), "%v", ended)
+	})
+
 	It("closes the connection when its context ends, so that the target stops", func() {
 		silent := start(func(*rawtarget.Request, net.Conn) {})
 		ctx, cancel := context.WithCancel(context.Background())
