Tests: a chunked response that the end of the daemon cuts

Cause: only a response of HTTP/1.0 was cut by the end of its server in a test. Change: one entry for HTTP/1.1, which must lack its last chunk.

--- a/callerconns/reset_test.go
+++ b/callerconns/reset_test.go
@@ -75,21 +75,25 @@
 	)
 
 	// Guards against the same when a stopping daemon ends with the response under way.
-	It("is cut visibly when the server closes its connection", func() {
-		begun, end := make(chan struct{}), make(chan struct{})
-		defer close(end)
-		conn := serve("HTTP/1.0", limit, func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = io.WriteString(w, "part")
-			w.(http.Flusher).Flush()
-			close(begun)
-			<-end
-		})
-		Eventually(begun).WithTimeout(limit).Should(BeClosed())
-		Expect(server.Close()).To(Succeed())
-		received, err := io.ReadAll(conn)
-		Expect(string(received)).To(HaveSuffix("part"))
-		Expect(err).To(HaveOccurred())
-	})
+	DescribeTable("is cut visibly when the server closes its connection",
+		func(protocol, ending string, isError bool) {
+			begun, end := make(chan struct{}), make(chan struct{})
+			defer close(end)
+			conn := serve(protocol, limit, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "part")
+				w.(http.Flusher).Flush()
+				close(begun)
+				<-end
+			})
+			Eventually(begun).WithTimeout(limit).Should(BeClosed())
+			Expect(server.Close()).To(Succeed())
+			received, err := io.ReadAll(conn)
+			Expect(string(received)).To(HaveSuffix(ending))
+			Expect(err != nil).To(Equal(isError), "%v", err)
+		},
+		Entry("HTTP/1.1", "HTTP/1.1", "4\r\npart\r\n", false),
+		Entry("HTTP/1.0", "HTTP/1.0", "part", true),
+	)
 
 	// Guards against the same when the last bytes can't be written, which the handler does not
 	// see: net/http reports no errors of its flushes.
