A job whose ID is too long for the log's keys is refused

What callers saw: nothing reported; found by reading. Cause: a key's length is one byte on the wire, and a longer key was written with its length modulo 256. A job with an ID of 246 bytes or more was answered with 202, and other daemons read its records under another key, unreadable, and perhaps that of another job, whose acceptance it then replaced.

--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -140,6 +140,9 @@
 	return fmt.Sprintf("%s/%05d/%03d", job, item, chunk)
 }
 
+// LongestKey returns the length in bytes of the longest key that a record of the job may have.
+func LongestKey(job string) int { return len(BodyKey(job, maxItemNumber, maxChunkNumber)) }
+
 // ItemKey returns a key that sorts directly before the keys of the item's chunks.
 func ItemKey(job string, item int) string { return ResultKey(job, item) }
 
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -48,6 +48,9 @@
 // acceptance and all its bodies are acknowledged by the log. A refusal with not_run is
 // final for this call: nothing that could accept the job was sent.
 func (j *Jobs) Submit(ctx context.Context, s *Submission, r *route.Route) *outcome.Refusal {
+	if batch.LongestKey(s.ID) > partlog.MaxKeyBytes {
+		return outcome.Refuse(outcome.BadRequest, "a job's ID of %d bytes is too long", len(s.ID))
+	}
 	refusal := j.submitWithFallback(ctx, s, r, newRecord(s, r))
 	j.recordRefusal(ctx, refusal)
 	refusal = j.paced(ctx, refusal)
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -673,6 +673,17 @@
 		}
 	})
 
+	// Records under a key that is too long for the log are lost. A job whose ID makes them so
+	// must not be accepted, nor be refused as if it could be accepted later.
+	It("refuses a job whose ID is too long for the keys of its records", func() {
+		a := alone()
+		Expect(submit(a, submission(strings.Repeat("j", 245), 1))).To(BeNil())
+		refusal := submit(a, submission(strings.Repeat("j", 246), 1))
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Code).To(Equal(outcome.BadRequest))
+		Expect(acceptances()).To(Equal(1))
+	})
+
 	It("resolves an acceptance whose answer was lost", func() {
 		a := alone()
 		log.LoseAnswers(1)
--- a/extern/partlog/fakepartlog/fakepartlog.go
+++ b/extern/partlog/fakepartlog/fakepartlog.go
@@ -148,6 +148,9 @@
 }
 
 func (l *Log) execute(p partlog.Partition, records []partlog.Record, at int64) (int64, error) {
+	if err := partlog.CheckKeys(records); err != nil {
+		return 0, err
+	}
 	for _, r := range records {
 		if len(r.Key)+len(r.Value) > MaxRecordBytes {
 			return 0, partlog.Invalid.New("a record of %d bytes", len(r.Value))
--- a/extern/partlog/partlog.go
+++ b/extern/partlog/partlog.go
@@ -21,6 +21,19 @@
 	Value []byte
 }
 
+// MaxKeyBytes is the maximum length of a record's key.
+const MaxKeyBytes = 255
+
+// CheckKeys returns an Invalid error if a record's key is empty or too long.
+func CheckKeys(records []Record) error {
+	for _, r := range records {
+		if len(r.Key) == 0 || len(r.Key) > MaxKeyBytes {
+			return Invalid.New("a key of %d bytes", len(r.Key))
+		}
+	}
+	return nil
+}
+
 // StoredRecord is a record with its offset.
 type StoredRecord struct {
 	Record
@@ -64,7 +77,7 @@
 type Log interface {
 	// Append atomically adds keyed records and returns the first record's offset. If at
 	// is not AnyOffset, they are added only if the partition ends at that offset;
-	// otherwise the error is Conflict.
+	// otherwise the error is Conflict. It is Invalid if CheckKeys fails.
 	Append(ctx context.Context, p Partition, records []Record, at int64) (int64, error)
 	// Read returns records from the offset on, waiting up to wait for the first. Its
 	// error is Expired if the records were deleted: start again from Newest.
