Work may end while its target's restart is handled

What callers saw: nothing reported; found by go test -race. Cause: the number of requests and items at a target that has restarted was read for a log line without the lock under which they end. Change: what is needed of a replaced start is copied under the lock.

--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -162,7 +162,7 @@
 }
 
 // endReplaced cancels the work at targets that have restarted.
-func (p *Places) endReplaced(replaced []*activeStart) {
+func (p *Places) endReplaced(replaced []activeStart) {
 	for _, start := range replaced {
 		p.logger.Info("target_started_again", zap.String("target", start.id), zap.Int("work_ended", start.inFlight))
 		start.cancel()
--- a/daemon/places/places_test.go
+++ b/daemon/places/places_test.go
@@ -203,6 +203,28 @@
 		Expect(slot.Alive.Err()).To(HaveOccurred())
 	})
 
+	// Guards against a data race, which the race detector shows: work ends while the restart of
+	// its target is handled.
+	It("lets work end while its target's restart is handled", func() {
+		first := target("a", "z1")
+		p := view("d", "z1", first)
+		for start := range 20 {
+			var wg sync.WaitGroup
+			for range 4 {
+				slot, ok := p.AcquireBatch(context.Background(), places.BatchRequest{Group: "g"})
+				Expect(ok).To(BeTrue())
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					p.ReleaseBatch(slot, routing.Neutral)
+				}()
+			}
+			p.Update(func(now time.Time, r *roster.Roster) { r.Set(now, born(first, int64(start+100))) })
+			wg.Wait()
+			Expect(p.FreeSlots("g", 0)).To(Equal(4))
+		}
+	})
+
 	// The crashed target's connections may look intact from this daemon.
 	It("reports the address of an earlier start as removed", func() {
 		first := target("a", "z1")
--- a/daemon/places/starts.go
+++ b/daemon/places/starts.go
@@ -48,12 +48,12 @@
 }
 
 // replaced returns the starts that, by current, are no longer their target's current
-// start.
-func (s starts) replaced(current func(id string) roster.Start) []*activeStart {
-	var list []*activeStart
+// start, as they are now: the originals are guarded by the lock of the view.
+func (s starts) replaced(current func(id string) roster.Start) []activeStart {
+	var list []activeStart
 	for start, active := range s {
 		if now := current(active.id); now != "" && now != start && active.alive.Err() == nil {
-			list = append(list, active)
+			list = append(list, *active)
 		}
 	}
 	return list
