A run of a batch item reads the reason of its end under the lock

What callers saw: nothing reported; found by go test -race. Cause: a run that ended with its daemon's stop read the reason while a restart of its target, the end of its job or a preemption could still write it. A torn string could crash the daemon, with all its progress. Change: the reason is read under the runner's lock.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -78,7 +78,7 @@
 	if ctx.Err() != nil {
 		end.health = routing.Neutral
 		end.delay = 0
-		end.cause = run.reason
+		end.cause = r.reasonOf(run)
 	}
 	r.jobs.Places.ReleaseBatch(run.slot, end.health)
 	r.updateEstimates(c, run, p, end, before)
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -311,6 +311,26 @@
 		Expect(ended).To(HaveKeyWithValue("cause", "the target has started again"))
 	})
 
+	// A daemon is stopped at the moment at which a target restarts. With the race detector, this
+	// shows whether a run reads the reason of its end while another one is written.
+	It("ends its runs for one reason when it stops while their target restarts", func() {
+		hung := make(chan struct{})
+		script = func(*rawtarget.Request, net.Conn) { <-hung }
+		DeferCleanup(func() { close(hung) })
+		a, stop := daemon("a", allPartitions{log})
+		Expect(submit(a, submission("j", 8))).To(BeNil())
+		Eventually(target.Requests).WithTimeout(limit).Should(HaveLen(8))
+		restarted := make(chan struct{})
+		go func() {
+			defer close(restarted)
+			views["a"].Update(func(now time.Time, r *roster.Roster) {
+				r.Set(now, roster.Target{ID: "t", Born: 1, Group: "g", Address: target.Address, Zone: "z", Slots: 8})
+			})
+		}()
+		stop()
+		Eventually(restarted).WithTimeout(limit).Should(BeClosed())
+	})
+
 	// A host loses power with an item half done. Started over on another host, the item
 	// would end late; the text received before must be neither lost nor duplicated.
 	It("goes on with an item from what its lost holder had of it", func() {
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -47,12 +47,12 @@
 	due    time.Time
 	tokens int64
 	cancel context.CancelFunc
-	// reason is why the run was cancelled; it is set before the cancellation.
+	// reason is why the run was cancelled; it is set before the cancellation. It is guarded by
+	// runner.mu.
 	reason string
 }
 
-// stop ends the run. Only the first reason is kept; it must not change while the run
-// reads it.
+// stop ends the run. Only the first reason is kept. runner.mu is held.
 func (r *itemRun) stop(reason string) {
 	if r.reason == "" {
 		r.reason = reason
@@ -60,6 +60,13 @@
 	r.cancel()
 }
 
+// reasonOf returns why the run was cancelled, "" if it was not or only with the daemon's stop.
+func (r *runner) reasonOf(run *itemRun) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return run.reason
+}
+
 // runner runs the items of the partitions that the daemon holds.
 type runner struct {
 	jobs  *Jobs
