A batch item's next run does not read a late answer to its last one

What callers saw: nothing reported; found by reading, shown by a spec. Cause: all runs of an item carry its ID. A target that answers a run with 500 and sends the answer once more, after the next run was sent on the same connection, was taken to have answered that run too: an item that could be done ended as errored, and the real answer was left for whatever came next. Change: only an item's first run may use a kept connection. Result: go test ./daemon/jobs, "does not take a late answer to an item's last run for that of the next": failed before, passes.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -31,7 +31,8 @@
 	// while.
 	itemGapMaxWait = 1500 * time.Millisecond
 	// itemMaxIdle bounds how long a reused connection may have been idle.
-	itemMaxIdle = time.Minute
+	itemMaxIdle       = time.Minute
+	newConnectionOnly = time.Duration(0)
 	// itemReadBytes is the maximum number of bytes per read.
 	itemReadBytes = 16 << 10
 	// rejectedDelay and failureDelay delay an item that was rejected or failed.
@@ -144,7 +145,7 @@
 	}
 	sender := relay.Sender{Wire: r.jobs.Wire, Pool: r.jobs.Pool}
 	answer, verdict, err := sender.Send(ctx, request, run.target, relay.NoDeadline, p.lastEvent, h1.Options{
-		MaxIdle: itemMaxIdle, Deadline: time.Now().Add(itemTimeout), MaxWait: itemFirstMaxWait,
+		MaxIdle: p.nextMaxIdle(), Deadline: time.Now().Add(itemTimeout), MaxWait: itemFirstMaxWait,
 	})
 	if err != nil {
 		return errorResult(err)
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -950,6 +950,33 @@
 		Entry("with an ID that is no number", rawtarget.Event(0, "j-0.0")+"id: x\ndata: j-0.1\n\n"),
 	)
 
+	// A target answers a run with 500, and once more while the next run of the item waits on the
+	// same connection. The ID of both is the item's.
+	It("does not take a late answer to an item's last run for that of the next", func() {
+		var mu sync.Mutex
+		var failed net.Conn
+		script = func(r *rawtarget.Request, c net.Conn) {
+			mu.Lock()
+			defer mu.Unlock()
+			failure := rawtarget.Whole(500, "failed", "Id: "+r.Header.Get("Id"))
+			switch failed {
+			case nil:
+				failed = c
+				rawtarget.Write(c, failure)
+			case c:
+				rawtarget.Write(c, failure)
+				answer(r, c)
+			default:
+				answer(r, c)
+			}
+		}
+		a := alone()
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		result := all(a, "j")[0]
+		Expect(result.State).To(Equal(batch.Succeeded))
+		Expect(result.Output).To(Equal(output("j-0")))
+	})
+
 	DescribeTable("gives up items that can't succeed, after the allowed attempts",
 		func(status, attempts int) {
 			script = func(r *rawtarget.Request, c net.Conn) {
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -42,6 +42,8 @@
 	// unframedEnd is the last event at the most recent end of a run that only its connection
 	// marked.
 	unframedEnd int64
+	// sent reports that a run of the item was sent.
+	sent bool
 	// failures counts the answers in which the target reported that the item failed.
 	failures int
 	// unsuccessful counts the consecutive runs that were broken off without an event.
@@ -92,6 +94,17 @@
 	return id == p.lastEvent+1
 }
 
+// nextMaxIdle returns how long the connection for the next run may have been idle. All runs have
+// the item's ID: on a connection of an earlier one, a late second answer to that run would be
+// taken for the answer to this one.
+func (p *progress) nextMaxIdle() time.Duration {
+	if p.sent {
+		return newConnectionOnly
+	}
+	p.sent = true
+	return itemMaxIdle
+}
+
 // endsWith reports whether a run's end after a whole event is the item's end. A target that
 // crashes ends an answer without framing just as one that has completed it, so such an end
 // counts only if an earlier run ended so after the same event.
