--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -99,8 +99,10 @@
 
 var _ = Describe("Jobs", func() {
 	var (
-		log    *fakepartlog.Log
-		script func(r *rawtarget.Request, c net.Conn)
+		log *fakepartlog.Log
+		// script is what the target of the spec does; a request that reaches it late must not
+		// read that of the next spec.
+		script *func(r *rawtarget.Request, c net.Conn)
 		target *rawtarget.Target
 		table  *route.Table
 		peers  *fakePeers
@@ -128,10 +130,11 @@
 		pacedReturn = false
 		log = fakepartlog.New(4)
 		peers = &fakePeers{daemons: map[string]peerService{}}
-		script = answer
+		own := answer
+		script = &own
 		table = route.NewTable(1, []route.Route{batchRoute(0)}, route.Limits{})
 		var err error
-		target, err = rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { script(r, c) })
+		target, err = rawtarget.Start(func(r *rawtarget.Request, c net.Conn) { own(r, c) })
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(target.Close)
 	})
@@ -233,7 +236,7 @@
 		holder = "a"
 		hung := make(chan struct{})
 		running := make(chan struct{}, 10)
-		script = func(*rawtarget.Request, net.Conn) {
+		*script = func(*rawtarget.Request, net.Conn) {
 			running <- struct{}{}
 			<-hung
 		}
@@ -255,7 +258,7 @@
 	It("returns the body of a waiting item, and ends a job, through the holder", func() {
 		holder = "a"
 		hung := make(chan struct{})
-		script = func(*rawtarget.Request, net.Conn) { <-hung }
+		*script = func(*rawtarget.Request, net.Conn) { <-hung }
 		DeferCleanup(func() { close(hung) })
 		reach["b"] = newHostLog(log)
 		reach["b"].setFailure(rejected)
@@ -289,7 +292,7 @@
 	It("reruns items at once when their target has restarted", func() {
 		var once sync.Once
 		hung := make(chan struct{})
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			hang := false
 			once.Do(func() { hang = true })
 			if hang {
@@ -315,7 +318,7 @@
 	// shows whether a run reads the reason of its end while another one is written.
 	It("ends its runs for one reason when it stops while their target restarts", func() {
 		hung := make(chan struct{})
-		script = func(*rawtarget.Request, net.Conn) { <-hung }
+		*script = func(*rawtarget.Request, net.Conn) { <-hung }
 		DeferCleanup(func() { close(hung) })
 		a, stop := daemon("a", allPartitions{log})
 		Expect(submit(a, submission("j", 8))).To(BeNil())
@@ -336,7 +339,7 @@
 	It("goes on with an item from what its lost holder had of it", func() {
 		const before, total = 20, 24
 		afterHeaders := make(chan string, 10)
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			afterHeaders <- r.Header.Get("After")
 			id := r.Header.Get("Id")
 			first, most := 0, before
@@ -378,7 +381,7 @@
 	It("runs a long job and returns its results and bodies at daemons that never read its list", func() {
 		fleet = 60
 		hold := make(chan struct{})
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			<-hold
 			answer(r, c)
 		}
@@ -480,7 +483,7 @@
 
 	// Several daemons accept jobs concurrently, each below the cap by its local count.
 	It("enforces the quota across daemons that accept jobs concurrently", func() {
-		script = func(*rawtarget.Request, net.Conn) {} // no item ends
+		*script = func(*rawtarget.Request, net.Conn) {} // no item ends
 		var daemons []*jobs.Jobs
 		for _, name := range []string{"a", "b", "c"} {
 			j, _ := daemon(name, log)
@@ -607,7 +610,7 @@
 		reach["a"] = newHostLog(log)
 		a, stop := daemon("a", allPartitions{log})
 		b, _ := daemon("b", noPartitions{log})
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			reach["a"].setFailure(rejected)
 			answer(r, c)
 		}
@@ -656,7 +659,7 @@
 	// The result must not be written twice: hosts that restart read only the newest record
 	// of each key, and would return it at another position than before.
 	It("writes a result once however often it is handed over", func() {
-		script = func(*rawtarget.Request, net.Conn) {} // no item ends on its own
+		*script = func(*rawtarget.Request, net.Conn) {} // no item ends on its own
 		a := alone()
 		Expect(submit(a, submission("j", 3))).To(BeNil())
 		log.SetDown(true)
@@ -806,7 +809,7 @@
 	// no item of the job runs.
 	It("does not refuse a job for the quota that another daemon has accepted", func() {
 		log.SetNotificationsLost(true)
-		script = func(*rawtarget.Request, net.Conn) {} // no item ends
+		*script = func(*rawtarget.Request, net.Conn) {} // no item ends
 		a := alone()
 		b, _ := daemon("b", noPartitions{log})
 		limited := batchRoute(50)
@@ -851,7 +854,7 @@
 	It("resumes an item after its last event when its run breaks", func() {
 		var mu sync.Mutex
 		attempts := map[string]int{}
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			id := r.Header.Get("Id")
 			mu.Lock()
 			attempts[id]++
@@ -877,7 +880,7 @@
 
 	It("does not append a run that leaves out events", func() {
 		var once sync.Once
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			gap := false
 			once.Do(func() { gap = true })
 			if !gap {
@@ -898,7 +901,7 @@
 	DescribeTable("does not take the end of a connection for that of an item",
 		func(afters []string, runs ...string) {
 			var mu sync.Mutex
-			script = func(r *rawtarget.Request, c net.Conn) {
+			*script = func(r *rawtarget.Request, c net.Conn) {
 				mu.Lock()
 				defer mu.Unlock()
 				if len(runs) == 0 {
@@ -930,7 +933,7 @@
 	DescribeTable("runs an item again whose run has an event that can't be placed",
 		func(events string) {
 			var once sync.Once
-			script = func(r *rawtarget.Request, c net.Conn) {
+			*script = func(r *rawtarget.Request, c net.Conn) {
 				first := false
 				once.Do(func() { first = true })
 				if !first {
@@ -979,7 +982,7 @@
 
 	DescribeTable("gives up items that can't succeed, after the allowed attempts",
 		func(status, attempts int) {
-			script = func(r *rawtarget.Request, c net.Conn) {
+			*script = func(r *rawtarget.Request, c net.Conn) {
 				rawtarget.Write(c, rawtarget.Whole(status, "no", "Id: "+r.Header.Get("Id")))
 			}
 			a := alone()
@@ -994,7 +997,7 @@
 	// One item's output is longer than a record of the log. Retried without end, its write
 	// would block every result of its partition for ever.
 	It("ends an item as errored whose output exceeds the log's record size, and continues with the others", func() {
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			if id := r.Header.Get("Id"); id == "j-0" {
 				rawtarget.Write(c, head(id)+rawtarget.Chunk(rawtarget.Event(0, strings.Repeat("x", fakepartlog.MaxRecordBytes)))+rawtarget.LastChunk)
 				return
@@ -1009,7 +1012,7 @@
 	})
 
 	It("stops an ended job's items, also at another daemon that runs them", func() {
-		script = func(*rawtarget.Request, net.Conn) {}
+		*script = func(*rawtarget.Request, net.Conn) {}
 		a, _ := daemon("a", log)
 		b, _ := daemon("b", noPartitions{log})
 		Expect(submit(a, submission("j", 3))).To(BeNil())
