Failing test: a refused job overwrites the bodies of an accepted one

What callers saw: nothing reported; found by reading. Cause: bodies are written before the acceptance, under keys of the job's ID, item and chunk. A daemon that has not read an acceptance yet writes the bodies of another job with the same ID over those of the accepted one, and refuses that job only then. Two such jobs submitted at once can mix their chunks. Ruled out: reading the acceptances before the bodies are written costs each submission a read, fails it while reads fail, and leaves the second case. Keys that name the content would close both. Result: go test ./daemon/jobs, "keeps the bodies of an accepted job when another account submits one with its ID": fails in 5 of 5 runs; the other specs pass.

--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -707,6 +707,23 @@
 		Expect(acceptances()).To(Equal(1))
 	})
 
+	// A daemon that has not read yet that a job was accepted writes the bodies of another job with
+	// the same ID before it refuses that one.
+	It("keeps the bodies of an accepted job when another account submits one with its ID", func() {
+		log.SetNotificationsLost(true)
+		*script = func(*rawtarget.Request, net.Conn) {} // no item ends
+		a := alone()
+		b, _ := daemon("b", noPartitions{log})
+		accepted, other := submission("j", 1), submission("j", 1)
+		accepted.Account, other.Account = "one", "two"
+		other.Items[0].Body = []byte("BODY of j-0")
+		Expect(submit(a, accepted)).To(BeNil())
+		Expect(submit(b, other).Code).To(Equal(outcome.Conflict))
+		body, refusal := b.Body(ctx(), "one", "j", "j-0")
+		Expect(refusal).To(BeNil())
+		Expect(string(body)).To(Equal("body of j-0"))
+	})
+
 	It("resolves an acceptance whose answer was lost", func() {
 		a := alone()
 		log.LoseAnswers(1)
@@ -958,7 +975,7 @@
 	It("does not take a late answer to an item's last run for that of the next", func() {
 		var mu sync.Mutex
 		var failed net.Conn
-		script = func(r *rawtarget.Request, c net.Conn) {
+		*script = func(r *rawtarget.Request, c net.Conn) {
 			mu.Lock()
 			defer mu.Unlock()
 			failure := rawtarget.Whole(500, "failed", "Id: "+r.Header.Get("Id"))
