The reset of a cut response also covers its last bytes

Cause: the reset was cleared when the handler returned. net/http then writes the last bytes; a connection that the daemon closes while they wait for a slow caller ended in order, without them. A response whose head is sent by its first write was not guarded. Change: where no length shows the cut, the last bytes are written before the reset is cleared, and it stays if they can't be. The first write guards like WriteHeader. Result: go test ./callerconns, "resets a connection that the server closes during the last write" (2 entries) and "resets an unframed response whose head was sent by the first write": failed before, pass.

--- a/callerconns/reset.go
+++ b/callerconns/reset.go
@@ -34,9 +34,7 @@
 			guarded.guard()
 		}
 		next.ServeHTTP(guarded, r)
-		if guarded.guarded {
-			conn.responseHandled()
-		}
+		guarded.completed()
 	})
 }
 
@@ -46,6 +44,8 @@
 	http.ResponseWriter
 	conn    *stallConn
 	guarded bool
+	// flushed reports that net/http can't give the response a length any more.
+	flushed bool
 }
 
 func (w *guardedWriter) guard() {
@@ -53,16 +53,40 @@
 	w.conn.responseBegins()
 }
 
-// WriteHeader implements http.ResponseWriter.
-func (w *guardedWriter) WriteHeader(status int) {
-	if w.Header().Get("Transfer-Encoding") == "identity" {
+// completed ends the guard after the response was written. The last bytes are written first,
+// since the end of the connection while they wait for a slow caller must be a reset too.
+func (w *guardedWriter) completed() {
+	if !w.guarded {
+		return
+	}
+	if w.flushed && http.NewResponseController(w.ResponseWriter).Flush() != nil {
+		return
+	}
+	w.conn.responseHandled()
+}
+
+func (w *guardedWriter) guardIfUnframed() {
+	if !w.guarded && w.Header().Get("Transfer-Encoding") == "identity" {
+		w.flushed = true
 		w.guard()
 	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *guardedWriter) WriteHeader(status int) {
+	w.guardIfUnframed()
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// Write implements http.ResponseWriter.
+func (w *guardedWriter) Write(p []byte) (int, error) {
+	w.guardIfUnframed()
+	return w.ResponseWriter.Write(p)
+}
+
 // Flush implements http.Flusher.
 func (w *guardedWriter) Flush() {
+	w.flushed = true
 	if f, ok := w.ResponseWriter.(http.Flusher); ok {
 		f.Flush()
 	}
