A batch item's reruns take a new connection only after an answer

Cause: every run but the first took a new connection, which closes the kept ones of its target, those of online requests too. A run that was cut or preempted leaves no connection on which a late answer could come. Change: only an item one of whose runs ended with an answer takes a new connection. Result: go test ./daemon/jobs, "does not take a late answer to an item's last run for that of the next", passes as before; the connections were not counted.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -150,6 +150,7 @@
 	if err != nil {
 		return errorResult(err)
 	}
+	p.answered = p.answered || verdict != relay.Ran || answer.Status != http.StatusOK
 	switch verdict {
 	case relay.Rejected:
 		return runResult{cause: "rejected by the target", delay: rejectedDelay, health: routing.Neutral}
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -42,8 +42,8 @@
 	// unframedEnd is the last event at the most recent end of a run that only its connection
 	// marked.
 	unframedEnd int64
-	// sent reports that a run of the item was sent.
-	sent bool
+	// answered reports that a run ended with an answer, after which its connection is kept.
+	answered bool
 	// failures counts the answers in which the target reported that the item failed.
 	failures int
 	// unsuccessful counts the consecutive runs that were broken off without an event.
@@ -98,10 +98,9 @@
 // the item's ID: on a connection of an earlier one, a late second answer to that run would be
 // taken for the answer to this one.
 func (p *progress) nextMaxIdle() time.Duration {
-	if p.sent {
+	if p.answered {
 		return newConnectionOnly
 	}
-	p.sent = true
 	return itemMaxIdle
 }
 
