What a target answers to a caller that resumes its stream is forwarded as it comes

A caller that goes on after event 12 got a complete 200 without events from a target that starts over; one that goes on after 0 or 1 was refused where IDs rise by more than one. Both were served before. Cause: the caller's position was taken for the daemon's own. Whether a target's run continues what a caller has is known to neither; only joins that the daemon makes are its to judge. Change: the position begins with the first event that is forwarded.

--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -51,10 +51,8 @@
 	body    []byte
 }
 
-// newDelivery returns the delivery of an answer to a caller that has the events up to last,
-// or NoEvent.
-func newDelivery(w http.ResponseWriter, last int64) *delivery {
-	return &delivery{w: w, position: newPosition(last)}
+func newDelivery(w http.ResponseWriter) *delivery {
+	return &delivery{w: w, position: newPosition()}
 }
 
 // sendHead sends the head of the first target that answers. A stream that is resumed at
--- a/daemon/relay/fakewire/fakewire.go
+++ b/daemon/relay/fakewire/fakewire.go
@@ -26,15 +26,6 @@
 	return &request
 }
 
-// ResumePosition implements relay.Wire.
-func (Wire) ResumePosition(r *relay.Request) int64 {
-	after, err := strconv.ParseInt(r.HTTP.Header.Get("After"), 10, 64)
-	if err != nil || after < 0 {
-		return relay.NoEvent
-	}
-	return after
-}
-
 // Matches implements relay.Wire.
 func (Wire) Matches(id string, _ int, header http.Header) bool { return header.Get("Id") == id }
 
--- a/daemon/relay/position.go
+++ b/daemon/relay/position.go
@@ -20,10 +20,9 @@
 
 // position is how far a caller's stream has come, and how far the current target's run.
 type position struct {
-	// last is the ID of the last event that the caller has, or NoEvent.
-	last int64
-	// first is the first ID known of the stream, or NoEvent.
-	first int64
+	// first and last are the IDs of the first and the last event that were forwarded, or
+	// NoEvent.
+	first, last int64
 	// oneByOne and stepped report that IDs rose by one, and by more than one.
 	oneByOne, stepped bool
 	// unnumbered reports that the caller has an event without an ID after last. No target can
@@ -35,14 +34,15 @@
 	runJoined bool
 }
 
-func newPosition(last int64) position {
-	return position{last: last, first: last, runLast: NoEvent}
+func newPosition() position {
+	return position{last: NoEvent, first: NoEvent, runLast: NoEvent}
 }
 
 // beginRun begins the run of another target.
 func (p *position) beginRun() { p.runLast, p.runJoined = NoEvent, false }
 
 // place returns where the next event of the run belongs, and records its ID as the run's last.
+// Events of the first run are forwarded as they come.
 func (p *position) place(e sse.Event) placement {
 	if e.ID < 0 {
 		if p.runLast != NoEvent && p.runLast < p.last {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -83,9 +83,6 @@
 	// Prepare returns the request for a target. left is the time that the target has, or
 	// NoDeadline; after is the ID of the last event already delivered, or NoEvent.
 	Prepare(r *Request, t roster.Target, left time.Duration, after int64) *h1.Request
-	// ResumePosition returns the ID of the last event that the caller of a stream already has, or
-	// NoEvent.
-	ResumePosition(r *Request) int64
 	// Matches reports whether an answer belongs to the request with the ID.
 	Matches(id string, status int, header http.Header) bool
 	// Classify returns the verdict that an answer's head implies.
@@ -184,7 +181,7 @@
 	r.budget.CountFirst()
 	r.mu.Unlock()
 	content := contentHash(&request.HTTP)
-	state := &requestState{relay: r, request: request, delivery: newDelivery(w, r.Wire.ResumePosition(request)), excluded: map[string]bool{},
+	state := &requestState{relay: r, request: request, delivery: newDelivery(w), excluded: map[string]bool{},
 		content: content, fingerprint: formatFingerprint(content)}
 	result := state.serveWithQuota(ctx)
 	result.Aborted = state.delivery.cutShort()
