--- a/api/faults_test.go
+++ b/api/faults_test.go
@@ -225,7 +225,7 @@
 		Entry("results", "GET", "/v1/jobs/j/results", ""),
 	)
 
-	// The target crashes and the error event that would tell it can't be written. Without
+	// The target crashes and its error event can't be written. Without
 	// it, only the connection shows that the stream broke off.
 	It("cuts off a stream whose error event can't be written", func() {
 		d := start(nil)
--- a/callerconns/reset.go
+++ b/callerconns/reset.go
@@ -20,7 +20,7 @@
 // sends with the transfer encoding "identity".
 //
 // Failure guarded against: without chunks a response of unknown length ends with its
-// connection, and a caller can't tell the normal end of a connection that was cut from the
+// connection, and a caller can't distinguish a connection that was cut in an orderly way from the
 // end of the response.
 func ResetUnlessCompleted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/daemon/relay/position.go
+++ b/daemon/relay/position.go
@@ -28,9 +28,11 @@
 	// unnumbered reports that the caller has an event without an ID after last. No target can
 	// be asked for what follows it.
 	unnumbered bool
-	// runLast is the last ID of the run, or NoEvent.
+	// runLast is the last ID of the run, forwarded or not, or NoEvent: 1 while a run that
+	// starts over repeats events 0 and 1 of a caller that has 0 to 4.
 	runLast int64
-	// runJoined reports that an event of the run was forwarded.
+	// runJoined reports that an event of the run with an ID was forwarded. From then on the
+	// run's own order holds.
 	runJoined bool
 }
 
@@ -61,8 +63,8 @@
 	}
 }
 
-// numberedOneByOne reports whether a missing ID is a missing event, as far as the IDs up to
-// now tell. IDs need only increase.
+// numberedOneByOne reports whether a missing ID is taken for a missing event. IDs need only
+// increase; they count as consecutive if two were, or if the first one is a usual one.
 func (p *position) numberedOneByOne() bool {
 	return !p.stepped && (p.oneByOne || p.first <= maxFirstID)
 }
