Log how a target's answer and the response to the caller ended

An on-call engineer who looks at a response that ended as complete too early could not tell from the log whether the target's framing, the end of its connection, a deadline or this daemon ended the answer, nor how much of it the caller got.

request, attempt_failed and item_run_ended now have answer_end, connection_reused and stopping; the lines of requests also left_ms, and the last one response, events and bytes. The exchange with the target (target/h1) records its first end and the time of it, so that later reads and the close don't replace it. tarragonhollow_relay_attempts_total{kind,end} counts the ends. A request that was sent to no target no longer reports answer_first_event=0.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -124,7 +124,8 @@
 	})
 	crashes := relay.NewCrashDetector(n.suspects, n.pool)
 	n.Relay = relay.New(relay.Options{
-		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Logger: logger, Metrics: set,
+		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Stopping: n.stopping.Load,
+		Logger: logger, Metrics: set,
 	})
 	n.Jobs = jobs.New(jobs.Options{
 		Host: s.Host, Zone: s.Zone, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -58,13 +58,8 @@
 	delay  time.Duration
 	cause  string
 	health routing.Outcome
-	// status and framing are those of the target's answer, 0 and "" if there was none.
-	status  int
-	framing h1.Framing
-}
-
-func (e runResult) answerFields() []zap.Field {
-	return []zap.Field{zap.Int("answer_status", e.status), zap.String("answer_framing", string(e.framing))}
+	// exchange is what is known of the exchange with the target.
+	exchange h1.Record
 }
 
 // runItem runs the item once and decides what follows.
@@ -133,19 +128,22 @@
 		zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
 		zap.Bool("complete", end.complete), zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent),
 		zap.Int("failures", p.failures), zap.Int64("ms", time.Since(run.startedAt).Milliseconds()),
-	}, end.answerFields()...)
+		zap.Int64("events", p.eventCount()), zap.Bool("stopping", r.isStopping()),
+	}, relay.ExchangeFields(&end.exchange)...)
 	r.jobs.Logger.Info("item_run_ended", fields...)
 }
 
 // runOnce sends the item to the target and collects its events.
-func (r *runner) runOnce(ctx context.Context, c *candidate, run *itemRun, p *progress, body []byte) runResult {
+func (r *runner) runOnce(ctx context.Context, c *candidate, run *itemRun, p *progress, body []byte) (end runResult) {
+	var exchange h1.Record
+	defer func() { end.exchange = exchange }()
 	request := &relay.Request{
 		ID: c.item.ID, Route: c.route, Account: c.account,
 		HTTP: h1.Request{Method: http.MethodPost, URI: c.item.Path, Host: c.host, Header: itemHeader(c.item.Headers), Body: body},
 	}
 	sender := relay.Sender{Wire: r.jobs.Wire, Pool: r.jobs.Pool}
 	answer, verdict, err := sender.Send(ctx, request, run.target, relay.NoDeadline, p.lastEvent, h1.Options{
-		MaxIdle: p.nextMaxIdle(), Deadline: time.Now().Add(itemTimeout), MaxWait: itemFirstMaxWait,
+		MaxIdle: p.nextMaxIdle(), Deadline: time.Now().Add(itemTimeout), MaxWait: itemFirstMaxWait, Record: &exchange,
 	})
 	if err != nil {
 		return errorResult(err)
@@ -158,9 +156,7 @@
 		return runResult{cause: "another target has the address", delay: rejectedDelay, health: routing.HardFailed}
 	}
 	defer answer.Close()
-	end := readAnswer(answer, p)
-	end.status, end.framing = answer.Status, answer.Framing
-	return end
+	return readAnswer(answer, p)
 }
 
 func readAnswer(answer *h1.Answer, p *progress) runResult {
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -312,6 +312,8 @@
 		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
 		ended := lines.FilterMessage("item_run_ended").All()[0].ContextMap()
 		Expect(ended).To(HaveKeyWithValue("cause", "the target has started again"))
+		Expect(ended).To(HaveKeyWithValue("answer_end", "cancelled"))
+		Expect(ended).To(HaveKeyWithValue("stopping", false))
 	})
 
 	// A daemon is stopped at the moment at which a target restarts. With the race detector, this
--- a/daemon/relay/answerseen.go
+++ b/daemon/relay/answerseen.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,16 +12,32 @@
 
 // answerSeen describes the answer that an attempt received, for logs and metrics.
 type answerSeen struct {
-	// status is 0 if no head was received.
-	status  int
-	framing h1.Framing
+	h1.Record
 	// firstEvent is the ID of the first event that was forwarded, or NoEvent.
 	firstEvent int64
 }
 
-func (a answerSeen) fields() []zap.Field {
-	return []zap.Field{zap.Int("answer_status", a.status), zap.String("answer_framing", string(a.framing)),
-		zap.Int64("answer_first_event", a.firstEvent)}
+// answerFields returns the fields about the last attempt's answer.
+func (s *requestState) answerFields() []zap.Field {
+	a := &s.answer
+	return append(ExchangeFields(&a.Record), zap.Int64("answer_first_event", a.firstEvent),
+		zap.Int64("left_ms", s.leftMs()), zap.Bool("stopping", s.relay.stopping()))
+}
+
+// ExchangeFields returns the log fields about an exchange with a target.
+func ExchangeFields(r *h1.Record) []zap.Field {
+	return []zap.Field{zap.Int("answer_status", r.Status), zap.String("answer_framing", string(r.Framing)),
+		zap.String("answer_end", string(r.End)), zap.Bool("connection_reused", r.Reused)}
+}
+
+// leftMs returns the time to the deadline at the end of the last attempt's answer, or now if
+// there was none. It is rounded down: a negative number is an end after the deadline.
+func (s *requestState) leftMs() int64 {
+	at := s.answer.EndedAt
+	if at.IsZero() {
+		at = time.Now()
+	}
+	return int64(math.Floor(float64(s.request.Deadline.Sub(at)) / float64(time.Millisecond)))
 }
 
 // logFailedAttempt logs how an attempt ended that did not complete the answer.
@@ -29,6 +46,20 @@
 		zap.String("id", s.request.ID), zap.String("target", t.ID), zap.Int("attempt", s.runs+s.rejections+1),
 		zap.Bool("reached", failed.reached), zap.String("cause", failed.detail),
 		zap.Int64("last_event", s.delivery.position.last), zap.Int64("ms", time.Since(s.attemptStart).Milliseconds()),
-	}, s.answer.fields()...)
+	}, s.answerFields()...)
 	s.relay.Logger.Info("attempt_failed", fields...)
 }
+
+// responseEnd is what the relay made of the response to a caller, for logs.
+func (s *requestState) responseEnd(result Result) string {
+	switch {
+	case s.delivery.cutShort():
+		return "cut_off"
+	case s.delivery.complete:
+		return "complete"
+	case result.Refusal != nil:
+		return "refusal"
+	default:
+		return "none"
+	}
+}
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -91,7 +91,7 @@
 
 // attempt sends the request to the target once.
 func (s *requestState) attempt(ctx context.Context, t roster.Target) attemptResult {
-	options := h1.Options{MaxIdle: newConnectionOnly, Deadline: s.request.Deadline}
+	options := h1.Options{MaxIdle: newConnectionOnly, Deadline: s.request.Deadline, Record: &s.answer.Record}
 	if s.request.Route.Repeatable() {
 		options.MaxIdle = maxIdleRepeatable
 	}
@@ -110,7 +110,6 @@
 		return attemptResult{detail: t.ID + " is no longer at its address", health: routing.HardFailed}
 	}
 	defer answer.Close()
-	s.answer.status, s.answer.framing = answer.Status, answer.Framing
 	switch {
 	case s.delivery.headSent && !s.delivery.continues(answer):
 		return rejectRest(t, answer)
@@ -185,6 +184,7 @@
 	whole := bufferedAnswer{status: answer.Status, header: answer.Header, framing: answer.Framing, body: body}
 	if answer.Status == http.StatusInternalServerError {
 		s.delivery.keepFailure(whole)
+		s.failure = s.answer
 		if s.mayRetry() {
 			return attemptResult{reached: true, detail: "failed at " + t.ID, health: routing.SoftFailed}
 		}
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -38,6 +38,9 @@
 	unframed bool
 	// position is how far the caller's stream has come.
 	position position
+	// events and sent count the events and the bytes of bodies that were written.
+	events int
+	sent   *countingWriter
 	// failure is a target's own error answer (500), forwarded if no attempt gives a better
 	// one.
 	failure *bufferedAnswer
@@ -52,9 +55,33 @@
 }
 
 func newDelivery(w http.ResponseWriter) *delivery {
-	return &delivery{w: w, position: newPosition()}
+	counted := &countingWriter{ResponseWriter: w}
+	return &delivery{w: counted, sent: counted, position: newPosition()}
 }
 
+// countingWriter counts the bytes of a body.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes int64
+}
+
+// Write implements http.ResponseWriter.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.bytes += int64(n)
+	return n, err
+}
+
+// Flush implements http.Flusher.
+func (w *countingWriter) Flush() {
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// Unwrap is for http.ResponseController.
+func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // sendHead sends the head of the first target that answers. A stream that is resumed at
 // another target keeps it.
 func (d *delivery) sendHead(status int, header http.Header, framing h1.Framing) {
@@ -114,6 +141,7 @@
 		return err
 	}
 	d.position.forwarded(e)
+	d.events++
 	return nil
 }
 
--- a/daemon/relay/meter.go
+++ b/daemon/relay/meter.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
 // meter holds the metrics of requests.
@@ -34,5 +35,10 @@
 // framing of the target's last answer.
 func (m *meter) countAnswer(kind route.Kind, a answerSeen) {
 	m.set.GetOrCreateCounter(`tarragonhollow_relay_answers_total{kind="` + kind.String() + `",status="` +
-		strconv.Itoa(a.status) + `",framing="` + string(a.framing) + `"}`).Inc()
+		strconv.Itoa(a.Status) + `",framing="` + string(a.Framing) + `"}`).Inc()
+}
+
+// countAttempt counts an attempt by how its exchange with the target ended.
+func (m *meter) countAttempt(kind route.Kind, end h1.End) {
+	m.set.GetOrCreateCounter(`tarragonhollow_relay_attempts_total{kind="` + kind.String() + `",end="` + string(end) + `"}`).Inc()
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -104,9 +104,11 @@
 	Places  *places.Places
 	Crashes *CrashDetector
 	// Quotas enforces the quotas of client accounts.
-	Quotas  Quotas
-	Logger  *zap.Logger
-	Metrics *metrics.Set
+	Quotas Quotas
+	// Stopping reports that the process is stopping; nil for never.
+	Stopping func() bool
+	Logger   *zap.Logger
+	Metrics  *metrics.Set
 }
 
 // Relay is safe for concurrent use.
@@ -126,6 +128,8 @@
 		firstByteStats: map[string]*retry.WaitEstimator{}}
 }
 
+func (r *Relay) stopping() bool { return r.Stopping != nil && r.Stopping() }
+
 // firstByteTimeout returns how long a request in the slot waits for the first byte of its
 // answer.
 func (r *Relay) firstByteTimeout(group string, slot places.Slot) time.Duration {
@@ -182,7 +186,7 @@
 	r.mu.Unlock()
 	content := contentHash(&request.HTTP)
 	state := &requestState{relay: r, request: request, delivery: newDelivery(w), excluded: map[string]bool{},
-		content: content, fingerprint: formatFingerprint(content)}
+		content: content, fingerprint: formatFingerprint(content), answer: answerSeen{firstEvent: NoEvent}}
 	result := state.serveWithQuota(ctx)
 	result.Aborted = state.delivery.cutShort()
 	r.recordEnd(request, state, result)
@@ -230,8 +234,9 @@
 	lastTarget       roster.Target
 	timeToFirstByte  time.Duration
 	lastFailure      string
-	// answer is what the current attempt received.
-	answer answerSeen
+	// answer is what the current attempt received, failure what the one received whose error
+	// answer the delivery keeps.
+	answer, failure answerSeen
 	// attemptStart is when the current attempt began, firstByteTimeout how long it waits for
 	// the first byte of the answer; answerStarted reports that it has arrived.
 	attemptStart     time.Time
@@ -261,6 +266,7 @@
 		stopWatch := s.degradeWhenSilent(slot)
 		ended := s.runAttempt(ctx, slot)
 		stopWatch()
+		s.relay.meter.countAttempt(s.request.Route.Kind, s.answer.End)
 		s.relay.Places.Release(slot, ended.health, ended.serviceTime(s.attemptStart))
 		if ended.done {
 			return Result{}
@@ -410,7 +416,7 @@
 		return Result{}
 	}
 	if s.delivery.failure != nil {
-		s.answer = answerSeen{status: s.delivery.failure.status, framing: s.delivery.failure.framing, firstEvent: NoEvent}
+		s.answer = s.failure
 		s.delivery.sendFailure()
 		return Result{}
 	}
@@ -451,8 +457,9 @@
 		zap.Int("status", state.delivery.status), zap.Int("runs", state.runs), zap.Int("refusals", state.rejections),
 		zap.String("target", state.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
 		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.position.last),
+		zap.String("response", state.responseEnd(result)), zap.Int("events", state.delivery.events), zap.Int64("bytes", state.delivery.sent.bytes),
 	}
-	fields = append(fields, state.answer.fields()...)
+	fields = append(fields, state.answerFields()...)
 	if result.Refusal != nil {
 		fields = append(fields, zap.String("run", string(result.Refusal.Run)), zap.Int64("retry_after_ms", result.Refusal.RetryAfterMs),
 			zap.String("reason", result.Refusal.Message))
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -79,6 +79,8 @@
 	// Matches reports whether an answer with this status and header belongs to this
 	// request. Answers that don't are skipped; nil accepts every answer.
 	Matches func(status int, header http.Header) bool
+	// Record, if not nil, receives what is known of the exchange until its answer is closed.
+	Record *Record
 }
 
 // Framing is how an answer marks the end of its body.
@@ -119,36 +121,48 @@
 	written  <-chan error
 	complete bool
 	reusable bool
+	record   *Record
 }
 
 // Do sends the request once and returns its answer after the head has been read.
 // Errors are of the types NotSent, Broken and Silent. When ctx ends, the connection
 // is closed.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, o Options) (*Answer, error) {
+	record := o.Record
+	if record == nil {
+		record = &Record{}
+	}
 	if err := r.Check(); err != nil {
+		record.end(EndNotSent)
 		return nil, NotSent.Wrap(err, "%s", address)
 	}
-	c, _, err := p.get(ctx, address, o.MaxIdle)
+	c, fresh, err := p.get(ctx, address, o.MaxIdle)
 	if err != nil {
+		record.end(EndNotSent)
 		return nil, err
 	}
+	record.Reused = !fresh
 	release := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := c.SetDeadline(o.Deadline); err != nil {
+		record.end(EndNotSent)
 		release()
 		_ = c.Close()
 		return nil, NotSent.Wrap(err, "%s", address)
 	}
 	written := p.write(c, r)
 	if err := setReadTimeout(ctx, c, o.Deadline, o.MaxWait); err != nil {
+		record.end(endOf(ctx, o.Deadline, err))
 		return nil, abandon(c, release, err)
 	}
 	response, err := readHead(c, r, o)
 	if err != nil {
+		record.end(endOf(ctx, o.Deadline, err))
 		return nil, abandon(c, release, err)
 	}
+	record.Status, record.Framing = response.StatusCode, framingOf(response)
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Framing: framingOf(response), ctx: ctx, pool: p, conn: c, body: response.Body,
-		deadline: o.Deadline, release: release, written: written,
+		Status: response.StatusCode, Header: response.Header, Framing: record.Framing, ctx: ctx, pool: p, conn: c, body: response.Body,
+		deadline: o.Deadline, release: release, written: written, record: record,
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
 	}, nil
 }
@@ -280,19 +294,30 @@
 // its connection; if that was reset, the error is Broken.
 func (a *Answer) Read(buffer []byte, maxWait time.Duration) (int, error) {
 	if err := setReadTimeout(a.ctx, a.conn, a.deadline, maxWait); err != nil {
+		a.record.end(endOf(a.ctx, a.deadline, err))
 		return 0, classify(a.conn.address, err)
 	}
 	n, err := a.body.Read(buffer)
 	if err == io.EOF {
 		a.complete = true
+		a.recordComplete()
 		return n, io.EOF
 	}
 	if err != nil {
+		a.record.end(endOf(a.ctx, a.deadline, err))
 		err = classify(a.conn.address, err)
 	}
 	return n, err
 }
 
+func (a *Answer) recordComplete() {
+	if a.Framing == Unframed {
+		a.record.end(EndConnection)
+		return
+	}
+	a.record.end(EndFraming)
+}
+
 // drainSize is the size of Drain's read buffer, in bytes.
 const drainSize = 4 << 10
 
@@ -313,6 +338,7 @@
 // would belong to no request. Otherwise the connection is closed, which makes the
 // target stop its work.
 func (a *Answer) Close() {
+	a.record.end(EndAbandoned)
 	inTime := a.release()
 	if !inTime || !a.complete || !a.reusable || !a.sent() || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
