explain: find IDs that the log quotes, and tell of dropped lines

An ID with "=", a space, a quote or a backslash, such as padded base64, is written quoted or escaped, and explain compared it unquoted: it reported that no line has the ID. It now looks for the value as the logger writes it (logging.FormatValue). If no line has the ID, it says whether the logs report dropped lines, since the request may then have been answered all the same.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/spf13/cobra"
+
+	"tarragonhollow.example/tarragonhollow/logging"
 )
 
 const (
@@ -27,12 +29,12 @@
 			"value ID, in order of time over all daemons.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			s := &logMatches{id: args[0]}
+			s := &logMatches{id: args[0], logged: logging.FormatValue(args[0])}
 			if err := readInputs(args[1:], a.In, s.read); err != nil {
 				return exitWith(ExitUsage, err)
 			}
 			if len(s.lines) == 0 {
-				return exitWith(ExitFailed, fmt.Errorf("explain: no line has a field with the value %q", s.id))
+				return exitWith(ExitFailed, s.notFound())
 			}
 			return s.print(a.Out)
 		},
@@ -41,10 +43,14 @@
 
 // logMatches collects the log lines that have a field with the value id.
 type logMatches struct {
-	id    string
-	lines []matchedLine
+	id string
+	// logged is the ID as values of fields are written.
+	logged string
+	lines  []matchedLine
 	// omitted counts the matching lines beyond maxMatches.
 	omitted int
+	// drops counts the lines that report dropped lines.
+	drops int
 }
 
 type matchedLine struct {
@@ -64,7 +70,10 @@
 }
 
 func (s *logMatches) add(line string) {
-	if !hasValue(line, s.id) {
+	if strings.Contains(line, " event="+logging.EventLinesDropped+" ") {
+		s.drops++
+	}
+	if !hasValue(line, s.logged) {
 		return
 	}
 	if len(s.lines) == maxMatches {
@@ -74,6 +83,14 @@
 	s.lines = append(s.lines, matchedLine{at: timestampOf(line), text: line})
 }
 
+func (s *logMatches) notFound() error {
+	if s.drops > 0 {
+		return fmt.Errorf("explain: no line has a field with the value %q; %d lines report that others were dropped (event=%s)",
+			s.id, s.drops, logging.EventLinesDropped)
+	}
+	return fmt.Errorf("explain: no line has a field with the value %q", s.id)
+}
+
 // print writes the lines sorted by time. Lines without a time come first, in the order
 // of the input.
 func (s *logMatches) print(to io.Writer) error {
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -9,8 +9,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/cli"
+	"tarragonhollow.example/tarragonhollow/logging"
 )
 
 var _ = Describe("explain", func() {
@@ -42,6 +44,26 @@
 		Expect(out).To(Equal(other + "\n"))
 	})
 
+	// IDs are the callers' choice; one with "=" or a space, such as padded base64, is quoted in the log.
+	DescribeTable("finds IDs that are quoted in the log", func(id string) {
+		var log bytes.Buffer
+		logger, _ := logging.New(&log, "info")
+		logger.Info("request", zap.String("id", id), zap.String("outcome", "served"), zap.String("answer_end", "connection_end"))
+		code, out, _ := run(log.String(), id)
+		Expect(code).To(Equal(cli.ExitOK))
+		Expect(out).To(ContainSubstring("outcome=served answer_end=connection_end"))
+	},
+		Entry("padded base64", "3q2+7w=="), Entry("a space", "a b"), Entry("a quote", `a"b`), Entry("a backslash", `a\b`), Entry("an umlaut", "ä"),
+	)
+
+	// The lines of the request were dropped under load, and the engineer takes it for one that
+	// reached no daemon.
+	It("says that lines were dropped if none has the ID", func() {
+		code, _, err := run(first+"\nts=2026-01-01T00:00:03.000Z level=warn event=log_lines_dropped total=7 urgent=0\n", "nobody")
+		Expect(code).To(Equal(cli.ExitFailed))
+		Expect(err).To(ContainSubstring("1 lines report that others were dropped"))
+	})
+
 	It("fails when no line has the ID, and when a file can't be read", func() {
 		code, out, err := run(first, "nobody")
 		Expect(code).To(Equal(cli.ExitFailed))
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -27,6 +27,9 @@
 	writeBytes = 32 << 10
 )
 
+// EventLinesDropped is the event of the line that reports dropped lines.
+const EventLinesDropped = "log_lines_dropped"
+
 // AsyncWriter writes log lines asynchronously: a pipe that nobody reads fills up quickly,
 // and a request must not wait for it. Lines that do not fit are dropped and counted.
 // Warnings and errors have a separate queue, so that ordinary lines are dropped first.
@@ -171,7 +174,7 @@
 	if dropped == w.reportedDrops {
 		return
 	}
-	buffer.WriteString("ts=" + time.Now().UTC().Format(timeLayout) + " level=warn event=log_lines_dropped total=" +
+	buffer.WriteString("ts=" + time.Now().UTC().Format(timeLayout) + " level=warn event=" + EventLinesDropped + " total=" +
 		strconv.FormatUint(dropped, 10) + " urgent=" + strconv.FormatUint(w.urgent.dropped.Load(), 10) + "\n")
 	w.reportedDrops = dropped
 }
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -9,6 +9,7 @@
 
 import (
 	"io"
+	"strings"
 	"time"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -63,3 +64,14 @@
 func encodeTime(t time.Time, enc zapcore.PrimitiveArrayEncoder) {
 	enc.AppendString(t.UTC().Format(timeLayout))
 }
+
+// FormatValue returns a text as it is written as the value of a field.
+func FormatValue(text string) string {
+	encoder := zaplogfmt.NewEncoder(zapcore.EncoderConfig{LineEnding: "\n"})
+	line, err := encoder.EncodeEntry(zapcore.Entry{}, []zapcore.Field{zap.String("value", text)})
+	if err != nil { // the encoder fails only for other kinds of fields
+		return text
+	}
+	defer line.Free()
+	return strings.TrimPrefix(strings.TrimSuffix(line.String(), "\n"), "value=")
+}
