Reserve a share of the log's bound for the ends of served requests

The last line of a served request was an ordinary line: a burst of request_sent and queue lines, or an output that blocks, used up the bound of 500 a second and the queue, and the request could not be followed. 200 of the 500 lines a second and 512 of the 2,048 places in the queue are now kept for the last lines of served requests (logging.EndOfRequest); the bound itself is as before.

Lines whose write failed are counted as unwritten, no longer as ordinary.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -25,6 +25,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
+	"tarragonhollow.example/tarragonhollow/logging"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
@@ -468,7 +469,7 @@
 		fields = append(fields, zap.String("cause", state.lastFailure))
 	}
 	if outcomeLabel == "served" {
-		r.Logger.Info("request", fields...)
+		r.Logger.Info("request", append(fields, logging.EndOfRequest())...)
 		return
 	}
 	r.Logger.Warn("request", fields...)
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -2,8 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
-	"strconv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,13 @@
 	// second. At the planned size a daemon completes some 15 requests per second.
 	ordinaryPerSecond = 500
 	urgentPerSecond   = 1000
+	// reservedPerSecond and reservedRing are the parts of ordinaryPerSecond and ordinaryRing
+	// that only the ends of requests may use: a request has several ordinary lines, and
+	// without its last one it can't be followed.
+	reservedPerSecond = 200
+	reservedRing      = 512
+	// reportInterval is the shortest time between two reports of dropped lines.
+	reportInterval = time.Second
 	// writeBytes is the size of the buffer, in bytes, from which it is written.
 	writeBytes = 32 << 10
 )
@@ -32,40 +40,85 @@
 
 // AsyncWriter writes log lines asynchronously: a pipe that nobody reads fills up quickly,
 // and a request must not wait for it. Lines that do not fit are dropped and counted.
-// Warnings and errors have a separate queue, so that ordinary lines are dropped first.
+// Warnings and errors have a separate queue, and the ends of requests a reserved share of the
+// other one, so that other lines are dropped first.
 type AsyncWriter struct {
-	out           io.Writer
-	ordinary      *ring
-	urgent        *ring
+	out                    io.Writer
+	urgent, ends, ordinary *class
+	// unwritten counts the lines whose write failed.
+	unwritten     atomic.Uint64
 	wake          chan struct{}
 	stop          chan struct{}
 	stopOnce      sync.Once
 	done          chan struct{}
 	reportedDrops uint64
+	reportedAt    time.Time
 }
 
 // ring is a bounded, rate-limited queue of lines.
 type ring struct {
-	lines     chan []byte
+	lines chan []byte
+	limit limiter
+	wake  chan struct{}
+}
+
+// class is a kind of lines with a share of a ring.
+type class struct {
+	ring *ring
+	// limit bounds the lines of the class per second, maxQueued how many lines of any class
+	// may be queued ahead of one.
+	limit     limiter
+	maxQueued int
+	dropped   atomic.Uint64
+}
+
+// limiter bounds the number of lines per second.
+type limiter struct {
 	perSecond int64
 	second    atomic.Int64
 	count     atomic.Int64
-	dropped   atomic.Uint64
-	wake      chan struct{}
+}
+
+// endKey is the key of the field that EndOfRequest returns.
+const endKey = "end_of_request"
+
+// EndOfRequest marks a line as the last one of a request. The field itself is not written.
+func EndOfRequest() zap.Field { return zap.Field{Key: endKey, Type: zapcore.SkipType} }
+
+// classCore writes the ends of requests to one core and other lines to another one.
+type classCore struct {
+	zapcore.Core
+	ends zapcore.Core
+}
+
+// With implements zapcore.Core.
+func (c *classCore) With(fields []zapcore.Field) zapcore.Core {
+	return &classCore{c.Core.With(fields), c.ends.With(fields)}
+}
+
+// Write implements zapcore.Core.
+func (c *classCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	isEnd := func(f zapcore.Field) bool { return f.Type == zapcore.SkipType && f.Key == endKey }
+	if slices.ContainsFunc(fields, isEnd) {
+		return c.ends.Write(entry, fields)
+	}
+	return c.Core.Write(entry, fields)
 }
 
 // NewAsync returns a logger like New whose lines are written by a separate goroutine.
 // Close writes the lines that are still queued.
 func NewAsync(out io.Writer, level string) (*zap.Logger, zap.AtomicLevel, *AsyncWriter) {
 	w := &AsyncWriter{out: out, wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
-	w.ordinary = newRing(ordinaryRing, ordinaryPerSecond, w.wake)
-	w.urgent = newRing(urgentRing, urgentPerSecond, w.wake)
+	urgent, ordinary := newRing(urgentRing, urgentPerSecond, w.wake), newRing(ordinaryRing, ordinaryPerSecond, w.wake)
+	w.urgent = newClass(urgent, 0, 0)
+	w.ends = newClass(ordinary, 0, 0)
+	w.ordinary = newClass(ordinary, reservedPerSecond, reservedRing)
 	atomicLevel := zap.NewAtomicLevelAt(zapcore.InfoLevel)
 	encoder := zaplogfmt.NewEncoder(encoderConfig())
 	below := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l < zapcore.WarnLevel && atomicLevel.Enabled(l) })
 	from := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= zapcore.WarnLevel && atomicLevel.Enabled(l) })
 	core := zapcore.NewTee(
-		&plainCore{zapcore.NewCore(encoder, w.ordinary, below)},
+		&plainCore{&classCore{zapcore.NewCore(encoder, w.ordinary, below), zapcore.NewCore(encoder, w.ends, below)}},
 		&plainCore{zapcore.NewCore(encoder, w.urgent, from)},
 	)
 	logger := zap.New(core, zap.AddCaller())
@@ -77,40 +130,62 @@
 }
 
 func newRing(size int, perSecond int64, wake chan struct{}) *ring {
-	return &ring{lines: make(chan []byte, size), perSecond: perSecond, wake: wake}
+	return &ring{lines: make(chan []byte, size), limit: limiter{perSecond: perSecond}, wake: wake}
+}
+
+// newClass returns a class that may use all of the ring but the reserved lines per second and
+// places in the queue.
+func newClass(r *ring, reservedPerSecond int64, reservedPlaces int) *class {
+	return &class{ring: r, limit: limiter{perSecond: r.limit.perSecond - reservedPerSecond}, maxQueued: cap(r.lines) - reservedPlaces}
 }
 
 // Write implements zapcore.WriteSyncer. It never blocks.
-func (r *ring) Write(line []byte) (int, error) {
-	if !r.allowed(time.Now().Unix()) {
-		r.dropped.Add(1)
+func (c *class) Write(line []byte) (int, error) {
+	second := time.Now().Unix()
+	if !c.limit.allow(second) || !c.ring.limit.allow(second) {
+		c.dropped.Add(1)
 		return len(line), nil
 	}
-	select {
-	case r.lines <- bytes.Clone(line):
-	default:
-		r.dropped.Add(1)
+	if !c.enqueue(line) {
+		c.dropped.Add(1)
 	}
 	select {
-	case r.wake <- struct{}{}:
+	case c.ring.wake <- struct{}{}:
 	default:
 	}
 	return len(line), nil
 }
 
-// allowed counts a line and reports whether it is within the limit of its second.
-func (r *ring) allowed(second int64) bool {
-	if r.second.Swap(second) != second {
-		r.count.Store(0)
+func (c *class) enqueue(line []byte) bool {
+	if len(c.ring.lines) >= c.maxQueued {
+		return false
+	}
+	select {
+	case c.ring.lines <- bytes.Clone(line):
+		return true
+	default:
+		return false
 	}
-	return r.count.Add(1) <= r.perSecond
 }
 
 // Sync implements zapcore.WriteSyncer.
-func (r *ring) Sync() error { return nil }
+func (c *class) Sync() error { return nil }
+
+// allow counts a line and reports whether it is within the limit of its second.
+func (l *limiter) allow(second int64) bool {
+	if last := l.second.Load(); second > last && l.second.CompareAndSwap(last, second) {
+		l.count.Store(0)
+	}
+	return l.count.Add(1) <= l.perSecond
+}
 
 // Dropped returns the number of dropped lines.
-func (w *AsyncWriter) Dropped() uint64 { return w.ordinary.dropped.Load() + w.urgent.dropped.Load() }
+func (w *AsyncWriter) Dropped() uint64 {
+	return w.urgent.dropped.Load() + w.EndsDropped() + w.ordinary.dropped.Load() + w.unwritten.Load()
+}
+
+// EndsDropped returns how many of the dropped lines were ends of served requests.
+func (w *AsyncWriter) EndsDropped() uint64 { return w.ends.dropped.Load() }
 
 // Close writes the queued lines and ends the goroutine. It stops waiting after the given
 // time if the output blocks.
@@ -130,6 +205,7 @@
 		case <-w.wake:
 			w.drain()
 		case <-w.stop:
+			w.reportedAt = time.Time{}
 			w.drain()
 			return
 		}
@@ -155,12 +231,12 @@
 // next returns a queued line, nil if there is none.
 func (w *AsyncWriter) next() []byte {
 	select {
-	case line := <-w.urgent.lines:
+	case line := <-w.urgent.ring.lines:
 		return line
 	default:
 	}
 	select {
-	case line := <-w.ordinary.lines:
+	case line := <-w.ordinary.ring.lines:
 		return line
 	default:
 		return nil
@@ -168,14 +244,16 @@
 }
 
 // reportDropped appends a line to the buffer if more lines were dropped since the last
-// report.
+// report, which was at least reportInterval ago.
 func (w *AsyncWriter) reportDropped(buffer *bytes.Buffer) {
 	dropped := w.Dropped()
-	if dropped == w.reportedDrops {
+	if dropped == w.reportedDrops || time.Since(w.reportedAt) < reportInterval {
 		return
 	}
-	buffer.WriteString("ts=" + time.Now().UTC().Format(timeLayout) + " level=warn event=" + EventLinesDropped + " total=" +
-		strconv.FormatUint(dropped, 10) + " urgent=" + strconv.FormatUint(w.urgent.dropped.Load(), 10) + "\n")
+	w.reportedAt = time.Now()
+	fmt.Fprintf(buffer, "ts=%s level=warn event=%s total=%d urgent=%d request_ends=%d ordinary=%d unwritten=%d\n",
+		w.reportedAt.UTC().Format(timeLayout), EventLinesDropped, dropped, w.urgent.dropped.Load(), w.EndsDropped(),
+		w.ordinary.dropped.Load(), w.unwritten.Load())
 	w.reportedDrops = dropped
 }
 
@@ -186,7 +264,7 @@
 		return
 	}
 	if _, err := w.out.Write(buffer.Bytes()); err != nil {
-		w.ordinary.dropped.Add(uint64(bytes.Count(buffer.Bytes(), []byte("\n"))))
+		w.unwritten.Add(uint64(bytes.Count(buffer.Bytes(), []byte("\n"))))
 	}
 	buffer.Reset()
 }
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,46 @@
 		Expect(text).To(ContainSubstring("event=log_lines_dropped total="))
 	})
 
+	// A burst of ordinary lines uses up the bound of its second, and the requests that end in that
+	// second can't be followed any more.
+	It("keeps the ends of served requests when other lines exceed the bound", func() {
+		out := &pipe{open: make(chan struct{})}
+		close(out.open)
+		logger, _, writer := logging.NewAsync(out, "info")
+		for i := range 20_000 {
+			logger.Info("request_sent", zap.Int("i", i))
+		}
+		for i := range 100 {
+			logger.Info("request", zap.Int("i", i), logging.EndOfRequest())
+		}
+		writer.Close(limit)
+		text := out.text()
+		Expect(strings.Count(text, "event=request ")).To(Equal(100))
+		Expect(text).NotTo(ContainSubstring("end_of_request"))
+		Expect(text).To(MatchRegexp(`event=log_lines_dropped total=(\d+) urgent=0 request_ends=0 ordinary=\d+ unwritten=0\n`))
+		Expect(writer.EndsDropped()).To(BeZero())
+	})
+
+	// The reports of dropped lines are not themselves bounded, and a flood of lines doubles.
+	It("reports dropped lines at most once a second, and when it closes", func() {
+		out := &pipe{open: make(chan struct{})}
+		close(out.open)
+		logger, _, writer := logging.NewAsync(out, "info")
+		start := time.Now()
+		for i := range 5_000 {
+			logger.Info("served", zap.Int("i", i))
+			if i%10 == 0 {
+				logger.Warn("failed", zap.Int("i", i))
+				time.Sleep(time.Millisecond)
+			}
+		}
+		seconds := int(time.Since(start).Seconds())
+		writer.Close(limit)
+		reports := strings.Count(out.text(), "event=log_lines_dropped ")
+		Expect(reports).To(And(BeNumerically(">=", 1), BeNumerically("<=", seconds+2)))
+		Expect(out.text()).To(ContainSubstring(fmt.Sprint("event=log_lines_dropped total=", writer.Dropped(), " ")))
+	})
+
 	It("writes everything that fits, in order, before it closes", func() {
 		out := &pipe{open: make(chan struct{})}
 		close(out.open)
