An error that names no request is attributed only on a new connection

Callers could receive an error that was not about their request, and a batch item could be counted as failed or ended as errored by one: an answer with a status other than 2xx and without X-Tarragonhollow-Request-Id was accepted as the request's own, also on a kept connection, where it may be left over from an earlier request (a late second answer, a 400 or 408 that a target's server sends to an idle connection). The check for bytes on an idle connection before its reuse can't exclude this, since they may arrive right after it.

Matches now tells apart answers that name the request, name another one, and name none. One that names none is accepted on a new connection, where it can only be the request's. On a reused one it ends the exchange with the error Unattributed, and Sender sends the request once more, on a new connection to the same target and with the time that is left. Only repeatable requests and items use kept connections. The target stays in use, and no attempt or failure is counted.

--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -999,6 +999,35 @@
 		Expect(result.Output).To(Equal(output("j-0")))
 	})
 
+	// An error without an ID arrives on a connection that an earlier item used. It may be about
+	// that one, and must not count as this item's failure or end it as errored.
+	DescribeTable("does not take another item's error on a kept connection for an item's own",
+		func(status int) {
+			table = route.NewTable(1, []route.Route{func() route.Route { r := batchRoute(0); r.MaxAttempts = 1; return r }()}, route.Limits{})
+			*script = func(r *rawtarget.Request, c net.Conn) {
+				if r.Index == 1 {
+					rawtarget.Write(c, rawtarget.Whole(status, "whose"))
+					return
+				}
+				answer(r, c)
+			}
+			core, lines := observer.New(zap.InfoLevel)
+			logger = zap.New(core)
+			a := alone()
+			for _, id := range []string{"i", "j"} {
+				Expect(submit(a, submission(id, 1))).To(BeNil())
+				result := all(a, id)[0]
+				Expect(result.State).To(Equal(batch.Succeeded))
+				Expect(result.Output).To(Equal(output(id + "-0")))
+			}
+			Expect(target.Requests()).To(HaveLen(3))
+			Expect(lines.FilterMessage("item_run_ended").Len()).To(Equal(2))
+		},
+		Entry("500", 500),
+		Entry("422", 422),
+		Entry("504", 504),
+	)
+
 	// A target without framing ends its answer after the last event, and is then asked for what
 	// follows. Whatever it answers, the text is whole.
 	DescribeTable("completes an item whose text is whole, once",
--- a/daemon/relay/fakewire/fakewire.go
+++ b/daemon/relay/fakewire/fakewire.go
@@ -27,7 +27,16 @@
 }
 
 // Matches implements relay.Wire.
-func (Wire) Matches(id string, _ int, header http.Header) bool { return header.Get("Id") == id }
+func (Wire) Matches(id string, status int, header http.Header) h1.Match {
+	switch got := header.Get("Id"); {
+	case got == id:
+		return h1.Own
+	case got == "" && status >= http.StatusMultipleChoices:
+		return h1.Unnamed
+	default:
+		return h1.Other
+	}
+}
 
 // Classify implements relay.Wire.
 func (Wire) Classify(status int, header http.Header) relay.Verdict {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -84,8 +84,8 @@
 	// Prepare returns the request for a target. left is the time that the target has, or
 	// NoDeadline; after is the ID of the last event already delivered, or NoEvent.
 	Prepare(r *Request, t roster.Target, left time.Duration, after int64) *h1.Request
-	// Matches reports whether an answer belongs to the request with the ID.
-	Matches(id string, status int, header http.Header) bool
+	// Matches returns whether an answer belongs to the request with the ID.
+	Matches(id string, status int, header http.Header) h1.Match
 	// Classify returns the verdict that an answer's head implies.
 	Classify(status int, header http.Header) Verdict
 }
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -107,6 +107,73 @@
 		Expect(left).To(BeNumerically("<=", timeout.Milliseconds()))
 	})
 
+	// A target sends an error without an ID on a kept connection, late or by itself. It may be
+	// another request's: the request is asked again on a new connection, at the same target,
+	// and nothing is counted against the target or the route's attempts.
+	DescribeTable("does not take another request's error on a kept connection for the answer",
+		func(leftOver string, close bool) {
+			request.Route.MaxAttempts = 1
+			startTargets(1, func(_ int, r *rawtarget.Request, c net.Conn) {
+				if r.Index == 1 {
+					rawtarget.Write(c, leftOver)
+					if close {
+						_ = c.Close()
+					}
+					return
+				}
+				writeAnswer(c)
+			})
+			for range 2 {
+				w, result := serve()
+				Expect(result).To(Equal(relay.Result{}))
+				Expect(w.Code).To(Equal(200))
+				Expect(w.Body.String()).To(Equal("answer"))
+			}
+			Expect(sent()).To(HaveLen(3))
+			Expect(sent()[2].Conn).NotTo(Equal(sent()[1].Conn))
+			Expect(view.FreeSlots("g", 0)).To(Equal(2))
+		},
+		Entry("500", rawtarget.Whole(500, "failed"), false),
+		Entry("400", rawtarget.Whole(400, "", "Not-Run: 1"), false),
+		Entry("408 for an idle connection, which it closes", rawtarget.Whole(408, "", "Connection: close"), true),
+		Entry("504", rawtarget.Whole(504, ""), false),
+		Entry("503 for a request that it did not run", rawtarget.Whole(503, "", "Not-Run: 1"), false),
+		Entry("422, behind the late answer to another request", rawtarget.Whole(200, "stray", "Id: other")+rawtarget.Whole(422, ""), false),
+	)
+
+	// The error is the request's own: it comes on the new connection too.
+	It("forwards an error without ID that comes on a new connection", func() {
+		request.Route.MaxAttempts = 1
+		startTargets(1, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				writeAnswer(c)
+				return
+			}
+			rawtarget.Write(c, rawtarget.Whole(400, "bad"))
+		})
+		serve()
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Code).To(Equal(400))
+		Expect(sent()).To(HaveLen(3))
+		first, err := strconv.Atoi(sent()[1].Header.Get("Left"))
+		Expect(err).NotTo(HaveOccurred())
+		second, err := strconv.Atoi(sent()[2].Header.Get("Left"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).To(BeNumerically("<=", first))
+	})
+
+	// A request that may run once is never sent on a kept connection, so it is never resent.
+	It("sends a request that may run once no second time after an error without ID", func() {
+		request.Route.Kind = route.NonIdempotent
+		startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) { rawtarget.Write(c, rawtarget.Whole(500, "failed")) })
+		for range 2 {
+			w, _ := serve()
+			Expect(w.Code).To(Equal(500))
+		}
+		Expect(sent()).To(HaveLen(2))
+	})
+
 	// A target that crashes ends an answer without framing like one that has finished it. The
 	// daemon must not mark the end as that of the answer, by a length or a last chunk.
 	DescribeTable("adds no framing to an answer that has none",
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
@@ -19,14 +21,26 @@
 	Pool *h1.Pool
 }
 
-// Send sends the request to the target once and reads the head of the answer. left is the
+// Send sends the request to the target and reads the head of the answer. left is the
 // time that the target has, or NoDeadline; after is the ID of the last event already
 // received, or NoEvent. Send sets the function in o that matches answers to the request.
+//
+// The request is sent once, or twice if the answer on a reused connection can't be attributed:
+// an error that names no request may be left over from an earlier one. On the new connection
+// that is then used it can only be this request's. Only repeatable requests may allow reuse.
 // With the verdict Ran the caller must read and close the answer; with any other verdict
 // the answer is nil. Errors are those of h1.Pool.Do.
 func (s Sender) Send(ctx context.Context, r *Request, t roster.Target, left time.Duration, after int64, o h1.Options) (*h1.Answer, Verdict, error) {
-	o.Matches = func(status int, header http.Header) bool { return s.Wire.Matches(r.ID, status, header) }
+	o.Matches = func(status int, header http.Header) h1.Match { return s.Wire.Matches(r.ID, status, header) }
+	began := time.Now()
 	answer, err := s.Pool.Do(ctx, t.Address, s.Wire.Prepare(r, t, left, after), o)
+	if errorx.IsOfType(err, h1.Unattributed) {
+		o.MaxIdle = newConnectionOnly
+		if left != NoDeadline {
+			left = max(left-time.Since(began), time.Millisecond)
+		}
+		answer, err = s.Pool.Do(ctx, t.Address, s.Wire.Prepare(r, t, left, after), o)
+	}
 	if err != nil {
 		return nil, Ran, err
 	}
--- a/target/h1/cut_test.go
+++ b/target/h1/cut_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"time"
 
@@ -46,7 +45,7 @@
 		defer t.Close()
 		a, err := pool.Do(context.Background(), t.Address, &h1.Request{Method: method, URI: "/", Host: "h"}, h1.Options{
 			Deadline: time.Now().Add(limit),
-			Matches:  func(_ int, header http.Header) bool { return header.Get("Id") == "1" },
+			Matches:  matchID("1"),
 		})
 		if err != nil {
 			return "", err
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -76,13 +77,26 @@
 	Deadline time.Time
 	// MaxWait is the maximum wait for the answer's head; with 0 only Deadline applies.
 	MaxWait time.Duration
-	// Matches reports whether an answer with this status and header belongs to this
-	// request. Answers that don't are skipped; nil accepts every answer.
-	Matches func(status int, header http.Header) bool
+	// Matches returns whether an answer with this status and header belongs to this
+	// request; nil accepts every answer.
+	Matches func(status int, header http.Header) Match
 	// Record, if not nil, receives what is known of the exchange until its answer is closed.
 	Record *Record
 }
 
+// Match is whether an answer belongs to a request.
+type Match int
+
+const (
+	// Other: the answer belongs to another request and is skipped.
+	Other Match = iota
+	// Own: the answer names the request.
+	Own
+	// Unnamed: the answer names no request. On a new connection it can only be this
+	// request's.
+	Unnamed
+)
+
 // Framing is how an answer marks the end of its body.
 type Framing string
 
@@ -125,23 +139,24 @@
 }
 
 // Do sends the request once and returns its answer after the head has been read.
-// Errors are of the types NotSent, Broken and Silent. When ctx ends, the connection
+// Errors are of the types NotSent, Broken, Silent and Unattributed. When ctx ends, the connection
 // is closed.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, o Options) (*Answer, error) {
 	record := o.Record
 	if record == nil {
 		record = &Record{}
 	}
+	*record = Record{}
 	if err := r.Check(); err != nil {
 		record.end(EndNotSent)
 		return nil, NotSent.Wrap(err, "%s", address)
 	}
-	c, fresh, err := p.get(ctx, address, o.MaxIdle)
+	c, isNew, err := p.get(ctx, address, o.MaxIdle)
 	if err != nil {
 		record.end(EndNotSent)
 		return nil, err
 	}
-	record.Reused = !fresh
+	record.Reused = !isNew
 	release := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := c.SetDeadline(o.Deadline); err != nil {
 		record.end(EndNotSent)
@@ -154,7 +169,7 @@
 		record.end(endOf(ctx, o.Deadline, err))
 		return nil, abandon(c, release, err)
 	}
-	response, err := readHead(c, r, o)
+	response, err := readHead(c, r, isNew, o)
 	if err != nil {
 		record.end(endOf(ctx, o.Deadline, err))
 		return nil, abandon(c, release, err)
@@ -173,8 +188,11 @@
 	return classify(c.address, err)
 }
 
-// classify returns err as Silent if it is a timeout, else as Broken.
+// classify returns err as Silent if it is a timeout, else as Broken. Unattributed is kept.
 func classify(address string, err error) error {
+	if errorx.IsOfType(err, Unattributed) {
+		return err
+	}
 	var timeout net.Error
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout() && !isReset(err) {
 		return Silent.Wrap(err, "%s", address)
@@ -232,7 +250,7 @@
 
 // readHead returns the first answer that belongs to the request. It skips
 // informational answers and a few answers to other requests.
-func readHead(c *conn, r *Request, o Options) (*http.Response, error) {
+func readHead(c *conn, r *Request, isNew bool, o Options) (*http.Response, error) {
 	for unmatched, informational := 0, 0; ; {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -248,8 +266,15 @@
 			}
 			continue
 		}
-		if o.Matches == nil || o.Matches(response.StatusCode, response.Header) {
+		match := Own
+		if o.Matches != nil {
+			match = o.Matches(response.StatusCode, response.Header)
+		}
+		switch {
+		case match == Own || match == Unnamed && isNew:
 			return response, nil
+		case match == Unnamed:
+			return nil, Unattributed.New("%s: an answer with status %d that names no request", c.address, response.StatusCode)
 		}
 		if unmatched++; unmatched > maxUnmatched {
 			return nil, errors.New("received only answers to other requests")
--- a/target/h1/h1_test.go
+++ b/target/h1/h1_test.go
@@ -26,6 +26,20 @@
 // limit is the maximum wait for an expected event.
 const limit = 5 * time.Second
 
+// matchID attributes answers by the header Id; errors may lack it.
+func matchID(id string) func(int, http.Header) h1.Match {
+	return func(status int, header http.Header) h1.Match {
+		switch got := header.Get("Id"); {
+		case got == id:
+			return h1.Own
+		case got == "" && status >= 300:
+			return h1.Unnamed
+		default:
+			return h1.Other
+		}
+	}
+}
+
 var _ = Describe("An exchange", func() {
 	var (
 		pool   *h1.Pool
@@ -47,7 +61,7 @@
 	options := func(id string) h1.Options {
 		return h1.Options{
 			MaxIdle: time.Minute, Deadline: time.Now().Add(limit),
-			Matches: func(_ int, header http.Header) bool { return header.Get("Id") == id },
+			Matches: matchID(id),
 		}
 	}
 	request := func(id string) *h1.Request {
@@ -139,6 +153,32 @@
 		Expect(opened.Load()).To(BeEquivalentTo(1))
 	})
 
+	// An error without an ID arrives on a kept connection, where it may be left over from an
+	// earlier request: it would end a request that its target still runs.
+	DescribeTable("takes an error that names no request for the request's own only on a new connection",
+		func(first string) {
+			t := start(func(r *rawtarget.Request, c net.Conn) {
+				if r.Index == 1 {
+					rawtarget.Write(c, first+rawtarget.Whole(500, "whose"))
+					return
+				}
+				echo(r, c)
+			})
+			Expect(exchange(t, "1")).To(Equal("for 1"))
+			_, err := exchange(t, "2")
+			Expect(errorx.IsOfType(err, h1.Unattributed)).To(BeTrue(), "%v", err)
+			Expect(exchange(t, "3")).To(Equal("for 3"))
+			Expect(opened.Load()).To(BeEquivalentTo(2))
+		},
+		Entry("by itself", ""),
+		Entry("behind an answer to another request", rawtarget.Whole(200, "stray", "Id: 1")),
+	)
+
+	It("takes an error that names no request for the request's own on a new connection", func() {
+		t := start(func(_ *rawtarget.Request, c net.Conn) { rawtarget.Write(c, rawtarget.Whole(400, "no id")) })
+		Expect(exchange(t, "1")).To(Equal("no id"))
+	})
+
 	// The target closes an idle connection while a request is being sent on it. A client
 	// that resends the request on its own may run it twice.
 	It("never sends a request twice by itself", func() {
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -52,6 +52,9 @@
 	// Silent means that nothing was received within the time allowed. The request may
 	// still be running until its connection is closed.
 	Silent = errorNamespace.NewType("silent")
+	// Unattributed means that an answer on a reused connection named no request: it may
+	// be this request's or be left over from an earlier one. The request may have run.
+	Unattributed = errorNamespace.NewType("unattributed")
 )
 
 // Pool is a pool of connections to targets. It is safe for concurrent use.
