An end at its target's deadline does not complete a stream

Callers received a stream as complete before its last event: a target is told how long the caller waits, in whole milliseconds and rounded down, stops work then, and may end what it has sent in the regular way. Its last chunk arrives before the daemon's own timer, and was forwarded as the end of the stream.

An end that arrives in the last 5 ms before the caller's deadline is no longer taken for the answer's: a stream is cut off, or refused if nothing was sent, however it is framed; an answer that is read whole is refused if it came in chunks or without framing. An answer with a length is forwarded, an empty one too: its length is stated for a body that is known, while a body that is broken off is ended by a last chunk, and a target that gives up answers 504.

The cost: a stream that really ends in these 5 ms is cut off.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -36,6 +36,10 @@
 	// minFirstEventTimeout is the minimum wait for a stream's first event, for answers whose
 	// head arrived late.
 	minFirstEventTimeout = 20 * time.Millisecond
+	// deadlineMargin is how long before the caller's deadline a target's time may be over: 1 ms
+	// each for the rounding of the time that it is given, of its clock and of its timer, and
+	// 2 ms for clocks that differ by 100 ppm over 20 s.
+	deadlineMargin = 5 * time.Millisecond
 	// maxBuffered is the maximum size, in bytes, of an answer that is read whole before it
 	// is forwarded.
 	maxBuffered = 16 << 20
@@ -181,6 +185,9 @@
 			return attemptResult{reached: true, detail: "the answer is too long", health: routing.SoftFailed}
 		}
 	}
+	if answer.Status < http.StatusMultipleChoices && answer.Framing != h1.FramedByLength && s.targetTimeOver() {
+		return endedAtDeadline()
+	}
 	whole := bufferedAnswer{status: answer.Status, header: answer.Header, framing: answer.Framing, body: body}
 	if answer.Status == http.StatusInternalServerError {
 		s.delivery.keepFailure(whole)
@@ -254,12 +261,26 @@
 // endStream ends the stream after its target's last event, if the target's end is that of the
 // caller's answer.
 func (s *requestState) endStream(answer *h1.Answer) attemptResult {
+	if s.targetTimeOver() {
+		return endedAtDeadline()
+	}
 	if s.delivery.finish(answer) {
 		return attemptResult{done: true, health: routing.Succeeded}
 	}
 	return attemptResult{reached: true, broken: true, detail: "the rest ended with its connection", health: routing.Neutral}
 }
 
+// targetTimeOver reports whether the time that the target was given may be over. A target stops
+// work then, and may end what it has sent so far in the regular way: that end does not show that
+// nothing is missing. A length, which targets state only for a whole body that is known, does.
+func (s *requestState) targetTimeOver() bool {
+	return time.Until(s.request.Deadline) <= deadlineMargin
+}
+
+func endedAtDeadline() attemptResult {
+	return attemptResult{reached: true, detail: "the answer ended when its target's time was over", health: routing.Neutral}
+}
+
 // forwardEvents forwards the complete events that the splitter holds, and skips those that
 // the caller already has. Its errors are errGap and those of writing to the caller.
 func (s *requestState) forwardEvents(answer *h1.Answer, events *sse.Splitter) error {
--- a/daemon/relay/fixture_test.go
+++ b/daemon/relay/fixture_test.go
@@ -33,6 +33,10 @@
 // timeout bounds the waits for expected events.
 const timeout = 5 * time.Second
 
+// clockError is how much too early a target may take its time to be over that counts in whole
+// milliseconds.
+const clockError = 2 * time.Millisecond
+
 const idHeader = "Id: r"
 
 // maxCallers bounds the connections of callers.
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -141,6 +141,35 @@
 		Entry("422, behind the late answer to another request", rawtarget.Whole(200, "stray", "Id: other")+rawtarget.Whole(422, ""), false),
 	)
 
+	// A target stops work at its deadline and ends its chunks in the regular way. What it has
+	// sent may be a part of its answer.
+	DescribeTable("forwards an answer that ends at its target's deadline only if its length was stated",
+		func(first, last string, forwarded bool) {
+			request.Deadline = time.Now().Add(300 * time.Millisecond)
+			request.Route.Kind = route.NonIdempotent
+			startTargets(1, func(_ int, r *rawtarget.Request, c net.Conn) {
+				began := time.Now()
+				left, err := strconv.Atoi(r.Header.Get("Left"))
+				Expect(err).NotTo(HaveOccurred())
+				rawtarget.Write(c, first)
+				time.Sleep(time.Until(began.Add(time.Duration(left)*time.Millisecond - clockError)))
+				rawtarget.Write(c, last)
+				_ = c.Close()
+			})
+			w, result := serve()
+			Expect(result.Aborted).To(BeFalse())
+			if result.Refusal != nil { // the last bytes may also come after the daemon's own timer
+				Expect(w.Body.String()).To(BeEmpty())
+				return
+			}
+			Expect(forwarded).To(BeTrue())
+			Expect(w.Body.String()).To(Equal("whole"))
+		},
+		Entry("in chunks", rawtarget.Head(200, idHeader, "Transfer-Encoding: chunked")+rawtarget.Chunk("wh"), rawtarget.LastChunk, false),
+		Entry("without framing", rawtarget.Head(200, idHeader)+"wh", "", false),
+		Entry("with a length", rawtarget.Head(200, idHeader, "Content-Length: 5")+"wh", "ole", true),
+	)
+
 	// The error is the request's own: it comes on the new connection too.
 	It("forwards an error without ID that comes on a new connection", func() {
 		request.Route.MaxAttempts = 1
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -343,6 +344,54 @@
 		Entry("no target answers", "", false, all(0, 3)),
 	)
 
+	// A target stops work at its deadline and ends what it has sent in the regular way. The
+	// caller would take the part for the whole stream.
+	DescribeTable("cuts off a stream that its target ends at its deadline",
+		func(first, last string, received string) {
+			request.Route.MaxAttempts = 1
+			request.Deadline = time.Now().Add(300 * time.Millisecond)
+			startTargets(2, func(_ int, r *rawtarget.Request, c net.Conn) {
+				began := time.Now()
+				left, err := strconv.Atoi(r.Header.Get("Left"))
+				Expect(err).NotTo(HaveOccurred())
+				rawtarget.Write(c, first)
+				time.Sleep(time.Until(began.Add(time.Duration(left)*time.Millisecond - clockError)))
+				rawtarget.Write(c, last)
+			})
+			w, result := serve()
+			// The last bytes may also come after the daemon's own timer.
+			Expect(received).To(HavePrefix(w.Body.String()))
+			Expect(result.Aborted).To(Equal(w.Body.Len() > 0))
+			Expect(result.Refusal != nil).To(Equal(w.Body.Len() == 0))
+		},
+		Entry("after some events", streamHead()+events(0, 2), rawtarget.LastChunk, all(0, 2)),
+		Entry("with an event", streamHead()+events(0, 2), events(3, 3)+rawtarget.LastChunk, all(0, 3)),
+		Entry("before the first event", streamHead(), rawtarget.LastChunk, ""),
+		Entry("with an empty answer", "", rawtarget.Whole(200, "", idHeader, "Content-Type: text/event-stream"), ""),
+		Entry("with an answer that has a length", "", rawtarget.Whole(200, all(0, 1), idHeader, "Content-Type: text/event-stream"), all(0, 1)),
+	)
+
+	// The same at a target that goes on with a broken stream.
+	It("cuts off a resumed stream that its target ends at its deadline", func() {
+		request.Route.MaxAttempts = 2
+		request.Deadline = time.Now().Add(300 * time.Millisecond)
+		startTargets(2, func(turn int, r *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, streamHead()+events(0, 2))
+				rawtarget.Reset(c)
+				return
+			}
+			began := time.Now()
+			left, err := strconv.Atoi(r.Header.Get("Left"))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Until(began.Add(time.Duration(left)*time.Millisecond - clockError)))
+			rawtarget.Write(c, streamHead()+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result.Aborted).To(BeTrue())
+		Expect(w.Body.String()).To(Equal(all(0, 2)))
+	})
+
 	// A target sends no framing, and the daemon sees that the answer breaks off. The caller's
 	// answer has no framing either, so that an orderly close would end it as complete.
 	DescribeTable("cuts off an unframed stream visibly",
