A resumed run that ends before the caller's last event is not the end

Callers could receive a stream as complete before its last event: a target that goes on with a broken stream starts over and ends, in the regular way, at an event that the caller already has. Its events were skipped as repeated, and its end was forwarded as the stream's.

Such an end no longer completes the stream; another target is asked, or the stream is cut off.

Before: 3 of 3 entries of the new spec fail. After: they pass, with all specs of streams.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -264,6 +264,9 @@
 	if s.targetTimeOver() {
 		return endedAtDeadline()
 	}
+	if s.delivery.position.runIsBehind() {
+		return attemptResult{reached: true, detail: "the stream ended before the caller's last event", health: routing.SoftFailed}
+	}
 	if s.delivery.finish(answer) {
 		return attemptResult{done: true, health: routing.Succeeded}
 	}
--- a/daemon/relay/position.go
+++ b/daemon/relay/position.go
@@ -47,7 +47,7 @@
 // Events of the first run are forwarded as they come.
 func (p *position) place(e sse.Event) placement {
 	if e.ID < 0 {
-		if p.runLast != NoEvent && p.runLast < p.last {
+		if p.runIsBehind() {
 			return placeRepeated
 		}
 		return placeNext
@@ -63,6 +63,10 @@
 	}
 }
 
+// runIsBehind reports whether the run's last event is one before the caller's last. The run has
+// then started over, and its end is not the end of what the caller has.
+func (p *position) runIsBehind() bool { return p.runLast != NoEvent && p.runLast < p.last }
+
 // numberedOneByOne reports whether a missing ID is taken for a missing event. IDs need only
 // increase; they count as consecutive if two were, or if the first one is a usual one.
 func (p *position) numberedOneByOne() bool {
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -159,6 +159,31 @@
 		Expect(w.Body.String()).To(Equal(all(0, 7)))
 	})
 
+	// A stream breaks off, and the target that is to go on with it starts over and ends before the
+	// caller's last event. Its end says nothing of what follows that event.
+	DescribeTable("does not take the end of a run for the stream's that ends before the caller's last event",
+		func(ids ...int) {
+			startTargets(3, func(turn int, got *rawtarget.Request, c net.Conn) {
+				switch turn {
+				case 0:
+					rawtarget.Write(c, streamHead()+events(0, 3))
+					rawtarget.Reset(c)
+				case 1:
+					rawtarget.Write(c, streamHead()+chunked(ids...)+rawtarget.LastChunk)
+				default:
+					Expect(got.Header.Get("After")).To(Equal("3"))
+					rawtarget.Write(c, streamHead()+events(4, 6)+rawtarget.LastChunk)
+				}
+			})
+			w, result := serve()
+			Expect(result).To(Equal(relay.Result{}))
+			Expect(w.Body.String()).To(Equal(all(0, 6)))
+		},
+		Entry("at its first event", 0),
+		Entry("later", 0, 1, 2),
+		Entry("in the middle", 2),
+	)
+
 	// A run repeats the last event and then skips some.
 	It("does not join a run with a gap behind an event that it repeats", func() {
 		startTargets(3, func(turn int, _ *rawtarget.Request, c net.Conn) {
