An item's run that ends before the item's last event is not its end

Part of an item's text could be stored as the whole: a target that goes on with a broken run starts over and ends, in the regular way, at an event that the item already has. Its events were skipped as repeated, and its end completed the item.

Such an end no longer completes the item; it is tried again, as after a run that ends within an event.

Before: the new spec fails with the first three of five events as the result. After: it passes.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -219,6 +219,7 @@
 func collectEvents(answer *h1.Answer, p *progress) runResult {
 	var events sse.Splitter
 	buffer := make([]byte, itemReadBytes)
+	p.runLast = noEvent
 	for {
 		n, err := answer.Read(buffer, itemGapMaxWait)
 		events.Write(buffer[:n])
@@ -226,6 +227,8 @@
 			return runResult{cause: "events out of order", delay: failureDelay, health: routing.SoftFailed}
 		}
 		switch {
+		case err == io.EOF && p.runIsBehind():
+			return runResult{cause: "the stream ended before the item's last event", delay: failureDelay, health: routing.SoftFailed}
 		case err == io.EOF && len(events.Rest()) == 0 && p.lastEvent != noEvent:
 			return endResult(p.endsWith(answer.Framing))
 		case err == io.EOF:
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -1028,6 +1029,31 @@
 		Entry("504", 504),
 	)
 
+	// An item's run breaks off, and what the next one answers says nothing of what follows its last
+	// event. A part of the text must not be stored as the whole.
+	DescribeTable("does not complete an item at the end of an answer that does not go on with it",
+		func(other string) {
+			var turns atomic.Int64
+			*script = func(r *rawtarget.Request, c net.Conn) {
+				switch turns.Add(1) {
+				case 1:
+					rawtarget.Write(c, head("j-0")+rawtarget.Chunk(events(0, 2)))
+					rawtarget.Reset(c)
+				case 2:
+					rawtarget.Write(c, other)
+				default:
+					answer(r, c)
+				}
+			}
+			a := alone()
+			Expect(submit(a, submission("j", 1))).To(BeNil())
+			result := all(a, "j")[0]
+			Expect(result.State).To(Equal(batch.Succeeded))
+			Expect(result.Output).To(Equal(output("j-0")))
+		},
+		Entry("it starts over and ends earlier", head("j-0")+rawtarget.Chunk(events(0, 1))+rawtarget.LastChunk),
+	)
+
 	// A target without framing ends its answer after the last event, and is then asked for what
 	// follows. Whatever it answers, the text is whole.
 	DescribeTable("completes an item whose text is whole, once",
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -36,6 +36,8 @@
 	lastEvent int64
 	output    []string
 	bytes     int
+	// runLast is the last event of the current run, also if it was received before, or noEvent.
+	runLast int64
 	// saved is the number of events that the log holds.
 	saved int64
 
@@ -59,7 +61,9 @@
 	bodyMissingSince time.Time
 }
 
-func newProgress() *progress { return &progress{lastEvent: noEvent, unframedEnd: noEvent} }
+func newProgress() *progress {
+	return &progress{lastEvent: noEvent, runLast: noEvent, unframedEnd: noEvent}
+}
 
 // addEvents adds the complete events. It returns false if there is a gap, or an event with
 // data whose place is unknown because it has no ID.
@@ -74,6 +78,9 @@
 		if e.ID < 0 && e.HasData {
 			return false
 		}
+		if e.ID >= 0 {
+			p.runLast = e.ID
+		}
 		if e.ID <= p.lastEvent {
 			continue
 		}
@@ -86,6 +93,10 @@
 	}
 }
 
+// runIsBehind reports whether the run's last event is one before the item's last. The run has
+// then started over, and its end is not that of the item.
+func (p *progress) runIsBehind() bool { return p.runLast != noEvent && p.runLast < p.lastEvent }
+
 // follows reports whether the event is the one after the last. p.mu is held.
 func (p *progress) follows(id int64) bool {
 	if p.lastEvent == noEvent {
