A 200 that is no stream of events does not complete an item

Part of an item's text could be stored as the whole: the target that is asked for what follows an item's last event answers 200 with an error page or with no body of another media type, or with an encoding. The answer holds no event, and its end was taken for the item's, as that of a stream of which nothing is missing.

An answer without events completes an item only if it may be a stream of events: its media type is text/event-stream or not stated, and it has no Content-Encoding (an answer that has one is not the target's body).

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -229,6 +229,8 @@
 		switch {
 		case err == io.EOF && p.runIsBehind():
 			return runResult{cause: "the stream ended before the item's last event", delay: failureDelay, health: routing.SoftFailed}
+		case err == io.EOF && p.runLast == noEvent && !relay.IsEventStream(answer.Header):
+			return runResult{cause: "the answer is no stream of events", delay: failureDelay, health: routing.SoftFailed}
 		case err == io.EOF && len(events.Rest()) == 0 && p.lastEvent != noEvent:
 			return endResult(p.endsWith(answer.Framing))
 		case err == io.EOF:
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -1052,6 +1052,9 @@
 			Expect(result.Output).To(Equal(output("j-0")))
 		},
 		Entry("it starts over and ends earlier", head("j-0")+rawtarget.Chunk(events(0, 1))+rawtarget.LastChunk),
+		Entry("an error page", rawtarget.Whole(200, "{\"error\":\"failed\"}\n\n", "Id: j-0", "Content-Type: application/json")),
+		Entry("no body, not a stream", rawtarget.Whole(200, "", "Id: j-0", "Content-Type: application/json")),
+		Entry("no body, with an encoding", rawtarget.Whole(200, "", "Id: j-0", "Content-Type: text/event-stream", "Content-Encoding: gzip")),
 	)
 
 	// A target without framing ends its answer after the last event, and is then asked for what
--- a/daemon/relay/headers.go
+++ b/daemon/relay/headers.go
@@ -23,6 +23,13 @@
 	header.Set("Content-Length", strconv.Itoa(length))
 }
 
+// IsEventStream reports whether an answer without events may be a stream that has none: it
+// states no other media type, and no encoding, which targets don't use.
+func IsEventStream(header http.Header) bool {
+	t := mediaType(header)
+	return (t == "" || t == "text/event-stream") && header.Get("Content-Encoding") == ""
+}
+
 // mediaType returns the media type of a body without its parameters, "" if there is none.
 func mediaType(header http.Header) string {
 	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
