A rest with another encoding is not joined to a stream

Callers could receive a stream as complete before its last event: the target that is to go on with it answers 200 with the stream's media type and a Content-Encoding. Such an answer is not the target's body; without a body it ended the stream, and with one its bytes were joined to events that are not encoded.

The rest must have the encoding of the answer that was begun, none as a rule.

Before: 2 of 2 new entries fail. After: they pass.

--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -153,7 +153,9 @@
 
 // continues reports whether the answer may hold the rest of the one that was begun.
 func (d *delivery) continues(answer *h1.Answer) bool {
-	return answer.Status == d.status && mediaType(answer.Header) == mediaType(d.w.Header())
+	begun := d.w.Header()
+	return answer.Status == d.status && mediaType(answer.Header) == mediaType(begun) &&
+		answer.Header.Get("Content-Encoding") == begun.Get("Content-Encoding")
 }
 
 // finish ends a stream after its target's last event, and sends the head if there was none.
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -276,6 +276,8 @@
 		},
 		Entry("an error page", rawtarget.Whole(200, "{\"error\":\"failed\"}\n\n", idHeader, "Content-Type: application/json")),
 		Entry("no body, not a stream", rawtarget.Whole(200, "", idHeader, "Content-Type: application/json")),
+		Entry("no body, with an encoding", rawtarget.Whole(200, "", idHeader, "Content-Type: text/event-stream", "Content-Encoding: gzip")),
+		Entry("a body with an encoding", rawtarget.Whole(200, "\x1f\x8b\n\n", idHeader, "Content-Type: text/event-stream", "Content-Encoding: gzip")),
 	)
 
 	// The target that is to go on sends the body of an error slowly. Another target is ready.
