A leading event without ID does not come twice in a resumed stream

Callers received the first events of a stream twice where these have no ID: a target that is to go on with the broken stream starts over, and the relay recognized repeated events by IDs only.

Where the caller's stream began with such an event, those at the beginning of a later run are kept, 16 at most, until the run's next ID tells whether it starts over. If the run ends before that, its end is not taken for the stream's. A stream that began with an ID is joined as before, so that a last event without ID comes at once.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -43,6 +44,8 @@
 	// maxBuffered is the maximum size, in bytes, of an answer that is read whole before it
 	// is forwarded.
 	maxBuffered = 16 << 20
+	// maxHeld is the maximum number of events whose place in the stream is not known yet.
+	maxHeld = 16
 	// readSize is the size of the read buffer, in bytes.
 	readSize = 16 << 10
 )
@@ -237,6 +240,7 @@
 	var events sse.Splitter
 	buffer := make([]byte, readSize)
 	s.delivery.position.beginRun()
+	s.held = nil
 	for {
 		n, err := answer.Read(buffer, s.eventReadTimeout())
 		events.Write(buffer[:n])
@@ -264,7 +268,7 @@
 	if s.targetTimeOver() {
 		return endedAtDeadline()
 	}
-	if s.delivery.position.runIsBehind() {
+	if s.delivery.position.runIsBehind() || len(s.held) > 0 {
 		return attemptResult{reached: true, detail: "the stream ended before the caller's last event", health: routing.SoftFailed}
 	}
 	if s.delivery.finish(answer) {
@@ -295,17 +299,26 @@
 		}
 		switch s.delivery.position.place(e) {
 		case placeRepeated:
+			s.held = nil
 			continue
 		case placeAfterGap:
 			return errGap.New("event %d came after %d", e.ID, s.delivery.position.last)
+		case placeUnknown:
+			if err := s.hold(e); err != nil {
+				return err
+			}
+			continue
 		}
 		s.noteFirstByte()
 		if s.answer.firstEvent == NoEvent {
 			s.answer.firstEvent = e.ID
 		}
-		if err := s.delivery.sendEvent(answer, e); err != nil {
-			return err
+		for _, next := range append(s.held, e) {
+			if err := s.delivery.sendEvent(answer, next); err != nil {
+				return err
+			}
 		}
+		s.held = nil
 		forwarded = true
 	}
 	if forwarded {
@@ -314,6 +327,19 @@
 	return nil
 }
 
+// hold keeps an event until its place is known. Comments are dropped.
+func (s *requestState) hold(e sse.Event) error {
+	if !e.HasData {
+		return nil
+	}
+	if len(s.held) == maxHeld {
+		return errGap.New("more than %d events without ID came first", maxHeld)
+	}
+	e.Raw = bytes.Clone(e.Raw)
+	s.held = append(s.held, e)
+	return nil
+}
+
 // eventReadTimeout returns how long a stream may send nothing before its attempt is given
 // up, 0 for no limit.
 func (s *requestState) eventReadTimeout() time.Duration {
--- a/daemon/relay/position.go
+++ b/daemon/relay/position.go
@@ -12,6 +12,9 @@
 	placeRepeated
 	// placeAfterGap: events are missing before this one.
 	placeAfterGap
+	// placeUnknown: the run begins with an event without ID, and so did the caller's stream. Only
+	// the run's next ID tells whether it starts over.
+	placeUnknown
 )
 
 // maxFirstID is the highest ID of the first event of a stream whose events are taken to be
@@ -23,6 +26,8 @@
 	// first and last are the IDs of the first and the last event that were forwarded, or
 	// NoEvent.
 	first, last int64
+	// beginsUnnumbered reports that the stream began with an event without ID.
+	beginsUnnumbered bool
 	// oneByOne and stepped report that IDs rose by one, and by more than one.
 	oneByOne, stepped bool
 	// unnumbered reports that the caller has an event without an ID after last. No target can
@@ -47,10 +52,14 @@
 // Events of the first run are forwarded as they come.
 func (p *position) place(e sse.Event) placement {
 	if e.ID < 0 {
-		if p.runIsBehind() {
+		switch {
+		case p.runIsBehind():
 			return placeRepeated
+		case p.beginsUnnumbered && p.last != NoEvent && p.runLast == NoEvent:
+			return placeUnknown
+		default:
+			return placeNext
 		}
-		return placeNext
 	}
 	p.runLast = e.ID
 	switch {
@@ -77,6 +86,7 @@
 func (p *position) forwarded(e sse.Event) {
 	if e.ID < 0 {
 		p.unnumbered = p.unnumbered || e.HasData
+		p.beginsUnnumbered = p.beginsUnnumbered || e.HasData && p.last == NoEvent
 		return
 	}
 	if p.last == NoEvent {
--- a/daemon/relay/position_internal_test.go
+++ b/daemon/relay/position_internal_test.go
@@ -9,7 +9,7 @@
 // Guards against streams that are joined with a hole or with repeated events. Each run is a
 // list of event IDs, -1 for an event without one; the last run has the placements wanted.
 func TestPlacesEventsOfARun(t *testing.T) {
-	const next, repeated, gap = placeNext, placeRepeated, placeAfterGap
+	const next, repeated, gap, unknown = placeNext, placeRepeated, placeAfterGap, placeUnknown
 	for name, c := range map[string]struct {
 		before [][]int64
 		run    []int64
@@ -26,6 +26,9 @@
 		"steps of ten after one event":     {[][]int64{{10}}, []int64{20}, []placement{next}},
 		"consecutive from a high ID":       {[][]int64{{10, 11}}, []int64{13}, []placement{gap}},
 		"without ID among repeated events": {[][]int64{{0, -1, 1}}, []int64{0, -1, 1, -1, 2}, []placement{repeated, repeated, repeated, next, next}},
+		"without ID first, starts over":    {[][]int64{{-1, 0, 1}}, []int64{-1, 0, 1, 2}, []placement{unknown, repeated, repeated, next}},
+		"without ID first, goes on":        {[][]int64{{-1, 0, 1}}, []int64{-1, 2}, []placement{unknown, next}},
+		"without ID after an ID":           {[][]int64{{0, 1}}, []int64{-1, 2}, []placement{next, next}},
 		"own order within a run":           {[][]int64{{0}}, []int64{1, 5}, []placement{next, next}},
 	} {
 		p := newPosition()
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -27,6 +27,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
 	"tarragonhollow.example/tarragonhollow/logging"
 	"tarragonhollow.example/tarragonhollow/target/h1"
+	"tarragonhollow.example/tarragonhollow/target/sse"
 )
 
 const (
@@ -235,6 +236,8 @@
 	lastTarget       roster.Target
 	timeToFirstByte  time.Duration
 	lastFailure      string
+	// held are the events of the current run whose place in the stream is not known yet.
+	held []sse.Event
 	// answer is what the current attempt received, failure what the one received whose error
 	// answer the delivery keeps.
 	answer, failure answerSeen
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -259,6 +260,53 @@
 		Expect(w.Body.String()).To(Equal(plain(0) + "data: x\n\n" + plain(1, 2)))
 	})
 
+	// A stream begins with an event without ID and breaks off. Where its place in the next run is
+	// not known yet, it must not come twice, get lost or be sent before its place is known.
+	DescribeTable("joins a run that begins with an event without ID",
+		func(rest, want string) {
+			x := rawtarget.Chunk("data: x\n\n")
+			startTargets(3, func(turn int, got *rawtarget.Request, c net.Conn) {
+				switch turn {
+				case 0:
+					rawtarget.Write(c, streamHead()+x+events(0, 1))
+					rawtarget.Reset(c)
+				case 1:
+					rawtarget.Write(c, streamHead()+x+rest)
+					rawtarget.Reset(c)
+				default:
+					Expect(got.Header.Get("After")).To(Equal("1"))
+					rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+				}
+			})
+			w, result := serve()
+			Expect(result).To(Equal(relay.Result{}))
+			Expect(w.Body.String()).To(Equal("data: x\n\n" + all(0, 1) + want))
+		},
+		Entry("and starts over", events(0, 3)+rawtarget.LastChunk, all(2, 3)),
+		Entry("and starts over, broken off at once", "", all(2, 3)),
+		Entry("and starts over, broken off before the caller's last event", events(0, 0), all(2, 3)),
+		Entry("and goes on", events(2, 3)+rawtarget.LastChunk, "data: x\n\n"+all(2, 3)),
+		Entry("and ends, so that its place remains unknown", rawtarget.LastChunk, all(2, 3)),
+		Entry("and has more such events than are kept", strings.Repeat(rawtarget.Chunk("data: y\n\n"), 30)+events(2, 3)+rawtarget.LastChunk, all(2, 3)),
+		Entry("and a comment, and goes on", rawtarget.Chunk(": wait\n\n")+events(2, 3)+rawtarget.LastChunk, "data: x\n\n"+all(2, 3)),
+	)
+
+	// A stream ends with an event without ID and breaks off before it. No run that starts over
+	// begins with such an event, so it belongs behind the caller's last one.
+	It("goes on with an event without ID", func() {
+		startTargets(2, func(turn int, _ *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, streamHead()+events(0, 1))
+				rawtarget.Reset(c)
+				return
+			}
+			rawtarget.Write(c, streamHead()+rawtarget.Chunk("data: [DONE]\n\n")+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 1) + "data: [DONE]\n\n"))
+	})
+
 	// The target that is to go on answers 200 with something that is not the rest.
 	DescribeTable("cuts off a stream whose other targets answer 200 without events",
 		func(answer string) {
