A request is not sent with a second host or length

A batch item whose headers hold Host was sent with two Host fields, and h1.Request.Check let Content-Length and Transfer-Encoding pass too: targets and what lies before them may then disagree on whose request it is or on where it ends, and the answer to the rest would belong to nobody. Content-Length and Transfer-Encoding of items were dropped before a run; Host was not.

Items are sent without Host, with the route's host only; Check refuses all three in any case of letters.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -139,7 +139,7 @@
 	defer func() { end.exchange = exchange }()
 	request := &relay.Request{
 		ID: c.item.ID, Route: c.route, Account: c.account,
-		HTTP: h1.Request{Method: http.MethodPost, URI: c.item.Path, Host: c.host, Header: itemHeader(c.item.Headers), Body: body},
+		HTTP: h1.Request{Method: http.MethodPost, URI: c.item.Path, Host: c.host, Header: ItemHeader(c.item.Headers), Body: body},
 	}
 	sender := relay.Sender{Wire: r.jobs.Wire, Pool: r.jobs.Pool}
 	answer, verdict, err := sender.Send(ctx, request, run.target, relay.NoDeadline, p.lastEvent, h1.Options{
@@ -243,12 +243,15 @@
 	}
 }
 
-func itemHeader(list []batch.Header) http.Header {
+// ItemHeader returns the header that is sent with an item: its own one without the fields that
+// concern a connection or describe the message, which the system writes itself.
+func ItemHeader(list []batch.Header) http.Header {
 	header := http.Header{}
 	for _, h := range list {
 		header.Add(h.Name, h.Value)
 	}
 	relay.DropHopByHop(header)
 	header.Del("Content-Length")
+	header.Del("Host")
 	return header
 }
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -40,6 +41,10 @@
 	Body   []byte
 }
 
+// messageHeaders are the headers that encode writes or leaves out itself. With a second one
+// targets could disagree on the request's host or on where it ends.
+var messageHeaders = []string{"Host", "Content-Length", "Transfer-Encoding"}
+
 // Check returns an error if the request can't be sent as it is: a line end or a space within
 // a field would end it early, and the target would read the rest as another field or as a
 // second request, whose answer belongs to nobody.
@@ -57,6 +62,9 @@
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errors.New("invalid header name")
 		}
+		if slices.Contains(messageHeaders, http.CanonicalHeaderKey(name)) {
+			return errors.New("the header " + name + " is written with the request")
+		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
 				return errors.New("invalid value of the header " + name)
--- a/target/h1/h1_test.go
+++ b/target/h1/h1_test.go
@@ -299,6 +299,10 @@
 		Entry("in its host", func(r *h1.Request) { r.Host = "h\r\n\r\nGET / HTTP/1.1\r\nHost: h" }),
 		Entry("in the value of a header", func(r *h1.Request) { r.Header.Set("A", "b\r\n\r\nGET / HTTP/1.1\r\nHost: h") }),
 		Entry("in the name of a header", func(r *h1.Request) { r.Header["A: b\r\nContent-Length"] = []string{"0"} }),
+		Entry("with a second host", func(r *h1.Request) { r.Header.Set("Host", "other.example") }),
+		Entry("with a second host, in lower case", func(r *h1.Request) { r.Header["host"] = []string{"other.example"} }),
+		Entry("with a second length", func(r *h1.Request) { r.Header.Set("Content-Length", "0") }),
+		Entry("with a length and chunks", func(r *h1.Request) { r.Header["transfer-encoding"] = []string{"chunked"} }),
 	)
 
 	It("distinguishes an unreachable target from one that does not answer", func() {
