shards: let an owner answer reads only after it has read its stream lately

Callers of a daemon that was suspended while another one claimed its shard got results that ended as complete with the lines that the daemon knew before, and 404 for a job that the new owner had accepted.

Cause: Job, Results, Item and Request were answered from the memory of whatever owner the daemon had. It learns that it lost its shard by reading the stream, and a daemon that wakes gets calls before that read returns.

Change: a read waits until the owner has read its stream, or failed to, within maxReadAge. It is left to a holder with a later term if the owner doesn't reach the log; calls from other daemons were not checked for that. During an outage of the log reads are answered as of the last record, as before.

Not covered: an owner that reaches neither the log nor any daemon that tells it of a later term, and one that was suspended for less than maxReadAge (3 s).

go test ./daemon/shards -ginkgo.focus suspended: before, 1 of 2 results and "not_found: no such job"; after, 5 of 5 runs pass. ./daemon/shards passes.

--- a/daemon/shards/hold.go
+++ b/daemon/shards/hold.go
@@ -205,6 +205,7 @@
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
 	owner.ReadFailed(s.nowMs())
+	sl.readAt = s.opt.Clock()
 	s.deliver(sl)
 }
 
@@ -215,6 +216,7 @@
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
 	owner.ReadOK(s.nowMs())
+	sl.readAt = s.opt.Clock()
 	held := owner.Holding()
 	for _, r := range page.Records {
 		if err := owner.Apply(s.nowMs(), r.Offset, r.Data); err != nil {
--- a/daemon/shards/local.go
+++ b/daemon/shards/local.go
@@ -3,10 +3,20 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/ledger"
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/shard"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
+)
+
+const (
+	// maxReadAge is how long ago an owner may have read its stream when it answers a read. A
+	// read of the stream without new records takes pollWait.
+	maxReadAge = pollWait + time.Second
+	// readCheckInterval is how often a call checks whether the stream was read.
+	readCheckInterval = 10 * time.Millisecond
 )
 
 // OwnerReply is the message with which an owner replies to a call from another daemon.
@@ -61,6 +71,30 @@
 	return true
 }
 
+// readOwner is withOwner for a call that only reads. It first waits until the owner has read the
+// stream lately, and leaves the call to a holder with a later term if the owner can't.
+//
+// Failure guarded against: a daemon is suspended while another one claims its shard, and gets
+// calls before it reads the claim. It would answer that a job does not exist, or that a job has
+// no more results than those it knows.
+func (s *Shards) readOwner(ctx context.Context, sl *slot, fn func(*ledger.Owner)) bool {
+	for s.isReadStale(sl) {
+		if !duty.Pause(ctx, readCheckInterval) {
+			return false
+		}
+	}
+	holder, known := s.opt.View.Holder(sl.id)
+	return s.useLocalOwner(sl, holder, known) && s.withOwner(sl, fn)
+}
+
+// isReadStale reports whether the owner on this daemon has neither read the stream nor failed to
+// within maxReadAge.
+func (s *Shards) isReadStale(sl *slot) bool {
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	return sl.holding() && s.opt.Clock().Sub(sl.readAt) > maxReadAge
+}
+
 func (s *Shards) localBegin(ctx context.Context, req ledger.BeginRequest) (reply OwnerReply[ledger.BeginReply]) {
 	r, ok := s.runLocal(ctx, s.slotOf(req.Key), func(o *ledger.Owner, id ledger.CallID) {
 		o.Begin(s.nowMs(), id, req)
@@ -85,8 +119,8 @@
 	return reply
 }
 
-func (s *Shards) localRequest(_ context.Context, key string) (reply OwnerReply[ledger.KeptRequest]) {
-	reply.NotOwner = !s.withOwner(s.slotOf(key), func(o *ledger.Owner) {
+func (s *Shards) localRequest(ctx context.Context, key string) (reply OwnerReply[ledger.KeptRequest]) {
+	reply.NotOwner = !s.readOwner(ctx, s.slotOf(key), func(o *ledger.Owner) {
 		kept, ok := o.Request(key)
 		reply.Value = kept
 		if !ok {
@@ -127,23 +161,23 @@
 	return reply
 }
 
-func (s *Shards) localJob(_ context.Context, job string) (reply OwnerReply[ledger.JobStatus]) {
-	reply.NotOwner = !s.withOwner(s.slotOf(job), func(o *ledger.Owner) {
+func (s *Shards) localJob(ctx context.Context, job string) (reply OwnerReply[ledger.JobStatus]) {
+	reply.NotOwner = !s.readOwner(ctx, s.slotOf(job), func(o *ledger.Owner) {
 		reply.Value, reply.Refusal = o.Job(s.nowMs(), job)
 	})
 	return reply
 }
 
-func (s *Shards) localResults(_ context.Context, req ledger.ResultsRequest) (reply OwnerReply[ledger.ResultsReply]) {
-	reply.NotOwner = !s.withOwner(s.slotOf(req.Job), func(o *ledger.Owner) {
+func (s *Shards) localResults(ctx context.Context, req ledger.ResultsRequest) (reply OwnerReply[ledger.ResultsReply]) {
+	reply.NotOwner = !s.readOwner(ctx, s.slotOf(req.Job), func(o *ledger.Owner) {
 		reply.Value = o.Results(req)
 		reply.Refusal = reply.Value.Refusal
 	})
 	return reply
 }
 
-func (s *Shards) localItem(_ context.Context, req ItemRequest) (reply OwnerReply[ledger.ItemResult]) {
-	reply.NotOwner = !s.withOwner(s.slotOf(req.Job), func(o *ledger.Owner) {
+func (s *Shards) localItem(ctx context.Context, req ItemRequest) (reply OwnerReply[ledger.ItemResult]) {
+	reply.NotOwner = !s.readOwner(ctx, s.slotOf(req.Job), func(o *ledger.Owner) {
 		reply.Value, reply.Refusal = o.Item(req.Job, req.CustomID)
 	})
 	return reply
--- a/daemon/shards/shards.go
+++ b/daemon/shards/shards.go
@@ -66,6 +66,7 @@
 	mu          sync.Mutex
 	owner       *ledger.Owner // nil unless claiming or holding
 	busy        bool          // hold runs
+	readAt      time.Time     // when the owner last read the stream, or failed to
 	isSuccessor bool          // the last holder named this daemon its successor
 	unheldSince time.Time     // when the last usable holder was lost, zero if there is one
 	stagger     time.Duration // additional delay of the claim, see claimStagger
