jobs: carry the count of an item's failures over to the next holder

An item that fails at each run got max_attempts answers of 500 at each daemon that ran it, and was run again after its last one if the daemon was lost before the result was on the log.

Cause: the count was kept in the memory of the holder of the partition only.

Change: the count is saved with the item's progress, at the next interval after each failure and when the daemon drains, and the next holder restores it. An item that has failed as often as allowed is ended without another run.

Records: the field Failures is new. Records of the previous build are read as before, and it reads records with events as before. It reports a record of an item without events as record_unreadable and starts the count anew, as it did.

Not covered: a failure within 0.7 s before the loss of the daemon; a 422 whose result was not written.

--- a/core/batch/fuzz_test.go
+++ b/core/batch/fuzz_test.go
@@ -35,7 +35,7 @@
 		apply(t, store.ApplyJob, batch.AcceptedKey("j"), encode(good))
 		_, _ = store.ApplyJob(key, value)
 		_, _ = store.ApplyResult(key, value)
-		if _, p, ok, err := batch.DecodeProgress(key, value); ok && (err != nil || p.Item < 0 || p.LastEvent < 0) {
+		if _, p, ok, err := batch.DecodeProgress(key, value); ok && (err != nil || p.Item < 0 || p.LastEvent < -1 || p.LastEvent < 0 && p.Failures <= 0) {
 			t.Fatalf("%q is the progress %+v", key, p)
 		}
 		if job, item, chunk, err := batch.ParseBodyKey(key); err == nil && (item < 0 || chunk < 0 || item > 99_999 || chunk > 999) {
--- a/core/batch/progress.go
+++ b/core/batch/progress.go
@@ -1,6 +1,6 @@
 package batch
 
-// Progress is the partial output of an unfinished item. It is saved on the log so that the
+// Progress is the partial output of an unfinished item, and how often it failed. It is saved on the log so that the
 // item resumes from it after its holder's host is lost.
 //
 // Failure guarded against: all hosts lose power while items that run for seconds are
@@ -10,10 +10,12 @@
 	// Item is the item's index in the job, ID its ID.
 	Item int
 	ID   string
-	// LastEvent is the number of the last event received.
+	// LastEvent is the number of the last event received, -1 if none was.
 	LastEvent int64
 	// Output is the data of all events up to LastEvent, joined by line feeds.
 	Output string
+	// Failures counts the answers in which a target reported that the item failed.
+	Failures int
 }
 
 const (
@@ -32,7 +34,16 @@
 // output.
 func ShouldSave(events, saved int64, bytes int) bool {
 	grown := events - saved
-	return grown >= minNewEvents && float64(grown) >= minGrowth*float64(saved) && bytes <= maxProgressBytes
+	return grown >= minNewEvents && float64(grown) >= minGrowth*float64(saved) && FitsRecord(bytes)
+}
+
+// FitsRecord reports whether progress with an output of this size fits into a record.
+func FitsRecord(bytes int) bool { return bytes <= maxProgressBytes }
+
+// valid reports whether the progress is valid and belongs to the item in its key.
+func (p *Progress) valid(item int) bool {
+	hasEvents, hasFailures := p.LastEvent >= 0, p.Failures > 0
+	return p.Item == item && p.LastEvent >= -1 && p.Failures >= 0 && (hasEvents || hasFailures)
 }
 
 // DecodeProgress decodes a progress record. An empty value means that the item has ended;
@@ -46,7 +57,7 @@
 	if err != nil {
 		return "", Progress{}, false, err
 	}
-	if p.Item != item || p.LastEvent < 0 {
+	if !p.valid(item) {
 		return "", Progress{}, false, ErrRecord.New("record %q is not valid progress of the item in its key", key)
 	}
 	return job, p, true, nil
--- a/core/batch/progress_test.go
+++ b/core/batch/progress_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
@@ -31,8 +32,16 @@
 }
 
 func TestProgressRecords(t *testing.T) {
-	p := batch.Progress{Item: 3, ID: "x", LastEvent: 7, Output: "a\nb"}
-	value, err := batch.Encode(p)
+	failed := batch.Progress{Item: 3, LastEvent: -1, Failures: 2}
+	value, err := batch.Encode(failed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, got, ok, err := batch.DecodeProgress(batch.ResultKey("j", 3), value); err != nil || !ok || got != failed {
+		t.Fatalf("%+v %v %v", got, ok, err)
+	}
+	p := batch.Progress{Item: 3, ID: "x", LastEvent: 7, Output: "a\nb", Failures: 1}
+	value, err = batch.Encode(p)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,3 +58,31 @@
 		}
 	}
 }
+
+// The records of progress that the build before wrote, and what it reads of newer ones.
+func TestProgressRecordsOfThePreviousBuild(t *testing.T) {
+	type previous struct {
+		Item      int
+		ID        string
+		LastEvent int64
+		Output    string
+	}
+	old := previous{Item: 3, ID: "x", LastEvent: 7, Output: "a\nb"}
+	value, err := batch.Encode(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := batch.Progress{Item: 3, ID: "x", LastEvent: 7, Output: "a\nb"}
+	if _, got, ok, err := batch.DecodeProgress(batch.ResultKey("j", 3), value); err != nil || !ok || got != want {
+		t.Fatalf("%+v %v %v", got, ok, err)
+	}
+	want.Failures = 2
+	value, err = batch.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got previous
+	if err := msgpack.Unmarshal(value, &got); err != nil || got != old {
+		t.Fatalf("%+v %v", got, err)
+	}
+}
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -79,7 +79,7 @@
 	r.jobs.Places.ReleaseBatch(run.slot, end.health)
 	r.updateEstimates(c, run, p, end, before)
 	if end.failed {
-		p.failures++
+		p.addFailure()
 	}
 	if end.complete {
 		r.logRun(c, run, p, end)
@@ -89,7 +89,7 @@
 		r.finish(c, batch.Succeeded, p.text(), "")
 	case end.impossible:
 		r.finish(c, batch.Errored, "", end.cause)
-	case p.failures >= c.route.MaxAttempts:
+	case p.failureCount() >= c.route.MaxAttempts:
 		r.finish(c, batch.Errored, "", end.cause)
 	default:
 		r.retryLater(c, run, p, end)
@@ -127,7 +127,7 @@
 	fields := append([]zap.Field{
 		zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
 		zap.Bool("complete", end.complete), zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent),
-		zap.Int("failures", p.failures), zap.Int64("ms", time.Since(run.startedAt).Milliseconds()),
+		zap.Int("failures", p.failureCount()), zap.Int64("ms", time.Since(run.startedAt).Milliseconds()),
 		zap.Int64("events", p.eventCount()), zap.Bool("stopping", r.isStopping()),
 	}, relay.ExchangeFields(&end.exchange)...)
 	r.jobs.Logger.Info("item_run_ended", fields...)
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -1133,6 +1133,48 @@
 		Entry("the target fails each time", 500, 2),
 	)
 
+	// An item that fails at each run must not get all its attempts again at each daemon to which
+	// its partition goes.
+	It("counts an item's failures across the daemons that run it", func() {
+		var failed atomic.Int32
+		*script = func(r *rawtarget.Request, c net.Conn) {
+			if len(target.Requests()) != 2 { // the second run is that which the first daemon loses
+				failed.Add(1)
+				rawtarget.Write(c, rawtarget.Whole(500, "no", "Id: "+r.Header.Get("Id")))
+			}
+		}
+		a, stop := daemon("a", allPartitions{log})
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		Eventually(target.Requests).WithTimeout(limit).Should(HaveLen(2))
+		short, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		a.Drain(short)
+		stop()
+		b, _ := daemon("b", allPartitions{log})
+		Expect(all(b, "j")[0].State).To(Equal(batch.Errored))
+		Expect(failed.Load()).To(BeNumerically("==", 2))
+		Eventually(func() []partlog.StoredRecord {
+			page, err := log.Newest(ctx(), partlog.Partition{Topic: topics.Progress, Part: jobs.Part("j", 4)}, "")
+			Expect(err).NotTo(HaveOccurred())
+			return page.Records
+		}).WithTimeout(limit).Should(BeEmpty())
+	})
+
+	// A daemon is lost after an item's last failure, before the item's end is on the log.
+	It("does not run an item again that has failed as often as allowed", func() {
+		a, _ := daemon("a", noPartitions{log})
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		value, err := batch.Encode(batch.Progress{Item: 0, LastEvent: -1, Failures: 2})
+		Expect(err).NotTo(HaveOccurred())
+		p := partlog.Partition{Topic: topics.Progress, Part: jobs.Part("j", 4)}
+		_, err = log.Append(ctx(), p, []partlog.Record{{Key: batch.ResultKey("j", 0), Value: value}}, partlog.AnyOffset)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(2 * time.Millisecond) // an earlier holder is assumed if the job is older by a millisecond
+		b, _ := daemon("b", allPartitions{log})
+		Expect(all(b, "j")[0].State).To(Equal(batch.Errored))
+		Expect(target.Requests()).To(BeEmpty())
+	})
+
 	// One item's output is longer than a record of the log. Retried without end, its write
 	// would block every result of its partition for ever.
 	It("ends an item as errored whose output exceeds the log's record size, and continues with the others", func() {
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -46,8 +46,9 @@
 	unframedEnd int64
 	// answered reports that a run ended with an answer, after which its connection is kept.
 	answered bool
-	// failures counts the answers in which the target reported that the item failed.
-	failures int
+	// failures counts the answers in which a target reported that the item failed,
+	// savedFailures is the number that the log holds. Both are guarded by mu.
+	failures, savedFailures int
 	// unsuccessful counts the consecutive runs that were broken off without an event.
 	unsuccessful int
 	// notBefore delays the next run.
@@ -143,20 +144,36 @@
 	return strings.Join(p.output, "\n")
 }
 
-// clear drops the text of an item that has ended.
+// addFailure counts an answer in which the target reported that the item failed.
+func (p *progress) addFailure() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures++
+}
+
+func (p *progress) failureCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failures
+}
+
+// clear drops the text and the failures of an item that has ended.
 func (p *progress) clear() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.output, p.bytes, p.lastEvent, p.unframedEnd = nil, 0, noEvent, noEvent
+	p.failures = 0
 }
 
-// restore adopts the progress from the log and returns true if it is ahead of the local
-// one.
+// restore adopts what is ahead of the local progress in that from the log, and returns true if
+// anything is.
 func (p *progress) restore(from batch.Progress) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	moreFailures := from.Failures > p.failures
+	p.failures, p.savedFailures = max(p.failures, from.Failures), from.Failures
 	if from.LastEvent <= p.lastEvent {
-		return false
+		return moreFailures
 	}
 	p.lastEvent, p.output, p.bytes = from.LastEvent, []string{from.Output}, len(from.Output)
 	p.saved = from.LastEvent + 1
@@ -178,18 +195,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	events := p.lastEvent + 1
-	if !shouldSave(events, p.saved, p.bytes) {
+	newFailures := p.failures > p.savedFailures && batch.FitsRecord(p.bytes)
+	if !newFailures && !shouldSave(events, p.saved, p.bytes) {
 		return batch.Progress{}, false
 	}
-	p.saved = events
-	return batch.Progress{LastEvent: p.lastEvent, Output: strings.Join(p.output, "\n")}, true
+	p.saved, p.savedFailures = events, p.failures
+	return batch.Progress{LastEvent: p.lastEvent, Output: strings.Join(p.output, "\n"), Failures: p.failures}, true
 }
 
 // isSaved reports whether the log holds any progress of the item.
 func (p *progress) isSaved() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.saved > 0
+	return p.saved > 0 || p.savedFailures > 0
 }
 
 // saveProgressLoop saves the progress of items to the log until ctx is done.
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -253,7 +253,8 @@
 	run.stop("the target has started again")
 }
 
-// giveUpInfeasible ends an item as errored if it is too old or its route is missing.
+// giveUpInfeasible ends an item as errored if it is too old, its route is missing, or its targets
+// have reported its failure as often as allowed, to an earlier holder that did not write its end.
 func (r *runner) giveUpInfeasible(c *candidate, p *progress) bool {
 	now := time.Now()
 	if c.route == nil {
@@ -271,6 +272,10 @@
 		r.finish(c, batch.Errored, "", "too old")
 		return true
 	}
+	if failures := p.failureCount(); failures > 0 && failures >= c.route.MaxAttempts {
+		r.finish(c, batch.Errored, "", "the targets failed")
+		return true
+	}
 	return false
 }
 
