A broken stream waits for the retry budget no longer than its caller

Callers of streams that broke were kept in silence for seconds, up to their deadline, and were then cut off or resumed after they had left: when more streams break at once than the retry budget covers, each waits for it until half a second before the deadline, while the budget grows by one a second for all of them.

A stream now waits for the budget until its caller would leave: 2 s, four times the objective or eight times the gap objective after its last event, whichever is longest. It is cut off half a second before, and the caller can resume it at another daemon. The last log line names a spent budget as the cause, also for streams that had begun.

Ruled out: the wait for a slot (places.Acquire) takes at most 1 s and its refusal ends the request.

--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"tarragonhollow.example/tarragonhollow/target/h1"
 	"tarragonhollow.example/tarragonhollow/target/sse"
@@ -41,6 +42,8 @@
 	// events and sent count the events and the bytes of bodies that were written.
 	events int
 	sent   *countingWriter
+	// lastEventAt is when the last event was written, zero before the first.
+	lastEventAt time.Time
 	// failure is a target's own error answer (500), forwarded if no attempt gives a better
 	// one.
 	failure *bufferedAnswer
@@ -142,6 +145,7 @@
 	}
 	d.position.forwarded(e)
 	d.events++
+	d.lastEventAt = time.Now()
 	return nil
 }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -37,6 +37,11 @@
 	maxRejections = 4
 	// retryBudgetShare is the share of the requests that may be retried; see retry.Budget.
 	retryBudgetShare = 0.2
+	// Callers leave a stream that is silent for minSilence, silenceObjectives times its
+	// objective or silenceGaps times its gap objective, whichever is longest.
+	minSilence        = 2 * time.Second
+	silenceObjectives = 4
+	silenceGaps       = 8
 )
 
 // Request is one request of a caller.
@@ -385,6 +390,7 @@
 	for {
 		decision := s.decideRetry(failed)
 		if decision.Refusal != nil {
+			s.lastFailure = decision.Refusal.Message // tells if the budget was spent
 			return s.refuse(decision.Refusal), true
 		}
 		if !duty.Pause(ctx, decision.Backoff) {
@@ -407,11 +413,28 @@
 		ReachedBefore: s.runs > 0,
 		Attempts:      s.runs,
 		Retries:       s.request.Route.MaxAttempts - 1,
-		Now:           time.Now(), Deadline: s.request.Deadline, WaitUntil: s.request.Deadline,
+		Now:           time.Now(), Deadline: s.request.Deadline, WaitUntil: s.callerStaysUntil(),
 		Random: rand.Float64(),
 	}, s.relay.budget)
 }
 
+// callerStaysUntil returns when the caller stops waiting if it receives nothing more: callers
+// leave a stream after a silence, also before its first event.
+func (s *requestState) callerStaysUntil() time.Time {
+	if s.request.Route.Kind != route.Stream {
+		return s.request.Deadline
+	}
+	since := s.request.Arrived
+	if s.delivery.lastEventAt.After(since) {
+		since = s.delivery.lastEventAt
+	}
+	leaves := since.Add(max(minSilence, silenceObjectives*s.request.Route.Objective, silenceGaps*s.request.Route.GapObjective))
+	if leaves.After(s.request.Deadline) {
+		return s.request.Deadline
+	}
+	return leaves
+}
+
 // refuse ends the request without a successful answer. An answer that was begun stays cut short;
 // otherwise the last error answer of a target is forwarded if there is one, else the
 // refusal is returned. The refusal never claims that a request did not run if it may have.
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -1,17 +1,21 @@
 package relay_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
@@ -467,6 +471,43 @@
 		Expect(w.Body.String()).To(Equal(all(0, 2)))
 	})
 
+	// More streams break at once than the retry budget covers. Their callers must not wait in
+	// silence, to the end of their time, for a retry that comes after they have left.
+	It("waits for the retry budget no longer than the caller of a stream", func() {
+		const streams = 40
+		request.Deadline = time.Now().Add(time.Minute)
+		f.startTargets(2, func(_ int, r *rawtarget.Request, c net.Conn) {
+			if r.Header.Get("After") == "" {
+				rawtarget.Write(c, streamHead()+events(0, 1))
+				time.Sleep(100 * time.Millisecond)
+				rawtarget.Reset(c)
+				return
+			}
+			rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+		})
+		began := time.Now()
+		var completed, cut atomic.Int64
+		var group sync.WaitGroup
+		for range streams {
+			group.Go(func() {
+				defer GinkgoRecover()
+				own := *request
+				w := httptest.NewRecorder()
+				if f.relay.Serve(context.Background(), &own, w).Aborted {
+					Expect(w.Body.String()).To(Equal(all(0, 1)))
+					cut.Add(1)
+					return
+				}
+				Expect(w.Body.String()).To(Equal(all(0, 3)))
+				completed.Add(1)
+			})
+		}
+		group.Wait()
+		Expect(completed.Load()).To(BeNumerically(">=", retry.MaxTokens))
+		Expect(cut.Load()).To(BeNumerically(">", 0))
+		Expect(time.Since(began)).To(BeNumerically("<", timeout))
+	})
+
 	// A target sends no framing, and the daemon sees that the answer breaks off. The caller's
 	// answer has no framing either, so that an orderly close would end it as complete.
 	DescribeTable("cuts off an unframed stream visibly",
