A request that ends by a panic is logged, and its slot released

A panic while a request is served, which net/http recovers, left no `request` line with its ID, and its slot at the target stayed taken. The caller's response was cut off as before.

The line is now written with outcome=panic, also counted, and the slot is released as after an attempt without a result.

Before: the new spec finds no line. After: it passes.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -185,7 +185,7 @@
 // Serve answers the request on w. If it wrote nothing and the caller is still connected,
 // Result.Refusal is the answer to be written. Result.Aborted reports that an answer was
 // begun but cannot be completed; the connection must then be broken.
-func (r *Relay) Serve(ctx context.Context, request *Request, w http.ResponseWriter) Result {
+func (r *Relay) Serve(ctx context.Context, request *Request, w http.ResponseWriter) (result Result) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	r.mu.Lock()
@@ -194,9 +194,13 @@
 	content := contentHash(&request.HTTP)
 	state := &requestState{relay: r, request: request, delivery: newDelivery(w), excluded: map[string]bool{},
 		content: content, fingerprint: formatFingerprint(content), answer: answerSeen{firstEvent: NoEvent}}
-	result := state.serveWithQuota(ctx)
-	result.Aborted = state.delivery.cutShort()
-	r.recordEnd(request, state, result)
+	panicked := true
+	defer func() {
+		result.Aborted = state.delivery.cutShort()
+		r.recordEnd(request, state, result, panicked)
+	}()
+	result = state.serveWithQuota(ctx)
+	panicked = false
 	return result
 }
 
@@ -272,11 +276,8 @@
 		s.attemptStart, s.firstByteTimeout = time.Now(), s.relay.firstByteTimeout(s.group(), slot)
 		s.answerStarted.Store(false)
 		s.answer = answerSeen{firstEvent: NoEvent}
-		stopWatch := s.degradeWhenSilent(slot)
-		ended := s.runAttempt(ctx, slot)
-		stopWatch()
+		ended := s.runInSlot(ctx, slot)
 		s.relay.meter.countAttempt(s.request.Route.Kind, s.answer.End)
-		s.relay.Places.Release(slot, ended.health, ended.serviceTime(s.attemptStart))
 		if ended.done {
 			return Result{}
 		}
@@ -286,6 +287,18 @@
 	}
 }
 
+// runInSlot makes one attempt in the slot and releases it, also if the attempt panics.
+func (s *requestState) runInSlot(ctx context.Context, slot places.Slot) attemptResult {
+	ended := attemptResult{health: routing.Neutral}
+	stopWatch := s.degradeWhenSilent(slot)
+	defer func() {
+		stopWatch()
+		s.relay.Places.Release(slot, ended.health, ended.serviceTime(s.attemptStart))
+	}()
+	ended = s.runAttempt(ctx, slot)
+	return ended
+}
+
 // placesRequest describes the request for the choice of a target.
 func (s *requestState) placesRequest() places.Request {
 	r := s.request
@@ -463,10 +476,12 @@
 }
 
 // recordEnd logs the end of a request and updates its metrics.
-func (r *Relay) recordEnd(request *Request, state *requestState, result Result) {
+func (r *Relay) recordEnd(request *Request, state *requestState, result Result, panicked bool) {
 	took := time.Since(request.Arrived)
 	outcomeLabel := "served"
 	switch {
+	case panicked:
+		outcomeLabel = "panic"
 	case result.CallerLeft:
 		outcomeLabel = "caller_left"
 	case result.Aborted:
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -32,6 +32,11 @@
 	RunSpecs(t, "relay")
 }
 
+// panicWriter stands for a fault of the daemon while it writes an answer.
+type panicWriter struct{ http.ResponseWriter }
+
+func (panicWriter) Write([]byte) (int, error) { panic("a fault") }
+
 // silenceLogs returns the log lines that report the target as silent.
 func silenceLogs(lines *observer.ObservedLogs, target string) []observer.LoggedEntry {
 	return lines.FilterMessage("target_silent").FilterField(zap.String("target", target)).All()
@@ -170,6 +175,19 @@
 		Entry("with a length", rawtarget.Head(200, idHeader, "Content-Length: 5")+"wh", "ole", true),
 	)
 
+	// A fault of the daemon ends a request by a panic, which net/http recovers. Its ID must be
+	// found in the log, and its slot must not stay taken.
+	It("logs a request that ends by a panic, and returns its slot", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		r.Logger = zap.New(core)
+		startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) { writeAnswer(c) })
+		Expect(func() { r.Serve(context.Background(), request, panicWriter{httptest.NewRecorder()}) }).To(PanicWith("a fault"))
+		ended := lines.FilterMessage("request").All()
+		Expect(ended).To(HaveLen(1))
+		Expect(ended[0].ContextMap()).To(And(HaveKeyWithValue("id", "r"), HaveKeyWithValue("outcome", "panic")))
+		Expect(view.FreeSlots("g", 0)).To(Equal(2))
+	})
+
 	// The error is the request's own: it comes on the new connection too.
 	It("forwards an error without ID that comes on a new connection", func() {
 		request.Route.MaxAttempts = 1
