Log the answers that net/http writes itself

A caller that sent what net/http can't read or doesn't support got 400, 417, 431, 501 or 505, and no line of the daemon told so. The callers' connections now report a response that is written without a call of the handler, and the daemon logs it as request_unreadable with the caller's address and the status line; the request's ID isn't known there.

--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -34,6 +34,9 @@
 // one that becomes idle wakes a waiting Accept.
 type Listener struct {
 	net.Listener
+	// Unhandled, if not nil, must be set before the first Accept. It needs a handler that
+	// ResetUnlessCompleted wraps.
+	Unhandled    Unhandled
 	writeTimeout time.Duration
 	evicted      *metrics.Counter
 	stalled      *metrics.Counter
@@ -134,6 +137,7 @@
 		l.open[conn] = nil
 	case http.StateIdle:
 		_ = conn.(*stallConn).markUsed()
+		conn.(*stallConn).responseEnded()
 		l.open[conn] = l.idle.PushBack(conn)
 		l.slotFreed.Signal()
 	case http.StateClosed, http.StateHijacked:
@@ -182,6 +186,8 @@
 	// endsResponse reports that the end of the connection is the end of its response, and
 	// writeFailed that not all of the response was written.
 	endsResponse, writeFailed bool
+	// handled reports that the handler was called for the current request.
+	handled bool
 }
 
 // markUsed records a use of the connection. It returns false if the connection is being
@@ -221,6 +227,7 @@
 
 // Write implements net.Conn.
 func (c *stallConn) Write(p []byte) (int, error) {
+	c.reportUnhandled(p)
 	written := 0
 	for {
 		end := min(written+writeChunk, len(p))
--- a/callerconns/reset.go
+++ b/callerconns/reset.go
@@ -29,6 +29,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		conn.handlerBegins()
 		guarded := &guardedWriter{ResponseWriter: w, conn: conn}
 		if !r.ProtoAtLeast(1, 1) {
 			guarded.guard()
--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -48,6 +48,7 @@
 		Evicted: n.Metrics.GetOrCreateCounter("tarragonhollow_http_idle_connections_evicted_total"),
 		Stalled: n.Metrics.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
 	})
+	listener.Unhandled = n.logUnhandled
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
 	server := n.newServer(callerconns.ResetUnlessCompleted(n.closing(handler)))
 	server.ConnState = listener.Track
@@ -57,6 +58,11 @@
 	return nil
 }
 
+// logUnhandled logs a response that net/http wrote itself. Its request has no known ID.
+func (n *Node) logUnhandled(caller net.Addr, statusLine string) {
+	n.Logger.Warn("request_unreadable", zap.Stringer("caller_address", caller), zap.String("answer", statusLine))
+}
+
 // ServeInternal serves readiness or metrics in the background until the process ends.
 func (n *Node) ServeInternal(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
