--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -49,7 +49,9 @@
 // final for this call: nothing that could accept the job was sent.
 func (j *Jobs) Submit(ctx context.Context, s *Submission, r *route.Route) *outcome.Refusal {
 	if batch.LongestKey(s.ID) > partlog.MaxKeyBytes {
-		return outcome.Refuse(outcome.BadRequest, "a job's ID of %d bytes is too long", len(s.ID))
+		refusal := outcome.Refuse(outcome.BadRequest, "a job's ID of %d bytes is too long", len(s.ID))
+		j.logSubmitted(s, r, refusal, "caller")
+		return refusal
 	}
 	refusal := j.submitWithFallback(ctx, s, r, newRecord(s, r))
 	j.recordRefusal(ctx, refusal)
