Relay: confirm the end of an unframed answer at its target

Callers received a truncated answer without length and chunks as complete when its target was killed: the kernel closes the connections of a killed process in an orderly way, which is how such an answer ends. Nothing in the protocol marks the end of an answer or of a stream otherwise.

After the end of an unframed body h1.Answer.ConfirmEnd waits 100 ms and then opens a connection to the target, which is kept in the pool. A killed target accepts none, and the attempt is broken: a resumable stream and a repeatable request go on at another target, another stream is reset, another request fails. A target at its connection limit accepts and resets, a paused one accepts by its backlog; both count as standing. A target known to have restarted ends the attempt's context, as before. Framed answers take no time and no connection. Unframed ones take one connection, and their end, not their events, waits 100 ms.

A look without the wait is not enough.

A target that exits right after its last unframed answer can't be told from one that was killed, and its answer is cut off. One that restarts at the same address within the 100 ms is taken for standing unless the roster knows. An unframed answer that ends less than 100 ms before its deadline is cut off.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -191,6 +191,9 @@
 	if answer.Status < http.StatusMultipleChoices && answer.Framing != h1.FramedByLength && s.targetTimeOver() {
 		return endedAtDeadline()
 	}
+	if err := answer.ConfirmEnd(); err != nil {
+		return classifyError(ctx, err)
+	}
 	whole := bufferedAnswer{status: answer.Status, header: answer.Header, framing: answer.Framing, body: body}
 	if answer.Status == http.StatusInternalServerError {
 		s.delivery.keepFailure(whole)
@@ -251,7 +254,7 @@
 		case forwardErr != nil:
 			return attemptResult{done: true, detail: forwardErr.Error(), health: routing.Neutral}
 		case err == io.EOF && len(events.Rest()) == 0:
-			return s.endStream(answer)
+			return s.endStream(ctx, answer)
 		case err == io.EOF:
 			return attemptResult{reached: true, detail: "the stream ended within an event", health: routing.SoftFailed}
 		case err != nil:
@@ -264,17 +267,21 @@
 
 // endStream ends the stream after its target's last event, if the target's end is that of the
 // caller's answer.
-func (s *requestState) endStream(answer *h1.Answer) attemptResult {
+func (s *requestState) endStream(ctx context.Context, answer *h1.Answer) attemptResult {
 	if s.targetTimeOver() {
 		return endedAtDeadline()
 	}
 	if s.delivery.position.runIsBehind() || len(s.held) > 0 {
 		return attemptResult{reached: true, detail: "the stream ended before the caller's last event", health: routing.SoftFailed}
 	}
-	if s.delivery.finish(answer) {
-		return attemptResult{done: true, health: routing.Succeeded}
+	if !s.delivery.mayEndWith(answer) {
+		return attemptResult{reached: true, broken: true, detail: "the rest ended with its connection", health: routing.Neutral}
+	}
+	if err := answer.ConfirmEnd(); err != nil {
+		return s.attemptFailed(ctx, err)
 	}
-	return attemptResult{reached: true, broken: true, detail: "the rest ended with its connection", health: routing.Neutral}
+	s.delivery.finish(answer)
+	return attemptResult{done: true, health: routing.Succeeded}
 }
 
 // targetTimeOver reports whether the time that the target was given may be over. A target stops
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -97,8 +97,8 @@
 	DropHopByHop(copied)
 	copied.Del("Content-Length")
 	if framing == h1.Unframed {
-		// net/http then adds no framing. A target that crashes ends such an answer like one
-		// that has finished it, so the daemon must not mark the end as that of the answer.
+		// net/http then adds no framing. That such an answer is complete is inferred, see
+		// h1.Answer.ConfirmEnd, so the daemon doesn't mark its end as certain.
 		d.unframed = true
 		d.w.Header().Set("Transfer-Encoding", "identity")
 	}
@@ -162,11 +162,15 @@
 		answer.Header.Get("Content-Encoding") == begun.Get("Content-Encoding")
 }
 
-// finish ends a stream after its target's last event, and sends the head if there was none.
-// It returns false if the caller would take for the stream's end what may be a crash: where
-// the caller's answer is framed, the end of a target's connection does not complete it.
-func (d *delivery) finish(answer *h1.Answer) bool {
+// mayEndWith reports whether the end of the target's stream may end the caller's: where the
+// caller's is framed, the end of a target's connection does not complete it.
+func (d *delivery) mayEndWith(answer *h1.Answer) bool {
+	return answer.Framing != h1.Unframed || !d.headSent || d.unframed
+}
+
+// finish ends a stream after its target's last event, and sends the head if there was none. The
+// answer's end must be confirmed, and that of the caller's; see mayEndWith.
+func (d *delivery) finish(answer *h1.Answer) {
 	d.sendHead(answer.Status, answer.Header, answer.Framing)
-	d.complete = answer.Framing != h1.Unframed || d.unframed
-	return d.complete
+	d.complete = true
 }
