--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -8,8 +8,6 @@
 package batch
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"strconv"
 	"strings"
@@ -55,8 +53,6 @@
 	// Count is the number of items, Tokens the sum of their tokens.
 	Count  int
 	Tokens int64
-	// BodiesTag is the tag of the keys of the bodies and the item list; see TagKey.
-	BodiesTag string
 }
 
 // ItemList is the list of a job's items if it is stored separately from the acceptance.
@@ -145,43 +141,7 @@
 }
 
 // LongestKey returns the length in bytes of the longest key that a record of the job may have.
-func LongestKey(job, tag string) int {
-	return len(TagKey(BodyKey(job, maxItemNumber, maxChunkNumber), tag))
-}
-
-// tagBytes is the number of bytes of an account's hash in a tag.
-const tagBytes = 8
-
-// BodiesTag returns the tag of the bodies and the item list of a job that the account submits,
-// "" without an account.
-func BodiesTag(account string) string {
-	if account == "" {
-		return ""
-	}
-	hash := sha256.Sum256([]byte(account))
-	return hex.EncodeToString(hash[:tagBytes])
-}
-
-// TagKey returns the key of a body's chunk or an item list with a tag. The tag follows the last
-// part of the key, so no job ID makes an untagged key look like a tagged one.
-//
-// Failure guarded against: bodies are written before the acceptance. A second account submits a
-// job with the ID of an accepted one to a daemon that has not read the acceptance; with the same
-// keys, the job of the first would run with the bodies of the second.
-func TagKey(key, tag string) string {
-	if tag == "" {
-		return key
-	}
-	return key + "." + tag
-}
-
-// CutTag is the reverse of TagKey.
-func CutTag(key string) (untagged, tag string) {
-	if at := strings.LastIndexByte(key, '.'); at > strings.LastIndexByte(key, '/') {
-		return key[:at], key[at+1:]
-	}
-	return key, ""
-}
+func LongestKey(job string) int { return len(BodyKey(job, maxItemNumber, maxChunkNumber)) }
 
 // ItemKey returns a key that sorts directly before the keys of the item's chunks.
 func ItemKey(job string, item int) string { return ResultKey(job, item) }
@@ -193,15 +153,8 @@
 // ItemsKey returns the key of a job's item list.
 func ItemsKey(job string) string { return job + itemsSuffix }
 
-// BeforeItemsKey returns a key that sorts directly before the key of the job's item list with the
-// tag.
-func BeforeItemsKey(job, tag string) string {
-	if tag == "" {
-		return BodyKey(job, maxItemNumber, maxChunkNumber)
-	}
-	key := TagKey(ItemsKey(job), tag)
-	return key[:len(key)-1]
-}
+// BeforeItemsKey returns a key that sorts directly before ItemsKey among the job's keys.
+func BeforeItemsKey(job string) string { return BodyKey(job, maxItemNumber, maxChunkNumber) }
 
 // ParseItemsKey returns the job ID in the key of an item list. ok is false if key is not the
 // key of an item list.
--- a/core/batch/store.go
+++ b/core/batch/store.go
@@ -20,8 +20,6 @@
 	// finished holds the items that have a result, doneTokens the sum of their tokens.
 	finished   map[int]bool
 	doneTokens int64
-	// lists holds the item lists that were read before the acceptance, by their tags.
-	lists map[string][]Item
 }
 
 // BelongsTo reports whether a client account may read and end the job. A job that was
@@ -145,10 +143,9 @@
 	if j.Accepted {
 		return Change{}
 	}
-	if list := j.lists[record.BodiesTag]; len(record.Items) == 0 && record.matchesItems(list) {
-		record.Items = list
+	if list := j.Items; len(record.Items) == 0 && record.matchesItems(list) {
+		record.Items = list // the item list was read before the acceptance
 	}
-	j.lists = nil
 	j.JobRecord = record
 	j.Accepted = true
 	j.dropMismatched()
@@ -167,8 +164,7 @@
 
 // ApplyItems applies an item list that is stored separately from its job's acceptance.
 func (s *Store) ApplyItems(key string, value []byte) (Change, error) {
-	untagged, tag := CutTag(key)
-	id, ok := ParseItemsKey(untagged)
+	id, ok := ParseItemsKey(key)
 	if !ok || len(value) == 0 {
 		return Change{}, nil
 	}
@@ -177,41 +173,26 @@
 		return Change{}, err
 	}
 	j := s.job(id)
-	if j.Accepted && tag != j.BodiesTag {
-		return Change{}, nil
-	}
 	if !validItems(list.Items) || len(list.Items) > maxItemNumber || j.Accepted && !j.matchesItems(list.Items) {
 		return Change{}, ErrRecord.New("record %q is not a valid item list of the job in its key", key)
 	}
-	if !j.Accepted {
-		j.keepList(tag, list.Items)
-		return Change{Job: id}, nil
-	}
 	if j.HasItems() {
 		return Change{}, nil
 	}
-	counted := !j.Ended
+	counted := j.Accepted && !j.Ended
 	if counted {
 		s.waiting[j.Quota] -= j.waitingTokens()
 	}
 	j.Items = list.Items
-	j.dropMismatched()
+	if j.Accepted {
+		j.dropMismatched()
+	}
 	if counted {
 		s.waiting[j.Quota] += j.waitingTokens()
 	}
 	return Change{Job: id}, nil
 }
 
-// keepList keeps the first item list with the tag until the acceptance is read.
-func (j *Job) keepList(tag string, items []Item) {
-	if j.lists == nil {
-		j.lists = map[string][]Item{}
-	}
-	if j.lists[tag] == nil {
-		j.lists[tag] = items
-	}
-}
-
 func (s *Store) applyEnd(id string, value []byte) Change {
 	if len(value) == 0 {
 		return Change{}
--- a/daemon/jobs/bodies.go
+++ b/daemon/jobs/bodies.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -20,22 +19,19 @@
 	putAttempts = 4
 )
 
-// bodySet identifies the bodies of a submitted job; see batch.TagKey.
-type bodySet struct{ job, tag string }
-
 // bodyStore writes items' bodies to the log and reads them back. The bodies in the
 // partitions that this daemon holds are cached in memory until their items end.
 type bodyStore struct {
 	jobs *Jobs
 
 	mu    sync.Mutex
-	cache map[bodySet]map[int][][]byte // set, item, chunk
+	cache map[string]map[int][][]byte // job, item, chunk
 	// following holds the reader of each followed partition.
 	following map[int]*bodyReader
 }
 
 func newBodyStore(j *Jobs) *bodyStore {
-	return &bodyStore{jobs: j, cache: map[bodySet]map[int][][]byte{}, following: map[int]*bodyReader{}}
+	return &bodyStore{jobs: j, cache: map[string]map[int][][]byte{}, following: map[int]*bodyReader{}}
 }
 
 func (b *bodyStore) partition(part int) partlog.Partition {
@@ -44,12 +40,12 @@
 
 // put writes all bodies of a job, and the list of its items if that is stored apart from
 // the acceptance. Writing them again is harmless: the keys are the same, and so is the
-// content. The tag keeps those of another account apart.
-func (b *bodyStore) put(ctx context.Context, s *Submission, tag string, list []byte) error {
+// content.
+func (b *bodyStore) put(ctx context.Context, s *Submission, list []byte) error {
 	p := b.partition(b.jobs.part(s.ID))
 	var group []partlog.Record
 	if len(list) > 0 {
-		group = append(group, partlog.Record{Key: batch.TagKey(batch.ItemsKey(s.ID), tag), Value: list})
+		group = append(group, partlog.Record{Key: batch.ItemsKey(s.ID), Value: list})
 	}
 	size := len(list)
 	for i := range s.Items {
@@ -60,7 +56,7 @@
 				}
 				group, size = nil, 0
 			}
-			group = append(group, partlog.Record{Key: batch.TagKey(batch.BodyKey(s.ID, i, chunk), tag), Value: data})
+			group = append(group, partlog.Record{Key: batch.BodyKey(s.ID, i, chunk), Value: data})
 			size += len(data)
 		}
 	}
@@ -97,13 +93,13 @@
 }
 
 // get returns a body from the cache, or else from the log.
-func (b *bodyStore) get(ctx context.Context, set bodySet, item, size int) ([]byte, error) {
-	if body, ok := b.cached(set, item, size); ok {
+func (b *bodyStore) get(ctx context.Context, job string, item, size int) ([]byte, error) {
+	if body, ok := b.cached(job, item, size); ok {
 		return body, nil
 	}
-	p := b.partition(b.jobs.part(set.job))
+	p := b.partition(b.jobs.part(job))
 	var body []byte
-	after := batch.ItemKey(set.job, item)
+	after := batch.ItemKey(job, item)
 	for len(body) < size {
 		page, err := b.jobs.Log.Newest(ctx, p, after)
 		if err != nil {
@@ -111,13 +107,9 @@
 		}
 		for _, k := range page.Records {
 			after = k.Key
-			untagged, tag := batch.CutTag(k.Key)
-			bodyJob, bodyItem, _, err := batch.ParseBodyKey(untagged)
-			if err != nil || bodyJob != set.job || bodyItem != item {
-				return nil, partlog.Invalid.New("the body of %s item %d has %d of %d bytes", set.job, item, len(body), size)
-			}
-			if tag != set.tag {
-				continue
+			bodyJob, bodyItem, _, err := batch.ParseBodyKey(k.Key)
+			if err != nil || bodyJob != job || bodyItem != item {
+				return nil, partlog.Invalid.New("the body of %s item %d has %d of %d bytes", job, item, len(body), size)
 			}
 			body = append(body, k.Value...)
 			if len(body) >= size {
@@ -125,21 +117,21 @@
 			}
 		}
 		if len(page.Records) == 0 {
-			return nil, partlog.Invalid.New("the body of %s item %d has %d of %d bytes", set.job, item, len(body), size)
+			return nil, partlog.Invalid.New("the body of %s item %d has %d of %d bytes", job, item, len(body), size)
 		}
 	}
 	return body, nil
 }
 
 // cached returns a body from the cache; false if not all of it is there.
-func (b *bodyStore) cached(set bodySet, item, size int) ([]byte, bool) {
+func (b *bodyStore) cached(job string, item, size int) ([]byte, bool) {
 	if size == 0 {
 		return nil, true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var body []byte
-	for _, chunk := range b.cache[set][item] {
+	for _, chunk := range b.cache[job][item] {
 		body = append(body, chunk...)
 	}
 	return body, len(body) == size
@@ -169,20 +161,19 @@
 }
 
 // evict removes the body of an item that has ended from the cache.
-func (b *bodyStore) evict(set bodySet, item int) {
+func (b *bodyStore) evict(job string, item int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.cache[set], item)
-	if len(b.cache[set]) == 0 {
-		delete(b.cache, set)
+	delete(b.cache[job], item)
+	if len(b.cache[job]) == 0 {
+		delete(b.cache, job)
 	}
 }
 
-// evictJob removes all bodies that were submitted with the job's ID.
 func (b *bodyStore) evictJob(job string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.cache, func(set bodySet, _ map[int][][]byte) bool { return set.job == job })
+	delete(b.cache, job)
 }
 
 // bodyReader caches the bodies of one partition.
@@ -214,17 +205,15 @@
 // cacheChunks caches the chunks of items that have not ended.
 func (r *bodyReader) cacheChunks(records []partlog.StoredRecord) {
 	for _, k := range records {
-		untagged, tag := batch.CutTag(k.Key)
-		if _, isList := batch.ParseItemsKey(untagged); isList {
+		if _, isList := batch.ParseItemsKey(k.Key); isList {
 			_ = r.store.jobs.applyItems(k) // it logs an unreadable record
 			continue
 		}
-		job, item, chunk, err := batch.ParseBodyKey(untagged)
-		set := bodySet{job, tag}
-		if err != nil || len(k.Value) == 0 || r.store.jobs.itemEnded(job, item) || r.store.jobs.isForeign(set) {
+		job, item, chunk, err := batch.ParseBodyKey(k.Key)
+		if err != nil || len(k.Value) == 0 || r.store.jobs.itemEnded(job, item) {
 			continue
 		}
-		r.store.cacheChunk(set, item, chunk, k.Value)
+		r.store.cacheChunk(job, item, chunk, k.Value)
 	}
 	if len(records) > 0 {
 		r.store.jobs.runner.wake()
@@ -232,16 +221,16 @@
 }
 
 // cacheBody caches a whole body in place of what was cached of it.
-func (b *bodyStore) cacheBody(set bodySet, item int, body []byte) {
+func (b *bodyStore) cacheBody(job string, item int, body []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.items(set)[item] = chunks(body)
+	b.items(job)[item] = chunks(body)
 }
 
-func (b *bodyStore) cacheChunk(set bodySet, item, chunk int, data []byte) {
+func (b *bodyStore) cacheChunk(job string, item, chunk int, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	items := b.items(set)
+	items := b.items(job)
 	for len(items[item]) <= chunk {
 		items[item] = append(items[item], nil)
 	}
@@ -249,23 +238,15 @@
 }
 
 // items returns the cached chunks of a job's items, to which the caller may add. b.mu is held.
-func (b *bodyStore) items(set bodySet) map[int][][]byte {
-	items := b.cache[set]
+func (b *bodyStore) items(job string) map[int][][]byte {
+	items := b.cache[job]
 	if items == nil {
 		items = map[int][][]byte{}
-		b.cache[set] = items
+		b.cache[job] = items
 	}
 	return items
 }
 
-// isForeign reports whether the bodies are known to be of a submission that was not accepted.
-func (j *Jobs) isForeign(set bodySet) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	known := j.store.Job(set.job)
-	return known != nil && known.Accepted && known.BodiesTag != set.tag
-}
-
 // itemEnded reports whether the item or its job is known to have ended.
 func (j *Jobs) itemEnded(job string, item int) bool {
 	j.mu.Lock()
--- a/daemon/jobs/body.go
+++ b/daemon/jobs/body.go
@@ -35,9 +35,9 @@
 	if !s.jobs.hasJob(args.Job, func(known *batch.Job) bool { return known.BelongsTo(args.Account) }) {
 		return nil
 	}
-	set, index, size := s.jobs.findItem(args.Job, args.Item)
+	index, size := s.jobs.findItem(args.Job, args.Item)
 	if index >= 0 {
-		reply.Body, reply.Held = s.jobs.bodies.cached(set, index, size)
+		reply.Body, reply.Held = s.jobs.bodies.cached(args.Job, index, size)
 	}
 	return nil
 }
@@ -62,11 +62,11 @@
 	if err := j.loadItems(ctx, id); err != nil {
 		return nil, refuseUnavailable(err)
 	}
-	set, index, size := j.findItem(id, item)
+	index, size := j.findItem(id, item)
 	if index < 0 {
 		return nil, outcome.Refuse(outcome.NotFound, "no item %s in job %s", item, id)
 	}
-	body, err := j.bodies.get(ctx, set, index, size)
+	body, err := j.bodies.get(ctx, id, index, size)
 	if err != nil {
 		return nil, refuseUnavailable(err)
 	}
@@ -87,19 +87,15 @@
 	j.mu.Lock()
 	known := j.store.Job(id)
 	hasItems := known != nil && known.HasItems()
-	tag := ""
-	if known != nil {
-		tag = known.BodiesTag
-	}
 	j.mu.Unlock()
 	if known == nil || hasItems {
 		return nil
 	}
-	page, err := j.Log.Newest(ctx, j.bodies.partition(j.part(id)), batch.BeforeItemsKey(id, tag))
+	page, err := j.Log.Newest(ctx, j.bodies.partition(j.part(id)), batch.BeforeItemsKey(id))
 	if err != nil {
 		return err
 	}
-	if len(page.Records) == 0 || page.Records[0].Key != batch.TagKey(batch.ItemsKey(id), tag) {
+	if len(page.Records) == 0 || page.Records[0].Key != batch.ItemsKey(id) {
 		return partlog.Invalid.New("the log has no list of the items of %s", id)
 	}
 	return j.applyItems(page.Records[0])
@@ -121,18 +117,16 @@
 	return nil
 }
 
-// findItem returns where the body of an item is, and its size; index is -1 if there is no such
-// item.
-func (j *Jobs) findItem(id, item string) (set bodySet, index, size int) {
+func (j *Jobs) findItem(id, item string) (index, size int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	known := j.store.Job(id)
 	if known == nil {
-		return bodySet{}, -1, 0
+		return -1, 0
 	}
 	index = known.ItemByID(item)
 	if index < 0 {
-		return bodySet{}, -1, 0
+		return -1, 0
 	}
-	return bodySet{id, known.BodiesTag}, index, known.Items[index].BodyBytes
+	return index, known.Items[index].BodyBytes
 }
--- a/daemon/jobs/calls.go
+++ b/daemon/jobs/calls.go
@@ -48,7 +48,7 @@
 // acceptance and all its bodies are acknowledged by the log. A refusal with not_run is
 // final for this call: nothing that could accept the job was sent.
 func (j *Jobs) Submit(ctx context.Context, s *Submission, r *route.Route) *outcome.Refusal {
-	if batch.LongestKey(s.ID, batch.BodiesTag(s.Account)) > partlog.MaxKeyBytes {
+	if batch.LongestKey(s.ID) > partlog.MaxKeyBytes {
 		refusal := outcome.Refuse(outcome.BadRequest, "a job's ID of %d bytes is too long", len(s.ID))
 		j.logSubmitted(s, r, refusal, "caller")
 		return refusal
@@ -77,8 +77,7 @@
 }
 
 func newRecord(s *Submission, r *route.Route) *batch.JobRecord {
-	record := &batch.JobRecord{ID: s.ID, Account: s.Account, Host: s.Host, Path: s.Path, Quota: r.QuotaKey(s.Account), AcceptedMs: time.Now().UnixMilli(),
-		BodiesTag: batch.BodiesTag(s.Account)}
+	record := &batch.JobRecord{ID: s.ID, Account: s.Account, Host: s.Host, Path: s.Path, Quota: r.QuotaKey(s.Account), AcceptedMs: time.Now().UnixMilli()}
 	for i := range s.Items {
 		item := s.Items[i].Item
 		item.BodyBytes = len(s.Items[i].Body)
@@ -106,7 +105,7 @@
 	}
 	// The bodies and the list are written first: once the acceptance is on the log, any
 	// daemon may be asked for them, and this one may have failed.
-	if err := j.bodies.put(ctx, s, record.BodiesTag, list); err != nil {
+	if err := j.bodies.put(ctx, s, list); err != nil {
 		return refuseUnavailable(err)
 	}
 	records := []partlog.Record{{Key: batch.AcceptedKey(s.ID), Value: value}}
--- a/daemon/jobs/membership.go
+++ b/daemon/jobs/membership.go
@@ -181,12 +181,12 @@
 		return err
 	}
 	var results, progress []partlog.Record
-	bodies := []partlog.Record{{Key: batch.TagKey(batch.ItemsKey(id), known.BodiesTag)}}
+	bodies := []partlog.Record{{Key: batch.ItemsKey(id)}}
 	for i, item := range known.Items {
 		results = append(results, partlog.Record{Key: batch.ResultKey(id, i)})
 		progress = append(progress, partlog.Record{Key: batch.ResultKey(id, i)})
 		for chunk := range (item.BodyBytes + chunkBytes - 1) / chunkBytes {
-			bodies = append(bodies, partlog.Record{Key: batch.TagKey(batch.BodyKey(id, i, chunk), known.BodiesTag)})
+			bodies = append(bodies, partlog.Record{Key: batch.BodyKey(id, i, chunk)})
 		}
 	}
 	part := j.part(id)
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -218,7 +218,7 @@
 	if !limits.allow(group, c) {
 		return
 	}
-	body, ok := r.jobs.bodies.cached(c.bodies, c.key.item, c.item.BodyBytes)
+	body, ok := r.jobs.bodies.cached(c.key.job, c.key.item, c.item.BodyBytes)
 	if !ok {
 		r.fetchBody(ctx, c, p)
 		return
@@ -294,12 +294,12 @@
 	}
 	p.bodyMissingSince = now
 	go func() {
-		body, err := r.jobs.bodies.get(ctx, c.bodies, c.key.item, c.item.BodyBytes)
+		body, err := r.jobs.bodies.get(ctx, c.key.job, c.key.item, c.item.BodyBytes)
 		if err != nil {
 			r.jobs.Logger.Warn("body_missing", zap.String("job", c.key.job), zap.Int("item", c.key.item), zap.Error(err))
 			return
 		}
-		r.jobs.bodies.cacheBody(c.bodies, c.key.item, body)
+		r.jobs.bodies.cacheBody(c.key.job, c.key.item, body)
 		r.wake()
 	}()
 }
@@ -333,7 +333,7 @@
 	r.mu.Unlock()
 	result := batch.Result{Item: c.key.item, ID: c.item.ID, State: state, Tokens: c.item.Tokens, Output: output}
 	r.jobs.writers[r.jobs.part(c.key.job)].add(queuedResult{c.key.job, result, time.Now()})
-	r.jobs.bodies.evict(c.bodies, c.key.item)
+	r.jobs.bodies.evict(c.key.job, c.key.item)
 }
 
 // Drain ends the batch work of a stopping daemon: it releases the partitions, starts
--- a/daemon/jobs/waiting.go
+++ b/daemon/jobs/waiting.go
@@ -17,10 +17,9 @@
 
 // candidate is an item that could run now.
 type candidate struct {
-	key    itemKey
-	bodies bodySet
-	item   batch.Item
-	host   string
+	key  itemKey
+	item batch.Item
+	host string
 	// account is the client account that owns the job, "" for none.
 	account string
 	// route is nil if none matches.
@@ -165,7 +164,7 @@
 		if p := r.progress[key]; p != nil && now.Before(p.notBefore) {
 			continue
 		}
-		c := candidate{key: key, bodies: bodySet{j.ID, j.BodiesTag}, item: j.Items[i], host: j.Host, account: j.Account, age: now.Sub(accepted), due: accepted}
+		c := candidate{key: key, item: j.Items[i], host: j.Host, account: j.Account, age: now.Sub(accepted), due: accepted}
 		if c.route = table.Match(j.Host, j.Items[i].Path); c.route == nil {
 			c.route = table.Match(j.Host, j.Path)
 		}
