Batch items: a killed target's unframed end is neither an end nor its confirmation

Callers received a part of an item's text as its whole output if two targets that frame nothing crashed behind the same event; and an item whose text was whole ended as errored if the target that was asked for what follows answered 422, or 500 each time. The end of a connection counted as that of a run, though a killed process ends it in the same way, and a 422 or the last allowed 500 ended the item as errored whatever it had.

A run's unframed end now counts only if h1.Answer.ConfirmEnd finds the target still serving; else the run is broken and the item is asked for from its last event on. One confirming run is still made: a target may end its stream early while it lives, and the spec "which another run continues" holds that case. If the item must be given up before it is confirmed (422, failures, age, route), the text that ended so is its result: by the protocol it is complete, and an error would lose it.

What can still go wrong: a living target that cuts an answer in an orderly way, followed by 422 or the last 500, gives a short text (completing at once would do so without the 422); that a run ended so isn't carried over to another holder, where a 422 ends the item as errored.

"does not take two crashes at one event for the end of an item" closed the connections of a target that went on serving. On the wire that is the same as "at which another run ends in the same way" beside it, which must complete the item after the second run, and by the protocol it is two complete answers: no daemon can pass both. It is replaced by three entries and two specs in which the targets' processes are killed, listener and connections.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -87,10 +87,8 @@
 	switch {
 	case end.complete:
 		r.finish(c, batch.Succeeded, p.text(), "")
-	case end.impossible:
-		r.finish(c, batch.Errored, "", end.cause)
-	case p.failureCount() >= c.route.MaxAttempts:
-		r.finish(c, batch.Errored, "", end.cause)
+	case end.impossible || p.failureCount() >= c.route.MaxAttempts:
+		r.giveUp(c, p, end.cause)
 	default:
 		r.retryLater(c, run, p, end)
 	}
@@ -100,6 +98,17 @@
 	r.wake()
 }
 
+// giveUp ends an item that is not run again. If its last run with events ended without framing
+// at a target that went on serving, the text is complete as far as the protocol tells, and only
+// its confirmation failed.
+func (r *runner) giveUp(c *candidate, p *progress, cause string) {
+	if p.endedUnframed() {
+		r.finish(c, batch.Succeeded, p.text(), "the end was not confirmed: "+cause)
+		return
+	}
+	r.finish(c, batch.Errored, "", cause)
+}
+
 // updateEstimates updates the estimator with the events that the run received.
 func (r *runner) updateEstimates(c *candidate, run *itemRun, p *progress, end runResult, before int64) {
 	received := p.eventCount()
@@ -213,6 +222,14 @@
 	return runResult{cause: "the connection ended, maybe before the item", delay: confirmDelay, health: routing.Succeeded}
 }
 
+// endRun returns the result of a run whose answer ended after a whole event.
+func (p *progress) endRun(answer *h1.Answer) runResult {
+	if err := answer.ConfirmEnd(); err != nil {
+		return errorResult(err)
+	}
+	return endResult(p.endsWith(answer.Framing))
+}
+
 // collectEvents adds the events of an answer to the progress. The events must be
 // consecutive: a gap, or a run that does not continue where the last one ended, would
 // leave a hole in the text.
@@ -232,7 +249,7 @@
 		case err == io.EOF && p.runLast == noEvent && !relay.IsEventStream(answer.Header):
 			return runResult{cause: "the answer is no stream of events", delay: failureDelay, health: routing.SoftFailed}
 		case err == io.EOF && len(events.Rest()) == 0 && p.lastEvent != noEvent:
-			return endResult(p.endsWith(answer.Framing))
+			return p.endRun(answer)
 		case err == io.EOF:
 			return runResult{cause: "the stream ended within an event", delay: failureDelay, health: routing.SoftFailed}
 		case err != nil:
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -30,6 +30,7 @@
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
 	"tarragonhollow.example/tarragonhollow/target/h1"
+	"tarragonhollow.example/tarragonhollow/target/killabletarget"
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
 )
 
@@ -1095,27 +1096,86 @@
 		}),
 	)
 
-	// A target crashes twice at the same event, the second time before an event.
-	It("does not take two crashes at one event for the end of an item", func() {
-		var mu sync.Mutex
-		n := 0
+	// useTarget makes the address that of the only target of daemon a.
+	useTarget := func(address string) {
+		views["a"].Update(func(now time.Time, r *roster.Roster) {
+			r.StoreAnswered(now)
+			r.Replace(now, []roster.Target{{ID: address, Group: "g", Address: address, Zone: "z", Slots: 8}})
+		})
+	}
+	// runAtKilledTargets submits a job of one item to daemon a. One target after another sends its
+	// answer to the item without framing and is killed; the spec's own target follows.
+	runAtKilledTargets := func(bodies ...string) batch.Result {
+		a := alone()
+		var killed []*killabletarget.Target
+		for _, body := range bodies {
+			t, err := killabletarget.Start(rawtarget.Head(200, "Id: j-0") + body)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(t.Kill)
+			killed = append(killed, t)
+		}
+		useTarget(killed[0].Address)
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		for i, t := range killed {
+			Expect(t.AwaitAnswer()).To(Succeed())
+			next := target.Address
+			if i+1 < len(killed) {
+				next = killed[i+1].Address
+			}
+			useTarget(next)
+			t.Kill()
+		}
+		return all(a, "j")[0]
+	}
+
+	// The processes of two targets are killed at the same event, the second before it sends one.
+	// Their kernels close the connections in an orderly way, as targets do that have ended an
+	// answer without framing. The text would be stored as complete although it is cut.
+	DescribeTable("does not take two crashes at one event for the end of an item",
+		func(first, second, after string) {
+			result := runAtKilledTargets(first, second)
+			Expect(result.State).To(Equal(batch.Succeeded))
+			Expect(result.Output).To(Equal(output("j-0")))
+			Expect(target.Requests()).To(HaveLen(1))
+			Expect(target.Requests()[0].Header.Get("After")).To(Equal(after))
+		},
+		Entry("the second without an event", events(0, 1), "", "1"),
+		Entry("the second with the same event again", events(0, 1), events(1, 1), "1"),
+		Entry("the second after the last event", events(0, 1), events(2, 4), "4"),
+	)
+
+	// A target's process is killed in the middle of an item, and another target can't do the item.
+	It("does not take a crash for the end of an item that is given up", func() {
 		*script = func(r *rawtarget.Request, c net.Conn) {
-			mu.Lock()
-			defer mu.Unlock()
-			n++
-			switch n {
-			case 1:
-				rawtarget.Write(c, rawtarget.Head(200, "Id: "+r.Header.Get("Id"))+events(0, 1))
-				_ = c.Close()
-			case 2:
-				rawtarget.Write(c, rawtarget.Head(200, "Id: "+r.Header.Get("Id")))
-				_ = c.Close()
-			default:
+			rawtarget.Write(c, rawtarget.Whole(422, "no", "Id: "+r.Header.Get("Id")))
+		}
+		result := runAtKilledTargets(events(0, 1))
+		Expect(result.State).To(Equal(batch.Errored))
+		Expect(result.Output).To(BeEmpty())
+	})
+
+	// The first run ends without framing at a target that goes on serving. The process of the
+	// target that is asked for what follows is killed, which confirms nothing.
+	It("does not take a crash for the confirmation that an item has ended", func() {
+		var answered atomic.Bool
+		*script = func(r *rawtarget.Request, c net.Conn) {
+			if answered.Swap(true) {
 				answer(r, c)
+				return
 			}
+			rawtarget.Write(c, rawtarget.Head(200, "Id: "+r.Header.Get("Id"))+events(0, 1))
+			_ = c.Close()
 		}
 		a := alone()
+		confirming, err := killabletarget.Start(rawtarget.Head(200, "Id: j-0"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(confirming.Kill)
+		target.OnRequest(func() { useTarget(confirming.Address) })
 		Expect(submit(a, submission("j", 1))).To(BeNil())
+		Expect(confirming.AwaitAnswer()).To(Succeed())
+		target.OnRequest(func() {})
+		useTarget(target.Address)
+		confirming.Kill()
 		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
 	})
 
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -41,8 +41,8 @@
 	// saved is the number of events that the log holds.
 	saved int64
 
-	// unframedEnd is the last event at the most recent end of a run that only its connection
-	// marked.
+	// unframedEnd is the last event at the most recent confirmed end of a run that only its
+	// connection marked; see h1.Answer.ConfirmEnd.
 	unframedEnd int64
 	// answered reports that a run ended with an answer, after which its connection is kept.
 	answered bool
@@ -116,17 +116,22 @@
 	return itemMaxIdle
 }
 
-// endsWith reports whether a run's end after a whole event is the item's end. A target that
-// crashes ends an answer without framing just as one that has completed it, so such an end
-// counts only if an earlier run ended so after the same event.
+// endsWith reports whether a run's confirmed end after a whole event is the item's end. A
+// target may end an answer without framing early, so such an end counts only if an earlier run
+// ended so after the same event.
 func (p *progress) endsWith(framing h1.Framing) bool {
-	if framing != h1.Unframed || p.unframedEnd == p.lastEvent {
+	if framing != h1.Unframed || p.endedUnframed() {
 		return true
 	}
 	p.unframedEnd = p.lastEvent
 	return false
 }
 
+// endedUnframed reports whether a run ended without framing after the last event.
+func (p *progress) endedUnframed() bool {
+	return p.unframedEnd != noEvent && p.unframedEnd == p.lastEvent
+}
+
 // eventCount returns how many events of the item were received.
 func (p *progress) eventCount() int64 {
 	p.mu.Lock()
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -253,8 +253,8 @@
 	run.stop("the target has started again")
 }
 
-// giveUpInfeasible ends an item as errored if it is too old, its route is missing, or its targets
-// have reported its failure as often as allowed, to an earlier holder that did not write its end.
+// giveUpInfeasible gives up an item that is too old, whose route is missing, or whose targets have
+// reported its failure as often as allowed, to an earlier holder that did not write its end.
 func (r *runner) giveUpInfeasible(c *candidate, p *progress) bool {
 	now := time.Now()
 	if c.route == nil {
@@ -262,18 +262,18 @@
 			p.unroutedSince = now
 		}
 		if now.Sub(p.unroutedSince) > missingRouteTimeout {
-			r.finish(c, batch.Errored, "", "no route")
+			r.giveUp(c, p, "no route")
 			return true
 		}
 		return false
 	}
 	p.unroutedSince = time.Time{}
 	if c.route.KeepFor > 0 && c.age > c.route.KeepFor+giveUpGrace {
-		r.finish(c, batch.Errored, "", "too old")
+		r.giveUp(c, p, "too old")
 		return true
 	}
 	if failures := p.failureCount(); failures > 0 && failures >= c.route.MaxAttempts {
-		r.finish(c, batch.Errored, "", "the targets failed")
+		r.giveUp(c, p, "the targets failed")
 		return true
 	}
 	return false
