h1: a connection that is reset while it opens was accepted

A target at its connection limit accepts a connection and resets it.

ECONNRESET counts as accepted. A target that is gone refuses.

--- a/target/h1/ending_test.go
+++ b/target/h1/ending_test.go
@@ -121,6 +121,25 @@
 		Expect(a.ConfirmEnd()).To(Succeed())
 	})
 
+	// The reset may arrive before connect has returned, which then reports it.
+	It("counts an address that resets each connection as reachable", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				rawtarget.Reset(c)
+			}
+		}()
+		for range 500 {
+			Expect(pool.Reachable(context.Background(), listener.Addr().String(), limit)).To(BeTrue())
+		}
+	})
+
 	// The context ends when the target is known to have restarted, while its address accepts
 	// connections again.
 	It("is not confirmed when the context has ended", func() {
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -11,9 +11,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -122,13 +124,14 @@
 }
 
 // Reachable reports whether the address accepts a connection within the given time.
-// The connection is kept in the pool.
+// The connection is kept in the pool. One that is reset at once was accepted too: a target
+// at its connection limit does that, and the reset may arrive before connect returns.
 func (p *Pool) Reachable(ctx context.Context, address string, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return errors.Is(err, syscall.ECONNRESET)
 	}
 	p.opened()
 	p.put(&conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer), keepAlive: defaultKeepAlive})
