Tests: an address for a later listener is handed out once

Cause: FreeAddress draws a port of 12,000 and closes its listener; the daemon listens only later, so that two daemons (24 addresses a run, 2.3 in 100 runs by chance) or test processes running side by side are told the same port.

Change: a UDP socket at the same port reserves the address until the process ends.

--- a/test/fleet/partition.go
+++ b/test/fleet/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -72,23 +74,42 @@
 	return l
 }
 
-// FreeAddress returns an address at the IP without a listener, for one that starts
+// reserved keeps the sockets that reserve the addresses returned by FreeAddress.
+var reserved struct {
+	mu      sync.Mutex
+	sockets []net.PacketConn
+}
+
+// FreeAddress returns a TCP address at the IP without a listener, for one that starts
 // later. Its port is below the kernel's ephemeral range, so that no outgoing connection
-// takes it in between.
+// takes it in between. A UDP socket at the same port reserves it until the process ends,
+// so that no other call returns it, in this or another process.
 func FreeAddress(ip string) string {
 	GinkgoHelper()
 	var address string
-	Eventually(func() error {
-		address = fmt.Sprintf("%s:%d", ip, 20_000+rand.IntN(12_000))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return err
-		}
-		return listener.Close()
+	Eventually(func() (err error) {
+		address, err = reserve(fmt.Sprintf("%s:%d", ip, 20_000+rand.IntN(12_000)))
+		return err
 	}, WaitTimeout, PollInterval).Should(Succeed())
 	return address
 }
 
+// reserve reserves an address if it has no listener.
+func reserve(address string) (string, error) {
+	socket, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return "", err
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Join(err, socket.Close())
+	}
+	reserved.mu.Lock()
+	defer reserved.mu.Unlock()
+	reserved.sockets = append(reserved.sockets, socket)
+	return address, listener.Close()
+}
+
 // publishProxies replaces the listeners' addresses on the host list by the proxies',
 // and waits until every daemon has read that list, so that no peer call bypasses a
 // proxy.
