steward: check the lease of an item right before its first byte is written

Cause, by reading: the lease is checked when a run starts. The run then waits for its goroutine, for a connection, perhaps a new one, and for the transport to write. A daemon that is suspended meanwhile sends the item when it wakes, however long ago the lease ended. Ruled out: a start that is decided after the waking, since the lease of 3 s had ended by then on the same monotonic clock.

Change: calls of targets may carry a check that the connection makes before the first byte of the request. The steward repeats its own there; if it fails, nothing is written, and the item goes back to its owner as not run. A suspension between the check and the write system call remains.

--- a/daemon/steward/finish.go
+++ b/daemon/steward/finish.go
@@ -87,7 +87,7 @@
 	case it.stopped, errors.Is(cause, errRevoked):
 		s.meter.ended("cancelled")
 		s.endLocked(it, ledger.ItemEnd{Ref: it.ref})
-	case errors.Is(cause, errDraining):
+	case errors.Is(cause, errDraining), errors.Is(cause, errStartTooLate):
 		s.handBackLocked(it)
 	case errors.Is(cause, errTargetUnavailable):
 		s.requeueLocked(now, it, nil)
--- a/daemon/steward/run.go
+++ b/daemon/steward/run.go
@@ -20,6 +20,7 @@
 	errRevoked           = errors.New("the job was cancelled")
 	errDraining          = errors.New("the daemon is draining")
 	errTargetUnavailable = errors.New("the target is leaving or has another steward")
+	errStartTooLate      = errors.New("the item may not start any more")
 	errGap               = errors.New("the engine skipped a token")
 )
 
@@ -77,10 +78,10 @@
 // another steward, and a start here would run it twice. The lease is counted from before
 // the pull was sent, on the monotonic clock, so it expires here no later than at the owner.
 //
-// A window remains between this check and the request's first byte on the wire: a pause of
-// the process in that window goes undetected. Then a repeatable item may run twice, and the
-// ledger keeps the first completion. An item that is not repeatable is never leased again
-// before the result of its first run is known, so it still runs only once.
+// The check is made again right before the request's first byte is written; see confirmStart.
+// A pause of the process between that and the write itself goes undetected. Then a repeatable
+// item may run twice, and the ledger keeps the first completion. An item that is not repeatable
+// is never leased again before the result of its first run is known, so it still runs only once.
 func (s *Steward) mayStartLocked(now time.Time, it *heldItem, t *targetState) bool {
 	if s.draining || it.stopped || !now.Before(it.startUntil) {
 		return false
@@ -91,6 +92,23 @@
 	return !s.opts.View.TargetLeaving(t.address) && s.isSteward(t.address)
 }
 
+// confirmStart repeats the check of mayStartLocked for a run whose first byte is about to be
+// written, and stops the run if it fails.
+//
+// Failure guarded against: a daemon is suspended between the start of a run and its request. It
+// wakes after the item's job was cancelled, and sends the item.
+func (s *Steward) confirmStart(r *run) error {
+	now := s.opts.Now()
+	s.mu.Lock()
+	ok := s.mayStartLocked(now, r.item, r.target)
+	s.mu.Unlock()
+	if ok {
+		return nil
+	}
+	r.stop(errStartTooLate)
+	return errStartTooLate
+}
+
 // startLocked starts the item at the target. It registers the run before starting its
 // goroutine, so that a revoke always finds it.
 func (s *Steward) startLocked(now time.Time, it *heldItem, t *targetState) {
@@ -131,6 +149,7 @@
 // execute sends the item and handles the end of its run.
 func (s *Steward) execute(ctx context.Context, r *run) {
 	ctx = target.WithUrgency(target.WithKey(ctx, r.item.name()), target.UrgencyBatch)
+	ctx = target.WithStartCheck(ctx, func() error { return s.confirmStart(r) })
 	var answer *ledger.Answer
 	var err error
 	if r.item.isChat() {
--- a/daemon/steward/steward_test.go
+++ b/daemon/steward/steward_test.go
@@ -181,6 +181,33 @@
 	})
 })
 
+var _ = Describe("a daemon that is suspended before it sends an item", func() {
+	// It wakes after the lease has ended, and the owner may have leased the item to another
+	// steward or acknowledged the end of its job.
+	It("does not send the item", func() {
+		b := newBench(1, engineA)
+		begun, wake := make(chan struct{}, 1), make(chan struct{})
+		b.engine.BeforeStart = func() {
+			select {
+			case begun <- struct{}{}:
+			default:
+			}
+			<-wake
+		}
+		b.ledger.add("c/j", "once", "x")
+		b.start()
+		Eventually(begun, eventuallyTimeout).Should(Receive())
+		b.ledger.set(func() { b.ledger.unreachable = true })
+		b.skew.Add(int64(60 * time.Second))
+		close(wake)
+		Eventually(func() int { return b.Status().Targets[0].Running }, eventuallyTimeout).Should(BeZero())
+		Expect(b.engine.Calls()).To(BeEmpty())
+		b.ledger.set(func() { b.ledger.unreachable = false })
+		Eventually(b.ledger.ended, eventuallyTimeout).ShouldNot(BeEmpty())
+		Expect(b.ledger.ended()[0].Refusal).To(BeNil(), "handed back as not run")
+	})
+})
+
 var _ = Describe("a held lease", func() {
 	// An item runs for longer than a lease. Unless the steward lists it in time, the owner
 	// leases it to another steward. Once the owner has done so, or the job was cancelled,
--- a/target/client.go
+++ b/target/client.go
@@ -76,7 +76,13 @@
 func newTransport(o ClientOptions, connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &checkedConn{Conn: conn}, nil
+		},
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
 		IdleConnTimeout:        o.IdleTimeout,
@@ -121,8 +127,17 @@
 		return nil, &Failure{Rejected: true, Detail: "bad path " + c.path, Err: ProtocolError.New("bad path %q", c.path)}
 	}
 	var connected atomic.Bool
+	var check *startCheck
+	if fn := StartCheckFrom(ctx); fn != nil {
+		check = &startCheck{check: fn}
+	}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			if conn, ok := info.Conn.(*checkedConn); ok {
+				conn.expect(check)
+			}
+		},
 	})
 	r := (&http.Request{
 		Method: c.method, URL: u, Host: c.address, Header: c.header,
@@ -135,6 +150,9 @@
 	setContextHeaders(ctx, r.Header)
 	resp, err := tr.RoundTrip(r)
 	if err != nil {
+		if failed := check.failure(); failed != nil {
+			return nil, &Failure{Address: c.address, Detail: "not sent", Err: failed}
+		}
 		return nil, transportFailure(ctx, c.address, connected.Load(), err)
 	}
 	return resp, nil
--- a/target/faketarget/engine.go
+++ b/target/faketarget/engine.go
@@ -43,6 +43,8 @@
 	// OnGenerate scripts the answers. If nil, the answer is "t0 ", "t1 ", ... with
 	// the smaller of DefaultTokens and the request's MaxTokens as its length.
 	OnGenerate func(address string, req target.GenerateRequest) Generation
+	// BeforeStart, if not nil, is called before a call is checked and recorded.
+	BeforeStart func()
 	// OnLoad, OnEvents, OnOrder and OnHealth script the other calls. If nil, the call
 	// answers as an idle engine without an error.
 	OnLoad   func(address string) (target.LoadReport, error)
@@ -61,6 +63,14 @@
 
 // Generate implements target.Engine.
 func (e *Engine) Generate(ctx context.Context, address string, req target.GenerateRequest, sink func(target.Token) error) (target.Finish, error) {
+	if e.BeforeStart != nil {
+		e.BeforeStart()
+	}
+	if check := target.StartCheckFrom(ctx); check != nil {
+		if err := check(); err != nil {
+			return target.Finish{}, &target.Failure{Address: address, Err: err}
+		}
+	}
 	run, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	call := e.begin(ctx, address, req, cancel)
--- a/target/headers.go
+++ b/target/headers.go
@@ -27,6 +27,7 @@
 const (
 	keyContext contextKey = iota
 	urgencyContext
+	startCheckContext
 )
 
 // WithKey returns a context whose target calls carry the idempotency key.
