A request that was sent after an unattributed error may have run

A caller could receive a 503, which promises that its request has not run and never will, for a request that a target had run. An error without a request ID on a kept connection has the request sent once more, on a new connection. If that connection is refused, or the target rejects the request there, only the second sending was looked at: the attempt counted as not run, the account's token was given back, and the refusal said not_run.

Send now returns the error Unattributed in these cases, since the first sending may have been run. The attempt counts as a run.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -157,6 +157,8 @@
 		a.health = routing.HardFailed
 	case errorx.IsOfType(err, h1.Broken):
 		a.broken = true
+	case errorx.IsOfType(err, h1.Unattributed):
+		a.health = routing.Neutral
 	}
 	if ctx.Err() != nil {
 		// This daemon closed the connection; the target is not at fault.
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -210,6 +210,35 @@
 		Expect(second).To(BeNumerically("<=", first))
 	})
 
+	// The target may have run the request when it sent an error without an ID. If it then can't be
+	// reached or rejects the request, the refusal must not promise that the request did not run.
+	DescribeTable("does not promise that a request did not run after an error without ID",
+		func(second string) {
+			request.Route.MaxAttempts = 1
+			startTargets(1, func(turn int, _ *rawtarget.Request, c net.Conn) {
+				switch turn {
+				case 0:
+					writeAnswer(c)
+				case 1:
+					rawtarget.Write(c, rawtarget.Whole(500, "failed"))
+					if second == "" {
+						targets[0].Close()
+					}
+				default:
+					rawtarget.Write(c, second)
+				}
+			})
+			serve()
+			_, result := serve()
+			Expect(result.Refusal).NotTo(BeNil())
+			Expect(result.Refusal.Run).To(Equal(outcome.MayHaveRun))
+			Expect(tokens.refunded).To(BeZero())
+		},
+		Entry("and a refused connection", ""),
+		Entry("and a rejection", rawtarget.Whole(503, "", idHeader, "Not-Run: 1")),
+		Entry("and another target at the address", rawtarget.Whole(421, "", idHeader)),
+	)
+
 	// A request that may run once is never sent on a kept connection, so it is never resent.
 	It("sends a request that may run once no second time after an error without ID", func() {
 		request.Route.Kind = route.NonIdempotent
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -28,19 +28,30 @@
 // The request is sent once, or twice if the answer on a reused connection can't be attributed:
 // an error that names no request may be left over from an earlier one. On the new connection
 // that is then used it can only be this request's. Only repeatable requests may allow reuse.
+// If the target then does not run it, the error is Unattributed: the first one may have been run.
 // With the verdict Ran the caller must read and close the answer; with any other verdict
 // the answer is nil. Errors are those of h1.Pool.Do.
 func (s Sender) Send(ctx context.Context, r *Request, t roster.Target, left time.Duration, after int64, o h1.Options) (*h1.Answer, Verdict, error) {
 	o.Matches = func(status int, header http.Header) h1.Match { return s.Wire.Matches(r.ID, status, header) }
 	began := time.Now()
-	answer, err := s.Pool.Do(ctx, t.Address, s.Wire.Prepare(r, t, left, after), o)
-	if errorx.IsOfType(err, h1.Unattributed) {
-		o.MaxIdle = newConnectionOnly
-		if left != NoDeadline {
-			left = max(left-time.Since(began), time.Millisecond)
-		}
-		answer, err = s.Pool.Do(ctx, t.Address, s.Wire.Prepare(r, t, left, after), o)
+	answer, verdict, err := s.sendOnce(ctx, r, t, left, after, o)
+	if !errorx.IsOfType(err, h1.Unattributed) {
+		return answer, verdict, err
+	}
+	unattributed := err
+	o.MaxIdle = newConnectionOnly
+	if left != NoDeadline {
+		left = max(left-time.Since(began), time.Millisecond)
+	}
+	answer, verdict, err = s.sendOnce(ctx, r, t, left, after, o)
+	if verdict != Ran || errorx.IsOfType(err, h1.NotSent) {
+		return nil, Ran, unattributed
 	}
+	return answer, Ran, err
+}
+
+func (s Sender) sendOnce(ctx context.Context, r *Request, t roster.Target, left time.Duration, after int64, o h1.Options) (*h1.Answer, Verdict, error) {
+	answer, err := s.Pool.Do(ctx, t.Address, s.Wire.Prepare(r, t, left, after), o)
 	if err != nil {
 		return nil, Ran, err
 	}
