The log's bound per second holds after the clock was set back

If the wall clock was set back, by a correction or after a virtual machine was resumed, a daemon wrote at most one second's allowance of log lines, warnings included, until the clock had caught up: the counter was only reset by a later second. Requests could then not be followed in the log.

An earlier second now resets the counter too, except the one just before, in which a late line may have begun.

--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -171,9 +171,11 @@
 // Sync implements zapcore.WriteSyncer.
 func (c *class) Sync() error { return nil }
 
-// allow counts a line and reports whether it is within the limit of its second.
+// allow counts a line and reports whether it is within the limit of its second. A line of the
+// second before may come late; any other earlier second means that the clock was set back.
 func (l *limiter) allow(second int64) bool {
-	if last := l.second.Load(); second > last && l.second.CompareAndSwap(last, second) {
+	last := l.second.Load()
+	if (second > last || second < last-1) && l.second.CompareAndSwap(last, second) {
 		l.count.Store(0)
 	}
 	return l.count.Add(1) <= l.perSecond
