Own interface: confirm the end of a service's unframed answer

Callers of the own interface received a truncated answer with a length of the daemon's own when a service that sends neither length nor chunks was killed: the end of its connection was taken for that of its answer.

Engines' streams have a finish, and their other answers are JSON, which doesn't decode when cut.

--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -11,11 +11,9 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -124,14 +122,13 @@
 }
 
 // Reachable reports whether the address accepts a connection within the given time.
-// The connection is kept in the pool. One that is reset at once was accepted too: a target
-// at its connection limit does that, and the reset may arrive before connect returns.
+// The connection is kept in the pool.
 func (p *Pool) Reachable(ctx context.Context, address string, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNRESET)
+		return sockets.Accepted(err)
 	}
 	p.opened()
 	p.put(&conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer), keepAlive: defaultKeepAlive})
--- a/target/serviceclient.go
+++ b/target/serviceclient.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+
+	"tarragonhollow.example/tarragonhollow/target/sockets"
 )
 
 // ServiceClient implements Service over HTTP. The urgency of the context selects
@@ -52,6 +54,9 @@
 	if err != nil {
 		return ServiceResponse{}, err
 	}
+	if err := c.confirmEnd(ctx, address, req.Method, resp); err != nil {
+		return ServiceResponse{}, err
+	}
 	answer := ServiceResponse{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}
 	if resp.StatusCode < http.StatusBadRequest {
 		return answer, nil
@@ -60,6 +65,26 @@
 	return answer, statusFailure(address, resp.StatusCode, refused, body)
 }
 
+// confirmEnd returns a *Failure if the response ended with its connection and that may be the
+// end of the service's process.
+func (c *ServiceClient) confirmEnd(ctx context.Context, address, method string, resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || method == http.MethodHead {
+		return nil
+	}
+	err := sockets.ConfirmEnd(ctx, func(ctx context.Context) bool {
+		conn, err := c.byUrgency(ctx).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return sockets.Accepted(err)
+		}
+		_ = conn.Close()
+		return true
+	})
+	if err != nil {
+		return transportFailure(ctx, address, true, err)
+	}
+	return nil
+}
+
 // Health returns nil if the service answers GET /health with 2xx.
 func (c *ServiceClient) Health(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
--- a/target/serviceclient_test.go
+++ b/target/serviceclient_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"tarragonhollow.example/tarragonhollow/target"
+	"tarragonhollow.example/tarragonhollow/target/killabletarget"
 )
 
 var _ = Describe("ServiceClient", func() {
@@ -122,4 +123,31 @@
 		Expect([]bool{target.FailureOf(err).Reached, target.FailureOf(err).Crashed}).To(Equal([]bool{true, true}))
 		Expect(resp.Body).To(BeEmpty())
 	})
+
+	// A killed service's kernel closes the connection in an orderly way, which is how an answer
+	// without length and chunks ends. The truncated answer must not be passed on.
+	It("reports an answer without framing as a crash if the service's process was killed", func() {
+		killed, err := killabletarget.Start("HTTP/1.1 200 OK\r\n\r\nhalf")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(killed.Kill)
+		go func() {
+			defer GinkgoRecover()
+			Expect(killed.AwaitAnswer()).To(Succeed())
+			killed.Kill()
+		}()
+		resp, err := client().Call(ctx, killed.Address, warmUp)
+		Expect(err).To(HaveOccurred())
+		Expect([]bool{target.FailureOf(err).Reached, target.FailureOf(err).Crashed}).To(Equal([]bool{true, true}))
+		Expect(resp.Body).To(BeEmpty())
+	})
+
+	It("returns an answer without framing of a service that goes on serving", func() {
+		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, _ = io.WriteString(w, "whole")
+		}), func() {})
+		resp, err := client().Call(ctx, address, warmUp)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(resp.Body)).To(Equal("whole"))
+	})
 })
