callerconns: end a completed response in order though unread bytes wait

Callers that sent another request without waiting for the end of an unframed (or HTTP/1.0) response saw a completed response reset, and could lose its last bytes: the kernel resets a connection that is closed with unread bytes, and net/http does not read a further request on such a connection.

Closing the connection of a completed response now ends the sending side first and discards what the caller sends until it closes its side, for 500 ms at most. Responses that are not completed are reset as before, and a second Close ends the connection at once.

What remains: a caller that goes on sending for more than 500 ms after the end is reset.

Both entries of the new spec fail before (3 of 3 runs, "connection reset by peer") and pass after; callerconns (also with -race), daemon/relay and daemon/front pass.

--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -136,8 +136,7 @@
 		}
 		l.open[conn] = nil
 	case http.StateIdle:
-		_ = conn.(*stallConn).markUsed()
-		conn.(*stallConn).responseEnded()
+		conn.(*stallConn).keptOpen()
 		l.open[conn] = l.idle.PushBack(conn)
 		l.slotFreed.Signal()
 	case http.StateClosed, http.StateHijacked:
@@ -186,6 +185,9 @@
 	// endsResponse reports that the end of the connection is the end of its response, and
 	// writeFailed that not all of the response was written.
 	endsResponse, writeFailed bool
+	// completed reports that the response was written to its end and that the end of the
+	// connection follows; see Close.
+	completed bool
 	// handled reports that the handler was called for the current request.
 	handled bool
 }
@@ -199,6 +201,14 @@
 	return !c.closing
 }
 
+// keptOpen records that a response has ended and the connection waits for the next request.
+func (c *stallConn) keptOpen() {
+	_ = c.markUsed()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.completed, c.handled = false, false
+}
+
 // markClosingIfUnused reports whether the connection has not been used since before, and
 // marks it as closing if so.
 func (c *stallConn) markClosingIfUnused(before time.Time) bool {
--- a/callerconns/reset.go
+++ b/callerconns/reset.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
+// discardTime bounds how long a caller may take to close its side after the end of a response
+// that ends with its connection. The caller has no reason to wait.
+const discardTime = 500 * time.Millisecond
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
@@ -101,7 +107,7 @@
 func (c *stallConn) responseBegins() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endsResponse = true
+	c.endsResponse, c.completed = true, false
 	c.setReset(true)
 }
 
@@ -110,9 +116,42 @@
 func (c *stallConn) responseHandled() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.completed = !c.writeFailed
 	c.setReset(c.writeFailed)
 }
 
+// Close implements net.Conn.
+func (c *stallConn) Close() error {
+	if c.takeCompleted() {
+		c.endInOrder()
+	}
+	return c.Conn.Close()
+}
+
+// takeCompleted reports whether closing the connection ends a completed response. A further
+// Close ends the connection at once.
+func (c *stallConn) takeCompleted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	completed := c.completed && !c.writeFailed
+	c.completed = false
+	return completed
+}
+
+// endInOrder ends the sending side and discards what the caller still sends, until the caller
+// closes the connection or discardTime has passed.
+//
+// Failure guarded against: the kernel resets a connection that is closed with unread bytes, such
+// as those of a request that the caller has sent too early, and the completed response would
+// look cut.
+func (c *stallConn) endInOrder() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, tcp)
+}
+
 // noteWriteFailed has the connection reset when it is closed, if its end would be the end
 // of the response. net/http writes the last bytes after the handler has returned.
 func (c *stallConn) noteWriteFailed() {
--- a/callerconns/reset_test.go
+++ b/callerconns/reset_test.go
@@ -74,6 +74,34 @@
 		Entry("HTTP/1.0, completed", "HTTP/1.0", false, false, false, "partrest", false),
 	)
 
+	// Guards against a completed response that looks cut: the kernel resets a connection that is
+	// closed with unread bytes, here those of a request that the caller sends without waiting for
+	// the end of the connection.
+	DescribeTable("is not reset once completed, though the caller has sent another request",
+		func(protocol string) {
+			begun, sent := make(chan struct{}), make(chan struct{})
+			conn := serve(protocol, limit, func(w http.ResponseWriter, _ *http.Request) {
+				if protocol == "HTTP/1.1" {
+					w.Header().Set("Transfer-Encoding", "identity")
+				}
+				_, _ = io.WriteString(w, "part")
+				w.(http.Flusher).Flush()
+				close(begun)
+				<-sent
+				_, _ = io.WriteString(w, "rest")
+			})
+			Eventually(begun).WithTimeout(limit).Should(BeClosed())
+			_, err := io.WriteString(conn, "POST / "+protocol+"\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100000))
+			Expect(err).NotTo(HaveOccurred())
+			close(sent)
+			received, err := io.ReadAll(conn)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(received)).To(HaveSuffix("\r\n\r\npartrest"))
+		},
+		Entry("HTTP/1.1 without framing", "HTTP/1.1"),
+		Entry("HTTP/1.0", "HTTP/1.0"),
+	)
+
 	// Guards against the same when a stopping daemon ends with the response under way.
 	DescribeTable("is cut visibly when the server closes its connection",
 		func(protocol, ending string, isError bool) {
--- a/callerconns/unhandled.go
+++ b/callerconns/unhandled.go
@@ -16,13 +16,6 @@
 	c.handled = true
 }
 
-// responseEnded records that the next response on the connection is that of another request.
-func (c *stallConn) responseEnded() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.handled = false
-}
-
 // reportUnhandled reports a response whose request was not passed to the handler.
 func (c *stallConn) reportUnhandled(response []byte) {
 	if c.owner.Unhandled == nil || !c.firstWriteUnhandled() {
