A stream whose last events can't be flushed is not complete

The error of a flush to the caller was ignored: where the connection failed with the last events of a stream, the log called the request served. The connection was broken all the same (net/http writes nothing after a failed write), so the caller saw a cut stream, of which the log knew nothing.

A failed flush now ends the request like a failed write, and the target's work with it.

Before: the new spec fails (not aborted). After: it passes, with all specs of daemon/relay and callerconns.

--- a/callerconns/reset.go
+++ b/callerconns/reset.go
@@ -92,11 +92,12 @@
 }
 
 // Flush implements http.Flusher.
-func (w *guardedWriter) Flush() {
+func (w *guardedWriter) Flush() { _ = w.FlushError() }
+
+// FlushError is for http.ResponseController.
+func (w *guardedWriter) FlushError() error {
 	w.flushed = true
-	if f, ok := w.ResponseWriter.(http.Flusher); ok {
-		f.Flush()
-	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 // Unwrap is for http.ResponseController.
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -331,7 +331,7 @@
 		forwarded = true
 	}
 	if forwarded {
-		s.delivery.flush()
+		return s.delivery.flush()
 	}
 	return nil
 }
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -75,13 +76,6 @@
 	return n, err
 }
 
-// Flush implements http.Flusher.
-func (w *countingWriter) Flush() {
-	if f, ok := w.ResponseWriter.(http.Flusher); ok {
-		f.Flush()
-	}
-}
-
 // Unwrap is for http.ResponseController.
 func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
@@ -149,10 +143,13 @@
 	return nil
 }
 
-func (d *delivery) flush() {
-	if f, ok := d.w.(http.Flusher); ok {
-		f.Flush()
+// flush sends what was written. A writer that can't be flushed is no error.
+func (d *delivery) flush() error {
+	err := http.NewResponseController(d.w).Flush()
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
 	}
+	return err
 }
 
 // continues reports whether the answer may hold the rest of the one that was begun.
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -21,6 +21,11 @@
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
 )
 
+// unflushable is the writer of a caller whose connection has failed.
+type unflushable struct{ http.ResponseWriter }
+
+func (unflushable) FlushError() error { return net.ErrClosed }
+
 var _ = Describe("The relay of a stream", func() {
 	var (
 		f       *fixture
@@ -471,6 +476,16 @@
 		Expect(w.Body.String()).To(Equal(all(0, 2)))
 	})
 
+	// The caller's connection fails when the last events are flushed. They did not arrive, and
+	// the log must not call the request served.
+	It("does not take a stream for complete whose last events can't be flushed", func() {
+		startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, streamHead()+rawtarget.Chunk(all(0, 1))+rawtarget.LastChunk)
+		})
+		result := f.relay.Serve(context.Background(), request, unflushable{httptest.NewRecorder()})
+		Expect(result.Aborted).To(BeTrue())
+	})
+
 	// More streams break at once than the retry budget covers. Their callers must not wait in
 	// silence, to the end of their time, for a retry that comes after they have left.
 	It("waits for the retry budget no longer than the caller of a stream", func() {
