Log a request that is sent again on a new connection

Where an answer on a kept connection names no request, the request is sent a second time in one attempt; the log showed one send only. The line request_resent names the request, the target, the status that was not attributed and the time after the first send.

Before: the spec that now asks for the line fails. After: it passes.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -150,7 +150,7 @@
 		ID: c.item.ID, Route: c.route, Account: c.account,
 		HTTP: h1.Request{Method: http.MethodPost, URI: c.item.Path, Host: c.host, Header: ItemHeader(c.item.Headers), Body: body},
 	}
-	sender := relay.Sender{Wire: r.jobs.Wire, Pool: r.jobs.Pool}
+	sender := relay.Sender{Wire: r.jobs.Wire, Pool: r.jobs.Pool, Logger: r.jobs.Logger}
 	answer, verdict, err := sender.Send(ctx, request, run.target, relay.NoDeadline, p.lastEvent, h1.Options{
 		MaxIdle: p.nextMaxIdle(), Deadline: time.Now().Add(itemTimeout), MaxWait: itemFirstMaxWait, Record: &exchange,
 	})
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -105,7 +105,7 @@
 	if s.mayRetry() {
 		options.MaxWait = s.firstByteTimeout
 	}
-	sender := Sender{s.relay.Wire, s.relay.Pool}
+	sender := Sender{s.relay.Wire, s.relay.Pool, s.relay.Logger}
 	answer, verdict, err := sender.Send(ctx, s.request, t, time.Until(s.request.Deadline), s.delivery.position.last, options)
 	if err != nil {
 		return s.attemptFailed(ctx, err)
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -118,6 +118,8 @@
 	DescribeTable("does not take another request's error on a kept connection for the answer",
 		func(leftOver string, close bool) {
 			request.Route.MaxAttempts = 1
+			core, lines := observer.New(zap.InfoLevel)
+			r.Logger = zap.New(core)
 			startTargets(1, func(_ int, r *rawtarget.Request, c net.Conn) {
 				if r.Index == 1 {
 					rawtarget.Write(c, leftOver)
@@ -136,6 +138,7 @@
 			}
 			Expect(sent()).To(HaveLen(3))
 			Expect(sent()[2].Conn).NotTo(Equal(sent()[1].Conn))
+			Expect(lines.FilterMessage("request_resent").FilterField(zap.String("id", "r")).Len()).To(Equal(1))
 			Expect(view.FreeSlots("g", 0)).To(Equal(2))
 		},
 		Entry("500", rawtarget.Whole(500, "failed"), false),
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/target/h1"
@@ -17,8 +18,9 @@
 
 // Sender sends requests to targets.
 type Sender struct {
-	Wire Wire
-	Pool *h1.Pool
+	Wire   Wire
+	Pool   *h1.Pool
+	Logger *zap.Logger
 }
 
 // Send sends the request to the target and reads the head of the answer. left is the
@@ -39,6 +41,8 @@
 		return answer, verdict, err
 	}
 	unattributed := err
+	s.Logger.Info("request_resent", zap.String("id", r.ID), zap.String("target", t.ID), zap.Error(err),
+		zap.Int64("ms", time.Since(began).Milliseconds()))
 	o.MaxIdle = newConnectionOnly
 	if left != NoDeadline {
 		left = max(left-time.Since(began), time.Millisecond)
