Reserve three fifths of the log's ordinary lines for ends of requests

With 200 of 500 lines reserved, a daemon with two lines a request still lost ends from 250 requests a second on: both kinds shared the bound evenly. 300 are reserved now.

--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -25,9 +25,10 @@
 	ordinaryPerSecond = 500
 	urgentPerSecond   = 1000
 	// reservedPerSecond and reservedRing are the parts of ordinaryPerSecond and ordinaryRing
-	// that only the ends of requests may use: a request has several ordinary lines, and
-	// without its last one it can't be followed.
-	reservedPerSecond = 200
+	// that only the ends of requests may use: without its last line a request can't be
+	// followed. A request has one ordinary line or more besides, so that less than half
+	// of the bound would reserve nothing.
+	reservedPerSecond = 300
 	reservedRing      = 512
 	// reportInterval is the shortest time between two reports of dropped lines.
 	reportInterval = time.Second
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -76,6 +76,19 @@
 		Expect(writer.EndsDropped()).To(BeZero())
 	})
 
+	// A daemon serves more requests a second than the bound allows it to log with two lines each.
+	It("keeps the ends of requests before their other lines", func() {
+		out := &pipe{open: make(chan struct{})}
+		close(out.open)
+		logger, _, writer := logging.NewAsync(out, "info")
+		for i := range 290 {
+			logger.Info("request_sent", zap.Int("i", i))
+			logger.Info("request", zap.Int("i", i), logging.EndOfRequest())
+		}
+		writer.Close(limit)
+		Expect(strings.Count(out.text(), "event=request ")).To(Equal(290))
+	})
+
 	// The reports of dropped lines are not themselves bounded, and a flood of lines doubles.
 	It("reports dropped lines at most once a second, and when it closes", func() {
 		out := &pipe{open: make(chan struct{})}
