explain: print the end of a request behind its last attempt

A daemon writes warnings ahead of other lines, so that the end of a failed request often precedes its last attempt_failed in the log, with the same time. Lines of one millisecond are now printed with the end of the request last.

Spec (cli, "explain"): fails before, passes after.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -57,6 +58,14 @@
 	at, text string
 }
 
+// endRank is 1 for the end of a request, 0 for other lines.
+func (l matchedLine) endRank() int {
+	if strings.Contains(l.text, " event=request ") {
+		return 1
+	}
+	return 0
+}
+
 func (s *logMatches) read(name string, from io.Reader) error {
 	lines := bufio.NewScanner(from)
 	lines.Buffer(make([]byte, 64<<10), maxLine)
@@ -92,9 +101,12 @@
 }
 
 // print writes the lines sorted by time. Lines without a time come first, in the order
-// of the input.
+// of the input. Of lines of the same millisecond the end of a request is the last one: daemons
+// write warnings ahead of other lines.
 func (s *logMatches) print(to io.Writer) error {
-	slices.SortStableFunc(s.lines, func(x, y matchedLine) int { return strings.Compare(x.at, y.at) })
+	slices.SortStableFunc(s.lines, func(x, y matchedLine) int {
+		return cmp.Or(strings.Compare(x.at, y.at), cmp.Compare(x.endRank(), y.endRank()))
+	})
 	for _, l := range s.lines {
 		if _, err := fmt.Fprintln(to, printable(l.text)); err != nil {
 			return err
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -38,6 +38,18 @@
 		Expect(out).To(Equal(first + "\n" + second + "\n"))
 	})
 
+	// The last attempt fails and ends the request within a millisecond. The daemon writes the end, a
+	// warning, first, and the engineer takes the failure for a second one.
+	It("prints the end of a request behind its last attempt", func() {
+		const (
+			sent   = "ts=2026-01-01T00:00:01.000Z level=info event=request_sent id=x attempt=1\n"
+			failed = "ts=2026-01-01T00:00:01.250Z level=info event=attempt_failed id=x answer_end=cut\n"
+			end    = "ts=2026-01-01T00:00:01.250Z level=warn event=request id=x outcome=broken_off response=cut_off answer_end=cut\n"
+		)
+		_, out, _ := run(end+sent+failed, "x")
+		Expect(out).To(Equal(sent + failed + end))
+	})
+
 	It("reads standard input and matches whole values only", func() {
 		code, out, _ := run(other+"\n"+second+"\n", "j12")
 		Expect(code).To(Equal(cli.ExitOK))
