target: end the two batch calls of a spec one after the other

It ended a call that has the pool's only connection and one that waits for it with one cancellation. By reading: the first frees its connection, and the second gets one, if the cancellation reaches it only after that; the client does nothing wrong then.

The call that waits is ended first now, and which of the two is reached is checked as well.

--- a/target/engineclient_test.go
+++ b/target/engineclient_test.go
@@ -117,21 +117,21 @@
 		opts := target.DefaultClientOptions()
 		opts.BatchConnections = 1
 		c := target.NewEngineClient(opts)
-		batch, stop := context.WithCancel(target.WithUrgency(ctx, target.UrgencyBatch))
+		batch := target.WithUrgency(ctx, target.UrgencyBatch)
+		first, stopFirst := context.WithCancel(batch)
+		second, stopSecond := context.WithCancel(batch)
 		control(address, slow)
 		started, ended := make(chan struct{}, 1000), make(chan result, 2)
-		go func() { ended <- generate(batch, c, address, request("b1", "long"), func() { started <- struct{}{} }) }()
+		go func() { ended <- generate(first, c, address, request("b1", "long"), func() { started <- struct{}{} }) }()
 		Eventually(started, bound).Should(Receive())
-		go func() { ended <- generate(batch, c, address, request("b2", "long"), nil) }()
+		go func() { ended <- generate(second, c, address, request("b2", "long"), nil) }()
 		online := request("o", "hello")
 		online.MaxTokens = 1
 		Expect(generate(ctx, c, address, online, nil).err).NotTo(HaveOccurred())
-		stop()
-		reached := map[bool]int{}
-		for range 2 {
-			reached[target.FailureOf((<-ended).err).Reached]++
-		}
-		Expect(reached).To(Equal(map[bool]int{true: 1, false: 1}), "the second never left the pool's queue")
+		stopSecond()
+		Expect(target.FailureOf((<-ended).err).Reached).To(BeFalse(), "the second never left the pool's queue")
+		stopFirst()
+		Expect(target.FailureOf((<-ended).err).Reached).To(BeTrue())
 	})
 
 	It("cancels the stream when the sink fails, and returns the sink's error", func() {
