target: tell an answer of another call by its ID

Cause: nothing in an answer named its request, and connections were kept.

An answer with another ID, or without one on a connection that has served a call, is a violation of the contract that may have run, and the connection is closed. A target that isn't known to echo the ID gets Connection: close, so that a late answer has no call to be taken for. That costs such targets a connection for each call, and each other one its first.

The spec of executions on a reused connection warms up with two calls, since the first connection is not kept.

--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/target"
 )
 
 // Server is a simulated engine.
@@ -78,7 +80,7 @@
 	mux.HandleFunc("GET /record", s.handleRecord)
 	mux.HandleFunc("GET /stats", s.handleStats)
 	mux.HandleFunc("PUT /control", s.handleControl)
-	return mux
+	return target.EchoCallID(mux)
 }
 
 // injectFaults wraps a handler with the injected faults: it aborts the connection
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"tarragonhollow.example/tarragonhollow/target"
 )
 
 var (
@@ -88,7 +90,7 @@
 	mux.HandleFunc("PUT /control", s.handleControl)
 	mux.HandleFunc("GET /health", s.injectFaults(s.handleHealth))
 	mux.HandleFunc("/", s.injectFaults(s.handleCall))
-	return mux
+	return target.EchoCallID(mux)
 }
 
 // injectFaults wraps a handler with the injected faults: it aborts the connection
--- a/target/client.go
+++ b/target/client.go
@@ -59,6 +59,7 @@
 // pools holds one connection pool for each kind of call.
 type pools struct {
 	opts    ClientOptions
+	calls   *callIDs
 	online  *http.Transport
 	batch   *http.Transport
 	control *http.Transport
@@ -67,6 +68,7 @@
 func newPools(o ClientOptions) *pools {
 	return &pools{
 		opts:    o,
+		calls:   newCallIDs(),
 		online:  newTransport(o, o.OnlineConnections),
 		batch:   newTransport(o, o.BatchConnections),
 		control: newTransport(o, controlConnections),
@@ -121,18 +123,20 @@
 //
 // It uses the transport's RoundTrip, not http.Client, because a client would
 // follow a redirect with a second request.
-func send(ctx context.Context, tr *http.Transport, c call) (*http.Response, error) {
+func (p *pools) send(ctx context.Context, tr *http.Transport, c call) (*http.Response, error) {
 	u, err := url.Parse("http://" + c.address + c.path)
 	if err != nil || !strings.HasPrefix(c.path, "/") {
 		return nil, &Failure{Rejected: true, Detail: "bad path " + c.path, Err: ProtocolError.New("bad path %q", c.path)}
 	}
 	var connected atomic.Bool
+	var got httptrace.GotConnInfo
 	var check *startCheck
 	if fn := StartCheckFrom(ctx); fn != nil {
 		check = &startCheck{check: fn}
 	}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			got = info
 			connected.Store(true)
 			if conn, ok := info.Conn.(*checkedConn); ok {
 				conn.expect(check)
@@ -143,11 +147,14 @@
 		Method: c.method, URL: u, Host: c.address, Header: c.header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: &singleUseBody{reader: bytes.NewReader(c.body)}, ContentLength: int64(len(c.body)),
+		Close: !p.calls.mayReuse(c.address),
 	}).WithContext(traced)
 	if r.Header == nil {
 		r.Header = http.Header{}
 	}
 	setContextHeaders(ctx, r.Header)
+	id := p.calls.next()
+	r.Header.Set(HeaderCallID, id)
 	resp, err := tr.RoundTrip(r)
 	if err != nil {
 		if failed := check.failure(); failed != nil {
@@ -155,6 +162,13 @@
 		}
 		return nil, transportFailure(ctx, c.address, connected.Load(), err)
 	}
+	if failure := p.calls.check(c.address, id, resp, got.Reused); failure != nil {
+		_ = resp.Body.Close()
+		// The transport may keep the connection of an answer without a body, and what else
+		// waits on it is not the answer of a later call either.
+		_ = got.Conn.Close()
+		return nil, failure
+	}
 	return resp, nil
 }
 
--- a/target/engineclient.go
+++ b/target/engineclient.go
@@ -33,7 +33,7 @@
 	}
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := send(streamCtx, c.byUrgency(ctx), jsonCall(http.MethodPost, address, "/v1/chat/completions", body))
+	resp, err := c.send(streamCtx, c.byUrgency(ctx), jsonCall(http.MethodPost, address, "/v1/chat/completions", body))
 	if err != nil {
 		return Finish{}, err
 	}
@@ -127,7 +127,7 @@
 func (c *EngineClient) callControl(ctx context.Context, out call, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
 	defer cancel()
-	resp, err := send(ctx, c.control, out)
+	resp, err := c.send(ctx, c.control, out)
 	if err != nil {
 		return err
 	}
--- a/target/headers.go
+++ b/target/headers.go
@@ -10,6 +10,9 @@
 	HeaderKey = "Idempotency-Key"
 	// HeaderUrgency carries the request's urgency to the target.
 	HeaderUrgency = "Tarragon-Urgency"
+	// HeaderCallID names the call. A target that echoes it in its answer may get further
+	// calls on the same connection.
+	HeaderCallID = "Tarragon-Call-Id"
 	// HeaderRun is set to RunNotRun by a target when it refuses a request that it
 	// has certainly not executed.
 	HeaderRun = "Tarragon-Run"
--- a/target/serviceclient.go
+++ b/target/serviceclient.go
@@ -40,7 +40,7 @@
 // can be passed on. A 503 counts as Busy only if it carries HeaderRun: a proxy in
 // front of a service may answer 503 for a call that the service has executed.
 func (c *ServiceClient) Call(ctx context.Context, address string, req ServiceRequest) (ServiceResponse, error) {
-	resp, err := send(ctx, c.byUrgency(ctx), call{
+	resp, err := c.send(ctx, c.byUrgency(ctx), call{
 		method: req.Method, address: address, path: req.Path, header: endToEnd(req.Header), body: req.Body,
 	})
 	if err != nil {
@@ -58,6 +58,7 @@
 		return ServiceResponse{}, err
 	}
 	answer := ServiceResponse{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}
+	answer.Header.Del(HeaderCallID)
 	if resp.StatusCode < http.StatusBadRequest {
 		return answer, nil
 	}
@@ -89,7 +90,7 @@
 func (c *ServiceClient) Health(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
 	defer cancel()
-	resp, err := send(ctx, c.control, call{method: http.MethodGet, address: address, path: "/health"})
+	resp, err := c.send(ctx, c.control, call{method: http.MethodGet, address: address, path: "/health"})
 	if err != nil {
 		return err
 	}
--- a/target/serviceclient_test.go
+++ b/target/serviceclient_test.go
@@ -29,10 +29,12 @@
 	DescribeTable("a call that is executed and then cut on a reused connection", func(method string, body []byte) {
 		s, address := startService()
 		c := client()
-		_, err := c.Call(context.Background(), address, warmUp)
-		Expect(err).NotTo(HaveOccurred())
+		for range 2 { // the connection of the first call to an address is not kept
+			_, err := c.Call(context.Background(), address, warmUp)
+			Expect(err).NotTo(HaveOccurred())
+		}
 		control(address, `{"answer_lost":1}`)
-		_, err = c.Call(ctx, address, target.ServiceRequest{Method: method, Path: "/orders", Body: body})
+		_, err := c.Call(ctx, address, target.ServiceRequest{Method: method, Path: "/orders", Body: body})
 		Expect(s.Record().Executions).To(Equal(map[string]int{"order-1": 1}))
 		f := target.FailureOf(err)
 		Expect([]bool{f.Reached, f.Crashed}).To(Equal([]bool{true, true}))
--- a/target/startcheck_test.go
+++ b/target/startcheck_test.go
@@ -17,7 +17,7 @@
 	// not send any more.
 	It("writes nothing and says so, on a new and on a kept connection", func() {
 		service, err := rawtarget.Start(func(r *rawtarget.Request, c net.Conn) {
-			rawtarget.Write(c, rawtarget.Whole(200, r.URI))
+			rawtarget.Write(c, rawtarget.Whole(200, r.URI, target.HeaderCallID+": "+r.Header.Get(target.HeaderCallID)))
 		})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(service.Close)
@@ -29,7 +29,7 @@
 			_, err := client.Call(ctx, service.Address, target.ServiceRequest{Method: "POST", Path: path, Body: []byte("x")})
 			return err
 		}
-		for range 2 {
+		for range 3 {
 			failure := target.FailureOf(call("/late", tooLate))
 			Expect(failure).NotTo(BeNil())
 			Expect(failure.Reached).To(BeFalse())
@@ -40,6 +40,6 @@
 		for _, r := range service.Requests() {
 			Expect(r.URI).To(Equal("/orders"))
 		}
-		Expect(service.Requests()).To(HaveLen(2))
+		Expect(service.Requests()).To(HaveLen(3))
 	})
 })
