jobs: show that a stale holder reads the log before it says that nothing is new

Suspected: a daemon that lost its partition and has not heard of it answers a read of results as if there were no more. It does not: a position without a result is only answered as empty if the partition was read to its end in the last 300 ms, whoever holds it, and 404 only after the acceptances were read. What it has is a prefix of what the log has, and total comes from the acceptance, so a short page never looks like the whole.

Also plainer comments in the spec of a suspended owner.

--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -804,6 +804,21 @@
 		Expect(v.Results).To(Equal(returned))
 	})
 
+	// A daemon that held the job's partition has not heard that another one does now, and that
+	// one has written and returned a result.
+	It("does not say that a position is empty at a daemon that lost its partition", func() {
+		log.SetNotificationsLost(true)
+		a, _ := daemon("a", allPartitions{log})
+		views["a"].Update(func(now time.Time, r *roster.Roster) { r.Replace(now, nil) }) // it runs no items
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		b, _ := daemon("b", allPartitions{log})
+		returned := all(b, "j")
+		time.Sleep(300 * time.Millisecond) // for which a daemon may answer from its last read
+		v, refusal := a.Read(ctx(), "", "j", 0, 10*time.Millisecond)
+		Expect(refusal).To(BeNil())
+		Expect(v.Results).To(Equal(returned))
+	})
+
 	// The daemon that holds a job's partition is cut off from the others, or has crashed.
 	// Its results must still be readable, at the same positions.
 	It("reads results from the log when their holder can't be reached", func() {
--- a/daemon/shards/stale_test.go
+++ b/daemon/shards/stale_test.go
@@ -14,8 +14,8 @@
 	"tarragonhollow.example/tarragonhollow/extern"
 )
 
-// suspension stands for a suspended daemon: its clock is ahead of the time that it knows of, and
-// what it reads and appends waits until the suspension ends.
+// suspension is a daemon's log and clock, with which a suspension of its process is simulated:
+// calls of the log wait from begin until over is closed, and wake moves the clock.
 type suspension struct {
 	extern.Log
 	skipped atomic.Int64
@@ -25,11 +25,11 @@
 
 func (s *suspension) now() time.Time { return time.Now().Add(time.Duration(s.skipped.Load())) }
 
-// begin suspends the daemon.
+// begin suspends the daemon's calls of the log.
 func (s *suspension) begin() { s.active.Store(true) }
 
-// wake lets the daemon go on, after the given time, with what had not reached it yet still
-// on its way until over is closed.
+// wake moves the daemon's clock by the time that the suspension took. What the log has for the
+// daemon reaches it once over is closed.
 func (s *suspension) wake(after time.Duration) { s.skipped.Store(int64(after)) }
 
 func (s *suspension) wait(ctx context.Context) {
