A stream that its caller resumes is not completed by a run that is behind

A caller that resumes its stream itself (Last-Event-Id) could receive it as complete before its last event: its target starts over and ends, in the regular way, at an event that the caller already has. Only streams that the daemon itself had resumed knew what the caller has. The relay now starts at the caller's own position: a run that starts over is forwarded from there on, one that ends before it completes nothing, and the next target is asked for what follows.

IDs above 1 are still not taken for consecutive, so a gap right behind the caller's position is forwarded as before.

--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -58,9 +58,9 @@
 	body    []byte
 }
 
-func newDelivery(w http.ResponseWriter) *delivery {
+func newDelivery(w http.ResponseWriter, p position) *delivery {
 	counted := &countingWriter{ResponseWriter: w}
-	return &delivery{w: counted, sent: counted, position: newPosition()}
+	return &delivery{w: counted, sent: counted, position: p}
 }
 
 // countingWriter counts the bytes of a body.
--- a/daemon/relay/position.go
+++ b/daemon/relay/position.go
@@ -1,6 +1,9 @@
 package relay
 
-import "tarragonhollow.example/tarragonhollow/target/sse"
+import (
+	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/target/sse"
+)
 
 // placement is where an event of a target's run belongs in the caller's stream.
 type placement int
@@ -23,8 +26,8 @@
 
 // position is how far a caller's stream has come, and how far the current target's run.
 type position struct {
-	// first and last are the IDs of the first and the last event that were forwarded, or
-	// NoEvent.
+	// first and last are the IDs of the first and the last event that the caller is known to have,
+	// or NoEvent.
 	first, last int64
 	// beginsUnnumbered reports that the stream began with an event without ID.
 	beginsUnnumbered bool
@@ -45,6 +48,17 @@
 	return position{last: NoEvent, first: NoEvent, runLast: NoEvent}
 }
 
+// position returns how far the caller's stream has come when the request arrives. A target that
+// starts over is then known to be behind what the caller has, as in a stream that this daemon
+// resumes.
+func (r *Request) position() position {
+	p := newPosition()
+	if r.Resumes && r.Route.Kind == route.Stream && r.Route.Repeatable() {
+		p.first, p.last = r.After, r.After
+	}
+	return p
+}
+
 // beginRun begins the run of another target.
 func (p *position) beginRun() { p.runLast, p.runJoined = NoEvent, false }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -60,6 +60,9 @@
 	PromptTokens, OutputTokens int64
 	// HTTP is the request as the caller sent it, without hop-by-hop headers.
 	HTTP h1.Request
+	// Resumes reports that the caller has the events up to After, and asks for what follows.
+	Resumes bool
+	After   int64
 	// Arrived is when the request was read, Deadline when the caller stops waiting.
 	Arrived, Deadline time.Time
 	// Memory bounds the buffered bytes of the answer; nil for no bound.
@@ -192,7 +195,7 @@
 	r.budget.CountFirst()
 	r.mu.Unlock()
 	content := contentHash(&request.HTTP)
-	state := &requestState{relay: r, request: request, delivery: newDelivery(w), excluded: map[string]bool{},
+	state := &requestState{relay: r, request: request, delivery: newDelivery(w, request.position()), excluded: map[string]bool{},
 		content: content, fingerprint: formatFingerprint(content), answer: answerSeen{firstEvent: NoEvent}}
 	panicked := true
 	defer func() {
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -169,6 +169,26 @@
 		Expect(w.Body.String()).To(Equal(all(0, 7)))
 	})
 
+	// A caller goes on with its stream itself, and the target starts over: its end at an event that
+	// the caller has is not the stream's, and the caller must not get those events again.
+	DescribeTable("knows how far the caller that resumes its stream has come",
+		func(answer, got string, complete bool) {
+			request.Route.MaxAttempts = 1
+			request.Resumes, request.After = true, 3
+			startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, streamHead()+answer+rawtarget.LastChunk)
+			})
+			w, result := serve()
+			Expect(sent()[0].Header.Get("After")).To(Equal("3"))
+			Expect(w.Body.String()).To(Equal(got))
+			Expect(!result.Aborted && result.Refusal == nil).To(Equal(complete))
+		},
+		Entry("a rest", events(4, 6), all(4, 6), true),
+		Entry("an empty rest", "", "", true),
+		Entry("a run from the start", events(0, 6), all(4, 6), true),
+		Entry("a run from the start that ends before the caller's last event", events(0, 2), "", false),
+	)
+
 	// A stream breaks off, and the target that is to go on with it starts over and ends before the
 	// caller's last event. Its end says nothing of what follows that event.
 	DescribeTable("does not take the end of a run for the stream's that ends before the caller's last event",
