Log that a target was gone after the end of its unframed answer

An unframed answer whose target accepts no connections afterwards is not taken for complete, but its lines had answer_end=connection_end like one that is.

Spec (daemon/relay, "The log lines of a request"): fails before, passes after.

--- a/daemon/relay/answerseen_test.go
+++ b/daemon/relay/answerseen_test.go
@@ -92,6 +92,20 @@
 		}
 	})
 
+	// A killed target's kernel ends an answer without framing like the target itself.
+	It("tell that the target was gone after the end of its connection", func() {
+		f.startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, unframedHead()+plain(0, 1))
+			go f.targets[0].Close()
+			_ = c.Close()
+		})
+		f.serve()
+		for _, event := range []string{"attempt_failed", "request"} {
+			Expect(fieldsOf(event)).To(HaveKeyWithValue("answer_end", "target_gone"))
+		}
+		Expect(fieldsOf("request")).To(HaveKeyWithValue("response", "cut_off"))
+	})
+
 	It("tell that the connection to the target was reused", func() {
 		f.request.Route.Kind = route.Idempotent
 		f.startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) { rawtarget.Write(c, rawtarget.Whole(200, "x", idHeader)) })
--- a/target/h1/ending.go
+++ b/target/h1/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"tarragonhollow.example/tarragonhollow/target/sockets"
@@ -17,6 +18,9 @@
 		return a.pool.Reachable(ctx, a.conn.address, DialTimeout)
 	})
 	if err != nil {
+		if errors.Is(err, sockets.ErrGone) {
+			a.record.End = EndTargetGone
+		}
 		return Broken.Wrap(err, "%s", a.conn.address)
 	}
 	return nil
--- a/target/h1/record.go
+++ b/target/h1/record.go
@@ -22,6 +22,9 @@
 	// EndConnection is the orderly end of the connection after an unframed answer. It may be
 	// the end of the answer or that of its target.
 	EndConnection End = "connection_end"
+	// EndTargetGone is EndConnection where the target accepts no connections any more; see
+	// Answer.ConfirmEnd.
+	EndTargetGone End = "target_gone"
 	// EndCut is the orderly end of the connection before the end of the answer.
 	EndCut End = "cut"
 	// EndReset is a connection that was reset.
