Flaky targets: errors that name no request, ends at the deadline

Two of the kinds of answers that were complete become faults: a complete answer that an error without an ID follows, at once or where the next answer is due, and a part of a stream that ends in the regular way when the time given to the target is over.

With the relay changed on a trial to accept errors without an ID on every connection, callers receive "whose" as their answer; changed to accept ends at the deadline, parts as complete.

--- a/daemon/relay/flaky_test.go
+++ b/daemon/relay/flaky_test.go
@@ -79,9 +79,21 @@
 	f.runs[id]++
 	f.mu.Unlock()
 	some := next + random.IntN(flakyEvents-next+1)
+	if left, err := strconv.Atoi(r.Header.Get("Left")); err == nil && kind == 18 {
+		endAtDeadline(own, span(next, some-1), time.Duration(left)*time.Millisecond, c)
+		return
+	}
 	f.run(kind, own, span(next, some-1), span(some, flakyEvents-1), random, c)
 }
 
+// endAtDeadline sends events and ends the answer in the regular way when its time is over.
+func endAtDeadline(own string, begin []int, left time.Duration, c net.Conn) {
+	over := time.Now().Add(left - clockError)
+	rawtarget.Write(c, rawtarget.Head(200, own, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")+chunked(begin...))
+	time.Sleep(time.Until(over))
+	rawtarget.Write(c, rawtarget.LastChunk)
+}
+
 // run answers with the events of begin and rest, or fails after begin.
 func (f *flakyTarget) run(kind int, own string, begin, rest []int, random *rand.Rand, c net.Conn) {
 	events := "Content-Type: text/event-stream"
@@ -136,6 +148,10 @@
 			whole = whole[1:]
 		}
 		rawtarget.Write(c, framed+chunked(whole...)+rawtarget.LastChunk)
+	case 17: // an error that names no request follows, also where the next answer is due
+		rawtarget.Write(c, framed+chunked(whole...)+rawtarget.LastChunk)
+		time.Sleep(time.Duration(random.IntN(8)) * time.Millisecond)
+		rawtarget.Write(c, rawtarget.Whole(500, "whose"))
 	default:
 		rawtarget.Write(c, framed+chunked(whole...)+rawtarget.LastChunk)
 	}
