--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -25,7 +25,6 @@
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
-	"tarragonhollow.example/tarragonhollow/logging"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 	"tarragonhollow.example/tarragonhollow/target/sse"
 )
@@ -140,51 +139,6 @@
 
 func (r *Relay) stopping() bool { return r.Stopping != nil && r.Stopping() }
 
-// firstByteTimeout returns how long a request in the slot waits for the first byte of its
-// answer.
-func (r *Relay) firstByteTimeout(group string, slot places.Slot) time.Duration {
-	if slot.Running >= slot.Slots {
-		return retry.LongestWait // it may queue
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.groupFirstByteStats(group).MaxWait()
-}
-
-// usualFirstByte returns the time within which nearly all answers of a group begin, 0 for
-// unknown.
-func (r *Relay) usualFirstByte(group string) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.groupFirstByteStats(group).Usual()
-}
-
-// noteFirstByte records the time to the first byte of an answer.
-func (r *Relay) noteFirstByte(group string, took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.groupFirstByteStats(group).Answered(took)
-}
-
-// noteFirstByteTimeout records an attempt that was given up after timeout without a first
-// byte.
-func (r *Relay) noteFirstByteTimeout(group string, timeout time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.groupFirstByteStats(group).TimedOut(timeout)
-}
-
-// groupFirstByteStats returns the first-byte statistics of a target group. The caller holds
-// r.mu.
-func (r *Relay) groupFirstByteStats(group string) *retry.WaitEstimator {
-	s := r.firstByteStats[group]
-	if s == nil {
-		s = &retry.WaitEstimator{}
-		r.firstByteStats[group] = s
-	}
-	return s
-}
-
 // Serve answers the request on w. If it wrote nothing and the caller is still connected,
 // Result.Refusal is the answer to be written. Result.Aborted reports that an answer was
 // begun but cannot be completed; the connection must then be broken.
@@ -477,44 +431,3 @@
 	refusal := outcome.Refuse(outcome.DeadlineExceeded, "no answer within %s", s.request.Deadline.Sub(s.request.Arrived))
 	return s.refuse(refusal)
 }
-
-// recordEnd logs the end of a request and updates its metrics.
-func (r *Relay) recordEnd(request *Request, state *requestState, result Result, panicked bool) {
-	took := time.Since(request.Arrived)
-	outcomeLabel := "served"
-	switch {
-	case panicked:
-		outcomeLabel = "panic"
-	case result.CallerLeft:
-		outcomeLabel = "caller_left"
-	case result.Aborted:
-		outcomeLabel = "broken_off"
-	case result.Refusal != nil:
-		outcomeLabel = string(result.Refusal.Code)
-	}
-	r.meter.observe(request.Route.Kind, outcomeLabel, took, state.timeToFirstByte)
-	if outcomeLabel == "served" {
-		r.meter.countAnswer(request.Route.Kind, state.answer)
-	}
-	fields := []zap.Field{
-		zap.String("id", request.ID), zap.String("account", request.Account), zap.String("route", request.Route.Name), zap.String("group", state.groupName),
-		zap.Int64("objective_ms", request.Route.Objective.Milliseconds()), zap.String("outcome", outcomeLabel),
-		zap.Int("status", state.delivery.status), zap.Int("runs", state.runs), zap.Int("refusals", state.rejections),
-		zap.String("target", state.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
-		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.position.last),
-		zap.String("response", state.responseEnd(result)), zap.Int("events", state.delivery.events), zap.Int64("bytes", state.delivery.sent.bytes),
-	}
-	fields = append(fields, state.answerFields()...)
-	if result.Refusal != nil {
-		fields = append(fields, zap.String("run", string(result.Refusal.Run)), zap.Int64("retry_after_ms", result.Refusal.RetryAfterMs),
-			zap.String("reason", result.Refusal.Message))
-	}
-	if state.lastFailure != "" {
-		fields = append(fields, zap.String("cause", state.lastFailure))
-	}
-	if outcomeLabel == "served" {
-		r.Logger.Info("request", append(fields, logging.EndOfRequest())...)
-		return
-	}
-	r.Logger.Warn("request", fields...)
-}
--- a/daemon/relay/answerseen.go
+++ b/daemon/relay/requestlog.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/logging"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
@@ -63,3 +64,44 @@
 		return "none"
 	}
 }
+
+// recordEnd logs the end of a request and updates its metrics.
+func (r *Relay) recordEnd(request *Request, state *requestState, result Result, panicked bool) {
+	took := time.Since(request.Arrived)
+	outcomeLabel := "served"
+	switch {
+	case panicked:
+		outcomeLabel = "panic"
+	case result.CallerLeft:
+		outcomeLabel = "caller_left"
+	case result.Aborted:
+		outcomeLabel = "broken_off"
+	case result.Refusal != nil:
+		outcomeLabel = string(result.Refusal.Code)
+	}
+	r.meter.observe(request.Route.Kind, outcomeLabel, took, state.timeToFirstByte)
+	if outcomeLabel == "served" {
+		r.meter.countAnswer(request.Route.Kind, state.answer)
+	}
+	fields := []zap.Field{
+		zap.String("id", request.ID), zap.String("account", request.Account), zap.String("route", request.Route.Name), zap.String("group", state.groupName),
+		zap.Int64("objective_ms", request.Route.Objective.Milliseconds()), zap.String("outcome", outcomeLabel),
+		zap.Int("status", state.delivery.status), zap.Int("runs", state.runs), zap.Int("refusals", state.rejections),
+		zap.String("target", state.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
+		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.position.last),
+		zap.String("response", state.responseEnd(result)), zap.Int("events", state.delivery.events), zap.Int64("bytes", state.delivery.sent.bytes),
+	}
+	fields = append(fields, state.answerFields()...)
+	if result.Refusal != nil {
+		fields = append(fields, zap.String("run", string(result.Refusal.Run)), zap.Int64("retry_after_ms", result.Refusal.RetryAfterMs),
+			zap.String("reason", result.Refusal.Message))
+	}
+	if state.lastFailure != "" {
+		fields = append(fields, zap.String("cause", state.lastFailure))
+	}
+	if outcomeLabel == "served" {
+		r.Logger.Info("request", append(fields, logging.EndOfRequest())...)
+		return
+	}
+	r.Logger.Warn("request", fields...)
+}
