Spec of a silent target: each request has its own deadline

The spec took 5.2 s, and all of its requests shared one deadline 5 s after its start, so that the last ones were refused as late. Each request now has 5 s; the checks are the same.

--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -501,6 +501,12 @@
 			writeAnswer(c)
 		})
 		request.Route.Kind, request.Route.MaxAttempts = route.NonIdempotent, 1
+		serve := func() (*httptest.ResponseRecorder, relay.Result) {
+			next := *request
+			next.Arrived, next.Deadline = time.Now(), time.Now().Add(timeout)
+			w := httptest.NewRecorder()
+			return w, r.Serve(context.Background(), &next, w)
+		}
 		for range 40 {
 			serve()
 		}
