Log targets' software versions and which requests resume a stream

The logs couldn't tell whether a stream of two versions was joined within one answer or by a caller that resumed it: no line named a target's version, nor the Resumes and Last-Event-Id of a request. The roster now keeps an entry's version, grants carry it to holders that don't know the target, and request_sent, request and target_in log it.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -44,6 +44,8 @@
 	Address string
 	// Zone is the target's availability zone.
 	Zone string
+	// Version is the version of the target's software, "" if it is not known.
+	Version string
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Draining targets get no new work.
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -45,11 +45,12 @@
 	Start string
 	// Slots is how many requests it runs at once.
 	Slots int
-	// ID, Born, Address and Zone describe the target to a holder that does not know it;
-	// see roster.Target.
+	// ID, Born, Address, Zone and Version describe the target to a holder that does not
+	// know it; see roster.Target.
 	ID            string
 	Born          int64
 	Address, Zone string
+	Version       string
 }
 
 // ID identifies a lease: the peer address of its holder, and a number that the holder
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -197,7 +197,7 @@
 		next[t.Start] = t
 		if _, known := p.eligible[t.Start]; !known && !first {
 			p.logger.Info("target_in", zap.String("target", t.ID), zap.Int64("born", t.Born), zap.String("group", t.Group),
-				zap.String("address", t.Address), zap.String("zone", t.Zone))
+				zap.String("address", t.Address), zap.String("zone", t.Zone), zap.String("version", t.Version))
 		}
 	}
 	var removed []roster.Target
@@ -246,7 +246,7 @@
 	list := map[string][]slots.Target{}
 	for _, t := range usable {
 		if t.Zone == p.zone {
-			list[t.Group] = append(list[t.Group], slots.Target{Start: string(t.Start), Slots: t.Slots, ID: t.ID, Born: t.Born, Address: t.Address, Zone: t.Zone})
+			list[t.Group] = append(list[t.Group], slots.Target{Start: string(t.Start), Slots: t.Slots, ID: t.ID, Born: t.Born, Address: t.Address, Zone: t.Zone, Version: t.Version})
 		}
 	}
 	return list
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -62,6 +62,9 @@
 	// Resumes reports that the caller has the events up to After, and asks for what follows.
 	Resumes bool
 	After   int64
+	// StreamID is the ID of the request whose response brought the first event of the stream
+	// that the caller resumes, "" if the caller names none.
+	StreamID string
 	// Arrived is when the request was read, Deadline when the caller stops waiting.
 	Arrived, Deadline time.Time
 	// Memory bounds the buffered bytes of the answer; nil for no bound.
@@ -296,6 +299,7 @@
 // the request's final log line, this line still shows where the request was.
 func (s *requestState) logSent(slot places.Slot) {
 	s.relay.Logger.Info("request_sent", zap.String("id", s.request.ID), zap.String("target", slot.ID), zap.String("zone", slot.Zone),
+		zap.String("version", slot.Version), zap.String("stream", s.request.StreamID), zap.Int64("resumed_after", s.request.resumedAfter()),
 		zap.Int("attempt", s.runs+s.rejections+1), zap.Int("running_there", slot.Running), zap.Int64("heard_ms", slot.LoadReportAge.Milliseconds()),
 		zap.String("by", slot.GrantedBy),
 		zap.Int64("left_ms", time.Until(s.request.Deadline).Milliseconds()))
--- a/daemon/relay/requestlog.go
+++ b/daemon/relay/requestlog.go
@@ -31,6 +31,15 @@
 		zap.String("answer_end", string(r.End)), zap.Bool("connection_reused", r.Reused)}
 }
 
+// resumedAfter returns the ID of the last event that the caller had when it sent the request, or
+// NoEvent.
+func (r *Request) resumedAfter() int64 {
+	if !r.Resumes {
+		return NoEvent
+	}
+	return r.After
+}
+
 // leftMs returns the time to the deadline at the end of the last attempt's answer, or now if
 // there was none. It is rounded down: a negative number is an end after the deadline.
 func (s *requestState) leftMs() int64 {
@@ -87,7 +96,8 @@
 		zap.String("id", request.ID), zap.String("account", request.Account), zap.String("route", request.Route.Name), zap.String("group", state.groupName),
 		zap.Int64("objective_ms", request.Route.Objective.Milliseconds()), zap.String("outcome", outcomeLabel),
 		zap.Int("status", state.delivery.status), zap.Int("runs", state.runs), zap.Int("refusals", state.rejections),
-		zap.String("target", state.lastTarget.ID), zap.Int64("ms", took.Milliseconds()),
+		zap.String("target", state.lastTarget.ID), zap.String("version", state.lastTarget.Version),
+		zap.String("stream", request.StreamID), zap.Int64("resumed_after", request.resumedAfter()), zap.Int64("ms", took.Milliseconds()),
 		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.position.last),
 		zap.String("response", state.responseEnd(result)), zap.Int("events", state.delivery.events), zap.Int64("bytes", state.delivery.sent.bytes),
 	}
