Record which software versions each group's targets have had

A stream may go on only at the version that began it, so a daemon has to know whether a group's targets have had one version throughout the time in which a caller may resume a stream. Places records the versions in all entries, draining ones included, and since when without interruption; in a large zone the readers of the log pass on which groups have had several.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -66,6 +66,10 @@
 	deferred   map[string]pendingChange
 	lastAnswer time.Time
 	graceEnds  time.Time
+	// loadedAt is when all entries were last replaced at once.
+	loadedAt time.Time
+	// adopted is set while the entries are those that another daemon uses.
+	adopted bool
 	// sampled is set while the entries are a sample that another daemon chose.
 	sampled bool
 	// version counts the changes of what Usable returns, other than those due to time
@@ -162,6 +166,7 @@
 // Replace applies all entries at once, as read after a gap in the changes. invalid lists
 // the IDs whose entry names no usable target.
 func (r *Roster) Replace(now time.Time, all []Target, invalid ...string) {
+	r.loadedAt, r.adopted = now, false
 	if r.sampled {
 		r.sampled = false
 		r.version++
@@ -195,7 +200,7 @@
 	clear(r.expired)
 	clear(r.deferred)
 	clear(r.vanished)
-	r.lastAnswer = at
+	r.lastAnswer, r.loadedAt, r.adopted = at, at, true
 	r.sampled = !complete
 	r.version++
 }
@@ -217,6 +222,34 @@
 // Complete reports whether all targets that matter here are known, and not only a sample.
 func (r *Roster) Complete() bool { return r.Known() && !r.sampled }
 
+// Adopted reports whether the entries are those that another daemon uses.
+func (r *Roster) Adopted() bool { return r.adopted }
+
+// LoadedAt returns when all entries were last replaced at once. What came and went before is
+// not known.
+func (r *Roster) LoadedAt() time.Time { return r.loadedAt }
+
+// Versions returns the software versions in all entries, including those of targets that get
+// no new work, by group.
+func (r *Roster) Versions() map[string]map[string]bool {
+	versions := map[string]map[string]bool{}
+	add := func(t Target) {
+		if versions[t.Group] == nil {
+			versions[t.Group] = map[string]bool{}
+		}
+		versions[t.Group][t.Version] = true
+	}
+	for _, t := range r.entries {
+		add(t)
+	}
+	for _, pending := range []map[string]pendingChange{r.expired, r.deferred} {
+		for _, c := range pending {
+			add(c.target)
+		}
+	}
+	return versions
+}
+
 // Len returns the number of entries.
 func (r *Roster) Len() int { return len(r.entries) }
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -206,3 +206,19 @@
 		Expect(ids(r, back.Add(roster.ReturnGrace))).To(Equal([]string{"c"}))
 	})
 })
+
+var _ = Describe("The versions of a roster's targets", func() {
+	// A version whose targets all drain, or lapsed in an outage of the store, is taken for gone.
+	It("include those of targets that get no new work", func() {
+		now := time.Unix(1_800_000_000, 0)
+		r := roster.New()
+		r.StoreAnswered(now)
+		r.Replace(now, []roster.Target{
+			{ID: "a", Group: "g", Version: "v1", Draining: true}, {ID: "b", Group: "g", Version: "v2"}, {ID: "c", Group: "g", Version: "v3"},
+		})
+		now = now.Add(time.Minute)
+		r.StoreAnswered(now)
+		r.Remove(now, "c")
+		Expect(r.Versions()).To(Equal(map[string]map[string]bool{"g": {"v1": true, "v2": true, "v3": true}}))
+	})
+})
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -62,6 +62,7 @@
 	Sample(holder string, wholeZone bool, ids []string) (places.Sample, bool)
 	TargetsChanged() <-chan struct{}
 	Adopt(at time.Time, targets []roster.Target, wholeZone bool)
+	AdoptVersions(at time.Time, several []string, throughout bool)
 	Confirm(at time.Time, started map[string]roster.Start)
 	BusyTargets() []string
 	TargetsAge(now time.Time) (age time.Duration, complete bool)
--- a/daemon/feed/serve.go
+++ b/daemon/feed/serve.go
@@ -63,6 +63,10 @@
 	TargetsAgeMs int64
 	// Total is the number of targets.
 	Total int
+	// Several and VersionsKnown are what is known of the targets' versions; see
+	// places.Sample.
+	Several       []string
+	VersionsKnown bool
 	// HeldMs is how long the request was held open, in milliseconds.
 	HeldMs int64
 }
@@ -142,6 +146,7 @@
 
 func (r *ViewReply) setSample(s places.Sample, held uint64) {
 	r.Sampled, r.Digest, r.Started, r.Total, r.TargetsAgeMs = true, digest(s.Targets), s.Started, s.Total, s.Age.Milliseconds()
+	r.Several, r.VersionsKnown = s.Several, s.VersionsKnown
 	if r.Digest != held {
 		r.Targets = s.Targets
 	}
@@ -152,7 +157,7 @@
 	h := xxhash.New()
 	for _, t := range sample {
 		// The digest's Write returns no error.
-		_, _ = h.WriteString(t.ID + "\x00" + string(t.Start) + "\x00" + t.Group + "\x00" + t.Address + "\x00" + t.Zone + "\x00")
+		_, _ = h.WriteString(t.ID + "\x00" + string(t.Start) + "\x00" + t.Group + "\x00" + t.Address + "\x00" + t.Zone + "\x00" + t.Version + "\x00")
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(t.Slots)))
 	}
 	return max(1, h.Sum64())
--- a/daemon/feed/subscribe.go
+++ b/daemon/feed/subscribe.go
@@ -134,5 +134,6 @@
 		f.adoptedDigest = reply.Digest
 		f.Targets.Adopt(at, reply.Targets, wholeZone)
 	}
+	f.Targets.AdoptVersions(at, reply.Several, reply.VersionsKnown)
 	f.Targets.Confirm(at, reply.Started)
 }
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -23,6 +23,8 @@
 	// ID names the request in log lines.
 	ID    string
 	Group string
+	// Version is the only software version of targets that the request may use, "" for any.
+	Version string
 	// Exclude holds the starts of targets already tried.
 	Exclude map[string]bool
 	// Alone requests a target at which as little other work as possible runs.
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -16,6 +16,7 @@
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/routing"
 	"tarragonhollow.example/tarragonhollow/core/slots"
+	"tarragonhollow.example/tarragonhollow/core/streamversion"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
@@ -60,7 +61,11 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	board  *board.LoadTable
+	// versions are the software versions that targets have had, adopted is what a reader said
+	// of them.
+	versions streamversion.History
+	adopted  adoptedVersions
+	board    *board.LoadTable
 	// heartbeats numbers the heartbeats of the zone's leader.
 	heartbeats uint64
 	groups     map[string]*group
@@ -145,6 +150,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	change(now, p.roster)
+	p.versions.Interrupted(p.roster.LoadedAt())
 	if p.roster.Version(now) == p.builtVersion {
 		p.mu.Unlock()
 		return // only heartbeats, nothing changed
@@ -173,6 +179,7 @@
 func (p *Places) rebuild(now time.Time) []roster.Target {
 	usable, until := p.roster.Usable(now)
 	p.builtVersion = p.roster.Version(now)
+	p.versions.Observe(now, p.roster.Versions())
 	p.pool = nil
 	eligible := usable
 	if p.largeZone() && p.roster.Complete() {
--- a/daemon/places/sample.go
+++ b/daemon/places/sample.go
@@ -118,6 +118,10 @@
 	Total int
 	// Age is the time since the log last confirmed the targets.
 	Age time.Duration
+	// Several lists the groups whose targets have had several versions, and VersionsKnown
+	// reports that all such groups are known; see GroupVersions.
+	Several       []string
+	VersionsKnown bool
 }
 
 // Sample returns the targets that the daemon named holder should hold, with wholeZone all
@@ -133,7 +137,9 @@
 	if wholeZone {
 		choose = p.pool.wholeZone
 	}
-	s := Sample{Targets: choose(holder), Started: map[string]roster.Start{}, Total: p.pool.total, Age: p.roster.Age(time.Now())}
+	now := time.Now()
+	s := Sample{Targets: choose(holder), Started: map[string]roster.Start{}, Total: p.pool.total, Age: p.roster.Age(now)}
+	s.Several, s.VersionsKnown = p.severalVersions(now)
 	for _, id := range ids {
 		if start := p.roster.CurrentStart(id); start != "" {
 			s.Started[id] = start
