Pick targets only of the version that a request requires

A stream may go on only at a target of the version that began it, but a table knew no versions. Target and Request now have one, and every list of usable targets, also those of tried, ejected or lone targets, Ready, Admit and the estimate of unreported requests leave out targets of another or of unknown version. "" accepts all, as before.

--- a/core/routing/admit.go
+++ b/core/routing/admit.go
@@ -46,16 +46,16 @@
 // ObserveServiceTime adds the total time of a finished request to the group's average.
 func (t *Table) ObserveServiceTime(total time.Duration) { t.serviceTime.Observe(total) }
 
-// Wait estimates how long a request would queue at the target with the shortest queue:
-// with load at or above its slots, one request finishes every total/slots. It is 0 while
+// Wait estimates how long a request would queue at the target with the shortest queue among
+// those of the version, "" for any: with load at or above its slots, one request finishes every total/slots. It is 0 while
 // any target has a free slot or nothing has been measured. A wrong average can therefore
 // never block the group for good: requests end and free their slots.
-func (t *Table) Wait(now time.Time) time.Duration {
+func (t *Table) Wait(now time.Time, version string) time.Duration {
 	if !t.serviceTime.known {
 		return 0
 	}
 	shortest, found := time.Duration(0), false
-	for _, e := range t.usableTargets(now, Request{}, false) {
+	for _, e := range t.usableTargets(now, Request{Version: version}, false) {
 		w := t.serviceTime.Wait(e.load(now), t.slotsOf(now, e))
 		if !found || w < shortest {
 			shortest, found = w, true
@@ -64,11 +64,12 @@
 	return shortest
 }
 
-// Admit refuses a request that could not start before its deadline. An early refusal
+// Admit refuses a request that could not start before its deadline at a target of the
+// version, "" for any. An early refusal
 // serves the caller better than a late one, and keeps the queues at the engines short for
 // requests that can still meet their deadline.
-func (t *Table) Admit(now, deadline time.Time) *outcome.Refusal {
-	wait := t.Wait(now)
+func (t *Table) Admit(now, deadline time.Time, version string) *outcome.Refusal {
+	wait := t.Wait(now, version)
 	left := deadline.Sub(now)
 	if wait <= left {
 		return nil
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -45,6 +45,9 @@
 	// Exclude holds the targets already tried; they are used again only when no other
 	// target is left.
 	Exclude map[string]bool
+	// Version requires a target of this version, "" for any. No target of another or of
+	// unknown version is used, not even as a last resort.
+	Version string
 	// LastChance marks a request that gets no further attempt after a failure: it must
 	// not run twice, or its attempts are used up.
 	LastChance bool
@@ -77,7 +80,11 @@
 	Reason  Reason
 }
 
-// Pick chooses a target. It returns false only if every target of the group is leaving.
+// accepts reports whether the target is of the version that the request requires.
+func (r Request) accepts(e *entry) bool { return r.Version == "" || r.Version == e.Version }
+
+// Pick chooses a target. It returns false only if every target of the group that the
+// request accepts is leaving.
 func (t *Table) Pick(now time.Time, r Request) (Choice, bool) {
 	usable := t.usableTargets(now, r, true)
 	if len(usable) == 0 {
@@ -101,32 +108,32 @@
 func (t *Table) Ready(now time.Time, r Request) bool {
 	usable := t.usableTargets(now, r, r.OnlyAlone)
 	if !r.OnlyAlone {
-		return len(usable) > 0 || !t.anyNotLeaving()
+		return len(usable) > 0 || !t.anyNotLeaving(r)
 	}
 	for _, e := range usable {
 		if e.reserved == 0 && t.Concurrent(now, e.Address) == 0 {
 			return true
 		}
 	}
-	return !t.anyNotLeaving()
+	return !t.anyNotLeaving(r)
 }
 
-func (t *Table) anyNotLeaving() bool {
+func (t *Table) anyNotLeaving(r Request) bool {
 	for _, e := range t.entries {
-		if !e.leaving {
+		if !e.leaving && r.accepts(e) {
 			return true
 		}
 	}
 	return false
 }
 
-// usableTargets returns the targets that may take the request: not leaving, not ejected,
-// below their allowance if half-open, and, if untried is set, not tried yet.
+// usableTargets returns the targets that may take the request: accepted by it, not leaving,
+// not ejected, below their allowance if half-open, and, if untried is set, not tried yet.
 func (t *Table) usableTargets(now time.Time, r Request, untried bool) []*entry {
 	var usable []*entry
 	for _, address := range t.order {
 		e := t.entries[address]
-		if e.leaving || untried && r.Exclude[address] || !e.available(now) {
+		if e.leaving || !r.accepts(e) || untried && r.Exclude[address] || !e.available(now) {
 			continue
 		}
 		usable = append(usable, e)
@@ -156,7 +163,7 @@
 	var best *entry
 	for _, address := range t.order {
 		e := t.entries[address]
-		if e.leaving {
+		if e.leaving || !r.accepts(e) {
 			continue
 		}
 		if best == nil || worse(best, e, r) {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -248,14 +248,14 @@
 	table.ObserveServiceTime(4 * time.Second)
 	deadline := epoch.Add(time.Second)
 	for i := range 8 {
-		if r := table.Admit(epoch, deadline); r != nil {
+		if r := table.Admit(epoch, deadline, ""); r != nil {
 			t.Fatalf("refused with %d of 8 slots used: %v", i, r)
 		}
 		table.Start(epoch, address(0), false)
 	}
 	table.Start(epoch, address(0), false)
 	table.Start(epoch, address(0), false)
-	r := table.Admit(epoch, deadline)
+	r := table.Admit(epoch, deadline, "")
 	if r == nil || r.RetryAfterMs != 500 {
 		t.Fatalf("refusal %+v: 3 of 8 in 4 s are 1.5 s, 0.5 s past the deadline", r)
 	}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -17,6 +17,8 @@
 	Address string
 	// Zone is the target's availability zone.
 	Zone string
+	// Version is the version of the target's software, "" if it is not known.
+	Version string
 }
 
 // LoadReport is the last load report of the target's batch dispatcher.
--- a/core/routing/waterfill.go
+++ b/core/routing/waterfill.go
@@ -11,7 +11,7 @@
 const minUnreported = 0.01
 
 // unreported estimates how many requests other daemons have started since their last load
-// reports, at the targets that these reports cover. The number of requests that run there
+// reports, at the targets that the request accepts and these reports cover. The number of requests that run there
 // divided by a request's service time is the rate at which requests start.
 func (t *Table) unreported(now time.Time, r Request) float64 {
 	if !t.serviceTime.known || t.serviceTime.mean <= 0 {
@@ -19,7 +19,7 @@
 	}
 	peers := 0
 	for _, e := range t.entries {
-		if r.RemoteStale && e.Zone != r.Zone {
+		if !r.accepts(e) || r.RemoteStale && e.Zone != r.Zone {
 			continue
 		}
 		peers += t.online(now, e) - e.localRequests
--- a/daemon/online/group.go
+++ b/daemon/online/group.go
@@ -117,7 +117,7 @@
 func (g *group) admit(now, deadline time.Time) *outcome.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	refusal := g.table.Admit(now, deadline)
+	refusal := g.table.Admit(now, deadline, "")
 	if refusal == nil {
 		g.budget.CountFirst()
 	}
