Daemons make known to each other at which version a stream began

A caller may resume a stream at any daemon, while the one at which it began may be dead, restarted or cut off. Where a group's targets have had one version throughout a minute, nothing is sent, and a stream without a record began at that version if some daemon knows that there was no other and none knows another. Streams that began before are sent once that changes. A version that isn't known is never guessed.

--- /dev/null
+++ b/daemon/streams/streams_test.go
@@ -0,0 +1,275 @@
+package streams_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/daemon/streams"
+	"tarragonhollow.example/tarragonhollow/peer"
+	"tarragonhollow.example/tarragonhollow/peer/fakepeer"
+)
+
+func TestStreams(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "streams")
+}
+
+const timeout = 5 * time.Second
+
+// network carries calls between the daemons of one process, of which some are down.
+type network struct {
+	fakepeer.Receivers
+	mu    sync.Mutex
+	down  map[string]bool
+	calls atomic.Int64
+}
+
+func (n *network) setDown(down bool, addresses ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range addresses {
+		n.down[address] = down
+	}
+}
+
+// end is one daemon's end of the network.
+type end struct {
+	*network
+	self string
+}
+
+// Call implements peer.Caller.
+func (e end) Call(_ context.Context, address, method string, args, reply any) error {
+	e.calls.Add(1)
+	e.mu.Lock()
+	down := e.down[address] || e.down[e.self]
+	e.mu.Unlock()
+	if down {
+		return peer.Unreachable.New("%s", address)
+	}
+	return e.Invoke(address, method, args, reply)
+}
+
+// Notify implements peer.Caller.
+func (e end) Notify(address, method string, args any) {
+	_ = e.Call(context.Background(), address, method, args, nil)
+}
+
+// view is what a daemon knows of the versions of targets.
+type view struct {
+	mu      sync.Mutex
+	known   places.GroupVersions
+	isStale bool
+}
+
+func (v *view) set(throughout bool, versions ...string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.known = places.GroupVersions{Known: versions, Several: len(versions) > 1, Throughout: throughout}
+}
+
+func (v *view) setStale() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.isStale = true
+}
+
+func (v *view) Versions(string) places.GroupVersions {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.known
+}
+
+func (v *view) TargetsFresh() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.isStale
+}
+
+var _ = Describe("Directories of streams' versions", func() {
+	const daemons = 13
+	var (
+		net   *network
+		all   []places.Peer
+		dirs  []*streams.Directory
+		views []*view
+		group = []string{"g"}
+	)
+	address := func(i int) string { return fmt.Sprint("d", i) }
+	// start starts daemon i, or starts it again without what it held.
+	start := func(i int) {
+		views[i] = &view{}
+		dirs[i] = streams.New(streams.Options{
+			Self: address(i), Peers: end{net, address(i)}, Targets: views[i], Metrics: metrics.NewSet(),
+			ListPeers: func() []places.Peer {
+				return append(append([]places.Peer(nil), all[:i]...), all[i+1:]...)
+			},
+		})
+		Expect(dirs[i].Register(net.At(address(i)))).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); dirs[i].Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done })
+	}
+	BeforeEach(func() {
+		net = &network{down: map[string]bool{}}
+		all, dirs, views = nil, make([]*streams.Directory, daemons), make([]*view, daemons)
+		for i := range daemons {
+			all = append(all, places.Peer{Address: address(i)})
+		}
+		for i := range daemons {
+			start(i)
+		}
+	})
+	setAll := func(throughout bool, versions ...string) {
+		for _, v := range views {
+			v.set(throughout, versions...)
+		}
+	}
+	find := func(i int, stream string) streams.Origin { return dirs[i].Find(context.Background(), stream, group) }
+
+	// A caller's stream can't go on at another daemon than the one at which it began, which may
+	// be dead.
+	It("know at each daemon where a stream began while several versions serve", func() {
+		setAll(true, "v1", "v2")
+		dirs[0].Began("s", "g", "v2", false)
+		Eventually(func() string { return find(1, "s").Version }).WithTimeout(timeout).Should(Equal("v2"))
+		net.setDown(true, address(0))
+		for i := 1; i < daemons; i++ {
+			origin := find(i, "s")
+			Expect(origin.Version).To(Equal("v2"), "at daemon %d", i)
+			Expect(origin.Group).To(Equal("g"))
+			Expect(origin.Source).To(Or(Equal(streams.Peer), Equal(streams.Local)))
+		}
+	})
+
+	// Most streams are unknown after some hosts were restarted together.
+	It("know most streams after a third of the daemons have restarted", func() {
+		setAll(true, "v1", "v2")
+		const n = 100
+		for i := range n {
+			dirs[i%5].Began(fmt.Sprint("s", i), "g", "v1", false)
+		}
+		Eventually(func() string { return find(12, fmt.Sprint("s", n-1)).Version }).WithTimeout(timeout).Should(Equal("v1"))
+		time.Sleep(50 * time.Millisecond) // the records of the last streams arrive
+		for i := range 5 {
+			start(i)
+			views[i].set(false, "v1", "v2")
+		}
+		known := 0
+		for i := range n {
+			switch find(5+i%8, fmt.Sprint("s", i)).Version {
+			case "v1":
+				known++
+			case "":
+			default:
+				Fail("a version was guessed")
+			}
+		}
+		Expect(known).To(BeNumerically(">=", 90))
+	})
+
+	// A service of one version pays for what only others need.
+	It("send nothing while the targets have one version, and know it without a record", func() {
+		setAll(true, "v1")
+		for i := range 100 {
+			dirs[0].Began(fmt.Sprint("s", i), "g", "v1", false)
+		}
+		time.Sleep(300 * time.Millisecond) // more than one check
+		Expect(net.calls.Load()).To(BeZero())
+		net.setDown(true, address(0))
+		Expect(find(1, "s1")).To(HaveField("Source", streams.SingleVersion))
+		Expect(find(1, "s1")).To(HaveField("Version", "v1"))
+	})
+
+	// A stream that began before another version came is unknown once its daemon is lost.
+	It("send what began before another version came", func() {
+		setAll(true, "v1")
+		dirs[0].Began("s", "g", "v1", false)
+		setAll(true, "v1", "v2")
+		Eventually(func() string { return find(1, "s").Version }).WithTimeout(timeout).Should(Equal("v1"))
+	})
+
+	// A daemon that is cut off from the store goes on with streams unknown elsewhere, while
+	// another version has come.
+	It("send what begins while the list of targets is not confirmed", func() {
+		setAll(true, "v1")
+		views[0].setStale()
+		dirs[0].Began("s", "g", "v1", false)
+		for _, v := range views[1:] {
+			v.set(true, "v1", "v2")
+		}
+		Eventually(func() string { return find(1, "s").Version }).WithTimeout(timeout).Should(Equal("v1"))
+	})
+
+	It("know the single version at a daemon that has just started from another one", func() {
+		setAll(true, "v1")
+		start(1)
+		views[1].set(false, "v1")
+		Expect(find(1, "s")).To(HaveField("Source", streams.PeerSingleVersion))
+	})
+
+	// Versions are guessed from an incomplete view.
+	DescribeTable("don't guess the version of a stream without a record",
+		func(prepare func()) {
+			setAll(true, "v1")
+			prepare()
+			Expect(find(1, "s")).To(HaveField("Version", BeEmpty()))
+		},
+		Entry("several versions serve", func() { setAll(true, "v1", "v2") }),
+		Entry("no daemon has known the targets for long", func() { setAll(false, "v1") }),
+		Entry("another daemon knows of another version", func() { views[2].set(false, "v2"); setAllBut(views, 2, "v1") }),
+		Entry("this daemon alone knows of another version", func() { views[1].set(true, "v1", "v2") }),
+		Entry("no other daemon answers", func() {
+			for i := range daemons {
+				net.setDown(i != 1, address(i))
+			}
+		}),
+		Entry("the versions are not known", func() { setAll(true, "") }),
+	)
+
+	// A stream of two versions, in one answer, is resumed at either.
+	It("don't know a stream whose version became uncertain", func() {
+		setAll(true, "v1", "v2")
+		dirs[0].Began("s", "g", "v1", false)
+		Eventually(func() string { return find(1, "s").Version }).WithTimeout(timeout).Should(Equal("v1"))
+		dirs[0].Began("s", "g", "", false)
+		Eventually(func() string { return find(2, "s").Version }).WithTimeout(timeout).Should(BeEmpty())
+	})
+
+	// A stream goes on at another of its route's groups.
+	It("know the group of a stream whose route has several", func() {
+		setAll(true, "v1")
+		dirs[0].Began("s", "h", "v1", true)
+		Eventually(func() string {
+			return dirs[1].Find(context.Background(), "s", []string{"g", "h"}).Group
+		}).WithTimeout(timeout).Should(Equal("h"))
+		Expect(dirs[1].Find(context.Background(), "s", []string{"g"}).Source).To(Equal(streams.Unknown), "the route has changed")
+		Expect(dirs[1].Find(context.Background(), "other", []string{"g", "h"}).Source).To(Equal(streams.Unknown))
+	})
+
+	It("take a stream that its caller doesn't name for one of the only known version", func() {
+		setAll(false, "v1")
+		Expect(dirs[0].FindUnnamed("g").Version).To(Equal("v1"))
+		setAll(true, "v1", "v2")
+		Expect(dirs[0].FindUnnamed("g").Version).To(BeEmpty())
+	})
+})
+
+// setAllBut sets the views of all daemons but one.
+func setAllBut(views []*view, except int, version string) {
+	for i, v := range views {
+		if i != except {
+			v.set(true, version)
+		}
+	}
+}
