A stream goes on only at the software version that began it

The relay resumed a broken stream, and a stream that its caller resumes, at any target of the group, since nothing knew of versions.

An attempt after the first event now requires the version of the target that sent it, also in the choice of a target. A caller's resumption requires the version, and the group, at which the named stream began (daemon/streams); if that isn't known, or no target of it serves, the request is refused at once as not run, and an answer that has begun is cut off. If a target is found to have started again with another version while it answered, the stream's version is uncertain, and it isn't resumed. request_sent and request log the version wanted, how it is known and its age.

The spec 'cuts off a stream at once whose version no other target has' expected that a stream is not resumed at the target that broke it off, though that one is of its version; it now removes that target, and a further spec expects the resumption there. Relay fixtures have versions, as all entries of targets do.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -93,6 +93,17 @@
 	return account.Priority
 }
 
+// GroupNames lists the groups that requests may be sent to.
+func (r *Route) GroupNames() []string {
+	var names []string
+	for _, s := range r.Groups {
+		if s.Weight > 0 || len(r.Groups) == 1 {
+			names = append(names, s.Group)
+		}
+	}
+	return names
+}
+
 // Pick returns a group by weight; random is in [0,1).
 func (r *Route) Pick(random float64) string {
 	total := 0
--- a/daemon/feed/feed_test.go
+++ b/daemon/feed/feed_test.go
@@ -27,10 +27,10 @@
 	roles  places.Roles
 }
 
-func (t *fakeTargets) LocalZone() places.Zone       { return t.zone }
+func (t *fakeTargets) LocalZone() places.Zone                  { return t.zone }
 func (t *fakeTargets) AdoptVersions(time.Time, []string, bool) {}
-func (t *fakeTargets) SetRoles(r places.Roles)      { t.roles = r }
-func (t *fakeTargets) SetCutOffFromLog(cutOff bool) { t.cutOff = cutOff }
+func (t *fakeTargets) SetRoles(r places.Roles)                 { t.roles = r }
+func (t *fakeTargets) SetCutOffFromLog(cutOff bool)            { t.cutOff = cutOff }
 func (t *fakeTargets) Sample(string, bool, []string) (places.Sample, bool) {
 	return places.Sample{}, true
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -23,6 +23,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
+	"tarragonhollow.example/tarragonhollow/daemon/streams"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/peer"
@@ -72,6 +73,7 @@
 	hosts      *hosts
 	suspects   *suspects.Tracker
 	quotas     *quotas.Quotas
+	streams    *streams.Directory
 	peers      *peer.Client
 	peerServer *peer.Server
 	pool       *h1.Pool
@@ -122,9 +124,12 @@
 		Self: s.PeerAddress, Leaders: n.Places, FleetSize: n.hosts.knownFleetSize, Accounts: n.accounts, Peers: n.peers, Logger: logger, Metrics: set,
 		Tolerance: quota.Tolerance{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
 	})
+	n.streams = streams.New(streams.Options{
+		Self: s.PeerAddress, ListPeers: n.hosts.peers, Peers: n.peers, Targets: n.Places, Metrics: set,
+	})
 	crashes := relay.NewCrashDetector(n.suspects, n.pool)
 	n.Relay = relay.New(relay.Options{
-		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Stopping: n.stopping.Load,
+		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Streams: n.streams, Stopping: n.stopping.Load,
 		Logger: logger, Metrics: set,
 	})
 	n.Jobs = jobs.New(jobs.Options{
@@ -142,6 +147,9 @@
 	if err := n.quotas.Register(n.peerServer); err != nil {
 		return nil, err
 	}
+	if err := n.streams.Register(n.peerServer); err != nil {
+		return nil, err
+	}
 	if err := n.peerServer.Register(configurationService, &configurationHandler{n.Configuration}); err != nil {
 		return nil, err
 	}
@@ -217,6 +225,7 @@
 	group.Go(func(ctx context.Context) { n.Places.Lead(ctx, n.hosts.peers) })
 	group.Go(n.Places.ReportLeases)
 	group.Go(n.quotas.Run)
+	group.Go(n.streams.Run)
 	n.suspects.Run(group)
 	n.Jobs.Run(group)
 	return nil
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -221,10 +221,10 @@
 		return Slot{}, outcome.Refuse(outcome.NoTarget, "no target of %s is known", r.Group).After(noTargetRetryMs)
 	}
 	p.applyFleetCounts(now, g)
-	if refusal := g.table.Admit(now, now.Add(r.MaxWait)); refusal != nil {
+	if refusal := g.table.Admit(now, now.Add(r.MaxWait), r.Version); refusal != nil {
 		return Slot{}, refusal
 	}
-	request := routing.Request{Zone: p.zone, Exclude: r.Exclude, LastChance: r.LastChance, SeedValue: rand.Uint64()}
+	request := routing.Request{Zone: p.zone, Exclude: r.Exclude, LastChance: r.LastChance, SeedValue: rand.Uint64(), Version: r.Version}
 	request.RemoteStale = p.Scheduled()
 	request.LoadReportAge = time.Duration(p.loadReportAge.Load())
 	request.Alone = r.Alone
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -234,7 +234,7 @@
 		list := make([]routing.Target, 0, len(targets))
 		slotsPerTarget := 0
 		for _, t := range targets {
-			list = append(list, routing.Target{Address: string(t.Start), Zone: t.Zone})
+			list = append(list, routing.Target{Address: string(t.Start), Zone: t.Zone, Version: t.Version})
 			slotsPerTarget = t.Slots
 		}
 		g := p.groups[name]
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -319,6 +319,7 @@
 			continue
 		}
 		s.noteFirstByte()
+		s.noteBegin()
 		if s.answer.firstEvent == NoEvent {
 			s.answer.firstEvent = e.ID
 		}
--- a/daemon/relay/fixture_test.go
+++ b/daemon/relay/fixture_test.go
@@ -25,6 +25,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
 	"tarragonhollow.example/tarragonhollow/daemon/relay/fakewire"
+	"tarragonhollow.example/tarragonhollow/daemon/streams"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects/fakesuspects"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
@@ -100,6 +101,31 @@
 	f.refunded++
 }
 
+// fakeStreams holds the versions of streams; a stream that is not named began at v1.
+type fakeStreams struct {
+	mu    sync.Mutex
+	began map[string]string
+}
+
+func (f *fakeStreams) Began(stream, _, version string, _ bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.began == nil {
+		f.began = map[string]string{}
+	}
+	f.began[stream] = version
+}
+
+func (f *fakeStreams) Find(_ context.Context, stream string, groups []string) streams.Origin {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return streams.Origin{Group: groups[0], Version: f.began[stream], Source: streams.Local}
+}
+
+func (f *fakeStreams) FindUnnamed(group string) streams.Origin {
+	return streams.Origin{Group: group, Version: "v1", Source: streams.SingleVersion}
+}
+
 // fixture is a relay with targets that tests script.
 type fixture struct {
 	view     *places.Places
@@ -108,16 +134,17 @@
 	request  *relay.Request
 	suspects *fakesuspects.Tracker
 	tokens   *fakeQuotas
+	streams  *fakeStreams
 }
 
 // newFixture returns a relay without targets, and a repeatable request.
 func newFixture() *fixture {
-	f := &fixture{view: places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()}), suspects: fakesuspects.New(2), tokens: &fakeQuotas{}}
+	f := &fixture{view: places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()}), suspects: fakesuspects.New(2), tokens: &fakeQuotas{}, streams: &fakeStreams{}}
 	pool := h1.NewPool(func() {})
 	DeferCleanup(pool.Close)
 	f.relay = relay.New(relay.Options{
 		Wire: fakewire.Wire{}, Pool: pool, Places: f.view, Crashes: relay.NewCrashDetector(f.suspects, pool),
-		Quotas: f.tokens, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+		Quotas: f.tokens, Streams: f.streams, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
 	})
 	f.request = &relay.Request{
 		ID:      "r",
@@ -139,7 +166,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(t.Close)
 		f.targets = append(f.targets, t)
-		list = append(list, roster.Target{ID: fmt.Sprint("t", i), Group: "g", Address: t.Address, Zone: "z", Slots: 2})
+		list = append(list, roster.Target{ID: fmt.Sprint("t", i), Group: "g", Address: t.Address, Zone: "z", Version: "v1", Slots: 2})
 	}
 	f.view.Update(func(now time.Time, ros *roster.Roster) {
 		ros.StoreAnswered(now)
--- a/daemon/relay/killed_test.go
+++ b/daemon/relay/killed_test.go
@@ -26,7 +26,7 @@
 		f.view.Update(func(now time.Time, ros *roster.Roster) {
 			var list []roster.Target
 			for _, a := range addresses {
-				list = append(list, roster.Target{ID: a, Group: "g", Address: a, Zone: "z", Slots: 2})
+				list = append(list, roster.Target{ID: a, Group: "g", Address: a, Zone: "z", Version: "v1", Slots: 2})
 			}
 			ros.StoreAnswered(now)
 			ros.Replace(now, list)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -117,6 +117,8 @@
 	Crashes *CrashDetector
 	// Quotas enforces the quotas of client accounts.
 	Quotas Quotas
+	// Streams knows at which software version streams began.
+	Streams Streams
 	// Stopping reports that the process is stopping; nil for never.
 	Stopping func() bool
 	Logger   *zap.Logger
@@ -199,6 +201,8 @@
 	content     uint64
 	fingerprint string
 	alone       bool
+	// stream is the version at which the stream goes on.
+	stream streamVersion
 	// runs counts the attempts that a target may have run, rejections the others.
 	runs, rejections int
 	groupName        string
@@ -219,10 +223,16 @@
 
 // serve makes attempts until one ends the request.
 func (s *requestState) serve(ctx context.Context) Result {
+	if refusal := s.findOrigin(ctx); refusal != nil {
+		return s.refuse(refusal)
+	}
 	for {
 		if refusal := s.checkQuarantine(ctx); refusal != nil {
 			return s.refuse(refusal)
 		}
+		if s.stream.bound && s.stream.version == "" {
+			return s.refuse(unknownVersion())
+		}
 		slot, refusal := s.relay.Places.Acquire(ctx, s.placesRequest())
 		if refusal != nil && refusal.Code == outcome.Cancelled {
 			return s.endEarly(ctx)
@@ -230,6 +240,10 @@
 		if refusal != nil {
 			return s.refuse(refusal)
 		}
+		if refusal := s.checkVersion(slot.Target); refusal != nil {
+			s.relay.Places.Release(slot, routing.Neutral, 0)
+			return s.refuse(refusal)
+		}
 		target := slot.Target
 		s.lastTarget = target
 		s.logSent(slot)
@@ -269,7 +283,7 @@
 	p := places.Request{
 		ID: r.ID, Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
 		LastChance: !s.mayRetry(), Rank: r.Rank, Share: share, Weight: r.Weight, Work: slots.Work(r.PromptTokens, r.OutputTokens), Content: s.content,
-		Arrived: r.Arrived, Deadline: r.Deadline, FirstByte: s.relay.usualFirstByte(s.group()),
+		Arrived: r.Arrived, Deadline: r.Deadline, FirstByte: s.relay.usualFirstByte(s.group()), Version: s.stream.version,
 	}
 	if r.Route.Objective > 0 {
 		p.Objective = r.Arrived.Add(r.Route.Objective)
@@ -298,11 +312,15 @@
 // logSent logs which target the request is sent to and why. If the host loses power before
 // the request's final log line, this line still shows where the request was.
 func (s *requestState) logSent(slot places.Slot) {
-	s.relay.Logger.Info("request_sent", zap.String("id", s.request.ID), zap.String("target", slot.ID), zap.String("zone", slot.Zone),
-		zap.String("version", slot.Version), zap.String("stream", s.request.StreamID), zap.Int64("resumed_after", s.request.resumedAfter()),
+	fields := []zap.Field{zap.String("id", s.request.ID), zap.String("target", slot.ID), zap.String("zone", slot.Zone),
+		zap.String("version", slot.Version),
 		zap.Int("attempt", s.runs+s.rejections+1), zap.Int("running_there", slot.Running), zap.Int64("heard_ms", slot.LoadReportAge.Milliseconds()),
 		zap.String("by", slot.GrantedBy),
-		zap.Int64("left_ms", time.Until(s.request.Deadline).Milliseconds()))
+		zap.Int64("left_ms", time.Until(s.request.Deadline).Milliseconds())}
+	if s.stream.bound {
+		fields = append(fields, s.versionFields()...)
+	}
+	s.relay.Logger.Info("request_sent", fields...)
 }
 
 // checkQuarantine returns a refusal for a request that is quarantined because it crashed the
@@ -329,6 +347,9 @@
 		result = s.attempt(ctx, slot.Target)
 		return result.broken
 	})
+	if context.Cause(ctx) == errTargetRestarted {
+		s.noteRestart(slot.Target)
+	}
 	if result.done && !s.delivery.cutShort() {
 		s.relay.Crashes.Completed(s.fingerprint)
 	}
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -446,7 +446,7 @@
 	// restartTarget updates the roster as if target i had restarted at the same address.
 	restartTarget := func(i int) {
 		view.Update(func(now time.Time, ros *roster.Roster) {
-			ros.Set(now, roster.Target{ID: fmt.Sprint("t", i), Born: 1, Group: "g", Address: targets[i].Address, Zone: "z", Slots: 2})
+			ros.Set(now, roster.Target{ID: fmt.Sprint("t", i), Born: 1, Group: "g", Address: targets[i].Address, Zone: "z", Version: "v1", Slots: 2})
 		})
 	}
 
--- a/daemon/relay/requestlog.go
+++ b/daemon/relay/requestlog.go
@@ -97,11 +97,14 @@
 		zap.Int64("objective_ms", request.Route.Objective.Milliseconds()), zap.String("outcome", outcomeLabel),
 		zap.Int("status", state.delivery.status), zap.Int("runs", state.runs), zap.Int("refusals", state.rejections),
 		zap.String("target", state.lastTarget.ID), zap.String("version", state.lastTarget.Version),
-		zap.String("stream", request.StreamID), zap.Int64("resumed_after", request.resumedAfter()), zap.Int64("ms", took.Milliseconds()),
+		zap.Int64("ms", took.Milliseconds()),
 		zap.Int64("first_ms", state.timeToFirstByte.Milliseconds()), zap.Int64("last_event", state.delivery.position.last),
 		zap.String("response", state.responseEnd(result)), zap.Int("events", state.delivery.events), zap.Int64("bytes", state.delivery.sent.bytes),
 	}
 	fields = append(fields, state.answerFields()...)
+	if state.stream.bound {
+		fields = append(fields, state.versionFields()...)
+	}
 	if result.Refusal != nil {
 		fields = append(fields, zap.String("run", string(result.Refusal.Run)), zap.Int64("retry_after_ms", result.Refusal.RetryAfterMs),
 			zap.String("reason", result.Refusal.Message))
--- a/daemon/relay/versions_test.go
+++ b/daemon/relay/versions_test.go
@@ -1,12 +1,15 @@
 package relay_test
 
 import (
+	"context"
+	"io"
 	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
@@ -66,10 +69,79 @@
 		}
 	})
 
+	// A version that serves at one target only is given up after a break.
+	It("resumes at the same target if no other one has the version", func() {
+		f.startTargets(3, breakOff)
+		f.setVersions("v1", "v2", "v3")
+		w, result := f.serve()
+		Expect(result.Aborted).To(BeFalse())
+		Expect(w.Body.String()).To(Equal(plain(span(0, 5)...)))
+		used := 0
+		for _, t := range f.targets {
+			used += min(1, len(t.Requests()))
+		}
+		Expect(used).To(Equal(1))
+	})
+
+	// A caller's stream goes on at another version than the one that began it, or one whose
+	// version isn't known is sent on.
+	DescribeTable("resumes a caller's stream only at its version",
+		func(stream, began, wanted string) {
+			f.streams.Began("first", "g", began, false)
+			f.request.StreamID, f.request.Resumes, f.request.After = stream, true, 2
+			f.startTargets(4, func(_ int, _ *rawtarget.Request, c net.Conn) {
+				rawtarget.Write(c, streamHead()+events(3, 5)+rawtarget.LastChunk)
+			})
+			f.setVersions("v1", "v2", "v1", "v2")
+			w, result := f.serve()
+			if wanted == "" {
+				Expect(result.Refusal).To(HaveField("Run", outcome.NotRun))
+				Expect(f.sent()).To(BeEmpty())
+				return
+			}
+			Expect(w.Body.String()).To(Equal(plain(3, 4, 5)))
+			for i, t := range f.targets {
+				if []string{"v1", "v2", "v1", "v2"}[i] != wanted {
+					Expect(t.Requests()).To(BeEmpty())
+				}
+			}
+		},
+		Entry("of the first version", "first", "v1", "v1"),
+		Entry("of the second version", "first", "v2", "v2"),
+		Entry("of a version that serves nowhere", "first", "v3", ""),
+		Entry("of unknown origin", "another", "v1", ""),
+	)
+
+	// A target that started again under its ID, with another version, was answering.
+	It("doesn't resume a stream whose target changed its version meanwhile", func() {
+		f.startTargets(3, func(turn int, r *rawtarget.Request, c net.Conn) {
+			if turn > 0 {
+				rawtarget.Write(c, streamHead()+events(3, 5)+rawtarget.LastChunk)
+				return
+			}
+			rawtarget.Write(c, streamHead()+events(0, 2))
+			time.Sleep(50 * time.Millisecond) // the caller has the events
+			f.view.Update(func(now time.Time, ros *roster.Roster) {
+				t, _ := ros.Entry(r.Header.Get("Expect"))
+				t.Born, t.Version = t.Born+1, "v2"
+				ros.Set(now, t)
+			})
+			_, _ = io.Copy(io.Discard, c) // until the relay gives up
+		})
+		f.setVersions("v1", "v1", "v1")
+		w, result := f.serve()
+		Expect(result.Aborted).To(BeTrue())
+		Expect(w.Body.String()).To(Equal(plain(0, 1, 2)))
+		Expect(f.streams.Find(context.Background(), "r", []string{"g"}).Version).To(BeEmpty())
+	})
+
 	// A stream whose version serves nowhere any more goes on at another version, or waits in
 	// vain until its deadline.
 	It("cuts off a stream at once whose version no other target has", func() {
-		f.startTargets(3, breakOff)
+		f.startTargets(3, func(turn int, r *rawtarget.Request, c net.Conn) {
+			f.view.Update(func(now time.Time, ros *roster.Roster) { ros.Remove(now, r.Header.Get("Expect")) })
+			breakOff(turn, r, c)
+		})
 		f.setVersions("v1", "v2", "v3")
 		began := time.Now()
 		w, result := f.serve()
