Streams' records stay in a large zone; resumptions are counted by the source of their version

In a large zone only some daemons know the whole fleet. They would choose other holders for a stream's record than the zone's other daemons, which would not find it. Holders are now daemons of the zone there.

--- a/daemon/front/hosts.go
+++ b/daemon/front/hosts.go
@@ -293,6 +293,22 @@
 	return h.allPeers
 }
 
+// streamPeers lists the daemons that hold records of streams, this one aside. In a large zone
+// only some daemons know the whole fleet, so they are those of the zone.
+func (h *hosts) streamPeers() []places.Peer {
+	list := h.peers()
+	if !h.isLarge() {
+		return list
+	}
+	var zone []places.Peer
+	for _, p := range list {
+		if p.Zone == h.Local.Zone {
+			zone = append(zone, p)
+		}
+	}
+	return zone
+}
+
 // fleetSize returns the number of daemons as far as known, this one included.
 func (h *hosts) fleetSize() int { return max(len(h.peers())+1, h.leaderFleetSize()) }
 
--- a/daemon/relay/meter.go
+++ b/daemon/relay/meter.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/streams"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
@@ -31,6 +32,11 @@
 	}
 }
 
+// countResumption counts a stream that a caller resumes, by how its version is known.
+func (m *meter) countResumption(source streams.Source) {
+	m.set.GetOrCreateCounter(`tarragonhollow_relay_resumptions_total{version="` + string(source) + `"}`).Inc()
+}
+
 // countAnswer counts an answer that callers received as complete, by the status and the
 // framing of the target's last answer.
 func (m *meter) countAnswer(kind route.Kind, a answerSeen) {
--- a/daemon/relay/version.go
+++ b/daemon/relay/version.go
@@ -51,6 +51,7 @@
 	} else {
 		s.stream.origin = s.relay.Streams.Find(ctx, r.StreamID, r.Route.GroupNames())
 	}
+	s.relay.meter.countResumption(s.stream.origin.Source)
 	s.stream.bound, s.stream.version = true, s.stream.origin.Version
 	if s.stream.version == "" {
 		return unknownVersion()
@@ -106,6 +107,6 @@
 	return []zap.Field{
 		zap.String("stream", s.request.StreamID), zap.Int64("resumed_after", s.request.resumedAfter()),
 		zap.String("version_wanted", s.stream.version), zap.String("version_source", string(s.stream.origin.Source)),
-		zap.Int64("version_age_ms", s.stream.origin.Age.Milliseconds()),
+		zap.Int64("version_age_ms", s.stream.origin.Age.Milliseconds()), zap.Int("version_answers", s.stream.origin.Answered),
 	}
 }
