A target that may have started again is identified before it goes on with a stream

A target may start again under its ID, with another version, before its new entry arrives: by its entry it is of the stream's version.

A new connection now carries the request for the target's report first, which states the target's start, and nothing more if that isn't the expected one. Connections that were identified are reused. It is asked for by attempts that go on with a stream, and for streams that begin while the group has several versions.

daemon/relay 'doesn't send a caller's stream to a target that has started again' fails without the check.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -105,6 +105,9 @@
 	if s.mayRetry() {
 		options.MaxWait = s.firstByteTimeout
 	}
+	if s.needsIdentity() {
+		options.Identity = s.relay.Wire.Identity(t)
+	}
 	sender := Sender{s.relay.Wire, s.relay.Pool, s.relay.Logger}
 	answer, verdict, err := sender.Send(ctx, s.request, t, time.Until(s.request.Deadline), s.delivery.position.last, options)
 	if err != nil {
--- a/daemon/relay/fakewire/fakewire.go
+++ b/daemon/relay/fakewire/fakewire.go
@@ -26,6 +26,23 @@
 	return &request
 }
 
+// IdentityURI is the URI at which a target states its start as a header Born.
+const IdentityURI = "/identity"
+
+// Identity implements relay.Wire.
+func (Wire) Identity(t roster.Target) *h1.Identity {
+	if t.Born == 0 {
+		return nil
+	}
+	return &h1.Identity{
+		Key:     string(t.Start),
+		Request: &h1.Request{Method: http.MethodGet, URI: IdentityURI, Host: t.Address},
+		Expected: func(_ int, header http.Header, _ []byte) bool {
+			return header.Get("Born") == strconv.FormatInt(t.Born, 10)
+		},
+	}
+}
+
 // Matches implements relay.Wire.
 func (Wire) Matches(id string, status int, header http.Header) h1.Match {
 	switch got := header.Get("Id"); {
--- a/daemon/relay/version.go
+++ b/daemon/relay/version.go
@@ -72,6 +72,16 @@
 	return outcome.Refuse(outcome.NoTarget, "no target of version %q", s.stream.version).After(unknownOriginRetryMs)
 }
 
+// needsIdentity reports whether the target must be identified before the request is sent: its
+// entry may be of an earlier start, with another version. It costs a round trip for each new
+// connection, so it is left out for streams that begin while targets have one version.
+func (s *requestState) needsIdentity() bool {
+	if s.request.Route.Kind != route.Stream || !s.request.Route.Repeatable() {
+		return false
+	}
+	return s.stream.bound || s.relay.Places.Versions(s.group()).Several
+}
+
 // noteBegin records the version of the target that sends the stream's first event.
 func (s *requestState) noteBegin() {
 	if s.stream.bound {
--- a/daemon/relay/versions_test.go
+++ b/daemon/relay/versions_test.go
@@ -12,6 +12,7 @@
 	"tarragonhollow.example/tarragonhollow/core/outcome"
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
+	"tarragonhollow.example/tarragonhollow/daemon/relay/fakewire"
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
 )
 
@@ -135,6 +136,39 @@
 		Expect(f.streams.Find(context.Background(), "r", []string{"g"}).Version).To(BeEmpty())
 	})
 
+	// A target that started again under its ID with another version goes on with a stream before
+	// its new entry arrives.
+	It("doesn't send a caller's stream to a target that has started again", func() {
+		f.streams.Began("first", "g", "v1", false)
+		f.request.StreamID, f.request.Resumes, f.request.After = "first", true, 2
+		f.startTargets(2, func(_ int, r *rawtarget.Request, c net.Conn) {
+			if r.URI != fakewire.IdentityURI {
+				rawtarget.Write(c, streamHead()+events(3, 5)+rawtarget.LastChunk)
+				return
+			}
+			born := "5"
+			if c.LocalAddr().String() == f.targets[0].Address {
+				born = "6"
+			}
+			rawtarget.Write(c, rawtarget.Whole(200, "", "Born: "+born))
+		})
+		f.setVersions("v1", "v1")
+		f.view.Update(func(now time.Time, ros *roster.Roster) {
+			for _, id := range []string{"t0", "t1"} {
+				t, _ := ros.Entry(id)
+				t.Born = 5
+				ros.Set(now, t)
+			}
+		})
+		for range streams {
+			w, _ := f.serve()
+			Expect(w.Body.String()).To(Equal(plain(3, 4, 5)))
+		}
+		for _, r := range f.targets[0].Requests() {
+			Expect(r.URI).To(Equal(fakewire.IdentityURI))
+		}
+	})
+
 	// A stream whose version serves nowhere any more goes on at another version, or waits in
 	// vain until its deadline.
 	It("cuts off a stream at once whose version no other target has", func() {
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -88,6 +88,8 @@
 	// Matches returns whether an answer with this status and header belongs to this
 	// request; nil accepts every answer.
 	Matches func(status int, header http.Header) Match
+	// Identity, if not nil, must be confirmed on the connection before the request is sent.
+	Identity *Identity
 	// Record, if not nil, receives what is known of the exchange until its answer is closed.
 	Record *Record
 }
@@ -159,19 +161,21 @@
 		record.end(EndNotSent)
 		return nil, NotSent.Wrap(err, "%s", address)
 	}
-	c, isNew, err := p.get(ctx, address, o.MaxIdle)
+	c, isNew, err := p.get(ctx, address, o.MaxIdle, o.Identity.key())
 	if err != nil {
 		record.end(EndNotSent)
 		return nil, err
 	}
 	record.Reused = !isNew
 	release := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	if err := c.SetDeadline(o.Deadline); err != nil {
+	if err := c.prepare(ctx, isNew, o); err != nil {
 		record.end(EndNotSent)
 		release()
 		_ = c.Close()
-		return nil, NotSent.Wrap(err, "%s", address)
+		return nil, err
 	}
+	// A second answer to the identity's request could be taken for this request's.
+	isNew = isNew && o.Identity == nil
 	written := p.write(c, r)
 	if err := setReadTimeout(ctx, c, o.Deadline, o.MaxWait); err != nil {
 		record.end(endOf(ctx, o.Deadline, err))
--- /dev/null
+++ b/target/h1/identity.go
@@ -0,0 +1,78 @@
+package h1
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	// identityWait bounds the wait for the answer to an Identity's request.
+	identityWait = 250 * time.Millisecond
+	// maxIdentityBytes bounds the body of that answer.
+	maxIdentityBytes = 256 << 10
+)
+
+// WrongProcess means that another process than the expected one answers at the address. It
+// received nothing of the request.
+var WrongProcess = NotSent.NewSubtype("wrong_process")
+
+// Identity tells by a request of its own which process a connection leads to, before the
+// connection carries anything else: the process does not change while the connection lasts.
+type Identity struct {
+	// Key names the expected process. A connection that was identified is not asked again.
+	Key     string
+	Request *Request
+	// Expected returns whether the answer is that of the expected process, or does not tell.
+	Expected func(status int, header http.Header, body []byte) bool
+}
+
+// prepare sets the deadline of an exchange, and confirms the identity on a new connection.
+func (c *conn) prepare(ctx context.Context, isNew bool, o Options) error {
+	if err := c.SetDeadline(o.Deadline); err != nil {
+		return NotSent.Wrap(err, "%s", c.address)
+	}
+	if !isNew || o.Identity == nil {
+		return nil
+	}
+	if err := c.identify(ctx, o.Identity, o.Deadline); err != nil {
+		return err
+	}
+	if err := c.SetDeadline(o.Deadline); err != nil {
+		return NotSent.Wrap(err, "%s", c.address)
+	}
+	return nil
+}
+
+// identify sends the identity's request on a new connection and checks the answer.
+func (c *conn) identify(ctx context.Context, identity *Identity, deadline time.Time) error {
+	if _, err := c.Write(encode(identity.Request)); err != nil {
+		return NotSent.Wrap(err, "%s", c.address)
+	}
+	if err := setReadTimeout(ctx, c, deadline, identityWait); err != nil {
+		return NotSent.Wrap(err, "%s", c.address)
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: identity.Request.Method})
+	if err != nil {
+		return NotSent.Wrap(err, "%s did not identify itself", c.address)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes+1))
+	switch {
+	case err != nil:
+		return NotSent.Wrap(err, "%s did not identify itself", c.address)
+	case len(body) > maxIdentityBytes || response.Close:
+		return NotSent.New("%s can't be asked anything else after its identity", c.address)
+	case !identity.Expected(response.StatusCode, response.Header, body):
+		return WrongProcess.New("%s: another process has the address", c.address)
+	}
+	c.identity = identity.Key
+	return nil
+}
+
+func (i *Identity) key() string {
+	if i == nil {
+		return ""
+	}
+	return i.Key
+}
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -75,6 +75,8 @@
 	// idle.
 	keepAlive time.Duration
 	idleSince time.Time
+	// identity is the key of the Identity that was confirmed, "" for none.
+	identity string
 }
 
 // NewPool returns an empty pool, which calls opened for each new connection.
@@ -86,12 +88,12 @@
 	}
 }
 
-// get returns a connection that has been idle for at most maxIdle, or a new one, and
-// whether it is new.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, bool, error) {
+// get returns a connection that has been idle for at most maxIdle and was identified by the
+// key, "" for any, or a new one, and whether it is new.
+func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, identity string) (*conn, bool, error) {
 	for c := p.pop(address); c != nil; c = p.pop(address) {
 		idle := time.Since(c.idleSince)
-		if idle <= min(maxIdle, c.keepAlive) && sockets.StillIdle(c.Conn.(*net.TCPConn)) {
+		if idle <= min(maxIdle, c.keepAlive) && (identity == "" || c.identity == identity) && sockets.StillIdle(c.Conn.(*net.TCPConn)) {
 			return c, false, nil
 		}
 		_ = c.Close()
