Grant slots only at targets of the version that a request requires

A zone's leader chose among all targets of a group. A request for a slot now has a Version, and a group an index of its targets by version, so that a sample of a large group is one of the targets that the request accepts and a rare version is found. The index is nil while a group has one version, and "" accepts all targets.

- Queue: a freed slot goes to the first request that accepts the target.
Those that require other versions don't count as passed over, since more than maxPassed of them would block the queue.
Within a rank, one that requires the version goes before one that accepts any, which would else take each of the few slots.
The expected wait is that for the version's slots, and a request that would wait longer than its patience is refused at once.
Without a healthy target of the version it waits at a target; without any target its wait ends.
- Others that wait for a busy version say nothing about free slots of the rest: all targets are then examined, not a sample.
- Batch: the reserve is compared with the free slots of all versions.
- Other zones: a zone known to have no target of the version is left out, and a zone that had no slot of one version still gets requests for others.

Each new test fails with its part taken out.

--- a/core/slots/candidates.go
+++ b/core/slots/candidates.go
@@ -48,17 +48,27 @@
 	return c
 }
 
-// candidates examines sample targets, beginning at a position in the list that seed
-// determines. It returns those that the request can use, in the order given by seed: the
+// candidates examines sample targets of those that the request accepts, beginning at a
+// position in the list that seed determines. It returns those that the request can use, in the order given by seed: the
 // healthy ones, and the degraded ones, these ordered by preference (see order). Targets
 // that the request excludes come last among the degraded ones, for use if there is no
 // better one. The healthy ones are valid until the next call.
 func (l *Ledger) candidates(now time.Time, g *group, r Request, seed uint64, sample int) (healthy, degraded []candidate) {
 	var excluded []candidate
 	healthy = l.scratch[:0]
-	n := len(g.targets)
-	for i := range sample {
-		at := (int(seed%uint64(n)) + i) % n
+	n, positions := g.accepted(r)
+	if n == 0 {
+		return nil, nil
+	}
+	next := int(seed % uint64(n))
+	for range min(sample, n) {
+		at := next
+		if next++; next == n {
+			next = 0
+		}
+		if positions != nil {
+			at = positions[at]
+		}
 		t := &g.targets[at]
 		c := l.candidateOf(now, t, g.usages[at])
 		switch {
--- a/core/slots/dispatch.go
+++ b/core/slots/dispatch.go
@@ -65,17 +65,16 @@
 	}
 }
 
-// scan examines all targets of a group for room. If none is healthy, the requests wait at
+// scan examines all targets of a group for room. Requests that can use no healthy one wait at
 // targets instead, as without a queue.
 func (l *Ledger) scan(now time.Time, g *group) {
-	healthy := false
+	without := g.withoutHealthy(now)
 	var room []candidate
 	for i := range g.targets {
 		t, u := &g.targets[i], g.usages[i]
-		if u.degraded(now, false) {
+		if u.degraded(now, false) || !g.line.demand.wants(t.Version) {
 			continue
 		}
-		healthy = true
 		if u.online < t.Slots+g.ahead() {
 			room = append(room, l.candidateOf(now, t, u))
 		}
@@ -83,15 +82,16 @@
 	for _, c := range l.order(room) {
 		l.fill(now, g, c.Target)
 	}
-	if !healthy {
-		l.waitAtTargets(now, g)
+	for _, version := range without {
+		l.waitAtTargets(now, g, version)
 	}
 }
 
-// waitAtTargets ends the waits in the queue of a group without healthy targets.
-func (l *Ledger) waitAtTargets(now time.Time, g *group) {
-	_, degraded := l.candidates(now, g, Request{}, 0, len(g.targets))
-	for e := g.line.queue.First(now); e != nil; e = g.line.queue.First(now) {
+// waitAtTargets ends the waits in the queue of the requests that require the version, "" for
+// those that accept any, and have no healthy target.
+func (l *Ledger) waitAtTargets(now time.Time, g *group, version string) {
+	_, degraded := l.candidates(now, g, Request{Version: version}, 0, len(g.targets))
+	for e := g.line.firstRequiring(now, version); e != nil; e = g.line.firstRequiring(now, version) {
 		r := e.Value.request
 		r.Patience = e.Value.until.Sub(now)
 		i := max(0, slices.IndexFunc(degraded, func(c candidate) bool { return !slices.Contains(r.Exclude, c.Start) }))
@@ -122,25 +122,37 @@
 	}
 }
 
-// firstFor returns the first waiting request that can use the target, nil for none.
+// firstFor returns the waiting request that gets a slot of the target, nil for none. Requests
+// that require other versions don't count as passed over: they may wait for long, and would
+// block those behind them.
 func (l *Ledger) firstFor(now time.Time, g *group, c candidate) *entry {
+	if !g.line.demand.wants(c.Version) {
+		return nil
+	}
+	usable := func(e *entry) bool {
+		r := e.Value.request
+		return e.Value.until.After(now.Add(g.waitAt(c))) && !slices.Contains(r.Exclude, c.Start) && !c.usage.degraded(now, r.LastChance)
+	}
 	var found *entry
 	passed := 0
 	g.line.queue.Each(now, func(e *entry) bool {
-		r := e.Value.request
-		if !e.Value.until.After(now.Add(g.waitAt(c))) || slices.Contains(r.Exclude, c.Start) || c.usage.degraded(now, r.LastChance) {
+		if !e.Value.request.accepts(c.Target) {
+			return true
+		}
+		if !usable(e) {
 			passed++
 			return passed < maxPassed
 		}
 		found = e
 		return false
 	})
-	return found
+	return g.requiredFirst(found, c.Target, usable)
 }
 
 // grantWaiting ends the wait of a request that has got a slot.
 func (l *Ledger) grantWaiting(now time.Time, g *group, e *entry, grant Grant) {
 	g.line.queue.Grant(now, e)
+	g.line.demand.remove(e)
 	delete(l.waiting.entries, e.Value.request.ID)
 	l.deliver(e, grant)
 }
--- a/core/slots/grant.go
+++ b/core/slots/grant.go
@@ -16,6 +16,9 @@
 	// Exclude lists the starts of targets that the holder can't use: already tried, or
 	// ejected by it.
 	Exclude []string
+	// Version requires a target of this version, "" for any. Leaders of earlier builds do
+	// not know it, so the holder has to check the target that it is granted.
+	Version string
 	// LastChance marks a request that gets no further attempt after a failure.
 	LastChance bool
 	// Patience is the maximum time for which the request may queue, here or at a target.
@@ -136,7 +139,11 @@
 		return grant
 	}
 	g := l.groups[r.Group]
-	if g == nil || len(g.targets) == 0 {
+	if g == nil {
+		return l.otherZone(now, r)
+	}
+	accepted, _ := g.accepted(r)
+	if accepted == 0 {
 		return l.otherZone(now, r)
 	}
 	if g.line.length() > 0 && !r.Batch {
@@ -146,13 +153,13 @@
 	if l.recentlyPreempted(now, g, r) {
 		return l.denyBatch(now, r, l.reserved(now, g, r))
 	}
-	if len(g.targets) > sampleSize {
+	if accepted > sampleSize {
 		healthy, _ := l.candidates(now, g, r, seed, sampleSize)
 		if c, ok := l.choiceFromSample(r, healthy); ok && !l.holdsBack(now, g, r, healthy) {
 			return l.grantLease(now, r, c)
 		}
 	}
-	healthy, degraded := l.candidates(now, g, r, seed, len(g.targets))
+	healthy, degraded := l.candidates(now, g, r, seed, accepted)
 	if r.Batch {
 		return l.grantBatch(now, r, g, healthy)
 	}
@@ -178,7 +185,7 @@
 // slot whose item is being preempted counts as taken until that item has ended.
 func (l *Ledger) grantBatch(now time.Time, r Request, g *group, from []candidate) Grant {
 	held := l.reserved(now, g, r)
-	if held == 0 || held < freeSlots(from) {
+	if held == 0 || held < g.freeSlotsFor(now, r, from) {
 		wait := l.requestsWait(g)
 		if c, ok := l.preferred(from, func(c *candidate) bool {
 			return c.fits(r) && c.online+c.usage.batch+r.Headroom+c.usage.heldForOnline(now, wait) < c.Slots
@@ -189,6 +196,15 @@
 	return l.denyBatch(now, r, held)
 }
 
+// freeSlotsFor returns how many of the group's slots nothing takes. healthy are the targets
+// that the request can use; the reserve is that of all versions.
+func (g *group) freeSlotsFor(now time.Time, r Request, healthy []candidate) int {
+	if r.Version != "" {
+		return g.freeSlots(now)
+	}
+	return freeSlots(healthy)
+}
+
 // denyBatch sends a batch item that gets no slot here to another zone, if that has a free
 // one. held is how many free slots are held back from it here.
 func (l *Ledger) denyBatch(now time.Time, r Request, held int) Grant {
--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -85,7 +85,9 @@
 	usage   map[string]*usage
 	remote  map[string]*remoteZone
 	// failed holds the zones that did not serve a request, by group.
-	failed map[zoneGroup]failedZone
+	failed map[ZoneGroup]failedZone
+	// remoteVersions holds the versions of the targets of other zones, nil for unknown.
+	remoteVersions map[ZoneGroup]bool
 	// zoneRule decides whether a request that gets no slot here is sent to another zone.
 	zoneRule func(home, other ZoneLoad) (gain float64, sends bool)
 	// slowRunsAt is when the runs were last examined for slow ones.
@@ -103,6 +105,8 @@
 	targets []Target
 	// usages holds the state of each target.
 	usages []*usage
+	// versions indexes the targets by version.
+	versions versionIndex
 	// use is the use of the targets by online requests.
 	use *onlineUse
 	// serviceTime is that of online requests.
@@ -163,7 +167,7 @@
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
 	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{},
-		remote: map[string]*remoteZone{}, failed: map[zoneGroup]failedZone{}, zoneRule: byEarliestStart, waiting: newWaiting(), fairness: newFairness()}
+		remote: map[string]*remoteZone{}, failed: map[ZoneGroup]failedZone{}, zoneRule: byEarliestStart, waiting: newWaiting(), fairness: newFairness()}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
@@ -174,7 +178,7 @@
 		u.group = ""
 	}
 	for name, list := range targets {
-		g := &group{targets: list, use: &onlineUse{}}
+		g := &group{targets: list, use: &onlineUse{}, versions: newVersionIndex(list)}
 		if known := l.groups[name]; known != nil {
 			g.serviceTime, g.use, g.drain, g.pace, g.line = known.serviceTime, known.use, known.drain, known.pace, known.line
 		}
--- a/core/slots/overtaking.go
+++ b/core/slots/overtaking.go
@@ -40,28 +40,34 @@
 	return precedence{e.Rank, !g.line.queue.Within(e)}
 }
 
-// perSecondFor returns how many of the slots that become free a second are left for the
+// perSecondFor returns how many of the slots that become free a second, perSecond of those
+// that the waiting request could use, are left for the
 // waiting request and those beside it: not those that go to requests that overtake it, 0 if
 // these get all.
 //
 // Load pattern: more urgent requests than slots for several seconds. A less urgent one
 // that looked only at the queue as it is would wait for its whole maximum wait in vain.
 func perSecondFor(now time.Time, g *group, e *entry, perSecond float64) float64 {
-	return max(0, perSecond-g.line.arrivals.overtaking(now, g.precedenceOf(e)))
+	overtaking := g.line.arrivals.overtaking(now, g.precedenceOf(e))
+	return max(0, perSecond-overtaking*g.versionShare(now, e.Value.request))
 }
 
 // expectedWait returns how long a waiting request will wait. It is 0 while the rate at which
-// slots become free is not known, and maxStart if no slot is expected.
+// slots become free is not known, and maxStart if no slot is expected. The first in the queue
+// is expected to start at once unless it requires a version: then few targets are of use.
 func (l *Ledger) expectedWait(now time.Time, g *group, e *entry) time.Duration {
-	ahead := g.line.queue.Ahead(now, e)
-	if ahead == 0 {
+	requests, r := g.aheadOf(now, e), e.Value.request
+	if r.Version != "" {
+		requests++
+	}
+	if requests == 0 {
 		return 0
 	}
 	perSecond := l.perSecond(now, g)
 	if perSecond <= 0 {
 		return 0
 	}
-	return waitBehind(ahead, perSecondFor(now, g, e, perSecond))
+	return waitBehind(requests, perSecondFor(now, g, e, perSecond*g.versionShare(now, r)))
 }
 
 // waitBehind returns how long requests take to get slots that become free at the rate.
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -51,6 +51,8 @@
 	queue *waitqueue.Queue[*waiter]
 	// arrivals counts the requests that have entered the queue.
 	arrivals arrivals
+	// demand holds the waiting requests by the version that they require; nil as queue.
+	demand *demand
 	// scanned is when all targets were last examined.
 	scanned time.Time
 }
@@ -149,6 +151,7 @@
 // remove removes a request that gets no slot from its queue.
 func (l *Ledger) remove(g *group, e *entry) {
 	g.line.queue.Remove(e)
+	g.line.demand.remove(e)
 	delete(l.waiting.entries, e.Value.request.ID)
 }
 
@@ -183,7 +186,7 @@
 		return Grant{}, false
 	}
 	w := e.Value
-	r.Group = w.request.Group
+	r.Group, r.Version = w.request.Group, w.request.Version
 	g := l.groups[r.Group]
 	w.request = r
 	w.until = earlier(w.until, now.Add(r.Patience))
@@ -201,8 +204,8 @@
 
 // loadBefore returns the zone's load as a waiting request finds it.
 func (l *Ledger) loadBefore(now time.Time, g *group, e *entry) ZoneLoad {
-	load := l.localLoad(now, e.Value.request.Group)
-	load.Waiting = g.line.queue.Ahead(now, e)
+	load := l.localLoad(now, e.Value.request)
+	load.Waiting = g.aheadOf(now, e)
 	if load.PerSecond > 0 {
 		load.PerSecond = perSecondFor(now, g, e, load.PerSecond)
 	}
@@ -217,11 +220,15 @@
 }
 
 // join decides for a request of a group in which others wait: it gets a free slot that
-// these can't use, a slot in another zone, or a place in the queue. Nearly all slots are
-// known to be taken, and so only some targets are examined.
+// these can't use, a slot in another zone, or a place in the queue. If nearly all slots that
+// it could use are known to be taken, only some targets are examined.
 func (l *Ledger) join(now time.Time, r Request, g *group, seed uint64) Grant {
 	l.dispatch(now)
-	healthy, _ := l.candidates(now, g, r, seed, min(sampleSize, len(g.targets)))
+	sample := sampleSize
+	if !g.line.demand.competes(r) {
+		sample = len(g.targets)
+	}
+	healthy, _ := l.candidates(now, g, r, seed, sample)
 	fits := (*candidate).free
 	if l.mayPreempt(r) {
 		fits = func(c *candidate) bool { return c.online < c.Slots }
@@ -299,11 +306,12 @@
 func (l *Ledger) enqueue(now time.Time, r Request, g *group) Grant {
 	q := &g.line
 	if q.queue == nil {
-		q.queue, q.arrivals = l.newQueue(r.Group), arrivals{}
+		q.queue, q.arrivals, q.demand = l.newQueue(r.Group), arrivals{}, newDemand()
 	}
 	e := newEntry(now, r)
 	e.Returning = l.returning(now, r)
 	q.queue.Add(now, e, earlier(e.Value.until, now.Add(waitTTL)))
+	q.demand.add(e)
 	l.waiting.entries[r.ID] = e
 	grant := l.waitingGrant(now, g, e)
 	if r.Patience <= 0 || grant.Wait > r.Patience {
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -75,9 +75,6 @@
 	sent map[string]int
 }
 
-// zoneGroup is a group of targets in another zone.
-type zoneGroup struct{ zone, group string }
-
 // failedZone is a zone that did not serve a request.
 type failedZone struct {
 	// until is until when it is not used; probed reports that it has got one request since.
@@ -124,10 +121,16 @@
 
 // waitingCount counts the online requests of the group that wait for a slot: those in the
 // queue, and those beyond the slots of each target.
-func (l *Ledger) waitingCount(g *group) int {
-	n := g.line.length()
-	for i, t := range g.targets {
-		n += max(0, g.usages[i].online-t.Slots)
+func (l *Ledger) waitingCount(g *group) int { return g.line.length() + g.beyondSlots(Request{}) }
+
+// beyondSlots counts the online requests beyond the slots of each target that the request
+// accepts.
+func (g *group) beyondSlots(r Request) int {
+	n := 0
+	for i := range g.targets {
+		if t := &g.targets[i]; r.accepts(t) {
+			n += max(0, g.usages[i].online-t.Slots)
+		}
 	}
 	return n
 }
@@ -211,7 +214,7 @@
 	if r.Visiting || r.Stay || r.Batch {
 		return l.otherZoneBefore(now, r, ZoneLoad{}) // the load here does not matter
 	}
-	return l.otherZoneBefore(now, r, l.localLoad(now, r.Group))
+	return l.otherZoneBefore(now, r, l.localLoad(now, r))
 }
 
 // otherZoneBefore chooses another zone for a request that would find the load home here.
@@ -221,7 +224,7 @@
 	}
 	best, found := visit{}, false
 	for zone, report := range l.remote {
-		if now.Sub(report.at) > FreeSlotsTTL || l.failedRecently(now, zone, r.Group) {
+		if now.Sub(report.at) > FreeSlotsTTL || !l.mayServe(zone, r) || l.failedRecently(now, zone, r) {
 			continue
 		}
 		v, ok := l.visit(r, zone, report, home)
@@ -287,16 +290,27 @@
 	return waitBehind(z.Waiting+1, z.PerSecond)
 }
 
-// localLoad returns the load of this zone for a request of the group that finds neither a
-// free slot nor one that batch holds. If it is not known yet how fast slots become free,
+// localLoad returns the load of this zone's targets that a request accepts and that have
+// neither a free slot for it nor one that batch holds. If it is not known yet how fast slots become free,
 // the request is expected to start at once, so that a new leader does not send its zone's
 // requests away.
-func (l *Ledger) localLoad(now time.Time, name string) ZoneLoad {
-	g := l.groups[name]
-	if !l.policy.ZoneBalance || g == nil || len(g.targets) == 0 {
+func (l *Ledger) localLoad(now time.Time, r Request) ZoneLoad {
+	g := l.groups[r.Group]
+	if !l.policy.ZoneBalance || g == nil {
+		return ZoneLoad{}
+	}
+	if accepted, _ := g.accepted(r); accepted == 0 {
 		return ZoneLoad{}
 	}
 	load := ZoneLoad{Waiting: l.waitingCount(g), PerSecond: l.perSecond(now, g)}
+	if r.Version != "" {
+		share := g.versionShare(now, r)
+		load.Waiting = g.beyondSlots(r)
+		if d := g.line.demand; d != nil {
+			load.Waiting += slotsFor(len(d.required[r.Version]), d.any, share)
+		}
+		load.PerSecond *= share
+	}
 	if load.PerSecond <= 0 && g.serviceTime.Wait(1, 1) <= 0 {
 		load.Free = 1
 	}
@@ -315,21 +329,22 @@
 	if !r.Visiting {
 		return true
 	}
-	load := l.localLoad(now, r.Group)
+	load := l.localLoad(now, r)
 	return load.PerSecond > 0 && load.start() <= r.HomeWait
 }
 
-// recordFailedZone records the zone that did not serve the request.
+// recordFailedZone records the zone that did not serve the request. One that required a
+// version says nothing about others.
 func (l *Ledger) recordFailedZone(now time.Time, r Request) {
 	if r.FailedZone == "" || !l.policy.ZoneBalance {
 		return
 	}
-	key := zoneGroup{r.FailedZone, r.Group}
+	key := ZoneGroup{r.FailedZone, r.Group, r.Version}
 	if r.Unanswered {
-		key.group = allGroups
+		key = ZoneGroup{Zone: r.FailedZone, Group: allGroups}
 	}
 	// Entries of a zone are kept for the probe, and are as few as the zones.
-	maps.DeleteFunc(l.failed, func(old zoneGroup, f failedZone) bool { return old.group != allGroups && !now.Before(f.until) })
+	maps.DeleteFunc(l.failed, func(old ZoneGroup, f failedZone) bool { return old.Group != allGroups && !now.Before(f.until) })
 	l.failed[key] = failedZone{until: now.Add(failedZoneTime)}
 }
 
@@ -337,7 +352,7 @@
 // other request until this one must have been answered. Batch items, and requests of holders
 // that do not balance zones, are no probes: their holders do not report the failure.
 func (l *Ledger) probe(now time.Time, zone string) {
-	key := zoneGroup{zone, allGroups}
+	key := ZoneGroup{Zone: zone, Group: allGroups}
 	failed, known := l.failed[key]
 	switch {
 	case failed.probed:
@@ -347,8 +362,13 @@
 	}
 }
 
-// failedRecently reports whether the zone did not answer, or gave a request of the group no
-// slot, within failedZoneTime.
-func (l *Ledger) failedRecently(now time.Time, zone, group string) bool {
-	return now.Before(l.failed[zoneGroup{zone, group}].until) || now.Before(l.failed[zoneGroup{zone, allGroups}].until)
+// failedRecently reports whether, within failedZoneTime, the zone did not answer, or gave no
+// slot to a request of the group that required r's version or accepted any.
+func (l *Ledger) failedRecently(now time.Time, zone string, r Request) bool {
+	for _, key := range [...]ZoneGroup{{zone, r.Group, r.Version}, {zone, r.Group, ""}, {zone, allGroups, ""}} {
+		if now.Before(l.failed[key].until) {
+			return true
+		}
+	}
+	return false
 }
--- a/core/waitqueue/waitqueue.go
+++ b/core/waitqueue/waitqueue.go
@@ -149,6 +149,20 @@
 	return count
 }
 
+// Above returns how many entries have a higher priority than the rank.
+func (q *Queue[V]) Above(rank int) int {
+	count := 0
+	for _, l := range q.levels {
+		if l.rank >= rank {
+			break
+		}
+		for c := range l.classes {
+			count += l.classes[c].len()
+		}
+	}
+	return count
+}
+
 // First returns the first entry, nil for none.
 func (q *Queue[V]) First(now time.Time) *Entry[V] {
 	var first *Entry[V]
