Acquire slots only at targets of the version that a request requires

places.Request and BatchRequest have a Version, which is passed to the leaders and to the local choice.

- A grant is accepted only if its target is known to be of the version, by this daemon's entry or, for a target outside its sample, by the leader's description.
Otherwise the lease is abandoned, grant_rejected is logged, and the request goes on by the local choice.
This holds for leaders of an earlier build, which ignore slots.Request.Version and describe targets without one, and also at the end of a wait and in other zones.
- The local choice, also for a lone request, admits and picks by the version.
Without a target of it the refusal is no_target with Retry-After at once.
- A daemon that has read all targets tells its ledger of which versions other zones have any.
One that adopted them knows a sample of those at most, and says nothing.

--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -25,6 +25,10 @@
 	Group string
 	// Exclude holds the starts of targets already tried.
 	Exclude map[string]bool
+	// Version requires a target of this software version, "" for any. No target of another
+	// or of unknown version is chosen; if none of the version is usable as far as this
+	// daemon and the leaders know, the request is refused at once.
+	Version string
 	// Alone requests a target at which as little other work as possible runs.
 	Alone bool
 	// LastChance reports that a failed attempt will not be retried.
@@ -52,6 +56,8 @@
 	// number of slots of each target that stay free.
 	Exclude  map[string]bool
 	Headroom int
+	// Version requires a target of this software version, "" for any.
+	Version string
 	// Work, Slack, ShortOfTime and Needed describe the item and its group's other items; see
 	// slots.Request.
 	Work        float64
@@ -93,7 +99,7 @@
 // acquireGranted requests a slot from the leaders. decided is false if none answers or
 // grants a usable one.
 func (p *Places) acquireGranted(ctx context.Context, r Request) (slot Slot, refusal *outcome.Refusal, decided bool) {
-	request := p.newSlotRequest(r.Group, r.Exclude)
+	request := p.newSlotRequest(r.Group, r.Version, r.Exclude)
 	request.LastChance, request.Patience = r.LastChance, r.MaxWait
 	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
 	request.Work, request.Content = r.Work, r.Content
@@ -132,9 +138,9 @@
 }
 
 // newSlotRequest returns a request for a slot of the group.
-func (p *Places) newSlotRequest(groupName string, tried map[string]bool) slots.Request {
+func (p *Places) newSlotRequest(groupName, version string, tried map[string]bool) slots.Request {
 	id := slots.ID{Holder: p.self, Number: p.scheduler.leases.next()}
-	return slots.Request{ID: id, Group: groupName, Exclude: p.excluded(groupName, tried)}
+	return slots.Request{ID: id, Group: groupName, Version: version, Exclude: p.excluded(groupName, tried)}
 }
 
 // excluded lists the targets of the group that a request can't use: those it has tried,
@@ -160,7 +166,8 @@
 }
 
 // acceptGrant counts a slot that a leader granted, unless this daemon knows that the target
-// must get no work: the leader may receive the target's removal later.
+// must get no work, since the leader may receive the target's removal later, or the target
+// is not known to be of the required version: leaders of earlier builds know no versions.
 func (p *Places) acceptGrant(request slots.Request, grant slots.Grant, by string) (Slot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -168,8 +175,9 @@
 	if !known {
 		t, known = p.grantedTarget(request.Group, grant)
 	}
-	if !known {
+	if !known || request.Version != "" && t.Version != request.Version {
 		p.scheduler.leases.abandon(request.ID.Number, by)
+		p.logRejectedGrant(request, grant, by, t)
 		return Slot{}, false
 	}
 	slot := p.begin(t, request.ID.Number, by, request.Batch)
@@ -218,11 +226,14 @@
 	if g == nil || len(g.targets) == 0 {
 		return Slot{}, outcome.Refuse(outcome.NoTarget, "no target of %s is known", r.Group).After(noTargetRetryMs)
 	}
+	if !g.serves(r.Version) {
+		return Slot{}, outcome.Refuse(outcome.NoTarget, "no target of %s with version %s is known", r.Group, r.Version).After(noTargetRetryMs)
+	}
 	p.applyFleetCounts(now, g)
-	if refusal := g.table.Admit(now, now.Add(r.MaxWait)); refusal != nil {
+	if refusal := g.table.Admit(now, now.Add(r.MaxWait), r.Version); refusal != nil {
 		return Slot{}, refusal
 	}
-	request := routing.Request{Zone: p.zone, Exclude: r.Exclude, LastChance: r.LastChance, SeedValue: rand.Uint64()}
+	request := routing.Request{Zone: p.zone, Exclude: r.Exclude, Version: r.Version, LastChance: r.LastChance, SeedValue: rand.Uint64()}
 	request.RemoteStale = p.Scheduled()
 	request.LoadReportAge = time.Duration(p.loadReportAge.Load())
 	request.Alone = r.Alone
@@ -312,36 +323,40 @@
 // false if no target has such a slot.
 func (p *Places) AcquireBatch(ctx context.Context, r BatchRequest) (Slot, bool) {
 	if !p.Scheduled() {
-		return p.acquireBatchLocally(r.Group, r.Exclude, r.Headroom)
+		return p.acquireBatchLocally(r)
 	}
-	request := p.newSlotRequest(r.Group, r.Exclude)
+	request := p.newSlotRequest(r.Group, r.Version, r.Exclude)
 	describeItem(&request, r)
 	grant, by, answered := p.scheduler.requestSlot(ctx, request)
 	p.recordHeldBack(r.Group, grant.Reserve)
 	if !answered || grant.Verdict != slots.Granted {
 		return Slot{}, false
 	}
-	return p.acceptGrant(request, grant, by)
+	if slot, ok := p.acceptGrant(request, grant, by); ok || r.Version == "" {
+		return slot, ok
+	}
+	return p.acquireBatchLocally(r)
 }
 
 // acquireBatchLocally chooses a target from this daemon's view.
-func (p *Places) acquireBatchLocally(groupName string, exclude map[string]bool, headroom int) (Slot, bool) {
+func (p *Places) acquireBatchLocally(r BatchRequest) (Slot, bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := p.groups[groupName]
+	g := p.groups[r.Group]
 	if g == nil {
 		return Slot{}, false
 	}
 	p.applyFleetCounts(now, g)
+	targets := g.ofVersion(r.Version)
 	best, lowest := roster.Target{}, 0
-	first := rand.IntN(max(1, len(g.targets)))
-	for i := range g.targets {
-		t := g.targets[(first+i)%len(g.targets)]
+	first := rand.IntN(max(1, len(targets)))
+	for i := range targets {
+		t := targets[(first+i)%len(targets)]
 		start := string(t.Start)
 		total := p.board.Total(now, start)
 		running := total.Online + total.Batch
-		if exclude[start] && len(g.targets) > 1 || running+headroom >= t.Slots || !g.table.Available(now, start) {
+		if r.Exclude[start] && len(targets) > 1 || running+r.Headroom >= t.Slots || !g.table.Available(now, start) {
 			continue
 		}
 		// The count is doubled so that the local zone wins among equals: traffic between
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -71,6 +71,9 @@
 	// roster from which pool and eligible were built.
 	pool         *pool
 	builtVersion uint64
+	// adopted is set while the targets are those that another daemon chose: then at most a
+	// sample of the other zones' is known.
+	adopted bool
 	// listReceived notifies of the first list of targets, targetsChanged of each change
 	// of eligible.
 	listReceived, targetsChanged duty.Notifier
@@ -140,8 +143,16 @@
 // removed. It must be called before the view is used.
 func (p *Places) OnRemoved(removed func(address string)) { p.onRemoved = removed }
 
-// Update changes the roster and rebuilds the groups if the roster's version changed.
+// Update changes the roster as read from the log.
 func (p *Places) Update(change func(now time.Time, r *roster.Roster)) {
+	p.update(func(now time.Time, r *roster.Roster) {
+		p.adopted = false
+		change(now, r)
+	})
+}
+
+// update changes the roster and rebuilds the groups if the roster's version changed.
+func (p *Places) update(change func(now time.Time, r *roster.Roster)) {
 	now := time.Now()
 	p.mu.Lock()
 	change(now, p.roster)
@@ -180,7 +191,7 @@
 		eligible = p.pool.sample(p.board.Self())
 	}
 	removed := p.setEligible(eligible)
-	p.scheduler.setTargets(p.zoneTargets(usable), len(usable) > 0 && p.roster.Complete())
+	p.scheduler.setTargets(p.zoneTargets(usable), p.remoteVersions(usable), len(usable) > 0 && p.roster.Complete())
 	p.armExpiry(now, until)
 	return removed
 }
@@ -227,7 +238,7 @@
 		list := make([]routing.Target, 0, len(targets))
 		slotsPerTarget := 0
 		for _, t := range targets {
-			list = append(list, routing.Target{Address: string(t.Start), Zone: t.Zone})
+			list = append(list, routing.Target{Address: string(t.Start), Zone: t.Zone, Version: t.Version})
 			slotsPerTarget = t.Slots
 		}
 		g := p.groups[name]
@@ -260,7 +271,7 @@
 	if until.IsZero() {
 		return
 	}
-	p.expiry = time.AfterFunc(until.Sub(now), func() { p.Update(func(time.Time, *roster.Roster) {}) })
+	p.expiry = time.AfterFunc(until.Sub(now), func() { p.update(func(time.Time, *roster.Roster) {}) })
 }
 
 // Address returns this daemon's peer address.
--- a/daemon/places/sample.go
+++ b/daemon/places/sample.go
@@ -148,7 +148,10 @@
 // Adopt sets the targets that another daemon chose for this one, as of the time at: a
 // sample, or with wholeZone all targets of the zone.
 func (p *Places) Adopt(at time.Time, targets []roster.Target, wholeZone bool) {
-	p.Update(func(_ time.Time, r *roster.Roster) { r.Adopt(at, targets, wholeZone) })
+	p.update(func(_ time.Time, r *roster.Roster) {
+		p.adopted = true
+		r.Adopt(at, targets, wholeZone)
+	})
 }
 
 // Confirm records that the adopted targets were still valid at the time at, and the
@@ -190,6 +193,6 @@
 	p.mu.Lock()
 	p.builtVersion = noVersion
 	p.mu.Unlock()
-	p.Update(func(time.Time, *roster.Roster) {})
+	p.update(func(time.Time, *roster.Roster) {})
 	duty.Wake(p.changed)
 }
--- a/daemon/places/scheduler.go
+++ b/daemon/places/scheduler.go
@@ -132,13 +132,14 @@
 	s.set.GetOrCreateCounter(`tarragonhollow_slots_asked_total{outcome="` + outcome + `"}`).Inc()
 }
 
-// setTargets sets the zone's targets by group. known reports whether any target of the
+// setTargets sets the zone's targets by group, and the versions that other zones serve. known reports whether any target of the
 // fleet is known: the leader of a zone without targets still knows which zones have free
 // slots.
-func (s *scheduler) setTargets(targets map[string][]slots.Target, known bool) {
+func (s *scheduler) setTargets(targets map[string][]slots.Target, remoteVersions map[slots.ZoneGroup]bool, known bool) {
 	s.mu.Lock()
 	s.targetsKnown = known
 	s.ledger.SetTargets(targets)
+	s.ledger.SetRemoteVersions(remoteVersions)
 	notify := s.dispatch(time.Now())
 	s.mu.Unlock()
 	notify()
--- a/daemon/places/shares_internal_test.go
+++ b/daemon/places/shares_internal_test.go
@@ -50,7 +50,7 @@
 		s := v.scheduler
 		s.leads = true
 		now := time.Unix(1000, 0)
-		s.setTargets(map[string][]slots.Target{"g": {{Start: "t", Slots: 1}}}, true)
+		s.setTargets(map[string][]slots.Target{"g": {{Start: "t", Slots: 1}}}, nil, true)
 		s.applyZoneReport(now, ZoneReport{Zone: "other", Leader: "l", Shares: map[string]fairshare.Report{"g": {Number: 1, Used: map[string]float64{"a": 1}}}})
 		uses := s.ledger.ShareUses()
 		g.Expect(len(uses) > 0).To(Equal(on))
@@ -82,7 +82,7 @@
 	g := NewWithT(t)
 	s := New(Options{Host: "h", Zone: "z", PeerAddress: "h", Logger: zap.NewNop(), Policy: slots.Policy{FairShares: true, Queue: true}}).scheduler
 	now := time.Unix(1000, 0)
-	s.setTargets(map[string][]slots.Target{"g": {{Start: "t", Slots: 1}}}, true)
+	s.setTargets(map[string][]slots.Target{"g": {{Start: "t", Slots: 1}}}, nil, true)
 	s.ledger.ApplyShareReports(now, "l", map[string]fairshare.Report{"g": {Number: 1}})
 	for _, s.leads = range []bool{true, false} {
 		g.Expect(len(s.shareUses()) > 0).To(Equal(s.leads))
