--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -104,7 +104,7 @@
 		}
 		return Slot{}, refusal, true
 	}
-	slot, known := p.acceptGrant(request, grant, by)
+	slot, known := p.acceptGrant(r.ID, request, grant, by)
 	return slot, nil, known
 }
 
@@ -150,8 +150,9 @@
 
 // acceptGrant counts a slot that a leader granted, unless this daemon knows that the target
 // must get no work, since the leader may receive the target's removal later, or the target
-// is not known to be of the required version: leaders of earlier builds know no versions.
-func (p *Places) acceptGrant(request slots.Request, grant slots.Grant, by string) (Slot, bool) {
+// is not known to be of the required version: leaders of earlier builds know no versions. id
+// names the request in log lines, "" for a batch item.
+func (p *Places) acceptGrant(id string, request slots.Request, grant slots.Grant, by string) (Slot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, known := p.eligible[roster.Start(grant.Target)]
@@ -160,7 +161,7 @@
 	}
 	if !known || request.Version != "" && t.Version != request.Version {
 		p.scheduler.leases.abandon(request.ID.Number, by)
-		p.logRejectedGrant(request, grant, by, t)
+		p.logRejectedGrant(id, request, grant, by, t)
 		return Slot{}, false
 	}
 	slot := p.begin(t, request.ID.Number, by, request.Batch)
--- a/daemon/places/acquirebatch.go
+++ b/daemon/places/acquirebatch.go
@@ -41,7 +41,7 @@
 	if !answered || grant.Verdict != slots.Granted {
 		return Slot{}, false
 	}
-	if slot, ok := p.acceptGrant(request, grant, by); ok || r.Version == "" {
+	if slot, ok := p.acceptGrant("", request, grant, by); ok || r.Version == "" {
 		return slot, ok
 	}
 	return p.acquireBatchLocally(r)
--- a/daemon/places/versions.go
+++ b/daemon/places/versions.go
@@ -55,10 +55,10 @@
 
 // logRejectedGrant logs that a slot was returned because its target, of which known is what
 // this daemon knows, is not of the required version.
-func (p *Places) logRejectedGrant(request slots.Request, grant slots.Grant, by string, known roster.Target) {
+func (p *Places) logRejectedGrant(id string, request slots.Request, grant slots.Grant, by string, known roster.Target) {
 	if request.Version == "" {
 		return
 	}
-	p.logger.Info("grant_rejected", zap.String("group", request.Group), zap.String("target", grant.Target), zap.String("leader", by),
+	p.logger.Info("grant_rejected", zap.String("id", id), zap.String("group", request.Group), zap.String("target", grant.Target), zap.String("leader", by),
 		zap.String("version", request.Version), zap.String("known_version", known.Version), zap.String("granted_version", grant.At.Version))
 }
