Hold some targets of each version in the samples of a large zone

A daemon of a large zone that gets no answer from its leader chooses among the 40 targets of a group that it holds. Of a version that few targets have it mostly held none, and so refused each stream of that version. A sample now has four targets of each version, where there are as many, of at most eight versions; one of a group with a single version is as before.

--- a/daemon/places/sample.go
+++ b/daemon/places/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,10 @@
 	// maxRemoteTargets bounds the targets of other zones from which samples of a group
 	// are drawn.
 	maxRemoteTargets = 256
+	// versionSampleSize is how many targets of each version of a group a sample holds, of at
+	// most maxSampledVersions versions: without a leader a stream can go on only at those.
+	versionSampleSize  = 4
+	maxSampledVersions = 8
 )
 
 // pool holds all usable targets, from which samples are drawn.
@@ -30,7 +35,40 @@
 }
 
 // poolGroup is one target group, the targets of the local zone apart from the others.
-type poolGroup struct{ local, remote hashedTargets }
+type poolGroup struct {
+	local, remote hashedTargets
+	// versions holds the targets by version, nil if all are of one version.
+	versions map[string]*poolGroup
+}
+
+func (g *poolGroup) add(t roster.Target, hash uint64, local bool) {
+	if local {
+		g.local.add(t, hash)
+	} else {
+		g.remote.add(t, hash)
+	}
+}
+
+// addVersions adds targets to a sample of the group that has few of a version.
+func (g *poolGroup) addVersions(list []roster.Target, holder uint64) []roster.Target {
+	versions := slices.Sorted(maps.Keys(g.versions))
+	for _, version := range versions[:min(maxSampledVersions, len(versions))] {
+		held := map[string]bool{}
+		for _, t := range list {
+			if t.Version == version {
+				held[t.ID] = true
+			}
+		}
+		of := g.versions[version]
+		for _, t := range append(of.local.sample(holder, versionSampleSize), of.remote.sample(holder, versionSampleSize)...) {
+			if len(held) < versionSampleSize && !held[t.ID] {
+				held[t.ID] = true
+				list = append(list, t)
+			}
+		}
+	}
+	return list
+}
 
 // hashedTargets are targets with the hashes of their starts.
 type hashedTargets struct {
@@ -38,9 +76,9 @@
 	hashes  []uint64
 }
 
-func (h *hashedTargets) add(t roster.Target) {
+func (h *hashedTargets) add(t roster.Target, hash uint64) {
 	h.targets = append(h.targets, t)
-	h.hashes = append(h.hashes, feed.Hash(string(t.Start)))
+	h.hashes = append(h.hashes, hash)
 }
 
 func (h *hashedTargets) sample(holder uint64, n int) []roster.Target {
@@ -59,23 +97,40 @@
 			g = &poolGroup{}
 			p.groups[t.Group] = g
 		}
-		if t.Zone == zone {
-			g.local.add(t)
-		} else {
-			g.remote.add(t)
-		}
+		g.add(t, feed.Hash(string(t.Start)), t.Zone == zone)
 	}
 	for _, g := range p.groups {
+		g.divide()
 		g.remote = g.remote.subset(maxRemoteTargets)
 	}
 	return p
 }
 
+// divide sets the group's targets by version.
+func (g *poolGroup) divide() {
+	versions := map[string]*poolGroup{}
+	for _, from := range []*hashedTargets{&g.local, &g.remote} {
+		for i, t := range from.targets {
+			if versions[t.Version] == nil {
+				versions[t.Version] = &poolGroup{}
+			}
+			versions[t.Version].add(t, from.hashes[i], from == &g.local)
+		}
+	}
+	if len(versions) < 2 {
+		return
+	}
+	for _, of := range versions {
+		of.remote = of.remote.subset(maxRemoteTargets)
+	}
+	g.versions = versions
+}
+
 // subset returns at most n of the targets, the same ones on all daemons.
 func (h *hashedTargets) subset(n int) hashedTargets {
 	var subset hashedTargets
 	for _, i := range feed.Sample(0, h.hashes, n) {
-		subset.add(h.targets[i])
+		subset.add(h.targets[i], h.hashes[i])
 	}
 	return subset
 }
@@ -83,23 +138,26 @@
 // wholeZone returns all targets of the zone and a sample of the others, sorted by ID.
 func (p *pool) wholeZone(holder string) []roster.Target {
 	var list []roster.Target
+	hash := feed.Hash(holder)
 	for _, g := range p.groups {
-		list = append(list, g.local.targets...)
-		list = append(list, g.remote.sample(feed.Hash(holder), remoteSampleSize+max(0, localSampleSize-len(g.local.targets)))...)
+		whole := slices.Clone(g.local.targets)
+		whole = append(whole, g.remote.sample(hash, remoteSampleSize+max(0, localSampleSize-len(g.local.targets)))...)
+		list = append(list, g.addVersions(whole, hash)...)
 	}
 	sortByID(list)
 	return list
 }
 
 // sample returns the targets that a daemon holds, sorted by ID. A group with few targets
-// in the zone is filled up with targets of other zones.
+// in the zone is filled up with targets of other zones, and one of several versions with those
+// of which it would have few.
 func (p *pool) sample(holder string) []roster.Target {
 	hash := feed.Hash(holder)
 	var list []roster.Target
 	for _, g := range p.groups {
-		local := g.local.sample(hash, localSampleSize)
-		list = append(list, local...)
-		list = append(list, g.remote.sample(hash, remoteSampleSize+localSampleSize-len(local))...)
+		sample := g.local.sample(hash, localSampleSize)
+		sample = append(sample, g.remote.sample(hash, remoteSampleSize+localSampleSize-len(sample))...)
+		list = append(list, g.addVersions(sample, hash)...)
 	}
 	sortByID(list)
 	return list
--- a/daemon/places/versions_internal_test.go
+++ b/daemon/places/versions_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -211,3 +212,31 @@
 	p.Update(read)
 	g.Expect(p.remoteVersions(targets)).To(Equal(served))
 }
+
+// Guards against a daemon of a large zone that, without its leader, refuses streams of a
+// version that few targets have, and against samples that grow with the number of versions.
+func TestSamplesHoldEachVersion(t *testing.T) {
+	g := NewWithT(t)
+	var targets []roster.Target
+	for i := range 1000 {
+		targets = append(targets, versioned(fmt.Sprint("old", i), "z", "v1"), versioned(fmt.Sprint("far", i), "other", "v1"))
+	}
+	uniform := newPool("z", targets)
+	before := uniform.sample("self")
+	g.Expect(before).To(HaveLen(localSampleSize + remoteSampleSize))
+	for i := range 3 {
+		targets = append(targets, versioned(fmt.Sprint("new", i), "z", "v2"), versioned(fmt.Sprint("newer", i), "other", "v3"))
+	}
+	count := func(list []roster.Target, version string) int {
+		return len(slices.DeleteFunc(slices.Clone(list), func(t roster.Target) bool { return t.Version != version }))
+	}
+	mixed := newPool("z", targets)
+	for _, list := range [][]roster.Target{mixed.sample("self"), mixed.wholeZone("self")} {
+		g.Expect([]int{count(list, "v2"), count(list, "v3")}).To(Equal([]int{3, 3}))
+		g.Expect(slices.CompactFunc(list, func(a, b roster.Target) bool { return a.ID == b.ID })).To(HaveLen(len(list)))
+	}
+	for i := range targets {
+		targets[i].Version = fmt.Sprint("v", i)
+	}
+	g.Expect(len(newPool("z", targets).sample("self"))).To(BeNumerically("<=", len(before)+maxSampledVersions*versionSampleSize))
+}
