--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -23,10 +23,12 @@
 	// ID names the request in log lines.
 	ID    string
 	Group string
-	// Version is the only software version of targets that the request may use, "" for any.
-	Version string
 	// Exclude holds the starts of targets already tried.
 	Exclude map[string]bool
+	// Version requires a target of this software version, "" for any. No target of another
+	// or of unknown version is chosen; if none of the version is usable as far as this
+	// daemon and the leaders know, the request is refused at once.
+	Version string
 	// Alone requests a target at which as little other work as possible runs.
 	Alone bool
 	// LastChance reports that a failed attempt will not be retried.
@@ -47,21 +49,6 @@
 	FirstByte time.Duration
 }
 
-// BatchRequest describes a batch item for the choice of a target.
-type BatchRequest struct {
-	Group string
-	// Exclude holds the starts of targets that the item must not use, Headroom is the
-	// number of slots of each target that stay free.
-	Exclude  map[string]bool
-	Headroom int
-	// Work, Slack, ShortOfTime and Needed describe the item and its group's other items; see
-	// slots.Request.
-	Work        float64
-	Slack       time.Duration
-	ShortOfTime bool
-	Needed      float64
-}
-
 // Slot is a slot at a target that was chosen for a request, and the leader that chose it.
 type Slot struct {
 	roster.Target
@@ -95,7 +82,7 @@
 // acquireGranted requests a slot from the leaders. decided is false if none answers or
 // grants a usable one.
 func (p *Places) acquireGranted(ctx context.Context, r Request) (slot Slot, refusal *outcome.Refusal, decided bool) {
-	request := p.newSlotRequest(r.Group, r.Exclude)
+	request := p.newSlotRequest(r.Group, r.Version, r.Exclude)
 	request.LastChance, request.Patience = r.LastChance, r.MaxWait
 	request.Rank, request.Share, request.Weight = r.Rank, r.Share, r.Weight
 	request.Work, request.Content = r.Work, r.Content
@@ -117,7 +104,7 @@
 		}
 		return Slot{}, refusal, true
 	}
-	slot, known := p.acceptGrant(request, grant, by)
+	slot, known := p.acceptGrant(r.ID, request, grant, by)
 	return slot, nil, known
 }
 
@@ -134,9 +121,9 @@
 }
 
 // newSlotRequest returns a request for a slot of the group.
-func (p *Places) newSlotRequest(groupName string, tried map[string]bool) slots.Request {
+func (p *Places) newSlotRequest(groupName, version string, tried map[string]bool) slots.Request {
 	id := slots.ID{Holder: p.self, Number: p.scheduler.leases.next()}
-	return slots.Request{ID: id, Group: groupName, Exclude: p.excluded(groupName, tried)}
+	return slots.Request{ID: id, Group: groupName, Version: version, Exclude: p.excluded(groupName, tried)}
 }
 
 // excluded lists the targets of the group that a request can't use: those it has tried,
@@ -162,16 +149,19 @@
 }
 
 // acceptGrant counts a slot that a leader granted, unless this daemon knows that the target
-// must get no work: the leader may receive the target's removal later.
-func (p *Places) acceptGrant(request slots.Request, grant slots.Grant, by string) (Slot, bool) {
+// must get no work, since the leader may receive the target's removal later, or the target
+// is not known to be of the required version: leaders of earlier builds know no versions. id
+// names the request in log lines, "" for a batch item.
+func (p *Places) acceptGrant(id string, request slots.Request, grant slots.Grant, by string) (Slot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, known := p.eligible[roster.Start(grant.Target)]
 	if !known {
 		t, known = p.grantedTarget(request.Group, grant)
 	}
-	if !known {
+	if !known || request.Version != "" && t.Version != request.Version {
 		p.scheduler.leases.abandon(request.ID.Number, by)
+		p.logRejectedGrant(id, request, grant, by, t)
 		return Slot{}, false
 	}
 	slot := p.begin(t, request.ID.Number, by, request.Batch)
@@ -220,11 +210,14 @@
 	if g == nil || len(g.targets) == 0 {
 		return Slot{}, outcome.Refuse(outcome.NoTarget, "no target of %s is known", r.Group).After(noTargetRetryMs)
 	}
+	if !g.serves(r.Version) {
+		return Slot{}, outcome.Refuse(outcome.NoTarget, "no target of %s with version %s is known", r.Group, r.Version).After(noTargetRetryMs)
+	}
 	p.applyFleetCounts(now, g)
 	if refusal := g.table.Admit(now, now.Add(r.MaxWait), r.Version); refusal != nil {
 		return Slot{}, refusal
 	}
-	request := routing.Request{Zone: p.zone, Exclude: r.Exclude, LastChance: r.LastChance, SeedValue: rand.Uint64(), Version: r.Version}
+	request := routing.Request{Zone: p.zone, Exclude: r.Exclude, Version: r.Version, LastChance: r.LastChance, SeedValue: rand.Uint64()}
 	request.RemoteStale = p.Scheduled()
 	request.LoadReportAge = time.Duration(p.loadReportAge.Load())
 	request.Alone = r.Alone
@@ -309,78 +302,6 @@
 	}
 }
 
-// AcquireBatch chooses the target with the least work that keeps headroom slots free
-// beside the new item, and counts a batch item there; ReleaseBatch must follow. It returns
-// false if no target has such a slot.
-func (p *Places) AcquireBatch(ctx context.Context, r BatchRequest) (Slot, bool) {
-	if !p.Scheduled() {
-		return p.acquireBatchLocally(r.Group, r.Exclude, r.Headroom)
-	}
-	request := p.newSlotRequest(r.Group, r.Exclude)
-	describeItem(&request, r)
-	grant, by, answered := p.scheduler.requestSlot(ctx, request)
-	p.recordHeldBack(r.Group, grant.Reserve)
-	if !answered || grant.Verdict != slots.Granted {
-		return Slot{}, false
-	}
-	return p.acceptGrant(request, grant, by)
-}
-
-// acquireBatchLocally chooses a target from this daemon's view.
-func (p *Places) acquireBatchLocally(groupName string, exclude map[string]bool, headroom int) (Slot, bool) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.groups[groupName]
-	if g == nil {
-		return Slot{}, false
-	}
-	p.applyFleetCounts(now, g)
-	best, lowest := roster.Target{}, 0
-	first := rand.IntN(max(1, len(g.targets)))
-	for i := range g.targets {
-		t := g.targets[(first+i)%len(g.targets)]
-		start := string(t.Start)
-		total := p.board.Total(now, start)
-		running := total.Online + total.Batch
-		if exclude[start] && len(g.targets) > 1 || running+headroom >= t.Slots || !g.table.Available(now, start) {
-			continue
-		}
-		// The count is doubled so that the local zone wins among equals: traffic between
-		// zones costs more than the order of equal targets matters.
-		weight := 2 * running
-		if t.Zone != p.zone {
-			weight++
-		}
-		if g.table.Degraded(now, start) {
-			weight += 2 * t.Slots
-		}
-		if best.ID == "" || weight < lowest {
-			best, lowest = t, weight
-		}
-	}
-	if best.ID == "" {
-		return Slot{}, false
-	}
-	return p.begin(best, p.scheduler.leases.next(), "", true), true
-}
-
-// ReleaseBatch ends what AcquireBatch counted.
-func (p *Places) ReleaseBatch(slot Slot, result routing.Outcome) {
-	now := time.Now()
-	t := slot.Target
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.board.Add(string(t.Start), 0, -1)
-	p.starts.done(t)
-	g := p.groups[t.Group]
-	if g != nil {
-		g.table.RecordOutcome(now, string(t.Start), result)
-	}
-	p.scheduler.leases.end(slot.lease, p.reportedOutcome(now, g, result), 0)
-	p.notifyChange()
-}
-
 // FreeSlots returns how many slots of the group neither online nor batch work takes, not
 // counting headroom slots at each target.
 func (p *Places) FreeSlots(groupName string, headroom int) int {
--- a/daemon/places/groupversions.go
+++ b/daemon/places/groupversions.go
@@ -4,8 +4,8 @@
 	"time"
 )
 
-// adoptedVersionsTTL is how long what a reader said of versions counts: some three polls.
-const adoptedVersionsTTL = 3 * time.Second
+// versionsTTL is how long what a reader said of versions counts: some three polls.
+const versionsTTL = 3 * time.Second
 
 // GroupVersions is what a daemon knows of the software versions that a group's targets have
 // had within streamversion.Memory.
@@ -35,17 +35,17 @@
 	v := GroupVersions{Known: p.versions.Versions(now, group)}
 	v.Several = len(v.Known) > 1
 	if p.roster.Adopted() {
-		v.Several = v.Several || p.adopted.several[group]
-		v.Throughout = p.adopted.throughout && now.Sub(p.adopted.at) <= adoptedVersionsTTL
+		v.Several = v.Several || p.readerVersions.several[group]
+		v.Throughout = p.readerVersions.throughout && now.Sub(p.readerVersions.at) <= versionsTTL
 		return v
 	}
 	v.Throughout = p.versions.Covers(now)
 	return v
 }
 
-// adoptedVersions is what a reader said of versions: the groups whose targets have had several,
+// readerVersions is what a reader said of versions: the groups whose targets have had several,
 // and whether it would know of all such groups.
-type adoptedVersions struct {
+type readerVersions struct {
 	at         time.Time
 	several    map[string]bool
 	throughout bool
@@ -55,9 +55,9 @@
 func (p *Places) AdoptVersions(at time.Time, several []string, throughout bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.adopted = adoptedVersions{at: at, several: map[string]bool{}, throughout: throughout}
+	p.readerVersions = readerVersions{at: at, several: map[string]bool{}, throughout: throughout}
 	for _, group := range several {
-		p.adopted.several[group] = true
+		p.readerVersions.several[group] = true
 	}
 }
 
@@ -81,10 +81,10 @@
 }
 
 // TargetsFresh reports whether the list of targets was confirmed within the last
-// adoptedVersionsTTL.
+// versionsTTL.
 func (p *Places) TargetsFresh() bool {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.roster.Known() && p.roster.Age(now) <= adoptedVersionsTTL
+	return p.roster.Known() && p.roster.Age(now) <= versionsTTL
 }
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -61,11 +61,11 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	// versions are the software versions that targets have had, adopted is what a reader said
-	// of them.
-	versions streamversion.History
-	adopted  adoptedVersions
-	board    *board.LoadTable
+	// versions are the software versions that targets have had, readerVersions is what a reader
+	// said of them.
+	versions       streamversion.History
+	readerVersions readerVersions
+	board          *board.LoadTable
 	// heartbeats numbers the heartbeats of the zone's leader.
 	heartbeats uint64
 	groups     map[string]*group
@@ -187,7 +187,7 @@
 		eligible = p.pool.sample(p.board.Self())
 	}
 	removed := p.setEligible(eligible)
-	p.scheduler.setTargets(p.zoneTargets(usable), len(usable) > 0 && p.roster.Complete())
+	p.scheduler.setTargets(p.zoneTargets(usable), p.remoteVersions(usable), len(usable) > 0 && p.roster.Complete())
 	p.armExpiry(now, until)
 	return removed
 }
