Places: a target's current entry, and the sole version of a group

daemon/jobs needs both: an item's events are of uncertain version if its target's entry has changed its version meanwhile, and a group of one version needs no separate requests for items that resume.

--- a/daemon/places/groupversions.go
+++ b/daemon/places/groupversions.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/core/roster"
 )
 
 // versionsTTL is how long what a reader said of versions counts: some three polls.
@@ -21,10 +23,17 @@
 // Single returns the only version that the targets have had throughout; ok is false if there
 // were several, or that is not known.
 func (v GroupVersions) Single() (version string, ok bool) {
-	if !v.Throughout || v.Several || len(v.Known) != 1 || v.Known[0] == "" {
-		return "", false
+	version = v.Sole()
+	return version, v.Throughout && version != ""
+}
+
+// Sole returns the only version that the targets are known to have had, which need not be all,
+// "" if there are several or none.
+func (v GroupVersions) Sole() string {
+	if v.Several || len(v.Known) != 1 {
+		return ""
 	}
-	return v.Known[0], true
+	return v.Known[0]
 }
 
 // Versions returns what is known of the versions of a group's targets.
@@ -72,12 +81,14 @@
 	return groups, p.versions.Covers(now) && !p.roster.Adopted()
 }
 
-// VersionNow returns the version in the target's current entry; ok is false if it has none.
-func (p *Places) VersionNow(id string) (version string, ok bool) {
+// SoleVersion returns GroupVersions.Sole of a group.
+func (p *Places) SoleVersion(group string) string { return p.Versions(group).Sole() }
+
+// Entry returns the current entry of a target, usable or draining, if it is known here.
+func (p *Places) Entry(id string) (roster.Target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, known := p.roster.Entry(id)
-	return t.Version, known
+	return p.roster.Entry(id)
 }
 
 // TargetsFresh reports whether the list of targets was confirmed within the last
--- a/daemon/relay/version.go
+++ b/daemon/relay/version.go
@@ -105,7 +105,7 @@
 	if s.answer.firstEvent == NoEvent {
 		return
 	}
-	if now, known := s.relay.Places.VersionNow(t.ID); known && now == t.Version {
+	if now, known := s.relay.Places.Entry(t.ID); known && now.Version == t.Version {
 		return
 	}
 	s.stream.version = ""
--- a/daemon/streams/find.go
+++ b/daemon/streams/find.go
@@ -93,11 +93,11 @@
 // FindUnnamed returns the origin of a stream that a caller resumes without naming it: the only
 // version that the group's targets are known to have had, if there is one.
 func (d *Directory) FindUnnamed(group string) Origin {
-	v := d.Targets.Versions(group)
-	if v.Several || len(v.Known) != 1 || v.Known[0] == "" {
+	version := d.Targets.Versions(group).Sole()
+	if version == "" {
 		return Origin{Source: Unknown}
 	}
-	return Origin{Group: group, Version: v.Known[0], Source: SingleVersion}
+	return Origin{Group: group, Version: version, Source: SingleVersion}
 }
 
 // Find returns the origin of a stream that a caller resumes on a route to the groups.
