--- a/core/batch/progress.go
+++ b/core/batch/progress.go
@@ -16,6 +16,9 @@
 	Output string
 	// Failures counts the answers in which a target reported that the item failed.
 	Failures int
+	// Version is the software version of the targets that sent the events, "" if it is not
+	// known. The previous build doesn't write it and drops it from records that it rewrites.
+	Version string
 }
 
 const (
@@ -42,10 +45,12 @@
 
 // valid reports whether the progress is valid and belongs to the item in its key.
 func (p *Progress) valid(item int) bool {
-	hasEvents, hasFailures := p.LastEvent >= 0, p.Failures > 0
-	return p.Item == item && p.LastEvent >= -1 && p.Failures >= 0 && (hasEvents || hasFailures)
+	return p.Item == item && p.LastEvent >= -1 && p.Failures >= 0 && !p.Empty()
 }
 
+// Empty reports whether there is nothing to save.
+func (p *Progress) Empty() bool { return p.LastEvent < 0 && p.Failures <= 0 }
+
 // DecodeProgress decodes a progress record. An empty value means that the item has ended;
 // ok is false then. It returns an ErrRecord if the record is invalid.
 func DecodeProgress(key string, value []byte) (job string, p Progress, ok bool, err error) {
--- a/core/batch/progress_test.go
+++ b/core/batch/progress_test.go
@@ -86,3 +86,31 @@
 		t.Fatalf("%+v %v", got, err)
 	}
 }
+
+// A holder of the previous build resumes an item at any version and saves it again. Its record
+// must not keep the version that this build wrote.
+func TestProgressRecordsThatThePreviousBuildRewrote(t *testing.T) {
+	type previous struct {
+		Item      int
+		ID        string
+		LastEvent int64
+		Output    string
+		Failures  int
+	}
+	value, err := batch.Encode(batch.Progress{Item: 3, LastEvent: 1, Output: "a\nb", Failures: 1, Version: "v1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var old previous
+	if err := msgpack.Unmarshal(value, &old); err != nil || old != (previous{Item: 3, LastEvent: 1, Output: "a\nb", Failures: 1}) {
+		t.Fatalf("%+v %v", old, err)
+	}
+	old.LastEvent, old.Output = 2, "a\nb\nc"
+	if value, err = batch.Encode(old); err != nil {
+		t.Fatal(err)
+	}
+	_, got, ok, err := batch.DecodeProgress(batch.ResultKey("j", 3), value)
+	if err != nil || !ok || got != (batch.Progress{Item: 3, LastEvent: 2, Output: "a\nb\nc", Failures: 1}) {
+		t.Fatalf("%+v %v %v", got, ok, err)
+	}
+}
