Batch items go on only at the version that sent their first event, or start over

Cause: an item that broke off, was preempted or came from a lost holder was sent with Last-Event-Id to any target of its group, and its text then held events of two software versions. Ruled out: joins by results that are handed off (they are whole texts of one daemon) and by bodies.

Progress keeps the version of the target that sent its first event, and the item wants a slot of this version. The slot's version is checked again before the run: an earlier build's leader grants slots without regard to versions. An item waits for its version no longer than batch.VersionWait and starts over when it has a slot at another one; until then it loses nothing. Events of unknown version (records and grants of the previous build) are never continued. If the target's entry names another version when a run has ended, or before the next one, the events may be of either, and the item starts over. Dropped events are replaced on the log. A waiting item keeps no slot from items that can use other targets of the group; in a group of one version a step makes the same requests as before.

The targets in jobs_test.go get a version, as each entry on the platform has one: without, their items would start over.

After: they pass, also with the race detector.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -76,11 +77,16 @@
 		end.delay = 0
 		end.cause = r.reasonOf(run)
 	}
+	changed := r.versionChanged(run)
 	r.jobs.Places.ReleaseBatch(run.slot, end.health)
 	r.updateEstimates(c, run, p, end, before)
 	if end.failed {
 		p.addFailure()
 	}
+	if changed && mayMixVersions(p, end, before) {
+		end.complete, end.cause = false, cmp.Or(end.cause, reasonChangedVersion)
+		r.startOver(c.key, c.item.ID, p, reasonChangedVersion, "")
+	}
 	if end.complete {
 		r.logRun(c, run, p, end)
 	}
@@ -135,7 +141,7 @@
 func (r *runner) logRun(c *candidate, run *itemRun, p *progress, end runResult) {
 	fields := append([]zap.Field{
 		zap.String("job", c.key.job), zap.String("id", c.item.ID), zap.String("target", run.target.ID),
-		zap.Bool("complete", end.complete), zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent),
+		zap.String("version", run.target.Version), zap.String("version_wanted", run.versionWanted), zap.Bool("complete", end.complete), zap.String("cause", end.cause), zap.Int64("last_event", p.lastEvent),
 		zap.Int("failures", p.failureCount()), zap.Int64("ms", time.Since(run.startedAt).Milliseconds()),
 		zap.Int64("events", p.eventCount()), zap.Bool("stopping", r.isStopping()),
 	}, relay.ExchangeFields(&end.exchange)...)
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -147,7 +147,7 @@
 		views[name] = view
 		view.Update(func(now time.Time, r *roster.Roster) {
 			r.StoreAnswered(now)
-			r.Replace(now, []roster.Target{{ID: "t", Group: "g", Address: target.Address, Zone: "z", Slots: 8}})
+			r.Replace(now, []roster.Target{{ID: "t", Group: "g", Address: target.Address, Zone: "z", Version: "v1", Slots: 8}})
 		})
 		pool := h1.NewPool(func() {})
 		var reached partlog.Log = log
@@ -309,7 +309,7 @@
 		Expect(submit(a, submission("j", 1))).To(BeNil())
 		Eventually(hung).WithTimeout(limit).Should(BeClosed())
 		views["a"].Update(func(now time.Time, r *roster.Roster) {
-			r.Set(now, roster.Target{ID: "t", Born: 1, Group: "g", Address: target.Address, Zone: "z", Slots: 8})
+			r.Set(now, roster.Target{ID: "t", Born: 1, Group: "g", Address: target.Address, Zone: "z", Version: "v1", Slots: 8})
 		})
 		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
 		ended := lines.FilterMessage("item_run_ended").All()[0].ContextMap()
@@ -331,7 +331,7 @@
 		go func() {
 			defer close(restarted)
 			views["a"].Update(func(now time.Time, r *roster.Roster) {
-				r.Set(now, roster.Target{ID: "t", Born: 1, Group: "g", Address: target.Address, Zone: "z", Slots: 8})
+				r.Set(now, roster.Target{ID: "t", Born: 1, Group: "g", Address: target.Address, Zone: "z", Version: "v1", Slots: 8})
 			})
 		}()
 		stop()
@@ -1115,7 +1115,7 @@
 	useTarget := func(address string) {
 		views["a"].Update(func(now time.Time, r *roster.Roster) {
 			r.StoreAnswered(now)
-			r.Replace(now, []roster.Target{{ID: address, Group: "g", Address: address, Zone: "z", Slots: 8}})
+			r.Replace(now, []roster.Target{{ID: address, Group: "g", Address: address, Zone: "z", Version: "v1", Slots: 8}})
 		})
 	}
 	// runAtKilledTargets submits a job of one item to daemon a. One target after another sends its
--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/batch"
+	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/target/h1"
@@ -40,6 +41,11 @@
 	runLast int64
 	// saved is the number of events that the log holds.
 	saved int64
+	// version is the software version of the targets that sent the events, "" if there is no
+	// event or it is not known; see version.go.
+	version string
+	// stale reports that the log holds events that were dropped here.
+	stale bool
 
 	// unframedEnd is the last event at the most recent confirmed end of a run that only its
 	// connection marked; see h1.Answer.ConfirmEnd.
@@ -53,6 +59,11 @@
 	unsuccessful int
 	// notBefore delays the next run.
 	notBefore time.Time
+	// versionWaitSince is since when the item gets no slot at a target of its version although
+	// the group has targets of others.
+	versionWaitSince time.Time
+	// lastTarget is the target of the last run.
+	lastTarget roster.Target
 	// avoidTarget is the start of the target at which the last run failed.
 	avoidTarget string
 	// unroutedSince is since when no route matches.
@@ -166,8 +177,17 @@
 func (p *progress) clear() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.output, p.bytes, p.lastEvent, p.unframedEnd = nil, 0, noEvent, noEvent
+	p.dropEvents()
 	p.failures = 0
+	if p.stale {
+		p.saved, p.stale = 1, false // removed with the item's end
+	}
+}
+
+// dropEvents drops all events. p.mu is held.
+func (p *progress) dropEvents() {
+	p.output, p.bytes, p.lastEvent, p.unframedEnd = nil, 0, noEvent, noEvent
+	p.version = ""
 }
 
 // restore adopts what is ahead of the local progress in that from the log, and returns true if
@@ -177,9 +197,10 @@
 	defer p.mu.Unlock()
 	moreFailures := from.Failures > p.failures
 	p.failures, p.savedFailures = max(p.failures, from.Failures), from.Failures
-	if from.LastEvent <= p.lastEvent {
+	if from.LastEvent <= p.lastEvent || from.Version == "" && p.version != "" {
 		return moreFailures
 	}
+	p.version = from.Version
 	p.lastEvent, p.output, p.bytes = from.LastEvent, []string{from.Output}, len(from.Output)
 	p.saved = from.LastEvent + 1
 	return true
@@ -201,18 +222,22 @@
 	defer p.mu.Unlock()
 	events := p.lastEvent + 1
 	newFailures := p.failures > p.savedFailures && batch.FitsRecord(p.bytes)
-	if !newFailures && !shouldSave(events, p.saved, p.bytes) {
+	if !p.stale && !newFailures && !shouldSave(events, p.saved, p.bytes) {
 		return batch.Progress{}, false
 	}
-	p.saved, p.savedFailures = events, p.failures
-	return batch.Progress{LastEvent: p.lastEvent, Output: strings.Join(p.output, "\n"), Failures: p.failures}, true
+	p.saved, p.savedFailures, p.stale = events, p.failures, false
+	if events == 0 || !batch.FitsRecord(p.bytes) {
+		p.saved = 0
+		return batch.Progress{LastEvent: noEvent, Failures: p.failures}, true
+	}
+	return batch.Progress{LastEvent: p.lastEvent, Output: strings.Join(p.output, "\n"), Failures: p.failures, Version: p.version}, true
 }
 
 // isSaved reports whether the log holds any progress of the item.
 func (p *progress) isSaved() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.saved > 0 || p.savedFailures > 0
+	return p.saved > 0 || p.savedFailures > 0 || p.stale
 }
 
 // saveProgressLoop saves the progress of items to the log until ctx is done.
@@ -235,7 +260,8 @@
 }
 
 // progressRecords collects the records by partition: new progress of unfinished items,
-// and tombstones for ended items whose progress the log still holds.
+// and tombstones for items whose progress the log still holds and that have ended, or have
+// started over and have nothing new.
 func (r *runner) progressRecords(shouldSave savePolicy) map[int][]partlog.Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -254,6 +280,10 @@
 			continue
 		}
 		snapshot.Item = key.item
+		if snapshot.Empty() {
+			add(key, nil)
+			continue
+		}
 		value, err := batch.Encode(snapshot)
 		if err != nil {
 			r.jobs.Logger.Error("progress_not_encoded", zap.String("job", key.job), zap.Int("item", key.item), zap.Error(err))
--- a/daemon/jobs/reserve.go
+++ b/daemon/jobs/reserve.go
@@ -55,10 +55,47 @@
 	left map[string]int
 	// heldBack holds the groups whose free slots are left to items that are short of time.
 	heldBack map[string]bool
+	// noSlot holds the versions of groups of which an item got no slot, and whether that item
+	// was short of time.
+	noSlot map[groupVersion]bool
+	// sole holds the sole versions of groups, served which versions are served.
+	sole   lookups[string, string]
+	served lookups[groupVersion, bool]
 }
 
+// lookups holds what was looked up in a step: with many waiting items, each would examine all
+// targets of its group.
+type lookups[K comparable, V any] map[K]V
+
+func (l lookups[K, V]) get(key K, find func(K) V) V {
+	value, known := l[key]
+	if !known {
+		value = find(key)
+		l[key] = value
+	}
+	return value
+}
+
+// groupVersion is the targets of a group that have one software version.
+type groupVersion struct{ group, version string }
+
 func newStartLimits() *startLimits {
-	return &startLimits{left: map[string]int{}, heldBack: map[string]bool{}}
+	return &startLimits{
+		left: map[string]int{}, heldBack: map[string]bool{}, noSlot: map[groupVersion]bool{},
+		sole: lookups[string, string]{}, served: lookups[groupVersion, bool]{},
+	}
+}
+
+// allowVersion reports whether the item may request a slot of the version that it demands.
+func (l *startLimits) allowVersion(group string, d versionDemand, c *candidate) bool {
+	shortOfTime, denied := l.noSlot[groupVersion{group, d.version}]
+	return !denied || d.startOver != "" || c.shortOfTime && !shortOfTime
+}
+
+// deniedVersion records that the item got no slot of its version. Items that can use other
+// targets of the group may still get one.
+func (l *startLimits) deniedVersion(group string, d versionDemand, c *candidate) {
+	l.noSlot[groupVersion{group, d.version}] = c.shortOfTime
 }
 
 // allow reports whether the item may request a slot of the group.
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -39,10 +39,12 @@
 
 // itemRun is a run of an item at a target.
 type itemRun struct {
-	key       itemKey
-	target    roster.Target
-	slot      places.Slot
-	startedAt time.Time
+	key    itemKey
+	target roster.Target
+	slot   places.Slot
+	// versionWanted is the software version that the target had to have, "" for any.
+	versionWanted string
+	startedAt     time.Time
 	// due is when the item is due, tokens its size; see batch.Item.
 	due    time.Time
 	tokens int64
@@ -223,20 +225,30 @@
 		r.fetchBody(ctx, c, p)
 		return
 	}
-	slot, ok := r.jobs.Places.AcquireBatch(ctx, places.BatchRequest{
-		Group: group, Exclude: map[string]bool{p.avoidTarget: true}, Headroom: r.jobs.Headroom,
-		Work: float64(c.item.Tokens), Slack: c.slack, ShortOfTime: c.shortOfTime, Needed: r.needed[group],
-	})
+	demand := r.versionDemand(c, p, group, limits)
+	if !limits.allowVersion(group, demand, c) {
+		r.awaitVersion(c, p, demand)
+		return
+	}
+	slot, ok := r.acquire(ctx, c, p, group, demand)
 	if !ok {
-		limits.denied(group, c, r.jobs.Places.BatchReserve())
+		r.denied(c, p, group, demand, limits)
 		return
 	}
-	limits.left[group]--
 	itemCtx, cancel := context.WithCancel(ctx)
-	run := &itemRun{key: c.key, target: slot.Target, slot: slot, startedAt: time.Now(), due: c.due, tokens: c.item.Tokens, cancel: cancel}
+	run := &itemRun{key: c.key, target: slot.Target, slot: slot, versionWanted: demand.version, startedAt: time.Now(), due: c.due, tokens: c.item.Tokens, cancel: cancel}
 	r.mu.Lock()
-	r.active[c.key] = run
+	admitted := r.admit(c, p, slot, demand)
+	if admitted {
+		r.active[c.key] = run
+	}
 	r.mu.Unlock()
+	if !admitted {
+		cancel()
+		r.refuseSlot(c, p, slot, demand, limits)
+		return
+	}
+	limits.left[group]--
 	r.runs.Add(1)
 	go func() {
 		defer r.runs.Done()
