Let zones take turns for items that require a version

A leader sends an item without a slot here to the zone with the most free slots, and the holder does not report a zone that had none for it. If all free slots there were of other versions, each try of the item went to the same zone while another had one. For requests that require a version, zones with free slots now take turns.

Before: 6 of 6 tries at zone a; after: 3 at each of two zones, and all 6 of an item without a version at a, as before. go test ./core/slots ./daemon/places passes.

--- a/core/slots/ledger.go
+++ b/core/slots/ledger.go
@@ -88,6 +88,8 @@
 	failed map[ZoneGroup]failedZone
 	// remoteVersions holds the versions of the targets of other zones, nil for unknown.
 	remoteVersions map[ZoneGroup]bool
+	// visits holds when a request that requires a version was last sent to a zone.
+	visits map[ZoneGroup]time.Time
 	// zoneRule decides whether a request that gets no slot here is sent to another zone.
 	zoneRule func(home, other ZoneLoad) (gain float64, sends bool)
 	// slowRunsAt is when the runs were last examined for slow ones.
@@ -167,7 +169,7 @@
 // NewLedgerWith returns a ledger without targets.
 func NewLedgerWith(policy Policy) *Ledger {
 	return &Ledger{policy: policy, groups: map[string]*group{}, holders: map[string]map[uint64]*lease{}, usage: map[string]*usage{},
-		remote: map[string]*remoteZone{}, failed: map[ZoneGroup]failedZone{}, zoneRule: byEarliestStart, waiting: newWaiting(), fairness: newFairness()}
+		remote: map[string]*remoteZone{}, failed: map[ZoneGroup]failedZone{}, visits: map[ZoneGroup]time.Time{}, zoneRule: byEarliestStart, waiting: newWaiting(), fairness: newFairness()}
 }
 
 // SetTargets replaces the zone's targets that may get work, by group. The state of
--- a/core/slots/versions.go
+++ b/core/slots/versions.go
@@ -191,16 +191,3 @@
 	})
 	return found
 }
-
-// ZoneGroup names the targets of a group in another zone, of one version or, with "", of
-// any.
-type ZoneGroup struct{ Zone, Group, Version string }
-
-// SetRemoteVersions sets of which versions the targets of other zones are; nil means that
-// this is not known.
-func (l *Ledger) SetRemoteVersions(served map[ZoneGroup]bool) { l.remoteVersions = served }
-
-// mayServe reports whether the zone may have targets that the request accepts.
-func (l *Ledger) mayServe(zone string, r Request) bool {
-	return r.Version == "" || l.remoteVersions == nil || l.remoteVersions[ZoneGroup{zone, r.Group, r.Version}]
-}
--- a/core/slots/versions_test.go
+++ b/core/slots/versions_test.go
@@ -308,3 +308,25 @@
 	}
 	z.Expect(zones).To(HaveKey("a"))
 }
+
+// Guards against a batch item that is sent again and again to the zone with the most free
+// slots, none of which is of its version, while another zone has one.
+func TestZonesTakeTurnsForItemsThatRequireAVersion(t *testing.T) {
+	for _, policy := range []slots.Policy{{}, {ZoneBalance: true}} {
+		z := &waitZone{WithT: NewWithT(t), ledger: slots.NewLedgerWith(policy), now: start}
+		z.setVersions(1, 0)
+		visited, unversioned := map[string]int{}, map[string]int{}
+		for range 6 {
+			z.now = z.now.Add(200 * time.Millisecond)
+			for zone, free := range map[string]int{"a": 90, "b": 10, "c": 0} {
+				z.ledger.ApplyRemoteLoad(z.now, zone, "leader-"+zone, map[string]int{"g": free}, map[string]slots.ZoneLoad{"g": {Free: free}})
+			}
+			_, grant := z.ask(version("v2"), batch)
+			visited[grant.Zone]++
+			_, grant = z.ask(batch, without("t0"))
+			unversioned[grant.Zone]++
+		}
+		z.Expect(visited).To(Equal(map[string]int{"a": 3, "b": 3}))
+		z.Expect(unversioned).To(Equal(map[string]int{"a": 6}))
+	}
+}
--- a/core/slots/zones.go
+++ b/core/slots/zones.go
@@ -227,7 +227,7 @@
 		if now.Sub(report.at) > FreeSlotsTTL || !l.mayServe(zone, r) || l.failedRecently(now, zone, r) {
 			continue
 		}
-		v, ok := l.visit(r, zone, report, home)
+		v, ok := l.visit(now, r, zone, report, home)
 		if ok && (!found || v.better(best)) {
 			best, found = v, true
 		}
@@ -237,6 +237,7 @@
 	}
 	to := l.remote[best.zone]
 	to.sent[r.Group]++
+	l.recordVisit(now, best.zone, r)
 	if r.Preempts {
 		l.probe(now, best.zone)
 	}
@@ -248,14 +249,14 @@
 }
 
 // visit reports whether the request may be sent to the zone.
-func (l *Ledger) visit(r Request, zone string, report *remoteZone, home ZoneLoad) (visit, bool) {
+func (l *Ledger) visit(now time.Time, r Request, zone string, report *remoteZone, home ZoneLoad) (visit, bool) {
 	load := report.loadOf(r.Group, sentWeight)
 	free := load.Free - report.reservedFor(r)
 	if report.load == nil {
-		return visit{zone, FreeSlot, float64(free)}, free >= remoteMinFree
+		return visit{zone, FreeSlot, l.preference(now, r, zone, free)}, free >= remoteMinFree
 	}
 	if !r.Preempts {
-		return visit{zone, FreeSlot, float64(free)}, free >= sentWeight
+		return visit{zone, FreeSlot, l.preference(now, r, zone, free)}, free >= sentWeight
 	}
 	gain, sends := l.zoneRule(home, load)
 	switch {
