A target that is slow to identify itself is not ejected, and other connections stay

Found by a review: the report of a busy target that took more than 0.25 s counted as a hard failure, so that sound targets were ejected and a resumed stream refused after 1.3 s; and one identified exchange closed all kept connections to its target that had not been identified. The wait is now that of the exchange, such an end says nothing of the target's health, and connections that were not identified are passed over. target/h1 'keeps connections that were not identified' failed before (4 opened connections, 1 idle).

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -155,6 +155,9 @@
 func classifyError(ctx context.Context, err error) attemptResult {
 	a := attemptResult{reached: true, detail: err.Error(), health: routing.SoftFailed}
 	switch {
+	case errorx.IsOfType(err, h1.Unidentified):
+		a.reached = false
+		a.health = routing.Neutral
 	case errorx.IsOfType(err, h1.NotSent):
 		a.reached = false
 		a.health = routing.HardFailed
--- a/target/h1/identity.go
+++ b/target/h1/identity.go
@@ -1,6 +1,7 @@
 package h1
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -8,15 +9,20 @@
 )
 
 const (
-	// identityWait bounds the wait for the answer to an Identity's request.
-	identityWait = 250 * time.Millisecond
+	// identityWait bounds the wait for the answer to an Identity's request where the exchange
+	// itself sets no bound.
+	identityWait = time.Second
 	// maxIdentityBytes bounds the body of that answer.
 	maxIdentityBytes = 256 << 10
 )
 
-// WrongProcess means that another process than the expected one answers at the address. It
-// received nothing of the request.
-var WrongProcess = NotSent.NewSubtype("wrong_process")
+// Types of errors of a process that must identify itself. It received nothing of the request.
+var (
+	// WrongProcess means that another process than the expected one answers at the address.
+	WrongProcess = NotSent.NewSubtype("wrong_process")
+	// Unidentified means that the process did not say which one it is.
+	Unidentified = NotSent.NewSubtype("unidentified")
+)
 
 // Identity tells by a request of its own which process a connection leads to, before the
 // connection carries anything else: the process does not change while the connection lasts.
@@ -36,7 +42,7 @@
 	if !isNew || o.Identity == nil {
 		return nil
 	}
-	if err := c.identify(ctx, o.Identity, o.Deadline); err != nil {
+	if err := c.identify(ctx, o.Identity, o); err != nil {
 		return err
 	}
 	if err := c.SetDeadline(o.Deadline); err != nil {
@@ -46,23 +52,23 @@
 }
 
 // identify sends the identity's request on a new connection and checks the answer.
-func (c *conn) identify(ctx context.Context, identity *Identity, deadline time.Time) error {
+func (c *conn) identify(ctx context.Context, identity *Identity, o Options) error {
 	if _, err := c.Write(encode(identity.Request)); err != nil {
-		return NotSent.Wrap(err, "%s", c.address)
+		return Unidentified.Wrap(err, "%s", c.address)
 	}
-	if err := setReadTimeout(ctx, c, deadline, identityWait); err != nil {
-		return NotSent.Wrap(err, "%s", c.address)
+	if err := setReadTimeout(ctx, c, o.Deadline, cmp.Or(o.MaxWait, identityWait)); err != nil {
+		return Unidentified.Wrap(err, "%s", c.address)
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: identity.Request.Method})
 	if err != nil {
-		return NotSent.Wrap(err, "%s did not identify itself", c.address)
+		return Unidentified.Wrap(err, "%s did not identify itself", c.address)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes+1))
 	switch {
 	case err != nil:
-		return NotSent.Wrap(err, "%s did not identify itself", c.address)
+		return Unidentified.Wrap(err, "%s did not identify itself", c.address)
 	case len(body) > maxIdentityBytes || response.Close:
-		return NotSent.New("%s can't be asked anything else after its identity", c.address)
+		return Unidentified.New("%s can't be asked anything else after its identity", c.address)
 	case !identity.Expected(response.StatusCode, response.Header, body):
 		return WrongProcess.New("%s: another process has the address", c.address)
 	}
--- a/target/h1/identity_test.go
+++ b/target/h1/identity_test.go
@@ -71,6 +71,25 @@
 		Expect(uris()).To(Equal([]string{"/start"}))
 	})
 
+	// One exchange that must be identified costs all other kept connections.
+	It("keeps connections that were not identified", func() {
+		const idle = 3
+		var answers []*h1.Answer
+		for range idle {
+			answer, err := pool.Do(context.Background(), target.Address, &h1.Request{Method: "GET", URI: "/y", Host: "h"},
+				h1.Options{MaxIdle: time.Minute, Deadline: time.Now().Add(limit)})
+			Expect(err).NotTo(HaveOccurred())
+			answers = append(answers, answer)
+		}
+		for _, answer := range answers {
+			answer.Drain(limit)
+			answer.Close()
+		}
+		Expect(send("1")).To(Succeed())
+		Expect(opened.Load()).To(Equal(int64(idle + 1)))
+		Expect(pool.Idle()).To(Equal(idle + 1))
+	})
+
 	// A connection to an earlier process counts for the one that is expected now.
 	It("uses no connection that was identified for another process", func() {
 		Expect(send("1")).To(Succeed())
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -91,9 +91,9 @@
 // get returns a connection that has been idle for at most maxIdle and was identified by the
 // key, "" for any, or a new one, and whether it is new.
 func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, identity string) (*conn, bool, error) {
-	for c := p.pop(address); c != nil; c = p.pop(address) {
+	for c := p.pop(address, identity); c != nil; c = p.pop(address, identity) {
 		idle := time.Since(c.idleSince)
-		if idle <= min(maxIdle, c.keepAlive) && (identity == "" || c.identity == identity) && sockets.StillIdle(c.Conn.(*net.TCPConn)) {
+		if idle <= min(maxIdle, c.keepAlive) && sockets.StillIdle(c.Conn.(*net.TCPConn)) {
 			return c, false, nil
 		}
 		_ = c.Close()
@@ -106,21 +106,25 @@
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), keepAlive: defaultKeepAlive}, true, nil
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop takes the connection to the address that became idle last and was identified by the key,
+// "" for any, nil for none.
+func (p *Pool) pop(address, identity string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	last := list[len(list)-1]
-	list = list[:len(list)-1]
-	if len(list) == 0 {
-		delete(p.idle, address)
-	} else {
-		p.idle[address] = list
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if identity != "" && c.identity != identity {
+			continue
+		}
+		if list = slices.Delete(list, i, i+1); len(list) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = list
+		}
+		return c
 	}
-	return last
+	return nil
 }
 
 // Reachable reports whether the address accepts a connection within the given time.
