Roster: versions that came and went between two looks are seen

Found by a review: a version whose target came and went within one page of the log was never recorded, so that a group seemed to have had a single version. The roster collects the versions of all entries that it applied since it was last asked. The spec failed before (1 version instead of 2).

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -68,6 +68,9 @@
 	graceEnds  time.Time
 	// loadedAt is when all entries were last replaced at once.
 	loadedAt time.Time
+	// seen holds the versions, by group, of all entries that were applied since Versions was
+	// last called.
+	seen map[string]map[string]bool
 	// adopted is set while the entries are those that another daemon uses.
 	adopted bool
 	// sampled is set while the entries are a sample that another daemon chose.
@@ -87,7 +90,7 @@
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{entries: map[string]Target{}, expired: map[string]pendingChange{}, deferred: map[string]pendingChange{},
-		vanished: map[string]string{}}
+		vanished: map[string]string{}, seen: map[string]map[string]bool{}}
 }
 
 // StoreAnswered records an answer of the store. Call it before Set, Remove, Invalidate
@@ -128,6 +131,7 @@
 	delete(r.expired, t.ID)
 	delete(r.deferred, t.ID)
 	r.version++
+	addVersion(r.seen, t)
 }
 
 // Remove applies the removal of an entry. Within the grace period after an outage of the
@@ -229,27 +233,29 @@
 // not known.
 func (r *Roster) LoadedAt() time.Time { return r.loadedAt }
 
-// Versions returns the software versions in all entries, including those of targets that get
-// no new work, by group.
+// Versions returns the software versions, by group, in all entries, including those of targets
+// that get no new work and those that came and went since it was last called.
 func (r *Roster) Versions() map[string]map[string]bool {
-	versions := map[string]map[string]bool{}
-	add := func(t Target) {
-		if versions[t.Group] == nil {
-			versions[t.Group] = map[string]bool{}
-		}
-		versions[t.Group][t.Version] = true
-	}
+	versions := r.seen
+	r.seen = map[string]map[string]bool{}
 	for _, t := range r.entries {
-		add(t)
+		addVersion(versions, t)
 	}
 	for _, pending := range []map[string]pendingChange{r.expired, r.deferred} {
 		for _, c := range pending {
-			add(c.target)
+			addVersion(versions, c.target)
 		}
 	}
 	return versions
 }
 
+func addVersion(versions map[string]map[string]bool, t Target) {
+	if versions[t.Group] == nil {
+		versions[t.Group] = map[string]bool{}
+	}
+	versions[t.Group][t.Version] = true
+}
+
 // Len returns the number of entries.
 func (r *Roster) Len() int { return len(r.entries) }
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -208,6 +208,18 @@
 })
 
 var _ = Describe("The versions of a roster's targets", func() {
+	// A version whose only target came and went between two looks is taken for one that never was.
+	It("include those that came and went since the last look", func() {
+		now := time.Unix(1_800_000_000, 0)
+		r := roster.New()
+		r.Set(now, roster.Target{ID: "a", Group: "g", Version: "v1"})
+		Expect(r.Versions()["g"]).To(HaveLen(1))
+		r.Set(now, roster.Target{ID: "b", Group: "g", Version: "v2"})
+		r.Remove(now, "b")
+		Expect(r.Versions()["g"]).To(HaveLen(2))
+		Expect(r.Versions()["g"]).To(HaveLen(1))
+	})
+
 	// A version whose targets all drain, or lapsed in an outage of the store, is taken for gone.
 	It("include those of targets that get no new work", func() {
 		now := time.Unix(1_800_000_000, 0)
