Streams may have moved between groups when routes change

For a minute after the stream routes of a host change, the groups concerned don't count as having had one version: the records of the last minute are sent, and nothing is inferred.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -183,6 +184,47 @@
 	return nil, outcome.Refuse(outcome.NotFound, "no route of version %d", t.Version)
 }
 
+// streamRoutes returns the stream routes of each host, as their groups by prefix.
+func (t *Table) streamRoutes() map[string]map[string][]string {
+	hosts := map[string]map[string][]string{}
+	for host, list := range t.hosts {
+		for _, r := range list {
+			if r.Kind != Stream {
+				continue
+			}
+			if hosts[host] == nil {
+				hosts[host] = map[string][]string{}
+			}
+			hosts[host][r.Prefix] = r.GroupNames()
+		}
+	}
+	return hosts
+}
+
+// MovedGroups returns the groups between which streams may have moved by the change from another
+// table: all groups of the stream routes of a host whose routes differ, if there are several.
+func (t *Table) MovedGroups(before *Table) []string {
+	old, now := before.streamRoutes(), t.streamRoutes()
+	var moved []string
+	for host := range now {
+		if maps.EqualFunc(old[host], now[host], slices.Equal) {
+			continue
+		}
+		var groups []string
+		for _, routes := range []map[string][]string{old[host], now[host]} {
+			for _, names := range routes {
+				groups = append(groups, names...)
+			}
+		}
+		slices.Sort(groups)
+		if groups = slices.Compact(groups); len(groups) > 1 {
+			moved = append(moved, groups...)
+		}
+	}
+	slices.Sort(moved)
+	return slices.Compact(moved)
+}
+
 // UsedGroups returns the names of the groups that routes send requests to, sorted.
 func (t *Table) UsedGroups() []string {
 	var names []string
--- a/daemon/front/configuration.go
+++ b/daemon/front/configuration.go
@@ -55,6 +55,9 @@
 	// confirmedAt is the time at which it was last known that nothing newer was active;
 	// zero is never.
 	confirmedAt time.Time
+	// movedAt holds when streams last may have moved to or from each group; see
+	// route.Table.MovedGroups.
+	movedAt map[string]time.Time
 }
 
 // revision is one version of the configuration.
@@ -79,7 +82,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	c := &Configuration{ConfigurationOptions: o, started: time.Now()}
+	c := &Configuration{ConfigurationOptions: o, started: time.Now(), movedAt: map[string]time.Time{}}
 	c.peerCalls = o.Metrics.GetOrCreateCounter("tarragonhollow_configuration_peer_calls_total")
 	c.peerCallsFailed = o.Metrics.GetOrCreateCounter("tarragonhollow_configuration_peer_calls_failed_total")
 	c.peerBytes = o.Metrics.GetOrCreateCounter("tarragonhollow_configuration_peer_bytes_total")
@@ -113,6 +116,11 @@
 	if table.Version <= c.Version() {
 		return nil
 	}
+	if before := c.Routes(); before != nil {
+		for _, group := range table.MovedGroups(before) {
+			c.movedAt[group] = time.Now()
+		}
+	}
 	c.active.Store(&revision{table: table, written: written})
 	c.changed.Notify()
 	c.Logger.Info("configuration_in_force", zap.Int64("version", table.Version), zap.String("from", from),
@@ -123,6 +131,13 @@
 	return nil
 }
 
+// MovedSince reports whether streams may have moved to or from the group since the time.
+func (c *Configuration) MovedSince(group string, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.movedAt[group].After(since)
+}
+
 // Confirm records that nothing newer than the held version was active at the time at.
 func (c *Configuration) Confirm(at time.Time) {
 	c.mu.Lock()
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -125,7 +125,7 @@
 		Tolerance: quota.Tolerance{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
 	})
 	n.streams = streams.New(streams.Options{
-		Self: s.PeerAddress, ListPeers: n.hosts.streamPeers, Peers: n.peers, Targets: n.Places, Metrics: set,
+		Self: s.PeerAddress, ListPeers: n.hosts.streamPeers, Peers: n.peers, Targets: streamTargets{n.Places, n.Configuration}, Metrics: set, Logger: logger,
 	})
 	crashes := relay.NewCrashDetector(n.suspects, n.pool)
 	n.Relay = relay.New(relay.Options{
