Versions of streams: no inference from old lists, contradictions count, records are sent again

A single version now takes a current list here and at one daemon that answers; records that differ make a stream uncertain; only records are kept; what fewer than two daemons received is sent again for up to 25 s.

--- a/core/streamversion/history.go
+++ b/core/streamversion/history.go
@@ -64,6 +64,19 @@
 	}
 }
 
+// Note records a version of which the group has had a target now.
+func (h *History) Note(now time.Time, group, version string) {
+	if h.groups == nil {
+		h.groups = map[string]map[string]presence{}
+	}
+	if h.groups[group] == nil {
+		h.groups[group] = map[string]presence{}
+	}
+	if !h.groups[group][version].now {
+		h.groups[group][version] = presence{last: now}
+	}
+}
+
 // Versions returns the versions that the group's targets have had within Memory, as far as
 // they were observed, in order.
 func (h *History) Versions(now time.Time, group string) []string {
--- a/core/streamversion/streamversion_test.go
+++ b/core/streamversion/streamversion_test.go
@@ -127,9 +127,9 @@
 		}
 		common := 0
 		for i := range 100 {
-			first := streamversion.Holders(fmt.Sprint(i), all, 3)
+			first := streamversion.NewHosts(all).Holders(fmt.Sprint(i), 3)
 			Expect(first).To(HaveLen(3))
-			for _, a := range streamversion.Holders(fmt.Sprint(i), all[1:], 3) {
+			for _, a := range streamversion.NewHosts(all[1:]).Holders(fmt.Sprint(i), 3) {
 				for _, b := range first {
 					if a == b {
 						common++
@@ -139,4 +139,20 @@
 		}
 		Expect(common).To(BeNumerically(">", 260))
 	})
+
+	It("are spread evenly", func() {
+		var all []string
+		for i := range 13 {
+			all = append(all, fmt.Sprint("10.0.0.", i))
+		}
+		hosts, held := streamversion.NewHosts(all), map[string]int{}
+		for i := range 1300 {
+			for _, address := range hosts.Holders(fmt.Sprintf("%016x", i), 4) {
+				held[address]++
+			}
+		}
+		for _, address := range all {
+			Expect(held[address]).To(BeNumerically("~", 400, 100), address)
+		}
+	})
 })
--- a/core/streamversion/table.go
+++ b/core/streamversion/table.go
@@ -28,6 +28,8 @@
 type Table struct {
 	current, previous map[string]*Entry
 	rotated           time.Time
+	// unsent holds the daemon's own records that were not sent, by group, the oldest first.
+	unsent map[string][]*Entry
 }
 
 // Add adds a record. A stream with two records of different versions has an uncertain one.
@@ -35,13 +37,20 @@
 	t.rotate(now)
 	if known := t.find(r.Stream); known != nil {
 		if known.Version != r.Version || known.Group != r.Group {
-			known.Version, known.Sent = "", false
+			known.Version = ""
+			if own && known.Sent {
+				known.Sent = false
+				t.unsent[r.Group] = append(t.unsent[r.Group], known)
+			}
 		}
 		known.Own = known.Own || own
 		return known
 	}
 	e := &Entry{Record: r, At: now, Own: own}
 	t.current[r.Stream] = e
+	if own {
+		t.unsent[r.Group] = append(t.unsent[r.Group], e)
+	}
 	return e
 }
 
@@ -57,12 +66,21 @@
 // needed returns true, and that have not been sent, and marks them as sent.
 func (t *Table) Unsent(now time.Time, needed func(group string) bool) []Record {
 	var list []Record
-	for _, generation := range []map[string]*Entry{t.previous, t.current} {
-		for _, e := range generation {
-			if e.Own && !e.Sent && now.Sub(e.At) < Memory && needed(e.Group) {
-				e.Sent = true
-				list = append(list, e.Record)
+	for group, entries := range t.unsent {
+		for len(entries) > 0 && (entries[0].Sent || now.Sub(entries[0].At) >= Memory) {
+			entries = entries[1:]
+		}
+		if t.unsent[group] = entries; len(entries) > 0 && needed(group) {
+			for _, e := range entries {
+				if !e.Sent {
+					e.Sent = true
+					list = append(list, e.Record)
+				}
 			}
+			entries = nil
+		}
+		if len(entries) == 0 {
+			delete(t.unsent, group)
 		}
 	}
 	return list
@@ -83,4 +101,7 @@
 		return
 	}
 	t.previous, t.current, t.rotated = t.current, map[string]*Entry{}, now
+	if t.unsent == nil {
+		t.unsent = map[string][]*Entry{}
+	}
 }
--- a/daemon/places/acquire.go
+++ b/daemon/places/acquire.go
@@ -182,6 +182,7 @@
 	case at.Zone == p.zone && p.roster.Complete():
 		return roster.Target{}, false
 	}
+	p.versions.Note(time.Now(), group, at.Version)
 	return roster.Target{ID: at.ID, Born: at.Born, Start: roster.Start(at.Start), Group: group, Address: at.Address, Zone: at.Zone, Version: at.Version, Slots: at.Slots}, true
 }
 
--- a/daemon/places/groupversions.go
+++ b/daemon/places/groupversions.go
@@ -6,7 +6,8 @@
 	"tarragonhollow.example/tarragonhollow/core/roster"
 )
 
-// versionsTTL is how long what a reader said of versions counts: some three polls.
+// versionsTTL is how long a list of targets, and what a reader said of versions, counts: some
+// three polls.
 const versionsTTL = 3 * time.Second
 
 // GroupVersions is what a daemon knows of the software versions that a group's targets have
@@ -16,8 +17,9 @@
 	Known []string
 	// Several reports that there were several, also if not all are listed.
 	Several bool
-	// Throughout reports that nothing is missing.
-	Throughout bool
+	// Fresh reports that the list of targets was confirmed within the last versionsTTL,
+	// Throughout that so nothing is missing.
+	Fresh, Throughout bool
 }
 
 // Single returns the only version that the targets have had throughout; ok is false if there
@@ -36,6 +38,11 @@
 	return v.Known[0]
 }
 
+// Contradicts reports whether targets have had another version than the given one.
+func (v GroupVersions) Contradicts(version string) bool {
+	return v.Several || len(v.Known) == 1 && v.Known[0] != version
+}
+
 // Versions returns what is known of the versions of a group's targets.
 func (p *Places) Versions(group string) GroupVersions {
 	now := time.Now()
@@ -43,12 +50,13 @@
 	defer p.mu.Unlock()
 	v := GroupVersions{Known: p.versions.Versions(now, group)}
 	v.Several = len(v.Known) > 1
+	v.Fresh = p.roster.Known() && p.roster.Age(now) <= versionsTTL
 	if p.roster.Adopted() {
 		v.Several = v.Several || p.readerVersions.several[group]
-		v.Throughout = p.readerVersions.throughout && now.Sub(p.readerVersions.at) <= versionsTTL
+		v.Throughout = v.Fresh && p.readerVersions.throughout && now.Sub(p.readerVersions.at) <= versionsTTL
 		return v
 	}
-	v.Throughout = p.versions.Covers(now)
+	v.Throughout = v.Fresh && p.versions.Covers(now)
 	return v
 }
 
@@ -90,12 +98,3 @@
 	defer p.mu.Unlock()
 	return p.roster.Entry(id)
 }
-
-// TargetsFresh reports whether the list of targets was confirmed within the last
-// versionsTTL.
-func (p *Places) TargetsFresh() bool {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Known() && p.roster.Age(now) <= versionsTTL
-}
--- a/daemon/relay/fixture_test.go
+++ b/daemon/relay/fixture_test.go
@@ -122,7 +122,7 @@
 	return streams.Origin{Group: groups[0], Version: f.began[stream], Source: streams.Local}
 }
 
-func (f *fakeStreams) FindUnnamed(group string) streams.Origin {
+func (f *fakeStreams) FindUnnamed(_ context.Context, group string) streams.Origin {
 	return streams.Origin{Group: group, Version: "v1", Source: streams.SingleVersion}
 }
 
--- a/daemon/relay/requestlog.go
+++ b/daemon/relay/requestlog.go
@@ -53,7 +53,7 @@
 // logFailedAttempt logs how an attempt ended that did not complete the answer.
 func (s *requestState) logFailedAttempt(t roster.Target, failed attemptResult) {
 	fields := append([]zap.Field{
-		zap.String("id", s.request.ID), zap.String("target", t.ID), zap.Int("attempt", s.runs+s.rejections+1),
+		zap.String("id", s.request.ID), zap.String("target", t.ID), zap.String("version", t.Version), zap.Int("attempt", s.runs+s.rejections+1),
 		zap.Bool("reached", failed.reached), zap.String("cause", failed.detail),
 		zap.Int64("last_event", s.delivery.position.last), zap.Int64("ms", time.Since(s.attemptStart).Milliseconds()),
 	}, s.answerFields()...)
--- a/daemon/relay/version.go
+++ b/daemon/relay/version.go
@@ -22,7 +22,7 @@
 	// Find returns the origin of a stream that a caller names, FindUnnamed that of one that it
 	// does not name.
 	Find(ctx context.Context, stream string, groups []string) streams.Origin
-	FindUnnamed(group string) streams.Origin
+	FindUnnamed(ctx context.Context, group string) streams.Origin
 }
 
 // streamVersion is the software version at which the caller's stream goes on.
@@ -47,7 +47,7 @@
 		return nil
 	}
 	if r.StreamID == "" {
-		s.stream.origin = s.relay.Streams.FindUnnamed(s.group())
+		s.stream.origin = s.relay.Streams.FindUnnamed(ctx, s.group())
 	} else {
 		s.stream.origin = s.relay.Streams.Find(ctx, r.StreamID, r.Route.GroupNames())
 	}
@@ -117,6 +117,7 @@
 	return []zap.Field{
 		zap.String("stream", s.request.StreamID), zap.Int64("resumed_after", s.request.resumedAfter()),
 		zap.String("version_wanted", s.stream.version), zap.String("version_source", string(s.stream.origin.Source)),
+		zap.String("stream_group", s.stream.origin.Group),
 		zap.Int64("version_age_ms", s.stream.origin.Age.Milliseconds()), zap.Int("version_answers", s.stream.origin.Answered),
 	}
 }
--- a/daemon/streams/find.go
+++ b/daemon/streams/find.go
@@ -63,13 +63,11 @@
 	return reply
 }
 
-// Source says how the version of a stream is known.
+// Source says how the version of a stream is known, or why it isn't.
 type Source string
 
 // The sources of a version.
 const (
-	// Unknown: no daemon that answered knows it, or it is uncertain.
-	Unknown Source = "unknown"
 	// Local: this daemon has a record.
 	Local Source = "local"
 	// Peer: another daemon has a record.
@@ -80,9 +78,21 @@
 	PeerSingleVersion Source = "peer_single_version"
 )
 
+// Why a version is not known.
+const (
+	// Unknown: there is no record, and the group's targets may have had several versions.
+	Unknown Source = "unknown"
+	// Uncertain: there is a record that says so, or there are records that differ.
+	Uncertain Source = "uncertain"
+	// OtherGroup: the stream began at a group to which its route doesn't lead any more.
+	OtherGroup Source = "other_group"
+	// NoAnswer: no other daemon with a current list of targets answered.
+	NoAnswer Source = "no_answer"
+)
+
 // Origin is where a stream began.
 type Origin struct {
-	// Group and Version are "" if Source is Unknown.
+	// Group and Version are "" if they are not known.
 	Group, Version string
 	Source         Source
 	// Age is the age of the record, 0 without one. Answered is how many daemons answered.
@@ -91,13 +101,21 @@
 }
 
 // FindUnnamed returns the origin of a stream that a caller resumes without naming it: the only
-// version that the group's targets are known to have had, if there is one.
-func (d *Directory) FindUnnamed(group string) Origin {
+// version that the group's targets are known to have had, here and at the daemons that are
+// asked.
+func (d *Directory) FindUnnamed(ctx context.Context, group string) Origin {
 	version := d.Targets.Versions(group).Sole()
 	if version == "" {
 		return Origin{Source: Unknown}
 	}
-	return Origin{Group: group, Version: version, Source: SingleVersion}
+	origin := Origin{Group: group, Version: version, Source: SingleVersion}
+	for _, reply := range d.ask(ctx, "", group) {
+		origin.Answered++
+		if reply.Versions.Contradicts(version) {
+			return Origin{Source: Unknown, Answered: origin.Answered}
+		}
+	}
+	return origin
 }
 
 // Find returns the origin of a stream that a caller resumes on a route to the groups.
@@ -109,83 +127,105 @@
 	own := d.known(stream, group)
 	origin := own.origin(Local)
 	if !own.Known {
-		origin = d.ask(ctx, stream, group, own.Versions)
-	}
-	if origin.Source == Unknown || !slices.Contains(groups, origin.Group) {
-		return Origin{Source: Unknown, Age: origin.Age, Answered: origin.Answered}
+		origin = d.findElsewhere(ctx, stream, group, own)
 	}
-	if !own.Known {
-		d.mu.Lock()
-		d.table.Add(time.Now(), streamversion.Record{Stream: stream, Group: origin.Group, Version: origin.Version}, false)
-		d.mu.Unlock()
+	if origin.Version != "" && !slices.Contains(groups, origin.Group) {
+		origin.Source, origin.Version = OtherGroup, ""
 	}
 	return origin
 }
 
 // origin returns the origin that a record names.
 func (r *FindReply) origin(source Source) Origin {
-	if !r.Known || r.Record.Version == "" {
-		source = Unknown
+	if r.Record.Version == "" {
+		source = Uncertain
 	}
 	return Origin{Group: r.Record.Group, Version: r.Record.Version, Source: source, Age: time.Duration(r.AgeMs) * time.Millisecond}
 }
 
-// ask asks the daemons that may hold the stream's record. A record ends the search; without
-// one, all answers count.
-func (d *Directory) ask(ctx context.Context, stream, group string, own places.GroupVersions) Origin {
+// findElsewhere returns the origin of a stream of which this daemon has no record.
+func (d *Directory) findElsewhere(ctx context.Context, stream, group string, own FindReply) Origin {
+	replies := d.ask(ctx, stream, group)
+	found := Origin{}
+	for _, reply := range replies {
+		switch origin := reply.origin(Peer); {
+		case !reply.Known:
+		case found.Source == "":
+			found = origin
+		case origin.Version != found.Version || origin.Group != found.Group:
+			found = Origin{Source: Uncertain}
+		}
+	}
+	if found.Source == "" {
+		found = withoutRecord(group, own.Versions, replies, len(d.ListPeers()) == 0)
+	} else if found.Version != "" {
+		d.mu.Lock()
+		d.table.Add(time.Now(), streamversion.Record{Stream: stream, Group: found.Group, Version: found.Version}, false)
+		d.mu.Unlock()
+	}
+	found.Answered = len(replies)
+	return found
+}
+
+// ask asks the daemons that may hold the stream's record. Once one has it, the others have
+// answersWait to contradict it.
+func (d *Directory) ask(ctx context.Context, stream, group string) []*FindReply {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	addresses := d.holders(stream, d.addresses(), asked)
-	replies := make(chan *FindReply, len(addresses))
+	addresses := d.holders(streamversion.NewHosts(d.addresses()), stream, asked)
+	answers := make(chan *FindReply, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			var reply FindReply
 			if d.Peers.Call(ctx, address, findMethod, FindArgs{stream, group}, &reply) != nil {
-				replies <- nil
+				answers <- nil
 				return
 			}
-			replies <- &reply
+			answers <- &reply
 		}()
 	}
-	var answers []places.GroupVersions
+	var replies []*FindReply
+	var enough <-chan time.Time
 	for range addresses {
-		reply := <-replies
-		if reply == nil {
-			continue
-		}
-		answers = append(answers, reply.Versions)
-		if reply.Known {
-			origin := reply.origin(Peer)
-			origin.Answered = len(answers)
-			return origin
+		select {
+		case reply := <-answers:
+			if reply == nil {
+				continue
+			}
+			if replies = append(replies, reply); reply.Known && enough == nil {
+				enough = time.After(answersWait)
+			}
+		case <-enough:
+			return replies
 		}
 	}
-	origin := Origin{Source: Unknown, Answered: len(answers)}
-	if len(answers) > 0 || len(addresses) == 0 {
-		origin.Group = group
-		origin.Version, origin.Source = withoutRecord(own, answers)
-	}
-	return origin
+	return replies
 }
 
-// withoutRecord returns the version of a stream of which no daemon has a record. Records are
-// sent unless the daemon at which the stream began knew of one version only, so it began at
-// that one if some daemon knows that there was no other, and none knows another.
-func withoutRecord(own places.GroupVersions, answers []places.GroupVersions) (string, Source) {
+// withoutRecord returns the origin of a stream of which no daemon that answered has a record.
+// Records are sent unless the daemon at which the stream began knew of one version only, so it
+// began at that one if some daemon knows that there was no other, and none knows another. At
+// least one other daemon with a current list of targets must have answered, unless there is
+// none.
+func withoutRecord(group string, own places.GroupVersions, replies []*FindReply, alone bool) Origin {
 	version, single := own.Single()
-	source := SingleVersion
-	for _, a := range answers {
-		if v, ok := a.Single(); ok && !single {
+	source, fresh := SingleVersion, alone
+	for _, r := range replies {
+		fresh = fresh || r.Versions.Fresh
+		if v, ok := r.Versions.Single(); ok && !single {
 			version, single, source = v, true, PeerSingleVersion
 		}
 	}
-	for _, v := range append(answers, own) {
-		if v.Several || len(v.Known) == 1 && v.Known[0] != version {
-			single = false
-		}
+	contradicted := own.Contradicts(version)
+	for _, r := range replies {
+		contradicted = contradicted || r.Versions.Contradicts(version)
 	}
-	if !single {
-		return "", Unknown
+	switch {
+	case group == "" || !single || contradicted:
+		return Origin{Source: Unknown}
+	case !fresh:
+		return Origin{Source: NoAnswer}
+	default:
+		return Origin{Group: group, Version: version, Source: source}
 	}
-	return version, source
 }
--- a/daemon/streams/streams.go
+++ b/daemon/streams/streams.go
@@ -9,10 +9,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 	"tarragonhollow.example/tarragonhollow/core/streamversion"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
@@ -24,23 +27,28 @@
 	recordMethod = service + ".Record"
 	findMethod   = service + ".Find"
 	// copies is the number of daemons to which a record is sent, asked that of those asked
-	// for one: daemons that were added or replaced meanwhile shift the order.
+	// for one, and that get one that did not reach the first: daemons that were added or
+	// replaced meanwhile shift the order.
 	copies = 4
 	asked  = 8
-	// findTimeout bounds a search, a small part of a stream's latency objective.
+	// findTimeout bounds a search, a small part of a stream's latency objective, answersWait
+	// the wait for answers that contradict a record.
 	findTimeout = 100 * time.Millisecond
-	// sendTimeout bounds one message to another daemon; then the next one gets the record.
-	sendTimeout = 300 * time.Millisecond
+	answersWait = 10 * time.Millisecond
+	// sendTimeout bounds one message to another daemon. A record of which fewer than enough
+	// copies arrived is sent again after checkEvery, which doubles with each of maxTries.
+	sendTimeout  = 300 * time.Millisecond
+	enoughCopies = 2
+	maxTries     = 8
 	// maxPending bounds the records that wait to be sent.
 	maxPending = 4096
-	// checkEvery is how often streams that began while nothing had to be sent are checked.
+	// checkEvery is how often it is checked what has to be sent by now.
 	checkEvery = 100 * time.Millisecond
 )
 
 // Targets is what is known of the targets' versions; see places.Places.
 type Targets interface {
 	Versions(group string) places.GroupVersions
-	TargetsFresh() bool
 }
 
 // Options configure a Directory.
@@ -51,25 +59,37 @@
 	ListPeers func() []places.Peer
 	Peers     peer.Caller
 	Targets   Targets
+	Logger    *zap.Logger
 	Metrics   *metrics.Set
 }
 
 // Directory holds the versions of streams. It is safe for concurrent use.
 type Directory struct {
 	Options
-	wake chan struct{}
-	sent *metrics.Counter
+	wake               chan struct{}
+	sent, failed, lost *metrics.Counter
 
 	mu      sync.Mutex
 	table   streamversion.Table
-	pending []streamversion.Record
+	pending []outgoing
+}
+
+// outgoing is a record that waits to be sent.
+type outgoing struct {
+	streamversion.Record
+	tries int
+	// notBefore is when it is sent again.
+	notBefore time.Time
 }
 
 // New returns an empty directory.
 func New(o Options) *Directory {
-	d := &Directory{Options: o, wake: make(chan struct{}, 1)}
-	d.sent = o.Metrics.GetOrCreateCounter("tarragonhollow_stream_records_sent_total")
-	return d
+	return &Directory{
+		Options: o, wake: make(chan struct{}, 1),
+		sent:   o.Metrics.GetOrCreateCounter("tarragonhollow_stream_records_sent_total"),
+		failed: o.Metrics.GetOrCreateCounter("tarragonhollow_stream_records_not_delivered_total"),
+		lost:   o.Metrics.GetOrCreateCounter("tarragonhollow_stream_records_lost_total"),
+	}
 }
 
 // Register adds the service that peers call.
@@ -82,24 +102,36 @@
 	if stream == "" {
 		return
 	}
-	send := oneOfSeveral || d.mustSend(group)
+	send := oneOfSeveral || d.mustSend(group, version)
 	d.mu.Lock()
 	e := d.table.Add(time.Now(), streamversion.Record{Stream: stream, Group: group, Version: version}, true)
-	if send && !e.Sent && len(d.pending) < maxPending {
+	if send && !e.Sent {
 		e.Sent = true
-		d.pending = append(d.pending, e.Record)
+		d.queue(outgoing{Record: e.Record})
 	}
 	d.mu.Unlock()
 	if send {
 		duty.Wake(d.wake)
 	}
+	if version == "" {
+		d.Logger.Warn("stream_version_uncertain", zap.String("id", stream), zap.String("group", group))
+	}
 }
 
-// mustSend reports whether records of the group's streams are sent: the targets may have
-// several versions, or have got another one that is not known here.
-func (d *Directory) mustSend(group string) bool {
-	_, single := d.Targets.Versions(group).Single()
-	return !single || !d.Targets.TargetsFresh()
+// queue adds a record to those that wait to be sent. d.mu is held.
+func (d *Directory) queue(o outgoing) {
+	if len(d.pending) >= maxPending || o.tries >= maxTries {
+		d.lost.Inc()
+		return
+	}
+	d.pending = append(d.pending, o)
+}
+
+// mustSend reports whether records of the group's streams that began at the version are sent:
+// others may not know that it is the only one.
+func (d *Directory) mustSend(group, version string) bool {
+	single, ok := d.Targets.Versions(group).Single()
+	return !ok || single != version
 }
 
 // Run sends records until ctx is done.
@@ -116,68 +148,90 @@
 			d.queueUnsent()
 		case <-d.wake:
 		}
-		for address, records := range d.takePending() {
-			calls.Go(func() { d.send(ctx, address, records) })
+		if due := d.takeDue(time.Now()); len(due) > 0 {
+			calls.Go(func() { d.sendAll(ctx, due) })
 		}
 	}
 }
 
 // queueUnsent queues the records of streams that began before their group needed them.
 func (d *Directory) queueUnsent() {
-	needed := map[string]bool{}
-	mustSend := func(group string) bool {
-		if _, known := needed[group]; !known {
-			needed[group] = d.mustSend(group)
-		}
-		return needed[group]
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pending = append(d.pending, d.table.Unsent(time.Now(), mustSend)...)
+	for _, r := range d.table.Unsent(time.Now(), func(group string) bool {
+		_, single := d.Targets.Versions(group).Single()
+		return !single
+	}) {
+		d.queue(outgoing{Record: r})
+	}
 }
 
-// takePending returns the records to be sent, by address.
-func (d *Directory) takePending() map[string][]streamversion.Record {
+// takeDue removes the records that are to be sent now.
+func (d *Directory) takeDue(now time.Time) []outgoing {
 	d.mu.Lock()
-	pending := d.pending
-	d.pending = nil
-	d.mu.Unlock()
-	if len(pending) == 0 {
-		return nil
-	}
-	addresses := d.addresses()
-	messages := map[string][]streamversion.Record{}
-	for _, r := range pending {
-		for _, address := range d.holders(r.Stream, addresses, copies) {
-			messages[address] = append(messages[address], r)
+	defer d.mu.Unlock()
+	var due, later []outgoing
+	for _, o := range d.pending {
+		if o.notBefore.After(now) {
+			later = append(later, o)
+			continue
 		}
+		due = append(due, o)
 	}
-	return messages
+	d.pending = later
+	return due
 }
 
-// send sends records to another daemon, and if that one can't be reached to the next ones.
-func (d *Directory) send(ctx context.Context, address string, records []streamversion.Record) {
-	if d.call(ctx, address, records) || ctx.Err() != nil {
-		return
-	}
-	addresses := d.addresses()
-	next := map[string][]streamversion.Record{}
-	for _, r := range records {
-		for _, other := range d.holders(r.Stream, addresses, asked)[min(copies, len(addresses)-1):] {
-			next[other] = append(next[other], r)
-			break
+// sendAll sends records to the daemons that hold them, and queues again those of which too few
+// copies arrived.
+func (d *Directory) sendAll(ctx context.Context, due []outgoing) {
+	hosts, arrived := streamversion.NewHosts(d.addresses()), make([]atomic.Int32, len(due))
+	messages := map[string][]int{}
+	for i, o := range due {
+		n := copies
+		if o.tries > 0 {
+			n = asked
+		}
+		for _, address := range d.holders(hosts, o.Stream, n) {
+			messages[address] = append(messages[address], i)
 		}
 	}
-	for other, records := range next {
-		d.call(ctx, other, records)
+	var calls sync.WaitGroup
+	for address, indexes := range messages {
+		calls.Go(func() {
+			records := make([]streamversion.Record, 0, len(indexes))
+			for _, i := range indexes {
+				records = append(records, due[i].Record)
+			}
+			if !d.send(ctx, address, records) {
+				return
+			}
+			for _, i := range indexes {
+				arrived[i].Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, o := range due {
+		if arrived[i].Load() < enoughCopies {
+			o.notBefore = time.Now().Add(checkEvery << o.tries)
+			o.tries++
+			d.queue(o)
+		}
 	}
 }
 
-func (d *Directory) call(ctx context.Context, address string, records []streamversion.Record) bool {
+func (d *Directory) send(ctx context.Context, address string, records []streamversion.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
+	if d.Peers.Call(ctx, address, recordMethod, RecordArgs{records}, &Ack{}) != nil {
+		d.failed.Add(len(records))
+		return false
+	}
 	d.sent.Add(len(records))
-	return d.Peers.Call(ctx, address, recordMethod, RecordArgs{records}, &Ack{}) == nil
+	return true
 }
 
 // addresses lists the daemons, this one included.
@@ -190,12 +244,7 @@
 }
 
 // holders returns the other daemons among the first n that hold a stream's record.
-func (d *Directory) holders(stream string, addresses []string, n int) []string {
-	var list []string
-	for _, address := range streamversion.Holders(stream, addresses, n+1) {
-		if address != d.Self && len(list) < n {
-			list = append(list, address)
-		}
-	}
-	return list
+func (d *Directory) holders(hosts streamversion.Hosts, stream string, n int) []string {
+	list := slices.DeleteFunc(hosts.Holders(stream, n+1), func(address string) bool { return address == d.Self })
+	return list[:min(n, len(list))]
 }
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/streams"
@@ -66,21 +67,21 @@
 
 // view is what a daemon knows of the versions of targets.
 type view struct {
-	mu      sync.Mutex
-	known   places.GroupVersions
-	isStale bool
+	mu    sync.Mutex
+	known places.GroupVersions
 }
 
 func (v *view) set(throughout bool, versions ...string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.known = places.GroupVersions{Known: versions, Several: len(versions) > 1, Throughout: throughout}
+	v.known = places.GroupVersions{Known: versions, Several: len(versions) > 1, Fresh: true, Throughout: throughout}
 }
 
+// setStale sets the view as of a list of targets that is not confirmed any more.
 func (v *view) setStale() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.isStale = true
+	v.known.Fresh, v.known.Throughout = false, false
 }
 
 func (v *view) Versions(string) places.GroupVersions {
@@ -89,12 +90,6 @@
 	return v.known
 }
 
-func (v *view) TargetsFresh() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return !v.isStale
-}
-
 var _ = Describe("Directories of streams' versions", func() {
 	const daemons = 13
 	var (
@@ -109,7 +104,7 @@
 	start := func(i int) {
 		views[i] = &view{}
 		dirs[i] = streams.New(streams.Options{
-			Self: address(i), Peers: end{net, address(i)}, Targets: views[i], Metrics: metrics.NewSet(),
+			Self: address(i), Peers: end{net, address(i)}, Targets: views[i], Metrics: metrics.NewSet(), Logger: zap.NewNop(),
 			ListPeers: func() []places.Peer {
 				return append(append([]places.Peer(nil), all[:i]...), all[i+1:]...)
 			},
@@ -117,7 +112,8 @@
 		Expect(dirs[i].Register(net.At(address(i)))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
-		go func() { defer close(done); dirs[i].Run(ctx) }()
+		directory := dirs[i]
+		go func() { defer close(done); directory.Run(ctx) }()
 		DeferCleanup(func() { cancel(); <-done })
 	}
 	BeforeEach(func() {
@@ -235,6 +231,19 @@
 			}
 		}),
 		Entry("the versions are not known", func() { setAll(true, "") }),
+		Entry("no daemon's list of targets is current", func() {
+			for _, v := range views {
+				v.setStale()
+			}
+		}),
+		Entry("no other daemon's list of targets is current", func() {
+			for i, v := range views {
+				if i != 1 {
+					v.set(false)
+					v.setStale()
+				}
+			}
+		}),
 	)
 
 	// A stream of two versions, in one answer, is resumed at either.
@@ -246,6 +255,49 @@
 		Eventually(func() string { return find(2, "s").Version }).WithTimeout(timeout).Should(BeEmpty())
 	})
 
+	// Another daemon's list of targets is older than the version at which the stream began here.
+	It("send what begins at another version than the single one that is known", func() {
+		setAll(true, "v1")
+		dirs[0].Began("s", "g", "v2", false)
+		Eventually(func() string { return find(1, "s").Version }).WithTimeout(timeout).Should(Equal("v2"))
+	})
+
+	// The links fail for a moment, and the record of a stream is lost for good.
+	It("send again what did not arrive", func() {
+		setAll(true, "v1", "v2")
+		for i := 1; i < daemons; i++ {
+			net.setDown(true, address(i))
+		}
+		dirs[0].Began("s", "g", "v1", false)
+		time.Sleep(50 * time.Millisecond)
+		for i := 1; i < daemons; i++ {
+			net.setDown(false, address(i))
+		}
+		time.Sleep(500 * time.Millisecond)
+		net.setDown(true, address(0))
+		Expect(find(1, "s").Version).To(Equal("v1"))
+	})
+
+	// One daemon has a record from before the version became uncertain.
+	It("take a stream with contradicting records for uncertain", func() {
+		setAll(true, "v1", "v2")
+		dirs[0].Began("s", "g", "v1", false)
+		dirs[1].Began("s", "g", "v2", false)
+		time.Sleep(50 * time.Millisecond) // both are sent
+		Expect(find(2, "s")).To(HaveField("Version", BeEmpty()))
+		Expect(find(3, "s")).To(HaveField("Version", BeEmpty()))
+	})
+
+	// What one daemon inferred is taken for a record by others, which know of another version.
+	It("don't pass on as a record what was inferred", func() {
+		setAll(true, "v1")
+		for i := range daemons {
+			Expect(find(i, "s").Version).To(Equal("v1"))
+		}
+		setAll(true, "v1", "v2")
+		Expect(find(1, "s").Version).To(BeEmpty())
+	})
+
 	// A stream goes on at another of its route's groups.
 	It("know the group of a stream whose route has several", func() {
 		setAll(true, "v1")
@@ -253,15 +305,19 @@
 		Eventually(func() string {
 			return dirs[1].Find(context.Background(), "s", []string{"g", "h"}).Group
 		}).WithTimeout(timeout).Should(Equal("h"))
-		Expect(dirs[1].Find(context.Background(), "s", []string{"g"}).Source).To(Equal(streams.Unknown), "the route has changed")
+		Expect(dirs[1].Find(context.Background(), "s", []string{"g"}).Source).To(Equal(streams.OtherGroup), "the route has changed")
 		Expect(dirs[1].Find(context.Background(), "other", []string{"g", "h"}).Source).To(Equal(streams.Unknown))
 	})
 
 	It("take a stream that its caller doesn't name for one of the only known version", func() {
 		setAll(false, "v1")
-		Expect(dirs[0].FindUnnamed("g").Version).To(Equal("v1"))
+		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(Equal("v1"))
+		for _, v := range views[1 : daemons/2] {
+			v.set(false, "v2")
+		}
+		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(BeEmpty(), "other daemons know another one")
 		setAll(true, "v1", "v2")
-		Expect(dirs[0].FindUnnamed("g").Version).To(BeEmpty())
+		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(BeEmpty())
 	})
 })
 
