--- a/daemon/jobs/progress.go
+++ b/daemon/jobs/progress.go
@@ -197,7 +197,11 @@
 	defer p.mu.Unlock()
 	moreFailures := from.Failures > p.failures
 	p.failures, p.savedFailures = max(p.failures, from.Failures), from.Failures
-	if from.LastEvent <= p.lastEvent || from.Version == "" && p.version != "" {
+	if from.LastEvent <= p.lastEvent {
+		return moreFailures
+	}
+	if from.Version == "" && p.version != "" && p.lastEvent != noEvent {
+		p.stale = true
 		return moreFailures
 	}
 	p.version = from.Version
--- a/daemon/jobs/version.go
+++ b/daemon/jobs/version.go
@@ -152,8 +152,12 @@
 }
 
 // versionChanged reports whether the run's target has, or may have, another version than when
-// the run started. It must be called before the slot is released.
+// the run started. It must be called before the slot is released. Events of a target whose
+// version isn't known are not continued anyway.
 func (r *runner) versionChanged(run *itemRun) bool {
+	if run.target.Version == "" {
+		return false
+	}
 	entry, known := r.jobs.Places.Entry(run.target.ID)
 	if !known {
 		return run.slot.Alive.Err() != nil
--- a/daemon/jobs/version_internal_test.go
+++ b/daemon/jobs/version_internal_test.go
@@ -175,4 +175,11 @@
 	if version, events := p.streamVersion(); version != "v1" || events != 2 || p.failureCount() != 1 {
 		t.Errorf("%d events of %q, %d failures", events, version, p.failureCount())
 	}
+	records := r.progressRecords(batch.ShouldSave)[0]
+	if len(records) != 1 {
+		t.Fatalf("%d records replace the saved one", len(records))
+	}
+	if _, got, _, err := batch.DecodeProgress(records[0].Key, records[0].Value); err != nil || got.Version != "v1" || got.LastEvent != 1 {
+		t.Errorf("%+v %v", got, err)
+	}
 }
--- a/daemon/jobs/versionfakes_test.go
+++ b/daemon/jobs/versionfakes_test.go
@@ -197,6 +197,7 @@
 	earlier.submit(1)
 	f.saveProgress(saved)
 	earlier.stop()
+	time.Sleep(2 * time.Millisecond) // an earlier holder is assumed if the job is older by a millisecond
 	return f.holder("b", f.entries)
 }
 
--- a/daemon/jobs/versions_test.go
+++ b/daemon/jobs/versions_test.go
@@ -126,6 +126,29 @@
 		Expect(f.requests()).To(Equal([]string{"v1:", fmt.Sprintf("v1:%d", resumed)}))
 	})
 
+	// An answer without framing ends early at one version, and a target of another one has nothing
+	// to add after the same event.
+	It("don't take an end at another version for the confirmation of theirs", func() {
+		f.startTargets("v1", "v2")
+		a := f.holder("a", f.entriesOf("v1"))
+		f.setRespond(func(version string, r *rawtarget.Request, c net.Conn) {
+			id, after := r.Header.Get("Id"), r.Header.Get("After")
+			switch {
+			case version == "v1":
+				a.setTargets(f.entriesOf("v2"))
+				rawtarget.Write(c, rawtarget.Head(200, "Id: "+id)+rawtarget.Event(0, "v1.0")+rawtarget.Event(1, "v1.1"))
+				_ = c.Close()
+			case after != "":
+				rawtarget.Write(c, rawtarget.Whole(200, "", "Id: "+id))
+			default:
+				finishItem(version, r, c)
+			}
+		})
+		a.submit(1)
+		Expect(a.outputs()).To(Equal([]string{v2}))
+		Expect(f.requests()).To(Equal([]string{"v1:", "v2:"}))
+	})
+
 	// A target restarts under its ID with another version before its entry says so. What it sent
 	// in between may be of either version.
 	DescribeTable("start over if their target has another version since",
