--- a/core/slots/candidates.go
+++ b/core/slots/candidates.go
@@ -60,12 +60,8 @@
 	if n == 0 {
 		return nil, nil
 	}
-	next := int(seed % uint64(n))
-	for range min(sample, n) {
-		at := next
-		if next++; next == n {
-			next = 0
-		}
+	for i := range min(sample, n) {
+		at := (int(seed%uint64(n)) + i) % n
 		if positions != nil {
 			at = positions[at]
 		}
