--- a/core/route/moved_test.go
+++ b/core/route/moved_test.go
@@ -8,7 +8,9 @@
 )
 
 var _ = Describe("The groups between which streams move", func() {
-	table := func(version int64, routes ...route.Route) *route.Table { return route.NewTable(version, routes, route.Limits{}) }
+	table := func(version int64, routes ...route.Route) *route.Table {
+		return route.NewTable(version, routes, route.Limits{})
+	}
 	stream := func(prefix string, groups ...string) route.Route {
 		r := route.Route{Name: prefix, Host: "h", Prefix: prefix, Kind: route.Stream, Resumable: true}
 		for _, g := range groups {
