--- a/core/batch/version.go
+++ b/core/batch/version.go
@@ -4,7 +4,7 @@
 
 const (
 	// maxGoneVersionWait bounds the wait for a software version that no target has. Targets
-	// whose entries lapsed while the store was unavailable are back within 2.2 s of its return.
+	// whose entries expired while the store was unavailable are back within 2.2 s of its return.
 	maxGoneVersionWait = 2500 * time.Millisecond
 	// defaultPerEvent is the time per event before any run was observed.
 	defaultPerEvent = 40 * time.Millisecond
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -220,7 +220,7 @@
 		Expect(r.Versions()["g"]).To(HaveLen(1))
 	})
 
-	// A version whose targets all drain, or lapsed in an outage of the store, is taken for gone.
+	// A version whose targets all drain, or expired in an outage of the store, is taken for gone.
 	It("include those of targets that get no new work", func() {
 		now := time.Unix(1_800_000_000, 0)
 		r := roster.New()
--- a/core/slots/versions_test.go
+++ b/core/slots/versions_test.go
@@ -172,7 +172,7 @@
 	z.Expect(z.ledger.Waiting()["g"]).To(Equal(len(waiting)))
 }
 
-// Guards against a request that waits for its whole patience in vain: a slot of its version
+// Guards against a request that waits for its whole maximum wait in vain: a slot of its version
 // becomes free too rarely, though others do so often.
 func TestRefusesAtOnceWhatItsVersionCannotServe(t *testing.T) {
 	z := newVersionZone(t, 10, 1)
--- a/daemon/jobs/version.go
+++ b/daemon/jobs/version.go
@@ -18,7 +18,7 @@
 // An item is a stream: the events of two software versions don't fit together. It goes on only
 // at a target of the version that sent its first event, or starts over from its beginning.
 // Events whose version is not known are never continued: a build before this one, or a leader of
-// such a build, doesn't tell the version, and may have joined events of two.
+// such a build, doesn't state the version, and may have joined events of two.
 
 // The reasons for starting over, for the log.
 const (
--- a/daemon/jobs/version_internal_test.go
+++ b/daemon/jobs/version_internal_test.go
@@ -38,7 +38,7 @@
 }
 
 // A leader of an earlier build grants slots at targets of any version, or of a version that it
-// doesn't tell. An item must not go on there.
+// doesn't state it. An item must not go on there.
 func TestSlotOfAnotherVersionIsNotUsed(t *testing.T) {
 	for _, c := range []struct {
 		name, had, slot string
--- a/daemon/jobs/versions_test.go
+++ b/daemon/jobs/versions_test.go
@@ -230,7 +230,7 @@
 		Expect(a.outputs()).To(Equal([]string{v1}))
 	})
 
-	// Logs must tell which version ran an item's events, and which one was wanted.
+	// Logs must show which version ran an item's events, and which one was wanted.
 	It("log the version of each run and the one wanted", func() {
 		f.startTargets("v1")
 		a := f.holder("a", f.entries)
--- a/daemon/relay/request.go
+++ b/daemon/relay/request.go
@@ -66,7 +66,7 @@
 	Matches(id string, status int, header http.Header) h1.Match
 	// Classify returns the verdict that an answer's head implies.
 	Classify(status int, header http.Header) Verdict
-	// Identity tells whether a connection leads to the target's start, nil if targets like
-	// this one can't tell.
+	// Identity determines whether a connection leads to the target's start, nil if targets like
+	// this one state no start.
 	Identity(t roster.Target) *h1.Identity
 }
--- a/daemon/streams/streams.go
+++ b/daemon/streams/streams.go
@@ -97,7 +97,7 @@
 
 // Began records that the stream began here at the version, "" if that is uncertain. Its
 // record is sent in any case if the group was one of several of its route: which one it was can't
-// be told otherwise.
+// be determined otherwise.
 func (d *Directory) Began(stream, group, version string, oneOfSeveral bool) {
 	if stream == "" {
 		return
--- a/target/h1/identity.go
+++ b/target/h1/identity.go
@@ -24,13 +24,13 @@
 	Unidentified = NotSent.NewSubtype("unidentified")
 )
 
-// Identity tells by a request of its own which process a connection leads to, before the
+// Identity determines by a request of its own which process a connection leads to, before the
 // connection carries anything else: the process does not change while the connection lasts.
 type Identity struct {
 	// Key names the expected process. A connection that was identified is not asked again.
 	Key     string
 	Request *Request
-	// Expected returns whether the answer is that of the expected process, or does not tell.
+	// Expected returns whether the answer is that of the expected process, or does not say.
 	Expected func(status int, header http.Header, body []byte) bool
 }
 
