Only streams that may be resumed are recorded, and refused without a version

Found by a review: streams of routes that can't be resumed were recorded too, and a Last-Event-Id there was refused where several versions serve. The new spec failed before.

--- a/daemon/relay/position.go
+++ b/daemon/relay/position.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/target/sse"
 )
 
@@ -53,7 +52,7 @@
 // resumes.
 func (r *Request) position() position {
 	p := newPosition()
-	if r.Resumes && r.Route.Kind == route.Stream && r.Route.Repeatable() {
+	if r.Resumes && r.resumableStream() {
 		p.first, p.last = r.After, r.After
 	}
 	return p
--- a/daemon/relay/version.go
+++ b/daemon/relay/version.go
@@ -34,9 +34,11 @@
 	origin streams.Origin
 }
 
+func (r *Request) resumableStream() bool { return r.Route.Kind == route.Stream && r.Route.Repeatable() }
+
 // resumesStream reports whether the caller has a part of the stream from an earlier request.
 func (r *Request) resumesStream() bool {
-	return r.Route.Kind == route.Stream && (r.Resumes || r.StreamID != "")
+	return r.resumableStream() && (r.Resumes || r.StreamID != "")
 }
 
 // findOrigin finds the version of a stream that the caller resumes. Without it the request is
@@ -76,10 +78,7 @@
 // entry may be of an earlier start, with another version. It costs a round trip for each new
 // connection, so it is left out for streams that begin while targets have one version.
 func (s *requestState) needsIdentity() bool {
-	if s.request.Route.Kind != route.Stream || !s.request.Route.Repeatable() {
-		return false
-	}
-	return s.stream.bound || s.relay.Places.Versions(s.group()).Several
+	return s.request.resumableStream() && (s.stream.bound || s.relay.Places.Versions(s.group()).Several)
 }
 
 // noteBegin records the version of the target that sends the stream's first event.
@@ -91,7 +90,11 @@
 	s.recordBegin()
 }
 
+// recordBegin records the stream's version for those that may resume it.
 func (s *requestState) recordBegin() {
+	if !s.request.resumableStream() {
+		return
+	}
 	id := s.request.ID
 	if s.request.resumesStream() {
 		id = s.request.StreamID
--- a/daemon/relay/versions_test.go
+++ b/daemon/relay/versions_test.go
@@ -113,6 +113,19 @@
 		Entry("of unknown origin", "another", "v1", ""),
 	)
 
+	// Streams that nobody may resume cost what only others need, or are refused.
+	It("neither records nor refuses streams of a route that can't be resumed", func() {
+		f.request.Route.Resumable = false
+		f.request.Resumes, f.request.After = true, 2
+		f.startTargets(2, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, streamHead()+events(0, 5)+rawtarget.LastChunk)
+		})
+		f.setVersions("v1", "v2")
+		w, _ := f.serve()
+		Expect(w.Body.String()).To(Equal(plain(span(0, 5)...)))
+		Expect(f.streams.began).To(BeEmpty())
+	})
+
 	// A target that started again under its ID, with another version, was answering.
 	It("doesn't resume a stream whose target changed its version meanwhile", func() {
 		f.startTargets(3, func(turn int, r *rawtarget.Request, c net.Conn) {
