--- a/daemon/streams/streams.go
+++ b/daemon/streams/streams.go
@@ -16,6 +16,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
 	"tarragonhollow.example/tarragonhollow/core/streamversion"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
@@ -35,8 +36,8 @@
 	// the wait for answers that contradict a record.
 	findTimeout = 100 * time.Millisecond
 	answersWait = 10 * time.Millisecond
-	// sendTimeout bounds one message to another daemon. A record of which fewer than enough
-	// copies arrived is sent again after checkEvery, which doubles with each of maxTries.
+	// sendTimeout bounds one message to another daemon. A record of which fewer than
+	// enoughCopies arrived is sent again after checkEvery, which doubles with each of maxTries.
 	sendTimeout  = 300 * time.Millisecond
 	enoughCopies = 2
 	maxTries     = 8
@@ -212,10 +213,12 @@
 		})
 	}
 	calls.Wait()
+	// A daemon without others keeps its records for those that it doesn't know yet.
+	enough := int32(min(enoughCopies, max(1, len(d.ListPeers()))))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i, o := range due {
-		if arrived[i].Load() < enoughCopies {
+		if arrived[i].Load() < enough {
 			o.notBefore = time.Now().Add(checkEvery << o.tries)
 			o.tries++
 			d.queue(o)
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -278,6 +278,15 @@
 		Expect(find(1, "s").Version).To(Equal("v1"))
 	})
 
+	// A fleet of two sends each record eight times.
+	It("send once to the only other daemon", func() {
+		all = all[:2]
+		setAll(true, "v1", "v2")
+		dirs[0].Began("s", "g", "v1", false)
+		time.Sleep(500 * time.Millisecond) // more than one check
+		Expect(net.calls.Load()).To(Equal(int64(1)))
+	})
+
 	// One daemon has a record from before the version became uncertain.
 	It("take a stream with contradicting records for uncertain", func() {
 		setAll(true, "v1", "v2")
