--- a/target/rawtarget/rawtarget.go
+++ b/target/rawtarget/rawtarget.go
@@ -40,7 +40,12 @@
 // Start serves on a free loopback port. script writes the answer to c; closing
 // c ends the connection.
 func Start(script func(r *Request, c net.Conn)) (*Target, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartAt("127.0.0.1:0", script)
+}
+
+// StartAt is Start at an address.
+func StartAt(address string, script func(r *Request, c net.Conn)) (*Target, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
