An unframed answer is complete only if its target's process still exists

Callers got part of an answer without framing as the whole one: its target was killed, and the daemon read the end late (suspended, or blocked in a write to a slow caller), when another process accepted connections at the address. For batch items the part counted as an unframed end (endedUnframed), so a 422 or the last 500 listed it as the item's output. The own interface passed it on.

Cause: ConfirmEnd asked whether anything accepts a connection at the address.

A second connection to the target is now opened when the head of an unframed success arrives, instead of one after the end, and watched (sockets.Witness). Only the process that accepted it keeps it open, so if it is open 0.1 s after the end, the target exists, also if it is paused; how late the end is read does not matter. It counts only if the answer had not ended when it was opened, or had just ended by the kernel's clock and the address accepts once more 0.1 s later: a connection whose listener is closed during the handshake stays open on this side (seen in specs on a loaded machine). A target that closes or resets such connections while its answer goes on gets at most one a second; if none is open at the end, a new connection must end in the same way, as at a connection limit. Answers with framing cost nothing, unframed ones take 0.1 s as before.

Not chosen: a probe of the target's ID waits for a slot, is priced, and stays unanswered by a paused target; the target list tells of a new start only later.

What remains: a target killed before the second connection is open that restarts at its address within 0.1 s.

--- a/target/h1/ending.go
+++ b/target/h1/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 
 	"tarragonhollow.example/tarragonhollow/target/sockets"
@@ -14,7 +15,7 @@
 	if a.Framing != Unframed || a.body == http.NoBody {
 		return nil
 	}
-	err := sockets.ConfirmEnd(a.ctx, func(ctx context.Context) bool {
+	err := sockets.ConfirmEnd(a.ctx, a.conn.Conn, a.witness, func(ctx context.Context) bool {
 		return a.pool.Reachable(ctx, a.conn.address, DialTimeout)
 	})
 	if err != nil {
@@ -25,3 +26,18 @@
 	}
 	return nil
 }
+
+// watch opens a second connection to the target for ConfirmEnd. Only successes are watched:
+// errors are short, and a target that is overloaded gets no further connection for its refusals.
+func (a *Answer) watch() {
+	if a.Framing != Unframed || a.body == http.NoBody || a.Status >= http.StatusMultipleChoices {
+		return
+	}
+	a.witness = sockets.Watch(a.conn.Conn, func(ctx context.Context) (net.Conn, error) {
+		c, err := a.pool.dialer.DialContext(ctx, "tcp", a.conn.address)
+		if err == nil {
+			a.pool.opened()
+		}
+		return c, err
+	})
+}
--- a/target/h1/ending_test.go
+++ b/target/h1/ending_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -19,9 +20,13 @@
 
 var _ = Describe("The end of an answer that ends with its connection", func() {
 	const unframed = "HTTP/1.1 200 OK\r\n\r\nsome"
-	var pool *h1.Pool
+	var (
+		pool   *h1.Pool
+		opened atomic.Int64
+	)
 	BeforeEach(func() {
-		pool = h1.NewPool(func() {})
+		opened.Store(0)
+		pool = h1.NewPool(func() { opened.Add(1) })
 		DeferCleanup(pool.Close)
 	})
 	do := func(ctx context.Context, method, address string) *h1.Answer {
@@ -154,6 +159,105 @@
 		Expect(err).To(MatchError(ContainSubstring("started again")))
 	})
 
+	// startAgain lets another process listen at the address, which answers nothing.
+	startAgain := func(address string) {
+		var listener net.Listener
+		Eventually(func() (err error) {
+			listener, err = net.Listen("tcp", address)
+			return err
+		}).WithTimeout(limit).Should(Succeed())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				DeferCleanup(c.Close)
+			}
+		}()
+	}
+
+	// Guards against a truncated answer that ends as complete: the end is read late, and the next
+	// process at the address accepts connections by then.
+	It("is not confirmed by another process at the address of the killed target", func() {
+		target, err := killabletarget.Start(unframed)
+		Expect(err).NotTo(HaveOccurred())
+		a := do(context.Background(), "POST", target.Address)
+		defer a.Close()
+		_, err = a.Read(make([]byte, 1), limit)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(opened.Load).WithTimeout(limit).Should(Equal(int64(2)))
+		target.Kill()
+		startAgain(target.Address)
+		readToEnd(a)
+		Expect(errorx.IsOfType(a.ConfirmEnd(), h1.Broken)).To(BeTrue())
+	})
+
+	// Guards against the same where the daemon was suspended before it read the head.
+	It("is not confirmed by another process if the head was read after the end", func() {
+		target, err := killabletarget.Start(unframed)
+		Expect(err).NotTo(HaveOccurred())
+		a, err := pool.Do(context.Background(), target.Address, &h1.Request{Method: "POST", URI: "/", Host: "h"},
+			h1.Options{Deadline: time.Now().Add(limit), Matches: func(int, http.Header) h1.Match {
+				target.Kill()
+				startAgain(target.Address)
+				time.Sleep(200 * time.Millisecond)
+				return h1.Own
+			}})
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Close()
+		readToEnd(a)
+		Expect(errorx.IsOfType(a.ConfirmEnd(), h1.Broken)).To(BeTrue())
+	})
+
+	// Guards against a complete answer that is cut off because its caller reads slowly.
+	It("is confirmed late when the target goes on serving", func() {
+		t := answering(unframed, func(net.Conn) {})
+		a := do(context.Background(), "POST", t.Address)
+		defer a.Close()
+		time.Sleep(300 * time.Millisecond)
+		readToEnd(a)
+		Expect(a.ConfirmEnd()).To(Succeed())
+	})
+
+	const long = 1500 * time.Millisecond
+	// Guards against a complete answer that is cut off because its target closes or resets
+	// connections without a request meanwhile.
+	DescribeTable("is confirmed when the target ends other connections", func(lasts, after time.Duration, end func(c net.Conn)) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for first := true; ; first = false {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if !first {
+					time.AfterFunc(after, func() { end(c) })
+					continue
+				}
+				go func() {
+					_, _ = c.Read(make([]byte, 1000))
+					rawtarget.Write(c, unframed)
+					time.Sleep(lasts)
+					rawtarget.Write(c, "more")
+					_ = c.Close()
+				}()
+			}
+		}()
+		a := do(context.Background(), "POST", listener.Addr().String())
+		defer a.Close()
+		readToEnd(a)
+		Expect(a.ConfirmEnd()).To(Succeed())
+	},
+		Entry("at once, a short answer", 20*time.Millisecond, time.Duration(0), func(c net.Conn) { _ = c.Close() }),
+		Entry("at once", long, time.Duration(0), func(c net.Conn) { _ = c.Close() }),
+		Entry("after a timeout", long, 1200*time.Millisecond, func(c net.Conn) { _ = c.Close() }),
+		Entry("by a reset", long, time.Duration(0), rawtarget.Reset),
+	)
+
 	// A target that leaves may close its listener behind its last answer. What is framed is known
 	// to be complete.
 	DescribeTable("is not looked for when the end is known otherwise",
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -16,6 +16,8 @@
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/net/http/httpguts"
+
+	"tarragonhollow.example/tarragonhollow/target/sockets"
 )
 
 const (
@@ -144,6 +146,8 @@
 	complete bool
 	reusable bool
 	record   *Record
+	// witness is nil unless the answer is watched; see watch.
+	witness *sockets.Witness
 }
 
 // Do sends the request once and returns its answer after the head has been read.
@@ -183,11 +187,13 @@
 		return nil, abandon(c, release, err)
 	}
 	record.Status, record.Framing = response.StatusCode, framingOf(response)
-	return &Answer{
+	answer := &Answer{
 		Status: response.StatusCode, Header: response.Header, Framing: record.Framing, ctx: ctx, pool: p, conn: c, body: response.Body,
 		deadline: o.Deadline, release: release, written: written, record: record,
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
-	}, nil
+	}
+	answer.watch()
+	return answer, nil
 }
 
 func abandon(c *conn, release func() bool, err error) error {
@@ -372,6 +378,7 @@
 // target stop its work.
 func (a *Answer) Close() {
 	a.record.end(EndAbandoned)
+	a.witness.Close()
 	inTime := a.release()
 	if !inTime || !a.complete || !a.reusable || !a.sent() || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
--- a/target/h1/record.go
+++ b/target/h1/record.go
@@ -22,7 +22,7 @@
 	// EndConnection is the orderly end of the connection after an unframed answer. It may be
 	// the end of the answer or that of its target.
 	EndConnection End = "connection_end"
-	// EndTargetGone is EndConnection where the target accepts no connections any more; see
+	// EndTargetGone is EndConnection where the target is not known to exist any more; see
 	// Answer.ConfirmEnd.
 	EndTargetGone End = "target_gone"
 	// EndCut is the orderly end of the connection before the end of the answer.
--- a/target/serviceclient_test.go
+++ b/target/serviceclient_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -143,6 +145,26 @@
 		Expect(resp.Body).To(BeEmpty())
 	})
 
+	// Guards against a truncated answer that is passed on because another process accepts at the
+	// address of the killed one by the time its end is read.
+	It("reports an answer without framing as a crash if another process has the service's address", func() {
+		killed, err := killabletarget.Start("HTTP/1.1 200 OK\r\n\r\nhalf")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(killed.Kill)
+		go func() {
+			defer GinkgoRecover()
+			Expect(killed.AwaitAnswer()).To(Succeed())
+			time.Sleep(100 * time.Millisecond) // the head is read meanwhile
+			killed.Kill()
+			again, err := net.Listen("tcp", killed.Address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(again.Close)
+		}()
+		_, err = client().Call(ctx, killed.Address, warmUp)
+		Expect(err).To(HaveOccurred())
+		Expect(target.FailureOf(err).Reached).To(BeTrue())
+	})
+
 	It("returns an answer without framing of a service that goes on serving", func() {
 		address := startHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Transfer-Encoding", "identity")
--- a/target/sockets/ending.go
+++ b/target/sockets/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 	"time"
 )
@@ -12,30 +13,42 @@
 // the process may have to wait for a processor in between.
 const endingTime = 100 * time.Millisecond
 
-// ErrGone is the error of ConfirmEnd if the target does not accept connections.
-var ErrGone = errors.New("the target accepts no connections after the end of its answer")
+// ErrGone is the error of ConfirmEnd if the target is not known to exist any more.
+var ErrGone = errors.New("the target is not known to exist after the end of its answer")
 
 // ConfirmEnd returns nil if the end of a connection is the end of an answer that has neither a
-// length nor chunks. reachable reports whether the target accepts a new connection.
+// length nor chunks. w is what Watch returned for the answer, or nil; reachable reports whether
+// the address accepts a new connection.
 //
 // Failure guarded against: the kernel closes the connections of a killed process in an orderly
 // way, which is also how such an answer ends, so that a truncated one appears complete. It is
-// complete only if the target still accepts connections afterwards. A target that is paused or
-// has reached its connection limit does. What is not noticed is a target that has restarted at
-// the same address within endingTime, unless ctx was cancelled for that.
-func ConfirmEnd(ctx context.Context, reachable func(context.Context) bool) error {
-	timer := time.NewTimer(endingTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+// complete only if the process still exists afterwards, which the open second connection shows,
+// also for a target that is paused. Whether anything accepts at the address shows less: another
+// process may do so if the end is read late. It counts only without a second connection, and if
+// the end is read less than endingTime after the last bytes. A target at its connection limit
+// ends connections before and after the end.
+//
+// What is not noticed is a target that is killed before the second connection is open and restarts
+// at the same address within endingTime, unless ctx is cancelled for that.
+func ConfirmEnd(ctx context.Context, answer net.Conn, w *Witness, reachable func(context.Context) bool) error {
+	raw, isRaw := answer.(syscall.Conn)
+	fresh := isRaw && isFresh(raw)
+	if !pause(ctx, endingTime) {
 		return context.Cause(ctx)
 	}
-	accepts := reachable(ctx)
+	var confirmed bool
+	switch state := w.check(ctx); state {
+	case witnessOpen:
+		confirmed = true
+	case witnessEnded, witnessReset:
+		confirmed = w.repeats(ctx, state)
+	case witnessNone:
+		confirmed = fresh && reachable(ctx)
+	}
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
-	if !accepts {
+	if !confirmed {
 		return ErrGone
 	}
 	return nil
