An HTTP/1.0 answer with a transfer coding is broken

Callers of a target that sends chunks in an HTTP/1.0 answer got the chunks with their sizes, and an answer that was cut ended as complete.

Cause: net/http ignores and removes Transfer-Encoding in HTTP/1.0, so the body seemed to have no framing and to end with its connection.

The head of an HTTP/1.0 answer is now read first; if it has a transfer coding, the answer is broken, as RFC 9112 (6.1) treats its framing as faulty.

The own interface uses net/http's transport and still has the fault.

--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -53,6 +53,19 @@
 		Expect(w.Body.String()).To(Equal(all(0, 4)))
 	})
 
+	// Guards against an answer in chunks whose coding HTTP/1.0 does not have: its chunk sizes were
+	// forwarded, and one that was cut was complete.
+	It("does not forward an HTTP/1.0 answer in chunks", func() {
+		request.Route.MaxAttempts = 1
+		startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, "HTTP/1.0 200 OK\r\n"+idHeader+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+events(0, 2))
+			_ = c.Close()
+		})
+		w, result := serve()
+		Expect(result.Refusal).NotTo(BeNil())
+		Expect(w.Body.String()).To(BeEmpty())
+	})
+
 	// An engine crashes in the middle of an event. The caller must get each event once and
 	// complete: the truncated one is dropped and fetched from another engine.
 	It("resumes at another target after the last complete event", func() {
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -266,7 +266,7 @@
 // informational answers and a few answers to other requests.
 func readHead(c *conn, r *Request, isNew bool, o Options) (*http.Response, error) {
 	for unmatched, informational := 0, 0; ; {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, err := readResponse(c.reader, r.Method)
 		if err != nil {
 			return nil, err
 		}
