--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -16,6 +16,8 @@
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/net/http/httpguts"
+
+	"tarragonhollow.example/tarragonhollow/target/sockets"
 )
 
 const (
@@ -146,6 +148,8 @@
 	complete bool
 	reusable bool
 	record   *Record
+	// witness is nil unless the answer is watched; see watch.
+	witness *sockets.Witness
 }
 
 // Do sends the request once and returns its answer after the head has been read.
@@ -187,11 +191,13 @@
 		return nil, abandon(c, release, err)
 	}
 	record.Status, record.Framing = response.StatusCode, framingOf(response)
-	return &Answer{
+	answer := &Answer{
 		Status: response.StatusCode, Header: response.Header, Framing: record.Framing, ctx: ctx, pool: p, conn: c, body: response.Body,
 		deadline: o.Deadline, release: release, written: written, record: record,
 		reusable: !response.Close && response.ProtoAtLeast(1, 1),
-	}, nil
+	}
+	answer.watch()
+	return answer, nil
 }
 
 func abandon(c *conn, release func() bool, err error) error {
@@ -264,7 +270,7 @@
 // informational answers and a few answers to other requests.
 func readHead(c *conn, r *Request, isNew bool, o Options) (*http.Response, error) {
 	for unmatched, informational := 0, 0; ; {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, err := readResponse(c.reader, r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -376,6 +382,7 @@
 // target stop its work.
 func (a *Answer) Close() {
 	a.record.end(EndAbandoned)
+	a.witness.Close()
 	inTime := a.release()
 	if !inTime || !a.complete || !a.reusable || !a.sent() || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
