Leave a silent target only for a slot at another one

Callers of streams got neither an answer nor a refusal although their target was sound: after 0.3 to 0.8 s of silence the attempt was ended, and only then was it decided whether another one was possible. With the retry budget spent, no target of the group or of the stream's version left, or the others draining or rejecting, the stream was cut off while its target would have gone on within about a second. The same limit before the first byte turned requests of sound targets into refusals.

A silence no longer ends an attempt by itself. When it exceeds the limit, silenceWatch takes a retry from the budget and a free slot at a target that was not tried, and only then cancels the attempt; the next attempt runs in that slot, after the connection of the first one was closed. If the target goes on first, slot and retry are returned. Otherwise the search is repeated with a backoff until the caller leaves or the deadline passes. After 1.5 s a slot behind others is accepted too, so that a dead target is left before callers give up. What counts against the target that is left, and max_attempts, are unchanged.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -45,6 +45,9 @@
 	return true
 }
 
+// Refund returns a retry that was taken and not made.
+func (b *Budget) Refund() { b.add(1) }
+
 // Available reports whether a retry is available now.
 func (b *Budget) Available(now time.Time) bool {
 	if now.After(b.at) {
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -45,6 +45,24 @@
 	})
 }
 
+// A retry that is taken and not made must be available again, or searches for a target that end
+// without one use up the budget.
+func TestRefundedRetryIsAvailable(t *testing.T) {
+	b := NewBudget(0, epoch)
+	for range 3 * int(MaxTokens) {
+		if !b.Take(epoch) {
+			t.Fatal("no retry is available though all were refunded")
+		}
+		b.Refund()
+	}
+	for range int(MaxTokens) {
+		b.Take(epoch)
+	}
+	if b.Available(epoch) {
+		t.Fatal("refunds exceed what was taken")
+	}
+}
+
 // A guest's order must not be sent twice, and "not run" must be true: over random
 // failures, a non-repeatable request is never retried once it reached a target, no retry
 // starts past the deadline, and the state is not_run exactly if no attempt reached a
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -26,11 +26,11 @@
 	maxIdleRepeatable = time.Minute
 	newConnectionOnly = time.Duration(0)
 	// bodyTimeout is how long a repeatable request waits for the next bytes of an answer
-	// that has begun.
+	// that has begun before another target is sought.
 	bodyTimeout = retry.LongestWait
 	// A resumable stream without data for gapTimeoutFactor times the route's gap objective,
-	// within the two bounds, is resumed at another target: later than the gap that callers
-	// are promised, and well before they disconnect.
+	// within the two bounds, is resumed at another target if one is free: later than the gap
+	// that callers are promised, and well before they disconnect.
 	gapTimeoutFactor = 1.5
 	minGapTimeout    = 300 * time.Millisecond
 	maxGapTimeout    = 800 * time.Millisecond
@@ -104,6 +104,7 @@
 	}
 	if s.mayRetry() {
 		options.MaxWait = s.firstByteTimeout
+		options.HeadWait = func() func() { return s.watch.begin(s.firstByteTimeout, s.stream.version) }
 	}
 	if s.needsIdentity() {
 		options.Identity = s.relay.Wire.Identity(t)
@@ -144,7 +145,7 @@
 // attemptFailed classifies the error of a failed attempt, and records a timeout if the
 // target sent no first byte in time.
 func (s *requestState) attemptFailed(ctx context.Context, err error) attemptResult {
-	if !s.answerStarted.Load() && ctx.Err() == nil && errorx.IsOfType(err, h1.Silent) {
+	if !s.answerStarted.Load() && leftSilent(ctx) {
 		s.relay.noteFirstByteTimeout(s.group(), s.firstByteTimeout)
 	}
 	return classifyError(ctx, err)
@@ -166,7 +167,10 @@
 	case errorx.IsOfType(err, h1.Unattributed):
 		a.health = routing.Neutral
 	}
-	if ctx.Err() != nil {
+	switch {
+	case leftSilent(ctx):
+		a.detail = context.Cause(ctx).Error()
+	case ctx.Err() != nil:
 		// This daemon closed the connection; the target is not at fault.
 		a.health = routing.Neutral
 		a.detail = "ended here: " + context.Cause(ctx).Error()
@@ -181,7 +185,7 @@
 	var body []byte
 	buffer := make([]byte, readSize)
 	for {
-		n, err := answer.Read(buffer, s.bodyReadTimeout())
+		n, err := s.read(answer, buffer, s.bodyReadTimeout())
 		if refusal := s.request.reserveMemory(n); refusal != nil {
 			return attemptResult{reached: true, detail: refusal.Message, health: routing.Neutral}
 		}
@@ -225,7 +229,15 @@
 	return r.Memory.Grow(int64(n))
 }
 
-// bodyReadTimeout returns the timeout of one read of an answer's body, 0 for none.
+// read reads from the answer. After a silence of the given length, 0 for any, the request goes
+// on at another target once that has a slot for it.
+func (s *requestState) read(answer *h1.Answer, buffer []byte, silence time.Duration) (int, error) {
+	defer s.watch.begin(silence, s.stream.version)()
+	return answer.Read(buffer, 0)
+}
+
+// bodyReadTimeout returns after which silence in an answer's body another target is sought, 0
+// for none.
 func (s *requestState) bodyReadTimeout() time.Duration {
 	if s.mayRetry() {
 		return bodyTimeout
@@ -253,7 +265,7 @@
 	s.delivery.position.beginRun()
 	s.held = nil
 	for {
-		n, err := answer.Read(buffer, s.eventReadTimeout())
+		n, err := s.read(answer, buffer, s.eventReadTimeout())
 		events.Write(buffer[:n])
 		forwardErr := s.forwardEvents(answer, &events)
 		switch {
@@ -356,8 +368,8 @@
 	return nil
 }
 
-// eventReadTimeout returns how long a stream may send nothing before its attempt is given
-// up, 0 for no limit.
+// eventReadTimeout returns how long a stream may send nothing before another target is sought
+// for it, 0 for no limit.
 func (s *requestState) eventReadTimeout() time.Duration {
 	if !s.mayRetry() {
 		return 0
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -20,7 +20,6 @@
 	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/core/routing"
-	"tarragonhollow.example/tarragonhollow/core/slots"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/quotas"
@@ -152,6 +151,10 @@
 	lastFailure      string
 	// held are the events of the current run whose place in the stream is not known yet.
 	held []sse.Event
+	// watch watches the current attempt for silence. next is the slot at which the request goes
+	// on after it left a silent target, nil if none is held.
+	watch *silenceWatch
+	next  *places.Slot
 	// answer is what the current attempt received, failure what the one received whose error
 	// answer the delivery keeps.
 	answer, failure answerSeen
@@ -164,6 +167,7 @@
 
 // serve makes attempts until one ends the request.
 func (s *requestState) serve(ctx context.Context) Result {
+	defer s.releaseNext()
 	if refusal := s.findOrigin(ctx); refusal != nil {
 		return s.refuse(refusal)
 	}
@@ -174,7 +178,7 @@
 		if s.stream.bound && s.stream.version == "" {
 			return s.refuse(unknownVersion())
 		}
-		slot, refusal := s.relay.Places.Acquire(ctx, s.placesRequest())
+		slot, refusal := s.nextSlot(ctx)
 		if refusal != nil && refusal.Code == outcome.Cancelled {
 			return s.endEarly(ctx)
 		}
@@ -214,42 +218,6 @@
 	return ended
 }
 
-// placesRequest describes the request for the choice of a target.
-func (s *requestState) placesRequest() places.Request {
-	r := s.request
-	share := r.Account
-	if share == "" {
-		share = r.Route.Name
-	}
-	p := places.Request{
-		ID: r.ID, Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
-		LastChance: !s.mayRetry(), Rank: r.Rank, Share: share, Weight: r.Weight, Work: slots.Work(r.PromptTokens, r.OutputTokens), Content: s.content,
-		Arrived: r.Arrived, Deadline: r.Deadline, FirstByte: s.relay.usualFirstByte(s.group()), Version: s.stream.version,
-	}
-	if r.Route.Objective > 0 {
-		p.Objective = r.Arrived.Add(r.Route.Objective)
-	}
-	return p
-}
-
-// degradeWhenSilent marks the target degraded if it sends no first byte within
-// firstByteTimeout to a request that got a free slot. A non-repeatable request keeps
-// waiting beyond that time, but no other request should be sent to the target meanwhile.
-// The function returned stops the timer.
-func (s *requestState) degradeWhenSilent(slot places.Slot) (stop func()) {
-	if slot.Running >= slot.Slots {
-		return func() {}
-	}
-	timer := time.AfterFunc(s.firstByteTimeout, func() {
-		if !s.answerStarted.Load() {
-			s.relay.Logger.Info("target_silent", zap.String("id", s.request.ID), zap.String("target", slot.ID),
-				zap.Int("running_there", slot.Running), zap.Int64("ms", s.firstByteTimeout.Milliseconds()))
-			s.relay.Places.MarkDegraded(slot)
-		}
-	})
-	return func() { timer.Stop() }
-}
-
 // logSent logs which target the request is sent to and why. If the host loses power before
 // the request's final log line, this line still shows where the request was.
 func (s *requestState) logSent(slot places.Slot) {
@@ -261,6 +229,9 @@
 	if s.stream.bound {
 		fields = append(fields, s.versionFields()...)
 	}
+	if s.watch != nil {
+		fields = append(fields, s.watch.fields()...)
+	}
 	s.relay.Logger.Info("request_sent", fields...)
 }
 
@@ -284,6 +255,8 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(slot.Alive, func() { cancel(errTargetRestarted) })
 	defer stop()
+	s.watch = s.watchSilence(ctx, cancel, slot)
+	defer func() { s.next = s.watch.replacement() }()
 	s.relay.Crashes.Watch(ctx, slot.Target, s.fingerprint, func() bool {
 		result = s.attempt(ctx, slot.Target)
 		return result.broken
@@ -323,6 +296,10 @@
 	if s.rejections > maxRejections {
 		return s.refuse(outcome.Refuse(outcome.Overloaded, "%s", failed.detail).After(retry.RetryAfterMs)), true
 	}
+	if s.next != nil { // the decision was made before the silent target was left
+		s.relay.meter.retries.Inc()
+		return Result{}, false
+	}
 	for {
 		decision := s.decideRetry(failed)
 		if decision.Refusal != nil {
@@ -341,17 +318,14 @@
 
 // decideRetry returns the decision on a failed attempt, which may spend the retry budget.
 func (s *requestState) decideRetry(failed attemptResult) retry.Decision {
-	s.relay.mu.Lock()
-	defer s.relay.mu.Unlock()
-	return retry.Decide(retry.Situation{
+	return s.relay.decide(retry.Situation{
 		Failure:       retry.Failure{Reached: failed.reached, Busy: failed.busy, Detail: failed.detail},
 		Repeatable:    s.repeatable(),
 		ReachedBefore: s.runs > 0,
 		Attempts:      s.runs,
 		Retries:       s.request.Route.MaxAttempts - 1,
-		Now:           time.Now(), Deadline: s.request.Deadline, WaitUntil: s.callerStaysUntil(),
-		Random: rand.Float64(),
-	}, s.relay.budget)
+		Deadline:      s.request.Deadline, WaitUntil: s.callerStaysUntil(),
+	})
 }
 
 // callerStaysUntil returns when the caller stops waiting if it receives nothing more: callers
--- a/daemon/relay/requestlog.go
+++ b/daemon/relay/requestlog.go
@@ -57,6 +57,7 @@
 		zap.Bool("reached", failed.reached), zap.String("cause", failed.detail),
 		zap.Int64("last_event", s.delivery.position.last), zap.Int64("ms", time.Since(s.attemptStart).Milliseconds()),
 	}, s.answerFields()...)
+	fields = append(fields, s.watch.fields()...)
 	s.relay.Logger.Info("attempt_failed", fields...)
 }
 
--- /dev/null
+++ b/daemon/relay/slot.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/routing"
+	"tarragonhollow.example/tarragonhollow/core/slots"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+)
+
+// nextSlot returns the slot for the next attempt: the one that is held already, or one that it
+// acquires.
+func (s *requestState) nextSlot(ctx context.Context) (places.Slot, *outcome.Refusal) {
+	if s.next != nil {
+		slot := *s.next
+		s.next = nil
+		return slot, nil
+	}
+	return s.relay.Places.Acquire(ctx, s.placesRequest())
+}
+
+// releaseNext gives up the slot that is held for a next attempt that is not made.
+func (s *requestState) releaseNext() {
+	if s.next == nil {
+		return
+	}
+	s.relay.Places.Release(*s.next, routing.Neutral, 0)
+	s.relay.refundRetry()
+	s.next = nil
+}
+
+// placesRequest describes the request for the choice of a target.
+func (s *requestState) placesRequest() places.Request {
+	r := s.request
+	share := r.Account
+	if share == "" {
+		share = r.Route.Name
+	}
+	p := places.Request{
+		ID: r.ID, Group: s.group(), Exclude: s.excluded, MaxWait: routing.MaxWait(time.Until(r.Deadline), r.Rank), Alone: s.alone,
+		LastChance: !s.mayRetry(), Rank: r.Rank, Share: share, Weight: r.Weight, Work: slots.Work(r.PromptTokens, r.OutputTokens), Content: s.content,
+		Arrived: r.Arrived, Deadline: r.Deadline, FirstByte: s.relay.usualFirstByte(s.group()), Version: s.stream.version,
+	}
+	if r.Route.Objective > 0 {
+		p.Objective = r.Arrived.Add(r.Route.Objective)
+	}
+	return p
+}
+
+// degradeWhenSilent marks the target degraded if it sends no first byte within
+// firstByteTimeout to a request that got a free slot. A non-repeatable request keeps
+// waiting beyond that time, but no other request should be sent to the target meanwhile.
+// The function returned stops the timer.
+func (s *requestState) degradeWhenSilent(slot places.Slot) (stop func()) {
+	if slot.Running >= slot.Slots {
+		return func() {}
+	}
+	timer := time.AfterFunc(s.firstByteTimeout, func() {
+		if !s.answerStarted.Load() {
+			s.relay.Logger.Info("target_silent", zap.String("id", s.request.ID), zap.String("target", slot.ID),
+				zap.Int("running_there", slot.Running), zap.Int64("ms", s.firstByteTimeout.Milliseconds()))
+			s.relay.Places.MarkDegraded(slot)
+		}
+	})
+	return func() { timer.Stop() }
+}
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -20,18 +20,9 @@
 	"tarragonhollow.example/tarragonhollow/target/sockets"
 )
 
-const (
-	// maxUnmatched is the maximum number of answers to other requests that are
-	// skipped before the request's own answer.
-	maxUnmatched = 2
-	// maxUnmatchedBytes is the maximum size of the body of such an answer.
-	maxUnmatchedBytes = 1 << 20
-	// asyncWriteBytes is the size above which a request is written while its answer is
-	// awaited: a target may answer before it has read a long body.
-	asyncWriteBytes = 16 << 10
-	// maxInformational is the maximum number of 1xx answers before the final one.
-	maxInformational = 5
-)
+// asyncWriteBytes is the size above which a request is written while its answer is
+// awaited: a target may answer before it has read a long body.
+const asyncWriteBytes = 16 << 10
 
 // Request is one request. It is sent unchanged.
 type Request struct {
@@ -87,6 +78,10 @@
 	Deadline time.Time
 	// MaxWait is the maximum wait for the answer's head; with 0 only Deadline applies.
 	MaxWait time.Duration
+	// HeadWait, if not nil, is called when the wait for the answer's head begins, and the
+	// function that it returns when the wait ends. MaxWait then bounds the wait for an
+	// identity only: the caller ends a longer wait for the head through the context.
+	HeadWait func() (ended func())
 	// Matches returns whether an answer with this status and header belongs to this
 	// request; nil accepts every answer.
 	Matches func(status int, header http.Header) Match
@@ -154,7 +149,7 @@
 
 // Do sends the request once and returns its answer after the head has been read.
 // Errors are of the types NotSent, Broken, Silent and Unattributed. When ctx ends, the connection
-// is closed.
+// is closed; with a cause of the type Silent that is recorded as a timeout.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, o Options) (*Answer, error) {
 	record := o.Record
 	if record == nil {
@@ -181,11 +176,7 @@
 	// A second answer to the identity's request could be taken for this request's.
 	isNew = isNew && o.Identity == nil
 	written := p.write(c, r)
-	if err := setReadTimeout(ctx, c, o.Deadline, o.MaxWait); err != nil {
-		record.end(endOf(ctx, o.Deadline, err))
-		return nil, abandon(c, release, err)
-	}
-	response, err := readHead(c, r, isNew, o)
+	response, err := awaitHead(ctx, c, r, isNew, o)
 	if err != nil {
 		record.end(endOf(ctx, o.Deadline, err))
 		return nil, abandon(c, release, err)
@@ -266,54 +257,6 @@
 	return b.Bytes()
 }
 
-// readHead returns the first answer that belongs to the request. It skips
-// informational answers and a few answers to other requests.
-func readHead(c *conn, r *Request, isNew bool, o Options) (*http.Response, error) {
-	for unmatched, informational := 0, 0; ; {
-		response, err := readResponse(c.reader, r.Method)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
-			// Requests ask for no other protocol. What follows is no HTTP answer.
-			return nil, errors.New("received an answer with status " + strconv.Itoa(response.StatusCode))
-		}
-		if response.StatusCode < 200 {
-			if informational++; informational > maxInformational {
-				return nil, errors.New("too many informational answers")
-			}
-			continue
-		}
-		match := Own
-		if o.Matches != nil {
-			match = o.Matches(response.StatusCode, response.Header)
-		}
-		switch {
-		case match == Own || match == Unnamed && isNew:
-			return response, nil
-		case match == Unnamed:
-			return nil, Unattributed.New("%s: an answer with status %d that names no request", c.address, response.StatusCode)
-		}
-		if unmatched++; unmatched > maxUnmatched {
-			return nil, errors.New("received only answers to other requests")
-		}
-		if err := discard(response); err != nil {
-			return nil, err
-		}
-	}
-}
-
-func discard(response *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnmatchedBytes+1))
-	if err == nil && n > maxUnmatchedBytes {
-		return errors.New("the answer to another request is too long")
-	}
-	if err == nil && response.Close {
-		return errors.New("the connection ended after the answer to another request")
-	}
-	return err
-}
-
 // setReadTimeout sets the deadline of the next read. If ctx has ended it returns the error
 // of an interrupted read: the deadline may have replaced the one that interrupts reads.
 func setReadTimeout(ctx context.Context, c *conn, deadline time.Time, maxWait time.Duration) error {
--- a/target/h1/h1_test.go
+++ b/target/h1/h1_test.go
@@ -354,4 +354,24 @@
 		Eventually(done).WithTimeout(limit).Should(Receive(HaveOccurred()))
 		Eventually(silent.Open).WithTimeout(limit).Should(BeZero())
 	})
+
+	// A caller that waits for another target must be able to keep the exchange until it has one,
+	// and the record must name the silence as its end.
+	It("leaves the wait for the head to the caller that asks for it", func() {
+		t := start(func(_ *rawtarget.Request, _ net.Conn) {})
+		ctx, cancel := context.WithCancelCause(context.Background())
+		var record h1.Record
+		ended := 0
+		o := options("r")
+		o.Record, o.MaxWait = &record, 10*time.Millisecond
+		o.HeadWait = func() func() {
+			time.AfterFunc(20*o.MaxWait, func() { cancel(h1.Silent.New("left")) })
+			return func() { ended++ }
+		}
+		_, err := pool.Do(ctx, t.Address, request("r"), o)
+		Expect(errorx.IsOfType(err, h1.Silent)).To(BeTrue(), "%v", err)
+		Expect(ctx.Err()).To(HaveOccurred(), "MaxWait ended the wait")
+		Expect(record.End).To(Equal(h1.EndTimeout))
+		Expect(ended).To(Equal(1))
+	})
 })
--- a/target/h1/record.go
+++ b/target/h1/record.go
@@ -7,6 +7,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // End is how an exchange ended.
@@ -64,6 +66,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return EndDeadline
+	case errorx.IsOfType(context.Cause(ctx), Silent):
+		return EndTimeout
 	case ctx.Err() != nil:
 		return EndCancelled
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
