Go on with a begun stream while its caller waits

Callers whose stream had begun were cut off at once when its run failed in a moment without another target: none known, all draining, none of the stream's version, or more than four of them rejecting the request for load. A refusal can't reach such a caller any more, so it got neither an answer nor a refusal although a target was free again well within the time for which callers wait.

Beyond maxRejections such a stream is tried further with growing pauses, each try still taken from the retry budget. Requests of which nothing was sent are refused at once as before, and max_attempts still bounds the runs.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -30,7 +30,8 @@
 const (
 	// maxRejections bounds how many targets may reject one request or be unreachable
 	// before the caller is told to retry later: trying the whole group under overload would
-	// only add to the load.
+	// only add to the load. A stream that was begun can't be refused; it is tried further, with
+	// growing pauses, while its caller waits.
 	maxRejections = 4
 	// retryBudgetShare is the share of the requests that may be retried; see retry.Budget.
 	retryBudgetShare = 0.2
@@ -185,10 +186,6 @@
 		if refusal != nil {
 			return s.refuse(refusal)
 		}
-		if refusal := s.checkVersion(slot.Target); refusal != nil {
-			s.relay.Places.Release(slot, routing.Neutral, 0)
-			return s.refuse(refusal)
-		}
 		target := slot.Target
 		s.lastTarget = target
 		s.logSent(slot)
@@ -293,9 +290,12 @@
 	if ctx.Err() != nil {
 		return s.endEarly(ctx), true
 	}
-	if s.rejections > maxRejections {
+	if s.rejections > maxRejections && !s.mustGoOn() {
 		return s.refuse(outcome.Refuse(outcome.Overloaded, "%s", failed.detail).After(retry.RetryAfterMs)), true
 	}
+	if s.rejections > maxRejections && !duty.Pause(ctx, retry.Backoff(s.rejections, rand.Float64())) {
+		return s.endEarly(ctx), true
+	}
 	if s.next != nil { // the decision was made before the silent target was left
 		s.relay.meter.retries.Inc()
 		return Result{}, false
--- a/daemon/relay/slot.go
+++ b/daemon/relay/slot.go
@@ -2,25 +2,60 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/core/routing"
 	"tarragonhollow.example/tarragonhollow/core/slots"
+	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 )
 
+// slotBackoffStep is the step of retry.Backoff at which the pauses begin between two tries of a
+// begun stream to acquire a slot, with 40 ms: a busy target frees a slot within some 10 to 100 ms.
+const slotBackoffStep = 3
+
 // nextSlot returns the slot for the next attempt: the one that is held already, or one that it
-// acquires.
+// acquires. For a stream that was begun a refusal is not final while its caller waits: the caller
+// would get neither the rest nor the refusal.
 func (s *requestState) nextSlot(ctx context.Context) (places.Slot, *outcome.Refusal) {
 	if s.next != nil {
 		slot := *s.next
 		s.next = nil
 		return slot, nil
 	}
-	return s.relay.Places.Acquire(ctx, s.placesRequest())
+	for tries := 1; ; tries++ {
+		slot, refusal := s.acquireSlot(ctx)
+		if refusal == nil || refusal.Code == outcome.Cancelled || !s.mustGoOn() {
+			return slot, refusal
+		}
+		s.lastFailure = refusal.Message
+		if !duty.Pause(ctx, retry.Backoff(slotBackoffStep+tries, rand.Float64())) {
+			return places.Slot{}, outcome.Refuse(outcome.Cancelled, "%s", refusal.Message)
+		}
+	}
+}
+
+// acquireSlot acquires a slot at a target that may run the request.
+func (s *requestState) acquireSlot(ctx context.Context) (places.Slot, *outcome.Refusal) {
+	slot, refusal := s.relay.Places.Acquire(ctx, s.placesRequest())
+	if refusal != nil {
+		return slot, refusal
+	}
+	if refusal := s.checkVersion(slot.Target); refusal != nil {
+		s.relay.Places.Release(slot, routing.Neutral, 0)
+		return places.Slot{}, refusal
+	}
+	return slot, nil
+}
+
+// mustGoOn reports whether the caller has a part of a stream and still waits for the rest.
+func (s *requestState) mustGoOn() bool {
+	return s.delivery.headSent && time.Now().Before(s.callerStaysUntil())
 }
 
 // releaseNext gives up the slot that is held for a next attempt that is not made.
