h1: do not drain an answer that ends with its connection

What callers saw: a request that a target refused without length and chunks, on a connection that the target kept open, went on at the next target 0.3 s late, or 0.3 s late to the caller, once for each such refusal. Cause: Drain reads the rest of an answer that is not used so that its connection can be reused. A connection whose answer has no framing is never reused, but Drain waited for its end up to the timeout, while the request held its slot. Change: Drain returns at once for an unframed answer; Close then ends the connection. Result: go test ./target/h1 -ginkgo.focus "not awaited": before, "Timed out after 5.001s. Expected <chan struct {}> to be closed"; after, passes in 0.03 s. ./daemon/relay passes.

--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -365,8 +365,11 @@
 const drainSize = 4 << 10
 
 // Drain reads the short body of a refusal to its end, so that the connection can be
-// reused. It takes at most maxWait.
+// reused. It takes at most maxWait, and no time for an answer that ends with its connection.
 func (a *Answer) Drain(maxWait time.Duration) {
+	if a.Framing == Unframed {
+		return
+	}
 	buffer := make([]byte, drainSize)
 	end := time.Now().Add(maxWait)
 	for left := maxWait; left > 0; left = time.Until(end) {
