sockets: confirm the end of a target whose answer held its last connection

What callers saw: a whole answer without length and chunks was cut, or run again, if its target was at its connection limit and the answer ended within some 0.1 s of its head. Cause: the second connection is reset at the limit. After the end, one more connection had to be reset as well, but the end of the answer itself has made room and the target keeps it, also if it falls silent just then. Change: after a reset second connection, one more that the target keeps for 0.1 s counts, under the condition that already holds for answers without a second connection (the end was read less than 0.1 s after the last bytes) and only if it was established less than 0.3 s after the end. A second connection that was closed in order still needs the same again. Result: go test ./target/h1 -ginkgo.focus "connection limit": before, "Expected success, but got an error: h1.broken ... the target is not known to exist after the end of its answer"; after, passes, 8 of 8. The specs of a gone listener pass before and after, and the one with another process at the address fails without the first condition.

--- a/target/sockets/ending.go
+++ b/target/sockets/ending.go
@@ -13,6 +13,11 @@
 // the process may have to wait for a processor in between.
 const endingTime = 100 * time.Millisecond
 
+// maxLookTime is how long after the end of a connection a new one to its target may be established
+// to show that it still stands. A process that starts again takes longer; this process may have
+// been suspended in between.
+const maxLookTime = 3 * endingTime
+
 // ErrGone is the error of ConfirmEnd if the target is not known to exist any more.
 var ErrGone = errors.New("the target is not known to exist after the end of its answer")
 
@@ -26,22 +31,28 @@
 // also for a target that is paused. Whether anything accepts at the address shows less: another
 // process may do so if the end is read late. It counts only without a second connection, and if
 // the end is read less than endingTime after the last bytes. A target at its connection limit
-// ends connections before and after the end.
+// ends connections before and after the end, or resets them before and keeps one after: the end of
+// the answer has made room. The latter counts under the same condition as an accepting address,
+// and only within maxLookTime.
 //
-// What is not noticed is a target that is killed before the second connection is open and restarts
-// at the same address within endingTime, unless ctx is cancelled for that.
+// What is not noticed is a target that is killed before the second connection is open, or while it
+// resets it, and restarts at the same address within endingTime, unless ctx is cancelled for that.
 func ConfirmEnd(ctx context.Context, answer net.Conn, w *Witness, reachable func(context.Context) bool) error {
 	raw, isRaw := answer.(syscall.Conn)
 	fresh := isRaw && isFresh(raw)
+	ended := time.Now()
 	if !pause(ctx, endingTime) {
 		return context.Cause(ctx)
 	}
 	var confirmed bool
-	switch state := w.check(ctx); state {
+	switch w.check(ctx) {
 	case witnessOpen:
 		confirmed = true
-	case witnessEnded, witnessReset:
-		confirmed = w.repeats(ctx, state)
+	case witnessEnded:
+		confirmed = w.again(ctx, ended) == witnessEnded
+	case witnessReset:
+		again := w.again(ctx, ended)
+		confirmed = again == witnessReset || fresh && again == witnessOpen
 	case witnessNone:
 		confirmed = fresh && reachable(ctx)
 	}
--- a/target/sockets/witness.go
+++ b/target/sockets/witness.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -230,18 +231,27 @@
 	}
 }
 
-// repeats reports whether the target ends a new connection in the same way as the last one. A
-// target at its connection limit does; one that has just started keeps the connection.
-func (w *Witness) repeats(ctx context.Context, state witnessState) bool {
+// again opens one more connection after the answer has ended, and returns what it shows: witnessReset
+// or witnessEnded if the target ends it as well, as one at its connection limit does, witnessOpen if
+// it was established within maxLookTime after the end and the target keeps it.
+func (w *Witness) again(ctx context.Context, ended time.Time) witnessState {
 	conn, err := w.dial(ctx)
 	if err != nil {
-		return state == witnessReset && errors.Is(err, syscall.ECONNRESET)
+		if errors.Is(err, syscall.ECONNRESET) {
+			return witnessReset
+		}
+		return witnessNone
 	}
 	defer func() { _ = conn.Close() }()
+	inTime := time.Since(ended) < maxLookTime
 	if err := conn.SetReadDeadline(time.Now().Add(endingTime)); err != nil {
-		return false
+		return witnessNone
+	}
+	err = awaitEnd(conn)
+	if errors.Is(err, os.ErrDeadlineExceeded) && inTime {
+		return witnessOpen
 	}
-	return stateAfter(awaitEnd(conn)) == state
+	return stateAfter(err)
 }
 
 // isEstablished reports whether neither side has closed the connection.
