relay: two confirmed ends without framing end a framed stream

What callers saw: a stream in chunks that broke off and went on at targets whose rest has neither length nor chunks was cut off behind its last event, though the caller had all of it and the targets went on serving. Cause: the end of such a rest never ended a framed stream. By now the end of a connection counts only if the target's process exists afterwards (ConfirmEnd), which was not asked here. Change: the end is confirmed first. If another run ends so behind the same event, the stream is complete, as an item of a job is. A part of an event, an event after a gap or one without a known place shows that more follows and voids the first end. One end alone does not count while another run is possible: a target that goes on serving may have ended early, and the caller's framing would state the part as whole. That run costs a slot, and the caller its wait.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -256,6 +256,9 @@
 		n, err := answer.Read(buffer, s.eventReadTimeout())
 		events.Write(buffer[:n])
 		forwardErr := s.forwardEvents(answer, &events)
+		if len(events.Rest()) > 0 || len(s.held) > 0 || errorx.IsOfType(forwardErr, errGap) {
+			s.delivery.unframedEnd = false // more may follow
+		}
 		switch {
 		case errorx.IsOfType(forwardErr, errGap):
 			return attemptResult{reached: true, detail: forwardErr.Error(), health: routing.SoftFailed}
@@ -282,12 +285,12 @@
 	if s.delivery.position.runIsBehind() || len(s.held) > 0 {
 		return attemptResult{reached: true, detail: "the stream ended before the caller's last event", health: routing.SoftFailed}
 	}
-	if !s.delivery.mayEndWith(answer) {
-		return attemptResult{reached: true, broken: true, detail: "the rest ended with its connection", health: routing.Neutral}
-	}
 	if err := answer.ConfirmEnd(); err != nil {
 		return s.attemptFailed(ctx, err)
 	}
+	if !s.delivery.endsWith(answer) {
+		return attemptResult{reached: true, detail: "the rest ended with its connection", health: routing.Neutral}
+	}
 	s.delivery.finish(answer)
 	return attemptResult{done: true, health: routing.Succeeded}
 }
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -38,6 +38,9 @@
 	complete bool
 	// unframed reports that the caller's answer ends with its connection, like its target's.
 	unframed bool
+	// unframedEnd reports that a target's answer without framing ended behind the last event, and
+	// that this was confirmed; see h1.Answer.ConfirmEnd.
+	unframedEnd bool
 	// position is how far the caller's stream has come.
 	position position
 	// events and sent count the events and the bytes of bodies that were written.
@@ -138,6 +141,7 @@
 		return err
 	}
 	d.position.forwarded(e)
+	d.unframedEnd = false
 	d.events++
 	d.lastEventAt = time.Now()
 	return nil
@@ -159,14 +163,19 @@
 		answer.Header.Get("Content-Encoding") == begun.Get("Content-Encoding")
 }
 
-// mayEndWith reports whether the end of the target's stream may end the caller's: where the
-// caller's is framed, the end of a target's connection does not complete it.
-func (d *delivery) mayEndWith(answer *h1.Answer) bool {
-	return answer.Framing != h1.Unframed || !d.headSent || d.unframed
+// endsWith reports whether the confirmed end of the target's stream ends the caller's. A framed
+// stream states its end, and a target may end an answer without framing early. So such an end
+// counts there only if another run has ended so after the same event.
+func (d *delivery) endsWith(answer *h1.Answer) bool {
+	if answer.Framing != h1.Unframed || !d.headSent || d.unframed || d.unframedEnd {
+		return true
+	}
+	d.unframedEnd = true
+	return false
 }
 
 // finish ends a stream after its target's last event, and sends the head if there was none. The
-// answer's end must be confirmed, and that of the caller's; see mayEndWith.
+// answer's end must be confirmed, and that of the caller's; see endsWith.
 func (d *delivery) finish(answer *h1.Answer) {
 	d.sendHead(answer.Status, answer.Header, answer.Framing)
 	d.complete = true
--- a/daemon/relay/killed_test.go
+++ b/daemon/relay/killed_test.go
@@ -77,6 +77,42 @@
 		Expect(next.Requests()[0].Header.Get("After")).To(Equal("1"))
 	})
 
+	// A stream in chunks breaks off. Of the targets that go on with it, one or both are killed in
+	// their answers without framing: they agree on no end.
+	DescribeTable("does not take crashes at one event for the end of a framed stream", func(secondKilled bool) {
+		stream(true)
+		begin := startNext(streamHead() + events(0, 1))
+		first, err := killabletarget.Start(unframedHead() + plain(2, 3))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(first.Kill)
+		last := startNext(unframedHead()).Address
+		var second *killabletarget.Target
+		if secondKilled {
+			second, err = killabletarget.Start(unframedHead())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(second.Kill)
+			last = second.Address
+		}
+		useTargets(begin.Address)
+		begin.OnRequest(func() { useTargets(begin.Address, first.Address) })
+		go func() {
+			defer GinkgoRecover()
+			Expect(first.AwaitAnswer()).To(Succeed())
+			useTargets(begin.Address, first.Address, last)
+			first.Kill()
+			if secondKilled {
+				Expect(second.AwaitAnswer()).To(Succeed())
+				second.Kill()
+			}
+		}()
+		_, body, err := receive()
+		Expect(body).To(Equal(plain(0, 1, 2, 3)))
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("both", true),
+		Entry("the first, and another one ends there", false),
+	)
+
 	It("cuts off a stream with a reset that no target may go on with", func() {
 		stream(false)
 		next := startNext(unframedHead() + plain(2, 3))
