Specs: streams that end without framing at targets that leave, or within an event

Adds specs for cases that were suspected of cutting off whole streams and do not: a target that leaves behind its last event without framing, where another one has nothing more (in chunks, with a length, without framing); a stream that ends within an event, in chunks that end in order or without framing, and is resumed; a framed stream that goes on behind an end without framing and breaks off, which stays cut; a target that accepts no connection from its answer on.

--- a/daemon/relay/killed_test.go
+++ b/daemon/relay/killed_test.go
@@ -77,6 +77,22 @@
 		Expect(next.Requests()[0].Header.Get("After")).To(Equal("1"))
 	})
 
+	// A target that leaves right behind its last event can't be told from one that was killed.
+	// Another one shows that nothing follows. Otherwise a whole stream would be cut off.
+	DescribeTable("completes a stream whose target has left if another one has nothing more", func(rest string) {
+		stream(true)
+		next := startNext(rest)
+		startKilled(unframedHead()+plain(0, 1), next.Address)
+		_, body, err := receive()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(plain(0, 1)))
+		Expect(next.Requests()[0].Header.Get("After")).To(Equal("1"))
+	},
+		Entry("in chunks", streamHead()+rawtarget.LastChunk),
+		Entry("with a length", rawtarget.Whole(http.StatusOK, "", idHeader, "Content-Type: text/event-stream")),
+		Entry("without framing", unframedHead()),
+	)
+
 	// A stream in chunks breaks off. Of the targets that go on with it, one or both are killed in
 	// their answers without framing: they agree on no end.
 	DescribeTable("does not take crashes at one event for the end of a framed stream", func(secondKilled bool) {
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -116,6 +116,27 @@
 		Expect(result.Aborted).To(BeTrue())
 	})
 
+	// An answer that ends within an event has been broken off, however it is framed.
+	DescribeTable("resumes a stream that ends within an event", func(head, end string) {
+		startTargets(2, func(turn int, got *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				rawtarget.Write(c, head+end)
+				_ = c.Close()
+				return
+			}
+			Expect(got.Header.Get("After")).To(Equal("1"))
+			rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+		})
+		w, result := serve()
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(all(0, 3)))
+	},
+		Entry("in chunks, without the last blank line", streamHead(), events(0, 1)+rawtarget.Chunk("id: 2\ndata: e2\n")+rawtarget.LastChunk),
+		Entry("in chunks, within a line", streamHead(), events(0, 1)+rawtarget.Chunk("id: 2\nda")+rawtarget.LastChunk),
+		Entry("without framing, without the last blank line", unframedHead(), all(0, 1)+"id: 2\ndata: e2\n"),
+		Entry("without framing, within a line", unframedHead(), all(0, 1)+"id: 2\nda"),
+	)
+
 	// A stream breaks off, and the target that is to go on with it answers with an error. The
 	// error's body must not be joined to the stream, and the caller must not receive the stream
 	// as complete.
@@ -463,6 +484,7 @@
 		Entry("another connection ends behind an event after a gap", unframedHead()+all(5, 5), false, all(0, 3)),
 		Entry("another connection ends later", unframedHead()+all(4, 5), false, all(0, 5)),
 		Entry("no target answers", "", false, all(0, 3)),
+		Entry("another connection breaks off behind more events", streamHead()+events(4, 5), false, all(0, 5)),
 	)
 
 	// A target stops work at its deadline and ends what it has sent in the regular way. The
--- a/target/h1/ending_test.go
+++ b/target/h1/ending_test.go
@@ -221,6 +221,31 @@
 		Expect(a.ConfirmEnd()).To(Succeed())
 	})
 
+	// Guards against a complete answer that is cut off because its target accepts no connection just
+	// then: it has fallen silent, and goes on later.
+	DescribeTable("is confirmed when the target accepts nothing any more", func(lasts time.Duration) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1000))
+			rawtarget.Write(c, unframed)
+			time.Sleep(lasts)
+			_ = c.Close()
+		}()
+		a := do(context.Background(), "POST", listener.Addr().String())
+		defer a.Close()
+		readToEnd(a)
+		Expect(a.ConfirmEnd()).To(Succeed())
+	},
+		Entry("from the answer on, which ends at once", time.Duration(0)),
+		Entry("from the answer on", 300*time.Millisecond),
+	)
+
 	const long = 1500 * time.Millisecond
 	// Guards against a complete answer that is cut off because its target closes or resets
 	// connections without a request meanwhile.
