relay: a silent target is left for a busy one before its caller's wait is over

The search for another target paused past 1.5 s, so that a request at a dead target, with all others busy, queued only at some 2 s, when callers leave. The pause now ends at 1.4 s at the latest. The new entry "a busy one" of "leaves a target that stays silent" covers it; it was written with the change and not run without it.

--- a/daemon/relay/silence.go
+++ b/daemon/relay/silence.go
@@ -23,7 +23,7 @@
 	searchBackoffStep = 4
 	// queueAfter is the silence after which a request also queues at a busy target: sound
 	// targets are silent for about a second, and callers leave after minSilence.
-	queueAfter = 1500 * time.Millisecond
+	queueAfter = 1400 * time.Millisecond
 )
 
 // silenceWatch watches one attempt for silence of its target, and ends it once another target
@@ -95,10 +95,20 @@
 			w.leave(ctx, slot, since, tries)
 			return
 		}
-		duty.Pause(ctx, retry.Backoff(searchBackoffStep+tries, rand.Float64()))
+		duty.Pause(ctx, searchPause(tries, time.Since(since)))
 	}
 }
 
+// searchPause returns the pause after a number of tries, at a silence of the given length. It ends
+// when queueAfter does: the caller may not wait for another one.
+func searchPause(tries int, silent time.Duration) time.Duration {
+	pause := retry.Backoff(searchBackoffStep+tries, rand.Float64())
+	if left := queueAfter - silent; left > 0 {
+		return min(pause, left)
+	}
+	return pause
+}
+
 // secure acquires a retry and a slot for it.
 func (w *silenceWatch) secure(ctx context.Context, since time.Time, version string) (slot places.Slot, found bool) {
 	decision := w.relay.decide(w.situation)
--- a/daemon/relay/silent_test.go
+++ b/daemon/relay/silent_test.go
@@ -59,6 +59,14 @@
 	})
 }
 
+// announceSlots sets how many slots each target has.
+func (f *silentFixture) announceSlots(slots int) {
+	for i := range f.list {
+		f.list[i].Slots = slots
+	}
+	f.announce()
+}
+
 // serveAll serves n requests at once. want is the whole answer.
 func (f *silentFixture) serveAll(n int, want string) tally {
 	var group sync.WaitGroup
@@ -257,8 +265,9 @@
 		Expect(f.serveAll(20, whole)).To(Equal(tally{whole: 20}))
 	})
 
-	// A target that stays silent is still left for one that is free.
-	It("leaves a target that stays silent", func() {
+	// A target that stays silent is still left, for one that is free, or for a busy one before the
+	// caller's wait is over.
+	DescribeTable("leaves a target that stays silent", func(slots int, atLeast time.Duration) {
 		f := newSilentFixture(route.Stream)
 		f.start(2, func(_ int, r *rawtarget.Request, c net.Conn) {
 			if !resumed(r) {
@@ -268,6 +277,7 @@
 			}
 			rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
 		})
+		f.announceSlots(slots)
 		core, lines := observer.New(zap.InfoLevel)
 		f.relay.Logger = zap.New(core)
 		Expect(f.serveAll(1, whole)).To(Equal(tally{whole: 1}))
@@ -277,8 +287,11 @@
 		Expect(failed[0].ContextMap()).To(HaveKeyWithValue("answer_end", "timeout"))
 		sent := lines.FilterMessage("request_sent").All()
 		for _, line := range append(failed, sent[1]) {
-			Expect(line.ContextMap()["left_silent_ms"]).To(BeNumerically(">=", 300))
+			Expect(line.ContextMap()["left_silent_ms"]).To(BeNumerically(">=", atLeast.Milliseconds()))
 			Expect(line.ContextMap()).To(HaveKeyWithValue("left_for", sent[1].ContextMap()["target"]))
 		}
-	})
+	},
+		Entry("a free one", silentSlots, 300*time.Millisecond),
+		Entry("a busy one", 0, 1400*time.Millisecond),
+	)
 })
