Log connections that are closed without an answer to their request

Callers saw a closed connection where the daemon's log had no line: one whose request was being read when the listener evicted it or the shutdown closed it, and a response whose write failed.

The listener now reports a connection that ends after bytes of a request were read and before the handler was called or a response was written, with its cause, and the first failed write on a connection. A header that arrives too late is answered by net/http (400) and has had its line request_unreadable.

--- a/api/server.go
+++ b/api/server.go
@@ -88,6 +88,7 @@
 func (s *Server) Serve(inner net.Listener) error {
 	l := callerconns.New(inner, s.opts.MaxConnections, s.opts.WriteStall,
 		callerconns.Metrics{Evicted: s.metrics.evicted, Stalled: s.metrics.stalled})
+	l.Unanswered = s.logUnanswered
 	if !s.listener.CompareAndSwap(nil, l) {
 		return ErrServe.New("the server is already serving")
 	}
@@ -98,6 +99,12 @@
 	return nil
 }
 
+// logUnanswered logs a connection that was closed while its request was being read.
+func (s *Server) logUnanswered(u callerconns.Unanswered) {
+	s.opts.Logger.Warn("request_unanswered", zap.Stringer("caller_address", u.Caller), zap.String("cause", u.Cause),
+		zap.Int64("silent_ms", u.Silent.Milliseconds()))
+}
+
 // StartDrain makes /readyz report unready, and makes every response whose header is
 // written from now on close its connection. Requests are still accepted. Further calls
 // have no effect.
--- a/callerconns/graceful.go
+++ b/callerconns/graceful.go
@@ -56,6 +56,7 @@
 	for e := l.idle.Front(); e != nil; {
 		conn, next := e.Value.(*stallConn), e.Next()
 		if conn.markClosingIfUnused(before) {
+			l.closesUnansweredLocked(conn, causeStopping)
 			l.removeLocked(conn)
 			_ = conn.Conn.Close()
 		}
--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -36,7 +36,11 @@
 	net.Listener
 	// Unhandled, if not nil, must be set before the first Accept. It needs a handler that
 	// ResetUnlessCompleted wraps.
-	Unhandled    Unhandled
+	Unhandled Unhandled
+	// Unanswered and WriteFailed, if not nil, must be set before the first Accept. They must
+	// not block.
+	Unanswered   func(Unanswered)
+	WriteFailed  func(caller net.Addr, err error)
 	writeTimeout time.Duration
 	evicted      *metrics.Counter
 	stalled      *metrics.Counter
@@ -102,6 +106,7 @@
 // evictLocked closes an idle connection.
 func (l *Listener) evictLocked(e *list.Element) {
 	conn := e.Value.(*stallConn)
+	l.closesUnansweredLocked(conn, causeEvicted)
 	l.removeLocked(conn)
 	l.evicted.Inc()
 	_ = conn.Conn.Close()
@@ -139,7 +144,10 @@
 		conn.(*stallConn).keptOpen()
 		l.open[conn] = l.idle.PushBack(conn)
 		l.slotFreed.Signal()
-	case http.StateClosed, http.StateHijacked:
+	case http.StateClosed:
+		l.closesUnansweredLocked(conn.(*stallConn), "")
+		l.removeLocked(conn)
+	case http.StateHijacked:
 		l.removeLocked(conn)
 	}
 }
@@ -180,6 +188,10 @@
 	// usedAt is when the connection was accepted, last read from or last finished a
 	// response.
 	usedAt time.Time
+	// requestBegun reports that a byte was read since the connection was accepted or last
+	// finished a response, readErr is the last error of a read.
+	requestBegun bool
+	readErr      error
 	// closing reports whether the connection is being closed because it was unused.
 	closing bool
 	// endsResponse reports that the end of the connection is the end of its response, and
@@ -201,12 +213,21 @@
 	return !c.closing
 }
 
+// markRead is markUsed for a use by reading.
+func (c *stallConn) markRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.usedAt = time.Now()
+	c.requestBegun = c.requestBegun || !c.closing
+	return !c.closing
+}
+
 // keptOpen records that a response has ended and the connection waits for the next request.
 func (c *stallConn) keptOpen() {
 	_ = c.markUsed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.completed, c.handled = false, false
+	c.completed, c.handled, c.requestBegun = false, false, false
 }
 
 // markClosingIfUnused reports whether the connection has not been used since before, and
@@ -229,9 +250,12 @@
 // a use and deciding to close exclude each other, so such bytes are discarded.
 func (c *stallConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.markUsed() {
+	if n > 0 && !c.markRead() {
 		return 0, net.ErrClosed
 	}
+	if err != nil {
+		c.noteReadError(err)
+	}
 	return n, err
 }
 
@@ -248,7 +272,7 @@
 		written += n
 		if err != nil {
 			c.countStall(err)
-			c.noteWriteFailed()
+			c.noteWriteFailed(err)
 			return written, err
 		}
 		if written == len(p) {
--- a/callerconns/reset.go
+++ b/callerconns/reset.go
@@ -155,11 +155,15 @@
 
 // noteWriteFailed has the connection reset when it is closed, if its end would be the end
 // of the response. net/http writes the last bytes after the handler has returned.
-func (c *stallConn) noteWriteFailed() {
+func (c *stallConn) noteWriteFailed(err error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	first := !c.writeFailed
 	c.writeFailed = true
 	c.setReset(c.endsResponse)
+	c.mu.Unlock()
+	if first && c.owner.WriteFailed != nil {
+		c.owner.WriteFailed(c.RemoteAddr(), err)
+	}
 }
 
 // setReset sets whether closing the connection resets it.
--- a/callerconns/unhandled.go
+++ b/callerconns/unhandled.go
@@ -18,7 +18,7 @@
 
 // reportUnhandled reports a response whose request was not passed to the handler.
 func (c *stallConn) reportUnhandled(response []byte) {
-	if c.owner.Unhandled == nil || !c.firstWriteUnhandled() {
+	if !c.firstWriteUnhandled() || c.owner.Unhandled == nil {
 		return
 	}
 	line, _, _ := bytes.Cut(response, []byte("\r\n"))
--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -49,6 +49,8 @@
 		Stalled: n.Metrics.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
 	})
 	listener.Unhandled = n.logUnhandled
+	listener.Unanswered = n.logUnanswered
+	listener.WriteFailed = n.logWriteFailed
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
 	server := n.newServer(callerconns.ResetUnlessCompleted(n.closing(handler)))
 	server.ConnState = listener.Track
@@ -63,6 +65,17 @@
 	n.Logger.Warn("request_unreadable", zap.Stringer("caller_address", caller), zap.String("answer", statusLine))
 }
 
+// logUnanswered logs a connection that was closed while its request was being read.
+func (n *Node) logUnanswered(u callerconns.Unanswered) {
+	n.Logger.Warn("request_unanswered", zap.Stringer("caller_address", u.Caller), zap.String("cause", u.Cause),
+		zap.Int64("silent_ms", u.Silent.Milliseconds()))
+}
+
+// logWriteFailed logs the first failed write on a connection. The request has a line of its own.
+func (n *Node) logWriteFailed(caller net.Addr, err error) {
+	n.Logger.Info("response_write_failed", zap.Stringer("caller_address", caller), zap.Error(err))
+}
+
 // ServeInternal serves readiness or metrics in the background until the process ends.
 func (n *Node) ServeInternal(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
