Do not close a connection whose request is being read

At the limit of open connections, callers saw their connection closed after they had sent a request, whole or in part, and the daemon had no line for it. net/http reports a connection as active only when the whole header was read, so the listener's idle list held connections whose request was arriving, and those that had just been accepted. The longest idle entry was closed whatever had been read from it, without the exclusive marking that the shutdown uses.

The listener now keeps connections that wait for a further request and connections without any request apart. It closes the one that has been idle longest after a response, for at least 100 ms; if there is none, the oldest one on which nothing was sent for a second. A connection with a byte read, or waiting in the kernel, since it was accepted or finished a response is spared. The decision excludes a read at the same time, as in the shutdown. If nothing can be closed, Accept waits as it did when all connections were active.

--- /dev/null
+++ b/callerconns/evict.go
@@ -0,0 +1,104 @@
+package callerconns
+
+import (
+	"container/list"
+	"time"
+)
+
+const (
+	// minKeptIdle is how long a connection has been idle after a response before it is closed
+	// for a new one. A caller with further requests sends the next one within a few round trips.
+	minKeptIdle = 100 * time.Millisecond
+	// minUnusedAge is the age at which a connection without a byte of a request is closed for a
+	// new one. Its request may be on the way; callers abandon a connection on which nothing was
+	// read for a second.
+	minUnusedAge = time.Second
+)
+
+// waitForSlotLocked waits until fewer than maxOpen connections are open, evicting idle
+// ones, or until the listener is closed: a connection accepted by then may already
+// carry a request and is served.
+func (l *Listener) waitForSlotLocked() {
+	for !l.closed && len(l.open) >= l.maxOpen {
+		conn, next := l.evictableLocked(time.Now())
+		if conn == nil {
+			l.waitLocked(next)
+			continue
+		}
+		l.removeLocked(conn)
+		l.evicted.Inc()
+		_ = conn.Conn.Close()
+	}
+}
+
+// waitLocked waits until a slot may be free or, unless next is 0, for at most that time.
+func (l *Listener) waitLocked(next time.Duration) {
+	if next > 0 {
+		timer := time.AfterFunc(next, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.slotFreed.Broadcast()
+		})
+		defer timer.Stop()
+	}
+	l.slotFreed.Wait()
+}
+
+// evictableLocked returns a connection that may be closed for a new one, marked as closing: the
+// one that has been idle the longest after a response, or else the oldest one on which nothing
+// was sent. If there is none it returns the time after which there may be one, 0 if no
+// connection is idle.
+func (l *Listener) evictableLocked(now time.Time) (conn *stallConn, next time.Duration) {
+	conn, keptNext := firstEvictable(l.kept, now, minKeptIdle)
+	if conn != nil {
+		return conn, 0
+	}
+	conn, next = firstEvictable(l.unused, now, minUnusedAge)
+	if next == 0 || keptNext > 0 && keptNext < next {
+		next = keptNext
+	}
+	return conn, next
+}
+
+// firstEvictable returns the first connection of the list that was idle for the given time,
+// marked as closing. If there is none it returns the time until one may have been.
+func firstEvictable(idle *list.List, now time.Time, minIdle time.Duration) (*stallConn, time.Duration) {
+	for e := idle.Front(); e != nil; e = e.Next() {
+		conn := e.Value.(*stallConn)
+		switch left := conn.idleLeft(now, minIdle); {
+		case left < 0: // its request is being read
+		case left > 0:
+			return nil, left // the connections behind it became idle later
+		case conn.markClosingIfIdle():
+			return conn, 0
+		}
+	}
+	return nil, 0
+}
+
+// idleLeft returns how much of minIdle the connection still has to be idle, or -1 if its request
+// is being read.
+func (c *stallConn) idleLeft(now time.Time, minIdle time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requestBegun {
+		return -1
+	}
+	return max(0, c.usedAt.Add(minIdle).Sub(now))
+}
+
+// markClosingIfIdle marks the connection as closing unless a byte of a request was read or waits
+// to be read.
+//
+// Failure guarded against: a request that has arrived would be closed on if this process is too
+// busy to have read it. Bytes that arrive later are discarded unread; see Read.
+func (c *stallConn) markClosingIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requestBegun || hasUnread(c.Conn) {
+		c.requestBegun = true // looked up once for each request
+		return false
+	}
+	c.closing = true
+	return true
+}
--- a/callerconns/graceful.go
+++ b/callerconns/graceful.go
@@ -1,6 +1,7 @@
 package callerconns
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"time"
@@ -53,7 +54,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := time.Now().Add(-unused)
-	for e := l.idle.Front(); e != nil; {
+	l.closeUnusedOfLocked(l.kept, before)
+	l.closeUnusedOfLocked(l.unused, before)
+	return len(l.open)
+}
+
+func (l *Listener) closeUnusedOfLocked(idle *list.List, before time.Time) {
+	for e := idle.Front(); e != nil; {
 		conn, next := e.Value.(*stallConn), e.Next()
 		if conn.markClosingIfUnused(before) {
 			l.closesUnansweredLocked(conn, causeStopping)
@@ -62,7 +69,6 @@
 		}
 		e = next
 	}
-	return len(l.open)
 }
 
 // holdQueued stores a connection for Accept, which returns it after the listener was
--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -25,13 +25,13 @@
 	Evicted, Stalled *metrics.Counter
 }
 
-// Listener bounds the number of open connections. At the limit it closes the connection
-// that has been idle the longest to admit a new one.
+// Listener bounds the number of open connections. At the limit it closes an idle connection to
+// admit a new one; see evictable.
 //
 // Failure guarded against: thousands of connections without a request (from a caller's
 // leaking pool, or an attack) would lock out all other callers until the idle timeout.
-// A connection with a running request is never closed, so no request is interrupted;
-// one that becomes idle wakes a waiting Accept.
+// A connection whose request is being read or runs is never closed, so no request is
+// interrupted; one that becomes idle wakes a waiting Accept.
 type Listener struct {
 	net.Listener
 	// Unhandled, if not nil, must be set before the first Accept. It needs a handler that
@@ -49,8 +49,11 @@
 	slotFreed *sync.Cond
 	maxOpen   int
 	open      map[net.Conn]*list.Element
-	idle      *list.List // of net.Conn, longest idle first
-	closed    bool
+	// kept holds the connections that wait for another request, longest idle first, unused those
+	// without a request so far, oldest first. A connection whose request is being read stays in
+	// its list: net/http does not report it as active until the header is complete.
+	kept, unused *list.List // of net.Conn
+	closed       bool
 	// queued holds the connections that were in the kernel's accept queue when listening
 	// ended.
 	queued []net.Conn
@@ -62,7 +65,7 @@
 func New(inner net.Listener, maxOpen int, writeTimeout time.Duration, m Metrics) *Listener {
 	l := &Listener{
 		Listener: inner, writeTimeout: writeTimeout, evicted: m.Evicted, stalled: m.Stalled, maxOpen: maxOpen,
-		open: make(map[net.Conn]*list.Element), idle: list.New(),
+		open: make(map[net.Conn]*list.Element), kept: list.New(), unused: list.New(),
 	}
 	l.slotFreed = sync.NewCond(&l.mu)
 	return l
@@ -86,32 +89,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waitForSlotLocked()
-	l.open[conn] = l.idle.PushBack(conn)
+	l.open[conn] = l.unused.PushBack(conn)
 	return conn, nil
 }
 
-// waitForSlotLocked waits until fewer than maxOpen connections are open, evicting idle
-// ones, or until the listener is closed: a connection accepted by then may already
-// carry a request and is served.
-func (l *Listener) waitForSlotLocked() {
-	for !l.closed && len(l.open) >= l.maxOpen {
-		if front := l.idle.Front(); front != nil {
-			l.evictLocked(front)
-			continue
-		}
-		l.slotFreed.Wait()
-	}
-}
-
-// evictLocked closes an idle connection.
-func (l *Listener) evictLocked(e *list.Element) {
-	conn := e.Value.(*stallConn)
-	l.closesUnansweredLocked(conn, causeEvicted)
-	l.removeLocked(conn)
-	l.evicted.Inc()
-	_ = conn.Conn.Close()
-}
-
 // Close stops accepting connections. Further calls do nothing: http.Server's Shutdown
 // closes its listener too unless its accept loop has already ended.
 func (l *Listener) Close() error {
@@ -136,13 +117,11 @@
 	}
 	switch state {
 	case http.StateActive:
-		if e != nil {
-			l.idle.Remove(e)
-		}
+		l.unlistLocked(e)
 		l.open[conn] = nil
 	case http.StateIdle:
 		conn.(*stallConn).keptOpen()
-		l.open[conn] = l.idle.PushBack(conn)
+		l.open[conn] = l.kept.PushBack(conn)
 		l.slotFreed.Signal()
 	case http.StateClosed:
 		l.closesUnansweredLocked(conn.(*stallConn), "")
@@ -165,13 +144,19 @@
 	if !ok {
 		return
 	}
-	if e != nil {
-		l.idle.Remove(e)
-	}
+	l.unlistLocked(e)
 	delete(l.open, conn)
 	l.slotFreed.Signal()
 }
 
+// unlistLocked removes an element from its list; a connection with a running request is in none.
+func (l *Listener) unlistLocked(e *list.Element) {
+	if e != nil {
+		l.kept.Remove(e) // does nothing with an element of another list
+		l.unused.Remove(e)
+	}
+}
+
 // stallConn sets a deadline for every write.
 //
 // Failure guarded against: a caller that stops reading its stream fills the socket
@@ -188,8 +173,8 @@
 	// usedAt is when the connection was accepted, last read from or last finished a
 	// response.
 	usedAt time.Time
-	// requestBegun reports that a byte was read since the connection was accepted or last
-	// finished a response, readErr is the last error of a read.
+	// requestBegun reports that a byte was read, or waits to be read, since the connection was
+	// accepted or last finished a response, readErr is the last error of a read.
 	requestBegun bool
 	readErr      error
 	// closing reports whether the connection is being closed because it was unused.
--- a/callerconns/unanswered.go
+++ b/callerconns/unanswered.go
@@ -7,7 +7,6 @@
 
 // Causes of the end of a connection, as Unanswered states them.
 const (
-	causeEvicted  = "closed for a new connection"
 	causeStopping = "closed by the shutdown"
 	causeServer   = "closed by the server"
 )
