Do not eject targets for this host's own lack of descriptors

When a host had no free descriptor, each dial to a target failed with EMFILE, and the relay took this for a target that refuses connections: requests were refused, rightly as not run, but sound targets were ejected, so callers were refused after descriptors were free again. A connection that broke meanwhile was reported as a crash, since the target did not seem to accept connections. A batch item counted against its target as well.

A dial that fails for lack of descriptors, memory or ports of this host now gives an error of the type LocalFailure, a subtype of Unidentified: nothing was sent, and the target is not at fault. Pool.Reachable does not report a target as unreachable if the host can't find out; the end of an unframed answer still counts as confirmed only if the target accepted.

On the code before, the relay's spec fails with "the target was ejected", both of h1 with "socket: too many open files"; with the change all three pass.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -198,6 +198,9 @@
 
 // errorResult maps an error of the exchange to the result of the run.
 func errorResult(err error) runResult {
+	if errorx.IsOfType(err, h1.LocalFailure) {
+		return runResult{cause: err.Error(), delay: failureDelay, health: routing.Neutral}
+	}
 	return runResult{broken: errorx.IsOfType(err, h1.Broken), cause: err.Error(), delay: failureDelay, health: routing.SoftFailed}
 }
 
--- a/target/h1/ending.go
+++ b/target/h1/ending.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	err := sockets.ConfirmEnd(a.ctx, a.conn.Conn, a.witness, func(ctx context.Context) bool {
-		return a.pool.Reachable(ctx, a.conn.address, DialTimeout)
+		return sockets.Accepted(a.pool.reach(ctx, a.conn.address, DialTimeout))
 	})
 	if err != nil {
 		if errors.Is(err, sockets.ErrGone) {
@@ -34,7 +34,7 @@
 		return
 	}
 	a.witness = sockets.Watch(a.conn.Conn, func(ctx context.Context) (net.Conn, error) {
-		c, err := a.pool.dialer.DialContext(ctx, "tcp", a.conn.address)
+		c, err := a.pool.dial(ctx, a.conn.address)
 		if err == nil {
 			a.pool.opened()
 		}
--- a/target/h1/identity.go
+++ b/target/h1/identity.go
@@ -22,6 +22,9 @@
 	WrongProcess = NotSent.NewSubtype("wrong_process")
 	// Unidentified means that the process did not say which one it is.
 	Unidentified = NotSent.NewSubtype("unidentified")
+	// LocalFailure means that this process could not open a connection, for example for lack of
+	// descriptors. It shows nothing about the target.
+	LocalFailure = Unidentified.NewSubtype("local_failure")
 )
 
 // Identity determines by a request of its own which process a connection leads to, before the
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -98,14 +98,47 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
+	raw, err := p.dial(ctx, address)
+	switch {
+	case sockets.LocalFailure(err):
+		return nil, true, LocalFailure.Wrap(err, "no connection to %s", address)
+	case err != nil:
 		return nil, true, NotSent.Wrap(err, "no connection to %s", address)
 	}
 	p.opened()
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), keepAlive: defaultKeepAlive}, true, nil
 }
 
+// dial opens a connection. If this process lacks a descriptor or memory for it, the connection of
+// the pool that has been idle the longest is closed in its favour.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if sockets.LocalFailure(err) && p.closeLongestIdle() {
+		c, err = p.dialer.DialContext(ctx, "tcp", address)
+	}
+	return c, err
+}
+
+// closeLongestIdle closes the connection that has been idle the longest, if there is any.
+func (p *Pool) closeLongestIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *conn
+	for _, list := range p.idle {
+		if c := list[0]; oldest == nil || c.idleSince.Before(oldest.idleSince) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	if p.idle[oldest.address] = p.idle[oldest.address][1:]; len(p.idle[oldest.address]) == 0 {
+		delete(p.idle, oldest.address)
+	}
+	_ = oldest.Close()
+	return true
+}
+
 // pop takes the connection to the address that became idle last and was identified by the key,
 // "" for any, nil for none.
 func (p *Pool) pop(address, identity string) *conn {
@@ -127,18 +160,24 @@
 	return nil
 }
 
-// Reachable reports whether the address accepts a connection within the given time.
-// The connection is kept in the pool.
+// Reachable reports whether the address accepts a connection within the given time, or may do so
+// because this process can't open one. The connection is kept in the pool.
 func (p *Pool) Reachable(ctx context.Context, address string, within time.Duration) bool {
+	err := p.reach(ctx, address, within)
+	return sockets.Accepted(err) || sockets.LocalFailure(err)
+}
+
+// reach opens a connection to the address within the given time and keeps it in the pool.
+func (p *Pool) reach(ctx context.Context, address string, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	c, err := p.dial(ctx, address)
 	if err != nil {
-		return sockets.Accepted(err)
+		return err
 	}
 	p.opened()
 	p.put(&conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer), keepAlive: defaultKeepAlive})
-	return true
+	return nil
 }
 
 // put returns a connection to the pool. The last answer on it must have been read to
