Derive the limit of callers' connections from the host's limits

With more kept connections than a host had descriptors, callers got 503 or were not accepted: the listener admitted 3,000 connections whatever the process may open. With 500 descriptors, connections to targets failed from the 473rd kept connection on, and further connections waited until the idle timeout freed some.

The limit is now the least of 3,000, of three quarters of the descriptors that are not reserved for files, and of a third of the memory at 36 KiB for each connection; the daemon logs it at its start. The remaining descriptors are for targets, other daemons and the log. At the limit the longest idle connection is closed, as before.

On the code before, the spec "serves requests while callers keep more connections than it has descriptors" fails: request 472 gets "overloaded", "socket: too many open files". It passes now.

--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -18,9 +18,6 @@
 	// idleTimeout closes a caller's connection that carries no request. It is longer than
 	// the longest time for which callers are told that they may reuse a connection.
 	idleTimeout = time.Minute
-	// maxConnections bounds callers' connections, below the number of file descriptors of
-	// a small host.
-	maxConnections = 3000
 	// writeStallTimeout closes the connection of a caller that does not read its
 	// response.
 	writeStallTimeout = 5 * time.Second
@@ -44,7 +41,9 @@
 	if err != nil {
 		return err
 	}
-	listener := callerconns.New(inner, maxConnections, writeStallTimeout, callerconns.Metrics{
+	limit := connectionLimit(n.Settings.MemoryMB, descriptorLimit())
+	n.Logger.Info("connection_limit", zap.Int("connections", limit))
+	listener := callerconns.New(inner, limit, writeStallTimeout, callerconns.Metrics{
 		Evicted: n.Metrics.GetOrCreateCounter("tarragonhollow_http_idle_connections_evicted_total"),
 		Stalled: n.Metrics.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
 	})
