Do not close a connection with a request during the shutdown

A stopping daemon closed connections that had been unused for 500 ms although a part of a request had been read from them, or its bytes waited in the kernel. The caller saw its connection closed or reset under a request that it had sent whole: net/http reports a request only once it has parsed the header, and on a slow or suspended host more than 500 ms can pass before that, or before the first read.

The shutdown now looks for unread bytes before it closes a connection, and keeps one with a part of a request until no byte has been read for 3 s, or the grace of the stop ends. Kept connections without a request are still closed after 500 ms.

On the code before, both specs of "A graceful shutdown" fail with "the connection was closed" (unexpected EOF; use of closed network connection). They pass now, also with -race, as do those of api.

--- a/callerconns/graceful.go
+++ b/callerconns/graceful.go
@@ -11,6 +11,9 @@
 	// unusedTime is how long a kept-alive connection must have been unused before a
 	// shutdown closes it; a shorter grace takes precedence.
 	unusedTime = 500 * time.Millisecond
+	// partialTime is how long no byte must have been read from a connection with a part of a
+	// request before a shutdown closes it.
+	partialTime = 3 * time.Second
 	// unusedPoll is the interval between checks for such connections.
 	unusedPoll = 10 * time.Millisecond
 )
@@ -27,6 +30,10 @@
 // connection". Here such a request is served, and its response asks the caller to close
 // the connection.
 //
+// A connection from which a part of a request was read is kept for partialTime after the last byte.
+// The request may be whole: net/http reports it only once it has parsed the header, and the
+// process may be slow or suspended before that.
+//
 // A connection from the accept queue is served like any other; see acceptQueued.
 //
 // One race remains, which is inherent to HTTP/1.1: a caller may send a request on a
@@ -53,16 +60,16 @@
 func (l *Listener) closeUnused(unused time.Duration) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := time.Now().Add(-unused)
-	l.closeUnusedOfLocked(l.kept, before)
-	l.closeUnusedOfLocked(l.unused, before)
+	l.closeUnusedOfLocked(l.kept, unused)
+	l.closeUnusedOfLocked(l.unused, unused)
 	return len(l.open)
 }
 
-func (l *Listener) closeUnusedOfLocked(idle *list.List, before time.Time) {
+func (l *Listener) closeUnusedOfLocked(idle *list.List, unused time.Duration) {
+	now := time.Now()
 	for e := idle.Front(); e != nil; {
 		conn, next := e.Value.(*stallConn), e.Next()
-		if conn.markClosingIfUnused(before) {
+		if conn.markClosingIfUnused(now, unused) {
 			l.closesUnansweredLocked(conn, causeStopping)
 			l.removeLocked(conn)
 			_ = conn.Conn.Close()
--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -215,12 +215,19 @@
 	c.completed, c.handled, c.requestBegun = false, false, false
 }
 
-// markClosingIfUnused reports whether the connection has not been used since before, and
-// marks it as closing if so.
-func (c *stallConn) markClosingIfUnused(before time.Time) bool {
+// markClosingIfUnused reports whether the connection has not been used for the given time, or for
+// partialTime with a part of a request, and marks it as closing if so.
+func (c *stallConn) markClosingIfUnused(now time.Time, unused time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.usedAt.After(before) {
+	if c.requestBegun {
+		unused = max(unused, partialTime)
+	}
+	if now.Sub(c.usedAt) < unused {
+		return false
+	}
+	if !c.requestBegun && hasUnread(c.Conn) {
+		c.requestBegun, c.usedAt = true, now
 		return false
 	}
 	c.closing = true
