Close an idle connection when a caller's can't be accepted

When the process had no free descriptor, Accept failed with EMFILE and http.Server waited before it tried again, up to a second at a time. Meanwhile idle connections of other callers kept their descriptors until the idle timeout of a minute, so new callers were not accepted at all and abandoned their connections after a second.

If no connection may be closed, the error goes to http.Server as before. The limit that is derived from the descriptors makes this rare; it remains possible when connections to targets need more than their share.

On the code before, the spec "closes an idle connection to accept a new one" of a listener without a free descriptor fails with an i/o timeout of the second caller after 10 s. It passes now, also with -race.

--- a/callerconns/evict.go
+++ b/callerconns/evict.go
@@ -13,6 +13,9 @@
 	// new one. Its request may be on the way; callers abandon a connection on which nothing was
 	// read for a second.
 	minUnusedAge = time.Second
+	// closeTime is how long the descriptor of a closed connection is waited for: it becomes free
+	// only when the goroutine that reads from the connection has returned.
+	closeTime = 5 * time.Millisecond
 )
 
 // waitForSlotLocked waits until fewer than maxOpen connections are open, evicting idle
@@ -25,12 +28,32 @@
 			l.waitLocked(next)
 			continue
 		}
-		l.removeLocked(conn)
-		l.evicted.Inc()
-		_ = conn.Conn.Close()
+		l.evictLocked(conn)
 	}
 }
 
+// evictOne closes an idle connection whose descriptor is needed for a new one, and reports whether
+// there was any.
+//
+// Failure guarded against: without a descriptor http.Server accepts nothing for up to a second at
+// a time, and callers abandon connections that were not accepted by then.
+func (l *Listener) evictOne() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn, _ := l.evictableLocked(time.Now())
+	if conn != nil {
+		l.evictLocked(conn)
+	}
+	return conn != nil
+}
+
+// evictLocked closes a connection that is marked as closing.
+func (l *Listener) evictLocked(conn *stallConn) {
+	l.removeLocked(conn)
+	l.evicted.Inc()
+	_ = conn.Conn.Close()
+}
+
 // waitLocked waits until a slot may be free or, unless next is 0, for at most that time.
 func (l *Listener) waitLocked(next time.Duration) {
 	if next > 0 {
--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"tarragonhollow.example/tarragonhollow/target/sockets"
 )
 
 // writeChunk is the number of bytes that the caller must accept within the write
@@ -77,6 +79,10 @@
 // open.
 func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
+	for sockets.LocalFailure(err) && l.evictOne() {
+		time.Sleep(closeTime)
+		inner, err = l.Listener.Accept()
+	}
 	if err != nil {
 		queued, ok := l.takeQueued()
 		if !ok {
