Log connections that had to wait at the connection limit

When all connections at the limit carried requests, Accept waited with a new connection in hand and nothing showed it: callers saw a connection that was established and not read, and abandoned it after a second, while the daemon had only a gauge of its open connections. Whether the limit had a part in a request without an answer could not be told from the logs.

A connection that waited longer than 100 ms for one of the others now has a line connection_delayed with the caller's address, the time and the limit. As connections are accepted one after the other, there are at most ten lines a second. The spec "accepts the next connection as soon as a running request ends" expects the report; the code before has no such hook.

--- a/callerconns/evict.go
+++ b/callerconns/evict.go
@@ -13,6 +13,9 @@
 	// new one. Its request may be on the way; callers abandon a connection on which nothing was
 	// read for a second.
 	minUnusedAge = time.Second
+	// reportedDelay is the least delay of a new connection that is reported. It bounds the reports
+	// to ten a second.
+	reportedDelay = 100 * time.Millisecond
 	// closeTime is how long the descriptor of a closed connection is waited for: it becomes free
 	// only when the goroutine that reads from the connection has returned.
 	closeTime = 5 * time.Millisecond
--- a/callerconns/eviction_test.go
+++ b/callerconns/eviction_test.go
@@ -21,7 +21,9 @@
 	var address string
 	var evicted *metrics.Counter
 	var handler http.HandlerFunc
+	var onDelayed func(net.Addr, time.Duration)
 	BeforeEach(func() {
+		onDelayed = nil
 		handler = func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
 	})
 	serve := func(maxOpen int) *callerconns.Listener {
@@ -30,6 +32,7 @@
 		set := metrics.NewSet()
 		evicted = set.NewCounter("evicted_total")
 		l := callerconns.New(inner, maxOpen, limit, callerconns.Metrics{Evicted: evicted, Stalled: set.NewCounter("stalled_total")})
+		l.Delayed = onDelayed
 		server := &http.Server{Handler: callerconns.ResetUnlessCompleted(handler), ConnState: l.Track, ConnContext: callerconns.ConnContext}
 		go func() { _ = server.Serve(l) }()
 		DeferCleanup(server.Close)
@@ -167,6 +170,8 @@
 			<-release
 			_, _ = io.WriteString(w, "ok")
 		}
+		delayed := make(chan string, 1)
+		onDelayed = func(caller net.Addr, _ time.Duration) { delayed <- caller.String() }
 		serve(1)
 		running := dial(wholeRequest)
 		next := dial(wholeRequest)
@@ -175,6 +180,7 @@
 		close(release)
 		readAnswer(running)
 		readAnswer(next)
+		Expect(delayed).To(Receive(Equal(next.LocalAddr().String())))
 	})
 })
 
--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -39,10 +39,12 @@
 	// Unhandled, if not nil, must be set before the first Accept. It needs a handler that
 	// ResetUnlessCompleted wraps.
 	Unhandled Unhandled
-	// Unanswered and WriteFailed, if not nil, must be set before the first Accept. They must
-	// not block.
+	// Unanswered, WriteFailed and Delayed, if not nil, must be set before the first Accept. They
+	// must not block. Delayed is called when a connection has waited longer than reportedDelay
+	// because none could be closed for it.
 	Unanswered   func(Unanswered)
 	WriteFailed  func(caller net.Addr, err error)
+	Delayed      func(caller net.Addr, waited time.Duration)
 	writeTimeout time.Duration
 	evicted      *metrics.Counter
 	stalled      *metrics.Counter
@@ -94,7 +96,11 @@
 	_ = conn.markUsed() // a new connection cannot be closing yet
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	began := time.Now()
 	l.waitForSlotLocked()
+	if waited := time.Since(began); waited > reportedDelay && l.Delayed != nil {
+		l.Delayed(conn.RemoteAddr(), waited)
+	}
 	l.open[conn] = l.unused.PushBack(conn)
 	return conn, nil
 }
--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -50,6 +50,10 @@
 	listener.Unhandled = n.logUnhandled
 	listener.Unanswered = n.logUnanswered
 	listener.WriteFailed = n.logWriteFailed
+	listener.Delayed = func(caller net.Addr, waited time.Duration) {
+		n.Logger.Warn("connection_delayed", zap.Stringer("caller_address", caller), zap.Int64("ms", waited.Milliseconds()),
+			zap.Int("limit", limit))
+	}
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
 	server := n.newServer(callerconns.ResetUnlessCompleted(n.closing(handler)))
 	server.ConnState = listener.Track
