Show the ejection itself in the spec of a relay without descriptors

The test target's accept loop ended when its first accept met the lack of descriptors, which depends on the order of goroutines, and the last request then found no one.

The spec now looks for the line target_health, by which an ejection is reported. The test target goes on to accept after an error. Descriptors are forbidden altogether where none may become free, and the lowest free one must have settled where one may.

--- a/daemon/relay/fixture_test.go
+++ b/daemon/relay/fixture_test.go
@@ -155,6 +155,12 @@
 	return f
 }
 
+// logPlaces has the choice of targets write to the logger. It must precede startTargets.
+func (f *fixture) logPlaces(logger *zap.Logger) {
+	f.view = places.New(places.Options{Host: "h", Zone: "z", Logger: logger})
+	f.relay.Places = f.view
+}
+
 // startTargets starts n targets. The script gets the number of the request counted over
 // all of them, so that it does not matter which one is used first.
 func (f *fixture) startTargets(n int, script func(turn int, r *rawtarget.Request, c net.Conn)) {
--- a/target/h1/descriptors_test.go
+++ b/target/h1/descriptors_test.go
@@ -32,7 +32,7 @@
 	// connection.
 	It("does not take its own lack for a failure of the target", func() {
 		t := start()
-		DeferCleanup(descriptors.Exhaust())
+		DeferCleanup(descriptors.Forbid())
 		r := &h1.Request{Method: "POST", URI: "/x", Host: "h", Header: http.Header{}}
 		_, err := pool.Do(context.Background(), t.Address, r, h1.Options{Deadline: time.Now().Add(limit), Matches: matchID("1")})
 		Expect(errorx.IsOfType(err, h1.NotSent)).To(BeTrue(), "%v", err)
--- a/target/rawtarget/rawtarget.go
+++ b/target/rawtarget/rawtarget.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Request is a request as the target received it.
@@ -37,6 +39,9 @@
 	hook     func()
 }
 
+// acceptPause is the time between two attempts to accept a connection.
+const acceptPause = 10 * time.Millisecond
+
 // Start serves on a free loopback port. script writes the answer to c; closing
 // c ends the connection.
 func Start(script func(r *Request, c net.Conn)) (*Target, error) {
@@ -57,9 +62,13 @@
 func (t *Target) accept() {
 	for {
 		c, err := t.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // no free descriptor, in tests of that
+			time.Sleep(acceptPause)
+			continue
+		}
 		t.mu.Lock()
 		connIndex := t.conns
 		t.conns++
--- a/test/descriptors/descriptors.go
+++ b/test/descriptors/descriptors.go
@@ -4,19 +4,39 @@
 import (
 	"os"
 	"syscall"
+	"time"
 )
 
-// Exhaust lowers the process's limit so that no descriptor can be opened, until restore is
-// called. One that is closed becomes free again.
+// settled is how long the lowest free descriptor must have been the same: connections of earlier
+// tests are closed in the background.
+const settled = 200 * time.Millisecond
+
+// Forbid lowers the process's limit so that no descriptor can be opened, until restore is called.
+func Forbid() (restore func()) { return limit(0) }
+
+// Exhaust is like Forbid, but a descriptor that is closed becomes free again.
 func Exhaust() (restore func()) {
+	free, since := lowestFree(), time.Now()
+	for time.Since(since) < settled {
+		time.Sleep(settled / 10)
+		if now := lowestFree(); now != free {
+			free, since = now, time.Now()
+		}
+	}
+	return limit(free)
+}
+
+func lowestFree() uint64 {
+	file, err := os.Open(os.DevNull)
+	must(err)
+	defer file.Close()
+	return uint64(file.Fd())
+}
+
+func limit(descriptors uint64) (restore func()) {
 	var before syscall.Rlimit
 	must(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before))
-	free, err := os.Open(os.DevNull) // gets the lowest free descriptor
-	must(err)
-	limited := before
-	limited.Cur = uint64(free.Fd())
-	must(free.Close())
-	must(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limited))
+	must(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: descriptors, Max: before.Max}))
 	return func() { must(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before)) }
 }
 
