--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"tarragonhollow.example/tarragonhollow/target/sockets"
 )
 
 // writeChunk is the number of bytes that the caller must accept within the write
@@ -25,18 +27,24 @@
 	Evicted, Stalled *metrics.Counter
 }
 
-// Listener bounds the number of open connections. At the limit it closes the connection
-// that has been idle the longest to admit a new one.
+// Listener bounds the number of open connections. At the limit it closes an idle connection to
+// admit a new one; see evictable.
 //
 // Failure guarded against: thousands of connections without a request (from a caller's
 // leaking pool, or an attack) would lock out all other callers until the idle timeout.
-// A connection with a running request is never closed, so no request is interrupted;
-// one that becomes idle wakes a waiting Accept.
+// A connection whose request is being read or runs is never closed, so no request is
+// interrupted; one that becomes idle wakes a waiting Accept.
 type Listener struct {
 	net.Listener
 	// Unhandled, if not nil, must be set before the first Accept. It needs a handler that
 	// ResetUnlessCompleted wraps.
-	Unhandled    Unhandled
+	Unhandled Unhandled
+	// Unanswered, WriteFailed and Delayed, if not nil, must be set before the first Accept. They
+	// must not block. Delayed is called when a connection has waited longer than reportedDelay
+	// because none could be closed for it.
+	Unanswered   func(Unanswered)
+	WriteFailed  func(caller net.Addr, err error)
+	Delayed      func(caller net.Addr, waited time.Duration)
 	writeTimeout time.Duration
 	evicted      *metrics.Counter
 	stalled      *metrics.Counter
@@ -45,8 +53,11 @@
 	slotFreed *sync.Cond
 	maxOpen   int
 	open      map[net.Conn]*list.Element
-	idle      *list.List // of net.Conn, longest idle first
-	closed    bool
+	// kept holds the connections that wait for another request, longest idle first, unused those
+	// without a request so far, oldest first. A connection whose request is being read stays in
+	// its list: net/http does not report it as active until the header is complete.
+	kept, unused *list.List // of net.Conn
+	closed       bool
 	// queued holds the connections that were in the kernel's accept queue when listening
 	// ended.
 	queued []net.Conn
@@ -58,7 +69,7 @@
 func New(inner net.Listener, maxOpen int, writeTimeout time.Duration, m Metrics) *Listener {
 	l := &Listener{
 		Listener: inner, writeTimeout: writeTimeout, evicted: m.Evicted, stalled: m.Stalled, maxOpen: maxOpen,
-		open: make(map[net.Conn]*list.Element), idle: list.New(),
+		open: make(map[net.Conn]*list.Element), kept: list.New(), unused: list.New(),
 	}
 	l.slotFreed = sync.NewCond(&l.mu)
 	return l
@@ -70,6 +81,10 @@
 // open.
 func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
+	for sockets.LocalFailure(err) && l.evictOne() {
+		time.Sleep(closeTime)
+		inner, err = l.Listener.Accept()
+	}
 	if err != nil {
 		queued, ok := l.takeQueued()
 		if !ok {
@@ -81,30 +96,13 @@
 	_ = conn.markUsed() // a new connection cannot be closing yet
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	began := time.Now()
 	l.waitForSlotLocked()
-	l.open[conn] = l.idle.PushBack(conn)
-	return conn, nil
-}
-
-// waitForSlotLocked waits until fewer than maxOpen connections are open, evicting idle
-// ones, or until the listener is closed: a connection accepted by then may already
-// carry a request and is served.
-func (l *Listener) waitForSlotLocked() {
-	for !l.closed && len(l.open) >= l.maxOpen {
-		if front := l.idle.Front(); front != nil {
-			l.evictLocked(front)
-			continue
-		}
-		l.slotFreed.Wait()
+	if waited := time.Since(began); waited > reportedDelay && l.Delayed != nil {
+		l.Delayed(conn.RemoteAddr(), waited)
 	}
-}
-
-// evictLocked closes an idle connection.
-func (l *Listener) evictLocked(e *list.Element) {
-	conn := e.Value.(*stallConn)
-	l.removeLocked(conn)
-	l.evicted.Inc()
-	_ = conn.Conn.Close()
+	l.open[conn] = l.unused.PushBack(conn)
+	return conn, nil
 }
 
 // Close stops accepting connections. Further calls do nothing: http.Server's Shutdown
@@ -131,15 +129,16 @@
 	}
 	switch state {
 	case http.StateActive:
-		if e != nil {
-			l.idle.Remove(e)
-		}
+		l.unlistLocked(e)
 		l.open[conn] = nil
 	case http.StateIdle:
 		conn.(*stallConn).keptOpen()
-		l.open[conn] = l.idle.PushBack(conn)
+		l.open[conn] = l.kept.PushBack(conn)
 		l.slotFreed.Signal()
-	case http.StateClosed, http.StateHijacked:
+	case http.StateClosed:
+		l.closesUnansweredLocked(conn.(*stallConn), "")
+		l.removeLocked(conn)
+	case http.StateHijacked:
 		l.removeLocked(conn)
 	}
 }
@@ -157,13 +156,19 @@
 	if !ok {
 		return
 	}
-	if e != nil {
-		l.idle.Remove(e)
-	}
+	l.unlistLocked(e)
 	delete(l.open, conn)
 	l.slotFreed.Signal()
 }
 
+// unlistLocked removes an element from its list; a connection with a running request is in none.
+func (l *Listener) unlistLocked(e *list.Element) {
+	if e != nil {
+		l.kept.Remove(e) // does nothing with an element of another list
+		l.unused.Remove(e)
+	}
+}
+
 // stallConn sets a deadline for every write.
 //
 // Failure guarded against: a caller that stops reading its stream fills the socket
@@ -180,6 +185,10 @@
 	// usedAt is when the connection was accepted, last read from or last finished a
 	// response.
 	usedAt time.Time
+	// requestBegun reports that a byte was read, or waits to be read, since the connection was
+	// accepted or last finished a response, readErr is the last error of a read.
+	requestBegun bool
+	readErr      error
 	// closing reports whether the connection is being closed because it was unused.
 	closing bool
 	// endsResponse reports that the end of the connection is the end of its response, and
@@ -201,20 +210,36 @@
 	return !c.closing
 }
 
+// markRead is markUsed for a use by reading.
+func (c *stallConn) markRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.usedAt = time.Now()
+	c.requestBegun = c.requestBegun || !c.closing
+	return !c.closing
+}
+
 // keptOpen records that a response has ended and the connection waits for the next request.
 func (c *stallConn) keptOpen() {
 	_ = c.markUsed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.completed, c.handled = false, false
+	c.completed, c.handled, c.requestBegun = false, false, false
 }
 
-// markClosingIfUnused reports whether the connection has not been used since before, and
-// marks it as closing if so.
-func (c *stallConn) markClosingIfUnused(before time.Time) bool {
+// markClosingIfUnused reports whether the connection has not been used for the given time, or for
+// partialTime with a part of a request, and marks it as closing if so.
+func (c *stallConn) markClosingIfUnused(now time.Time, unused time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.usedAt.After(before) {
+	if c.requestBegun {
+		unused = max(unused, partialTime)
+	}
+	if now.Sub(c.usedAt) < unused {
+		return false
+	}
+	if !c.requestBegun && hasUnread(c.Conn) {
+		c.requestBegun, c.usedAt = true, now
 		return false
 	}
 	c.closing = true
@@ -229,9 +254,12 @@
 // a use and deciding to close exclude each other, so such bytes are discarded.
 func (c *stallConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.markUsed() {
+	if n > 0 && !c.markRead() {
 		return 0, net.ErrClosed
 	}
+	if err != nil {
+		c.noteReadError(err)
+	}
 	return n, err
 }
 
@@ -248,7 +276,7 @@
 		written += n
 		if err != nil {
 			c.countStall(err)
-			c.noteWriteFailed()
+			c.noteWriteFailed(err)
 			return written, err
 		}
 		if written == len(p) {
--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -18,9 +18,6 @@
 	// idleTimeout closes a caller's connection that carries no request. It is longer than
 	// the longest time for which callers are told that they may reuse a connection.
 	idleTimeout = time.Minute
-	// maxConnections bounds callers' connections, below the number of file descriptors of
-	// a small host.
-	maxConnections = 3000
 	// writeStallTimeout closes the connection of a caller that does not read its
 	// response.
 	writeStallTimeout = 5 * time.Second
@@ -44,11 +41,19 @@
 	if err != nil {
 		return err
 	}
-	listener := callerconns.New(inner, maxConnections, writeStallTimeout, callerconns.Metrics{
+	limit := connectionLimit(n.Settings.MemoryMB, descriptorLimit())
+	n.Logger.Info("connection_limit", zap.Int("connections", limit))
+	listener := callerconns.New(inner, limit, writeStallTimeout, callerconns.Metrics{
 		Evicted: n.Metrics.GetOrCreateCounter("tarragonhollow_http_idle_connections_evicted_total"),
 		Stalled: n.Metrics.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
 	})
 	listener.Unhandled = n.logUnhandled
+	listener.Unanswered = n.logUnanswered
+	listener.WriteFailed = n.logWriteFailed
+	listener.Delayed = func(caller net.Addr, waited time.Duration) {
+		n.Logger.Warn("connection_delayed", zap.Stringer("caller_address", caller), zap.Int64("ms", waited.Milliseconds()),
+			zap.Int("limit", limit))
+	}
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
 	server := n.newServer(callerconns.ResetUnlessCompleted(n.closing(handler)))
 	server.ConnState = listener.Track
@@ -63,6 +68,17 @@
 	n.Logger.Warn("request_unreadable", zap.Stringer("caller_address", caller), zap.String("answer", statusLine))
 }
 
+// logUnanswered logs a connection that was closed while its request was being read.
+func (n *Node) logUnanswered(u callerconns.Unanswered) {
+	n.Logger.Warn("request_unanswered", zap.Stringer("caller_address", u.Caller), zap.String("cause", u.Cause),
+		zap.Int64("silent_ms", u.Silent.Milliseconds()))
+}
+
+// logWriteFailed logs the first failed write on a connection. The request has a line of its own.
+func (n *Node) logWriteFailed(caller net.Addr, err error) {
+	n.Logger.Info("response_write_failed", zap.Stringer("caller_address", caller), zap.Error(err))
+}
+
 // ServeInternal serves readiness or metrics in the background until the process ends.
 func (n *Node) ServeInternal(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
