--- a/daemon/relay/parts_test.go
+++ b/daemon/relay/parts_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"tarragonhollow.example/tarragonhollow/core/outcome"
+	"tarragonhollow.example/tarragonhollow/core/roster"
 	"tarragonhollow.example/tarragonhollow/core/route"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
 	"tarragonhollow.example/tarragonhollow/target/rawtarget"
@@ -92,4 +93,79 @@
 		}
 		Expect(crashes.Load()).To(Equal(before))
 	})
+
+	// Guards against a sound request that isn't sent again after a crash with another cause.
+	It("sends a request again whose target crashed once", func() {
+		f.startTargets(3, func(turn int, r *rawtarget.Request, c net.Conn) {
+			if turn == 0 {
+				f.crash(c)
+				return
+			}
+			answer(turn, r, c)
+		})
+		w, result := serve("shared", "sound")
+		Expect(result).To(Equal(relay.Result{}))
+		Expect(w.Body.String()).To(Equal(plain(0, 1)))
+	})
+
+	// Guards against a request that waits in a queue while its part is found to crash targets, and is
+	// sent then.
+	It("ends the attempt of a request whose answer has not begun", func() {
+		var held atomic.Int64
+		f.startTargets(1, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			held.Add(1)
+			_, _ = c.Read(make([]byte, 1)) // until the relay closes the connection
+		})
+		done := make(chan relay.Result, 1)
+		go func() {
+			_, result := serve("shared", bad)
+			done <- result
+		}()
+		Eventually(held.Load).WithTimeout(timeout).Should(BeEquivalentTo(1))
+		f.startTargets(6, answer)
+		for range 3 {
+			serve("shared", bad)
+		}
+		var result relay.Result
+		Eventually(done).WithTimeout(timeout).Should(Receive(&result))
+		Expect(result.Refusal.Run).To(Equal(outcome.MayHaveRun))
+		Expect(held.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against parts that are blamed for the crash of a target that had begun their answers.
+	It("does not suspect requests whose answers had begun", func() {
+		begun := make(chan struct{}, 10)
+		var crash sync.Once
+		f.startTargets(4, func(turn int, r *rawtarget.Request, c net.Conn) {
+			if strings.Contains(r.URI, "/crashing/") {
+				<-begun
+				time.Sleep(400 * time.Millisecond) // the other answer's target has lived on
+				crash.Do(func() { f.crash(c) })
+				return
+			}
+			after := r.Header.Get("After")
+			if after == "" {
+				rawtarget.Write(c, rawtarget.Head(200, "Id: "+r.Header.Get("Id"), "Content-Type: text/event-stream", "Transfer-Encoding: chunked")+events(0, 0))
+				begun <- struct{}{}
+				time.Sleep(time.Second)
+				return
+			}
+			rawtarget.Write(c, rawtarget.Head(200, "Id: "+r.Header.Get("Id"), "Content-Type: text/event-stream", "Transfer-Encoding: chunked")+events(1, 1)+rawtarget.LastChunk)
+		})
+		f.view.Update(func(now time.Time, ros *roster.Roster) {
+			ros.StoreAnswered(now)
+			ros.Replace(now, f.entries[:1])
+		})
+		var group sync.WaitGroup
+		group.Go(func() {
+			defer GinkgoRecover()
+			serve("begun")
+		})
+		group.Go(func() {
+			defer GinkgoRecover()
+			serve("crashing")
+		})
+		group.Wait()
+		Expect(f.suspects.DecideParts([]string{"begun"}).Part).To(BeEmpty())
+	})
 })
