Prompt parts: share crashes and answers by calls and by the log

daemon/suspects broadcasts the evidence on parts with that on whole requests, and keeps both in a keyed topic of the log, a record for each crash and daemon: daemons that are cut off from each other, those of a large zone that follow only some of the others, and those that have just started learn of crashes there. Each part that is refused is logged with the targets, requests and cleared parts that the verdict rests on, each crash with its requests and parts.

--- a/daemon/suspects/suspects.go
+++ b/daemon/suspects/suspects.go
@@ -14,9 +14,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"tarragonhollow.example/tarragonhollow/core/crashparts"
 	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
 
@@ -76,7 +78,11 @@
 	BroadcastWait time.Duration
 	// Clock returns the time; default time.Now.
 	Clock func() time.Time
-	// Logger gets one line for each quarantined request; may be nil.
+	// Log and Topic are where crashes are kept for daemons that other daemons don't reach; Log may
+	// be nil.
+	Log   partlog.Log
+	Topic string
+	// Logger gets one line for each quarantined request and each refused part; may be nil.
 	Logger *zap.Logger
 	// Metrics receives the counters; may be nil.
 	Metrics *metrics.Set
@@ -89,9 +95,19 @@
 	crashes *metrics.Counter
 	wake    chan struct{}
 
+	// kept is the part of the crashes that this daemon keeps in the log.
+	kept *keptCrashes
+
 	mu      sync.Mutex
 	core    *retry.Suspects
 	pending []retry.Crash
+	// parts is the evidence on prompt parts, pendingParts what of it waits to be broadcast.
+	parts        *crashparts.Evidence
+	pendingParts []crashparts.Crash
+	// limited holds the parts with which a request runs here that must be the only one, waiting
+	// what is called when a request is refused while it waits.
+	limited map[string]bool
+	waiting map[*waiter]bool
 	// next is closed when the pending crashes have been broadcast; current, nil if there
 	// is none, when the broadcast under way has been.
 	next, current chan struct{}
@@ -101,8 +117,10 @@
 type Message struct {
 	// From is the sender's incarnation ID.
 	From string
-	// Crashes are the crashes that the sender knows.
+	// Crashes are the crashes that the sender knows, by the requests that ran there, and Parts by
+	// the parts of their prompts.
 	Crashes []retry.Crash
+	Parts   []crashparts.Crash
 }
 
 // New returns an empty tracker and registers its service.
@@ -128,7 +146,11 @@
 		wake:    make(chan struct{}, 1),
 		next:    make(chan struct{}),
 		core:    retry.NewSuspects(o.Limit()),
+		parts:   crashparts.New(),
+		limited: map[string]bool{},
+		waiting: map[*waiter]bool{},
 	}
+	t.kept = newKeptCrashes(t)
 	return t, o.Registrar.Register(ServiceName, &service{t})
 }
 
@@ -153,7 +175,8 @@
 	}
 	t.crashes.Inc()
 	if t.apply([]retry.Crash{c}) {
-		t.queueBroadcast([]retry.Crash{c})
+		t.queueBroadcast([]retry.Crash{c}, nil)
+		t.kept.add([]retry.Crash{c}, nil)
 	}
 	t.awaitBroadcast()
 }
@@ -162,7 +185,7 @@
 func (t *Tracker) awaitBroadcast() {
 	t.mu.Lock()
 	round := t.current
-	if len(t.pending) > 0 {
+	if len(t.pending)+len(t.pendingParts) > 0 {
 		round = t.next
 	}
 	t.mu.Unlock()
@@ -183,7 +206,8 @@
 	changed := t.core.Completed(fingerprint)
 	t.mu.Unlock()
 	if len(changed) > 0 {
-		t.queueBroadcast(changed)
+		t.queueBroadcast(changed, nil)
+		t.kept.add(changed, nil)
 	}
 }
 
@@ -225,21 +249,26 @@
 	}
 }
 
-func (t *Tracker) queueBroadcast(crashes []retry.Crash) {
+func (t *Tracker) queueBroadcast(crashes []retry.Crash, parts []crashparts.Crash) {
 	t.mu.Lock()
-	t.pending = append(t.pending, crashes...)
-	if extra := len(t.pending) - maxPending; extra > 0 {
-		t.pending = t.pending[extra:]
-	}
+	t.pending = newest(append(t.pending, crashes...))
+	t.pendingParts = newest(append(t.pendingParts, parts...))
 	t.mu.Unlock()
 	duty.Wake(t.wake)
 }
 
+// newest returns the last maxPending elements.
+func newest[T any](list []T) []T { return list[max(0, len(list)-maxPending):] }
+
 // Run starts the tracker's goroutines.
 func (t *Tracker) Run(g *duty.Group) {
 	g.Go(t.broadcastLoop)
 	g.Go(t.pullLoop)
 	g.Go(t.expireLoop)
+	if t.opt.Log != nil {
+		g.Go(t.kept.follow)
+		g.Go(t.kept.write)
+	}
 }
 
 // broadcastLoop broadcasts new crashes to all live daemons. Crashes are rare, so the
@@ -259,22 +288,23 @@
 		if rounds.Wait(ctx) != nil {
 			return
 		}
-		crashes, done := t.beginRound()
-		if len(crashes) > 0 {
-			t.broadcast(ctx, &calls, crashes)
+		message, done := t.beginRound()
+		if len(message.Crashes)+len(message.Parts) > 0 {
+			t.broadcast(ctx, &calls, message)
 		}
 		t.endRound(done)
 	}
 }
 
 // beginRound takes the pending crashes.
-func (t *Tracker) beginRound() ([]retry.Crash, chan struct{}) {
+func (t *Tracker) beginRound() (*Message, chan struct{}) {
+	self := t.opt.View.Self()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	crashes := t.pending
-	t.pending = nil
+	message := &Message{From: self.ID(), Crashes: t.pending, Parts: t.pendingParts}
+	t.pending, t.pendingParts = nil, nil
 	t.current, t.next = t.next, make(chan struct{})
-	return crashes, t.current
+	return message, t.current
 }
 
 func (t *Tracker) endRound(done chan struct{}) {
@@ -285,9 +315,8 @@
 }
 
 // broadcast returns when all others have received the crashes, or after BroadcastWait.
-func (t *Tracker) broadcast(ctx context.Context, calls *sync.WaitGroup, crashes []retry.Crash) {
+func (t *Tracker) broadcast(ctx context.Context, calls *sync.WaitGroup, message *Message) {
 	self := t.opt.View.Self()
-	message := &Message{From: self.ID(), Crashes: crashes}
 	var round sync.WaitGroup
 	for _, m := range t.opt.View.Members() {
 		if m.Host == self.Host {
@@ -330,6 +359,7 @@
 		var reply Message
 		if t.call(ctx, from.PeerAddress, allMethod, &Message{From: self.ID()}, &reply) {
 			t.apply(reply.Crashes)
+			t.applyParts(reply.Parts)
 			wait = repullEvery
 		}
 	}
@@ -351,7 +381,9 @@
 	for duty.Pause(ctx, expireEvery) {
 		t.mu.Lock()
 		t.core.Expire(t.opt.Clock().UnixMilli())
+		t.parts.Expire(t.opt.Clock().UnixMilli())
 		t.mu.Unlock()
+		t.kept.expire()
 	}
 }
 
@@ -364,6 +396,7 @@
 // them broadcasts them to all.
 func (s *service) Tell(m *Message, _ *Message) error {
 	s.tracker.apply(m.Crashes)
+	s.tracker.applyParts(m.Parts)
 	return nil
 }
 
@@ -372,6 +405,6 @@
 	s.tracker.mu.Lock()
 	defer s.tracker.mu.Unlock()
 	reply.From = s.tracker.opt.View.Self().ID()
-	reply.Crashes = s.tracker.core.Crashes()
+	reply.Crashes, reply.Parts = s.tracker.core.Crashes(), s.tracker.parts.Crashes()
 	return nil
 }
--- a/daemon/suspects/suspects_test.go
+++ b/daemon/suspects/suspects_test.go
@@ -14,6 +14,7 @@
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects"
+	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/peer"
 )
 
@@ -51,14 +52,16 @@
 func (v view) Members() []membership.Member { return v.fleet.all() }
 
 // startDaemon serves a tracker on a loopback port of its own.
-func startDaemon(f *fleet, host string) *suspects.Tracker {
+func startDaemon(f *fleet, host string) *suspects.Tracker { return startDaemonWithLog(f, host, nil) }
+
+func startDaemonWithLog(f *fleet, host string, log partlog.Log) *suspects.Tracker {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	self := f.add(membership.Member{Host: host, Incarnation: 1, PeerAddress: listener.Addr().String()})
 	server, client := peer.NewServer(peer.ServerOptions{}), peer.NewClient(peer.ClientOptions{})
 	tracker, err := suspects.New(suspects.Options{
 		View: view{fleet: f, self: self}, Peer: client, Registrar: server,
-		Limit: func() int { return 2 }, BroadcastWait: time.Minute,
+		Limit: func() int { return 2 }, BroadcastWait: time.Minute, Log: log, Topic: "crashes",
 	})
 	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = server.Serve(listener) }()
