Prompt parts: refuse requests whose part crashes targets

platform reads the prompt's parts; the relay asks for the verdict on arrival, before the quota and the queue, before each attempt, after a wait for a slot, and while an attempt's answer has not begun. A request whose part is a suspect in two crashes runs alone, one at a time for each daemon, and is not sent again after a crash unless answers with the part were seen before. Of the connections that break with a target, all wait until the crash is reported. Items with a refused part wait until they may be given up for their age, as no result other than that would be true.

A fake tracker takes the place of the one in daemon/jobs that knew no verdicts.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -49,8 +49,9 @@
 	Groups partlog.Groups
 	Wire   relay.Wire
 	Topics jobs.Topics
-	// HostsTopic is the topic through which the daemons find each other.
-	HostsTopic string
+	// HostsTopic is the topic through which the daemons find each other, CrashesTopic that of the
+	// crashes of targets.
+	HostsTopic, CrashesTopic string
 	// Decode decodes a configuration; see ConfigurationOptions.
 	Decode func(written []byte) (*route.Table, error)
 }
@@ -115,7 +116,8 @@
 	n.hosts.readsLog, n.hosts.leaderFleetSize = n.Feed.ReadsLog, n.Places.LeaderFleetSize
 	var err error
 	n.suspects, err = suspects.New(suspects.Options{
-		View: n.hosts, Peer: n.peers, Registrar: n.peerServer, Limit: func() int { return crashLimit }, Logger: logger, Metrics: set,
+		View: n.hosts, Peer: n.peers, Registrar: n.peerServer, Limit: func() int { return crashLimit },
+		Log: a.Log, Topic: a.CrashesTopic, Logger: logger, Metrics: set,
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/jobs/fakes_test.go
+++ b/daemon/jobs/fakes_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/board"
-	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/daemon/jobs"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
@@ -192,13 +191,6 @@
 	return l.Log.Newest(ctx, p, after)
 }
 
-// noSuspects considers every request clear.
-type noSuspects struct{}
-
-func (noSuspects) Verdict(string) retry.Verdict { return retry.Clear }
-func (noSuspects) Crashed(retry.Crash)          {}
-func (noSuspects) Completed(string)             {}
-
 // noPartitions assigns no partitions.
 type noPartitions struct{ *fakepartlog.Log }
 
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -27,6 +27,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
 	"tarragonhollow.example/tarragonhollow/daemon/relay/fakewire"
+	"tarragonhollow.example/tarragonhollow/daemon/suspects/fakesuspects"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
 	"tarragonhollow.example/tarragonhollow/target/h1"
@@ -161,7 +162,7 @@
 		j := jobs.New(jobs.Options{
 			LargeZone: func() bool { return holder != "" }, CanHoldPartitions: func() bool { return name == holder }, Holders: holders,
 			Host: name, Zone: "z", Log: reached, Groups: groups, ListPeers: func() []places.Peer { return peers.list(name) }, Peers: peers, Address: peers.address, FleetSize: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
-			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashDetector(noSuspects{}, pool), KeepFor: time.Hour, PacedReturn: pacedReturn, Logger: logger, Metrics: metrics.NewSet(),
+			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashDetector(fakesuspects.New(2), pool), KeepFor: time.Hour, PacedReturn: pacedReturn, Logger: logger, Metrics: metrics.NewSet(),
 		})
 		Expect(j.Register(peers.registrar(name))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/jobs/versionfakes_test.go
+++ b/daemon/jobs/versionfakes_test.go
@@ -23,6 +23,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/daemon/relay"
 	"tarragonhollow.example/tarragonhollow/daemon/relay/fakewire"
+	"tarragonhollow.example/tarragonhollow/daemon/suspects/fakesuspects"
 	"tarragonhollow.example/tarragonhollow/extern/partlog"
 	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
 	"tarragonhollow.example/tarragonhollow/target/h1"
@@ -131,7 +132,7 @@
 		Host: name, Zone: "z", Log: f.log, Groups: allPartitions{f.log}, Peers: peers, Address: peers.address,
 		ListPeers: func() []places.Peer { return nil }, FleetSize: func() int { return 1 }, Topics: topics, Parts: 4,
 		Routes: func() *route.Table { return table }, Places: h.view, Pool: pool, Wire: fakewire.Wire{},
-		Crashes: relay.NewCrashDetector(noSuspects{}, pool), KeepFor: time.Hour, Logger: f.logger, Metrics: metrics.NewSet(),
+		Crashes: relay.NewCrashDetector(fakesuspects.New(2), pool), KeepFor: time.Hour, Logger: f.logger, Metrics: metrics.NewSet(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	group := duty.NewGroup(ctx)
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -182,6 +182,9 @@
 // can be retried or reported as failed.
 func (s *requestState) forwardWhole(ctx context.Context, t roster.Target, answer *h1.Answer) attemptResult {
 	s.noteFirstByte()
+	if answer.Status == http.StatusOK {
+		s.noteAnswering(false)
+	}
 	var body []byte
 	buffer := make([]byte, readSize)
 	for {
@@ -216,6 +219,9 @@
 		s.delivery.sendFailure()
 		return attemptResult{done: true, health: routing.SoftFailed}
 	}
+	if answer.Status == http.StatusOK {
+		s.noteAnswering(true)
+	}
 	s.delivery.sendWhole(whole)
 	return attemptResult{done: true, health: routing.Succeeded}
 }
@@ -303,6 +309,7 @@
 	if !s.delivery.endsWith(answer, s.mayRetry()) {
 		return attemptResult{reached: true, detail: "the rest ended with its connection", health: routing.Neutral}
 	}
+	s.noteAnswering(true)
 	s.delivery.finish(answer)
 	return attemptResult{done: true, health: routing.Succeeded}
 }
@@ -353,6 +360,7 @@
 		forwarded = true
 	}
 	if forwarded {
+		s.noteAnswering(false)
 		return s.delivery.flush()
 	}
 	return nil
--- a/daemon/relay/fakewire/fakewire.go
+++ b/daemon/relay/fakewire/fakewire.go
@@ -44,6 +44,12 @@
 	}
 }
 
+// PromptParts implements relay.Wire: a header lists the parts.
+func (Wire) PromptParts(header http.Header) []string {
+	parts := header.Values("Part")
+	return parts[:max(0, len(parts)-1)]
+}
+
 // Matches implements relay.Wire.
 func (Wire) Matches(id string, status int, header http.Header) h1.Match {
 	switch got := header.Get("Id"); {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -110,6 +110,9 @@
 // serveWithQuota serves the request if its account's quota allows it. The request counts
 // once, however many targets it is sent to, and not at all if none ran it.
 func (s *requestState) serveWithQuota(ctx context.Context) Result {
+	if refusal := s.refuseOnArrival(ctx); refusal != nil {
+		return s.refuse(refusal)
+	}
 	token, refusal := s.relay.Quotas.Take(ctx, s.request.Account)
 	if refusal != nil {
 		return s.refuse(refusal)
@@ -156,6 +159,9 @@
 	// on after it left a silent target, nil if none is held.
 	watch *silenceWatch
 	next  *places.Slot
+	// parts is what the prompt has to do with crashes, running the current attempt.
+	parts   promptParts
+	running *Running
 	// answer is what the current attempt received, failure what the one received whose error
 	// answer the delivery keeps.
 	answer, failure answerSeen
@@ -169,6 +175,7 @@
 // serve makes attempts until one ends the request.
 func (s *requestState) serve(ctx context.Context) Result {
 	defer s.releaseNext()
+	defer s.endLimit()
 	if refusal := s.findOrigin(ctx); refusal != nil {
 		return s.refuse(refusal)
 	}
@@ -176,10 +183,16 @@
 		if refusal := s.checkQuarantine(ctx); refusal != nil {
 			return s.refuse(refusal)
 		}
+		if refusal := s.checkParts(ctx); refusal != nil {
+			return s.refuse(refusal)
+		}
 		if s.stream.bound && s.stream.version == "" {
 			return s.refuse(unknownVersion())
 		}
 		slot, refusal := s.nextSlot(ctx)
+		if refusal != nil && s.decidePartsNow() {
+			return s.refuse(partRefused())
+		}
 		if refusal != nil && refusal.Code == outcome.Cancelled {
 			return s.endEarly(ctx)
 		}
@@ -254,10 +267,13 @@
 	defer stop()
 	s.watch = s.watchSilence(ctx, cancel, slot)
 	defer func() { s.next = s.watch.replacement() }()
-	s.relay.Crashes.Watch(ctx, slot.Target, s.fingerprint, func() bool {
+	s.running = &Running{ID: s.request.ID, Fingerprint: s.fingerprint, Parts: s.parts.ids}
+	defer s.endWhenRefused(cancel)()
+	crashed := s.relay.Crashes.Watch(ctx, slot.Target, s.running, func() bool {
 		result = s.attempt(ctx, slot.Target)
 		return result.broken
 	})
+	s.noteAttemptEnd(crashed, result)
 	if context.Cause(ctx) == errTargetRestarted {
 		s.noteRestart(slot.Target)
 	}
--- a/daemon/relay/request.go
+++ b/daemon/relay/request.go
@@ -66,6 +66,9 @@
 	Matches(id string, status int, header http.Header) h1.Match
 	// Classify returns the verdict that an answer's head implies.
 	Classify(status int, header http.Header) Verdict
+	// PromptParts returns the IDs of the parts of a request's prompt that other requests may share,
+	// from its header: all but the last one.
+	PromptParts(header http.Header) []string
 	// Identity determines whether a connection leads to the target's start, nil if targets like
 	// this one state no start.
 	Identity(t roster.Target) *h1.Identity
--- a/daemon/relay/requestlog.go
+++ b/daemon/relay/requestlog.go
@@ -106,6 +106,7 @@
 	if state.stream.bound {
 		fields = append(fields, state.versionFields()...)
 	}
+	fields = append(fields, state.partFields()...)
 	if result.Refusal != nil {
 		fields = append(fields, zap.String("run", string(result.Refusal.Run)), zap.Int64("retry_after_ms", result.Refusal.RetryAfterMs),
 			zap.String("reason", result.Refusal.Message))
--- a/daemon/relay/slot.go
+++ b/daemon/relay/slot.go
@@ -42,11 +42,17 @@
 
 // acquireSlot acquires a slot at a target that may run the request.
 func (s *requestState) acquireSlot(ctx context.Context) (places.Slot, *outcome.Refusal) {
-	slot, refusal := s.relay.Places.Acquire(ctx, s.placesRequest())
+	var slot places.Slot
+	var refusal *outcome.Refusal
+	s.waitForSlot(ctx, func(ctx context.Context) { slot, refusal = s.relay.Places.Acquire(ctx, s.placesRequest()) })
 	if refusal != nil {
 		return slot, refusal
 	}
-	if refusal := s.checkVersion(slot.Target); refusal != nil {
+	refusal = s.checkVersion(slot.Target)
+	if refusal == nil && s.decidePartsNow() {
+		refusal = partRefused()
+	}
+	if refusal != nil {
 		s.relay.Places.Release(slot, routing.Neutral, 0)
 		return places.Slot{}, refusal
 	}
