--- a/core/crashparts/evidence.go
+++ b/core/crashparts/evidence.go
@@ -51,7 +51,7 @@
 type Evidence struct {
 	crashes []record
 	// suspects are the parts that are not cleared of some crash, with the crashes.
-	suspects map[string]crashSet
+	suspects map[string]*suspect
 	// repeated are the suspects with repeatedCrashes or more.
 	repeated []string
 	// answered are the parts with which answers began here; see wasAnswered.
@@ -62,7 +62,7 @@
 
 // New returns an Evidence without crashes.
 func New() *Evidence {
-	return &Evidence{suspects: map[string]crashSet{}, answered: map[string]bool{}, probes: map[string]int64{}}
+	return &Evidence{suspects: map[string]*suspect{}, answered: map[string]bool{}, probes: map[string]int64{}}
 }
 
 // Apply applies a report of a crash, received now, and reports whether anything in it was new.
@@ -187,7 +187,7 @@
 
 // Suspected reports whether any of the parts is not cleared of some crash.
 func (e *Evidence) Suspected(parts []string) bool {
-	return slices.ContainsFunc(parts, func(part string) bool { return len(e.suspects[part]) > 0 })
+	return slices.ContainsFunc(parts, func(part string) bool { return e.suspects[part] != nil })
 }
 
 // Expire deletes the crashes that have been known for longer than Retention.
@@ -224,7 +224,7 @@
 	for i, r := range e.crashes {
 		weight := 0
 		for _, part := range r.Parts {
-			weight = max(weight, len(e.suspects[part]))
+			weight = max(weight, e.suspects[part].count)
 		}
 		if least < 0 || weight < least {
 			least, at = weight, i
--- a/core/crashparts/probe.go
+++ b/core/crashparts/probe.go
@@ -25,12 +25,12 @@
 // the part still crashes targets. At most one may per time and daemon. rank is this daemon's place
 // in an order of all daemons for the part, so that they don't all try at once.
 func (e *Evidence) Probe(nowMs int64, part string, rank int) bool {
-	crashes := e.suspects[part]
-	if len(crashes) == 0 {
+	s := e.suspects[part]
+	if s == nil {
 		return false
 	}
-	wait := e.probeWait(part, crashes)
-	due := e.lastReceived(crashes) + (wait + time.Duration(rank)*probeStagger).Milliseconds()
+	wait := e.probeWait(part, s.crashes)
+	due := s.lastReceivedMs + (wait + time.Duration(rank)*probeStagger).Milliseconds()
 	if last, probed := e.probes[part]; probed {
 		due = max(due, last+wait.Milliseconds())
 	}
@@ -60,8 +60,10 @@
 // crash before.
 func (e *Evidence) failedProbes(crashes crashSet) int {
 	var at []int64
-	for _, i := range crashes {
-		at = append(at, e.crashes[i].AtMs)
+	for i, r := range e.crashes {
+		if crashes.has(i) {
+			at = append(at, r.AtMs)
+		}
 	}
 	slices.Sort(at)
 	failed := 0
--- a/core/crashparts/verdict.go
+++ b/core/crashparts/verdict.go
@@ -52,20 +52,24 @@
 	Answered bool
 }
 
-// crashSet holds ascending indices of Evidence.crashes.
-type crashSet []int
-
 // evaluate determines the suspects.
 func (e *Evidence) evaluate() {
 	clear(e.suspects)
 	for i, r := range e.crashes {
 		for _, part := range r.Parts {
-			e.suspects[part] = append(e.suspects[part], i)
+			s := e.suspects[part]
+			if s == nil {
+				s = &suspect{}
+				e.suspects[part] = s
+			}
+			s.crashes.add(i)
+			s.count++
+			s.lastReceivedMs = max(s.lastReceivedMs, r.receivedMs)
 		}
 	}
 	e.repeated = e.repeated[:0]
-	for part, crashes := range e.suspects {
-		if len(crashes) >= repeatedCrashes {
+	for part, s := range e.suspects {
+		if s.count >= repeatedCrashes {
 			e.repeated = append(e.repeated, part)
 		}
 	}
@@ -75,7 +79,7 @@
 func (e *Evidence) Decide(nowMs int64, parts []string) Decision {
 	worst := Decision{}
 	for _, part := range parts {
-		if len(e.suspects[part]) == 0 {
+		if e.suspects[part] == nil {
 			continue
 		}
 		if d := e.decideOn(nowMs, part, parts); d.Verdict > worst.Verdict {
@@ -87,13 +91,13 @@
 
 // decideOn returns the decision on a request because of one of its parts.
 func (e *Evidence) decideOn(nowMs int64, part string, parts []string) Decision {
-	crashes := e.suspects[part]
-	age := time.Duration(max(0, nowMs-e.lastReceived(crashes))) * time.Millisecond
-	d := Decision{Verdict: Limited, Part: part, Crashes: len(crashes), Age: age, Answered: e.wasAnswered(part)}
+	s := e.suspects[part]
+	age := time.Duration(max(0, nowMs-s.lastReceivedMs)) * time.Millisecond
+	d := Decision{Verdict: Limited, Part: part, Crashes: s.count, Age: age, Answered: e.wasAnswered(part)}
 	switch {
-	case len(crashes) < repeatedCrashes:
+	case s.count < repeatedCrashes:
 		d.Verdict = Suspect
-	case len(crashes) < refusedCrashes || e.explained(crashes, parts):
+	case s.count < refusedCrashes || e.explained(s.crashes, parts):
 	case age < ReportWindow:
 		d.Verdict = Pending
 	default:
@@ -109,45 +113,13 @@
 // with the shared part, but without the other one, is not refused: its answer clears the shared
 // part.
 func (e *Evidence) explained(crashes crashSet, parts []string) bool {
-	var others []crashSet
+	others := make([]crashSet, 0, len(e.repeated))
 	for _, other := range e.repeated {
 		if !slices.Contains(parts, other) {
-			others = append(others, e.suspects[other])
-		}
-	}
-	return coverable(crashes, others, maxExplanation)
-}
-
-// coverable reports whether at most n of the sets hold all of the crashes between them.
-func coverable(crashes crashSet, sets []crashSet, n int) bool {
-	if len(crashes) == 0 {
-		return true
-	}
-	if n == 0 {
-		return false
-	}
-	return slices.ContainsFunc(sets, func(set crashSet) bool {
-		return slices.Contains(set, crashes[0]) && coverable(crashes.without(set), sets, n-1)
-	})
-}
-
-func (s crashSet) without(other crashSet) crashSet {
-	var rest crashSet
-	for _, i := range s {
-		if !slices.Contains(other, i) {
-			rest = append(rest, i)
+			others = append(others, e.suspects[other].crashes)
 		}
 	}
-	return rest
-}
-
-// lastReceived returns when the last of the crashes was received.
-func (e *Evidence) lastReceived(crashes crashSet) int64 {
-	last := e.crashes[crashes[0]].receivedMs
-	for _, i := range crashes {
-		last = max(last, e.crashes[i].receivedMs)
-	}
-	return last
+	return crashes.coverable(others, maxExplanation)
 }
 
 // Basis is what the verdict on a part rests on, for logs.
@@ -161,8 +133,11 @@
 // BasisOf returns what the verdict on a part rests on.
 func (e *Evidence) BasisOf(part string) Basis {
 	b := Basis{Part: part}
-	for _, i := range e.suspects[part] {
-		r := e.crashes[i]
+	s := e.suspects[part]
+	for i, r := range e.crashes {
+		if s == nil || !s.crashes.has(i) {
+			continue
+		}
 		b.Targets = append(b.Targets, r.Target)
 		b.Requests = append(b.Requests, r.Requests...)
 		for _, cleared := range r.Cleared {
@@ -177,8 +152,8 @@
 // RefusedParts returns the parts with which requests that hold no other suspect are refused.
 func (e *Evidence) RefusedParts() []string {
 	var list []string
-	for part, crashes := range e.suspects {
-		if len(crashes) >= refusedCrashes && !e.explained(crashes, []string{part}) {
+	for part, s := range e.suspects {
+		if s.count >= refusedCrashes && !e.explained(s.crashes, []string{part}) {
 			list = append(list, part)
 		}
 	}
