relay: check that the slot for which a target was left still fits the stream

A silent target is left for a slot that was sought for the state of the stream at the beginning of the wait. An event of the target may arrive between the choice of the slot and the end of the attempt. If it is the first one, it binds the stream to the target's version, and the stream went on at the slot's target whatever its version; if it has no ID, there is no position to go on from, and the next target would repeat it. Callers could receive a stream joined from two versions, or an event twice.

The slot is now used only if the request may still be repeated and the target has the stream's version. Otherwise it is released, its retry refunded, and the failure decided on as any other.

Before: both cases of TestDoesNotUseASlotThatNoLongerFitsTheStream fail ("the slot would be used", "the slot was not released: [b]"). After: they pass, with all of daemon/relay. The race itself was not brought about.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -296,10 +296,11 @@
 	if s.rejections > maxRejections && !duty.Pause(ctx, retry.Backoff(s.rejections, rand.Float64())) {
 		return s.endEarly(ctx), true
 	}
-	if s.next != nil { // the decision was made before the silent target was left
+	if s.nextFits() { // the decision was made before the silent target was left
 		s.relay.meter.retries.Inc()
 		return Result{}, false
 	}
+	s.releaseNext()
 	for {
 		decision := s.decideRetry(failed)
 		if decision.Refusal != nil {
--- a/daemon/relay/slot.go
+++ b/daemon/relay/slot.go
@@ -58,6 +58,13 @@
 	return s.delivery.headSent && time.Now().Before(s.callerStaysUntil())
 }
 
+// nextFits reports whether a slot is held at which the request may go on. An event that arrived
+// while the silent target was left may have bound the stream to another version, or have left no
+// position to go on from.
+func (s *requestState) nextFits() bool {
+	return s.next != nil && s.repeatable() && s.checkVersion(s.next.Target) == nil
+}
+
 // releaseNext gives up the slot that is held for a next attempt that is not made.
 func (s *requestState) releaseNext() {
 	if s.next == nil {
