relay: end the wait for a slot when the caller's wait ends

A begun stream that no target takes is tried again while its caller waits. The last pause, of up to 750 ms, could end long after that, and the stream was cut off late by as much: callers that had stopped waiting held their request and its memory, and a try was made for nobody.

The pause now ends with the caller's wait at the latest.

--- a/daemon/relay/slot.go
+++ b/daemon/relay/slot.go
@@ -34,7 +34,8 @@
 			return slot, refusal
 		}
 		s.lastFailure = refusal.Message
-		if !duty.Pause(ctx, retry.Backoff(slotBackoffStep+tries, rand.Float64())) {
+		pause := min(retry.Backoff(slotBackoffStep+tries, rand.Float64()), time.Until(s.callerStaysUntil()))
+		if !duty.Pause(ctx, pause) {
 			return places.Slot{}, outcome.Refuse(outcome.Cancelled, "%s", refusal.Message)
 		}
 	}
