Close connections with a part of a request that does not go on at the limit

A connection from which one byte of a request was read was never closed for a new one. On a kept-alive connection net/http waits for the fourth byte until the idle timeout of a minute, so callers that send up to three bytes, such as a line end after a body, kept their connections. When all connections at the limit were such, Accept waited with each new one, and other callers were not served.

A part of a request now protects its connection for 3 s after the last byte, as in a shutdown. Bytes that wait in the kernel protect it until they are read.

Before: both entries of "closes a connection with a part of a request that does not go on" fail (i/o timeout of the second caller after 10 s). After: they pass, as does the package with -race. With the protection taken out, "does not close a connection whose request is being read" fails.

--- a/callerconns/evict.go
+++ b/callerconns/evict.go
@@ -72,8 +72,8 @@
 
 // evictableLocked returns a connection that may be closed for a new one, marked as closing: the
 // one that has been idle the longest after a response, or else the oldest one on which nothing
-// was sent. If there is none it returns the time after which there may be one, 0 if no
-// connection is idle.
+// was sent; one with a part of a request only if that does not go on. If there is none it returns
+// the time after which there may be one, 0 if no connection is idle.
 func (l *Listener) evictableLocked(now time.Time) (conn *stallConn, next time.Duration) {
 	conn, keptNext := firstEvictable(l.kept, now, minKeptIdle)
 	if conn != nil {
@@ -86,43 +86,49 @@
 	return conn, next
 }
 
-// firstEvictable returns the first connection of the list that was idle for the given time,
-// marked as closing. If there is none it returns the time until one may have been.
-func firstEvictable(idle *list.List, now time.Time, minIdle time.Duration) (*stallConn, time.Duration) {
+// firstEvictable returns the first connection of the list that was idle for the given time, or
+// for partialTime with a part of a request, marked as closing. If there is none it returns the
+// time until one may have been.
+func firstEvictable(idle *list.List, now time.Time, minIdle time.Duration) (conn *stallConn, next time.Duration) {
 	for e := idle.Front(); e != nil; e = e.Next() {
 		conn := e.Value.(*stallConn)
-		switch left := conn.idleLeft(now, minIdle); {
-		case left < 0: // its request is being read
-		case left > 0:
-			return nil, left // the connections behind it became idle later
-		case conn.markClosingIfIdle():
-			return conn, 0
+		left, begun := conn.idleLeft(now, minIdle)
+		if left == 0 {
+			if conn.markClosingIfIdle(now) {
+				return conn, 0
+			}
+			left, begun = partialTime, true
+		}
+		if next == 0 || left < next {
+			next = left
+		}
+		if !begun {
+			return nil, next // the connections behind it became idle later
 		}
 	}
-	return nil, 0
+	return nil, next
 }
 
-// idleLeft returns how much of minIdle the connection still has to be idle, or -1 if its request
-// is being read.
-func (c *stallConn) idleLeft(now time.Time, minIdle time.Duration) time.Duration {
+// idleLeft returns how much longer the connection must be idle to be closed for a new one, and
+// whether its request is being read.
+func (c *stallConn) idleLeft(now time.Time, minIdle time.Duration) (left time.Duration, begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.requestBegun {
-		return -1
+		minIdle = partialTime
 	}
-	return max(0, c.usedAt.Add(minIdle).Sub(now))
+	return max(0, c.usedAt.Add(minIdle).Sub(now)), c.requestBegun
 }
 
-// markClosingIfIdle marks the connection as closing unless a byte of a request was read or waits
-// to be read.
+// markClosingIfIdle marks the connection as closing unless bytes wait to be read.
 //
 // Failure guarded against: a request that has arrived would be closed on if this process is too
 // busy to have read it. Bytes that arrive later are discarded unread; see Read.
-func (c *stallConn) markClosingIfIdle() bool {
+func (c *stallConn) markClosingIfIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requestBegun || hasUnread(c.Conn) {
-		c.requestBegun = true // looked up once for each request
+	if hasUnread(c.Conn) {
+		c.requestBegun, c.usedAt = true, now // looked up once in partialTime
 		return false
 	}
 	c.closing = true
--- a/callerconns/eviction_test.go
+++ b/callerconns/eviction_test.go
@@ -90,6 +90,24 @@
 		Entry("on a kept-alive connection", true),
 	)
 
+	// Guards against callers that send up to three bytes and no more: on a kept-alive connection
+	// net/http waits for the fourth until the idle timeout, and at the limit no other caller would
+	// be accepted meanwhile.
+	DescribeTable("closes a connection with a part of a request that does not go on", func(keptAlive bool) {
+		serve(1)
+		stale := dial("")
+		if keptAlive {
+			send(stale, wholeRequest)
+			readAnswer(stale)
+		}
+		send(stale, wholeRequest[:2])
+		readAnswer(dial(wholeRequest))
+		expectClosed(stale)
+	},
+		Entry("on a new connection", false),
+		Entry("on a kept-alive connection", true),
+	)
+
 	// Guards against closing a connection that a caller has just opened: its request may be on
 	// the way.
 	It("closes a kept-alive connection rather than one that was just opened", func() {
--- a/callerconns/graceful.go
+++ b/callerconns/graceful.go
@@ -12,7 +12,7 @@
 	// shutdown closes it; a shorter grace takes precedence.
 	unusedTime = 500 * time.Millisecond
 	// partialTime is how long no byte must have been read from a connection with a part of a
-	// request before a shutdown closes it.
+	// request before a shutdown closes it, or a new connection at the limit.
 	partialTime = 3 * time.Second
 	// unusedPoll is the interval between checks for such connections.
 	unusedPoll = 10 * time.Millisecond
--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -32,8 +32,9 @@
 //
 // Failure guarded against: thousands of connections without a request (from a caller's
 // leaking pool, or an attack) would lock out all other callers until the idle timeout.
-// A connection whose request is being read or runs is never closed, so no request is
-// interrupted; one that becomes idle wakes a waiting Accept.
+// A connection whose request is being read or runs is not closed, so no request is
+// interrupted; one that becomes idle wakes a waiting Accept. A part of a request protects its
+// connection for partialTime after the last byte.
 type Listener struct {
 	net.Listener
 	// Unhandled, if not nil, must be set before the first Accept. It needs a handler that
