relay: test that the search for another target ends with the silence

With the cancellation of a wait taken out of silenceWatch.begin, a search went on after its target had sent the next event, and ended the run as soon as some other target had a free slot. Callers still got whole streams, so that no spec of daemon/relay showed it, except for one that fails now and then for another reason; but work was lost, and each such run counts for max_attempts.

The new spec makes a second target ready only after the first one has gone on, and expects one run. With the cancellation taken out it fails; on the code as it is it passed in 3 of 3 runs with -race. No code changes.

--- a/daemon/relay/silent_test.go
+++ b/daemon/relay/silent_test.go
@@ -226,6 +226,36 @@
 		Entry("a whole answer of the only target", route.Idempotent, "", 1),
 	)
 
+	// A search that goes on after its wait would end a run whose target has gone on: its work is
+	// lost, and the stream has one run less.
+	It("does not leave a target that has gone on before another one is ready", func() {
+		f := newSilentFixture(route.Stream)
+		f.request.Route.GapObjective = time.Second // a pause on a busy machine is no silence
+		var goneOn atomic.Bool
+		f.start(2, func(_ int, _ *rawtarget.Request, c net.Conn) {
+			rawtarget.Write(c, streamHead()+events(0, 0))
+			time.Sleep(silence)
+			rawtarget.Write(c, events(1, 1))
+			goneOn.Store(true)
+			for i := range 10 {
+				time.Sleep(150 * time.Millisecond)
+				rawtarget.Write(c, events(2+i, 2+i))
+			}
+			rawtarget.Write(c, rawtarget.LastChunk)
+		})
+		both := f.list
+		f.list = both[:1]
+		f.announce()
+		go func() {
+			defer GinkgoRecover()
+			Eventually(goneOn.Load).WithTimeout(timeout).Should(BeTrue())
+			f.list = both
+			f.announce()
+		}()
+		Expect(f.serveAll(1, plain(span(0, 11)...))).To(Equal(tally{whole: 1}))
+		Expect(f.sent()).To(HaveLen(1))
+	})
+
 	// No other target is ready while the caller waits, and it leaves during the silence.
 	It("ends when its caller leaves a silent target", func() {
 		f := newSilentFixture(route.Stream)
