relay: a comment does not show that a stream goes on

A framed stream that goes on at targets whose answers have no framing is complete where two of them end behind the same event, or the last one ends there. A comment counted as an event that follows: a target that sent one before its end, to keep the connection alive, undid the first end and marked it as early. The caller had the whole stream and saw it broken off.

Only events with data or an ID now show that more follows.

Before: the entry "another connection ends there too, behind a comment" of "takes the end of a connection for the end of a framed stream unless more follows" fails (aborted: true in place of false). After: all 10 entries pass.

--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -143,7 +143,9 @@
 		return err
 	}
 	d.position.forwarded(e)
-	d.moreFollows()
+	if e.HasData || e.ID >= 0 { // a comment shows nothing
+		d.moreFollows()
+	}
 	d.events++
 	d.lastEventAt = time.Now()
 	return nil
--- a/daemon/relay/stream_test.go
+++ b/daemon/relay/stream_test.go
@@ -497,6 +497,7 @@
 		Entry("another target confirms it", streamHead()+rawtarget.LastChunk, true, all(0, 3)),
 		Entry("another target has the rest", streamHead()+events(4, 5)+rawtarget.LastChunk, true, all(0, 5)),
 		Entry("another connection ends there too", unframedHead(), true, all(0, 3)),
+		Entry("another connection ends there too, behind a comment", unframedHead()+": c\n\n", true, all(0, 3)+": c\n\n"),
 		Entry("another connection ends there too, with the last event again", unframedHead()+all(3, 3), true, all(0, 3)),
 		Entry("another connection ends behind a part of the next event", unframedHead()+"id: 4\nda", false, all(0, 3)),
 		Entry("another connection ends behind an event after a gap", unframedHead()+all(5, 5), false, all(0, 3)),
