--- a/daemon/relay/begun_test.go
+++ b/daemon/relay/begun_test.go
@@ -62,6 +62,28 @@
 		Expect(len(f.sent())).To(BeNumerically("<", 12), "rejections are not spaced out")
 	})
 
+	// Many streams' targets crash at once, and those that are to go on reject them for longer than the
+	// caller's last half second. Guards against streams that are cut off since rejections, which cost no
+	// target a run, have spent the retry budget.
+	It("goes on when a target takes it again, however many others were rejected", func() {
+		f := newSilentFixture(route.Stream)
+		const streams = 15
+		var freeAt atomic.Pointer[time.Time]
+		f.start(7, func(_ int, r *rawtarget.Request, c net.Conn) {
+			at := time.Now().Add(2 * moment)
+			switch {
+			case !resumed(r):
+				freeAt.CompareAndSwap(nil, &at)
+				breakOff(c)
+			case time.Now().Before(*freeAt.Load()):
+				reject(c)
+			default:
+				rawtarget.Write(c, streamHead()+events(2, 3)+rawtarget.LastChunk)
+			}
+		})
+		Expect(f.serveAll(streams, whole)).To(Equal(tally{whole: streams}))
+	})
+
 	// Its target crashes while the daemon knows no target, or none of the stream's version.
 	DescribeTable("goes on when a target is known again",
 		func(change func(f *silentFixture)) {
