--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -333,17 +333,6 @@
 	}
 }
 
-// tryElsewhere lets a begun stream try another target after one that did not run it. The retry budget
-// bounds runs, and this was none.
-func (s *requestState) tryElsewhere(ctx context.Context) (Result, bool) {
-	pause := min(retry.Backoff(slotBackoffStep+s.rejections, rand.Float64()), time.Until(s.callerStaysUntil()))
-	if !duty.Pause(ctx, pause) {
-		return s.endEarly(ctx), true
-	}
-	s.relay.meter.retries.Inc()
-	return Result{}, false
-}
-
 // decideRetry returns the decision on a failed attempt, which may spend the retry budget.
 func (s *requestState) decideRetry(failed attemptResult) retry.Decision {
 	return s.relay.decide(retry.Situation{
--- a/daemon/relay/slot.go
+++ b/daemon/relay/slot.go
@@ -65,6 +65,17 @@
 	return s.delivery.headSent && time.Now().Before(s.callerStaysUntil())
 }
 
+// tryElsewhere lets a begun stream try another target after one that did not run it. The retry budget
+// bounds runs, and this was none.
+func (s *requestState) tryElsewhere(ctx context.Context) (Result, bool) {
+	pause := min(retry.Backoff(slotBackoffStep+s.rejections, rand.Float64()), time.Until(s.callerStaysUntil()))
+	if !duty.Pause(ctx, pause) {
+		return s.endEarly(ctx), true
+	}
+	s.relay.meter.retries.Inc()
+	return Result{}, false
+}
+
 // nextFits reports whether a slot is held at which the request may go on. An event that arrived
 // while the silent target was left may have bound the stream to another version, or have left no
 // position to go on from.
