Prompt parts: probes of one zone at a time

The zones are now ordered for each part too, 5 s apart, which is longer than a crash takes to arrive through the log.

The spec "are probed by one zone at a time" states it: 1 probe of 4 zones after a minute, none in the next 4 s, then one. On the code before it does not compile (the option is new); by its code all four would have probed.

--- a/core/crashparts/crashparts_test.go
+++ b/core/crashparts/crashparts_test.go
@@ -137,7 +137,7 @@
 		}
 		Expect(e.Decide(1000, []string{"p"}).Answered).To(BeTrue())
 		Expect(e.Probe(1900, "p", 0)).To(BeFalse())
-		Expect(e.Probe(2000, "p", 1)).To(BeFalse())
+		Expect(e.Probe(2000, "p", time.Second)).To(BeFalse())
 		Expect(e.Probe(2000, "p", 0)).To(BeTrue())
 	})
 
--- a/core/crashparts/fleet_test.go
+++ b/core/crashparts/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/crashparts"
 )
@@ -80,7 +81,7 @@
 	}
 	d := s.hosts[host].Decide(s.now, parts)
 	switch {
-	case d.Verdict >= crashparts.Pending && !s.hosts[host].Probe(s.now, d.Part, host):
+	case d.Verdict >= crashparts.Pending && !s.hosts[host].Probe(s.now, d.Part, time.Duration(host)*500*time.Millisecond):
 		return
 	case d.Verdict == crashparts.Limited && s.limited[host][d.Part]:
 		return
--- a/core/crashparts/probe.go
+++ b/core/crashparts/probe.go
@@ -14,23 +14,21 @@
 	firstProbe           = 2 * time.Second
 	firstProbeUnanswered = time.Minute
 	probeGrowth          = 10
-	// probeStagger is the time between the probes of two daemons.
-	probeStagger = 500 * time.Millisecond
 	// probeGap is the time between two crashes from which on the second one is taken for that of a
 	// probe.
 	probeGap = time.Second
 )
 
 // Probe reports whether a request that is refused because of the part may run to find out whether
-// the part still crashes targets. At most one may per time and daemon. rank is this daemon's place
-// in an order of all daemons for the part, so that they don't all try at once.
-func (e *Evidence) Probe(nowMs int64, part string, rank int) bool {
+// the part still crashes targets. At most one may per time and daemon. delay is how much later than
+// the first daemon this one may try, so that they don't all try at once.
+func (e *Evidence) Probe(nowMs int64, part string, delay time.Duration) bool {
 	s := e.suspects[part]
 	if s == nil {
 		return false
 	}
 	wait := e.probeWait(part, s.crashes)
-	due := s.lastReceivedMs + (wait + time.Duration(rank)*probeStagger).Milliseconds()
+	due := s.lastReceivedMs + (wait + delay).Milliseconds()
 	if last, probed := e.probes[part]; probed {
 		due = max(due, last+wait.Milliseconds())
 	}
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -117,7 +117,7 @@
 	var err error
 	n.suspects, err = suspects.New(suspects.Options{
 		View: n.hosts, Peer: n.peers, Registrar: n.peerServer, Limit: func() int { return crashLimit },
-		Log: a.Log, Topic: a.CrashesTopic, Logger: logger, Metrics: set,
+		Zones: s.Zones, Log: a.Log, Topic: a.CrashesTopic, Logger: logger, Metrics: set,
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/suspects/parts.go
+++ b/daemon/suspects/parts.go
@@ -1,7 +1,6 @@
 package suspects
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -11,6 +10,13 @@
 	"tarragonhollow.example/tarragonhollow/core/crashparts"
 )
 
+const (
+	// zoneStagger is the time between the probes of two zones, which may learn of a crash only
+	// through the log, hostStagger that between the probes of two daemons of a zone.
+	zoneStagger = 5 * time.Second
+	hostStagger = 500 * time.Millisecond
+)
+
 // waiter is called once when a request with its parts is refused.
 type waiter struct {
 	parts   []string
@@ -151,12 +157,12 @@
 // Probe reports whether a request that is refused because of the part may run; see
 // crashparts.Evidence.Probe.
 func (t *Tracker) Probe(part string) bool {
-	rank := t.rank(part)
+	delay := t.probeDelay(part)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	allowed := t.parts.Probe(t.opt.Clock().UnixMilli(), part, rank)
+	allowed := t.parts.Probe(t.opt.Clock().UnixMilli(), part, delay)
 	if allowed {
-		t.opt.Logger.Warn("part_probed", zap.String("part", part), zap.Int("rank", rank))
+		t.opt.Logger.Warn("part_probed", zap.String("part", part), zap.Int64("delay_ms", delay.Milliseconds()))
 	}
 	return allowed
 }
@@ -168,15 +174,24 @@
 	t.parts.CancelProbe(part)
 }
 
-// rank returns this daemon's place in the order of all daemons for a part (rendezvous hashing).
-func (t *Tracker) rank(part string) int {
-	self := t.opt.View.Self().Host
-	order := func(host string) uint64 { return xxhash.Sum64String(host + "\x00" + part) }
-	rank := 0
+// probeDelay returns how much later than the first daemon this one may probe a part. The order of
+// the zones, and of the daemons within each, is drawn for each part (rendezvous hashing): in a large
+// fleet most daemons know only those of their own zone.
+func (t *Tracker) probeDelay(part string) time.Duration {
+	self := t.opt.View.Self()
+	before := func(other, own string) bool {
+		return xxhash.Sum64String(other+"\x00"+part) < xxhash.Sum64String(own+"\x00"+part)
+	}
+	delay := time.Duration(0)
+	for _, zone := range t.opt.Zones {
+		if zone != self.Zone && before(zone, self.Zone) {
+			delay += zoneStagger
+		}
+	}
 	for _, m := range t.opt.View.Members() {
-		if m.Host != self && cmp.Compare(order(m.Host), order(self)) < 0 {
-			rank++
+		if m.Host != self.Host && m.Zone == self.Zone && before(m.Host, self.Host) {
+			delay += hostStagger
 		}
 	}
-	return rank
+	return delay
 }
--- a/daemon/suspects/parts_test.go
+++ b/daemon/suspects/parts_test.go
@@ -8,9 +8,11 @@
 	. "github.com/onsi/gomega"
 
 	"tarragonhollow.example/tarragonhollow/core/crashparts"
+	"tarragonhollow.example/tarragonhollow/core/membership"
 	"tarragonhollow.example/tarragonhollow/core/retry"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects"
 	"tarragonhollow.example/tarragonhollow/extern/partlog/fakepartlog"
+	"tarragonhollow.example/tarragonhollow/peer"
 )
 
 var _ = Describe("Prompt parts that crash targets", func() {
@@ -96,6 +98,37 @@
 		Eventually(refused).WithTimeout(wait).Should(BeClosed())
 	})
 
+	// Most daemons of a large fleet know only those of their own zone. Guards against a probe in each
+	// zone at the same time, each of which costs a target.
+	It("are probed by one zone at a time", func() {
+		clock := time.Now()
+		zones := []string{"z1", "z2", "z3", "z4"}
+		var trackers []*suspects.Tracker
+		for _, zone := range zones {
+			t, err := suspects.New(suspects.Options{
+				View: view{fleet: &fleet{members: []membership.Member{{Host: "h-" + zone, Zone: zone}}}}, Zones: zones,
+				Peer: peer.NewClient(peer.ClientOptions{}), Registrar: peer.NewServer(peer.ServerOptions{}), Limit: func() int { return 2 }, Clock: func() time.Time { return clock },
+			})
+			Expect(err).NotTo(HaveOccurred())
+			for target := 1; target <= 3; target++ {
+				crash(t, target, "bad")
+			}
+			trackers = append(trackers, t)
+		}
+		probes := func(after time.Duration) (n int) {
+			clock = clock.Add(after)
+			for _, t := range trackers {
+				if t.Probe("bad") {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(probes(time.Minute)).To(Equal(1))
+		Expect(probes(4 * time.Second)).To(Equal(0))
+		Expect(probes(time.Second)).To(Equal(1))
+	})
+
 	It("let one request at a time run that may crash its target", func() {
 		t := startDaemon(&fleet{}, "a")
 		release, ok := t.Limit("p")
--- a/daemon/suspects/suspects.go
+++ b/daemon/suspects/suspects.go
@@ -70,6 +70,8 @@
 	BroadcastWait time.Duration
 	// Clock returns the time; default time.Now.
 	Clock func() time.Time
+	// Zones are all availability zones; nil for one.
+	Zones []string
 	// Log and Topic are where crashes are kept for daemons that other daemons don't reach; Log may
 	// be nil.
 	Log   partlog.Log
