Limit new connections while a daemon waits for the processor

Callers saw: when most new connections of a zone went to one daemon, requests that it had read were refused late or got no answer until their deadlines. Cause: nothing between accepting and reading depends on the processor, so a daemon with a small share of one reads several times as many requests as it can finish, and all of them, in each of their steps, wait behind each other.

Change: the listener measures how long a new goroutine waits for a processor, every 10 ms while connections arrive. If the shortest wait of each 0.1 s stays at 10 ms or more for 0.3 s, the rate of new connections is limited, lowered while this lasts and raised afterwards, and lifted when for a second nothing was refused and the process was not saturated. Connections above the limit are reset unread, at once, so that callers can try another daemon. Kept connections are not limited, readiness is not touched, listeners without the counter admit all. The log has connections_limited, the metrics a counter.

--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -25,6 +25,9 @@
 	// Evicted counts idle connections closed in favour of new ones, Stalled writes that
 	// timed out.
 	Evicted, Stalled *metrics.Counter
+	// Refused counts new connections that were reset because the process is saturated. If it is nil,
+	// all connections are admitted.
+	Refused *metrics.Counter
 }
 
 // Listener bounds the number of open connections. At the limit it closes an idle connection to
@@ -39,15 +42,18 @@
 	// Unhandled, if not nil, must be set before the first Accept. It needs a handler that
 	// ResetUnlessCompleted wraps.
 	Unhandled Unhandled
-	// Unanswered, WriteFailed and Delayed, if not nil, must be set before the first Accept. They
+	// Unanswered, WriteFailed, Delayed and Limited, if not nil, must be set before the first Accept. They
 	// must not block. Delayed is called when a connection has waited longer than reportedDelay
-	// because none could be closed for it.
+	// because none could be closed for it, Limited when the saturated process begins to limit new
+	// connections and when it ends, with the number of those refused in between.
 	Unanswered   func(Unanswered)
 	WriteFailed  func(caller net.Addr, err error)
 	Delayed      func(caller net.Addr, waited time.Duration)
+	Limited      func(begins bool, refused int)
 	writeTimeout time.Duration
 	evicted      *metrics.Counter
 	stalled      *metrics.Counter
+	refused      *metrics.Counter
 
 	mu        sync.Mutex
 	slotFreed *sync.Cond
@@ -61,6 +67,10 @@
 	// queued holds the connections that were in the kernel's accept queue when listening
 	// ended.
 	queued []net.Conn
+	// admission is used by Accept only, and refusedNow, which counts the connections refused since
+	// the limit began.
+	admission  admission
+	refusedNow int
 }
 
 // New wraps inner: at most maxOpen connections are open, and a write that the caller
@@ -70,6 +80,7 @@
 	l := &Listener{
 		Listener: inner, writeTimeout: writeTimeout, evicted: m.Evicted, stalled: m.Stalled, maxOpen: maxOpen,
 		open: make(map[net.Conn]*list.Element), kept: list.New(), unused: list.New(),
+		admission: admission{wait: processorWait, measuredAt: time.Now()}, refused: m.Refused,
 	}
 	l.slotFreed = sync.NewCond(&l.mu)
 	return l
@@ -80,10 +91,10 @@
 // for a request to end it already holds the new connection, so at most maxOpen+1 are
 // open.
 func (l *Listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
+	inner, err := l.acceptAdmitted()
 	for sockets.LocalFailure(err) && l.evictOne() {
 		time.Sleep(closeTime)
-		inner, err = l.Listener.Accept()
+		inner, err = l.acceptAdmitted()
 	}
 	if err != nil {
 		queued, ok := l.takeQueued()
@@ -105,6 +116,39 @@
 	return conn, nil
 }
 
+// acceptAdmitted accepts a connection and resets those that the saturated process does not admit.
+//
+// Failure guarded against: a process that reads more requests than it can finish delays all of
+// them until their callers leave. A caller whose connection is reset with its request unread
+// can send it to another daemon.
+func (l *Listener) acceptAdmitted() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil || l.refused == nil || l.admits() {
+			return inner, err
+		}
+		l.refused.Inc()
+		l.refusedNow++
+		if tcp, ok := inner.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on a closed connection
+		}
+		_ = inner.Close()
+	}
+}
+
+// admits reports whether a connection that was just accepted is admitted.
+func (l *Listener) admits() bool {
+	limited := l.admission.rate > 0
+	admitted := l.admission.admit(time.Now())
+	if begins := l.admission.rate > 0; begins != limited {
+		if l.Limited != nil {
+			l.Limited(begins, l.refusedNow)
+		}
+		l.refusedNow = 0
+	}
+	return admitted
+}
+
 // Close stops accepting connections. Further calls do nothing: http.Server's Shutdown
 // closes its listener too unless its accept loop has already ended.
 func (l *Listener) Close() error {
--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -46,6 +46,7 @@
 	listener := callerconns.New(inner, limit, writeStallTimeout, callerconns.Metrics{
 		Evicted: n.Metrics.GetOrCreateCounter("tarragonhollow_http_idle_connections_evicted_total"),
 		Stalled: n.Metrics.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
+		Refused: n.Metrics.GetOrCreateCounter("tarragonhollow_http_connections_refused_saturated_total"),
 	})
 	listener.Unhandled = n.logUnhandled
 	listener.Unanswered = n.logUnanswered
@@ -54,6 +55,9 @@
 		n.Logger.Warn("connection_delayed", zap.Stringer("caller_address", caller), zap.Int64("ms", waited.Milliseconds()),
 			zap.Int("limit", limit))
 	}
+	listener.Limited = func(begins bool, refused int) {
+		n.Logger.Warn("connections_limited", zap.Bool("begins", begins), zap.Int("refused", refused))
+	}
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
 	server := n.newServer(callerconns.ResetUnlessCompleted(n.closing(handler)))
 	server.ConnState = listener.Track
