relay: a silent target is left for a busy one after 1.6 s

A busy target may turn the request away, so a target that may still be sound is not left for one. 0.4 s of the 2 s that callers wait remain.

--- a/daemon/relay/silence.go
+++ b/daemon/relay/silence.go
@@ -21,9 +21,10 @@
 	// searchBackoffStep is the step of retry.Backoff at which the pauses of a search begin, with
 	// 80 ms: a target that is only slow often goes on within that time.
 	searchBackoffStep = 4
-	// queueAfter is the silence after which a request also queues at a busy target: sound
-	// targets are silent for about a second, and callers leave after minSilence.
-	queueAfter = 1400 * time.Millisecond
+	// queueAfter is the silence after which a request also queues at a busy target, which may turn it
+	// away: sound targets are silent for a second or so, up to 1.5 s, and callers leave after
+	// minSilence.
+	queueAfter = 1600 * time.Millisecond
 )
 
 // silenceWatch watches one attempt for silence of its target, and ends it once another target
