--- a/review/standins/accused.go
+++ b/review/standins/accused.go
@@ -7,12 +7,11 @@
 	"time"
 )
 
-// Sizes and times of the case. The workers are those of the language model of isarwerk-plan: 18 of
-// 8 slots. Three of them crash at once, a share of 0.167 of them (the site's largest is 0.2), and are
-// back after 4.5 s (5.1 s).
+// Sizes and times of the case. The drawing-reading model runs on about twenty workers of 8 slots. Four
+// of them crash at once, a share of 0.2 (the largest of isarwerk-plan), and are back after 4.5 s (5.1 s).
 const (
-	accusedDaemons, accusedWorkers = 4, 18
-	accusedCrashes                 = 3
+	accusedDaemons, accusedWorkers = 4, 20
+	accusedCrashes                 = 4
 	accusedDownTime                = 4500 * time.Millisecond
 	// settledAfter is how long after the crash the results are judged: finish_s is 18, runs that
 	// failed in the last 20 s would excuse an item, and the last 5 s must be calm.
@@ -43,18 +42,27 @@
 		return notRun(r, err)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	if err := f.submit("job-1", []item{newItem("item-1", "abc1"), newItem("item-2", "abc1"), newItem("item-3", "abc1")}); err != nil {
+	if err := f.submit("job-1", newItems("item-", "abc1")); err != nil {
 		return notRun(r, err)
 	}
 	if err := f.crashUnder("item-", trouble); err != nil {
 		return notRun(r, err)
 	}
 	crashed := time.Now()
-	if err := f.submit("job-2", []item{newItem("other-1", "def2"), newItem("other-2", "def2"), newItem("other-3", "def2")}); err != nil {
+	if err := f.submit("job-2", newItems("other-", "def2")); err != nil {
 		return notRun(r, err)
 	}
 	time.Sleep(time.Until(crashed.Add(settledAfter)))
-	return f.judge("job-1", 3, "job-2", 3)
+	return f.judge("job-1", "job-2")
+}
+
+// newItems returns an item for each worker that will crash; their prompts share a part.
+func newItems(prefix, shared string) []item {
+	var items []item
+	for i := range accusedCrashes {
+		items = append(items, newItem(fmt.Sprint(prefix, i), shared))
+	}
+	return items
 }
 
 func notRun(r *record, err error) int {
@@ -82,7 +90,7 @@
 			return err
 		}
 	}
-	if err := f.awaitReady(20 * time.Second); err != nil {
+	if err := f.awaitReady(30 * time.Second); err != nil {
 		return err
 	}
 	time.Sleep(4 * time.Second) // the partitions are assigned, and taken over
@@ -136,7 +144,7 @@
 
 // judge applies the rule: each item of an open job is listed, unless in the last calmTime a worker
 // had one, or something was finished.
-func (f *fleet) judge(jobs ...any) int {
+func (f *fleet) judge(jobs ...string) int {
 	now, busy := time.Now(), false
 	for _, s := range f.observed() {
 		busy = busy || now.Sub(s.at) < calmTime
@@ -146,14 +154,13 @@
 		return exitHeld
 	}
 	missing := 0
-	for i := 0; i < len(jobs); i += 2 {
-		job, total := jobs[i].(string), jobs[i+1].(int)
+	for _, job := range jobs {
 		for _, d := range f.daemons {
 			list, err := f.results(d, job)
 			if err != nil {
 				return notRun(f.record, err)
 			}
-			missing = max(missing, total-len(list))
+			missing = max(missing, accusedCrashes-len(list))
 		}
 	}
 	if missing > 0 {
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -205,13 +205,25 @@
 	return append([]step(nil), f.steps...)
 }
 
+// firstPort and lastPort bound the ports of daemons: below those that the system gives to outgoing
+// connections, one of which could take a port before its daemon listens.
+const firstPort, lastPort = 12000, 30000
+
+// nextPort is the next port to try; it differs between runs.
+var nextPort = firstPort + os.Getpid()*7%(lastPort-firstPort)
+
+// freeAddress returns a loopback address without a listener.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		if nextPort++; nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprint("127.0.0.1:", nextPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no port is free")
 }
 
 // settingsTemplate is deploy/settings.ini with the values of a small deployment.
