--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -9,7 +9,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standins store|worker|falsely-accused [flags]")
+		fmt.Fprintln(os.Stderr, "usage: standins store|worker|falsely-accused|leaving-workers [flags]")
 		os.Exit(exitNotRun)
 	}
 	command, args := os.Args[1], os.Args[2:]
@@ -18,6 +18,8 @@
 		runStore(args)
 	case "worker":
 		runWorker(args)
+	case "leaving-workers":
+		os.Exit(leavingWorkers())
 	case "falsely-accused":
 		os.Exit(falselyAccused())
 	default:
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -10,7 +10,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -37,8 +40,11 @@
 	id, address, service, zone, store string
 	prefill, pause                    time.Duration
 	events                            int
+	// unframed answers have neither a length nor chunks and end with their connection.
+	unframed bool
 
 	admitted, running chan struct{}
+	draining          atomic.Bool
 }
 
 // runWorker serves until the process is ended. It prints its address and then one line for each
@@ -54,6 +60,8 @@
 	flags.DurationVar(&w.prefill, "prefill", 50*time.Millisecond, "time to the first event")
 	flags.DurationVar(&w.pause, "pause", 15*time.Millisecond, "time between two events")
 	flags.IntVar(&w.events, "events", 100, "events of an answer")
+	flags.BoolVar(&w.unframed, "unframed", false, "answers end with their connection")
+	drain := flags.Duration("drain", 2*time.Second, "least time between the report of draining and the exit")
 	_ = flags.Parse(args) // exits on an error
 	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
@@ -63,6 +71,7 @@
 	w.address = listener.Addr().String()
 	fmt.Println(w.address)
 	go w.heartbeat()
+	go w.leaveOnSignal(*drain)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", func(rw http.ResponseWriter, _ *http.Request) {
 		answer(rw, map[string]any{"stage": "mixed", "models": []any{}, "waiting": 0, "running": len(w.running)})
@@ -77,17 +86,46 @@
 // heartbeat keeps the worker's entry in the store.
 func (w *worker) heartbeat() {
 	for seq := 1; ; seq++ {
-		entry, _ := json.Marshal(map[string]any{ // plain values
-			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": workerSlots,
-			"state": "ready", "cold_left_ms": 0, "seq": seq,
-		})
-		if err := put(w.store, topicServers, w.id, entry); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-		}
+		w.report(seq)
 		time.Sleep(beat)
 	}
 }
 
+// report writes the worker's entry.
+func (w *worker) report(seq int) {
+	state := "ready"
+	if w.draining.Load() {
+		state = "draining"
+	}
+	entry, _ := json.Marshal(map[string]any{ // plain values
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": workerSlots,
+		"state": state, "cold_left_ms": 0, "seq": seq,
+	})
+	if err := put(w.store, topicServers, w.id, entry); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
+// leaveOnSignal leaves as planned at SIGTERM: it reports draining, serves on for the given time, lets
+// what runs end, removes its entry and exits.
+func (w *worker) leaveOnSignal(drain time.Duration) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	<-signals
+	w.draining.Store(true)
+	w.report(0)
+	fmt.Println("draining -")
+	time.Sleep(drain)
+	if err := put(w.store, topicServers, w.id, nil); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	for len(w.admitted) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	fmt.Println("exits -")
+	os.Exit(0)
+}
+
 // put writes one keyed record.
 func put(store, topic, key string, value []byte) error {
 	record := append(append([]byte{byte(len(key))}, key...), value...)
@@ -127,7 +165,11 @@
 		return
 	}
 	defer func() { <-w.running }()
-	if w.stream(rw, r, id) {
+	send := w.stream
+	if w.unframed {
+		send = w.streamUnframed
+	}
+	if send(rw, r, id) {
 		fmt.Println("finished", id)
 	} else {
 		fmt.Println("dropped", id)
@@ -163,5 +205,29 @@
 	return true
 }
 
+// streamUnframed is stream without chunks: the answer ends with its connection, which is closed in
+// order after the last event.
+func (w *worker) streamUnframed(rw http.ResponseWriter, _ *http.Request, id string) bool {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	head := "HTTP/1.1 200 OK\r\n" + headerRequestID + ": " + id + "\r\n" + headerStamp + ": " + w.id + "." + id +
+		"\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	wait := w.prefill
+	for n := range w.events {
+		time.Sleep(wait)
+		if n == 0 {
+			fmt.Println("began", id)
+		}
+		if _, err := fmt.Fprintf(conn, "%sid: %d\ndata: %s\n\n", head, n, eventData(id, n)); err != nil {
+			return false
+		}
+		head, wait = "", w.pause
+	}
+	return true
+}
+
 // eventData is the data of one event: the same at each worker.
 func eventData(id string, n int) string { return id + "-" + strconv.Itoa(n) }
