--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -164,21 +164,28 @@
 }
 
 func (f *fleet) startStore() error {
-	_, address, err := f.startListening("store", func(string) {}, "store")
-	f.store = address
+	at, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	_, f.store, err = f.startListening("store", func(string) {}, "store", "-address", at)
 	return err
 }
 
 // startWorker starts a worker's process: a new incarnation with a new ID, at the address that it
 // had before if there was one.
 func (f *fleet) startWorker(w *workerProcess, args ...string) error {
+	if w.address == "" {
+		at, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		w.address = at
+	}
 	w.starts++
 	w.id = fmt.Sprintf("%s.%d", w.name, w.starts)
 	id := w.id
-	args = append([]string{"worker", "-id", id, "-store", f.store}, args...)
-	if w.address != "" {
-		args = append(args, "-address", w.address)
-	}
+	args = append([]string{"worker", "-id", id, "-store", f.store, "-address", w.address}, args...)
 	c, address, err := f.startListening(w.name, func(line string) { f.observe(id, line) }, args...)
 	w.process, w.address = c, address
 	f.note("worker %s starts at %s", id, address)
@@ -205,12 +212,13 @@
 	return append([]step(nil), f.steps...)
 }
 
-// firstPort and lastPort bound the ports of daemons: below those that the system gives to outgoing
-// connections, one of which could take a port before its daemon listens.
-const firstPort, lastPort = 12000, 30000
+// firstPort and lastPort bound the ports that processes listen at: below those that the system gives to
+// outgoing connections, one of which could take a port before its process listens, or while it is down.
+// Each run has a block of portsOfRun to begin with.
+const firstPort, lastPort, portsOfRun = 12000, 30000, 150
 
-// nextPort is the next port to try; it differs between runs.
-var nextPort = firstPort + os.Getpid()*7%(lastPort-firstPort)
+// nextPort is the next port to try.
+var nextPort = firstPort + os.Getpid()%((lastPort-firstPort)/portsOfRun)*portsOfRun
 
 // freeAddress returns a loopback address without a listener.
 func freeAddress() (string, error) {
