relay, jobs: the last unframed answer of a target that leaves in order is complete

Cause: an answer without framing was complete only if its target's process still existed 0.1 s after the end of the connection. A target that leaves in order exits as soon as its last answer is out. What it had announced before, by its entry, was not looked at, and the end counted as a crash: of the request ("this request crashed the targets that ran it"), of the parts of its prompt, against the target's health and the retry budget, and for items.

Change: the roster keeps since when, at the earliest, each target has announced its leave, by "draining" or by the removal of its entry; one that lapses after three silent heartbeat intervals announces nothing. Daemons of large zones get that for the targets at which their work runs. If a target is gone behind a whole answer, the end counts as orderly if the time for which it still serves is over, the connection ended right behind its last bytes (the kernel's clock, and the wait for the end), and no other exchange with it broke off at the same time. A request that may run again asks another target, without a retry of the budget; others complete. The line answer_end_unconfirmed has all inputs.

The opposite fault: a target that is killed while it must still serve, after its entry lapsed, paused and killed, or with other answers under way is cut off as before (specs). What can't be told apart is a target killed past its time, right behind a whole event of its only answer here. There it falls to "complete": orderly ends are the rule there, and a caller that may not ask again has no use for a whole answer that is reset.

--- a/core/retry/decide.go
+++ b/core/retry/decide.go
@@ -29,6 +29,9 @@
 	Rejected bool
 	// Busy: the target refused because it is overloaded.
 	Busy bool
+	// Left: the target left in order behind its answer. That is no failure, so the retry, which
+	// only confirms the answer's end, does not count against the budget.
+	Left bool
 	// Detail is text for the message to the caller.
 	Detail string
 }
@@ -84,7 +87,7 @@
 		return refuse(failedCode(s.Failure), run, s.Failure.Detail, RetryAfterMs)
 	case s.Now.Add(backoff).After(s.Deadline):
 		return refuse(outcome.DeadlineExceeded, run, s.Failure.Detail, 0)
-	case b.Take(s.Now):
+	case s.Failure.Left || b.Take(s.Now):
 		return Decision{Backoff: backoff}
 	case s.Now.Add(MaxBackoff).Before(s.WaitUntil):
 		return Decision{Backoff: jitter(budgetPause, s.Random), Undecided: true}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -63,9 +63,14 @@
 	vanished map[string]string
 	// deferred holds the entries of earlier starts, with the moment at which they are
 	// applied after all.
-	deferred   map[string]pendingChange
-	lastAnswer time.Time
-	graceEnds  time.Time
+	deferred map[string]pendingChange
+	// departures holds, by ID, the targets that drain or were removed, and writtenAfter the time
+	// after which each entry was last written.
+	departures   map[string]Departure
+	writtenAfter map[string]time.Time
+	// lastAnswer is when the store last answered, previousAnswer when it had answered before.
+	lastAnswer, previousAnswer time.Time
+	graceEnds                  time.Time
 	// loadedAt is when all entries were last replaced at once.
 	loadedAt time.Time
 	// seen holds the versions, by group, of all entries that were applied since Versions was
@@ -90,7 +95,8 @@
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{entries: map[string]Target{}, expired: map[string]pendingChange{}, deferred: map[string]pendingChange{},
-		vanished: map[string]string{}, seen: map[string]map[string]bool{}}
+		vanished: map[string]string{}, seen: map[string]map[string]bool{},
+		departures: map[string]Departure{}, writtenAfter: map[string]time.Time{}}
 }
 
 // StoreAnswered records an answer of the store. Call it before Set, Remove, Invalidate
@@ -101,7 +107,7 @@
 		clear(r.vanished)
 		r.version++
 	}
-	r.lastAnswer = now
+	r.previousAnswer, r.lastAnswer = r.lastAnswer, now
 }
 
 // Set applies an entry.
@@ -122,6 +128,7 @@
 		}
 		return
 	}
+	r.noteEntry(t)
 	_, expired := r.expired[t.ID]
 	_, deferred := r.deferred[t.ID]
 	if had && known == t && !expired && !deferred {
@@ -150,6 +157,7 @@
 		return
 	}
 	delete(r.entries, id)
+	r.noteRemoval(now, t)
 	r.version++
 	if now.Before(r.graceEnds) && !t.Draining {
 		r.expired[id] = pendingChange{t, r.graceEnds}
@@ -165,6 +173,8 @@
 	delete(r.entries, id)
 	delete(r.expired, id)
 	delete(r.deferred, id)
+	delete(r.departures, id)
+	delete(r.writtenAfter, id)
 }
 
 // Replace applies all entries at once, as read after a gap in the changes. invalid lists
@@ -204,6 +214,7 @@
 	clear(r.expired)
 	clear(r.deferred)
 	clear(r.vanished)
+	clear(r.writtenAfter)
 	r.lastAnswer, r.loadedAt, r.adopted = at, at, true
 	r.sampled = !complete
 	r.version++
--- a/daemon/feed/feed.go
+++ b/daemon/feed/feed.go
@@ -64,6 +64,7 @@
 	Adopt(at time.Time, targets []roster.Target, wholeZone bool)
 	AdoptVersions(at time.Time, several []string, throughout bool)
 	Confirm(at time.Time, started map[string]roster.Start)
+	AdoptDepartures(at time.Time, all map[string]places.SampledDeparture)
 	BusyTargets() []string
 	TargetsAge(now time.Time) (age time.Duration, complete bool)
 	Rebuild()
--- a/daemon/feed/feed_test.go
+++ b/daemon/feed/feed_test.go
@@ -34,12 +34,13 @@
 func (t *fakeTargets) Sample(string, bool, []string) (places.Sample, bool) {
 	return places.Sample{}, true
 }
-func (t *fakeTargets) TargetsChanged() <-chan struct{}                         { return nil }
-func (t *fakeTargets) Adopt(time.Time, []roster.Target, bool)                  {}
-func (t *fakeTargets) Confirm(time.Time, map[string]roster.Start)              {}
-func (t *fakeTargets) BusyTargets() []string                                   { return nil }
-func (t *fakeTargets) TargetsAge(time.Time) (age time.Duration, complete bool) { return 0, true }
-func (t *fakeTargets) Rebuild()                                                {}
+func (t *fakeTargets) TargetsChanged() <-chan struct{}                               { return nil }
+func (t *fakeTargets) Adopt(time.Time, []roster.Target, bool)                        {}
+func (t *fakeTargets) Confirm(time.Time, map[string]roster.Start)                    {}
+func (t *fakeTargets) AdoptDepartures(time.Time, map[string]places.SampledDeparture) {}
+func (t *fakeTargets) BusyTargets() []string                                         { return nil }
+func (t *fakeTargets) TargetsAge(time.Time) (age time.Duration, complete bool)       { return 0, true }
+func (t *fakeTargets) Rebuild()                                                      {}
 
 // fakeConfiguration is a configuration that was just confirmed.
 type fakeConfiguration struct{}
--- a/daemon/feed/serve.go
+++ b/daemon/feed/serve.go
@@ -61,6 +61,8 @@
 	Digest       uint64
 	Started      map[string]roster.Start
 	TargetsAgeMs int64
+	// Departures are the announced leaves of the targets at which the subscriber's work runs.
+	Departures map[string]places.SampledDeparture
 	// Total is the number of targets.
 	Total int
 	// Several and VersionsKnown are what is known of the targets' versions; see
@@ -147,6 +149,7 @@
 func (r *ViewReply) setSample(s places.Sample, held uint64) {
 	r.Sampled, r.Digest, r.Started, r.Total, r.TargetsAgeMs = true, digest(s.Targets), s.Started, s.Total, s.Age.Milliseconds()
 	r.Several, r.VersionsKnown = s.Several, s.VersionsKnown
+	r.Departures = s.Departures
 	if r.Digest != held {
 		r.Targets = s.Targets
 	}
--- a/daemon/feed/subscribe.go
+++ b/daemon/feed/subscribe.go
@@ -136,4 +136,5 @@
 	}
 	f.Targets.AdoptVersions(at, reply.Several, reply.VersionsKnown)
 	f.Targets.Confirm(at, reply.Started)
+	f.Targets.AdoptDepartures(repliedAt, reply.Departures)
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -103,7 +103,8 @@
 	n.Configuration = NewConfiguration(ConfigurationOptions{Decode: a.Decode, Peers: n.peers, ListPeers: n.hosts.peers, Logger: logger, Metrics: set})
 	n.Places = places.New(places.Options{
 		Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, Cores: s.Cores, FleetSize: n.hosts.fleetSize, Peers: n.peers,
-		LargeZone:   n.hosts.isLarge,
+		LargeZone: n.hosts.isLarge,
+		Drain:     s.TargetDrain, Heartbeat: s.TargetHeartbeat,
 		Policy:      slots.Policy(s.Scheduling),
 		QuotasInUse: func() bool { return n.accounts().Len() > 0 },
 		Logger:      logger, Metrics: set,
--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -179,13 +179,17 @@
 		return runResult{cause: "another target has the address", delay: rejectedDelay, health: routing.HardFailed}
 	}
 	defer answer.Close()
-	return readAnswer(answer, p, func() { r.answering(run, watched) })
+	return readAnswer(answer, p, func() { r.answering(run, watched) }, func(answer *h1.Answer) error {
+		_, err := relay.EndCheck{Places: r.jobs.Places, Logger: r.jobs.Logger}.Confirm(answer, c.item.ID, run.target)
+		return err
+	})
 }
 
-// readAnswer reads an answer. It calls answering for each part of it that holds events.
-func readAnswer(answer *h1.Answer, p *progress, answering func()) runResult {
+// readAnswer reads an answer. It calls answering for each part of it that holds events, and confirm
+// at its end.
+func readAnswer(answer *h1.Answer, p *progress, answering func(), confirm func(*h1.Answer) error) runResult {
 	if answer.Status == http.StatusOK {
-		return collectEvents(answer, p, answering)
+		return collectEvents(answer, p, answering, confirm)
 	}
 	answer.Drain(failureDelay)
 	return statusResult(answer.Status)
@@ -241,8 +245,8 @@
 }
 
 // endRun returns the result of a run whose answer ended after a whole event.
-func (p *progress) endRun(answer *h1.Answer) runResult {
-	if err := answer.ConfirmEnd(); err != nil {
+func (p *progress) endRun(answer *h1.Answer, confirm func(*h1.Answer) error) runResult {
+	if err := confirm(answer); err != nil {
 		return errorResult(err)
 	}
 	return endResult(p.endsWith(answer.Framing))
@@ -251,7 +255,7 @@
 // collectEvents adds the events of an answer to the progress. The events must be
 // consecutive: a gap, or a run that does not continue where the last one ended, would
 // leave a hole in the text.
-func collectEvents(answer *h1.Answer, p *progress, answering func()) runResult {
+func collectEvents(answer *h1.Answer, p *progress, answering func(), confirm func(*h1.Answer) error) runResult {
 	var events sse.Splitter
 	buffer := make([]byte, itemReadBytes)
 	p.runLast = noEvent
@@ -270,8 +274,9 @@
 		case err == io.EOF && p.runLast == noEvent && !relay.IsEventStream(answer.Header):
 			return runResult{cause: "the answer is no stream of events", delay: failureDelay, health: routing.SoftFailed}
 		case err == io.EOF && len(events.Rest()) == 0 && p.lastEvent != noEvent:
-			return p.endRun(answer)
+			return p.endRun(answer, confirm)
 		case err == io.EOF:
+			answer.NoteBreak()
 			return runResult{cause: "the stream ended within an event", delay: failureDelay, health: routing.SoftFailed}
 		case err != nil:
 			return errorResult(err)
--- a/daemon/jobs/jobs_test.go
+++ b/daemon/jobs/jobs_test.go
@@ -122,6 +122,8 @@
 		logger *zap.Logger
 		// pacedReturn is the daemons' setting.
 		pacedReturn bool
+		// crashes is what all daemons know of crashes.
+		crashes *fakesuspects.Tracker
 	)
 
 	BeforeEach(func() {
@@ -131,6 +133,7 @@
 		reach = map[string]*hostLog{}
 		logger = zap.NewNop()
 		pacedReturn = false
+		crashes = fakesuspects.New(2)
 		log = fakepartlog.New(4)
 		peers = &fakePeers{daemons: map[string]peerService{}}
 		own := answer
@@ -162,7 +165,7 @@
 		j := jobs.New(jobs.Options{
 			LargeZone: func() bool { return holder != "" }, CanHoldPartitions: func() bool { return name == holder }, Holders: holders,
 			Host: name, Zone: "z", Log: reached, Groups: groups, ListPeers: func() []places.Peer { return peers.list(name) }, Peers: peers, Address: peers.address, FleetSize: func() int { return fleet }, Topics: topics, Parts: 4, Routes: func() *route.Table { return table },
-			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashDetector(fakesuspects.New(2), pool), KeepFor: time.Hour, PacedReturn: pacedReturn, Logger: logger, Metrics: metrics.NewSet(),
+			Places: view, Pool: pool, Wire: fakewire.Wire{}, Crashes: relay.NewCrashDetector(crashes, pool), KeepFor: time.Hour, PacedReturn: pacedReturn, Logger: logger, Metrics: metrics.NewSet(),
 		})
 		Expect(j.Register(peers.registrar(name))).To(Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -1195,6 +1198,28 @@
 		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
 	})
 
+	// Guards against an orderly end that counts as a crash of the item, and delays it.
+	It("confirms the text of an item whose target has left in order behind it", func() {
+		a := alone()
+		leaving, err := killabletarget.StartLeaving(rawtarget.Head(200, "Id: j-0")+events(0, 3), events(4, 4))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(leaving.Kill)
+		useTarget(leaving.Address)
+		Expect(submit(a, submission("j", 1))).To(BeNil())
+		Expect(leaving.AwaitAnswer()).To(Succeed())
+		views["a"].Update(func(now time.Time, r *roster.Roster) {
+			r.StoreAnswered(now.Add(-time.Minute))
+			r.StoreAnswered(now)
+			r.Set(now, roster.Target{ID: leaving.Address, Group: "g", Address: leaving.Address, Zone: "z", Version: "v1", Slots: 8, Draining: true})
+			r.Set(now, roster.Target{ID: "t", Group: "g", Address: target.Address, Zone: "z", Version: "v1", Slots: 8})
+		})
+		Expect(leaving.Leave()).To(Succeed())
+		Expect(all(a, "j")[0].Output).To(Equal(output("j-0")))
+		Expect(target.Requests()).To(HaveLen(1))
+		Expect(target.Requests()[0].Header.Get("After")).To(Equal("4"))
+		Expect(crashes.Crashes()).To(BeEmpty())
+	})
+
 	DescribeTable("gives up items that can't succeed, after the allowed attempts",
 		func(status, attempts int) {
 			*script = func(r *rawtarget.Request, c net.Conn) {
--- a/daemon/places/places.go
+++ b/daemon/places/places.go
@@ -3,6 +3,7 @@
 package places
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"sync"
@@ -41,6 +42,9 @@
 	Cores float64
 	// SlotTimeout bounds one call to a leader for a slot; default 40 ms.
 	SlotTimeout time.Duration
+	// Drain is how long targets serve on after they have announced their leave, Heartbeat the
+	// interval at which they write their entries; 0 means DefaultDrain and DefaultHeartbeat.
+	Drain, Heartbeat time.Duration
 	// Policy states which optional parts of the scheduler are in force.
 	Policy slots.Policy
 	Logger *zap.Logger
@@ -57,7 +61,9 @@
 	largeZone func() bool
 	// quotasInUse reports whether account quotas require leaders in a small fleet too.
 	quotasInUse func() bool
-	logger      *zap.Logger
+	// drain and heartbeat are those of the targets; see Options.
+	drain, heartbeat time.Duration
+	logger           *zap.Logger
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -131,6 +137,7 @@
 		o.SlotTimeout = defaultSlotTimeout
 	}
 	p := &Places{
+		drain: cmp.Or(o.Drain, DefaultDrain), heartbeat: cmp.Or(o.Heartbeat, DefaultHeartbeat),
 		self: o.PeerAddress, zone: o.Zone, fleetSize: o.FleetSize, largeZone: o.LargeZone, quotasInUse: o.QuotasInUse, logger: o.Logger,
 		roster: roster.New(), board: board.New(o.Host, o.Zone),
 		groups: map[string]*group{}, eligible: map[roster.Start]roster.Target{}, starts: starts{}, heldBack: map[string]heldBack{},
--- a/daemon/places/sample.go
+++ b/daemon/places/sample.go
@@ -172,6 +172,8 @@
 	Targets []roster.Target
 	// Started holds the current starts of the requested targets, by ID.
 	Started map[string]roster.Start
+	// Departures holds the announced leaves of the requested targets, by ID.
+	Departures map[string]SampledDeparture
 	// Total is the number of usable targets.
 	Total int
 	// Age is the time since the log last confirmed the targets.
@@ -198,6 +200,7 @@
 	now := time.Now()
 	s := Sample{Targets: choose(holder), Started: map[string]roster.Start{}, Total: p.pool.total, Age: p.roster.Age(now)}
 	s.Several, s.VersionsKnown = p.severalVersions(now)
+	s.Departures = p.departures(now, ids)
 	for _, id := range ids {
 		if start := p.roster.CurrentStart(id); start != "" {
 			s.Started[id] = start
--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -70,10 +70,11 @@
 	reached bool
 	// broken reports that the target broke the connection.
 	broken bool
-	// busy reports that the target rejected the request because of load.
-	busy   bool
-	detail string
-	health routing.Outcome
+	// busy reports that the target rejected the request because of load, left that it left in order
+	// right behind its answer.
+	busy, left bool
+	detail     string
+	health     routing.Outcome
 }
 
 // serviceTime returns the time since start for an attempt that succeeded, 0 otherwise.
@@ -125,7 +126,7 @@
 	case s.delivery.headSent && !s.delivery.continues(answer):
 		return rejectRest(t, answer)
 	case s.request.Route.Kind == route.Stream && answer.Status == http.StatusOK:
-		return s.forwardStream(ctx, answer)
+		return s.forwardStream(ctx, t, answer)
 	default:
 		return s.forwardWhole(ctx, t, answer)
 	}
@@ -206,17 +207,21 @@
 	if answer.Status < http.StatusMultipleChoices && answer.Framing != h1.FramedByLength && s.targetTimeOver() {
 		return endedAtDeadline()
 	}
-	if err := answer.ConfirmEnd(); err != nil {
+	left, err := s.confirmEnd(answer, t)
+	if err != nil {
 		return classifyError(ctx, err)
 	}
 	whole := bufferedAnswer{status: answer.Status, header: answer.Header, framing: answer.Framing, body: body}
+	if left && s.mayRetry() {
+		s.keepFallback(whole)
+		return targetLeft(t)
+	}
 	if answer.Status == http.StatusInternalServerError {
-		s.delivery.keepFailure(whole)
-		s.failure = s.answer
+		s.keepFallback(whole)
 		if s.mayRetry() {
 			return attemptResult{reached: true, detail: "failed at " + t.ID, health: routing.SoftFailed}
 		}
-		s.delivery.sendFailure()
+		s.delivery.sendFallback()
 		return attemptResult{done: true, health: routing.SoftFailed}
 	}
 	if answer.Status == http.StatusOK {
@@ -226,6 +231,24 @@
 	return attemptResult{done: true, health: routing.Succeeded}
 }
 
+// keepFallback keeps an answer for the case that no further attempt gives a better one.
+func (s *requestState) keepFallback(a bufferedAnswer) {
+	if s.delivery.keepFallback(a) {
+		s.fallback = s.answer
+	}
+}
+
+// confirmEnd reports whether the answer's end is known, or err otherwise; see EndCheck.
+func (s *requestState) confirmEnd(answer *h1.Answer, t roster.Target) (left bool, err error) {
+	return EndCheck{s.relay.Places, s.relay.Logger}.Confirm(answer, s.request.ID, t)
+}
+
+// targetLeft returns the result of an attempt whose target left in order right behind its answer,
+// where another target may show whether anything was missing.
+func targetLeft(t roster.Target) attemptResult {
+	return attemptResult{reached: true, left: true, detail: t.ID + " left right behind its answer", health: routing.Neutral}
+}
+
 // reserveMemory reserves the memory for n more bytes of an answer. Reservations of failed
 // attempts add up; all are released when the request ends.
 func (r *Request) reserveMemory(n int) *outcome.Refusal {
@@ -265,7 +288,7 @@
 
 // forwardStream forwards complete events as they arrive. If the stream breaks, the delivery
 // is at its last complete event, from which another target can resume.
-func (s *requestState) forwardStream(ctx context.Context, answer *h1.Answer) attemptResult {
+func (s *requestState) forwardStream(ctx context.Context, t roster.Target, answer *h1.Answer) attemptResult {
 	var events sse.Splitter
 	buffer := make([]byte, readSize)
 	s.delivery.position.beginRun()
@@ -283,8 +306,9 @@
 		case forwardErr != nil:
 			return attemptResult{done: true, detail: forwardErr.Error(), health: routing.Neutral}
 		case err == io.EOF && len(events.Rest()) == 0:
-			return s.endStream(ctx, answer)
+			return s.endStream(ctx, t, answer)
 		case err == io.EOF:
+			answer.NoteBreak()
 			return attemptResult{reached: true, detail: "the stream ended within an event", health: routing.SoftFailed}
 		case err != nil:
 			return s.attemptFailed(ctx, err)
@@ -296,16 +320,20 @@
 
 // endStream ends the stream after its target's last event, if the target's end is that of the
 // caller's answer.
-func (s *requestState) endStream(ctx context.Context, answer *h1.Answer) attemptResult {
+func (s *requestState) endStream(ctx context.Context, t roster.Target, answer *h1.Answer) attemptResult {
 	if s.targetTimeOver() {
 		return endedAtDeadline()
 	}
 	if s.delivery.position.runIsBehind() || len(s.held) > 0 {
 		return attemptResult{reached: true, detail: "the stream ended before the caller's last event", health: routing.SoftFailed}
 	}
-	if err := answer.ConfirmEnd(); err != nil {
+	left, err := s.confirmEnd(answer, t)
+	if err != nil {
 		return s.attemptFailed(ctx, err)
 	}
+	if left && s.mayRetry() && s.delivery.firstUnframedEnd() {
+		return targetLeft(t)
+	}
 	if !s.delivery.endsWith(answer, s.mayRetry()) {
 		return attemptResult{reached: true, detail: "the rest ended with its connection", health: routing.Neutral}
 	}
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -50,9 +50,9 @@
 	sent   *countingWriter
 	// lastEventAt is when the last event was written, zero before the first.
 	lastEventAt time.Time
-	// failure is a target's own error answer (500), forwarded if no attempt gives a better
-	// one.
-	failure *bufferedAnswer
+	// fallback is a target's own error answer (500), or one whose end is likely and not certain,
+	// forwarded if no attempt gives a better one.
+	fallback *bufferedAnswer
 }
 
 // bufferedAnswer is an answer that was read whole.
@@ -130,11 +130,18 @@
 	d.complete = err == nil
 }
 
-// keepFailure stores a target's error answer while another attempt is made.
-func (d *delivery) keepFailure(a bufferedAnswer) { d.failure = &a }
+// keepFallback stores an answer while another attempt is made, unless a better one is stored, and
+// reports whether it did.
+func (d *delivery) keepFallback(a bufferedAnswer) bool {
+	if d.fallback != nil && d.fallback.status < http.StatusInternalServerError {
+		return false
+	}
+	d.fallback = &a
+	return true
+}
 
-// sendFailure sends the stored error answer.
-func (d *delivery) sendFailure() { d.sendWhole(*d.failure) }
+// sendFallback sends the stored answer.
+func (d *delivery) sendFallback() { d.sendWhole(*d.fallback) }
 
 // sendEvent sends one event, preceded by the head if it has not been sent.
 func (d *delivery) sendEvent(answer *h1.Answer, e sse.Event) error {
@@ -185,6 +192,14 @@
 	return !mayRetry && !d.endedEarly
 }
 
+// firstUnframedEnd records that a target's stream ended without framing after the last event, and
+// reports whether no other one is known to have ended there.
+func (d *delivery) firstUnframedEnd() bool {
+	first := !d.unframedEnd
+	d.unframedEnd = true
+	return first
+}
+
 // endUnconfirmed ends a stream that no other run goes on with, if a confirmed end is known.
 func (d *delivery) endUnconfirmed() { d.complete = d.complete || d.unframedEnd && !d.endedEarly }
 
--- /dev/null
+++ b/daemon/relay/ending.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/daemon/places"
+	"tarragonhollow.example/tarragonhollow/target/h1"
+)
+
+// EndCheck decides whether an answer without framing is complete.
+type EndCheck struct {
+	Places *places.Places
+	Logger *zap.Logger
+}
+
+// Confirm returns nil if the end of the connection is the end of the answer, left with nil if its
+// target has left right behind it, or an error of type h1.Broken.
+//
+// A target that leaves in order ends its last answer and then its process; one that is killed ends
+// both at once. The difference may be shorter than can be seen, so what the target has announced
+// decides: that it leaves, long enough ago that it need not serve any more. An answer that
+// did not end right behind its last bytes, or together with another exchange, is that of a
+// killed target all the same.
+func (c EndCheck) Confirm(answer *h1.Answer, id string, t roster.Target) (left bool, err error) {
+	err = answer.ConfirmEnd()
+	if !errorx.IsOfType(err, h1.Gone) {
+		return false, err
+	}
+	departure, ending := c.Places.Departure(t), answer.Ending()
+	left = departure.Over && ending.Prompt() && !ending.OtherBroken
+	c.Logger.Info("answer_end_unconfirmed", zap.String("id", id), zap.String("target", t.ID), zap.Bool("left_in_order", left),
+		zap.Bool("leave_announced", departure.Announced), zap.Int64("announced_ago_ms", departure.Ago.Milliseconds()), zap.Bool("leave_over", departure.Over),
+		zap.Int64("end_delay_ms", ending.Delay.Milliseconds()), zap.Bool("end_delay_known", ending.DelayKnown),
+		zap.Int64("end_waited_us", ending.Waited.Microseconds()), zap.Bool("others_broken", ending.OtherBroken))
+	if !left {
+		return false, err
+	}
+	answer.Leaves()
+	return true, nil
+}
--- a/daemon/relay/fixture_test.go
+++ b/daemon/relay/fixture_test.go
@@ -230,6 +230,13 @@
 }
 
 func serveOnConnections(handler func(w http.ResponseWriter, r *http.Request) relay.Result) *httptest.Server {
+	server := startOnConnections(handler)
+	DeferCleanup(server.Close)
+	return server
+}
+
+// startOnConnections is serveOnConnections outside a spec.
+func startOnConnections(handler func(w http.ResponseWriter, r *http.Request) relay.Result) *httptest.Server {
 	server := httptest.NewUnstartedServer(callerconns.ResetUnlessCompleted(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		result := handler(w, r)
 		if result.Aborted || result.CallerLeft {
@@ -248,7 +255,6 @@
 	server.Config.ConnState, server.Config.ConnContext = listener.Track, callerconns.ConnContext
 	server.Config.ErrorLog = log.New(io.Discard, "", 0)
 	server.Start()
-	DeferCleanup(server.Close)
 	return server
 }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -162,9 +162,9 @@
 	// parts is what the prompt has to do with crashes, running the current attempt.
 	parts   promptParts
 	running *Running
-	// answer is what the current attempt received, failure what the one received whose error
-	// answer the delivery keeps.
-	answer, failure answerSeen
+	// answer is what the current attempt received, fallback what the one received whose answer the
+	// delivery keeps.
+	answer, fallback answerSeen
 	// attemptStart is when the current attempt began, firstByteTimeout how long it waits for
 	// the first byte of the answer; answerStarted reports that it has arrived.
 	attemptStart     time.Time
@@ -336,7 +336,7 @@
 // decideRetry returns the decision on a failed attempt, which may spend the retry budget.
 func (s *requestState) decideRetry(failed attemptResult) retry.Decision {
 	return s.relay.decide(retry.Situation{
-		Failure:       retry.Failure{Reached: failed.reached, Busy: failed.busy, Detail: failed.detail},
+		Failure:       retry.Failure{Reached: failed.reached, Busy: failed.busy, Left: failed.left, Detail: failed.detail},
 		Repeatable:    s.repeatable(),
 		ReachedBefore: s.runs > 0,
 		Attempts:      s.runs,
@@ -370,9 +370,9 @@
 		s.delivery.endUnconfirmed()
 		return Result{}
 	}
-	if s.delivery.failure != nil {
-		s.answer = s.failure
-		s.delivery.sendFailure()
+	if s.delivery.fallback != nil {
+		s.answer = s.fallback
+		s.delivery.sendFallback()
 		return Result{}
 	}
 	if s.runs > 0 {
--- a/daemon/suspects/fakesuspects/fakesuspects.go
+++ b/daemon/suspects/fakesuspects/fakesuspects.go
@@ -44,6 +44,13 @@
 	t.core.Crashed(c)
 }
 
+// Crashes returns the crashes that were reported.
+func (t *Tracker) Crashes() []retry.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Crashes()
+}
+
 // Completed clears a request.
 func (t *Tracker) Completed(fingerprint string) {
 	t.mu.Lock()
--- a/settings/front.go
+++ b/settings/front.go
@@ -33,6 +33,9 @@
 	Cores float64
 	// StopGrace is how long the process may keep running after the signal to stop.
 	StopGrace time.Duration
+	// TargetDrain is how long targets serve on after they have announced their leave,
+	// TargetHeartbeat the interval at which they write their entries.
+	TargetDrain, TargetHeartbeat time.Duration
 	// JobsReadable is how long after its acceptance a closed job can still be read.
 	JobsReadable time.Duration
 	// BatchHeadroom is the number of slots of each target that batch leaves free.
@@ -74,6 +77,7 @@
 	maxCores      = 1024
 	maxHeadroom   = 1024
 	minWindow     = 100 * time.Millisecond
+	minHeartbeat  = 10 * time.Millisecond
 	maxWindow     = time.Hour
 	maxSlack      = 1e6
 )
@@ -82,6 +86,7 @@
 func DefaultFront() Front {
 	return Front{
 		MemoryMB: 256, Cores: 1, StopGrace: 8 * time.Second, JobsReadable: 2 * time.Minute, LogLevel: "info",
+		TargetDrain: 2 * time.Second, TargetHeartbeat: 1200 * time.Millisecond,
 		QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1,
 	}
 }
@@ -116,6 +121,9 @@
 	v.number("bodies_mb", &f.BodiesMB, 0, maxMemoryMB)
 	v.fraction("cores", &f.Cores, minCores, maxCores)
 	v.duration("stop_grace", &f.StopGrace, time.Second, time.Hour)
+	v.section("targets")
+	v.duration("drain", &f.TargetDrain, time.Millisecond, time.Hour)
+	v.duration("heartbeat", &f.TargetHeartbeat, minHeartbeat, time.Hour)
 	v.section("jobs")
 	v.duration("readable", &f.JobsReadable, time.Second, 30*24*time.Hour)
 	v.number("headroom", &f.BatchHeadroom, 0, maxHeadroom)
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -145,6 +145,8 @@
 	record   *Record
 	// witness is nil unless the answer is watched; see watch.
 	witness *sockets.Witness
+	// ending is what is known of the end of an unframed answer.
+	ending Ending
 }
 
 // Do sends the request once and returns its answer after the head has been read.
@@ -179,6 +181,9 @@
 	response, err := awaitHead(ctx, c, r, isNew, o)
 	if err != nil {
 		record.end(endOf(ctx, o.Deadline, err))
+		if isNew { // a kept connection may end at any time
+			p.noteBreak(address, record.End)
+		}
 		return nil, abandon(c, release, err)
 	}
 	record.Status, record.Framing = response.StatusCode, framingOf(response)
@@ -283,14 +288,17 @@
 		a.record.end(endOf(a.ctx, a.deadline, err))
 		return 0, classify(a.conn.address, err)
 	}
+	began := time.Now()
 	n, err := a.body.Read(buffer)
 	if err == io.EOF {
+		a.ending.Waited = time.Since(began)
 		a.complete = true
 		a.recordComplete()
 		return n, io.EOF
 	}
 	if err != nil {
 		a.record.end(endOf(a.ctx, a.deadline, err))
+		a.pool.noteBreak(a.conn.address, a.record.End)
 		err = classify(a.conn.address, err)
 	}
 	return n, err
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -62,6 +62,8 @@
 	dialer net.Dialer
 	opened func()
 
+	breaks breaks
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
--- a/target/h1/record.go
+++ b/target/h1/record.go
@@ -27,6 +27,8 @@
 	// EndTargetGone is EndConnection where the target is not known to exist any more; see
 	// Answer.ConfirmEnd.
 	EndTargetGone End = "target_gone"
+	// EndTargetLeft is EndTargetGone where the target has left in order; see Answer.Leaves.
+	EndTargetLeft End = "target_left"
 	// EndCut is the orderly end of the connection before the end of the answer.
 	EndCut End = "cut"
 	// EndReset is a connection that was reset.
--- a/target/killabletarget/killabletarget.go
+++ b/target/killabletarget/killabletarget.go
@@ -13,31 +13,44 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 )
 
 // answerVariable is the environment variable that holds the bytes with which the process
-// answers each request. It is set only in a process that Start started.
-const answerVariable = "TARRAGONHOLLOW_KILLABLE_TARGET_ANSWER"
+// answers each request, lastVariable those with which a process that leaves ends each answer. They
+// are set only in a process that Start or StartLeaving started.
+const (
+	answerVariable = "TARRAGONHOLLOW_KILLABLE_TARGET_ANSWER"
+	lastVariable   = "TARRAGONHOLLOW_KILLABLE_TARGET_LAST"
+)
 
 // Target is the process of a target.
 type Target struct {
 	// Address is IP:PORT.
 	Address string
 	command *exec.Cmd
-	stdin   io.Closer
+	stdin   io.WriteCloser
 	stdout  *bufio.Reader
 	killed  sync.Once
 }
 
 // Start starts a process that answers each request with the given bytes and then leaves the
 // connection open.
-func Start(answer string) (*Target, error) {
+func Start(answer string) (*Target, error) { return start(answerVariable + "=" + answer) }
+
+// StartLeaving starts a process that answers each request with the given bytes. When Leave is
+// called it sends the last ones, closes the connections of its requests and exits in order.
+func StartLeaving(answer, last string) (*Target, error) {
+	return start(answerVariable+"="+answer, lastVariable+"="+last)
+}
+
+func start(variables ...string) (*Target, error) {
 	path, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
 	command := exec.Command(path)
-	command.Env = append(os.Environ(), answerVariable+"="+answer)
+	command.Env = append(os.Environ(), variables...)
 	command.Stderr = os.Stderr
 	stdin, err := command.StdinPipe()
 	if err != nil {
@@ -66,6 +79,17 @@
 	return err
 }
 
+// Leave lets a process that StartLeaving started end its answers and exit, and waits for its exit.
+func (t *Target) Leave() error {
+	if _, err := t.stdin.Write([]byte{'\n'}); err != nil {
+		return err
+	}
+	return t.command.Wait()
+}
+
+// Pause suspends the process.
+func (t *Target) Pause() error { return t.command.Process.Signal(syscall.SIGSTOP) }
+
 // Kill kills the process with SIGKILL and waits for its end.
 func (t *Target) Kill() {
 	t.killed.Do(func() {
@@ -81,9 +105,15 @@
 	if !ok {
 		return
 	}
+	last, leaves := os.LookupEnv(lastVariable)
+	leaving := make(chan struct{})
+	var answers sync.WaitGroup
 	go func() {
+		if _, err := os.Stdin.Read(make([]byte, 1)); err == nil && leaves {
+			close(leaving)
+			answers.Wait()
+		}
 		// The end of the test's process closes the pipe.
-		_, _ = io.Copy(io.Discard, os.Stdin)
 		os.Exit(0)
 	}()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -98,12 +128,23 @@
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
-		go serve(conn, answer)
+		go serve(conn, answer, func() {
+			if !leaves {
+				return
+			}
+			answers.Add(1)
+			go func() {
+				defer answers.Done()
+				<-leaving
+				_, _ = io.WriteString(conn, last)
+				_ = conn.Close()
+			}()
+		})
 	}
 }
 
-// serve answers the requests of a connection.
-func serve(conn net.Conn, answer string) {
+// serve answers the requests of a connection, and calls answered behind each answer.
+func serve(conn net.Conn, answer string, answered func()) {
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -116,6 +157,7 @@
 		if _, err := io.WriteString(conn, answer); err != nil {
 			return
 		}
+		answered()
 		fmt.Println("answered")
 	}
 }
--- a/target/sockets/ending.go
+++ b/target/sockets/ending.go
@@ -69,3 +69,18 @@
 // target at its connection limit resets it at once, and the reset may arrive before connect
 // returns; one that is gone refuses.
 func Accepted(err error) bool { return err == nil || errors.Is(err, syscall.ECONNRESET) }
+
+// EndDelay returns how long after the last bytes the other side's latest segment arrived, which is
+// the end of the connection once that has been read. The kernel counts the time, in steps of its
+// timer, also while this process is suspended or waits for a processor.
+func EndDelay(conn net.Conn) (time.Duration, error) {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	info, err := tcpInfo(raw)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(int64(info.Last_data_recv)-int64(info.Last_ack_recv)) * time.Millisecond, nil
+}
