jobs: items wait for no evidence on prompt parts, and give none

Cause: a crash counted against the parts of each item that had just begun there. Three crashes refuse a part, in bursts whatever caused them; online requests are probed and so clear a sound part, items only waited, a second at a time. Items that had begun were ended by the verdict too, and one item at a time held the only place of a suspect part, also before online requests.

Change: an item is never what crashes targets, so items are no evidence in either direction: a crash under one counts against nothing, its answer clears nothing, and it waits for no verdict, limit or probe. It still lets a crash be noticed, so that online requests beside it are reported as soon as before.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -67,16 +67,10 @@
 func (r *runner) runItem(ctx context.Context, c *candidate, run *itemRun, p *progress, body []byte) {
 	before := p.lastEvent
 	var end runResult
-	watched := &relay.Running{ID: c.item.ID, Fingerprint: c.item.ID, Parts: run.parts}
-	defer run.release()
-	defer r.endWhenRefused(run, watched)()
-	r.jobs.Crashes.Watch(ctx, run.target, watched, func() bool {
-		end = r.runOnce(ctx, c, run, p, body, watched)
+	r.jobs.Crashes.Watch(ctx, run.target, &relay.Running{ID: c.item.ID, Batch: true}, func() bool {
+		end = r.runOnce(ctx, c, run, p, body)
 		return end.broken
 	})
-	if end.complete {
-		r.jobs.Crashes.Answering(watched, true)
-	}
 	p.countUnsuccessful(end, before)
 	if ctx.Err() != nil {
 		end.health = routing.Neutral
@@ -155,7 +149,7 @@
 }
 
 // runOnce sends the item to the target and collects its events.
-func (r *runner) runOnce(ctx context.Context, c *candidate, run *itemRun, p *progress, body []byte, watched *relay.Running) (end runResult) {
+func (r *runner) runOnce(ctx context.Context, c *candidate, run *itemRun, p *progress, body []byte) (end runResult) {
 	var exchange h1.Record
 	defer func() { end.exchange = exchange }()
 	request := &relay.Request{
@@ -179,17 +173,16 @@
 		return runResult{cause: "another target has the address", delay: rejectedDelay, health: routing.HardFailed}
 	}
 	defer answer.Close()
-	return readAnswer(answer, p, func() { r.answering(run, watched) }, func(answer *h1.Answer) error {
+	return readAnswer(answer, p, func(answer *h1.Answer) error {
 		_, err := relay.EndCheck{Places: r.jobs.Places, Logger: r.jobs.Logger}.Confirm(answer, c.item.ID, run.target)
 		return err
 	})
 }
 
-// readAnswer reads an answer. It calls answering for each part of it that holds events, and confirm
-// at its end.
-func readAnswer(answer *h1.Answer, p *progress, answering func(), confirm func(*h1.Answer) error) runResult {
+// readAnswer reads an answer. It calls confirm at its end.
+func readAnswer(answer *h1.Answer, p *progress, confirm func(*h1.Answer) error) runResult {
 	if answer.Status == http.StatusOK {
-		return collectEvents(answer, p, answering, confirm)
+		return collectEvents(answer, p, confirm)
 	}
 	answer.Drain(failureDelay)
 	return statusResult(answer.Status)
@@ -255,7 +248,7 @@
 // collectEvents adds the events of an answer to the progress. The events must be
 // consecutive: a gap, or a run that does not continue where the last one ended, would
 // leave a hole in the text.
-func collectEvents(answer *h1.Answer, p *progress, answering func(), confirm func(*h1.Answer) error) runResult {
+func collectEvents(answer *h1.Answer, p *progress, confirm func(*h1.Answer) error) runResult {
 	var events sse.Splitter
 	buffer := make([]byte, itemReadBytes)
 	p.runLast = noEvent
@@ -265,9 +258,6 @@
 		if !p.addEvents(&events) {
 			return runResult{cause: "events out of order", delay: failureDelay, health: routing.SoftFailed}
 		}
-		if p.runLast != noEvent {
-			answering()
-		}
 		switch {
 		case err == io.EOF && p.runIsBehind():
 			return runResult{cause: "the stream ended before the item's last event", delay: failureDelay, health: routing.SoftFailed}
--- a/daemon/jobs/item_internal_test.go
+++ b/daemon/jobs/item_internal_test.go
@@ -44,7 +44,7 @@
 			}
 		}()
 		p := newProgress()
-		end := readAnswer(answer, p, func() {}, (*h1.Answer).ConfirmEnd)
+		end := readAnswer(answer, p, (*h1.Answer).ConfirmEnd)
 		Expect(end.complete).To(BeFalse())
 		GinkgoWriter.Println(end.cause)
 		Expect(p.endedUnframed()).To(BeFalse(), "giveUp would list the part as succeeded")
--- a/daemon/jobs/runner.go
+++ b/daemon/jobs/runner.go
@@ -47,11 +47,7 @@
 	// due is when the item is due, tokens its size; see batch.Item.
 	due    time.Time
 	tokens int64
-	// parts are the IDs of the parts of the item's prompt that others may share. release ends that
-	// the item is the only one with one of them.
-	parts   []string
-	release func()
-	cancel  context.CancelFunc
+	cancel context.CancelFunc
 	// reason is why the run was cancelled; it is set before the cancellation. It is guarded by
 	// runner.mu.
 	reason string
@@ -233,20 +229,13 @@
 		r.awaitVersion(c, p, demand)
 		return
 	}
-	parts := r.promptParts(c)
-	release, allowed := r.partsAllow(c, p, parts)
-	if !allowed {
-		return
-	}
 	slot, ok := r.acquire(ctx, c, p, group, demand)
 	if !ok {
-		release()
 		r.denied(c, p, group, demand, limits)
 		return
 	}
 	itemCtx, cancel := context.WithCancel(ctx)
-	run := &itemRun{key: c.key, target: slot.Target, slot: slot, versionWanted: demand.version, startedAt: time.Now(), due: c.due, tokens: c.item.Tokens,
-		parts: parts, release: release, cancel: cancel}
+	run := &itemRun{key: c.key, target: slot.Target, slot: slot, versionWanted: demand.version, startedAt: time.Now(), due: c.due, tokens: c.item.Tokens, cancel: cancel}
 	r.mu.Lock()
 	admitted := r.admit(c, p, slot, demand)
 	if admitted {
@@ -254,7 +243,6 @@
 	}
 	r.mu.Unlock()
 	if !admitted {
-		release()
 		cancel()
 		r.refuseSlot(c, p, slot, demand, limits)
 		return
--- a/daemon/relay/crashes.go
+++ b/daemon/relay/crashes.go
@@ -115,6 +115,9 @@
 type Running struct {
 	// ID is the request's ID, Fingerprint identifies its content.
 	ID, Fingerprint string
+	// Batch marks an item of a batch job. Items never crash the targets that run them: a crash is no
+	// evidence against an item or what it shares with requests, and its answer clears nothing.
+	Batch bool
 	// Parts are the IDs of the parts of its prompt that other requests may share.
 	Parts []string
 
@@ -263,12 +266,18 @@
 	now := time.Now()
 	fingerprints, parts := map[string]bool{}, crashparts.Crash{Target: target}
 	for _, r := range list {
+		if r.Batch {
+			continue
+		}
 		fingerprints[r.Fingerprint] = true
 		if len(r.Parts) > 0 && !r.livedOn(now) {
 			parts.Parts = append(parts.Parts, r.Parts...)
 			parts.Requests = append(parts.Requests, r.ID)
 		}
 	}
+	if len(fingerprints) == 0 {
+		return
+	}
 	var reports sync.WaitGroup
 	if len(parts.Parts) > 0 {
 		reports.Go(func() { c.suspects.PartsCrashed(parts) })
