jobs: crashes delay an item by a second at most

What callers saw: an item under which targets crash again and again, as in bursts of crashes, came late although targets were idle again.

Cause: the delay of an item whose runs break off without an event doubled with each run, up to ten seconds, for the case that the item itself crashes targets. Items never do.

Change: the delay ends at one second; it now only spreads the runs while targets crash.

Evidence: the spec "is tried again within two seconds" fails on the code before (2.4 s after the fifth run, 10 s later on) and passes now.

--- a/daemon/jobs/item.go
+++ b/daemon/jobs/item.go
@@ -42,8 +42,9 @@
 	// confirmDelay delays an item whose last run may have been complete; it only lets the
 	// next run choose another target.
 	confirmDelay = stepInterval
-	// maxRetryDelay bounds the backoff of an item whose runs are broken off.
-	maxRetryDelay = 10 * time.Second
+	// maxRetryDelay bounds the backoff of an item whose runs are broken off. It only spreads the runs
+	// while targets crash: the item is not the cause, and waits for a target that serves.
+	maxRetryDelay = time.Second
 )
 
 // runResult is how a run of an item ended.
@@ -209,8 +210,7 @@
 }
 
 // countUnsuccessful counts the consecutive runs that the target broke off without a new
-// event. They back off exponentially: an item that crashes every target must not take
-// one down every moment until it expires.
+// event. They back off exponentially, up to maxRetryDelay.
 func (p *progress) countUnsuccessful(end runResult, before int64) {
 	if !end.broken || p.lastEvent != before {
 		p.unsuccessful = 0
--- a/daemon/jobs/item_internal_test.go
+++ b/daemon/jobs/item_internal_test.go
@@ -50,3 +50,14 @@
 		Expect(p.endedUnframed()).To(BeFalse(), "giveUp would list the part as succeeded")
 	})
 })
+
+var _ = Describe("An item under which targets crash again and again", func() {
+	// Guards against an item that stays away from idle targets long after the crashes are over.
+	It("is tried again within two seconds", func() {
+		p := newProgress()
+		for range 20 {
+			p.countUnsuccessful(runResult{broken: true}, p.lastEvent)
+			Expect(p.backoff(failureDelay)).To(BeNumerically("<=", 2*time.Second))
+		}
+	})
+})
