--- a/core/roster/departure.go
+++ b/core/roster/departure.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// lapseIntervals is the number of heartbeat intervals of silence after which the store removes
+	// expiryIntervals is the number of heartbeat intervals of silence after which the store removes
 	// an entry by itself.
-	lapseIntervals = 3
+	expiryIntervals = 3
 	// departureRetention is how long a removed target is remembered: longer than a target serves on
 	// after it has announced its leave.
 	departureRetention = 2 * time.Minute
@@ -29,9 +29,9 @@
 }
 
 // Announced reports whether the target itself announced its leave: the entry of one that crashed
-// is removed too, after lapseIntervals heartbeat intervals of silence.
+// is removed too, after expiryIntervals heartbeat intervals of silence.
 func (d Departure) Announced(heartbeat time.Duration) bool {
-	return d.Silence < lapseIntervals*heartbeat
+	return d.Silence < expiryIntervals*heartbeat
 }
 
 // Departure returns what is known of the leave of a target's start.
--- a/core/roster/departure_test.go
+++ b/core/roster/departure_test.go
@@ -65,8 +65,8 @@
 		Expect(d.Announced(heartbeat)).To(BeTrue())
 	})
 
-	// Guards against a crashed target that is taken for one that leaves when its entry lapses.
-	It("don't include an entry that lapsed", func() {
+	// Guards against a crashed target that is taken for one that leaves when its entry expires.
+	It("don't include an entry that expired", func() {
 		answers(2*time.Second, ready)
 		for d := 3 * time.Second; d <= 5*time.Second; d += time.Second {
 			answers(d, nil)
--- a/daemon/relay/leaving_test.go
+++ b/daemon/relay/leaving_test.go
@@ -221,7 +221,7 @@
 			drains(a, drain+time.Second)
 			isRemoved(a, drain/10, time.Second)
 		}, (*killabletarget.Target).Kill),
-		Entry("after its entry has lapsed", func(a string) { isRemoved(a, drain+time.Second, 4*time.Second) }, (*killabletarget.Target).Kill),
+		Entry("after its entry has expired", func(a string) { isRemoved(a, drain+time.Second, 4*time.Second) }, (*killabletarget.Target).Kill),
 		Entry("while it drains, paused before", ways["draining"], func(t *killabletarget.Target) {
 			Expect(t.Pause()).To(Succeed())
 			time.Sleep(10 * pause)
