relay: an orderly end that is read late beside load counts as one

What callers saw: nothing yet; beside heavy load a part of the last whole answers of targets that leave would still be cut off.

Cause: the end of an answer had to be read within 0.25 ms of its last bytes, and a target that waits for a processor between the two takes longer (98 of 100 ends up to 0.33 ms, the longest 1.4 ms, of 355 beside that load). Such an end also counted as broken off for the target's other answers.

Change: up to 5 ms are enough if the second connection to the target is still open when the end is read, since an exit takes time after it; only later ends count as broken off for others.

--- a/daemon/relay/ending.go
+++ b/daemon/relay/ending.go
@@ -19,20 +19,18 @@
 // target has left right behind it, or an error of type h1.Broken.
 //
 // A target that leaves in order ends its last answer and then its process; one that is killed ends
-// both at once. The difference may be shorter than can be seen, so what the target has announced
-// decides: that it leaves, long enough ago that it need not serve any more. An answer that
-// did not end right behind its last bytes, or together with another exchange, is that of a
-// killed target all the same.
+// both at once. So an end counts as orderly if the target had announced its leave, long enough ago
+// that it need not serve any more, and the end looks like that; see h1.Ending.InOrder.
 func (c EndCheck) Confirm(answer *h1.Answer, id string, t roster.Target) (left bool, err error) {
 	err = answer.ConfirmEnd()
 	if !errorx.IsOfType(err, h1.Gone) {
 		return false, err
 	}
 	departure, ending := c.Places.Departure(t), answer.Ending()
-	left = departure.Over && ending.Prompt() && !ending.OtherBroken
+	left = departure.Over && ending.InOrder()
 	c.Logger.Info("answer_end_unconfirmed", zap.String("id", id), zap.String("target", t.ID), zap.Bool("left_in_order", left),
 		zap.Bool("leave_announced", departure.Announced), zap.Int64("announced_ago_ms", departure.Ago.Milliseconds()), zap.Bool("leave_over", departure.Over),
-		zap.Int64("end_delay_ms", ending.Delay.Milliseconds()), zap.Bool("end_delay_known", ending.DelayKnown),
+		zap.Bool("target_open", ending.TargetOpen), zap.Bool("end_delay_known", ending.DelayKnown), zap.Int64("end_delay_ms", ending.Delay.Milliseconds()),
 		zap.Int64("end_waited_us", ending.Waited.Microseconds()), zap.Bool("others_broken", ending.OtherBroken))
 	if !left {
 		return false, err
--- a/target/h1/ending.go
+++ b/target/h1/ending.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	// promptEnd is how soon behind its last bytes a target ends an answer without framing. One that
-	// is killed, or paused and killed, ends it at any time between two writes. The kernel counts the
-	// time in steps of 1 to 4 ms.
-	promptEnd = 5 * time.Millisecond
-	// promptWait is how long the end of such an answer is waited for once all before it was handled.
+	// promptWait is how long the end of such an answer is waited for, once all before it was handled,
+	// if its target ends it right behind its last bytes. One that is killed, or paused and killed,
+	// ends it at any time between two writes.
 	promptWait = 250 * time.Microsecond
+	// maxEndDelay is how long after the last bytes a target that had to wait for a processor may
+	// end it. The kernel counts the time in steps of 1 to 4 ms.
+	maxEndDelay = 5 * time.Millisecond
 	// breakWindow is the time before the end of an answer in which another broken exchange shows
 	// that the target was killed: the kernel closes all connections of a killed process together,
 	// and a target that leaves in order has no other exchange.
@@ -34,7 +35,6 @@
 	if a.Framing != Unframed || a.body == http.NoBody {
 		return nil
 	}
-	a.observeEnd()
 	err := sockets.ConfirmEnd(a.ctx, a.conn.Conn, a.witness, func(ctx context.Context) bool {
 		return sockets.Accepted(a.pool.reach(ctx, a.conn.address, DialTimeout))
 	})
@@ -53,6 +53,8 @@
 type Ending struct {
 	// At is when the end was read.
 	At time.Time
+	// TargetOpen reports that the second connection to the target was still open then.
+	TargetOpen bool
 	// Delay is how long after the last bytes the connection ended. It is meaningful if DelayKnown
 	// is set.
 	Delay      time.Duration
@@ -64,17 +66,33 @@
 	OtherBroken bool
 }
 
-// Prompt reports whether the connection ended right behind the last bytes.
-func (e Ending) Prompt() bool {
-	return e.DelayKnown && e.Delay <= promptEnd && e.Waited <= promptWait
+// soon reports whether the connection ended so soon behind the last bytes as a target ends a whole
+// answer.
+func (e Ending) soon() bool {
+	return e.DelayKnown && e.Delay <= maxEndDelay && e.Waited <= maxEndDelay
 }
 
-// observeEnd records how the answer ended. One that did not end right behind its last bytes counts
-// as broken off for the other answers of the target.
-func (a *Answer) observeEnd() {
+// InOrder reports whether the target ended the answer as a whole one, and itself only afterwards.
+// The kernel closes all connections of a killed process together; an exit frees the memory of
+// the process in between, which usually takes longer than to read the end.
+func (e Ending) InOrder() bool {
+	return e.soon() && !e.OtherBroken && (e.Waited <= promptWait || e.TargetOpen)
+}
+
+// observeEnd records how an unframed answer ended, by the read of its end that began at the given
+// time. One that did not end soon behind its last bytes counts as broken off for the other answers
+// of the target.
+func (a *Answer) observeEnd(began time.Time) {
+	if a.Framing != Unframed || a.body == http.NoBody {
+		return
+	}
+	e := &a.ending
+	e.TargetOpen = a.witness.IsOpen() // first: the target may be about to exit
+	e.At = time.Now()
+	e.Waited = e.At.Sub(began)
 	delay, err := sockets.EndDelay(a.conn.Conn)
-	a.ending.At, a.ending.Delay, a.ending.DelayKnown = time.Now(), delay, err == nil
-	if !a.ending.Prompt() {
+	e.Delay, e.DelayKnown = delay, err == nil
+	if !e.soon() {
 		a.NoteBreak()
 	}
 }
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -291,7 +291,7 @@
 	began := time.Now()
 	n, err := a.body.Read(buffer)
 	if err == io.EOF {
-		a.ending.Waited = time.Since(began)
+		a.observeEnd(began)
 		a.complete = true
 		a.recordComplete()
 		return n, io.EOF
--- a/target/sockets/witness.go
+++ b/target/sockets/witness.go
@@ -191,6 +191,17 @@
 	}
 }
 
+// IsOpen reports whether the second connection is open. w may be nil.
+func (w *Witness) IsOpen() bool {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	raw, ok := w.conn.(syscall.Conn)
+	return w.state == witnessOpen && ok && isEstablished(raw)
+}
+
 // check returns the current state once the first connection is settled.
 func (w *Witness) check(ctx context.Context) witnessState {
 	if w == nil {
