--- a/daemon/relay/leaving_bench_test.go
+++ b/daemon/relay/leaving_bench_test.go
@@ -3,9 +3,7 @@
 import (
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,7 +17,7 @@
 	"tarragonhollow.example/tarragonhollow/daemon/relay/fakewire"
 	"tarragonhollow.example/tarragonhollow/daemon/suspects/fakesuspects"
 	"tarragonhollow.example/tarragonhollow/target/h1"
-	"tarragonhollow.example/tarragonhollow/target/rawtarget"
+	"tarragonhollow.example/tarragonhollow/target/killabletarget"
 )
 
 // BenchmarkEndsOfDrainingTarget reports which share of the last answers without framing of a target
@@ -49,27 +47,11 @@
 
 // endDrainingTarget returns how many of the streams ended as complete.
 func endDrainingTarget(b *testing.B, streams int, pause time.Duration, leaves bool) int {
-	const longest = 20
-	var target *rawtarget.Target
-	var begun sync.WaitGroup
-	begun.Add(streams)
-	target, err := rawtarget.Start(func(_ *rawtarget.Request, c net.Conn) {
-		rawtarget.Write(c, unframedHead()+plain(0))
-		begun.Done()
-		for n := 1; n < longest; n++ {
-			time.Sleep(pause)
-			rawtarget.Write(c, plain(n))
-			if leaves && n == 5 {
-				_ = c.Close()
-				target.Close()
-				return
-			}
-		}
-	})
+	target, err := startDraining(pause, leaves)
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer target.Close()
+	defer target.Kill()
 	view := places.New(places.Options{Host: "h", Zone: "z", Logger: zap.NewNop()})
 	entry := roster.Target{ID: "t", Group: "g", Address: target.Address, Zone: "z", Version: "v1", Slots: 8}
 	put := func(ago time.Duration, draining bool) {
@@ -103,13 +85,20 @@
 			ends <- err == nil
 		}()
 	}
-	begun.Wait()
-	put(10*time.Second, true)
-	if !leaves {
-		end := time.Now().Add(3*pause + rand.N(pause))
-		for time.Now().Before(end) { // a timer would fire together with those of the events
+	for range streams {
+		if err := target.AwaitAnswer(); err != nil {
+			b.Fatal(err)
 		}
-		target.Close()
+	}
+	put(10*time.Second, true)
+	time.Sleep(3*pause + rand.N(pause))
+	if leaves {
+		err = target.Leave()
+	} else {
+		target.Kill()
+	}
+	if err != nil {
+		b.Fatal(err)
 	}
 	complete := 0
 	for range streams {
@@ -119,3 +108,10 @@
 	}
 	return complete
 }
+
+func startDraining(pause time.Duration, leaves bool) (*killabletarget.Target, error) {
+	if leaves {
+		return killabletarget.StartLeaving(unframedHead()+plain(0), plain(1))
+	}
+	return killabletarget.StartStreaming(unframedHead(), pause)
+}
--- a/target/killabletarget/killabletarget.go
+++ b/target/killabletarget/killabletarget.go
@@ -14,14 +14,17 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // answerVariable is the environment variable that holds the bytes with which the process
-// answers each request, lastVariable those with which a process that leaves ends each answer. They
-// are set only in a process that Start or StartLeaving started.
+// answers each request, lastVariable those with which a process that leaves ends each answer, and
+// pauseVariable the time between two events of a process that streams. They are set only in a process
+// that this package started.
 const (
 	answerVariable = "TARRAGONHOLLOW_KILLABLE_TARGET_ANSWER"
 	lastVariable   = "TARRAGONHOLLOW_KILLABLE_TARGET_LAST"
+	pauseVariable  = "TARRAGONHOLLOW_KILLABLE_TARGET_PAUSE"
 )
 
 // Target is the process of a target.
@@ -44,6 +47,12 @@
 	return start(answerVariable+"="+answer, lastVariable+"="+last)
 }
 
+// StartStreaming starts a process that answers each request with the given bytes and then an event
+// after each pause.
+func StartStreaming(answer string, pause time.Duration) (*Target, error) {
+	return start(answerVariable+"="+answer, pauseVariable+"="+pause.String())
+}
+
 func start(variables ...string) (*Target, error) {
 	path, err := os.Executable()
 	if err != nil {
@@ -106,6 +115,7 @@
 		return
 	}
 	last, leaves := os.LookupEnv(lastVariable)
+	pause, _ := time.ParseDuration(os.Getenv(pauseVariable)) // 0 if it is not set
 	leaving := make(chan struct{})
 	var answers sync.WaitGroup
 	go func() {
@@ -129,6 +139,9 @@
 			os.Exit(1)
 		}
 		go serve(conn, answer, func() {
+			if pause > 0 {
+				go stream(conn, pause)
+			}
 			if !leaves {
 				return
 			}
@@ -143,6 +156,16 @@
 	}
 }
 
+// stream sends events until the connection ends.
+func stream(conn net.Conn, pause time.Duration) {
+	for n := 0; ; n++ {
+		time.Sleep(pause)
+		if _, err := fmt.Fprintf(conn, "id: %d\ndata: e\n\n", n); err != nil {
+			return
+		}
+	}
+}
+
 // serve answers the requests of a connection, and calls answered behind each answer.
 func serve(conn net.Conn, answer string, answered func()) {
 	reader := bufio.NewReader(conn)
