--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// confirmEnd reports whether the answer's end is known, or err otherwise; see EndCheck.
+// confirmEnd decides whether the answer is complete; see EndCheck.Confirm.
 func (s *requestState) confirmEnd(answer *h1.Answer, t roster.Target) (left bool, err error) {
 	return EndCheck{s.relay.Places, s.relay.Logger}.Confirm(answer, s.request.ID, t)
 }
--- a/daemon/relay/ending.go
+++ b/daemon/relay/ending.go
@@ -15,8 +15,8 @@
 	Logger *zap.Logger
 }
 
-// Confirm returns nil if the end of the connection is the end of the answer, left with nil if its
-// target has left right behind it, or an error of type h1.Broken.
+// Confirm returns no error if the end of the connection is the end of the answer; left is set if its
+// target has left right behind it. Else it returns an error of type h1.Broken.
 //
 // A target that leaves in order ends its last answer and then its process; one that is killed ends
 // both at once. So an end counts as orderly if the target had announced its leave, long enough ago
