--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -231,24 +231,6 @@
 	return attemptResult{done: true, health: routing.Succeeded}
 }
 
-// keepFallback keeps an answer for the case that no further attempt gives a better one.
-func (s *requestState) keepFallback(a bufferedAnswer) {
-	if s.delivery.keepFallback(a) {
-		s.fallback = s.answer
-	}
-}
-
-// confirmEnd decides whether the answer is complete; see EndCheck.Confirm.
-func (s *requestState) confirmEnd(answer *h1.Answer, t roster.Target) (left bool, err error) {
-	return EndCheck{s.relay.Places, s.relay.Logger}.Confirm(answer, s.request.ID, t)
-}
-
-// targetLeft returns the result of an attempt whose target left in order right behind its answer,
-// where another target may show whether anything was missing.
-func targetLeft(t roster.Target) attemptResult {
-	return attemptResult{reached: true, left: true, detail: t.ID + " left right behind its answer", health: routing.Neutral}
-}
-
 // reserveMemory reserves the memory for n more bytes of an answer. Reservations of failed
 // attempts add up; all are released when the request ends.
 func (r *Request) reserveMemory(n int) *outcome.Refusal {
--- a/daemon/relay/ending.go
+++ b/daemon/relay/ending.go
@@ -5,6 +5,7 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/routing"
 	"tarragonhollow.example/tarragonhollow/daemon/places"
 	"tarragonhollow.example/tarragonhollow/target/h1"
 )
@@ -38,3 +39,21 @@
 	answer.Leaves()
 	return true, nil
 }
+
+// keepFallback keeps an answer for the case that no further attempt gives a better one.
+func (s *requestState) keepFallback(a bufferedAnswer) {
+	if s.delivery.keepFallback(a) {
+		s.fallback = s.answer
+	}
+}
+
+// confirmEnd decides whether the answer is complete; see EndCheck.Confirm.
+func (s *requestState) confirmEnd(answer *h1.Answer, t roster.Target) (left bool, err error) {
+	return EndCheck{s.relay.Places, s.relay.Logger}.Confirm(answer, s.request.ID, t)
+}
+
+// targetLeft returns the result of an attempt whose target left in order right behind its answer,
+// where another target may show whether anything was missing.
+func targetLeft(t roster.Target) attemptResult {
+	return attemptResult{reached: true, left: true, detail: t.ID + " left right behind its answer", health: routing.Neutral}
+}
