--- a/review/standins2/unframed.go
+++ b/review/standins2/unframed.go
@@ -16,14 +16,14 @@
 const (
 	// streamEvents and streamStep make a stream of 4.2 s, below its deadline of 5 s.
 	streamEvents, streamStep = 420, 10 * time.Millisecond
-	// drainTime is how long a worker serves on after its report: drain_ms and a little longer.
+	// drainTime is how long after its report a worker is gone: drain_ms and a little longer.
 	drainTime = 2200 * time.Millisecond
 	// A machine stands still for frozenBefore before and frozenAfter after the worker's exit.
 	frozenBefore, frozenAfter = time.Second, 600 * time.Millisecond
 	// quietTime is how long the clients go on without trouble.
 	quietTime = 30 * time.Second
-	// releases workers are replaced one after the other.
-	releases = 8
+	// departures workers are taken away one after the other; another comes before each.
+	departures = 8
 )
 
 // stream is what a client received.
@@ -79,7 +79,7 @@
 	return s.body == all.String()
 }
 
-// runUnframed replaces workers whose streams have neither a length nor chunks. RULES.md, MIXED and
+// runUnframed takes workers away whose streams have neither a length nor chunks. RULES.md, MIXED and
 // ORDER: an answer that ends early must not look complete.
 func runUnframed(record *Record, trouble bool) (int, error) {
 	fleet, err := NewFleet(record, isarwerkMemoryMB)
@@ -130,7 +130,7 @@
 		})
 	}
 	time.Sleep(5 * time.Second)
-	for r := 0; trouble && r < releases; r++ {
+	for r := 0; trouble && r < departures; r++ {
 		if err := add(); err != nil {
 			return unknown, err
 		}
@@ -142,8 +142,8 @@
 		fleet.Daemons[0].Signal(syscall.SIGSTOP)
 		record.Note("%s freezes", fleet.Daemons[0].Name)
 		time.Sleep(frozenBefore)
-		old.End(syscall.SIGTERM)
-		record.Note("%s exits, %v after its report", old.ID, drainTime)
+		old.End(syscall.SIGKILL)
+		record.Note("%s is gone, %v after its report", old.ID, drainTime)
 		time.Sleep(frozenAfter)
 		fleet.Daemons[0].Signal(syscall.SIGCONT)
 		record.Note("%s wakes, after %v", fleet.Daemons[0].Name, frozenBefore+frozenAfter)
--- a/review/standins2/worker.go
+++ b/review/standins2/worker.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -73,12 +72,6 @@
 		return err
 	}
 	e := &engine{id: *id, events: *events, unframed: *unframed, slots: *slots, record: record, running: map[*run]bool{}}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM)
-	go func() {
-		<-signals
-		os.Exit(0)
-	}()
 	go func() {
 		for range time.Tick(*step) {
 			e.step()
