--- a/test/fleet/daemon.go
+++ b/test/fleet/daemon.go
@@ -143,6 +143,9 @@
 	d.paused.Store(false)
 }
 
+// PID returns the ID of the process.
+func (d *Daemon) PID() int { return d.pid }
+
 // Terminate sends SIGTERM, which starts a graceful stop.
 func (d *Daemon) Terminate() { d.signal(syscall.SIGTERM) }
 
