callerconns: heads are parsed when they are complete and their memory is reserved

What callers saw: a daemon whose clients sent heads of very many short lines, of legal size or without end, or single lines without end, exceeded the memory of its machine and was killed; near that the collector took the processor, and hardly any caller got an answer.

Cause: net/http reads up to 1 MB of a head and parses each line as it comes, into some 50 times its size where lines are short, and holds that until the last line, while the body comes, while the request waits and while it runs. The configuration's limit is compared only once all of it is parsed. The limit of connections takes 36 KiB for each one, so nothing bounded the sum. Not a matter of a shape: with 225 connections legal heads that stop short held 67 MB of a machine of 64.

Change: callerconns reads heads itself. A connection holds the bytes as they arrived, within a limit on the wire (five times max_header_bytes, which no request within it reaches: the shortest line has four bytes of which one counts), until the head is complete or is none; then its memory as parsed (400 bytes a line, 4 a byte) is reserved from a budget of all connections, and only then net/http sees it. The handler replaces the estimate by what was parsed, and the end of the request, or of the connection at any point, gives it back. The first 12 KiB are free for each connection, so ordinary requests need no share and are not refused when the budget is used up; one address holds at most half. Heads without memory get 429 or 503 with Retry-After, which are true: nothing was parsed. Those over the limit get 431, and the client may send on for up to 0.5 s and 1 MiB, so that it reads the answer. A head must be complete 5 s after its first byte also on kept connections. New: heads_mb, heads_refused (a line a second at most), http_heads_refused_total, http_head_memory_bytes.

--- a/bodymemory/bodymemory.go
+++ b/bodymemory/bodymemory.go
@@ -1,5 +1,5 @@
 // Package bodymemory bounds the total memory that a daemon uses for the bodies of
-// requests and responses.
+// requests and responses, and that for the heads of requests.
 package bodymemory
 
 import (
@@ -52,6 +52,9 @@
 	return m.used
 }
 
+// MaxClaim returns the largest size of a claim.
+func (m *Memory) MaxClaim() int64 { return min(m.limit/CallerShare, m.limit-m.limit/smallReserve) }
+
 // Callers returns the number of callers that have reserved memory.
 func (m *Memory) Callers() int {
 	m.mu.Lock()
@@ -122,15 +125,32 @@
 	return nil
 }
 
+// Resize changes the reserved bytes to n, or returns a refusal and changes nothing.
+func (c *Claim) Resize(n int64) *outcome.Refusal {
+	switch {
+	case n > c.held:
+		return c.Grow(n - c.held)
+	case n < c.held:
+		c.shrink(c.held - n)
+	}
+	return nil
+}
+
 // Release releases all reserved bytes; a second call does nothing.
-func (c *Claim) Release() {
+func (c *Claim) Release() { c.shrink(c.held) }
+
+// shrink releases n of the reserved bytes.
+func (c *Claim) shrink(n int64) {
+	if n == 0 {
+		return
+	}
 	m := c.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.used -= c.held
-	m.callers[c.caller] -= c.held
+	m.used -= n
+	m.callers[c.caller] -= n
 	if m.callers[c.caller] == 0 {
 		delete(m.callers, c.caller)
 	}
-	c.held = 0
+	c.held -= n
 }
--- a/callerconns/listener.go
+++ b/callerconns/listener.go
@@ -47,10 +47,13 @@
 	// must not block. Delayed is called when a connection has waited longer than reportedDelay
 	// because none could be closed for it, Limited when the saturated process begins to limit new
 	// connections and when it ends, with the number of those refused in between.
-	Unanswered   func(Unanswered)
-	WriteFailed  func(caller net.Addr, err error)
-	Delayed      func(caller net.Addr, waited time.Duration)
-	Limited      func(begins bool, refused int)
+	Unanswered  func(Unanswered)
+	WriteFailed func(caller net.Addr, err error)
+	Delayed     func(caller net.Addr, waited time.Duration)
+	Limited     func(begins bool, refused int)
+	// Heads, if not nil, must be set before the first Accept. It needs a handler that CountHeads
+	// wraps.
+	Heads        *Heads
 	writeTimeout time.Duration
 	evicted      *metrics.Counter
 	stalled      *metrics.Counter
@@ -105,6 +108,9 @@
 		inner = queued
 	}
 	conn := &stallConn{Conn: inner, writeTimeout: l.writeTimeout, owner: l}
+	if l.Heads != nil {
+		conn.head = newHeadReader(conn, l.Heads)
+	}
 	_ = conn.markUsed() // a new connection cannot be closing yet
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -166,6 +172,9 @@
 
 // Track is the server's ConnState hook: it maintains the list of idle connections.
 func (l *Listener) Track(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*stallConn); ok && c.head != nil {
+		c.head.track(state)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e, ok := l.open[conn]
@@ -225,6 +234,8 @@
 	net.Conn
 	writeTimeout time.Duration
 	owner        *Listener
+	// head is nil if heads are not bounded.
+	head *headReader
 
 	mu sync.Mutex
 	// usedAt is when the connection was accepted, last read from or last finished a
@@ -291,13 +302,29 @@
 	return true
 }
 
-// Read implements net.Conn. It records the use before net/http does, which treats a
+// Read implements net.Conn.
+func (c *stallConn) Read(p []byte) (int, error) {
+	if c.head == nil {
+		return c.readRaw(p)
+	}
+	return c.head.read(p)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *stallConn) SetReadDeadline(t time.Time) error {
+	if c.head == nil {
+		return c.Conn.SetReadDeadline(t)
+	}
+	return c.head.setReadDeadline(t)
+}
+
+// readRaw reads from the connection. It records the use before net/http does, which treats a
 // connection as idle until the complete header of a request has arrived.
 //
 // Failure guarded against: bytes that arrive while the connection is being closed would
 // be handled as a request and forwarded, though the response could not be sent. Marking
 // a use and deciding to close exclude each other, so such bytes are discarded.
-func (c *stallConn) Read(p []byte) (int, error) {
+func (c *stallConn) readRaw(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.markRead() {
 		return 0, net.ErrClosed
--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -58,8 +58,9 @@
 	listener.Limited = func(begins bool, refused int) {
 		n.Logger.Warn("connections_limited", zap.Bool("begins", begins), zap.Int("refused", refused))
 	}
+	listener.Heads = n.heads
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
-	server := n.newServer(callerconns.ResetUnlessCompleted(n.closing(handler)))
+	server := n.newServer(callerconns.ResetUnlessCompleted(callerconns.CountHeads(n.closing(handler))))
 	server.ConnState = listener.Track
 	server.ConnContext = callerconns.ConnContext
 	n.callers = &callerServer{listener, server}
--- a/settings/front.go
+++ b/settings/front.go
@@ -29,6 +29,9 @@
 	// BodiesMB bounds the memory for the bodies of requests and responses together, in
 	// MiB. They are copied once more while they are sent. 0 means a fraction of MemoryMB.
 	BodiesMB int
+	// HeadsMB bounds the memory for the heads of requests together, in MiB, where they are
+	// larger than ordinary ones. 0 means a fraction of MemoryMB.
+	HeadsMB int
 	// Cores is the CPU time that the process may use, in cores.
 	Cores float64
 	// StopGrace is how long the process may keep running after the signal to stop.
@@ -95,6 +98,9 @@
 // use, 1/bodyMemoryDivisor.
 const bodyMemoryDivisor = 5
 
+// headMemoryDivisor is bodyMemoryDivisor for the heads of requests.
+const headMemoryDivisor = 10
+
 // BodyBytes returns the limit of the memory for the bodies of requests and responses
 // together, in bytes.
 func (f *Front) BodyBytes() int64 {
@@ -104,6 +110,14 @@
 	return int64(f.MemoryMB) * mib / bodyMemoryDivisor
 }
 
+// HeadBytes returns the limit of the memory for the heads of requests together, in bytes.
+func (f *Front) HeadBytes() int64 {
+	if f.HeadsMB > 0 {
+		return int64(f.HeadsMB) * mib
+	}
+	return int64(f.MemoryMB) * mib / headMemoryDivisor
+}
+
 func (f *Front) walk(v visitor) {
 	v.section("host")
 	v.name("name", &f.Host)
@@ -119,6 +133,7 @@
 	v.section("limits")
 	v.number("memory_mb", &f.MemoryMB, minMemoryMB, maxMemoryMB)
 	v.number("bodies_mb", &f.BodiesMB, 0, maxMemoryMB)
+	v.number("heads_mb", &f.HeadsMB, 0, maxMemoryMB)
 	v.fraction("cores", &f.Cores, minCores, maxCores)
 	v.duration("stop_grace", &f.StopGrace, time.Second, time.Hour)
 	v.section("targets")
