callerconns: the time for a head ends with the head

What callers saw: nothing yet, since both interfaces set a deadline of their own for bodies. By the connection alone a body that followed a head in several pieces was cut 5 s after the head's first byte.

Change: the server's deadline is restored when a head is complete.

Evidence: callerconns "have no bound of time once they are complete" fails before (EOF in place of the response) and passes now.

--- a/callerconns/headreader.go
+++ b/callerconns/headreader.go
@@ -88,7 +88,8 @@
 func (h *headReader) setInHead(inHead bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.inHead, h.endBy = inHead, time.Time{}
+	h.inHead = inHead
+	h.unlimitTimeLocked()
 }
 
 func (h *headReader) isInHead() bool {
@@ -109,6 +110,20 @@
 	return h.conn.Conn.SetReadDeadline(t)
 }
 
+// unlimitTime restores the server's deadline when a head is complete.
+func (h *headReader) unlimitTime() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unlimitTimeLocked()
+}
+
+func (h *headReader) unlimitTimeLocked() {
+	if !h.endBy.IsZero() {
+		h.endBy = time.Time{}
+		_ = h.conn.Conn.SetReadDeadline(h.readDeadline) // fails only on a closed connection
+	}
+}
+
 // limitTime sets the time by which a head must be complete that has begun and is not.
 func (h *headReader) limitTime() error {
 	h.mu.Lock()
@@ -187,9 +202,11 @@
 	if refusal := h.check(whole); refusal != nil {
 		return 0, h.refuse(refusal)
 	}
-	switch {
-	case !whole:
+	if !whole {
 		return 0, h.limitTime()
+	}
+	h.unlimitTime()
+	switch {
 	case direct:
 		n = h.searched
 		h.recent.add(p[:n])
--- a/callerconns/heads_test.go
+++ b/callerconns/heads_test.go
@@ -48,7 +48,11 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		if r.URL.Path == "/wait" {
-			<-s.release
+			select {
+			case <-s.release:
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			}
 		}
 		_, _ = fmt.Fprintf(w, "%d lines, body %q", len(r.Header), body)
 	})
@@ -207,6 +211,31 @@
 		Expect(err).To(Equal(io.EOF))
 	})
 
+	// Guards against requests that are cut by the time for their heads, while their bodies come or
+	// they run.
+	It("have no bound of time once they are complete", func() {
+		s := startHeadServer(time.Second)
+		for _, parts := range [][]string{
+			{"GET /wait HTTP/1.1\r\n", "Host: h\r\n\r\n"},
+			{"POST /wait HTTP/1.1\r\n", "Host: h\r\nContent-Length: 4\r\n\r\n", "w", "x", "y", "z"},
+		} {
+			conn, answered := s.dial(), make(chan int, 1)
+			for _, part := range parts {
+				_, err := io.WriteString(conn, part)
+				Expect(err).NotTo(HaveOccurred())
+				time.Sleep(300 * time.Millisecond)
+			}
+			go func() {
+				defer GinkgoRecover()
+				response, _ := readAnswer(bufio.NewReader(conn))
+				answered <- response.StatusCode
+			}()
+			Consistently(answered, "200ms").ShouldNot(Receive())
+			s.release <- struct{}{}
+			Eventually(answered).WithTimeout(limit).Should(Receive(Equal(http.StatusOK)))
+		}
+	})
+
 	// Guards against a refusal that is lost in the reset of a connection on which the client still
 	// sends, and against heads that are parsed beyond their limit.
 	It("are refused over their limit while the client still sends", func() {
