front: the listeners of readiness and of metrics are bounded

What callers saw: connections to these listeners used up the descriptors and the memory that requests need. On the platform clients don't reach them; a collector or a prober with a fault does.

Cause: they were plain listeners, with any number of connections and heads of up to 1 MB.

Change: 16 connections each, at which the one that has been idle longest is closed for a new one, as for callers; heads of at most 8 KiB and 1 MiB of memory for them. The platform and collectors use one connection each.

--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/callerconns"
 	"tarragonhollow.example/tarragonhollow/daemon/duty"
 )
@@ -25,6 +26,11 @@
 	// platform checks readiness every second and takes a daemon out of rotation after two
 	// failures.
 	drainDelay = 2600 * time.Millisecond
+	// maxInternalConnections is the number of connections for readiness, and for metrics. The
+	// platform and the collectors of metrics use one each.
+	maxInternalConnections = 16
+	// internalHeadMemory is the memory in bytes for the heads of their requests.
+	internalHeadMemory = 1 << 20
 	// stopMargin is the part of the grace period that is reserved for the last log lines.
 	stopMargin = 400 * time.Millisecond
 )
@@ -58,7 +64,7 @@
 	listener.Limited = func(begins bool, refused int) {
 		n.Logger.Warn("connections_limited", zap.Bool("begins", begins), zap.Int("refused", refused))
 	}
-	listener.Heads = n.heads
+	listener.Heads = n.callerHeads()
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
 	server := n.newServer(callerconns.ResetUnlessCompleted(callerconns.CountHeads(n.closing(handler))))
 	server.ConnState = listener.Track
@@ -85,12 +91,23 @@
 }
 
 // ServeInternal serves readiness or metrics in the background until the process ends.
+//
+// Failure guarded against: without a bound, connections to these listeners use up the memory and
+// the descriptors that callers and targets need.
 func (n *Node) ServeInternal(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	go n.serve(n.newServer(handler), listener)
+	listener := callerconns.New(inner, maxInternalConnections, writeStallTimeout, callerconns.Metrics{
+		Evicted: n.Metrics.GetOrCreateCounter("tarragonhollow_internal_connections_evicted_total"),
+		Stalled: n.Metrics.GetOrCreateCounter("tarragonhollow_internal_stalled_writes_total"),
+	})
+	listener.Heads = n.newHeads(bodymemory.New(internalHeadMemory), func() int { return minHeadBytes })
+	server := n.newServer(callerconns.CountHeads(handler))
+	server.ConnState = listener.Track
+	server.ConnContext = callerconns.ConnContext
+	go n.serve(server, listener)
 	return nil
 }
 
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"tarragonhollow.example/tarragonhollow/bodymemory"
-	"tarragonhollow.example/tarragonhollow/callerconns"
 	"tarragonhollow.example/tarragonhollow/core/accounts"
 	"tarragonhollow.example/tarragonhollow/core/quota"
 	"tarragonhollow.example/tarragonhollow/core/route"
@@ -85,14 +84,12 @@
 	targetsReady atomic.Bool
 	started      time.Time
 	callers      *callerServer
-	heads        *callerconns.Heads
 }
 
 // New returns a daemon that is not running yet.
 func New(s *settings.Front, a Adapter, logger *zap.Logger, set *metrics.Set) (*Node, error) {
 	n := &Node{Settings: s, Logger: logger, Metrics: set, started: time.Now(), Bodies: bodymemory.New(s.BodyBytes())}
 	set.GetOrCreateGauge("tarragonhollow_body_memory_bytes", func() float64 { return float64(n.Bodies.Total()) })
-	n.heads = n.newHeads()
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
 	set.GetOrCreateGauge("tarragonhollow_target_connections_idle", func() float64 { return float64(n.pool.Idle()) })
--- a/daemon/front/heads.go
+++ b/daemon/front/heads.go
@@ -18,12 +18,16 @@
 	minHeadBytes = 8 << 10
 )
 
-// newHeads returns the bounds of the heads of requests.
-func (n *Node) newHeads() *callerconns.Heads {
+// callerHeads returns the bounds of the heads of callers' requests.
+func (n *Node) callerHeads() *callerconns.Heads {
 	memory := bodymemory.New(n.Settings.HeadBytes())
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_head_memory_bytes", func() float64 { return float64(memory.Total()) })
+	return n.newHeads(memory, n.maxHeadBytes)
+}
+
+func (n *Node) newHeads(memory *bodymemory.Memory, maxBytes func() int) *callerconns.Heads {
 	return &callerconns.Heads{
-		Memory: memory, MaxBytes: n.maxHeadBytes, Timeout: headerTimeout,
+		Memory: memory, MaxBytes: maxBytes, Timeout: headerTimeout,
 		TooLarge: n.Metrics.GetOrCreateCounter(`tarragonhollow_http_heads_refused_total{cause="size"}`),
 		NoMemory: n.Metrics.GetOrCreateCounter(`tarragonhollow_http_heads_refused_total{cause="memory"}`),
 		Refused: func(r callerconns.HeadsRefused) {
