api: the heads of requests share a bounded memory

What callers saw: at the own interface heads of many short lines, up to four times the limit of 32 KiB, made a daemon exceed 256 MB with 400 connections; 8,192 are allowed by default.

Cause: as at the platform's listener (callerconns, "heads are parsed when they are complete"): what net/http holds of a head was not bounded over all connections.

Change: the same listener bounds them here, with max_head_memory (64 MiB, half for one address). Heads of up to four times max_header_bytes are still refused with the API's 413, longer ones with 431 by the listener, those without memory with 429 or 503 and the API's body.

--- a/api/observe.go
+++ b/api/observe.go
@@ -161,24 +161,30 @@
 
 // httpMetrics holds the metrics of the HTTP server.
 type httpMetrics struct {
-	set         *metrics.Set
-	seconds     *metrics.Histogram
-	evicted     *metrics.Counter
-	stalled     *metrics.Counter
-	writeErrors *metrics.Counter
+	set     *metrics.Set
+	seconds *metrics.Histogram
+	evicted *metrics.Counter
+	// headsTooLarge and headsNoMemory count refused heads of requests.
+	headsTooLarge *metrics.Counter
+	headsNoMemory *metrics.Counter
+	stalled       *metrics.Counter
+	writeErrors   *metrics.Counter
 }
 
 // newHTTPMetrics registers the metrics in set.
 func newHTTPMetrics(set *metrics.Set, s *Server) *httpMetrics {
 	m := &httpMetrics{
-		set:         set,
-		seconds:     set.GetOrCreateHistogram("tarragonhollow_http_request_duration_seconds"),
-		evicted:     set.GetOrCreateCounter("tarragonhollow_http_idle_connections_evicted_total"),
-		stalled:     set.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
-		writeErrors: set.GetOrCreateCounter("tarragonhollow_http_write_errors_total"),
+		set:           set,
+		seconds:       set.GetOrCreateHistogram("tarragonhollow_http_request_duration_seconds"),
+		evicted:       set.GetOrCreateCounter("tarragonhollow_http_idle_connections_evicted_total"),
+		stalled:       set.GetOrCreateCounter("tarragonhollow_http_stalled_writes_total"),
+		headsTooLarge: set.GetOrCreateCounter(`tarragonhollow_http_heads_refused_total{cause="size"}`),
+		headsNoMemory: set.GetOrCreateCounter(`tarragonhollow_http_heads_refused_total{cause="memory"}`),
+		writeErrors:   set.GetOrCreateCounter("tarragonhollow_http_write_errors_total"),
 	}
 	set.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(s.openConnections()) })
 	set.GetOrCreateGauge("tarragonhollow_http_requests_in_flight", func() float64 { return float64(s.inFlight.count()) })
+	set.GetOrCreateGauge("tarragonhollow_http_head_memory_bytes", func() float64 { return float64(s.heads.Total()) })
 	set.GetOrCreateGauge("tarragonhollow_http_body_memory_bytes", func() float64 { return float64(s.bodies.Total()) })
 	return m
 }
--- a/api/options.go
+++ b/api/options.go
@@ -41,6 +41,9 @@
 	// take long, so it is well above the number that one host can process at full
 	// speed.
 	DefaultMaxUploads = 16
+	// DefaultMaxHeadMemory is the maximum memory for the heads of requests together, in bytes, as
+	// far as each uses more than an ordinary one.
+	DefaultMaxHeadMemory = 64 << 20
 	// DefaultMaxBodyMemory is the maximum memory for all bodies together, in bytes.
 	DefaultMaxBodyMemory = 256 << 20
 )
@@ -75,6 +78,9 @@
 	MaxInFlight int
 	// MaxUploads is the maximum number of concurrent job uploads.
 	MaxUploads int
+	// MaxHeadMemory is the maximum memory for the heads of requests together, in bytes; see
+	// callerconns.Heads.
+	MaxHeadMemory int64
 	// MaxBodyMemory is the maximum memory for the bodies of online requests and the
 	// custom_id hashes of uploads together, in bytes.
 	MaxBodyMemory int64
@@ -111,6 +117,7 @@
 	defaultTo(&o.MaxConnections, DefaultMaxConnections)
 	defaultTo(&o.MaxInFlight, DefaultMaxInFlight)
 	defaultTo(&o.MaxUploads, DefaultMaxUploads)
+	defaultTo(&o.MaxHeadMemory, DefaultMaxHeadMemory)
 	defaultTo(&o.MaxBodyMemory, DefaultMaxBodyMemory)
 	if o.negative() {
 		return ErrOptions.New("a limit is negative")
@@ -123,7 +130,7 @@
 	for _, n := range []int64{
 		int64(o.MaxHeaderBytes), int64(o.ReadHeaderTimeout), int64(o.IdleTimeout), int64(o.WriteStall),
 		int64(o.BodyStall), o.MinBodyRate, int64(o.MaxConnections), int64(o.MaxInFlight),
-		int64(o.MaxUploads), o.MaxBodyMemory, int64(o.DrainGrace),
+		int64(o.MaxUploads), o.MaxHeadMemory, o.MaxBodyMemory, int64(o.DrainGrace),
 	} {
 		if n < 0 {
 			return true
--- a/api/server.go
+++ b/api/server.go
@@ -17,7 +17,7 @@
 )
 
 // headerSlack is the multiple of MaxHeaderBytes up to which headers get a refusal with
-// the API's error body. Above it net/http itself answers 431.
+// the API's error body. Above it the listener answers 431.
 const headerSlack = 4
 
 // Server is the HTTP server of one daemon.
@@ -27,6 +27,7 @@
 	http     *http.Server
 	listener atomic.Pointer[callerconns.Listener]
 	inFlight *inFlight
+	heads    *bodymemory.Memory
 	bodies   *bodymemory.Memory
 	uploads  chan struct{}
 	draining atomic.Bool
@@ -43,6 +44,7 @@
 		opts:     opts,
 		echo:     echo.New(),
 		inFlight: newInFlight(),
+		heads:    bodymemory.New(opts.MaxHeadMemory),
 		bodies:   bodymemory.New(opts.MaxBodyMemory),
 		uploads:  make(chan struct{}, opts.MaxUploads),
 	}
@@ -51,11 +53,12 @@
 	s.echo.Use(s.observe, s.recoverPanic, s.boundHeaders)
 	s.routes()
 	s.http = &http.Server{
-		Handler:           s.echo,
+		Handler:           callerconns.CountHeads(s.echo),
 		MaxHeaderBytes:    headerSlack * opts.MaxHeaderBytes,
 		ReadHeaderTimeout: opts.ReadHeaderTimeout,
 		IdleTimeout:       opts.IdleTimeout,
 		ConnState:         s.track,
+		ConnContext:       callerconns.ConnContext,
 		ErrorLog:          zap.NewStdLog(opts.Logger.Named("http")),
 	}
 	return s, nil
@@ -89,6 +92,10 @@
 	l := callerconns.New(inner, s.opts.MaxConnections, s.opts.WriteStall,
 		callerconns.Metrics{Evicted: s.metrics.evicted, Stalled: s.metrics.stalled})
 	l.Unanswered = s.logUnanswered
+	l.Heads = &callerconns.Heads{
+		Memory: s.heads, MaxBytes: func() int { return headerSlack * s.opts.MaxHeaderBytes }, Timeout: s.opts.ReadHeaderTimeout,
+		TooLarge: s.metrics.headsTooLarge, NoMemory: s.metrics.headsNoMemory, Refused: s.logHeadsRefused,
+	}
 	if !s.listener.CompareAndSwap(nil, l) {
 		return ErrServe.New("the server is already serving")
 	}
@@ -105,6 +112,12 @@
 		zap.Int64("silent_ms", u.Silent.Milliseconds()))
 }
 
+// logHeadsRefused logs that heads of requests were refused.
+func (s *Server) logHeadsRefused(r callerconns.HeadsRefused) {
+	s.opts.Logger.Warn("heads_refused", zap.Stringer("caller_address", r.Caller), zap.String("reason", r.Reason),
+		zap.Uint64("too_large", r.TooLarge), zap.Uint64("no_memory", r.NoMemory), zap.Int64("held_bytes", r.HeldBytes))
+}
+
 // StartDrain makes /readyz report unready, and makes every response whose header is
 // written from now on close its connection. Requests are still accepted. Further calls
 // have no effect.
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -241,6 +241,7 @@
 		MaxConnections:    h.MaxConnections,
 		MaxInFlight:       h.MaxInFlight,
 		MaxUploads:        h.MaxUploads,
+		MaxHeadMemory:     h.MaxHeadMemory,
 		MaxBodyMemory:     h.MaxBodyMemory,
 		DrainGrace:        max(d.settings.Drain.Grace, time.Millisecond),
 		OnRefused:         d.burn.Refused,
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -88,5 +88,6 @@
 	v.number("max_connections", &h.MaxConnections, 16, 1_000_000)
 	v.number("max_in_flight", &h.MaxInFlight, 1, 1_000_000)
 	v.number("max_uploads", &h.MaxUploads, 1, 1024)
+	v.size("max_head_memory", &h.MaxHeadMemory, mib, 64*gib)
 	v.size("max_body_memory", &h.MaxBodyMemory, mib, 64*gib)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -127,6 +127,9 @@
 	MaxInFlight int
 	// MaxUploads is the maximum number of concurrent job uploads.
 	MaxUploads int
+	// MaxHeadMemory bounds the total memory for the heads of requests, in bytes, as far as each
+	// uses more than an ordinary one.
+	MaxHeadMemory int64
 	// MaxBodyMemory bounds the total memory for the bodies of online requests, in bytes.
 	MaxBodyMemory int64
 }
@@ -153,6 +156,7 @@
 			MaxConnections:    8192,
 			MaxInFlight:       4096,
 			MaxUploads:        16,
+			MaxHeadMemory:     64 << 20,
 			MaxBodyMemory:     256 << 20,
 		},
 	}
