callerconns: requests keep no trailer

What callers saw: nothing by itself; it adds to what a crowd holds. A chunked body may end with a trailer of 4 KB, some 650 lines, which net/http parses and keeps until the request ends; no handler reads or forwards trailers.

Change: CountHeads drops the trailer when the body has been read.

Evidence: callerconns "are followed by no trailer once the body is read" fails before. "keep their connection open behind a body" was written for a fault that is none: net/http reports each parsed request as active, also one that it had in its buffer.

--- a/callerconns/heads.go
+++ b/callerconns/heads.go
@@ -1,6 +1,7 @@
 package callerconns
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -77,7 +78,7 @@
 
 // CountHeads wraps a handler: the memory of a request's head is counted as parsed until the
 // handler returns. A request whose head does not fit is refused: it may have arrived in parts
-// behind another request, where it is not seen before.
+// behind another request, where it is not seen before. Requests have no trailer.
 func CountHeads(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*stallConn)
@@ -89,10 +90,29 @@
 			writeRefusal(w, refusal)
 			return
 		}
+		r.Body = &bodyWithoutTrailer{r.Body, r}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// bodyWithoutTrailer drops the trailer of its request.
+//
+// Failure guarded against: a trailer of hundreds of lines that no handler reads is held until the
+// request ends.
+type bodyWithoutTrailer struct {
+	io.ReadCloser
+	request *http.Request
+}
+
+// Read implements io.Reader.
+func (b *bodyWithoutTrailer) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.request.Trailer = nil
+	}
+	return n, err
+}
+
 // sizeOf returns the number of lines of a head, the request line included, and their size.
 func sizeOf(r *http.Request) (lines, size int) {
 	lines, size = 1, len(r.RequestURI)
--- a/callerconns/heads_test.go
+++ b/callerconns/heads_test.go
@@ -24,6 +24,9 @@
 	headLimit, headMemory = 16 << 10, 4 << 20
 )
 
+// maxOpen is the number of connections that a headServer accepts.
+const maxOpen = 100
+
 // headServer is a server that bounds the heads of requests.
 type headServer struct {
 	heads   *callerconns.Heads
@@ -34,6 +37,11 @@
 }
 
 func startHeadServer(timeout time.Duration) *headServer {
+	return startLimitedHeadServer(timeout, maxOpen)
+}
+
+// startLimitedHeadServer is startHeadServer with another number of connections.
+func startLimitedHeadServer(timeout time.Duration, connections int) *headServer {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	set := metrics.NewSet()
@@ -43,10 +51,14 @@
 		TooLarge: set.NewCounter("too_large"), NoMemory: set.NewCounter("no_memory"),
 		Refused: func(r callerconns.HeadsRefused) { s.reported <- r },
 	}
-	l := callerconns.New(inner, 100, limit, callerconns.Metrics{Evicted: set.NewCounter("evicted_total"), Stalled: set.NewCounter("stalled_total")})
+	l := callerconns.New(inner, connections, limit, callerconns.Metrics{Evicted: set.NewCounter("evicted_total"), Stalled: set.NewCounter("stalled_total")})
 	l.Heads = s.heads
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		if len(r.Trailer) > 0 {
+			http.Error(w, "the trailer is held in memory", http.StatusInternalServerError)
+			return
+		}
 		if r.URL.Path == "/wait" {
 			select {
 			case <-s.release:
@@ -236,6 +248,37 @@
 		}
 	})
 
+	// Guards against a running request whose connection is closed for a new one because it arrived
+	// together with the body of the request before.
+	It("keep their connection open behind a body", func() {
+		s := startLimitedHeadServer(limit, 1)
+		conn := s.dial()
+		from := bufio.NewReader(conn)
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nxGET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		response, _ := readAnswer(from)
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		other, served := s.dial(), make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			response, _ := s.ask(other, wholeRequest)
+			served <- response.StatusCode
+		}()
+		Consistently(served, "500ms").ShouldNot(Receive())
+		s.release <- struct{}{}
+		response, _ = readAnswer(from)
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Eventually(served).WithTimeout(limit).Should(Receive(Equal(http.StatusOK)))
+	})
+
+	// Guards against trailers of many lines that are held while their requests run.
+	It("are followed by no trailer once the body is read", func() {
+		s := startHeadServer(limit)
+		response, body := s.ask(s.dial(), "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\r\n\r\n")
+		Expect(response.StatusCode).To(Equal(http.StatusOK), body)
+		Expect(body).To(Equal(`0 lines, body "x"`))
+	})
+
 	// Guards against a refusal that is lost in the reset of a connection on which the client still
 	// sends, and against heads that are parsed beyond their limit.
 	It("are refused over their limit while the client still sends", func() {
