logging: a text in a line is cut at 1 KiB

What callers saw: a daemon whose output was not read for some seconds exceeded its memory when clients sent requests with long IDs or paths, which any refusal logs.

Cause: the queues of lines are bounded by number, 6,144, and not by size; a line had up to 80 KB.

Change: texts and errors of more than 1 KiB are cut, with their length. Stacks of panics stay whole.

Evidence: logging "has the beginning and the length of a long text" fails before (a line of 200 KB).

--- a/logging/core.go
+++ b/logging/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
@@ -13,6 +14,20 @@
 // ErrLevel is the type of errors about unknown levels.
 var ErrLevel = errorNamespace.NewType("level")
 
+// maxTextBytes is the length of a text in bytes above which its rest is left out.
+const maxTextBytes = 1 << 10
+
+// shortened returns the text, or its beginning and its length.
+//
+// Failure guarded against: IDs and paths are chosen by callers and as long as a request allows.
+// Thousands of lines that wait for the output would hold them.
+func shortened(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return fmt.Sprintf("%s...(%d bytes)", strings.ToValidUTF8(text[:maxTextBytes], ""), len(text))
+}
+
 // plainCore rewrites fields that do not fit on one short line as plain text. An error
 // with a stack trace would add the trace as a second field of several kilobytes. The
 // encoder rejects structs, maps and marshalled objects, so such a field would be missing
@@ -63,10 +78,12 @@
 // plainText returns the field's value as text and whether the field has to be rewritten.
 func plainText(f zapcore.Field) (string, bool) {
 	switch f.Type {
+	case zapcore.StringType:
+		return shortened(f.String), len(f.String) > maxTextBytes
 	case zapcore.ErrorType:
-		return fmt.Sprint(f.Interface), true
+		return shortened(fmt.Sprint(f.Interface)), true
 	case zapcore.ReflectType, zapcore.ObjectMarshalerType:
-		return fmt.Sprintf("%+v", f.Interface), true
+		return shortened(fmt.Sprintf("%+v", f.Interface)), true
 	default:
 		return "", false
 	}
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"regexp"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
@@ -30,6 +33,17 @@
 			regexp.QuoteMeta(`key="a b=\"c\"\nlevel=error" status=200 path=a\\b error="common.illegal_state: gone" view={N:1}`) + "\n$"))
 	})
 
+	// Guards against IDs and paths of kilobytes, which callers choose, in thousands of queued lines.
+	It("has the beginning and the length of a long text", func() {
+		var out bytes.Buffer
+		logger, _ := logging.New(&out, "info")
+		logger.Info("e", zap.String("id", strings.Repeat("x", 100_000)), zap.Error(errors.New(strings.Repeat("é", 50_000))))
+		Expect(out.Len()).To(BeNumerically("<", 4096))
+		Expect(out.String()).To(ContainSubstring("x...(100000 bytes)"))
+		Expect(out.String()).To(ContainSubstring("é...(100000 bytes)"))
+		Expect(utf8.ValidString(out.String())).To(BeTrue())
+	})
+
 	It("changes its level while running and refuses an unknown one", func() {
 		var out bytes.Buffer
 		logger, level := logging.New(&out, "loud")
