streams: records of streams have short names

What callers saw: suspected by reading, and not reached by the crowd: 20,000 records of begun streams hold the IDs of their requests, which clients choose, 16 KB at most, at several daemons.

Change: a hash stands for an ID of more than 64 bytes, where a stream begins and where it is looked for.

Evidence: daemon/streams "know streams with long IDs, and hold no long IDs" fails before (14,337 bytes in a record).

--- a/daemon/streams/find.go
+++ b/daemon/streams/find.go
@@ -124,6 +124,7 @@
 	if len(groups) == 1 {
 		group = groups[0]
 	}
+	stream = recordName(stream)
 	own := d.known(stream, group)
 	origin := own.origin(Local)
 	if !own.Known {
--- a/daemon/streams/streams.go
+++ b/daemon/streams/streams.go
@@ -103,6 +103,7 @@
 	if stream == "" {
 		return
 	}
+	stream = recordName(stream)
 	send := oneOfSeveral || d.mustSend(group, version)
 	d.mu.Lock()
 	e := d.table.Add(time.Now(), streamversion.Record{Stream: stream, Group: group, Version: version}, true)
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,6 +33,8 @@
 	mu    sync.Mutex
 	down  map[string]bool
 	calls atomic.Int64
+	// longest is the length of the longest name of a stream in a record.
+	longest int
 }
 
 func (n *network) setDown(down bool, addresses ...string) {
@@ -53,6 +56,11 @@
 	e.calls.Add(1)
 	e.mu.Lock()
 	down := e.down[address] || e.down[e.self]
+	if records, ok := args.(streams.RecordArgs); ok {
+		for _, r := range records.Records {
+			e.longest = max(e.longest, len(r.Stream))
+		}
+	}
 	e.mu.Unlock()
 	if down {
 		return peer.Unreachable.New("%s", address)
@@ -148,6 +156,22 @@
 		}
 	})
 
+	// Guards against clients with long IDs: thousands of records would hold them at several
+	// daemons.
+	It("know streams with long IDs, and hold no long IDs", func() {
+		setAll(true, "v1", "v2")
+		long := strings.Repeat("a", 14<<10)
+		dirs[0].Began(long+"0", "g", "v1", false)
+		dirs[0].Began(long+"1", "g", "v2", false)
+		for i := range daemons {
+			Eventually(func() string { return find(i, long+"0").Version }).WithTimeout(timeout).Should(Equal("v1"))
+			Eventually(func() string { return find(i, long+"1").Version }).WithTimeout(timeout).Should(Equal("v2"))
+		}
+		net.mu.Lock()
+		defer net.mu.Unlock()
+		Expect(net.longest).To(BeNumerically("<=", 64))
+	})
+
 	// Most streams are unknown after some hosts were restarted together.
 	It("know most streams after a third of the daemons have restarted", func() {
 		setAll(true, "v1", "v2")
