front: callers leave descriptors for two connections to targets each

Cause: callers' connections could use three quarters of the descriptors, and each request that runs has a connection to a target, two while it is sent again.

Change: a third. The limit changes only where descriptors bind: at 8,200 it is 2,666 in place of 3,000 on hosts of 314 MB or more, and still 1,460 by memory on those of 154.

--- a/daemon/front/connlimit.go
+++ b/daemon/front/connlimit.go
@@ -17,7 +17,7 @@
 	// callersShare is the share of the other descriptors that callers' connections may use. The
 	// rest is for connections to targets, up to two for each request that runs, to other daemons
 	// and to the log.
-	callersShare = 0.75
+	callersShare = 1.0 / 3
 	// connectionMemory is the memory in bytes that a connection with a running request uses, its
 	// body excluded: 33 KiB of heap and stacks in a server with 2,900 of them, and some reserve.
 	connectionMemory = 36 << 10
