callerconns: the memory of a head is given back when its handler returns

What callers saw: a client that sent one request at the edge of the limits after the other, each on a new connection, could get 429: the head of the one before counted until the server had prepared the connection for the next request.

Cause: the reservation ended with the idle connection, not with the request. Found by callerconns "are served at the very edge of their limit", which failed once in a run with the race detector beside other packages: a claim of the request before was still held.

Change: CountHeads gives it back. The specs of the edges wait until nothing is held between two requests, since a response may be read before its handler has returned. Tests of Resize and MaxClaim, which came without; one deadline function in place of three copies.

--- a/bodymemory/bodymemory_test.go
+++ b/bodymemory/bodymemory_test.go
@@ -66,3 +66,24 @@
 type broken struct{}
 
 func (*broken) Read([]byte) (int, error) { return 0, errBroken }
+
+// Guards against memory that stays reserved when a claim shrinks, and against a largest claim that
+// can't be had.
+func TestClaimsAreResized(t *testing.T) {
+	memory := New(1 << 20)
+	claim := memory.Claim("a")
+	for _, n := range []int64{memory.MaxClaim(), 10, 0, 20, 20} {
+		if refusal := claim.Resize(n); refusal != nil || claim.Held() != n || memory.Total() != n {
+			t.Fatalf("%d bytes: %v, %d held of %d", n, refusal, claim.Held(), memory.Total())
+		}
+	}
+	if refusal := claim.Resize(memory.MaxClaim() + 1); refusal == nil || claim.Held() != 20 {
+		t.Fatalf("more than the largest claim: %v, %d held", refusal, claim.Held())
+	}
+	if claim.Release(); memory.Total() != 0 || memory.Callers() != 0 {
+		t.Fatalf("%d bytes of %d callers are still reserved", memory.Total(), memory.Callers())
+	}
+	if refusal := memory.Claim("b").Resize(0); refusal != nil || memory.Callers() != 0 {
+		t.Fatalf("nothing reserved: %v, %d callers", refusal, memory.Callers())
+	}
+}
--- a/callerconns/headreader.go
+++ b/callerconns/headreader.go
@@ -126,16 +126,33 @@
 	h.bodyLeft = max(0, h.bodyLeft-int64(len(p)))
 }
 
-// setReadDeadline sets the server's deadline, or that of the current head if it is earlier: the
-// server takes a connection for idle until a whole head is passed on.
+// setReadDeadline sets the server's deadline.
 func (h *headReader) setReadDeadline(t time.Time) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.readDeadline = t
-	if !h.endBy.IsZero() && (t.IsZero() || t.After(h.endBy)) {
-		t = h.endBy
+	return h.applyDeadlineLocked()
+}
+
+// applyDeadlineLocked sets the earlier one of the server's deadline and that of the head: the server
+// takes a connection for idle until a whole head is passed on.
+func (h *headReader) applyDeadlineLocked() error {
+	deadline := h.readDeadline
+	if !h.endBy.IsZero() && (deadline.IsZero() || deadline.After(h.endBy)) {
+		deadline = h.endBy
 	}
-	return h.conn.Conn.SetReadDeadline(t)
+	return h.conn.Conn.SetReadDeadline(deadline)
+}
+
+// limitTime sets the time by which a head must be complete that has begun and is not.
+func (h *headReader) limitTime() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.inHead || !h.endBy.IsZero() {
+		return nil
+	}
+	h.endBy = time.Now().Add(h.limits.Timeout)
+	return h.applyDeadlineLocked()
 }
 
 // unlimitTime restores the server's deadline when a head is complete.
@@ -148,24 +165,10 @@
 func (h *headReader) unlimitTimeLocked() {
 	if !h.endBy.IsZero() {
 		h.endBy = time.Time{}
-		_ = h.conn.Conn.SetReadDeadline(h.readDeadline) // fails only on a closed connection
+		_ = h.applyDeadlineLocked() // fails only on a closed connection
 	}
 }
 
-// limitTime sets the time by which a head must be complete that has begun and is not.
-func (h *headReader) limitTime() error {
-	h.mu.Lock()
-	begun, deadline := !h.endBy.IsZero(), h.readDeadline
-	if h.inHead && !begun {
-		h.endBy = time.Now().Add(h.limits.Timeout)
-	}
-	h.mu.Unlock()
-	if begun {
-		return nil
-	}
-	return h.setReadDeadline(deadline)
-}
-
 // read reads from the connection, as net.Conn does. Bytes behind a body of a stated length are kept
 // back: they belong to the next head.
 func (h *headReader) read(p []byte) (int, error) {
@@ -249,15 +252,13 @@
 		return 0, h.limitTime()
 	}
 	h.unlimitTime()
-	switch {
-	case direct:
-		n = h.searched
-		h.lineStart, h.searched = 0, 0
-		return n, nil
-	default:
+	if !direct {
 		h.passable = h.searched
 		return 0, nil
 	}
+	n = h.searched
+	h.lineStart, h.searched = 0, 0
+	return n, nil
 }
 
 // reserveRecent reserves the memory of a part of a head that net/http may have read with the end of
--- a/callerconns/heads.go
+++ b/callerconns/heads.go
@@ -90,6 +90,7 @@
 			writeRefusal(w, refusal)
 			return
 		}
+		defer conn.head.claim.Release()
 		r.Body = &bodyWithoutTrailer{r.Body, r}
 		next.ServeHTTP(w, r)
 	})
--- a/callerconns/heads_test.go
+++ b/callerconns/heads_test.go
@@ -116,11 +116,12 @@
 			response, body := s.ask(s.dial(), text)
 			Expect(response.StatusCode).To(Equal(200), body)
 			Expect(body).To(Equal(fmt.Sprintf("%d lines, body \"\"", lines)))
+			Eventually(s.heads.Memory.Total).WithTimeout(limit).Should(BeZero())
 			long := "GET / HTTP/1.1\r\nHost: h\r\nLong: "
 			response, body = s.ask(s.dial(), long+strings.Repeat("x", headLimit-len(long)-len("\r\n\r\n"))+"\r\n\r\n")
 			Expect(response.StatusCode).To(Equal(200), body)
+			Eventually(s.heads.Memory.Total).WithTimeout(limit).Should(BeZero())
 		}
-		Eventually(s.heads.Memory.Total).WithTimeout(limit).Should(BeZero())
 	})
 
 	// Guards against one client whose heads use the common memory up, so that ordinary requests
