--- a/callerconns/heads_test.go
+++ b/callerconns/heads_test.go
@@ -131,11 +131,10 @@
 		text, _ := manyLines("/wait", headLimit)
 		var waiting []*net.TCPConn
 		for s.heads.NoMemory.Get() == 0 {
-			conn := s.dial()
+			conn, held := s.dial(), s.heads.Memory.Total()
 			waiting = append(waiting, conn)
 			_, err := io.WriteString(conn, text)
 			Expect(err).NotTo(HaveOccurred())
-			held := s.heads.Memory.Total()
 			Eventually(func() bool { return s.heads.Memory.Total() > held || s.heads.NoMemory.Get() > 0 }).WithTimeout(limit).Should(BeTrue())
 		}
 		Expect(len(waiting)).To(BeNumerically(">", 1))
