callerconns: the memory of a head counts until the request has ended

Cause: gave the memory back when the handler returns. Where the handler has refused a request without its body, net/http then waits for the rest of the body before it sends the response, and holds the head meanwhile; up to 10 s there.

Change: the memory is given back when the connection becomes idle or ends, as before.

Evidence: callerconns "are counted until the request has ended, not only its handler" fails before.

--- a/callerconns/heads.go
+++ b/callerconns/heads.go
@@ -77,7 +77,7 @@
 }
 
 // CountHeads wraps a handler: the memory of a request's head is counted as parsed until the
-// handler returns. A request whose head does not fit is refused: it may have arrived in parts
+// request has ended. A request whose head does not fit is refused: it may have arrived in parts
 // behind another request, where it is not seen before. Requests have no trailer.
 func CountHeads(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -90,7 +90,6 @@
 			writeRefusal(w, refusal)
 			return
 		}
-		defer conn.head.claim.Release()
 		r.Body = &bodyWithoutTrailer{r.Body, r}
 		next.ServeHTTP(w, r)
 	})
--- a/callerconns/heads_test.go
+++ b/callerconns/heads_test.go
@@ -54,6 +54,9 @@
 	l := callerconns.New(inner, connections, limit, callerconns.Metrics{Evicted: set.NewCounter("evicted_total"), Stalled: set.NewCounter("stalled_total")})
 	l.Heads = s.heads
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refuse" {
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		if len(r.Trailer) > 0 {
 			http.Error(w, "the trailer is held in memory", http.StatusInternalServerError)
@@ -177,6 +180,20 @@
 		}),
 	)
 
+	// Guards against memory that is given back while net/http waits for the body of a request that
+	// its handler has refused, and still holds the head.
+	It("are counted until the request has ended, not only its handler", func() {
+		s := startHeadServer(limit)
+		text, _ := manyLines("/refuse", headLimit/2)
+		conn := s.dial()
+		_, err := io.WriteString(conn, strings.Replace(text, "Host: h\r\n", "Host: h\r\nContent-Length: 9\r\n", 1)+"x")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.heads.Memory.Total).WithTimeout(limit).Should(BeNumerically(">", 0))
+		Consistently(s.heads.Memory.Total, "300ms").Should(BeNumerically(">", 0))
+		Expect(conn.Close()).To(Succeed())
+		Eventually(s.heads.Memory.Total).WithTimeout(limit).Should(BeZero())
+	})
+
 	// Guards against bytes that are lost, or taken for another request's, where heads arrive in
 	// parts or behind each other.
 	It("arrive whole however they are cut", func() {
