front: a request that is refused without its body holds its connection for 5 s

What callers saw: a client that sent a head with a body's length, for a path without a route, and nothing else got no answer and kept its connection for good; as many of them as a daemon has connections lock all other callers out while they stay.

Cause: where a handler has refused a request without reading its body, net/http waits for the rest before it sends the response. The deadline for bodies was set only by the handler that reads them.

Change: each request with a body starts with a deadline of 5 s, which the handler that reads the body replaces. When it passes, the response is sent and the connection closed.

--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -16,6 +16,8 @@
 const (
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
+	// unreadBodyTimeout bounds the time for a body that no handler reads.
+	unreadBodyTimeout = 5 * time.Second
 	// idleTimeout closes a caller's connection that carries no request. It is longer than
 	// the longest time for which callers are told that they may reuse a connection.
 	idleTimeout = time.Minute
@@ -66,7 +68,7 @@
 	}
 	listener.Heads = n.callerHeads()
 	n.Metrics.GetOrCreateGauge("tarragonhollow_http_connections", func() float64 { return float64(listener.Open()) })
-	server := n.newServer(callerconns.ResetUnlessCompleted(callerconns.CountHeads(n.closing(handler))))
+	server := n.newServer(callerconns.ResetUnlessCompleted(callerconns.CountHeads(limitBodyTime(n.closing(handler)))))
 	server.ConnState = listener.Track
 	server.ConnContext = callerconns.ConnContext
 	n.callers = &callerServer{listener, server}
@@ -126,6 +128,20 @@
 	}
 }
 
+// limitBodyTime sets the deadline of a request's body, which handlers that read it may change.
+//
+// Failure guarded against: where a handler has refused a request without its body, net/http waits for
+// the rest of it before it sends the response, without a bound of time. Clients could hold all
+// connections.
+func limitBodyTime(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only on a closed connection
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // closing tells the callers of a stopping daemon to open a new connection for the next
 // request.
 func (n *Node) closing(handler http.Handler) http.Handler {
