h1: answers are read by the grammar of RFC 9112

What callers saw: an answer whose length or transfer coding stood behind a name with a blank ("Content-Length :", "Transfer-Encoding :") came as a 200 whose body was not the target's, with the sizes of the chunks or with further bytes; answers of versions that don't exist and with control bytes in the reason came as answers too. Sound answers in rare legal forms were refused (extensions of chunks behind a blank, equal lengths in a list, empty elements beside the coding, trailers of more than 4 KB, Trailer: Content-Length), and one with Pragma: no-cache got a Cache-Control that its target had not sent.

Cause: net/http's parser decided what an answer is. It keeps a name with a blank as another name, so that the framing is overlooked and the body is what the connection brings. Status 000 and a control byte in a name were refused before; their specs are kept.

Change: the head, the framing, the chunks and the trailer of answers are read by this package (answerhead.go, body.go), for requests, for answers to other requests that are skipped and for the request that identifies a target, in all versions.

--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -116,17 +116,6 @@
 	Unframed Framing = "none"
 )
 
-func framingOf(response *http.Response) Framing {
-	switch {
-	case response.ContentLength >= 0:
-		return FramedByLength
-	case len(response.TransferEncoding) > 0:
-		return FramedByChunks
-	default:
-		return Unframed
-	}
-}
-
 // Answer is an answer whose body is still to be read. Close must be called.
 type Answer struct {
 	Status  int
@@ -136,7 +125,7 @@
 	ctx      context.Context
 	pool     *Pool
 	conn     *conn
-	body     io.ReadCloser
+	body     io.Reader
 	deadline time.Time
 	release  func() bool
 	written  <-chan error
@@ -178,7 +167,7 @@
 	// A second answer to the identity's request could be taken for this request's.
 	isNew = isNew && o.Identity == nil
 	written := p.write(c, r)
-	response, err := awaitHead(ctx, c, r, isNew, o)
+	h, err := awaitHead(ctx, c, r, isNew, o)
 	if err != nil {
 		record.end(endOf(ctx, o.Deadline, err))
 		if isNew { // a kept connection may end at any time
@@ -186,11 +175,11 @@
 		}
 		return nil, abandon(c, release, err)
 	}
-	record.Status, record.Framing = response.StatusCode, framingOf(response)
+	record.Status, record.Framing = h.status, h.framing
 	answer := &Answer{
-		Status: response.StatusCode, Header: response.Header, Framing: record.Framing, ctx: ctx, pool: p, conn: c, body: response.Body,
+		Status: h.status, Header: h.header, Framing: h.framing, ctx: ctx, pool: p, conn: c, body: c.newBody(h),
 		deadline: o.Deadline, release: release, written: written, record: record,
-		reusable: !response.Close && response.ProtoAtLeast(1, 1),
+		reusable: !h.closes(),
 	}
 	answer.watch()
 	return answer, nil
--- a/target/h1/identity.go
+++ b/target/h1/identity.go
@@ -62,17 +62,17 @@
 	if err := setReadTimeout(ctx, c, o.Deadline, cmp.Or(o.MaxWait, identityWait)); err != nil {
 		return Unidentified.Wrap(err, "%s", c.address)
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: identity.Request.Method})
+	h, err := c.readFinalHead(identity.Request.Method)
 	if err != nil {
 		return Unidentified.Wrap(err, "%s did not identify itself", c.address)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes+1))
+	body, err := io.ReadAll(io.LimitReader(c.newBody(h), maxIdentityBytes+1))
 	switch {
 	case err != nil:
 		return Unidentified.Wrap(err, "%s did not identify itself", c.address)
-	case len(body) > maxIdentityBytes || response.Close:
+	case len(body) > maxIdentityBytes || h.closes():
 		return Unidentified.New("%s can't be asked anything else after its identity", c.address)
-	case !identity.Expected(response.StatusCode, response.Header, body):
+	case !identity.Expected(h.status, h.header, body):
 		return WrongProcess.New("%s: another process has the address", c.address)
 	}
 	c.identity = identity.Key
