sockets: a read reports the reset that a write received

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset to one call only. The request is written in a goroutine while the answer is read; if the write took the error, the read saw the end of the stream, which is how such an answer ends in order, and the result of the write was looked at by Close alone. The target still exists, so the second connection confirmed the end.

Change: connections to targets are of a type that remembers the error of a write; a read at the end of the stream ends a write that is under way, waits for its result and reports that error. EPIPE is not one: the kernel returns it for a reset that follows an end in order, when the target has not read the whole request. The second connection that confirms ends is of the same type; there one goroutine reads and nothing is written, so nothing was taken. TCP_INFO takes no error; the check of idle connections does, and closes them then.

--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -59,8 +59,8 @@
 
 // Pool is a pool of connections to targets. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
-	opened func()
+	dialTCP func(ctx context.Context, network, address string) (net.Conn, error)
+	opened  func()
 
 	breaks breaks
 
@@ -84,9 +84,9 @@
 // NewPool returns an empty pool, which calls opened for each new connection.
 func NewPool(opened func()) *Pool {
 	return &Pool{
-		dialer: net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: sockets.DetectDeadPeer},
-		opened: opened,
-		idle:   map[string][]*conn{},
+		dialTCP: sockets.Dial(&net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: sockets.DetectDeadPeer}),
+		opened:  opened,
+		idle:    map[string][]*conn{},
 	}
 }
 
@@ -95,7 +95,7 @@
 func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, identity string) (*conn, bool, error) {
 	for c := p.pop(address, identity); c != nil; c = p.pop(address, identity) {
 		idle := time.Since(c.idleSince)
-		if idle <= min(maxIdle, c.keepAlive) && sockets.StillIdle(c.Conn.(*net.TCPConn)) {
+		if idle <= min(maxIdle, c.keepAlive) && sockets.StillIdle(c.Conn) {
 			return c, false, nil
 		}
 		_ = c.Close()
@@ -114,9 +114,9 @@
 // dial opens a connection. If this process lacks a descriptor or memory for it, the connection of
 // the pool that has been idle the longest is closed in its favour.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	c, err := p.dialTCP(ctx, "tcp", address)
 	if sockets.LocalFailure(err) && p.closeLongestIdle() {
-		c, err = p.dialer.DialContext(ctx, "tcp", address)
+		c, err = p.dialTCP(ctx, "tcp", address)
 	}
 	return c, err
 }
--- a/target/sockets/sockets.go
+++ b/target/sockets/sockets.go
@@ -2,6 +2,7 @@
 package sockets
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -51,8 +52,12 @@
 
 // StillIdle reports whether nothing has arrived on an idle connection: no unexpected
 // bytes, no end of stream and no reset. It does not block.
-func StillIdle(conn syscall.Conn) bool {
-	raw, err := conn.SyscallConn()
+func StillIdle(conn net.Conn) bool {
+	tcp, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
