h1: the heads of answers have a bounded memory

What callers saw: targets that sent a head without end, in many lines or in one, to some dozen requests at a time made the daemon exceed the memory of its machine, so that it was killed and all its requests with it.

Cause: the heads of answers other than HTTP/1.0 had no bound.

Change: the pool reserves what a head and a trailer use as they are read, at the cost that heads of requests have (400 bytes a line, 4 a byte, nothing below 12 KiB), in a memory as large as heads_mb; one address holds at most half. What does not fit ends the attempt as an invalid answer. Ordinary heads need no share. Metric tarragonhollow_answer_head_memory_bytes.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -92,6 +92,7 @@
 	set.GetOrCreateGauge("tarragonhollow_body_memory_bytes", func() float64 { return float64(n.Bodies.Total()) })
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
+	n.boundAnswerHeads()
 	set.GetOrCreateGauge("tarragonhollow_target_connections_idle", func() float64 { return float64(n.pool.Idle()) })
 	logger.Info("scheduling", zap.Bool("queue", s.Scheduling.Queue), zap.Bool("zone_balance", s.Scheduling.ZoneBalance),
 		zap.Bool("batch_reserve", s.Scheduling.BatchReserve), zap.Bool("fair_shares", s.Scheduling.FairShares),
--- a/daemon/front/heads.go
+++ b/daemon/front/heads.go
@@ -25,6 +25,12 @@
 	return n.newHeads(memory, n.maxHeadBytes)
 }
 
+// boundAnswerHeads bounds what the heads of targets' answers use, beside those of requests.
+func (n *Node) boundAnswerHeads() {
+	n.pool.HeadMemory = bodymemory.New(n.Settings.HeadBytes())
+	n.Metrics.GetOrCreateGauge("tarragonhollow_answer_head_memory_bytes", func() float64 { return float64(n.pool.HeadMemory.Total()) })
+}
+
 func (n *Node) newHeads(memory *bodymemory.Memory, maxBytes func() int) *callerconns.Heads {
 	return &callerconns.Heads{
 		Memory: memory, MaxBytes: maxBytes, Timeout: headerTimeout,
--- a/settings/front.go
+++ b/settings/front.go
@@ -98,7 +98,7 @@
 // use, 1/bodyMemoryDivisor.
 const bodyMemoryDivisor = 5
 
-// headMemoryDivisor is bodyMemoryDivisor for the heads of requests.
+// headMemoryDivisor is bodyMemoryDivisor for the heads of requests, and of answers.
 const headMemoryDivisor = 10
 
 // BodyBytes returns the limit of the memory for the bodies of requests and responses
@@ -110,7 +110,8 @@
 	return int64(f.MemoryMB) * mib / bodyMemoryDivisor
 }
 
-// HeadBytes returns the limit of the memory for the heads of requests together, in bytes.
+// HeadBytes returns the limit of the memory for the heads of requests together, in bytes, and that
+// for the heads of answers.
 func (f *Front) HeadBytes() int64 {
 	if f.HeadsMB > 0 {
 		return int64(f.HeadsMB) * mib
--- a/target/h1/answerhead.go
+++ b/target/h1/answerhead.go
@@ -17,6 +17,12 @@
 	// maxHeadBytes and maxHeadLines bound the head of an answer, and its trailer.
 	maxHeadBytes = 256 << 10
 	maxHeadLines = 4096
+	// lineCost and byteCost are the memory in bytes that a line and a byte of a head use at most
+	// until its answer was forwarded: the text, an entry of the header, and its copies.
+	lineCost, byteCost = 400, 4
+	// freeHead is the cost up to which a head needs no share of the pool's memory. Ordinary answers
+	// stay below it, so that a full memory does not affect them.
+	freeHead = 12 << 10
 	// statusPrefix begins the status line of each version that is understood: a later minor version
 	// is read like HTTP/1.1 (RFC 9110, section 2.5).
 	statusPrefix = "HTTP/1."
@@ -37,15 +43,21 @@
 	noBody bool
 }
 
-// readAnswerHead reads and checks a head.
+// headCost returns the memory in bytes that a head uses beyond freeHead.
+func headCost(lines, size int) int64 {
+	return max(0, int64(lines)*lineCost+int64(size)*byteCost-freeHead)
+}
+
+// readAnswerHead reads and checks a head. reserve is called with the memory that the head uses, as
+// that grows, and its errors are returned.
 //
 // Failure guarded against: net/http's parser accepts a blank behind the name of a field, which hides
 // the framing, statuses and versions that don't exist, and heads of any size.
-func readAnswerHead(r *bufio.Reader, method string) (*head, error) {
+func readAnswerHead(r *bufio.Reader, method string, reserve func(cost int64) error) (*head, error) {
 	if err := checkPrefix(r); err != nil {
 		return nil, err
 	}
-	text, err := readSection(r)
+	text, err := readSection(r, reserve)
 	if err != nil {
 		return nil, err
 	}
@@ -96,8 +108,8 @@
 	return err
 }
 
-// readSection reads lines up to an empty one, which is not returned.
-func readSection(r *bufio.Reader) ([]byte, error) {
+// readSection reads lines up to an empty one, which is not returned. See readAnswerHead for reserve.
+func readSection(r *bufio.Reader, reserve func(cost int64) error) ([]byte, error) {
 	var text []byte
 	lineStart, lines := 0, 0
 	for {
@@ -108,6 +120,9 @@
 		if lines >= maxHeadLines || len(text)+len(part) > maxHeadBytes {
 			return nil, errors.New("the head or the trailer of the answer is too long")
 		}
+		if err := reserve(headCost(lines+1, len(text)+len(part))); err != nil {
+			return nil, err
+		}
 		text = append(text, part...)
 		if err != nil {
 			continue // the line goes on
--- a/target/h1/body.go
+++ b/target/h1/body.go
@@ -30,7 +30,7 @@
 	case h.noBody:
 		return http.NoBody
 	case h.framing == FramedByChunks:
-		return &chunkedBody{reader: c.reader}
+		return &chunkedBody{reader: c.reader, reserve: c.reserveTrailer}
 	case h.framing == FramedByLength:
 		return &lengthBody{reader: c.reader, left: h.length}
 	default:
@@ -63,6 +63,8 @@
 // and dropped.
 type chunkedBody struct {
 	reader *bufio.Reader
+	// reserve reserves the memory of the trailer.
+	reserve func(cost int64) error
 	// left is what is left of the current chunk's data. begun reports that there was a chunk, last
 	// that the last one was read.
 	left        int64
@@ -142,7 +144,7 @@
 
 // readTrailer reads and drops the trailer. It returns io.EOF if that is valid.
 func (b *chunkedBody) readTrailer() error {
-	text, err := readSection(b.reader)
+	text, err := readSection(b.reader, b.reserve)
 	if err != nil {
 		return err
 	}
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -161,6 +161,7 @@
 	if err := c.prepare(ctx, isNew, o); err != nil {
 		record.end(EndNotSent)
 		release()
+		c.releaseHead()
 		_ = c.Close()
 		return nil, err
 	}
@@ -187,6 +188,7 @@
 
 func abandon(c *conn, release func() bool, err error) error {
 	release()
+	c.releaseHead()
 	_ = c.Close()
 	return classify(c.address, err)
 }
@@ -326,6 +328,7 @@
 func (a *Answer) Close() {
 	a.record.end(EndAbandoned)
 	a.witness.Close()
+	a.conn.releaseHead()
 	inTime := a.release()
 	if !inTime || !a.complete || !a.reusable || !a.sent() || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
--- a/target/h1/head.go
+++ b/target/h1/head.go
@@ -61,7 +61,7 @@
 // readFinalHead reads the head of the next final answer and skips informational ones.
 func (c *conn) readFinalHead(method string) (*head, error) {
 	for range maxInformational + 1 {
-		h, err := readAnswerHead(c.reader, method)
+		h, err := readAnswerHead(c.reader, method, c.reserveHead)
 		switch {
 		case err != nil:
 			return nil, err
--- a/target/h1/pool.go
+++ b/target/h1/pool.go
@@ -18,6 +18,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"tarragonhollow.example/tarragonhollow/bodymemory"
 	"tarragonhollow.example/tarragonhollow/target/sockets"
 )
 
@@ -59,6 +60,10 @@
 
 // Pool is a pool of connections to targets. It is safe for concurrent use.
 type Pool struct {
+	// HeadMemory bounds what the heads of answers use together; nil for no bound. It is set before the
+	// first use.
+	HeadMemory *bodymemory.Memory
+
 	dialTCP func(ctx context.Context, network, address string) (net.Conn, error)
 	opened  func()
 
@@ -79,6 +84,10 @@
 	idleSince time.Time
 	// identity is the key of the Identity that was confirmed, "" for none.
 	identity string
+	// heads is the memory reserved for the answer's head, nil for no bound; headCost is what the head
+	// itself uses.
+	heads    *bodymemory.Claim
+	headCost int64
 }
 
 // NewPool returns an empty pool, which calls opened for each new connection.
@@ -108,7 +117,15 @@
 		return nil, true, NotSent.Wrap(err, "no connection to %s", address)
 	}
 	p.opened()
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), keepAlive: defaultKeepAlive}, true, nil
+	return p.newConn(raw, address), true, nil
+}
+
+func (p *Pool) newConn(raw net.Conn, address string) *conn {
+	c := &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), keepAlive: defaultKeepAlive}
+	if p.HeadMemory != nil {
+		c.heads = p.HeadMemory.Claim(address)
+	}
+	return c
 }
 
 // dial opens a connection. If this process lacks a descriptor or memory for it, the connection of
@@ -178,7 +195,7 @@
 		return err
 	}
 	p.opened()
-	p.put(&conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer), keepAlive: defaultKeepAlive})
+	p.put(p.newConn(c, address))
 	return nil
 }
 
