Tests: a spec of scarce descriptors begins when those of earlier specs are closed

Cause: the spec. It lowers the limit to the lowest free descriptor, and relies on its idle connection being below that.

Change: the spec waits for the descriptors to settle before it opens its connection, as Exhaust did only afterwards. What it expects is unchanged.

--- a/target/h1/descriptors_test.go
+++ b/target/h1/descriptors_test.go
@@ -42,6 +42,7 @@
 
 	// Guards against idle connections that keep requests to other targets from being sent.
 	It("closes an idle connection in favour of a new one", func() {
+		descriptors.Settle()
 		first, second := start(), start()
 		Expect(pool.Reachable(context.Background(), first.Address, limit)).To(BeTrue())
 		Expect(pool.Idle()).To(Equal(1))
--- a/test/descriptors/descriptors.go
+++ b/test/descriptors/descriptors.go
@@ -15,7 +15,13 @@
 func Forbid() (restore func()) { return limit(0) }
 
 // Exhaust is like Forbid, but a descriptor that is closed becomes free again.
-func Exhaust() (restore func()) {
+//
+// It serves only descriptors below the lowest free one: a spec that closes one of its own calls Settle
+// before it opens it.
+func Exhaust() (restore func()) { return limit(Settle()) }
+
+// Settle waits until earlier tests have closed their descriptors, and returns the lowest free one.
+func Settle() uint64 {
 	free, since := lowestFree(), time.Now()
 	for time.Since(since) < settled {
 		time.Sleep(settled / 10)
@@ -23,7 +29,7 @@
 			free, since = now, time.Now()
 		}
 	}
-	return limit(free)
+	return free
 }
 
 func lowestFree() uint64 {
