streams: the versions of targets are recorded in the log

What callers saw: all daemons were killed at once while targets of two versions served, or those of the old one had just left. Streams that callers took up again with Last-Event-Id alone were answered 200 at the new version and ran to their end: the first part from one version, the rest from another. Streams named by Resumes were refused for a minute, also where there had never been a second version.

Cause: what a daemon knew of versions that had left was in its memory alone. A resumption that names no stream went by the only version known now (Sole), whether or not the daemon could know of others; one that names a stream needed a minute of uninterrupted observation.

A daemon restores that right after it has loaded the list of targets, and after each interruption of that list; it then knows all versions of the last minute at once, since a daemon at which a stream began had recorded its version. Nothing waits for it. Since when versions are recorded is kept too, so that the first minute under this build guesses nothing; host.first_start (from the platform's word for it) says that nothing came before. A resumption without a name requires that this daemon, or one that it asks, knows all versions, up to a list of targets that may be old while the log is out.

The spec "take a stream that its caller doesn't name for one of the only known version" demanded the guess: it expected v1 although no daemon knew that there was no other version. It now expects a refusal there, and the version where this daemon or another one knows.

Streams of groups that had several versions are refused after such a kill: records of single streams are not in the log.

--- a/core/streamversion/history.go
+++ b/core/streamversion/history.go
@@ -17,8 +17,10 @@
 // is empty and ready to use.
 type History struct {
 	// since is when the uninterrupted record began, zero before that.
-	since  time.Time
-	groups map[string]map[string]presence
+	since time.Time
+	// interrupted is the time of the latest interruption.
+	interrupted time.Time
+	groups      map[string]map[string]presence
 }
 
 // presence is whether a version has targets, and until when it had some.
@@ -29,6 +31,10 @@
 
 // Interrupted records that versions may have come and gone unseen before the time at.
 func (h *History) Interrupted(at time.Time) {
+	if !at.After(h.interrupted) {
+		return
+	}
+	h.interrupted = at
 	if at.After(h.since) {
 		h.since = at
 	}
@@ -64,7 +70,7 @@
 	}
 }
 
-// Note records a version of which the group has had a target now.
+// Note records a version of which the group had a target at the time now.
 func (h *History) Note(now time.Time, group, version string) {
 	if h.groups == nil {
 		h.groups = map[string]map[string]presence{}
@@ -72,7 +78,7 @@
 	if h.groups[group] == nil {
 		h.groups[group] = map[string]presence{}
 	}
-	if !h.groups[group][version].now {
+	if p := h.groups[group][version]; !p.now && now.After(p.last) {
 		h.groups[group][version] = presence{last: now}
 	}
 }
--- a/core/streamversion/streamversion_test.go
+++ b/core/streamversion/streamversion_test.go
@@ -71,6 +71,77 @@
 	})
 })
 
+var _ = Describe("Records of versions", func() {
+	seen := func(version string, last time.Time, observed bool) streamversion.Seen {
+		return streamversion.Seen{Group: "g", Version: version, Last: last, Observed: observed}
+	}
+
+	It("are due for each version once, and again while it has targets", func() {
+		var r streamversion.Records
+		due := r.Due([]streamversion.Seen{seen("v1", start, true), seen("v2", start, true)})
+		Expect(due).To(HaveLen(2))
+		r.Kept(due...)
+		Expect(r.Due([]streamversion.Seen{seen("v1", at(streamversion.RefreshEvery-1), true)})).To(BeEmpty())
+		Expect(r.Due([]streamversion.Seen{seen("v1", at(streamversion.RefreshEvery), true)})).To(HaveLen(1))
+	})
+
+	// Guards against versions that never go: each start would extend what the record tells.
+	It("are not extended by what was restored from them", func() {
+		var r streamversion.Records
+		k := streamversion.Recorded{Group: "g", Version: "v1", At: start.UnixMilli()}
+		r.Kept(k)
+		now := at(streamversion.Memory)
+		s, ok := k.Seen(now)
+		Expect(ok).To(BeTrue())
+		Expect(s.Last.After(start.Add(streamversion.RefreshEvery))).To(BeTrue(), "streams may have begun until then")
+		var h streamversion.History
+		h.Observe(now, versions("v2"))
+		h.Restore(start, []streamversion.Seen{s})
+		Expect(h.Versions(now, "g")).To(Equal([]string{"v1", "v2"}))
+		for _, due := range r.Due(h.Seen(now)) {
+			Expect(due.Version).To(Equal("v2"))
+		}
+	})
+
+	It("tell nothing when they are too old, and of a clock that is ahead no more than now", func() {
+		k := streamversion.Recorded{Group: "g", Version: "v1", At: start.UnixMilli()}
+		_, ok := k.Seen(at(3 * streamversion.Memory))
+		Expect(ok).To(BeFalse())
+		s, ok := k.Seen(at(-time.Second))
+		Expect(ok).To(BeTrue())
+		Expect(s.Last).To(Equal(at(-time.Second)))
+	})
+})
+
+var _ = Describe("A history that is restored", func() {
+	// Guards against a record that is forgotten with the next change of the list of targets.
+	It("covers the time from which versions were recorded, until the next interruption", func() {
+		var h streamversion.History
+		h.Interrupted(start)
+		h.Observe(start, versions("v1"))
+		h.Restore(at(-time.Hour), nil)
+		h.Interrupted(start)
+		h.Observe(at(1), versions("v1"))
+		version, ok := h.Single(at(2), "g")
+		Expect(ok).To(BeTrue())
+		Expect(version).To(Equal("v1"))
+		h.Interrupted(at(3))
+		_, ok = h.Single(at(4), "g")
+		Expect(ok).To(BeFalse())
+	})
+
+	It("knows versions that it has not seen itself, and keeps what it has seen later", func() {
+		var h streamversion.History
+		h.Observe(start, versions("v1"))
+		h.Restore(at(-time.Hour), []streamversion.Seen{{Group: "g", Version: "v2", Last: start}, {Group: "g", Version: "v1", Last: at(-time.Minute)}})
+		_, ok := h.Single(at(streamversion.Memory), "g")
+		Expect(ok).To(BeFalse())
+		version, ok := h.Single(at(streamversion.Memory+1), "g")
+		Expect(ok).To(BeTrue())
+		Expect(version).To(Equal("v1"))
+	})
+})
+
 var _ = Describe("A table of streams' versions", func() {
 	var t *streamversion.Table
 	record := streamversion.Record{Stream: "s", Group: "g", Version: "v1"}
--- a/daemon/front/configuration.go
+++ b/daemon/front/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,6 +139,15 @@
 	return c.movedAt[group].After(since)
 }
 
+// Moved returns the groups to or from which streams may have moved since the time, and when.
+func (c *Configuration) Moved(since time.Time) map[string]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	moved := maps.Clone(c.movedAt)
+	maps.DeleteFunc(moved, func(_ string, at time.Time) bool { return !at.After(since) })
+	return moved
+}
+
 // Confirm records that nothing newer than the held version was active at the time at.
 func (c *Configuration) Confirm(at time.Time) {
 	c.mu.Lock()
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -49,6 +49,8 @@
 	Groups partlog.Groups
 	Wire   relay.Wire
 	Topics jobs.Topics
+	// VersionsTopic is the topic in which the versions of targets are recorded.
+	VersionsTopic string
 	// HostsTopic is the topic through which the daemons find each other, CrashesTopic that of the
 	// crashes of targets.
 	HostsTopic, CrashesTopic string
@@ -75,6 +77,7 @@
 	suspects   *suspects.Tracker
 	quotas     *quotas.Quotas
 	streams    *streams.Directory
+	record     streams.RecordOptions
 	peers      *peer.Client
 	peerServer *peer.Server
 	pool       *h1.Pool
@@ -131,6 +134,9 @@
 	n.streams = streams.New(streams.Options{
 		Self: s.PeerAddress, ListPeers: n.hosts.streamPeers, Peers: n.peers, Targets: streamTargets{n.Places, n.Configuration}, Metrics: set, Logger: logger,
 	})
+	n.record = streams.RecordOptions{
+		Log: a.Log, Topic: a.VersionsTopic, Targets: streamTargets{n.Places, n.Configuration}, FirstStart: s.FirstStart, AllRecord: n.hosts.isLarge,
+	}
 	crashes := relay.NewCrashDetector(n.suspects, n.pool)
 	n.Relay = relay.New(relay.Options{
 		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Streams: n.streams, Stopping: n.stopping.Load,
@@ -230,6 +236,7 @@
 	group.Go(n.Places.ReportLeases)
 	group.Go(n.quotas.Run)
 	group.Go(n.streams.Run)
+	group.Go(func(ctx context.Context) { n.streams.Record(ctx, n.record) })
 	n.suspects.Run(group)
 	n.Jobs.Run(group)
 	return nil
--- a/daemon/front/streamtargets.go
+++ b/daemon/front/streamtargets.go
@@ -20,3 +20,18 @@
 	v.Several = v.Several || t.configuration.MovedSince(group, time.Now().Add(-streamversion.Memory))
 	return v
 }
+
+// SeenVersions implements streams.SeenTargets. A group to or from which streams may have moved has had
+// an unknown version.
+func (t streamTargets) SeenVersions() (seen []streamversion.Seen, loadedAt time.Time, ok bool) {
+	seen, loadedAt, ok = t.places.SeenVersions()
+	for group, at := range t.configuration.Moved(time.Now().Add(-streamversion.Memory)) {
+		seen = append(seen, streamversion.Seen{Group: group, Last: at, Observed: true})
+	}
+	return seen, loadedAt, ok
+}
+
+// RestoreVersions implements streams.SeenTargets.
+func (t streamTargets) RestoreVersions(loadedAt, since time.Time, seen []streamversion.Seen) bool {
+	return t.places.RestoreVersions(loadedAt, since, seen)
+}
--- a/daemon/places/groupversions.go
+++ b/daemon/places/groupversions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragonhollow.example/tarragonhollow/core/roster"
+	"tarragonhollow.example/tarragonhollow/core/streamversion"
 )
 
 // versionsTTL is how long a list of targets, and what a reader said of versions, counts: some
@@ -17,9 +18,10 @@
 	Known []string
 	// Several reports that there were several, also if not all are listed.
 	Several bool
-	// Fresh reports that the list of targets was confirmed within the last versionsTTL,
-	// Throughout that so nothing is missing.
-	Fresh, Throughout bool
+	// Covered reports that all versions were known throughout the memory, up to the list of targets,
+	// which may be old. Fresh reports that the list was confirmed within the last versionsTTL,
+	// Throughout both, so that nothing is missing.
+	Covered, Fresh, Throughout bool
 }
 
 // Single returns the only version that the targets have had throughout; ok is false if there
@@ -53,13 +55,38 @@
 	v.Fresh = p.roster.Known() && p.roster.Age(now) <= versionsTTL
 	if p.roster.Adopted() {
 		v.Several = v.Several || p.readerVersions.several[group]
-		v.Throughout = v.Fresh && p.readerVersions.throughout && now.Sub(p.readerVersions.at) <= versionsTTL
+		v.Covered = p.readerVersions.throughout
+		v.Throughout = v.Fresh && v.Covered && now.Sub(p.readerVersions.at) <= versionsTTL
 		return v
 	}
-	v.Throughout = v.Fresh && p.versions.Covers(now)
+	v.Covered = p.versions.Covers(now)
+	v.Throughout = v.Fresh && v.Covered
 	return v
 }
 
+// SeenVersions returns the versions that targets have had within streamversion.Memory, and when the
+// list of targets was loaded. ok is false where this daemon does not read that list itself.
+func (p *Places) SeenVersions() (seen []streamversion.Seen, loadedAt time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.roster.Adopted() || !p.roster.Complete() {
+		return nil, time.Time{}, false
+	}
+	return p.versions.Seen(time.Now()), p.roster.LoadedAt(), true
+}
+
+// RestoreVersions adds versions that were recorded before the list of targets was loaded; see
+// streamversion.History.Restore. It returns false if the list was loaded again since loadedAt.
+func (p *Places) RestoreVersions(loadedAt, since time.Time, seen []streamversion.Seen) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.roster.Adopted() || !p.roster.LoadedAt().Equal(loadedAt) {
+		return false
+	}
+	p.versions.Restore(since, seen)
+	return true
+}
+
 // readerVersions is what a reader said of versions: the groups whose targets have had several,
 // and whether it would know of all such groups.
 type readerVersions struct {
--- a/daemon/streams/find.go
+++ b/daemon/streams/find.go
@@ -101,19 +101,26 @@
 }
 
 // FindUnnamed returns the origin of a stream that a caller resumes without naming it: the only
-// version that the group's targets are known to have had, here and at the daemons that are
-// asked.
+// version that the group's targets have had, as this daemon or one that is asked knows, and that none
+// contradicts.
 func (d *Directory) FindUnnamed(ctx context.Context, group string) Origin {
-	version := d.Targets.Versions(group).Sole()
+	own := d.Targets.Versions(group)
+	version := own.Sole()
 	if version == "" {
 		return Origin{Source: Unknown}
 	}
-	origin := Origin{Group: group, Version: version, Source: SingleVersion}
+	origin, covered := Origin{Group: group, Version: version, Source: SingleVersion}, own.Covered
 	for _, reply := range d.ask(ctx, "", group) {
 		origin.Answered++
 		if reply.Versions.Contradicts(version) {
 			return Origin{Source: Unknown, Answered: origin.Answered}
 		}
+		if (reply.Versions.Covered || reply.Versions.Throughout) && reply.Versions.Sole() == version && !covered {
+			origin.Source, covered = PeerSingleVersion, true
+		}
+	}
+	if !covered {
+		return Origin{Source: Unknown, Answered: origin.Answered}
 	}
 	return origin
 }
--- a/daemon/streams/streams_test.go
+++ b/daemon/streams/streams_test.go
@@ -92,6 +92,13 @@
 	v.known.Fresh, v.known.Throughout = false, false
 }
 
+// setCovered sets the view as of a list of targets that covers the memory and is not confirmed any more.
+func (v *view) setCovered(version string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.known = places.GroupVersions{Known: []string{version}, Covered: true}
+}
+
 func (v *view) Versions(string) places.GroupVersions {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -342,13 +349,21 @@
 		Expect(dirs[1].Find(context.Background(), "other", []string{"g", "h"}).Source).To(Equal(streams.Unknown))
 	})
 
-	It("take a stream that its caller doesn't name for one of the only known version", func() {
+	// Guards against a guess: a version that is the only one known need not be the only one that was.
+	It("take a stream that its caller doesn't name for one of the only version that there was", func() {
 		setAll(false, "v1")
-		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(Equal("v1"))
+		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(BeEmpty(), "nobody knows that there was no other one")
+		views[0].setCovered("v1")
+		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(Equal("v1"), "known here, also while the list of targets is old")
 		for _, v := range views[1 : daemons/2] {
 			v.set(false, "v2")
 		}
 		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(BeEmpty(), "other daemons know another one")
+		setAll(false, "v1")
+		for _, v := range views[1:] {
+			v.setCovered("v1")
+		}
+		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(Equal("v1"), "known at other daemons")
 		setAll(true, "v1", "v2")
 		Expect(dirs[0].FindUnnamed(context.Background(), "g").Version).To(BeEmpty())
 	})
--- a/settings/front.go
+++ b/settings/front.go
@@ -24,6 +24,8 @@
 	// partitions of a topic there.
 	LogAddress    string
 	LogPartitions int
+	// FirstStart reports that the whole system starts for the first time: no daemon has run before.
+	FirstStart bool
 	// MemoryMB bounds the memory of the process, in MiB.
 	MemoryMB int
 	// BodiesMB bounds the memory for the bodies of requests and responses together, in
@@ -128,6 +130,7 @@
 	v.address("ready_address", &f.ReadyAddress)
 	v.address("peer_address", &f.PeerAddress)
 	v.address("metrics_address", &f.MetricsAddress)
+	v.toggle("first_start", &f.FirstStart)
 	v.section("log_service")
 	v.address("address", &f.LogAddress)
 	v.number("partitions", &f.LogPartitions, 1, maxPartitions)
