relay: a planned stop refuses late requests and answers those that still run

Cause: Node.Stop closes what is open when the grace is over. What arrived meanwhile was not compared with the time that was left, and the end of the process was the end of a request.

Change: during a stop a request that has not run is sent only if its deadline, or how long requests of its route took at most in the last minutes (16 or more, a quarter added), ends it in time; else it is refused at once, as not run, so that its caller goes to another daemon. That is checked before it waits for a slot and right before it is sent. 0.65 s before the process would be killed, requests that still run are ended and answered: as not run if no target has run them, else as what may have run (502), where their caller has nothing yet; streams that have begun are cut off visibly. Bodies that are still coming are refused then. These refusals close their connections.

Before, go test ./platform -ginkgo.focus "A planned stop": 16 of 16 requests of "answers each request that it has read" ended with "unexpected EOF": bodies that took 3 s, kept and new connections used 1.5 and 2 s after SIGTERM at targets that take 6.5 s, and requests sent before it that take 9 s, half of them on a route that may not be repeated. "serves what ends in time" passed. After: both pass, and 8 specs of the relay.

--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -35,6 +35,9 @@
 	internalHeadMemory = 1 << 20
 	// stopMargin is the part of the grace period that is reserved for the last log lines.
 	stopMargin = 400 * time.Millisecond
+	// answerMargin is the part of the grace period before that in which requests that still run are
+	// answered.
+	answerMargin = 250 * time.Millisecond
 )
 
 // callerServer is the callers' listener and its server.
@@ -153,16 +156,32 @@
 	})
 }
 
+// StopsAt returns when a planned stop ends the requests that still run; stops is false without one.
+func (n *Node) StopsAt() (at time.Time, stops bool) {
+	if p := n.stopsAt.Load(); p != nil {
+		return *p, true
+	}
+	return time.Time{}, false
+}
+
+// RequestsEnded returns a context that is done once a planned stop has ended requests.
+func (n *Node) RequestsEnded() context.Context { return n.requestsEnded }
+
 // Stop stops the daemon without interrupting a request: first the platform and the other
 // daemons are notified, while new connections are still served; then the callers'
-// connections are closed as they become idle, while batch work ends in parallel.
+// connections are closed as they become idle, while batch work ends in parallel. A request that still
+// runs at the end of the grace period is answered then.
 func (n *Node) Stop() {
 	began := time.Now()
 	n.Logger.Info("stopping")
+	grace := n.Settings.StopGrace - stopMargin
+	endsAt := began.Add(grace - answerMargin)
+	n.stopsAt.Store(&endsAt)
 	n.stopping.Store(true)
+	defer time.AfterFunc(time.Until(endsAt), n.endRequests).Stop()
 	n.Places.StepDown()
 	n.quotas.StepDown()
-	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopGrace-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	drained := make(chan struct{})
 	go func() {
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -82,6 +82,10 @@
 	peerServer *peer.Server
 	pool       *h1.Pool
 	stopping   atomic.Bool
+	// stopsAt is when a planned stop ends the requests that still run, nil without one.
+	stopsAt       atomic.Pointer[time.Time]
+	requestsEnded context.Context
+	endRequests   context.CancelFunc
 	// targetsReady is set once every group has had a target, or startupTargetWait has
 	// passed since started.
 	targetsReady atomic.Bool
@@ -92,6 +96,7 @@
 // New returns a daemon that is not running yet.
 func New(s *settings.Front, a Adapter, logger *zap.Logger, set *metrics.Set) (*Node, error) {
 	n := &Node{Settings: s, Logger: logger, Metrics: set, started: time.Now(), Bodies: bodymemory.New(s.BodyBytes())}
+	n.requestsEnded, n.endRequests = context.WithCancel(context.Background())
 	set.GetOrCreateGauge("tarragonhollow_body_memory_bytes", func() float64 { return float64(n.Bodies.Total()) })
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
@@ -140,7 +145,7 @@
 	crashes := relay.NewCrashDetector(n.suspects, n.pool)
 	n.Relay = relay.New(relay.Options{
 		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Streams: n.streams, Stopping: n.stopping.Load,
-		Logger: logger, Metrics: set,
+		StopsAt: n.StopsAt, Ended: n.requestsEnded, Logger: logger, Metrics: set,
 	})
 	n.Jobs = jobs.New(jobs.Options{
 		Host: s.Host, Zone: s.Zone, Log: a.Log, Groups: a.Groups, Peers: n.peers, Address: n.hosts.addressOf,
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -62,8 +62,12 @@
 	Streams Streams
 	// Stopping reports that the process is stopping; nil for never.
 	Stopping func() bool
-	Logger   *zap.Logger
-	Metrics  *metrics.Set
+	// StopsAt returns when a planned stop ends the requests that still run, and whether there is one;
+	// nil for never. Ended is done from then on; nil for never.
+	StopsAt func() (at time.Time, stops bool)
+	Ended   context.Context
+	Logger  *zap.Logger
+	Metrics *metrics.Set
 }
 
 // Relay is safe for concurrent use.
@@ -75,12 +79,14 @@
 	budget *retry.Budget
 	// firstByteStats holds the statistics of the time to the first byte by target group.
 	firstByteStats map[string]*retry.WaitEstimator
+	// longestRuns holds how long requests run by route.
+	longestRuns map[string]*retry.LongestRun
 }
 
 // New returns a Relay.
 func New(o Options) *Relay {
 	return &Relay{Options: o, meter: newMeter(o.Metrics), budget: retry.NewBudget(retryBudgetShare, time.Now()),
-		firstByteStats: map[string]*retry.WaitEstimator{}}
+		firstByteStats: map[string]*retry.WaitEstimator{}, longestRuns: map[string]*retry.LongestRun{}}
 }
 
 func (r *Relay) stopping() bool { return r.Stopping != nil && r.Stopping() }
@@ -89,6 +95,8 @@
 // Result.Refusal is the answer to be written. Result.Aborted reports that an answer was
 // begun but cannot be completed; the connection must then be broken.
 func (r *Relay) Serve(ctx context.Context, request *Request, w http.ResponseWriter) (result Result) {
+	ctx, release := r.withStop(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	r.mu.Lock()
@@ -189,6 +197,9 @@
 		if s.stream.bound && s.stream.version == "" {
 			return s.refuse(unknownVersion())
 		}
+		if refusal := s.refuseLate(); refusal != nil {
+			return s.refuse(refusal)
+		}
 		slot, refusal := s.nextSlot(ctx)
 		if refusal != nil && s.decidePartsNow() {
 			return s.refuse(partRefused())
@@ -199,6 +210,10 @@
 		if refusal != nil {
 			return s.refuse(refusal)
 		}
+		if refusal := s.refuseLate(); refusal != nil { // it may have waited for the slot
+			s.relay.Places.Release(slot, routing.Neutral, 0)
+			return s.refuse(refusal)
+		}
 		target := slot.Target
 		s.lastTarget = target
 		s.logSent(slot)
@@ -222,7 +237,9 @@
 	stopWatch := s.degradeWhenSilent(slot)
 	defer func() {
 		stopWatch()
-		s.relay.Places.Release(slot, ended.health, ended.serviceTime(s.attemptStart))
+		took := ended.serviceTime(s.attemptStart)
+		s.relay.noteRun(s.request.Route.Name, took)
+		s.relay.Places.Release(slot, ended.health, took)
 	}()
 	ended = s.runAttempt(ctx, slot)
 	return ended
@@ -381,8 +398,12 @@
 	return Result{Refusal: refusal}
 }
 
-// endEarly ends a request whose caller disconnected or whose deadline has passed.
+// endEarly ends a request whose caller disconnected, whose deadline has passed, or that a planned stop
+// ends.
 func (s *requestState) endEarly(ctx context.Context) Result {
+	if refusal := stopped(ctx); refusal != nil {
+		return s.refuse(refusal)
+	}
 	if time.Now().Before(s.request.Deadline) {
 		return Result{CallerLeft: true}
 	}
