target: calls of the own interface check the heads of answers

What callers saw: the own interface passed on what services sent in place of an answer: a body whose length or coding stood behind a name with a blank, in whole or with the sizes of its chunks, a header "A b", statuses above 599, versions that don't exist, the chunks of an HTTP/1.0 answer.

Change: the connection keeps what it reads from the begin of a call until its head is complete, at most 64 KiB as the Transport allows, and the call checks that by the same grammar. It holds for calls of services and engines, their health, load reports and orders. A failed check closes the connection and counts as a violation of the protocol that may have run.

Before, go test ./target -ginkgo.focus "A service in trouble": 8 of 16 specs fail, e.g. {Status:200 Header:map[Transfer-Encoding :[chunked]]}. Status 000, a control byte in a name, the four sound answers, and the early answers that are reset or end in order (20 of 20 each) held before; their specs are kept and nothing was changed for them. After: all pass.

--- a/target/client.go
+++ b/target/client.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"tarragonhollow.example/tarragonhollow/target/h1"
 )
 
 // ClientOptions configures the HTTP clients. DefaultClientOptions sets all fields.
@@ -162,7 +164,11 @@
 		}
 		return nil, transportFailure(ctx, c.address, connected.Load(), err)
 	}
-	if failure := p.calls.check(c.address, id, resp, got.Reused); failure != nil {
+	failure := checkHead(c, got.Conn)
+	if failure == nil {
+		failure = p.calls.check(c.address, id, resp, got.Reused)
+	}
+	if failure != nil {
 		_ = resp.Body.Close()
 		// The transport may keep the connection of an answer without a body, and what else
 		// waits on it is not the answer of a later call either.
@@ -172,6 +178,19 @@
 	return resp, nil
 }
 
+// checkHead returns a failure if the answer that was received on the connection has a head that is
+// none; see h1.CheckAnswer.
+func checkHead(c call, conn net.Conn) *Failure {
+	checked, ok := conn.(*checkedConn)
+	if !ok {
+		return nil
+	}
+	if err := h1.CheckAnswer(checked.takeHead(), c.method); err != nil {
+		return protocolFailure(c.address, "%v", err)
+	}
+	return nil
+}
+
 // singleUseBody is a request body that can be sent only once.
 //
 // It guards against double execution. When a pooled connection fails before the
--- a/target/h1/answerhead.go
+++ b/target/h1/answerhead.go
@@ -64,13 +64,6 @@
 	return parseHead(string(text), method)
 }
 
-// CheckHead returns an error if a head, without the empty line at its end, is not that of an answer
-// to a request with the method.
-func CheckHead(text, method string) error {
-	_, err := parseHead(text, method)
-	return err
-}
-
 // parseHead parses a head without the empty line at its end.
 func parseHead(text, method string) (*head, error) {
 	line, fields, _ := strings.Cut(text, "\n")
--- a/target/startcheck.go
+++ b/target/startcheck.go
@@ -48,11 +48,16 @@
 
 // checkedConn is a connection that runs the check of a call before its first byte. Only a check
 // this late covers the time that a call waits for its connection and for the processor.
+//
+// It also keeps what it reads of a call's answer until the answer's head is complete: net/http accepts
+// heads that are none, and does not show them as they came.
 type checkedConn struct {
 	net.Conn
 
 	mu   sync.Mutex
 	next *startCheck
+	// head is what was read since the call began, nil if nothing is kept.
+	head []byte
 }
 
 // expect sets the check of the call to which the connection was given, nil for none.
@@ -60,6 +65,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = check
+	c.head = []byte{}
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head != nil && len(c.head) <= maxAnswerHeaderBytes { // net/http ends a longer head
+		c.head = append(c.head, p[:n]...)
+	}
+	return n, err
+}
+
+// takeHead returns what was read of the answer, whose head net/http has accepted, and keeps no more.
+func (c *checkedConn) takeHead() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	head := c.head
+	c.head = nil
+	return head
 }
 
 // Write implements net.Conn.
