streams: resumptions right after a start await the records of versions

Cause: a daemon that has just started serves requests as soon as it has the list of targets, and the records are restored some ms later (list to restored: 4 to 20 ms in the log).

Change: a resumption waits for the first restore, 0.1 s at most, the bound of the search among other daemons that it makes anyway. The options of the records moved into those of the directory, so that a request that comes before the duty has begun waits too.

A spec of the directory fails without the wait.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -77,7 +77,6 @@
 	suspects   *suspects.Tracker
 	quotas     *quotas.Quotas
 	streams    *streams.Directory
-	record     streams.RecordOptions
 	peers      *peer.Client
 	peerServer *peer.Server
 	pool       *h1.Pool
@@ -136,12 +135,11 @@
 		Self: s.PeerAddress, Leaders: n.Places, FleetSize: n.hosts.knownFleetSize, Accounts: n.accounts, Peers: n.peers, Logger: logger, Metrics: set,
 		Tolerance: quota.Tolerance{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
 	})
+	versions := streamTargets{n.Places, n.Configuration}
 	n.streams = streams.New(streams.Options{
-		Self: s.PeerAddress, ListPeers: n.hosts.streamPeers, Peers: n.peers, Targets: streamTargets{n.Places, n.Configuration}, Metrics: set, Logger: logger,
+		Self: s.PeerAddress, ListPeers: n.hosts.streamPeers, Peers: n.peers, Targets: versions, Metrics: set, Logger: logger,
+		Records: streams.RecordOptions{Log: a.Log, Topic: a.VersionsTopic, Targets: versions, FirstStart: s.FirstStart, AllRecord: n.hosts.isLarge},
 	})
-	n.record = streams.RecordOptions{
-		Log: a.Log, Topic: a.VersionsTopic, Targets: streamTargets{n.Places, n.Configuration}, FirstStart: s.FirstStart, AllRecord: n.hosts.isLarge,
-	}
 	crashes := relay.NewCrashDetector(n.suspects, n.pool)
 	n.Relay = relay.New(relay.Options{
 		Wire: a.Wire, Pool: n.pool, Places: n.Places, Crashes: crashes, Quotas: n.quotas, Streams: n.streams, Stopping: n.stopping.Load,
@@ -241,7 +239,7 @@
 	group.Go(n.Places.ReportLeases)
 	group.Go(n.quotas.Run)
 	group.Go(n.streams.Run)
-	group.Go(func(ctx context.Context) { n.streams.Record(ctx, n.record) })
+	group.Go(n.streams.Record)
 	n.suspects.Run(group)
 	n.Jobs.Run(group)
 	return nil
--- a/daemon/streams/find.go
+++ b/daemon/streams/find.go
@@ -104,6 +104,7 @@
 // version that the group's targets have had, as this daemon or one that is asked knows, and that none
 // contradicts.
 func (d *Directory) FindUnnamed(ctx context.Context, group string) Origin {
+	d.awaitRestored(ctx)
 	own := d.Targets.Versions(group)
 	version := own.Sole()
 	if version == "" {
@@ -131,6 +132,7 @@
 	if len(groups) == 1 {
 		group = groups[0]
 	}
+	d.awaitRestored(ctx)
 	stream = recordName(stream)
 	own := d.known(stream, group)
 	origin := own.origin(Local)
--- a/daemon/streams/record.go
+++ b/daemon/streams/record.go
@@ -38,6 +38,7 @@
 
 // RecordOptions configure the records of versions.
 type RecordOptions struct {
+	// Log is nil for no records.
 	Log     partlog.Log
 	Topic   string
 	Targets SeenTargets
@@ -61,8 +62,8 @@
 }
 
 // Record records versions until ctx is done.
-func (d *Directory) Record(ctx context.Context, o RecordOptions) {
-	r := &recorder{RecordOptions: o, directory: d}
+func (d *Directory) Record(ctx context.Context) {
+	r := &recorder{RecordOptions: d.Records, directory: d}
 	pause := restoreEvery
 	for duty.Pause(ctx, pause) {
 		pause = checkEvery
@@ -76,6 +77,20 @@
 	}
 }
 
+// awaitRestored waits, for findTimeout at most, until the records have been restored after the start:
+// callers resume at once the streams that the end of all daemons broke off.
+func (d *Directory) awaitRestored(ctx context.Context) {
+	if d.Records.Log == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	select {
+	case <-d.restored:
+	case <-ctx.Done():
+	}
+}
+
 // step restores the records if the list of targets was loaded since, and writes what is due.
 func (r *recorder) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
@@ -140,6 +155,9 @@
 	if !r.Targets.RestoreVersions(loadedAt, streamversion.RecordedSince(now, kept.since), seen) {
 		return nil // the list was loaded again meanwhile
 	}
+	if r.restored.IsZero() {
+		close(r.directory.restored)
+	}
 	r.restored = loadedAt
 	r.records.Kept(kept.versions...)
 	r.directory.Logger.Info("versions_restored", zap.Int("versions", len(seen)), zap.Int("expired", len(expired)), zap.Int64("since_ms", kept.since))
--- a/daemon/streams/record_test.go
+++ b/daemon/streams/record_test.go
@@ -89,12 +89,13 @@
 		directory = streams.New(streams.Options{
 			Self: "d", Peers: end{&network{down: map[string]bool{}}, "d"}, Targets: seen, Metrics: metrics.NewSet(), Logger: zap.NewNop(),
 			ListPeers: func() []places.Peer { return nil },
+			Records:   streams.RecordOptions{Log: log, Topic: topic, Targets: seen, FirstStart: firstStart, AllRecord: func() bool { return false }},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			directory.Record(ctx, streams.RecordOptions{Log: log, Topic: topic, Targets: seen, FirstStart: firstStart, AllRecord: func() bool { return false }})
+			directory.Record(ctx)
 		}()
 		kill = func() { cancel(); <-done }
 		DeferCleanup(kill)
@@ -154,6 +155,17 @@
 		Eventually(named(directory)).WithTimeout(timeout).Should(Equal("v1"))
 	})
 
+	// Guards against refusing the streams that callers resume at once where there was one version.
+	It("are awaited for a moment by a stream that is resumed right after the start", func() {
+		seen, _, kill := start(true)
+		seen.load("v1")
+		Eventually(kept).WithTimeout(timeout).Should(Equal(2))
+		kill()
+		seen, directory, _ := start(false)
+		seen.load("v1")
+		Expect(unnamed(directory)()).To(Equal("v1"))
+	})
+
 	It("cover the time in which the list of targets was not followed", func() {
 		seen, directory, _ := start(true)
 		seen.load("v1")
--- a/daemon/streams/streams.go
+++ b/daemon/streams/streams.go
@@ -60,6 +60,7 @@
 	ListPeers func() []places.Peer
 	Peers     peer.Caller
 	Targets   Targets
+	Records   RecordOptions
 	Logger    *zap.Logger
 	Metrics   *metrics.Set
 }
@@ -69,6 +70,8 @@
 	Options
 	wake               chan struct{}
 	sent, failed, lost *metrics.Counter
+	// restored is closed once the records of versions have been restored.
+	restored chan struct{}
 
 	mu      sync.Mutex
 	table   streamversion.Table
@@ -86,7 +89,7 @@
 // New returns an empty directory.
 func New(o Options) *Directory {
 	return &Directory{
-		Options: o, wake: make(chan struct{}, 1),
+		Options: o, wake: make(chan struct{}, 1), restored: make(chan struct{}),
 		sent:   o.Metrics.GetOrCreateCounter("tarragonhollow_stream_records_sent_total"),
 		failed: o.Metrics.GetOrCreateCounter("tarragonhollow_stream_records_not_delivered_total"),
 		lost:   o.Metrics.GetOrCreateCounter("tarragonhollow_stream_records_lost_total"),
