relay: answers to HEAD keep the length that their target states

What callers saw: the answer to a HEAD request had Content-Length: 0, whatever length its target had stated, also if that had stated none. Found by the look for valid answers that are changed.

Cause: an answer that is read whole gets the length of what was read, and an answer to HEAD has no body.

Change: such an answer gets the length of its target's head, if there is one.

--- a/daemon/relay/attempt.go
+++ b/daemon/relay/attempt.go
@@ -211,7 +211,10 @@
 	if err != nil {
 		return classifyError(ctx, err)
 	}
-	whole := bufferedAnswer{status: answer.Status, header: answer.Header, framing: answer.Framing, body: body}
+	whole := bufferedAnswer{status: answer.Status, header: answer.Header, framing: answer.Framing, length: int64(len(body)), body: body}
+	if s.request.HTTP.Method == http.MethodHead {
+		whole.length = answer.Length
+	}
 	if left && s.mayRetry() {
 		s.keepFallback(whole)
 		return targetLeft(t)
--- a/daemon/relay/delivery.go
+++ b/daemon/relay/delivery.go
@@ -60,7 +60,9 @@
 	status  int
 	header  http.Header
 	framing h1.Framing
-	body    []byte
+	// length is that of the body, or what the target states in an answer to HEAD, negative for none.
+	length int64
+	body   []byte
 }
 
 func newDelivery(w http.ResponseWriter, p position) *delivery {
@@ -123,7 +125,7 @@
 		return
 	}
 	if a.framing != h1.Unframed {
-		setLength(d.w.Header(), len(a.body), a.status)
+		setLength(d.w.Header(), a.length, a.status)
 	}
 	d.sendHead(a.status, a.header, a.framing)
 	_, err := d.w.Write(a.body)
--- a/daemon/relay/headers.go
+++ b/daemon/relay/headers.go
@@ -15,12 +15,12 @@
 	return fields
 }
 
-// setLength sets Content-Length unless the status allows no body.
-func setLength(header http.Header, length, status int) {
-	if status == http.StatusNoContent || status == http.StatusNotModified {
+// setLength sets Content-Length unless the length is negative or the status allows no body.
+func setLength(header http.Header, length int64, status int) {
+	if length < 0 || status == http.StatusNoContent || status == http.StatusNotModified {
 		return
 	}
-	header.Set("Content-Length", strconv.Itoa(length))
+	header.Set("Content-Length", strconv.FormatInt(length, 10))
 }
 
 // IsEventStream reports whether an answer without events may be a stream that has none: it
--- a/target/h1/answerhead.go
+++ b/target/h1/answerhead.go
@@ -244,6 +244,14 @@
 	return count == 1
 }
 
+// statedLength returns the length if it frames the body, else -1.
+func (h *head) statedLength() int64 {
+	if h.framing != FramedByLength {
+		return -1
+	}
+	return h.length
+}
+
 // closes reports whether the answer is the last one on its connection.
 func (h *head) closes() bool {
 	return h.minor == 0 || h.framing == Unframed && !h.noBody || httpguts.HeaderValuesContainsToken(h.header["Connection"], "close")
--- a/target/h1/exchange.go
+++ b/target/h1/exchange.go
@@ -121,6 +121,9 @@
 	Status  int
 	Header  http.Header
 	Framing Framing
+	// Length is the stated length of the body, also of one that an answer to HEAD leaves out, or
+	// negative.
+	Length int64
 
 	ctx      context.Context
 	pool     *Pool
@@ -178,7 +181,7 @@
 	}
 	record.Status, record.Framing = h.status, h.framing
 	answer := &Answer{
-		Status: h.status, Header: h.header, Framing: h.framing, ctx: ctx, pool: p, conn: c, body: c.newBody(h),
+		Status: h.status, Header: h.header, Framing: h.framing, Length: h.statedLength(), ctx: ctx, pool: p, conn: c, body: c.newBody(h),
 		deadline: o.Deadline, release: release, written: written, record: record,
 		reusable: !h.closes(),
 	}
