streams: hosts that read no list of targets do not await the records

Change: a resumption waits only where this host reads the list of targets itself; a host that has just started holds requests until it has the list.

Result: go test ./daemon/streams passes; the wait itself has no spec, since it would assert time.

--- a/core/streamversion/recorded.go
+++ b/core/streamversion/recorded.go
@@ -71,7 +71,7 @@
 	maps.DeleteFunc(r.at, func(_ name, at int64) bool { return at < oldest })
 }
 
-// Seen returns what the record tells at the time now: the version may have had targets until
+// Seen returns what the record shows at the time now: the version may have had targets until
 // recordSlack after it was written. ok is false if that is too long ago to matter.
 func (k Recorded) Seen(now time.Time) (s Seen, ok bool) {
 	age := now.Sub(time.UnixMilli(k.At)) - recordSlack
--- a/core/streamversion/streamversion_test.go
+++ b/core/streamversion/streamversion_test.go
@@ -85,7 +85,7 @@
 		Expect(r.Due([]streamversion.Seen{seen("v1", at(streamversion.RefreshEvery), true)})).To(HaveLen(1))
 	})
 
-	// Guards against versions that never go: each start would extend what the record tells.
+	// Guards against versions that never go: each start would extend what the record shows.
 	It("are not extended by what was restored from them", func() {
 		var r streamversion.Records
 		k := streamversion.Recorded{Group: "g", Version: "v1", At: start.UnixMilli()}
--- a/daemon/streams/record.go
+++ b/daemon/streams/record.go
@@ -83,6 +83,14 @@
 	if d.Records.Log == nil {
 		return
 	}
+	select {
+	case <-d.restored:
+		return
+	default:
+	}
+	if _, _, ok := d.Records.Targets.SeenVersions(); !ok {
+		return // another daemon reads the list of targets, and the records, for this one
+	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	select {
@@ -132,7 +140,7 @@
 	return nil
 }
 
-// restore reads the records and adds what they tell to what is known of targets since the list was
+// restore reads the records and adds what they show to what is known of targets since the list was
 // loaded.
 func (r *recorder) restore(ctx context.Context, loadedAt time.Time) error {
 	var kept keptVersions
