platform: requests that a planned stop ends have their line again

Cause: faults of "a planned stop refuses late requests and answers those that still run". Requests are ended before the process, so that none was left to be named; and a front.Node that New has not made has no context for the end of requests, on which the read of a body panicked.

Change: the requests that run when a stop ends them are logged right before that, each once; a Node without that context is never stopped. The specs are unchanged.

--- a/daemon/front/callerserver.go
+++ b/daemon/front/callerserver.go
@@ -164,8 +164,17 @@
 	return time.Time{}, false
 }
 
-// RequestsEnded returns a context that is done once a planned stop has ended requests.
-func (n *Node) RequestsEnded() context.Context { return n.requestsEnded }
+// RequestsEnded returns a context that is done once a planned stop ends requests.
+func (n *Node) RequestsEnded() context.Context {
+	if n.requestsEnded == nil {
+		return context.Background()
+	}
+	return n.requestsEnded
+}
+
+// OnRequestsEnd sets a function that is called right before a planned stop ends requests. It must be
+// called before Stop.
+func (n *Node) OnRequestsEnd(f func()) { n.onRequestsEnd = f }
 
 // Stop stops the daemon without interrupting a request: first the platform and the other
 // daemons are notified, while new connections are still served; then the callers'
@@ -178,7 +187,10 @@
 	endsAt := began.Add(grace - answerMargin)
 	n.stopsAt.Store(&endsAt)
 	n.stopping.Store(true)
-	defer time.AfterFunc(time.Until(endsAt), n.endRequests).Stop()
+	defer time.AfterFunc(time.Until(endsAt), func() {
+		n.onRequestsEnd()
+		n.endRequests()
+	}).Stop()
 	n.Places.StepDown()
 	n.quotas.StepDown()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -85,6 +85,7 @@
 	stopsAt       atomic.Pointer[time.Time]
 	requestsEnded context.Context
 	endRequests   context.CancelFunc
+	onRequestsEnd func()
 	// targetsReady is set once every group has had a target, or startupTargetWait has
 	// passed since started.
 	targetsReady atomic.Bool
@@ -96,6 +97,7 @@
 func New(s *settings.Front, a Adapter, logger *zap.Logger, set *metrics.Set) (*Node, error) {
 	n := &Node{Settings: s, Logger: logger, Metrics: set, started: time.Now(), Bodies: bodymemory.New(s.BodyBytes())}
 	n.requestsEnded, n.endRequests = context.WithCancel(context.Background())
+	n.onRequestsEnd = func() {}
 	set.GetOrCreateGauge("tarragonhollow_body_memory_bytes", func() float64 { return float64(n.Bodies.Total()) })
 	opened := set.GetOrCreateCounter("tarragonhollow_target_connections_total")
 	n.pool = h1.NewPool(opened.Inc)
